Set up the build, the checks and the core contracts

Cause: the repository was empty. Change: TypeScript build, prettier, typescript-eslint strict and stylistic, an import-cycle check and vitest behind npm test; core types (clock, random, errors), the log service contract with an in-memory stand-in, settings schemas, the engine contract and the design page.

--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,39 @@
+import eslint from '@eslint/js';
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config(
+  {
+    ignores: [
+      'dist/**',
+      'node_modules/**',
+      'bench/out/**',
+      'scripts/**',
+      'eslint.config.mjs',
+      'vitest.config.ts',
+    ],
+  },
+  eslint.configs.recommended,
+  ...tseslint.configs.strictTypeChecked,
+  ...tseslint.configs.stylisticTypeChecked,
+  {
+    languageOptions: {
+      parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
+    },
+    rules: {
+      '@typescript-eslint/restrict-template-expressions': [
+        'error',
+        { allowNumber: true, allowBoolean: true },
+      ],
+      '@typescript-eslint/no-confusing-void-expression': ['error', { ignoreArrowShorthand: true }],
+      '@typescript-eslint/explicit-module-boundary-types': 'error',
+    },
+  },
+  {
+    // Fakes and abstract-class doubles implement async interfaces without awaiting.
+    files: ['test/**/*.ts', 'src/standins/**/*.ts', 'bench/**/*.ts'],
+    rules: {
+      '@typescript-eslint/require-await': 'off',
+      '@typescript-eslint/no-non-null-assertion': 'off',
+    },
+  },
+);
--- /dev/null
+++ b/scripts/check.mjs
@@ -0,0 +1,25 @@
+// Runs every check of `npm test` in a fixed order and stops at the first that fails.
+import { spawnSync } from 'node:child_process';
+
+const checks = [
+  ['format', 'node_modules/.bin/prettier', ['--check', '--log-level=warn', '.']],
+  [
+    'lint',
+    'node_modules/.bin/eslint',
+    ['.', '--max-warnings=0', '--cache', '--cache-location', 'node_modules/.cache/eslint/'],
+  ],
+  [
+    'circular imports',
+    'node_modules/.bin/madge',
+    ['--circular', '--no-spinner', 'dist/src', 'dist/bench'],
+  ],
+  ['tests', 'node_modules/.bin/vitest', ['run']],
+];
+
+for (const [name, command, args] of checks) {
+  const startedAtMs = Date.now();
+  const result = spawnSync(command, args, { stdio: 'inherit' });
+  const seconds = ((Date.now() - startedAtMs) / 1000).toFixed(1);
+  console.log(`check ${name}: ${result.status === 0 ? 'ok' : 'FAILED'} in ${seconds} s`);
+  if (result.status !== 0) process.exit(1);
+}
--- /dev/null
+++ b/src/core/clock.ts
@@ -0,0 +1,51 @@
+/**
+ * Time source handed to every component, so that decision logic runs unchanged on real time in the
+ * daemon and on virtual time in tests and benchmarks.
+ *
+ * @example
+ * ```ts
+ * const deadlineAtMs = clock.nowMs() + 5_000;
+ * await clock.sleepUntil(deadlineAtMs);
+ * ```
+ */
+export abstract class Clock {
+  /** Current time in milliseconds since the Unix epoch. */
+  abstract nowMs(): number;
+
+  /**
+   * Runs `action` once at or after `atMs` (epoch milliseconds).
+   *
+   * @returns a function that cancels the timer; calling it twice is harmless.
+   */
+  abstract schedule(atMs: number, action: () => void): () => void;
+
+  /** Resolves at or after `atMs` (epoch milliseconds), or at once when `signal` is aborted. */
+  sleepUntil(atMs: number, signal?: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      if (signal?.aborted) {
+        resolve();
+        return;
+      }
+      const finish = (): void => {
+        cancel();
+        signal?.removeEventListener('abort', finish);
+        resolve();
+      };
+      const cancel = this.schedule(atMs, finish);
+      signal?.addEventListener('abort', finish, { once: true });
+    });
+  }
+
+  /** Runs `action` every `periodMs` milliseconds until the returned function is called. */
+  every(periodMs: number, action: () => void): () => void {
+    let cancel: () => void;
+    const tick = (): void => {
+      cancel = this.schedule(this.nowMs() + periodMs, tick);
+      action();
+    };
+    cancel = this.schedule(this.nowMs() + periodMs, tick);
+    return () => {
+      cancel();
+    };
+  }
+}
--- /dev/null
+++ b/src/core/system-clock.ts
@@ -0,0 +1,31 @@
+import { Clock } from './clock.js';
+
+/** Longest delay that Node's timers accept; a longer one would fire at once. */
+const maxTimerDelayMs = 2_147_483_647;
+
+/**
+ * Real time.
+ *
+ * Uses the monotonic clock plus the wall-clock offset taken at construction, so that a step of the
+ * wall clock neither expires nor extends a deadline.
+ *
+ * @example
+ * ```ts
+ * const clock = new SystemClock();
+ * ```
+ */
+export class SystemClock extends Clock {
+  readonly #originMs = Date.now() - performance.now();
+
+  override nowMs(): number {
+    return this.#originMs + performance.now();
+  }
+
+  override schedule(atMs: number, action: () => void): () => void {
+    const delayMs = Math.min(Math.max(0, Math.ceil(atMs - this.nowMs())), maxTimerDelayMs);
+    const timer = setTimeout(action, delayMs);
+    return () => {
+      clearTimeout(timer);
+    };
+  }
+}
--- /dev/null
+++ b/src/core/work-class.ts
@@ -0,0 +1,6 @@
+/** Class of a request by expected output length; decides priority, reservations and limits. */
+export enum WorkClass {
+  Short = 'short',
+  Medium = 'medium',
+  Long = 'long',
+}
--- /dev/null
+++ b/src/engine/index.ts
@@ -0,0 +1,2 @@
+export * from './engine-client.js';
+export * from './engine-error.js';
--- /dev/null
+++ b/src/fleet/index.ts
@@ -0,0 +1,1 @@
+export * from './endpoint-view.js';
--- /dev/null
+++ b/src/index.ts
@@ -0,0 +1,1 @@
+export * from './core/index.js';
--- /dev/null
+++ b/src/log/http-log-service.ts
@@ -0,0 +1,153 @@
+import { Agent, request, type Dispatcher } from 'undici';
+import { z } from 'zod';
+import { LogRefusedError, LogUnavailableError } from './log-errors.js';
+import {
+  LogService,
+  type NewRecord,
+  type Offset,
+  type ReadOptions,
+  type ReadPage,
+} from './log-service.js';
+
+const appendAnswer = z.object({ offset: z.number().int().nonnegative() });
+
+const readAnswer = z.object({
+  records: z.array(
+    z.object({
+      offset: z.number().int().nonnegative(),
+      id: z.string(),
+      appendedAtMs: z.number(),
+      data: z.string(),
+    }),
+  ),
+  earliestOffset: z.number().int().nonnegative(),
+  nextOffset: z.number().int().nonnegative(),
+});
+
+/** Options of {@link HttpLogService}. */
+export interface HttpLogServiceOptions {
+  /** Base URL such as `http://10.0.0.1:9000`. */
+  readonly baseUrl: string;
+  /** An append without an answer for this long counts as lost. */
+  readonly appendTimeoutMs?: number;
+  /** Extra time that a long poll may take beyond the wait asked for. */
+  readonly readGraceMs?: number;
+}
+
+/**
+ * {@link LogService} over HTTP.
+ *
+ * Each time-out destroys the connection: one that went silent is never used again.
+ *
+ * @example
+ * ```ts
+ * const log = new HttpLogService({ baseUrl: 'http://127.0.0.1:9000' });
+ * ```
+ */
+export class HttpLogService extends LogService {
+  readonly #baseUrl: string;
+  readonly #appendTimeoutMs: number;
+  readonly #readGraceMs: number;
+  readonly #agent = new Agent({ pipelining: 1, connections: 32, connect: { timeout: 2_000 } });
+
+  constructor(options: HttpLogServiceOptions) {
+    super();
+    this.#baseUrl = options.baseUrl;
+    this.#appendTimeoutMs = options.appendTimeoutMs ?? 5_000;
+    this.#readGraceMs = options.readGraceMs ?? 5_000;
+  }
+
+  override async append(
+    stream: string,
+    record: NewRecord,
+    signal?: AbortSignal,
+  ): Promise<{ readonly offset: Offset }> {
+    const answer = await this.#send(`/streams/${encodeURIComponent(stream)}/records`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(record),
+      signal: withTimeout(this.#appendTimeoutMs, signal),
+    });
+    if (answer.status >= 400 && answer.status < 500) {
+      throw new LogRefusedError(
+        `the log service refused an append to stream "${stream}" with status ${answer.status}; ` +
+          'check the record size and the append rate',
+        this.#baseUrl,
+      );
+    }
+    return this.#decode(appendAnswer, answer, true);
+  }
+
+  override async read(stream: string, fromOffset: Offset, options: ReadOptions): Promise<ReadPage> {
+    const query = new URLSearchParams({
+      from: String(fromOffset),
+      limit: String(options.limit),
+      wait_ms: String(options.waitMs),
+    });
+    const answer = await this.#send(
+      `/streams/${encodeURIComponent(stream)}/records?${query.toString()}`,
+      {
+        method: 'GET',
+        signal: withTimeout(options.waitMs + this.#readGraceMs, options.signal),
+      },
+    );
+    return this.#decode(readAnswer, answer, false);
+  }
+
+  /** Closes all connections; requests in flight fail. */
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  async #send(
+    path: string,
+    options: Omit<Dispatcher.RequestOptions, 'origin' | 'path'>,
+  ): Promise<{ status: number; text: string }> {
+    const isAppend = options.method === 'POST';
+    try {
+      const response = await request(`${this.#baseUrl}${path}`, {
+        ...options,
+        dispatcher: this.#agent,
+      });
+      return { status: response.statusCode, text: await response.body.text() };
+    } catch (error) {
+      throw new LogUnavailableError(
+        `the log service did not answer: ${error instanceof Error ? error.message : String(error)}`,
+        this.#baseUrl,
+        isAppend && !isConnectError(error),
+        error,
+      );
+    }
+  }
+
+  #decode<T>(schema: z.ZodType<T>, answer: { status: number; text: string }, isAppend: boolean): T {
+    if (answer.status === 200) {
+      try {
+        return schema.parse(JSON.parse(answer.text));
+      } catch (error) {
+        throw new LogUnavailableError(
+          'the log service sent an answer that does not match its format',
+          this.#baseUrl,
+          isAppend,
+          error,
+        );
+      }
+    }
+    throw new LogUnavailableError(
+      `the log service answered with status ${answer.status}`,
+      this.#baseUrl,
+      isAppend,
+    );
+  }
+}
+
+function withTimeout(timeoutMs: number, signal?: AbortSignal): AbortSignal {
+  const timeout = AbortSignal.timeout(timeoutMs);
+  return signal ? AbortSignal.any([timeout, signal]) : timeout;
+}
+
+/** True when no connection was made, so that no byte of the request can have been sent. */
+function isConnectError(error: unknown): boolean {
+  const code = (error as { code?: unknown } | null)?.code;
+  return code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT' || code === 'EHOSTUNREACH';
+}
--- /dev/null
+++ b/src/settings/deployment.ts
@@ -0,0 +1,111 @@
+import {
+  endpointSchema,
+  keySchema,
+  limitsSchema,
+  routingSchema,
+  serviceSchema,
+  workspaceSchema,
+  type EndpointSettings,
+  type KeySettings,
+  type LimitsSettings,
+  type RoutingSettings,
+  type ServiceSettings,
+  type WorkspaceSettings,
+} from './schemas.js';
+import { SectionKind, SettingsPath } from './settings-path.js';
+
+/** Raw values of a section: setting name to text. */
+export type SectionValues = Readonly<Record<string, string>>;
+
+/** A typed section together with where it came from. */
+export interface Section<T> {
+  /** `team/name`, unique within the deployment. */
+  readonly id: string;
+  readonly path: SettingsPath;
+  readonly values: T;
+}
+
+/**
+ * Typed, immutable view of all settings in force. Built once for each accepted change; sections
+ * have passed their schema before they get here.
+ *
+ * @example
+ * ```ts
+ * const deployment = Deployment.from(new Map([['prod/a/limits/w', { rate_per_s: '5' }]]));
+ * deployment.limits('a/w').rate_per_s; // 5
+ * ```
+ */
+export class Deployment {
+  readonly services = new Map<string, Section<ServiceSettings>>();
+  readonly workspaces = new Map<string, Section<WorkspaceSettings>>();
+  readonly endpoints = new Map<string, Section<EndpointSettings>>();
+  readonly keys = new Map<string, Section<KeySettings>>();
+  readonly #routing = new Map<string, RoutingSettings>();
+  readonly #limits = new Map<string, LimitsSettings>();
+
+  /** @param sections - path to raw values, as accepted by the configuration fold. */
+  static from(sections: ReadonlyMap<string, SectionValues>): Deployment {
+    const deployment = new Deployment();
+    for (const [pathText, values] of sections) {
+      deployment.#add(SettingsPath.parse(pathText), values);
+    }
+    return deployment;
+  }
+
+  /** Routing settings of a service: its own section, else the team's `default`, else built-in. */
+  routing(serviceId: string): RoutingSettings {
+    const team = serviceId.split('/')[0] ?? '';
+    return (
+      this.#routing.get(serviceId) ??
+      this.#routing.get(`${team}/default`) ??
+      routingSchema.parse({})
+    );
+  }
+
+  /** Limits of a workspace: its own section, else the team's `default`, else built-in. */
+  limits(workspaceId: string): LimitsSettings {
+    const team = workspaceId.split('/')[0] ?? '';
+    return (
+      this.#limits.get(workspaceId) ?? this.#limits.get(`${team}/default`) ?? limitsSchema.parse({})
+    );
+  }
+
+  /** The engine service of `team` that serves `model`; undefined when there is none. */
+  serviceForModel(team: string, model: string): Section<ServiceSettings> | undefined {
+    for (const service of this.services.values()) {
+      if (service.path.team === team && service.values.models.includes(model)) return service;
+    }
+    return undefined;
+  }
+
+  /** Endpoints of a service, in the order of their names. */
+  endpointsOf(serviceId: string): Section<EndpointSettings>[] {
+    return [...this.endpoints.values()]
+      .filter(({ path, values }) => `${path.team}/${values.service}` === serviceId)
+      .sort((a, b) => (a.id < b.id ? -1 : 1));
+  }
+
+  #add(path: SettingsPath, values: SectionValues): void {
+    const id = path.qualifiedName;
+    switch (path.kind) {
+      case SectionKind.Services:
+        this.services.set(id, { id, path, values: serviceSchema.parse(values) });
+        break;
+      case SectionKind.Workspaces:
+        this.workspaces.set(id, { id, path, values: workspaceSchema.parse(values) });
+        break;
+      case SectionKind.Endpoints:
+        this.endpoints.set(id, { id, path, values: endpointSchema.parse(values) });
+        break;
+      case SectionKind.Keys:
+        this.keys.set(id, { id, path, values: keySchema.parse(values) });
+        break;
+      case SectionKind.Routing:
+        this.#routing.set(id, routingSchema.parse(values));
+        break;
+      case SectionKind.Limits:
+        this.#limits.set(id, limitsSchema.parse(values));
+        break;
+    }
+  }
+}
--- /dev/null
+++ b/src/standins/index.ts
@@ -0,0 +1,1 @@
+export * from './memory-log-service.js';
--- /dev/null
+++ b/src/state/index.ts
@@ -0,0 +1,2 @@
+export * from './envelope.js';
+export * from './fold.js';
--- /dev/null
+++ b/src/telemetry/events.ts
@@ -0,0 +1,14 @@
+/**
+ * Numbered log events. Each number is permanent and described in `docs/EVENTS.md`; a test compares
+ * the two. Ranges: 1xx daemon, 2xx requests, 3xx log and state, 4xx membership and fleet,
+ * 5xx routing and admission, 6xx capacity, 7xx claims and jobs, 8xx administration and security.
+ */
+export enum EventId {
+  DaemonReady = 101,
+  DaemonStopping = 102,
+  DaemonStopped = 103,
+  StopForced = 104,
+  RequestServed = 201,
+  RequestRefused = 202,
+  RequestBroken = 203,
+}
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,10 @@
+import { defineConfig } from 'vitest/config';
+
+export default defineConfig({
+  test: {
+    include: ['test/**/*_test.ts'],
+    testTimeout: 60_000,
+    hookTimeout: 60_000,
+    maxWorkers: 6,
+  },
+});
