--- a/scripts/check.mjs
+++ b/scripts/check.mjs
@@ -8,11 +8,7 @@
     'node_modules/.bin/eslint',
     ['.', '--max-warnings=0', '--cache', '--cache-location', 'node_modules/.cache/eslint/'],
   ],
-  [
-    'circular imports',
-    'node_modules/.bin/madge',
-    ['--circular', '--no-spinner', 'dist/src', 'dist/bench'],
-  ],
+  ['circular imports', 'node_modules/.bin/madge', ['--circular', '--no-spinner', 'dist']],
   ['tests', 'node_modules/.bin/vitest', ['run']],
 ];
 
--- /dev/null
+++ b/src/rpc/index.ts
@@ -0,0 +1,1 @@
+export * from './peer-caller.js';
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -1,2 +1,3 @@
+export * from './entry-writer.js';
 export * from './envelope.js';
 export * from './fold.js';
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -11,4 +11,16 @@
   RequestServed = 201,
   RequestRefused = 202,
   RequestBroken = 203,
+
+  // 3xx log and state
+
+  // 4xx membership and fleet
+
+  // 5xx routing and admission
+
+  // 6xx capacity
+
+  // 7xx claims and jobs
+
+  // 8xx administration and security
 }
