Add the request pipeline, the engine client and the stand-ins

Cause: nothing could be served yet. Change: caller listener, chat stages, a relay that continues an interrupted answer at another endpoint, the OpenAI-compatible engine client with a silence bound, and HTTP stand-ins of log service, engine and plain service.

--- /dev/null
+++ b/src/engine/http-engine-client.ts
@@ -0,0 +1,349 @@
+import { createParser, type EventSourceParser } from 'eventsource-parser';
+import { Agent, request, type Dispatcher } from 'undici';
+import { z } from 'zod';
+import { Outcome, WorkClass, type Clock } from '../core/index.js';
+import { decodeChatChunk, type Usage } from './chat-chunk.js';
+import {
+  EngineClient,
+  GenerationEventKind,
+  type GenerationEvent,
+  type GenerationRequest,
+  type LoadReport,
+} from './engine-client.js';
+import { EngineError, EngineFailure } from './engine-error.js';
+
+/** Priority sent to engines that honour it; lower numbers run earlier. */
+const priorityOf: Readonly<Record<WorkClass, number>> = {
+  [WorkClass.Short]: 0,
+  [WorkClass.Medium]: 10,
+  [WorkClass.Long]: 20,
+};
+
+/** Longest event accepted from an engine, so that a broken one cannot exhaust the memory. */
+const maxEventChars = 1_048_576;
+
+const loadAnswer = z.object({
+  running_requests: z.number().nonnegative(),
+  queued_requests: z.number().nonnegative(),
+  kv_used_ratio: z.number().min(0).max(1),
+  observed_at_ms: z.number(),
+});
+
+/** Options of {@link HttpEngineClient}. */
+export interface HttpEngineClientOptions {
+  /** Endpoint name used in errors and logs. */
+  readonly name: string;
+  readonly baseUrl: string;
+  readonly clock: Clock;
+  /** A stream without token or heartbeat for this long is silent; read for each stream. */
+  readonly silenceMs: () => number;
+}
+
+/**
+ * {@link EngineClient} for engines with the OpenAI chat API over HTTP.
+ *
+ * A stream continues earlier text by sending it as the last assistant message with
+ * `continue_final_message`. Each stream has a connection of its own from the pool; one that fell
+ * silent is destroyed and never reused.
+ *
+ * @example
+ * ```ts
+ * const engine = new HttpEngineClient({ name: 'a', baseUrl, clock, silenceMs: () => 3_000 });
+ * ```
+ */
+export class HttpEngineClient extends EngineClient {
+  readonly #name: string;
+  readonly #baseUrl: string;
+  readonly #clock: Clock;
+  readonly #silenceMs: () => number;
+  readonly #agent = new Agent({
+    pipelining: 1,
+    connections: null,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    connect: { timeout: 2_000 },
+  });
+
+  constructor(options: HttpEngineClientOptions) {
+    super();
+    this.#name = options.name;
+    this.#baseUrl = options.baseUrl;
+    this.#clock = options.clock;
+    this.#silenceMs = options.silenceMs;
+  }
+
+  override generate(
+    generation: GenerationRequest,
+    onEvent: (event: GenerationEvent) => void | Promise<void>,
+    signal: AbortSignal,
+  ): Promise<void> {
+    return new Promise((resolve, reject) => {
+      const stream = new GenerationStream({
+        name: this.#name,
+        clock: this.#clock,
+        silenceMs: this.#silenceMs(),
+        onEvent,
+        signal,
+        resolve,
+        reject,
+      });
+      if (signal.aborted) {
+        stream.fail(EngineFailure.Broken, 'cancelled before it was sent', Outcome.NotRun);
+        return;
+      }
+      this.#agent.dispatch(
+        {
+          origin: this.#baseUrl,
+          path: '/v1/chat/completions',
+          method: 'POST',
+          headers: {
+            'content-type': 'application/json',
+            accept: 'text/event-stream',
+            'x-request-id': generation.requestId,
+          },
+          body: JSON.stringify(encodeRequest(generation)),
+        },
+        stream,
+      );
+    });
+  }
+
+  override async cancel(requestId: string): Promise<void> {
+    await request(`${this.#baseUrl}/v1/requests/${encodeURIComponent(requestId)}`, {
+      method: 'DELETE',
+      dispatcher: this.#agent,
+      signal: AbortSignal.timeout(2_000),
+    }).then(
+      (response) => response.body.dump(),
+      // A cancel is best effort: closing the stream has already told the engine.
+      () => undefined,
+    );
+  }
+
+  override async load(signal: AbortSignal): Promise<LoadReport> {
+    try {
+      const response = await request(`${this.#baseUrl}/load`, {
+        dispatcher: this.#agent,
+        signal,
+      });
+      const answer = loadAnswer.parse(await response.body.json());
+      return {
+        runningRequests: answer.running_requests,
+        queuedRequests: answer.queued_requests,
+        kvUsedRatio: answer.kv_used_ratio,
+        observedAtMs: answer.observed_at_ms,
+      };
+    } catch (error) {
+      throw new EngineError('no load report; check that the engine serves GET /load', {
+        peer: this.#name,
+        failure: EngineFailure.Silent,
+        outcome: Outcome.NotRun,
+        cause: error,
+      });
+    }
+  }
+
+  /** Closes all connections; streams in flight break. */
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+}
+
+function encodeRequest(generation: GenerationRequest): Record<string, unknown> {
+  const resumed = generation.resumeText !== '';
+  return {
+    ...generation.passThrough,
+    model: generation.model,
+    messages: resumed
+      ? [...generation.messages, { role: 'assistant', content: generation.resumeText }]
+      : generation.messages,
+    ...(resumed ? { continue_final_message: true, add_generation_prompt: false } : {}),
+    max_tokens: generation.maxTokens,
+    priority: priorityOf[generation.workClass],
+    stream: true,
+    stream_options: { include_usage: true },
+  };
+}
+
+interface GenerationStreamOptions {
+  readonly name: string;
+  readonly clock: Clock;
+  readonly silenceMs: number;
+  readonly onEvent: (event: GenerationEvent) => void | Promise<void>;
+  readonly signal: AbortSignal;
+  readonly resolve: () => void;
+  readonly reject: (error: Error) => void;
+}
+
+const heartbeat: GenerationEvent = { kind: GenerationEventKind.Heartbeat };
+
+/** Response handler of one generation. @internal */
+class GenerationStream implements Dispatcher.DispatchHandler {
+  readonly #options: GenerationStreamOptions;
+  readonly #decoder = new TextDecoder();
+  readonly #parser: EventSourceParser;
+  readonly #onAbort = (): void => {
+    this.fail(EngineFailure.Broken, 'cancelled by the caller', Outcome.Unknown);
+  };
+  #controller: Dispatcher.DispatchController | undefined;
+  #status = 0;
+  #errorText = '';
+  #lastDataAtMs: number;
+  #cancelSilenceTimer: () => void;
+  #finishReason: string | undefined;
+  #usage: Usage | undefined;
+  #tokens = 0;
+  #settled = false;
+  #pendingWrites = 0;
+
+  constructor(options: GenerationStreamOptions) {
+    this.#options = options;
+    this.#parser = createParser({
+      onEvent: ({ data }) => this.#onData(data),
+      onComment: () => void options.onEvent(heartbeat),
+      maxBufferSize: maxEventChars,
+      onError: (error) => {
+        if (error.type === 'max-buffer-size-exceeded') {
+          this.fail(EngineFailure.Broken, 'sent an event over the size limit', Outcome.Unknown);
+        }
+      },
+    });
+    this.#lastDataAtMs = options.clock.nowMs();
+    this.#cancelSilenceTimer = this.#armSilenceTimer();
+    options.signal.addEventListener('abort', this.#onAbort, { once: true });
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    // The stream was abandoned while the request waited for a connection.
+    if (this.#settled) controller.abort(new Error('abandoned'));
+  }
+
+  onResponseStart(_controller: Dispatcher.DispatchController, statusCode: number): void {
+    this.#status = statusCode;
+    this.#lastDataAtMs = this.#options.clock.nowMs();
+  }
+
+  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.#settled) return;
+    this.#lastDataAtMs = this.#options.clock.nowMs();
+    const text = this.#decoder.decode(chunk, { stream: true });
+    if (this.#status !== 200) {
+      if (this.#errorText.length < 4_096) this.#errorText += text;
+      return;
+    }
+    try {
+      this.#parser.feed(text);
+    } catch (error) {
+      this.fail(EngineFailure.Broken, 'sent a stream that is not valid', Outcome.Unknown, error);
+    }
+  }
+
+  onResponseEnd(): void {
+    if (this.#status !== 200) {
+      this.#failWithStatus();
+    } else if (this.#finishReason === undefined) {
+      this.fail(EngineFailure.Broken, 'closed the stream before its end', Outcome.Unknown);
+    } else {
+      this.#succeed(this.#finishReason);
+    }
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    const code = (error as { code?: unknown }).code;
+    if (code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT' || code === 'EHOSTUNREACH') {
+      this.fail(EngineFailure.Refused, 'accepts no connection', Outcome.NotRun, error);
+    } else {
+      this.fail(EngineFailure.Broken, 'broke the stream', Outcome.Unknown, error);
+    }
+  }
+
+  /** Ends the stream with an error, once; later calls are ignored. */
+  fail(failure: EngineFailure, message: string, outcome: Outcome, cause?: unknown): void {
+    if (!this.#settle()) return;
+    this.#controller?.abort(new Error(message));
+    const { name, reject } = this.#options;
+    reject(new EngineError(`endpoint ${name} ${message}`, { peer: name, failure, outcome, cause }));
+  }
+
+  #onData(data: string): void {
+    if (this.#settled || data === '[DONE]') return;
+    const chunk = decodeChatChunk(data);
+    if (chunk.usage) this.#usage = chunk.usage;
+    if (chunk.finishReason !== undefined) this.#finishReason = chunk.finishReason;
+    if (!chunk.hasChoice) return;
+    if (chunk.text !== '') this.#tokens += 1;
+    this.#emit({ kind: GenerationEventKind.Token, text: chunk.text, chunkJson: data });
+  }
+
+  #emit(event: GenerationEvent): void {
+    const written = this.#options.onEvent(event);
+    if (!written) return;
+    this.#pendingWrites += 1;
+    this.#controller?.pause();
+    void written.then(
+      () => this.#onWritten(),
+      (error: unknown) =>
+        this.fail(EngineFailure.Broken, 'has no reader any more', Outcome.Unknown, error),
+    );
+  }
+
+  #onWritten(): void {
+    this.#pendingWrites -= 1;
+    if (this.#pendingWrites > 0 || this.#settled) return;
+    // Time during which the reader held the stream back is not the engine's silence.
+    this.#lastDataAtMs = this.#options.clock.nowMs();
+    this.#controller?.resume();
+  }
+
+  #succeed(finishReason: string): void {
+    if (!this.#settle()) return;
+    void this.#options.onEvent({
+      kind: GenerationEventKind.End,
+      finishReason,
+      promptTokens: this.#usage?.promptTokens ?? 0,
+      cachedTokens: this.#usage?.cachedTokens ?? 0,
+      completionTokens: this.#usage?.completionTokens ?? this.#tokens,
+    });
+    this.#options.resolve();
+  }
+
+  #failWithStatus(): void {
+    const status = this.#status;
+    const detail = this.#errorText.slice(0, 200);
+    if (status === 429 || status === 503) {
+      this.fail(EngineFailure.Rejected, `refused the work (${status}) ${detail}`, Outcome.NotRun);
+    } else if (status >= 400 && status < 500) {
+      this.fail(
+        EngineFailure.BadRequest,
+        `refused the request (${status}) ${detail}`,
+        Outcome.NotRun,
+      );
+    } else {
+      this.fail(EngineFailure.Broken, `answered with status ${status} ${detail}`, Outcome.Unknown);
+    }
+  }
+
+  #armSilenceTimer(): () => void {
+    const { clock, silenceMs } = this.#options;
+    // One timer per stream that is re-armed when it fires: re-arming on each token costs more than
+    // the relay of the token.
+    return clock.schedule(this.#lastDataAtMs + silenceMs, () => {
+      if (this.#settled) return;
+      if (this.#pendingWrites > 0) this.#lastDataAtMs = clock.nowMs();
+      if (clock.nowMs() - this.#lastDataAtMs >= silenceMs) {
+        this.fail(EngineFailure.Silent, `was silent for ${silenceMs} ms`, Outcome.Unknown);
+      } else {
+        this.#cancelSilenceTimer = this.#armSilenceTimer();
+      }
+    });
+  }
+
+  #settle(): boolean {
+    if (this.#settled) return false;
+    this.#settled = true;
+    this.#cancelSilenceTimer();
+    this.#options.signal.removeEventListener('abort', this.#onAbort);
+    return true;
+  }
+}
--- /dev/null
+++ b/src/pipeline/caller-server.ts
@@ -0,0 +1,168 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { Outcome, RequestError, Step, type Clock, type IdSource } from '../core/index.js';
+import type { Deployment } from '../settings/index.js';
+import { answerError, toRequestError } from './answer-error.js';
+
+/** Handles the requests below one path. */
+export abstract class CallerRoute {
+  /** Whether the route takes this method and path. */
+  abstract matches(method: string, path: string): boolean;
+  abstract handle(request: CallerRequest): Promise<void>;
+}
+
+/** A request as it comes in, before any stage. */
+export interface CallerRequest {
+  readonly requestId: string;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  /** Epoch milliseconds. */
+  readonly receivedAtMs: number;
+  readonly deployment: Deployment;
+  /** Path without the query. */
+  readonly path: string;
+}
+
+/** Told about refused and broken requests. */
+export abstract class CallerServerObserver {
+  abstract failed(request: CallerRequest, error: RequestError): void;
+}
+
+/** Options of {@link CallerServer}. */
+export interface CallerServerOptions {
+  readonly routes: readonly CallerRoute[];
+  readonly deployment: () => Deployment;
+  readonly observer: CallerServerObserver;
+  readonly clock: Clock;
+  readonly newId: IdSource;
+}
+
+/** A caller must send its headers within this time; guards against slow-header clients. */
+const headersTimeoutMs = 10_000;
+const maxHeaderBytes = 16_384;
+
+/**
+ * The HTTP listener for callers: finds the route and turns every error into an answer that says
+ * whether the work ran.
+ *
+ * @example
+ * ```ts
+ * const server = new CallerServer({ routes, deployment, observer, clock, newId });
+ * server.http.listen(8080);
+ * ```
+ */
+export class CallerServer {
+  readonly #options: CallerServerOptions;
+  readonly #inFlight = new Map<string, CallerRequest>();
+  readonly #idleListeners = new Set<() => void>();
+
+  constructor(options: CallerServerOptions) {
+    this.#options = options;
+  }
+
+  /** Creates the plain HTTP server; for TLS pass {@link CallerServer.listener} to `https`. */
+  createHttpServer(): Server {
+    const server = createServer(
+      { maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMs, requestTimeout: 0 },
+      this.listener,
+    );
+    server.on('clientError', (error: Error & { code?: string }, socket) => {
+      const status =
+        error.code === 'HPE_HEADER_OVERFLOW'
+          ? 431
+          : error.code === 'ERR_HTTP_REQUEST_TIMEOUT'
+            ? 408
+            : 400;
+      if (socket.writable) socket.end(rawRefusal(status));
+    });
+    return server;
+  }
+
+  /** Request listener for Node's `http` and `https`. */
+  readonly listener = (request: IncomingMessage, response: ServerResponse): void => {
+    void this.#handle(request, response);
+  };
+
+  /** Ids of the requests that have no whole answer yet. */
+  get inFlightIds(): readonly string[] {
+    return [...this.#inFlight.keys()];
+  }
+
+  /** Resolves once no request is in flight. */
+  whenIdle(): Promise<void> {
+    if (this.#inFlight.size === 0) return Promise.resolve();
+    return new Promise((resolve) => this.#idleListeners.add(resolve));
+  }
+
+  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { clock, newId, deployment } = this.#options;
+    const incoming: CallerRequest = {
+      requestId: newId(),
+      request,
+      response,
+      receivedAtMs: clock.nowMs(),
+      deployment: deployment(),
+      path: (request.url ?? '/').split('?')[0] ?? '/',
+    };
+    this.#inFlight.set(incoming.requestId, incoming);
+    response.once('close', () => {
+      this.#ended(incoming.requestId);
+    });
+    try {
+      await this.#routeFor(incoming).handle(incoming);
+    } catch (thrown) {
+      const error = toRequestError(thrown);
+      this.#options.observer.failed(incoming, error);
+      answerError(response, error, incoming.requestId, clock.nowMs());
+    }
+  }
+
+  #routeFor(incoming: CallerRequest): CallerRoute {
+    const method = incoming.request.method ?? 'GET';
+    const route = this.#options.routes.find((candidate) =>
+      candidate.matches(method, incoming.path),
+    );
+    if (route) return route;
+    throw new RequestError(`there is no ${method} ${incoming.path}`, {
+      step: Step.Parse,
+      peer: 'caller',
+      status: 404,
+      code: 'not_found',
+      next: 'Use /v1/chat/completions, /v1/models, /v1/jobs or /services/{service}/.',
+      outcome: Outcome.NotRun,
+    });
+  }
+
+  #ended(requestId: string): void {
+    this.#inFlight.delete(requestId);
+    if (this.#inFlight.size > 0) return;
+    for (const resolve of this.#idleListeners) resolve();
+    this.#idleListeners.clear();
+  }
+}
+
+/** Answer to bytes that never became a request, written to the bare socket. */
+function rawRefusal(status: number): string {
+  const body = JSON.stringify({
+    error: {
+      code:
+        status === 431
+          ? 'headers_too_large'
+          : status === 408
+            ? 'slow_headers'
+            : 'malformed_request',
+      message: 'the request could not be read as HTTP/1.1',
+      next: 'Correct the request and send it again.',
+      outcome: Outcome.NotRun,
+    },
+  });
+  const reason =
+    status === 431
+      ? 'Request Header Fields Too Large'
+      : status === 408
+        ? 'Request Timeout'
+        : 'Bad Request';
+  return (
+    `HTTP/1.1 ${status} ${reason}\r\nconnection: close\r\ncontent-type: application/json\r\n` +
+    `oriolestack-outcome: ${Outcome.NotRun}\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`
+  );
+}
--- /dev/null
+++ b/src/pipeline/chat-responder.ts
@@ -0,0 +1,184 @@
+import type { ServerResponse } from 'node:http';
+import type { GenerationEvent } from '../engine/index.js';
+import { GenerationEventKind } from '../engine/index.js';
+
+/** Fields of an answer that are the same in each of its chunks. */
+export interface ChatAnswerHead {
+  readonly requestId: string;
+  readonly model: string;
+  /** Seconds since the epoch, as the OpenAI format has it. */
+  readonly createdS: number;
+  readonly wantsUsage: boolean;
+}
+
+/** End of a generation. */
+export type GenerationEnd = Extract<GenerationEvent, { kind: GenerationEventKind.End }>;
+
+/** Writes a generation to the caller, as one stream even when several engines produced it. */
+export abstract class ChatResponder {
+  /** Writes a token. Resolves when a slow caller has caught up; undefined when it keeps up. */
+  abstract token(text: string, chunkJson: string): Promise<void> | undefined;
+  /** Shows the caller that the connection lives while no token comes. */
+  abstract keepAlive(): void;
+  abstract end(end: GenerationEnd): void;
+}
+
+/** Answers with server-sent events. */
+export class SseChatResponder extends ChatResponder {
+  readonly #response: ServerResponse;
+  readonly #head: ChatAnswerHead;
+  readonly #id: string;
+  #pending = '';
+  #drain: Promise<void> | undefined;
+  #isFlushScheduled = false;
+
+  constructor(response: ServerResponse, head: ChatAnswerHead) {
+    super();
+    this.#response = response;
+    this.#head = head;
+    this.#id = `"id":${JSON.stringify(`chatcmpl-${head.requestId}`)}`;
+  }
+
+  override token(_text: string, chunkJson: string): Promise<void> | undefined {
+    this.#pending += `data: ${this.#withOwnId(chunkJson)}\n\n`;
+    if (!this.#isFlushScheduled) {
+      // Tokens that came in one read leave in one write.
+      this.#isFlushScheduled = true;
+      queueMicrotask(() => {
+        this.#flush();
+      });
+    }
+    return this.#drain;
+  }
+
+  override keepAlive(): void {
+    this.#writeHead();
+    this.#response.write(': waiting\n\n');
+  }
+
+  override end(end: GenerationEnd): void {
+    if (this.#head.wantsUsage) {
+      const usage = {
+        id: `chatcmpl-${this.#head.requestId}`,
+        object: 'chat.completion.chunk',
+        created: this.#head.createdS,
+        model: this.#head.model,
+        choices: [],
+        usage: usageOf(end),
+      };
+      this.#pending += `data: ${JSON.stringify(usage)}\n\n`;
+    }
+    this.#pending += 'data: [DONE]\n\n';
+    this.#flush();
+    this.#response.end();
+  }
+
+  /** Replaces the engine's id, since a moved stream would change it in the middle. */
+  #withOwnId(chunkJson: string): string {
+    const start = chunkJson.indexOf('"id":"');
+    if (start < 0) return chunkJson;
+    const end = chunkJson.indexOf('"', start + 6);
+    return chunkJson.slice(0, start) + this.#id + chunkJson.slice(end + 1);
+  }
+
+  #flush(): void {
+    this.#isFlushScheduled = false;
+    if (this.#pending === '' || this.#response.destroyed) return;
+    this.#writeHead();
+    const isBuffered = !this.#response.write(this.#pending);
+    this.#pending = '';
+    if (!isBuffered || this.#drain) return;
+    this.#drain = new Promise((resolve) => {
+      const done = (): void => {
+        this.#response.off('drain', done).off('close', done);
+        this.#drain = undefined;
+        resolve();
+      };
+      this.#response.on('drain', done).on('close', done);
+    });
+  }
+
+  #writeHead(): void {
+    if (this.#response.headersSent) return;
+    this.#response.writeHead(200, {
+      'content-type': 'text/event-stream; charset=utf-8',
+      'cache-control': 'no-cache',
+      'x-request-id': this.#head.requestId,
+    });
+  }
+}
+
+/** Answers with one JSON object. */
+export class WholeChatResponder extends ChatResponder {
+  readonly #response: ServerResponse;
+  readonly #head: ChatAnswerHead;
+  readonly #parts: string[] = [];
+  readonly #toolCalls: unknown[] = [];
+
+  constructor(response: ServerResponse, head: ChatAnswerHead) {
+    super();
+    this.#response = response;
+    this.#head = head;
+  }
+
+  override token(text: string, chunkJson: string): undefined {
+    if (text !== '') this.#parts.push(text);
+    else if (chunkJson.includes('"tool_calls"')) this.#collectToolCalls(chunkJson);
+    return undefined;
+  }
+
+  override keepAlive(): void {
+    // Nothing can be sent before the status is known.
+  }
+
+  override end(end: GenerationEnd): void {
+    const { requestId, model, createdS } = this.#head;
+    const message = {
+      role: 'assistant',
+      content: this.#parts.join(''),
+      ...(this.#toolCalls.length > 0 ? { tool_calls: this.#toolCalls } : {}),
+    };
+    this.#response.writeHead(200, {
+      'content-type': 'application/json',
+      'x-request-id': requestId,
+    });
+    this.#response.end(
+      JSON.stringify({
+        id: `chatcmpl-${requestId}`,
+        object: 'chat.completion',
+        created: createdS,
+        model,
+        choices: [{ index: 0, message, finish_reason: end.finishReason }],
+        usage: usageOf(end),
+      }),
+    );
+  }
+
+  /** Joins the deltas of tool calls, whose arguments arrive in pieces. */
+  #collectToolCalls(chunkJson: string): void {
+    interface ToolCallDelta {
+      index?: number;
+      function?: { name?: string; arguments?: string };
+    }
+    const chunk = JSON.parse(chunkJson) as {
+      choices?: { delta?: { tool_calls?: ToolCallDelta[] } }[];
+    };
+    for (const delta of chunk.choices?.[0]?.delta?.tool_calls ?? []) {
+      const index = delta.index ?? 0;
+      const known = this.#toolCalls[index] as ToolCallDelta | undefined;
+      if (!known?.function) this.#toolCalls[index] = delta;
+      else
+        known.function.arguments =
+          (known.function.arguments ?? '') + (delta.function?.arguments ?? '');
+    }
+  }
+}
+
+function usageOf(end: GenerationEnd): Record<string, unknown> {
+  return {
+    prompt_tokens: end.promptTokens,
+    completion_tokens: end.completionTokens,
+    total_tokens: end.promptTokens + end.completionTokens,
+    prompt_tokens_details: { cached_tokens: end.cachedTokens },
+  };
+}
--- /dev/null
+++ b/src/pipeline/generation-relay.ts
@@ -0,0 +1,264 @@
+import { Outcome, RequestError, Step, type Clock, type WorkClass } from '../core/index.js';
+import {
+  EngineError,
+  EngineFailure,
+  GenerationEventKind,
+  type ChatMessage,
+  type GenerationEvent,
+} from '../engine/index.js';
+import type { ChatResponder, GenerationEnd } from './chat-responder.js';
+import {
+  AttemptEnd,
+  type EndpointLease,
+  type EndpointSelector,
+  type RetryPermits,
+} from './endpoint-selector.js';
+
+/** A generation that is to be relayed to a caller. */
+export interface GenerationTask {
+  readonly requestId: string;
+  readonly serviceId: string;
+  readonly workspaceId: string;
+  readonly model: string;
+  readonly messages: readonly ChatMessage[];
+  readonly maxTokens: number;
+  readonly workClass: WorkClass;
+  readonly deadlineAtMs: number;
+  readonly isResumable: boolean;
+  readonly passThrough: Readonly<Record<string, unknown>>;
+}
+
+/** What came of a relayed generation. */
+export interface GenerationResult {
+  readonly endpointName: string;
+  readonly attempts: number;
+  readonly tokens: number;
+  /** Epoch milliseconds of the first token; undefined for an empty answer. */
+  readonly firstTokenAtMs: number | undefined;
+  /** Longest time between two tokens, in milliseconds. */
+  readonly maxGapMs: number;
+  readonly meanGapMs: number;
+  readonly end: GenerationEnd;
+}
+
+/** Options of {@link GenerationRelay}. */
+export interface GenerationRelayOptions {
+  readonly selector: EndpointSelector;
+  readonly retries: RetryPermits;
+  readonly clock: Clock;
+}
+
+/** A head is sent after this long without a token, so that the caller sees a live connection. */
+const keepAlivePeriodMs = 10_000;
+
+/**
+ * Relays a generation from the chosen endpoint and, when that endpoint fails or leaves, goes on at
+ * another one after the text already shown, so that the caller sees one unbroken answer.
+ *
+ * @example
+ * ```ts
+ * const result = await relay.run(task, responder, disconnected);
+ * ```
+ */
+export class GenerationRelay {
+  readonly #options: GenerationRelayOptions;
+
+  constructor(options: GenerationRelayOptions) {
+    this.#options = options;
+  }
+
+  /** @throws RequestError when the answer cannot be completed. */
+  async run(
+    task: GenerationTask,
+    responder: ChatResponder,
+    disconnected: AbortSignal,
+  ): Promise<GenerationResult> {
+    const run = new RelayRun(this.#options, task, responder, disconnected);
+    const stopKeepAlive = this.#options.clock.every(keepAlivePeriodMs, () => {
+      if (!disconnected.aborted) responder.keepAlive();
+    });
+    try {
+      return await run.toEnd();
+    } finally {
+      stopKeepAlive();
+    }
+  }
+}
+
+/** State of one relayed generation over all its attempts. @internal */
+class RelayRun {
+  readonly #options: GenerationRelayOptions;
+  readonly #task: GenerationTask;
+  readonly #responder: ChatResponder;
+  readonly #disconnected: AbortSignal;
+  readonly #excludedIds = new Set<string>();
+  #shownText = '';
+  #hasShownChunks = false;
+  #tokens = 0;
+  #attempts = 0;
+  #firstTokenAtMs: number | undefined;
+  #lastTokenAtMs = 0;
+  #maxGapMs = 0;
+  #end: GenerationEnd | undefined;
+
+  constructor(
+    options: GenerationRelayOptions,
+    task: GenerationTask,
+    responder: ChatResponder,
+    disconnected: AbortSignal,
+  ) {
+    this.#options = options;
+    this.#task = task;
+    this.#responder = responder;
+    this.#disconnected = disconnected;
+  }
+
+  async toEnd(): Promise<GenerationResult> {
+    for (;;) {
+      const lease = await this.#select();
+      this.#attempts += 1;
+      const failure = await this.#attempt(lease);
+      if (this.#end && !failure) return this.#finish(lease, this.#end);
+      if (failure) await this.#prepareNext(lease, failure);
+    }
+  }
+
+  #select(): Promise<EndpointLease> {
+    return this.#options.selector.select(
+      { ...this.#task, resumeText: this.#shownText, excludedIds: this.#excludedIds },
+      this.#disconnected,
+    );
+  }
+
+  /** Runs one attempt; returns the error that ended it, or undefined after its end event. */
+  async #attempt(lease: EndpointLease): Promise<EngineError | undefined> {
+    const signal = AbortSignal.any([this.#disconnected, lease.shouldMove]);
+    const task = this.#task;
+    try {
+      await lease.client.generate(
+        {
+          requestId: `${task.requestId}:${this.#attempts}`,
+          model: task.model,
+          messages: task.messages,
+          resumeText: this.#shownText,
+          maxTokens: Math.max(1, task.maxTokens - this.#tokens),
+          workClass: task.workClass,
+          passThrough: task.passThrough,
+        },
+        (event) => this.#onEvent(event, lease),
+        signal,
+      );
+      lease.end(AttemptEnd.Completed, this.#end);
+      return undefined;
+    } catch (error) {
+      if (!(error instanceof EngineError)) {
+        lease.end(AttemptEnd.Broken);
+        throw error;
+      }
+      lease.end(this.#endOf(error, lease));
+      return error;
+    }
+  }
+
+  #endOf(error: EngineError, lease: EndpointLease): AttemptEnd {
+    if (this.#disconnected.aborted) return AttemptEnd.Cancelled;
+    if (lease.shouldMove.aborted) return AttemptEnd.Moved;
+    return attemptEndOf[error.failure];
+  }
+
+  #onEvent(event: GenerationEvent, lease: EndpointLease): Promise<void> | undefined {
+    switch (event.kind) {
+      case GenerationEventKind.Token:
+        lease.token();
+        return this.#onToken(event.text, event.chunkJson);
+      case GenerationEventKind.End:
+        this.#end = event;
+        return undefined;
+      case GenerationEventKind.Heartbeat:
+        return undefined;
+    }
+  }
+
+  #onToken(text: string, chunkJson: string): Promise<void> | undefined {
+    const nowMs = this.#options.clock.nowMs();
+    if (text !== '') {
+      if (this.#firstTokenAtMs === undefined) this.#firstTokenAtMs = nowMs;
+      else this.#maxGapMs = Math.max(this.#maxGapMs, nowMs - this.#lastTokenAtMs);
+      this.#lastTokenAtMs = nowMs;
+      this.#tokens += 1;
+      if (this.#task.isResumable) this.#shownText += text;
+    }
+    this.#hasShownChunks = true;
+    return this.#responder.token(text, chunkJson);
+  }
+
+  /** Waits until the next attempt may start. @throws RequestError when there may be none. */
+  async #prepareNext(lease: EndpointLease, failure: EngineError): Promise<void> {
+    const { clock, retries } = this.#options;
+    const isMove = lease.shouldMove.aborted;
+    this.#excludedIds.add(lease.endpointId);
+    if (this.#disconnected.aborted) throw this.#failed(499, 'caller_gone', failure);
+    if (failure.failure === EngineFailure.BadRequest) throw badRequest(failure);
+    if (this.#hasShownChunks && !this.#task.isResumable) {
+      throw this.#failed(502, 'answer_interrupted', failure);
+    }
+    // A move is forced by the platform and carries the text along, so it uses no retry budget.
+    if (isMove) return;
+    const atMs = retries.nextAttemptAtMs(this.#task, this.#attempts);
+    if (atMs === undefined) throw this.#failed(502, 'attempts_exhausted', failure);
+    await clock.sleepUntil(atMs, this.#disconnected);
+  }
+
+  #failed(status: number, code: string, failure: EngineError): RequestError {
+    // A generation has no effect beyond its answer, yet "not run" is only said where it is true.
+    const hasNotRun = failure.outcome === Outcome.NotRun && this.#attempts === 1;
+    return new RequestError(`the answer could not be completed: ${failure.message}`, {
+      step: Step.Relay,
+      peer: failure.peer,
+      status,
+      code,
+      next: 'Send the request again.',
+      outcome: hasNotRun ? Outcome.NotRun : Outcome.Unknown,
+      retryAtMs: this.#options.clock.nowMs() + 1_000,
+      cause: failure,
+    });
+  }
+
+  #finish(lease: EndpointLease, end: GenerationEnd): GenerationResult {
+    const whole: GenerationEnd = {
+      ...end,
+      completionTokens: Math.max(this.#tokens, end.completionTokens),
+    };
+    this.#responder.end(whole);
+    const spanMs = this.#lastTokenAtMs - (this.#firstTokenAtMs ?? this.#lastTokenAtMs);
+    return {
+      endpointName: lease.endpointName,
+      attempts: this.#attempts,
+      tokens: this.#tokens,
+      firstTokenAtMs: this.#firstTokenAtMs,
+      maxGapMs: this.#maxGapMs,
+      meanGapMs: this.#tokens > 1 ? spanMs / (this.#tokens - 1) : 0,
+      end: whole,
+    };
+  }
+}
+
+const attemptEndOf: Readonly<Record<EngineFailure, AttemptEnd>> = {
+  [EngineFailure.Refused]: AttemptEnd.Refused,
+  [EngineFailure.Rejected]: AttemptEnd.Rejected,
+  [EngineFailure.Broken]: AttemptEnd.Broken,
+  [EngineFailure.Silent]: AttemptEnd.Silent,
+  [EngineFailure.BadRequest]: AttemptEnd.Completed,
+};
+
+function badRequest(failure: EngineError): RequestError {
+  return new RequestError(failure.message, {
+    step: Step.Dispatch,
+    peer: failure.peer,
+    status: 400,
+    code: 'refused_by_engine',
+    next: 'Correct the request.',
+    outcome: Outcome.NotRun,
+    cause: failure,
+  });
+}
--- /dev/null
+++ b/src/pipeline/read-body.ts
@@ -0,0 +1,58 @@
+import type { IncomingMessage } from 'node:http';
+import { Outcome, RequestError, Step, type Clock } from '../core/index.js';
+
+/** Options of {@link readBody}. */
+export interface ReadBodyOptions {
+  readonly maxBytes: number;
+  /** Epoch milliseconds by which the whole body must have arrived. */
+  readonly deadlineAtMs: number;
+  readonly clock: Clock;
+}
+
+/**
+ * Reads a whole request body as UTF-8 text.
+ *
+ * @throws RequestError 413 over the limit, 408 after the deadline, 400 when the caller breaks off.
+ */
+export function readBody(request: IncomingMessage, options: ReadBodyOptions): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    const finish = (error?: RequestError): void => {
+      cancelTimer();
+      request.removeAllListeners('data');
+      if (error) reject(error);
+      else resolve(Buffer.concat(chunks).toString('utf8'));
+    };
+    const cancelTimer = options.clock.schedule(options.deadlineAtMs, () => {
+      finish(
+        refusal(408, 'slow_body', 'the request body did not arrive in time', 'Send it faster.'),
+      );
+    });
+    request.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      chunks.push(chunk);
+      if (bytes > options.maxBytes) {
+        const limit = `Send at most ${options.maxBytes} bytes.`;
+        finish(refusal(413, 'body_too_large', 'the request body is too large', limit));
+      }
+    });
+    request.once('end', () => {
+      finish();
+    });
+    request.once('error', () => {
+      finish(refusal(400, 'broken_body', 'the request body broke off', 'Send it again.'));
+    });
+  });
+}
+
+function refusal(status: number, code: string, message: string, next: string): RequestError {
+  return new RequestError(message, {
+    step: Step.Parse,
+    peer: 'caller',
+    status,
+    code,
+    next,
+    outcome: Outcome.NotRun,
+  });
+}
--- /dev/null
+++ b/src/pipeline/request-context.ts
@@ -0,0 +1,109 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Section, ServiceSettings, WorkspaceSettings, Deployment } from '../settings/index.js';
+import type { ChatMessage } from '../engine/index.js';
+import type { WorkClass } from '../core/index.js';
+
+/** Options of {@link RequestContext}. */
+export interface RequestContextOptions {
+  readonly requestId: string;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  /** Epoch milliseconds. */
+  readonly receivedAtMs: number;
+  /** Settings in force when the request came in; they stay the same until it ends. */
+  readonly deployment: Deployment;
+}
+
+/** Who calls, once authenticated. */
+export interface Caller {
+  readonly team: string;
+  readonly workspace: Section<WorkspaceSettings>;
+}
+
+/**
+ * A caller's request on its way through the stages.
+ *
+ * @example
+ * ```ts
+ * const context = new RequestContext({ requestId, request, response, receivedAtMs, deployment });
+ * ```
+ */
+export class RequestContext {
+  readonly requestId: string;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly receivedAtMs: number;
+  readonly deployment: Deployment;
+  readonly #disconnect = new AbortController();
+  #caller: Caller | undefined;
+
+  constructor(options: RequestContextOptions) {
+    this.requestId = options.requestId;
+    this.request = options.request;
+    this.response = options.response;
+    this.receivedAtMs = options.receivedAtMs;
+    this.deployment = options.deployment;
+    options.response.on('close', () => {
+      if (!options.response.writableFinished) this.#disconnect.abort();
+    });
+  }
+
+  /** Aborted when the caller disconnects before the whole answer was sent. */
+  get disconnected(): AbortSignal {
+    return this.#disconnect.signal;
+  }
+
+  /** The authenticated caller. @throws Error before the authenticate stage. */
+  get caller(): Caller {
+    if (!this.#caller) throw new Error('the request has not passed the authenticate stage');
+    return this.#caller;
+  }
+
+  set caller(caller: Caller) {
+    this.#caller = caller;
+  }
+}
+
+/** A chat request after the parse stage. */
+export interface ChatCall {
+  readonly service: Section<ServiceSettings>;
+  readonly model: string;
+  readonly messages: readonly ChatMessage[];
+  readonly maxTokens: number;
+  /** Whether the caller asked for server-sent events. */
+  readonly isStreamed: boolean;
+  readonly wantsUsage: boolean;
+  /** Class that the caller declared, if any. */
+  readonly declaredClass: WorkClass | undefined;
+  /** False when an interrupted answer cannot be continued as plain text elsewhere. */
+  readonly isResumable: boolean;
+  readonly passThrough: Readonly<Record<string, unknown>>;
+  /** Epoch milliseconds by which the answer should be complete. */
+  readonly deadlineAtMs: number;
+}
+
+/** Context of `POST /v1/chat/completions`. */
+export class ChatContext extends RequestContext {
+  #call: ChatCall | undefined;
+  #workClass: WorkClass | undefined;
+
+  /** The parsed request. @throws Error before the parse stage. */
+  get call(): ChatCall {
+    if (!this.#call) throw new Error('the request has not passed the parse stage');
+    return this.#call;
+  }
+
+  set call(call: ChatCall) {
+    this.#call = call;
+  }
+
+  /** Class of the request. @throws Error before the classify stage. */
+  get workClass(): WorkClass {
+    if (!this.#workClass) throw new Error('the request has not passed the classify stage');
+    return this.#workClass;
+  }
+
+  set workClass(workClass: WorkClass) {
+    this.#workClass = workClass;
+  }
+}
--- a/src/standins/index.ts
+++ b/src/standins/index.ts
@@ -1,1 +1,4 @@
+export * from './engine-server.js';
+export * from './log-server.js';
 export * from './memory-log-service.js';
+export * from './plain-server.js';
