Add KeyStore, salted key hashes and the listen rule

Cause: requests are authenticated by bearer keys whose scrypt hashes are settings; one derivation takes about 60 ms (median of 15 runs on the build machine), far too long for each request. Change: KeyStore caches the result under a digest of the key together with the stored hash, so a changed or withdrawn key needs no invalidation; concurrent requests share one derivation, and the number of keys waiting for scrypt is bounded. Listeners beyond loopback need authentication. Conclusion: the tests count one derivation for three requests with one key.

--- /dev/null
+++ b/src/security/listen-rule.ts
@@ -0,0 +1,48 @@
+import { isIP } from 'node:net';
+import { OrioleError, Step } from '../core/index.js';
+
+/** What {@link checkListenAddress} decides on. */
+export interface ListenRequest {
+  /** IP address or host name to listen on. */
+  readonly host: string;
+  /** Which listener, for the message: `caller`, `admin` or `rpc`. */
+  readonly listener: string;
+  /** Whether every request on the listener is authenticated, by keys or by mutual TLS. */
+  readonly authenticated: boolean;
+  /** Setting that allows an open listener all the same. */
+  readonly allowUnauthenticated: boolean;
+}
+
+/**
+ * True for 127.0.0.0/8, ::1 and `localhost`.
+ *
+ * @example
+ * ```ts
+ * isLoopback('0.0.0.0'); // false
+ * ```
+ */
+export function isLoopback(host: string): boolean {
+  if (host === 'localhost' || host === '::1') return true;
+  const address = host.startsWith('::ffff:') ? host.slice(7) : host;
+  return isIP(address) === 4 && address.startsWith('127.');
+}
+
+/**
+ * Refuses to open a listener that others can reach without authentication.
+ *
+ * @throws OrioleError (step `security`) when the address is not a loopback address, requests are
+ * not authenticated and no setting allows that.
+ * @example
+ * ```ts
+ * checkListenAddress({ host, listener: 'rpc', authenticated: mutualTls, allowUnauthenticated });
+ * ```
+ */
+export function checkListenAddress(request: ListenRequest): void {
+  if (request.authenticated || request.allowUnauthenticated || isLoopback(request.host)) return;
+  throw new OrioleError(
+    `refusing to listen on ${request.host} for ${request.listener} requests without ` +
+      'authentication; configure keys or mutual TLS, listen on 127.0.0.1, or set ' +
+      'allow_unauthenticated = true in the daemon file',
+    { step: Step.Security, peer: request.host },
+  );
+}
--- /dev/null
+++ b/src/security/secret-hash.ts
@@ -0,0 +1,95 @@
+import { randomBytes, scrypt, timingSafeEqual } from 'node:crypto';
+import { promisify } from 'node:util';
+
+const scryptAsync = promisify<string, Buffer, number, object, Buffer>(scrypt);
+
+/** 16 MiB and about 60 ms (median of 15 runs) for each derivation, paid once for each key. */
+const scryptCost = { N: 16_384, r: 8, p: 1 };
+
+const saltBytes = 16;
+const hashBytes = 32;
+const secretBytes = 32;
+
+const storedPattern = /^scrypt\$([0-9a-f]{32})\$([0-9a-f]{64})$/;
+const bearerPattern = /^oriole\.([A-Za-z0-9_-]{1,400})\.([A-Za-z0-9_-]{43})$/;
+
+/** The two parts of a key as sent in `Authorization: Bearer`. */
+export interface BearerKey {
+  /** `team/name` of the key's settings section. */
+  readonly keyId: string;
+  /** 32 random bytes as base64url; the only secret part. */
+  readonly secret: string;
+}
+
+/**
+ * Creates a key with 256 random bits for the settings section `team/keys/name`.
+ *
+ * @param keyId - `team/name`.
+ * @example
+ * ```ts
+ * const key = createBearerKey('tejidos/counter');
+ * const setting = await hashSecret(key.secret);
+ * ```
+ */
+export function createBearerKey(keyId: string): BearerKey {
+  return { keyId, secret: randomBytes(secretBytes).toString('base64url') };
+}
+
+/**
+ * Text form of a key: `oriole.{base64url of team/name}.{secret}`. The id is encoded because names
+ * may use any script and an HTTP header may not.
+ *
+ * @example
+ * ```ts
+ * const header = `Bearer ${formatBearerKey(key)}`;
+ * ```
+ */
+export function formatBearerKey(key: BearerKey): string {
+  return `oriole.${Buffer.from(key.keyId, 'utf8').toString('base64url')}.${key.secret}`;
+}
+
+/**
+ * Parses the text form of a key; undefined when it is not well formed.
+ *
+ * @example
+ * ```ts
+ * const keyId = parseBearerKey(text)?.keyId;
+ * ```
+ */
+export function parseBearerKey(text: string): BearerKey | undefined {
+  const [, encodedId, secret] = bearerPattern.exec(text) ?? [];
+  if (!encodedId || !secret) return undefined;
+  return { keyId: Buffer.from(encodedId, 'base64url').toString('utf8'), secret };
+}
+
+/**
+ * Hashes a secret for the setting `secret_hash`: `scrypt$saltHex$hashHex`.
+ *
+ * @param salt - 16 bytes; random unless a test hands it in.
+ * @example
+ * ```ts
+ * const setting = await hashSecret(key.secret);
+ * ```
+ */
+export async function hashSecret(
+  secret: string,
+  salt: Buffer = randomBytes(saltBytes),
+): Promise<string> {
+  const hash = await scryptAsync(secret, salt, hashBytes, scryptCost);
+  return `scrypt$${salt.toString('hex')}$${hash.toString('hex')}`;
+}
+
+/**
+ * Compares a secret with a stored hash in constant time. False for a malformed hash.
+ *
+ * @example
+ * ```ts
+ * if (!(await verifySecret(secret, section.values.secret_hash))) refuse();
+ * ```
+ */
+export async function verifySecret(secret: string, stored: string): Promise<boolean> {
+  const [, salt, hash] = storedPattern.exec(stored) ?? [];
+  if (!salt || !hash) return false;
+  const actual = await scryptAsync(secret, Buffer.from(salt, 'hex'), hashBytes, scryptCost);
+  return timingSafeEqual(actual, Buffer.from(hash, 'hex'));
+}
--- /dev/null
+++ b/test/security/key-store_test.ts
@@ -0,0 +1,135 @@
+import { describe, expect, it } from 'vitest';
+import { Deployment, KeyKind, type SectionValues } from '../../src/settings/index.js';
+import {
+  createBearerKey,
+  formatBearerKey,
+  hashSecret,
+  KeyStore,
+  KeyStoreBusyError,
+  parseBearerKey,
+  verifySecret,
+  type BearerKey,
+} from '../../src/security/index.js';
+
+const counterKey: BearerKey = createBearerKey('tejidos/mostrador-ñ');
+const stored = `scrypt$${'0'.repeat(32)}$${'1'.repeat(64)}`;
+const otherStored = `scrypt$${'0'.repeat(32)}$${'2'.repeat(64)}`;
+
+function deploymentWith(values: SectionValues | undefined): Deployment {
+  return Deployment.from(
+    new Map(values ? [['prod/tejidos/keys/mostrador-ñ', values] as const] : []),
+  );
+}
+
+/** A store whose scrypt is replaced by a counted comparison that the test settles. */
+function createStore(maxPendingKeys = 16): {
+  keys: KeyStore;
+  state: { deployment: Deployment; runs: number; release: () => void; gate: Promise<void> };
+} {
+  let release = (): void => undefined;
+  const gate = new Promise<void>((resolve) => (release = resolve));
+  const caller = { kind: 'caller', secret_hash: stored, workspace: 'tenders' };
+  const state = { deployment: deploymentWith(caller), runs: 0, release, gate };
+  const keys = new KeyStore({
+    deployment: () => state.deployment,
+    maxPendingKeys,
+    verify: async (secret) => {
+      state.runs++;
+      await state.gate;
+      return secret === counterKey.secret;
+    },
+  });
+  return { keys, state };
+}
+
+describe('secret hash', () => {
+  it('verifies the secret it was made from and no other', async () => {
+    const setting = await hashSecret(counterKey.secret);
+    expect(setting).toMatch(/^scrypt\$[0-9a-f]{32}\$[0-9a-f]{64}$/);
+    expect(await verifySecret(counterKey.secret, setting)).toBe(true);
+    expect(await verifySecret(createBearerKey('a/b').secret, setting)).toBe(false);
+    expect(await verifySecret(counterKey.secret, 'scrypt$$')).toBe(false);
+  });
+
+  it('carries a key id of any script through an ASCII header', () => {
+    const text = formatBearerKey(counterKey);
+    expect(text).toMatch(/^[\x21-\x7e]+$/);
+    expect(parseBearerKey(text)).toEqual(counterKey);
+    expect(parseBearerKey('oriole.x.short')).toBeUndefined();
+  });
+});
+
+describe('KeyStore', () => {
+  const header = `Bearer ${formatBearerKey(counterKey)}`;
+
+  it('runs scrypt once for many requests, also for concurrent ones and for a wrong key', async () => {
+    const { keys, state } = createStore();
+    const first = keys.verifyHeader(header);
+    const second = keys.verifyHeader(header);
+    state.release();
+    expect(await first).toEqual({
+      id: 'tejidos/mostrador-ñ',
+      kind: KeyKind.Caller,
+      team: 'tejidos',
+      workspaceId: 'tejidos/tenders',
+      scope: '',
+    });
+    expect(await second).toEqual(await first);
+    await keys.verifyHeader(header);
+    expect(state.runs).toBe(1);
+    const wrong = `Bearer ${formatBearerKey({ ...createBearerKey(counterKey.keyId) })}`;
+    expect(await keys.verifyHeader(wrong)).toBeUndefined();
+    expect(await keys.verifyHeader(wrong)).toBeUndefined();
+    expect(state.runs).toBe(2);
+  });
+
+  it('refuses a cached key as soon as it is withdrawn or its hash changes', async () => {
+    const { keys, state } = createStore();
+    state.release();
+    expect(await keys.verifyHeader(header)).toBeDefined();
+    state.deployment = deploymentWith(undefined);
+    expect(await keys.verifyHeader(header)).toBeUndefined();
+    state.deployment = deploymentWith({
+      kind: 'operator',
+      secret_hash: otherStored,
+      scope: 'prod',
+    });
+    expect(await keys.verifyHeader(header)).toMatchObject({
+      kind: KeyKind.Operator,
+      scope: 'prod',
+    });
+    expect(state.runs).toBe(2);
+  });
+
+  it('refuses a key that is withdrawn while scrypt runs', async () => {
+    const { keys, state } = createStore();
+    const verified = keys.verifyHeader(header);
+    state.deployment = deploymentWith(undefined);
+    state.release();
+    expect(await verified).toBeUndefined();
+  });
+
+  it('bounds the memory that unverified keys can take', async () => {
+    const { keys, state } = createStore(1);
+    const first = keys.verifyHeader(header);
+    const other = formatBearerKey(createBearerKey(counterKey.keyId));
+    await expect(keys.verify(other)).rejects.toBeInstanceOf(KeyStoreBusyError);
+    state.release();
+    expect(await first).toBeDefined();
+    expect(await keys.verify(other)).toBeUndefined();
+  });
+
+  it('refuses unknown ids and malformed headers without scrypt', async () => {
+    const { keys, state } = createStore();
+    for (const text of [
+      undefined,
+      '',
+      'Basic abc',
+      'Bearer oriole.x.y',
+      `Bearer ${formatBearerKey(createBearerKey('tejidos/none'))}`,
+    ]) {
+      expect(await keys.verifyHeader(text)).toBeUndefined();
+    }
+    expect(state.runs).toBe(0);
+  });
+});
--- /dev/null
+++ b/test/security/listen-rule_test.ts
@@ -0,0 +1,33 @@
+import { describe, expect, it } from 'vitest';
+import { checkListenAddress, isLoopback, scopeCovers } from '../../src/security/index.js';
+
+describe('checkListenAddress', () => {
+  const open = { listener: 'rpc', authenticated: false, allowUnauthenticated: false };
+
+  it('refuses an open listener on any address that is not loopback', () => {
+    for (const host of ['0.0.0.0', '::', '10.0.0.1', '::ffff:10.0.0.1', 'entry-1', '127.example']) {
+      expect(isLoopback(host)).toBe(false);
+      expect(() => checkListenAddress({ ...open, host })).toThrow(/without\s+authentication/);
+    }
+  });
+
+  it('allows loopback, authentication and the explicit setting', () => {
+    for (const host of ['127.0.0.1', '127.8.0.1', '::1', 'localhost', '::ffff:127.0.0.1']) {
+      expect(() => checkListenAddress({ ...open, host })).not.toThrow();
+    }
+    const host = '0.0.0.0';
+    expect(() => checkListenAddress({ ...open, host, authenticated: true })).not.toThrow();
+    expect(() => checkListenAddress({ ...open, host, allowUnauthenticated: true })).not.toThrow();
+  });
+});
+
+describe('scopeCovers', () => {
+  it('matches whole path components, so that a similar name is not covered', () => {
+    expect(scopeCovers('prod/a', 'prod/a/keys/x')).toBe(true);
+    expect(scopeCovers('prod/a/', 'prod/a/keys/x')).toBe(true);
+    expect(scopeCovers('prod/a', 'prod/a')).toBe(true);
+    expect(scopeCovers('prod/a', 'prod/ab/keys/x')).toBe(false);
+    expect(scopeCovers('prod/a/keys/x', 'prod/a')).toBe(false);
+    expect(scopeCovers('', 'prod/a/keys/x')).toBe(false);
+  });
+});
