Serve the thin path from a caller to an engine

Cause: the parts of the request path were not connected. Clock.sleepUntil returns at once for a past time: a retry that may start now otherwise waited for a timer, and the relay's tests on virtual time hung.

--- a/src/core/clock.ts
+++ b/src/core/clock.ts
@@ -19,10 +19,10 @@
    */
   abstract schedule(atMs: number, action: () => void): () => void;
 
-  /** Resolves at or after `atMs` (epoch milliseconds), or at once when `signal` is aborted. */
+  /** Resolves at or after `atMs` (epoch milliseconds), at once when that is past or `signal` aborts. */
   sleepUntil(atMs: number, signal?: AbortSignal): Promise<void> {
     return new Promise((resolve) => {
-      if (signal?.aborted) {
+      if (signal?.aborted || atMs <= this.nowMs()) {
         resolve();
         return;
       }
--- /dev/null
+++ b/src/daemon/index.ts
@@ -0,0 +1,2 @@
+export * from './daemon-settings.js';
+export * from './daemon.js';
--- /dev/null
+++ b/src/daemon/main.ts
@@ -0,0 +1,53 @@
+#!/usr/bin/env node
+import { readFile } from 'node:fs/promises';
+import { defineCommand, runMain } from 'citty';
+import { SystemClock } from '../core/index.js';
+import {
+  NullMetrics,
+  RoarrEventLog,
+  StatsdMetrics,
+  writeEventsToStderr,
+  type Metrics,
+} from '../telemetry/index.js';
+import { Daemon } from './daemon.js';
+import { parseDaemonSettings, type DaemonSettings } from './daemon-settings.js';
+
+const command = defineCommand({
+  meta: { name: 'oriolestackd', description: 'Serves callers of one deployment.' },
+  args: {
+    config: { type: 'string', description: 'INI file of this daemon', required: true },
+    check: { type: 'boolean', description: 'check the file and exit', default: false },
+  },
+  async run({ args }) {
+    const settings = parseDaemonSettings(await readFile(args.config, 'utf8'), args.config);
+    if (args.check) {
+      process.stdout.write(`${args.config}: valid\n`);
+      return;
+    }
+    await serve(settings);
+  },
+});
+
+async function serve(settings: DaemonSettings): Promise<void> {
+  writeEventsToStderr();
+  const daemon = new Daemon({
+    settings,
+    clock: new SystemClock(),
+    events: new RoarrEventLog({ daemon: settings.daemon.name }),
+    metrics: metricsOf(settings),
+  });
+  await daemon.start();
+  const stop = (): void => {
+    void daemon.stop().then(() => process.exit(0));
+  };
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
+}
+
+function metricsOf(settings: DaemonSettings): Metrics {
+  const { host, port } = settings.metrics;
+  if (host === '') return new NullMetrics();
+  return new StatsdMetrics({ host, port, daemon: settings.daemon.name });
+}
+
+await runMain(command);
--- a/src/pipeline/authenticate-stage.ts
+++ b/src/pipeline/authenticate-stage.ts
@@ -1,31 +1,21 @@
 import { Outcome, RequestError, Step } from '../core/index.js';
-import type { Deployment, KeySettings, Section } from '../settings/index.js';
+import { KeyStoreBusyError, type KeyStore, type VerifiedKey } from '../security/index.js';
 import type { RequestContext } from './request-context.js';
 import { Stage } from './stage.js';
 
-/** Verifies bearer keys. */
-export abstract class KeyVerifier {
-  /** The key's section when `bearer` is its secret; undefined otherwise. */
-  abstract verify(
-    bearer: string,
-    deployment: Deployment,
-  ): Promise<Section<KeySettings> | undefined>;
-}
-
 /** Finds out which workspace calls, from `Authorization: Bearer`. */
 export class AuthenticateStage extends Stage<RequestContext> {
   override readonly step = Step.Authenticate;
-  readonly #keys: KeyVerifier;
+  readonly #keys: KeyStore;
 
-  constructor(keys: KeyVerifier) {
+  constructor(keys: KeyStore) {
     super();
     this.#keys = keys;
   }
 
   override async run(context: RequestContext): Promise<void> {
-    const match = /^Bearer (\S+)$/i.exec(context.request.headers.authorization ?? '');
-    const key = match?.[1] ? await this.#keys.verify(match[1], context.deployment) : undefined;
-    const workspace = key && context.deployment.workspaces.get(workspaceIdOf(key));
+    const key = await this.#verify(context);
+    const workspace = context.deployment.workspaces.get(key?.workspaceId ?? '');
     if (!key || !workspace) {
       throw new RequestError('the API key is missing, unknown or bound to no workspace', {
         step: this.step,
@@ -36,10 +26,24 @@
         outcome: Outcome.NotRun,
       });
     }
-    context.caller = { team: key.path.team, workspace };
+    context.caller = { team: key.team, workspace };
   }
-}
 
-function workspaceIdOf(key: Section<KeySettings>): string {
-  return `${key.path.team}/${key.values.workspace}`;
+  async #verify(context: RequestContext): Promise<VerifiedKey | undefined> {
+    try {
+      return await this.#keys.verifyHeader(context.request.headers.authorization);
+    } catch (error) {
+      if (!(error instanceof KeyStoreBusyError)) throw error;
+      throw new RequestError(error.message, {
+        step: this.step,
+        peer: 'caller',
+        status: 503,
+        code: 'key_check_busy',
+        next: 'Send the request again in a second.',
+        outcome: Outcome.NotRun,
+        retryAtMs: context.receivedAtMs + 1_000,
+        cause: error,
+      });
+    }
+  }
 }
--- /dev/null
+++ b/test/pipeline/generation-relay_test.ts
@@ -0,0 +1,282 @@
+import { describe, expect, it } from 'vitest';
+import { Outcome, RequestError, VirtualClock, WorkClass } from '../../src/core/index.js';
+import {
+  EngineClient,
+  EngineError,
+  EngineFailure,
+  GenerationEventKind,
+  type GenerationEvent,
+  type GenerationRequest,
+  type LoadReport,
+} from '../../src/engine/index.js';
+import {
+  AttemptEnd,
+  ChatResponder,
+  EndpointLease,
+  EndpointSelector,
+  GenerationRelay,
+  RetryPermits,
+  type GenerationTask,
+  type SelectionRequest,
+} from '../../src/pipeline/index.js';
+
+const answer = ['a ', 'b ', 'c ', 'd '];
+
+/** Generates `answer` after the resumed text, failing after `failAfter` tokens. */
+class ScriptedEngine extends EngineClient {
+  readonly requests: GenerationRequest[] = [];
+  readonly #failAfter: number;
+  readonly #failure: EngineFailure;
+  readonly #onToken: () => void;
+
+  constructor(
+    failAfter = Infinity,
+    failure = EngineFailure.Broken,
+    onToken: () => void = () => undefined,
+  ) {
+    super();
+    this.#failAfter = failAfter;
+    this.#failure = failure;
+    this.#onToken = onToken;
+  }
+
+  override async generate(
+    request: GenerationRequest,
+    onEvent: (event: GenerationEvent) => void | Promise<void>,
+    signal: AbortSignal,
+  ): Promise<void> {
+    this.requests.push(request);
+    const start = request.resumeText.length / 2;
+    for (const [sent, text] of answer.slice(start).entries()) {
+      if (sent >= this.#failAfter || signal.aborted) throw this.#error();
+      await onEvent({
+        kind: GenerationEventKind.Token,
+        text,
+        chunkJson: `{"id":"x","t":"${text}"}`,
+      });
+      this.#onToken();
+    }
+    await onEvent({
+      kind: GenerationEventKind.End,
+      finishReason: 'stop',
+      promptTokens: 3,
+      cachedTokens: 0,
+      completionTokens: answer.length - start,
+    });
+  }
+
+  override cancel(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  override load(): Promise<LoadReport> {
+    return Promise.reject(new Error('not used'));
+  }
+
+  #error(): EngineError {
+    const refused = this.#failure === EngineFailure.Refused;
+    return new EngineError('scripted failure', {
+      peer: 'engine',
+      failure: this.#failure,
+      outcome: refused ? Outcome.NotRun : Outcome.Unknown,
+    });
+  }
+}
+
+class ScriptedLease extends EndpointLease {
+  readonly ends: AttemptEnd[] = [];
+  readonly move = new AbortController();
+  override readonly shouldMove = this.move.signal;
+  override readonly endpointId: string;
+  override readonly client: EngineClient;
+
+  constructor(endpointId: string, client: EngineClient) {
+    super();
+    this.endpointId = endpointId;
+    this.client = client;
+  }
+
+  override get endpointName(): string {
+    return this.endpointId;
+  }
+
+  override token(): void {
+    // Not observed by these tests.
+  }
+
+  override end(how: AttemptEnd): void {
+    this.ends.push(how);
+  }
+}
+
+class ScriptedSelector extends EndpointSelector {
+  readonly selections: SelectionRequest[] = [];
+  readonly #leases: ScriptedLease[];
+
+  constructor(leases: ScriptedLease[]) {
+    super();
+    this.#leases = leases;
+  }
+
+  override select(request: SelectionRequest): Promise<EndpointLease> {
+    this.selections.push({ ...request, excludedIds: new Set(request.excludedIds) });
+    const lease = this.#leases.find(({ endpointId }) => !request.excludedIds.has(endpointId));
+    return lease ? Promise.resolve(lease) : Promise.reject(new Error('no endpoint left'));
+  }
+}
+
+class CountedRetries extends RetryPermits {
+  used = 0;
+  readonly #limit: number;
+
+  constructor(limit: number) {
+    super();
+    this.#limit = limit;
+  }
+
+  override nextAttemptAtMs(): number | undefined {
+    return this.used++ < this.#limit ? 0 : undefined;
+  }
+}
+
+class CollectedAnswer extends ChatResponder {
+  text = '';
+  ends = 0;
+
+  override token(text: string): undefined {
+    this.text += text;
+    return undefined;
+  }
+
+  override keepAlive(): void {
+    // Not observed by these tests.
+  }
+
+  override end(): void {
+    this.ends += 1;
+  }
+}
+
+const task: GenerationTask = {
+  requestId: 'r1',
+  serviceId: 'team/service',
+  workspaceId: 'team/workspace',
+  model: 'm',
+  messages: [{ role: 'user', content: 'hello' }],
+  maxTokens: 100,
+  workClass: WorkClass.Short,
+  deadlineAtMs: 1e12,
+  isResumable: true,
+  passThrough: {},
+};
+
+interface Outcomes {
+  readonly responder: CollectedAnswer;
+  readonly selector: ScriptedSelector;
+  readonly retries: CountedRetries;
+  readonly result: Promise<{ attempts: number; tokens: number }>;
+}
+
+function relay(
+  leases: ScriptedLease[],
+  options: { task?: GenerationTask; retries?: number } = {},
+): Outcomes {
+  const responder = new CollectedAnswer();
+  const selector = new ScriptedSelector(leases);
+  const retries = new CountedRetries(options.retries ?? 2);
+  const clock = new VirtualClock();
+  const result = new GenerationRelay({ selector, retries, clock }).run(
+    options.task ?? task,
+    responder,
+    new AbortController().signal,
+  );
+  return { responder, selector, retries, result };
+}
+
+describe('GenerationRelay', () => {
+  describe('when the endpoint completes', () => {
+    it('relays the whole answer once', async () => {
+      const lease = new ScriptedLease('a', new ScriptedEngine());
+      const { responder, result } = relay([lease]);
+      expect(await result).toMatchObject({ attempts: 1, tokens: 4 });
+      expect(responder.text).toBe(answer.join(''));
+      expect(responder.ends).toBe(1);
+      expect(lease.ends).toEqual([AttemptEnd.Completed]);
+    });
+  });
+
+  describe('when the endpoint breaks in the middle', () => {
+    it('goes on at another endpoint after the text shown, without repeating any of it', async () => {
+      const second = new ScriptedEngine();
+      const { responder, result } = relay([
+        new ScriptedLease('a', new ScriptedEngine(2)),
+        new ScriptedLease('b', second),
+      ]);
+      expect(await result).toMatchObject({ attempts: 2, tokens: 4 });
+      expect(responder.text).toBe(answer.join(''));
+      expect(second.requests[0]).toMatchObject({ resumeText: 'a b ', maxTokens: 98 });
+    });
+
+    it('gives each attempt a request id of its own, so that a late cancel hits only the old one', async () => {
+      const engines = [new ScriptedEngine(1), new ScriptedEngine()];
+      const { result } = relay(engines.map((engine, i) => new ScriptedLease(String(i), engine)));
+      await result;
+      expect(engines.map(({ requests }) => requests[0]?.requestId)).toEqual(['r1:1', 'r1:2']);
+    });
+
+    it('ends with unknown when the retry budget is used up', async () => {
+      const { result } = relay([new ScriptedLease('a', new ScriptedEngine(2))], { retries: 0 });
+      await expect(result).rejects.toMatchObject({
+        code: 'attempts_exhausted',
+        outcome: Outcome.Unknown,
+      });
+    });
+
+    it('ends with an error when the answer cannot be continued as text', async () => {
+      const { result } = relay(
+        [
+          new ScriptedLease('a', new ScriptedEngine(2)),
+          new ScriptedLease('b', new ScriptedEngine()),
+        ],
+        { task: { ...task, isResumable: false } },
+      );
+      await expect(result).rejects.toMatchObject({ code: 'answer_interrupted' });
+    });
+  });
+
+  describe('when the endpoint refuses the connection', () => {
+    it('says not_run only while no attempt may have started', async () => {
+      const refused = (id: string): ScriptedLease =>
+        new ScriptedLease(id, new ScriptedEngine(0, EngineFailure.Refused));
+      const first = relay([refused('a')], { retries: 0 });
+      await expect(first.result).rejects.toMatchObject({ outcome: Outcome.NotRun });
+      const second = relay([new ScriptedLease('a', new ScriptedEngine(0)), refused('b')], {
+        retries: 1,
+      });
+      const error = await second.result.catch((thrown: unknown) => thrown);
+      expect(error).toBeInstanceOf(RequestError);
+      expect(error).toMatchObject({ outcome: Outcome.Unknown });
+    });
+  });
+
+  describe('when the endpoint leaves', () => {
+    it('moves without using the retry budget', async () => {
+      const move: { now?: () => void } = {};
+      const first = new ScriptedLease(
+        'a',
+        new ScriptedEngine(Infinity, EngineFailure.Broken, () => move.now?.()),
+      );
+      move.now = () => {
+        first.move.abort();
+      };
+      const { responder, result, retries } = relay([
+        first,
+        new ScriptedLease('b', new ScriptedEngine()),
+      ]);
+      expect(await result).toMatchObject({ attempts: 2 });
+      expect(responder.text).toBe(answer.join(''));
+      expect(first.ends).toEqual([AttemptEnd.Moved]);
+      expect(retries.used).toBe(0);
+    });
+  });
+});
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -3,7 +3,7 @@
 export default defineConfig({
   test: {
     include: ['test/**/*_test.ts'],
-    testTimeout: 60_000,
+    testTimeout: 30_000,
     hookTimeout: 60_000,
     maxWorkers: 6,
   },
