Add the appender, the tailer, stream replicas and the configuration fold

Cause: no part of the daemon could write to the log, follow it or learn which settings are in force.

Envelope, entry writer and position move from src/state to src/log, because log may not import state; src/state still exports the same names. Adds seeded faults to the log stand-in.

A removed path keeps the revision of its removal instead of falling back to 0: otherwise a duplicate of the creating change would be accepted again and bring the section back. An operator key may not create an operator key with a wider scope.

--- /dev/null
+++ b/src/log/appender.ts
@@ -0,0 +1,350 @@
+import type { Clock, IdSource, Random } from '../core/index.js';
+import { EventId, type EventLog } from '../telemetry/index.js';
+import type { AppendBudget } from './append-budget.js';
+import { Backoff } from './backoff.js';
+import { CircuitState, type CircuitBreaker } from './circuit-breaker.js';
+import {
+  AppendFailedError,
+  EntryPriority,
+  EntryWriter,
+  type AppendOptions,
+} from './entry-writer.js';
+import { encodeEnvelope, type RawEntry } from './envelope.js';
+import { LogRefusedError, LogUnavailableError } from './log-errors.js';
+import type { LogRecord, LogService } from './log-service.js';
+import { maxEntriesPerRecord, type Position } from './position.js';
+import type { RecordFeed } from './record-feed.js';
+import { withTimeout } from './with-timeout.js';
+
+/** Options of {@link Appender}. */
+export interface AppenderOptions {
+  readonly log: LogService;
+  readonly stream: string;
+  /** Name of the daemon or tool, stored in each record. */
+  readonly writer: string;
+  /** The replica of the stream, which reports the records read back. */
+  readonly feed: RecordFeed;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly newId: IdSource;
+  readonly budget: AppendBudget;
+  readonly breaker: CircuitBreaker;
+  readonly events: EventLog;
+  readonly maxBatchBytes?: number;
+  /** How long the first entry of a batch waits for others. */
+  readonly maxDelayMs?: number;
+  readonly maxQueuedBytes?: number;
+  /** An append without an answer for this long is repeated with the same id. */
+  readonly attemptTimeoutMs?: number;
+}
+
+interface Pending {
+  readonly entry: RawEntry;
+  readonly bytes: number;
+  readonly options: AppendOptions;
+  readonly resolve: (position: Position) => void;
+  readonly reject: (error: AppendFailedError) => void;
+  readonly cancelDeadline: () => void;
+  isSettled: boolean;
+  /** True from the first attempt on whose absence from the log is not proven. */
+  mayBeStored: boolean;
+}
+
+interface Batch {
+  readonly id: string;
+  readonly data: string;
+  readonly items: readonly Pending[];
+  /** Aborted when nobody waits for the record any more, so that no answer is needed. */
+  readonly settled: AbortController;
+  isReadBack: boolean;
+  /** True when an attempt ended without proof that the record is not stored. */
+  mayBeStored: boolean;
+}
+
+/** A record may hold 1 MiB; the rest is left for the envelope. */
+const maxEntryBytes = 1_000_000;
+
+/**
+ * Group commit to one stream: many entries share one append. One append is in flight at a
+ * time, so that entries keep their order within each priority. A batch whose answer is lost is repeated with
+ * the same id until it is read back or nobody waits for it any more.
+ *
+ * @example
+ * ```ts
+ * const appender = new Appender({ log, stream, writer: 'entry-1', feed: replica, ...rest });
+ * const position = await appender.append(entry, { deadlineAtMs, priority: EntryPriority.High });
+ * ```
+ */
+export class Appender extends EntryWriter {
+  readonly #options: AppenderOptions;
+  readonly #maxBatchBytes: number;
+  readonly #maxDelayMs: number;
+  readonly #maxQueuedBytes: number;
+  readonly #queues: readonly Pending[][] = [[], [], []];
+  readonly #backoff: Backoff;
+  readonly #abort = new AbortController();
+  readonly #unsubscribe: () => void;
+  #queuedBytes = 0;
+  #heldBytes = 0;
+  /** Batches sent and not read back yet, by record id. */
+  readonly #unconfirmed = new Map<string, Batch>();
+  #isRunning = false;
+  #wakeEarly: AbortController | undefined;
+
+  constructor(options: AppenderOptions) {
+    super();
+    this.#options = options;
+    this.#maxBatchBytes = options.maxBatchBytes ?? 65_536;
+    this.#maxDelayMs = options.maxDelayMs ?? 20;
+    this.#maxQueuedBytes = options.maxQueuedBytes ?? 8 * 1_048_576;
+    this.#backoff = new Backoff({ random: options.random });
+    this.#unsubscribe = options.feed.onRecord((record) => this.#onRecord(record));
+  }
+
+  /** False while the circuit is open: work that needs the log should be refused beforehand. */
+  get isAvailable(): boolean {
+    return this.#options.breaker.state === CircuitState.Closed;
+  }
+
+  /** Bytes of entries that have not been read back yet. */
+  get heldBytes(): number {
+    return this.#heldBytes;
+  }
+
+  override append(entry: RawEntry, options: AppendOptions): Promise<Position> {
+    const bytes = Buffer.byteLength(JSON.stringify(entry)) + 1;
+    const nowMs = this.#options.clock.nowMs();
+    const refusal = this.#abort.signal.aborted
+      ? 'the appender has stopped'
+      : bytes > maxEntryBytes
+        ? `the entry has ${bytes} bytes, more than ${maxEntryBytes}; split it`
+        : options.deadlineAtMs <= nowMs
+          ? 'the deadline has passed; nothing was sent'
+          : this.#heldBytes + bytes > this.#maxQueuedBytes
+            ? 'the append queue is full; nothing was sent, retry later'
+            : undefined;
+    if (refusal !== undefined) {
+      return Promise.reject(new AppendFailedError(refusal, this.#options.stream, false));
+    }
+    return new Promise((resolve, reject) => {
+      const item: Pending = {
+        entry,
+        bytes,
+        options,
+        resolve,
+        reject,
+        cancelDeadline: this.#options.clock.schedule(options.deadlineAtMs, () =>
+          this.#fail(item, 'the deadline passed before the entry was read back from the log'),
+        ),
+        isSettled: false,
+        mayBeStored: false,
+      };
+      this.#queues[options.priority]?.push(item);
+      this.#queuedBytes += bytes;
+      this.#heldBytes += bytes;
+      if (this.#queuedBytes >= this.#maxBatchBytes) this.#wakeEarly?.abort();
+      void this.#run();
+    });
+  }
+
+  /** Stops sending. Entries not read back yet fail. */
+  stop(): void {
+    this.#abort.abort();
+    this.#unsubscribe();
+    const sent = [...this.#unconfirmed.values()].flatMap(({ items }) => items);
+    const open = [...this.#queues.flat(), ...sent];
+    for (const item of open) this.#fail(item, 'the appender has stopped');
+  }
+
+  async #run(): Promise<void> {
+    if (this.#isRunning) return;
+    this.#isRunning = true;
+    const { breaker, budget } = this.#options;
+    while (this.#hasQueued() && !this.#abort.signal.aborted) {
+      await this.#waitForCompany();
+      if (breaker.state !== CircuitState.Closed) await this.#waitForCircuit(this.#abort.signal);
+      const isGranted = await budget.acquire(() => this.#mostUrgent(), this.#abort.signal);
+      // Checked in the same turn as the send, so that a probe granted here always reports back.
+      if (isGranted && this.#hasQueued() && breaker.tryAcquire()) {
+        await this.#send(this.#takeBatch());
+      }
+    }
+    this.#isRunning = false;
+  }
+
+  /** Collects entries for the group-commit delay, or until a batch is full. */
+  async #waitForCompany(): Promise<void> {
+    if (this.#queuedBytes >= this.#maxBatchBytes) return;
+    const { clock } = this.#options;
+    const wake = new AbortController();
+    this.#wakeEarly = wake;
+    await clock.sleepUntil(
+      clock.nowMs() + this.#maxDelayMs,
+      AbortSignal.any([wake.signal, this.#abort.signal]),
+    );
+    this.#wakeEarly = undefined;
+  }
+
+  /** Sends a batch until it is acknowledged, read back, provably not stored or unwanted. */
+  async #send(batch: Batch): Promise<void> {
+    this.#unconfirmed.set(batch.id, batch);
+    let isDone = await this.#attempt(batch);
+    while (!isDone && isWanted(batch)) {
+      await this.#waitForRetry(batch);
+      if (isWanted(batch) && this.#options.breaker.tryAcquire()) {
+        isDone = await this.#attempt(batch);
+      }
+    }
+  }
+
+  /** One append. Returns true when no further attempt is needed. */
+  async #attempt(batch: Batch): Promise<boolean> {
+    const { clock, log, stream, breaker, events, attemptTimeoutMs = 2_000 } = this.#options;
+    // Set before sending: a deadline that passes during the attempt must not report "not sent".
+    for (const item of batch.items) item.mayBeStored = true;
+    try {
+      await withTimeout(clock, attemptTimeoutMs, batch.settled.signal, (signal) =>
+        log.append(stream, { id: batch.id, data: batch.data }, signal),
+      );
+      breaker.succeeded();
+      this.#backoff.reset();
+      return true;
+    } catch (error) {
+      if (batch.isReadBack) {
+        breaker.succeeded();
+        return true;
+      }
+      breaker.failed();
+      const isUnsent =
+        error instanceof LogRefusedError ||
+        (error instanceof LogUnavailableError && !error.mayBeStored);
+      if (isUnsent && !batch.mayBeStored) {
+        this.#requeue(batch);
+        await clock.sleepUntil(clock.nowMs() + this.#backoff.nextMs(), this.#abort.signal);
+        return true;
+      }
+      batch.mayBeStored = true;
+      events.warn(EventId.AppendRetried, 'no answer to an append; repeating it with the same id', {
+        stream,
+        recordId: batch.id,
+      });
+      return false;
+    }
+  }
+
+  async #waitForRetry(batch: Batch): Promise<void> {
+    const { clock, budget } = this.#options;
+    const { signal } = batch.settled;
+    await clock.sleepUntil(clock.nowMs() + this.#backoff.nextMs(), signal);
+    await this.#waitForCircuit(signal);
+    await budget.acquire(() => priorityOf(batch.items), signal);
+  }
+
+  /** Waits until the breaker may admit a call. */
+  async #waitForCircuit(signal: AbortSignal): Promise<void> {
+    const { clock, breaker } = this.#options;
+    while (breaker.state !== CircuitState.Closed && !signal.aborted) {
+      // Another appender's probe is in flight when the retry time has passed but the circuit is
+      // half open; 50 ms bounds how often its result is looked at.
+      const isProbed = breaker.state === CircuitState.HalfOpen;
+      if (!isProbed && clock.nowMs() >= breaker.retryAtMs) return;
+      const untilMs = isProbed ? clock.nowMs() + 50 : breaker.retryAtMs;
+      await clock.sleepUntil(untilMs, signal);
+    }
+  }
+
+  #onRecord(record: LogRecord): void {
+    const batch = this.#unconfirmed.get(record.id);
+    if (!batch) return;
+    batch.isReadBack = true;
+    batch.items.forEach((item, index) => {
+      if (item.isSettled) return;
+      this.#settle(item);
+      item.resolve({ offset: record.offset, index });
+    });
+    this.#forget(batch);
+  }
+
+  #forget(batch: Batch): void {
+    this.#unconfirmed.delete(batch.id);
+    batch.settled.abort();
+  }
+
+  #takeBatch(): Batch {
+    const items: Pending[] = [];
+    let bytes = 0;
+    for (const queue of this.#queues) {
+      for (let item = queue[0]; item; item = queue[0]) {
+        if (items.length >= maxEntriesPerRecord) break;
+        if (items.length > 0 && bytes + item.bytes > this.#maxBatchBytes) break;
+        queue.shift();
+        this.#queuedBytes -= item.bytes;
+        bytes += item.bytes;
+        items.push(item);
+      }
+    }
+    const { writer, newId } = this.#options;
+    const entries = items.map(({ entry }) => entry);
+    return {
+      id: newId(),
+      data: encodeEnvelope(writer, entries),
+      items,
+      settled: new AbortController(),
+      isReadBack: false,
+      mayBeStored: false,
+    };
+  }
+
+  #requeue(batch: Batch): void {
+    this.#unconfirmed.delete(batch.id);
+    for (const item of [...batch.items].reverse()) {
+      item.mayBeStored = false;
+      if (item.isSettled) continue;
+      this.#queues[item.options.priority]?.unshift(item);
+      this.#queuedBytes += item.bytes;
+    }
+  }
+
+  #fail(item: Pending, reason: string): void {
+    if (item.isSettled) return;
+    this.#settle(item);
+    const queue = this.#queues[item.options.priority];
+    const index = queue?.indexOf(item) ?? -1;
+    if (index >= 0) {
+      queue?.splice(index, 1);
+      this.#queuedBytes -= item.bytes;
+    }
+    const outcome = item.mayBeStored ? 'it may still be stored' : 'it was not sent';
+    item.reject(
+      new AppendFailedError(`${reason}; ${outcome}`, this.#options.stream, item.mayBeStored),
+    );
+    for (const batch of this.#unconfirmed.values()) {
+      if (!isWanted(batch)) this.#forget(batch);
+    }
+  }
+
+  #settle(item: Pending): void {
+    item.isSettled = true;
+    this.#heldBytes -= item.bytes;
+    item.cancelDeadline();
+  }
+
+  #hasQueued(): boolean {
+    return this.#queues.some((queue) => queue.length > 0);
+  }
+
+  #mostUrgent(): EntryPriority {
+    return priorityOf(this.#queues.flatMap((queue) => queue.slice(0, 1)));
+  }
+}
+
+function isWanted(batch: Batch): boolean {
+  return batch.items.some((item) => !item.isSettled);
+}
+
+function priorityOf(items: readonly Pending[]): EntryPriority {
+  return items.reduce<EntryPriority>(
+    (best, { options }) => (options.priority < best ? options.priority : best),
+    EntryPriority.Low,
+  );
+}
--- /dev/null
+++ b/src/log/backoff.ts
@@ -0,0 +1,43 @@
+import type { Random } from '../core/index.js';
+
+/** Options of {@link Backoff}. */
+export interface BackoffOptions {
+  readonly random: Random;
+  readonly baseMs?: number;
+  readonly maxMs?: number;
+}
+
+/**
+ * Jittered exponential back-off. Half of each delay is random, so that the daemons that failed
+ * together do not return together.
+ *
+ * @example
+ * ```ts
+ * const backoff = new Backoff({ random, baseMs: 100, maxMs: 5_000 });
+ * await clock.sleepUntil(clock.nowMs() + backoff.nextMs());
+ * ```
+ */
+export class Backoff {
+  readonly #random: Random;
+  readonly #baseMs: number;
+  readonly #maxMs: number;
+  #failures = 0;
+
+  constructor(options: BackoffOptions) {
+    this.#random = options.random;
+    this.#baseMs = options.baseMs ?? 100;
+    this.#maxMs = options.maxMs ?? 5_000;
+  }
+
+  /** Delay before the next attempt in milliseconds; grows until {@link reset}. */
+  nextMs(): number {
+    const ceilingMs = Math.min(this.#maxMs, this.#baseMs * 2 ** this.#failures);
+    this.#failures = Math.min(this.#failures + 1, 30);
+    return ceilingMs * (0.5 + 0.5 * this.#random.float());
+  }
+
+  /** Starts over after a success. */
+  reset(): void {
+    this.#failures = 0;
+  }
+}
--- /dev/null
+++ b/src/log/circuit-breaker.ts
@@ -0,0 +1,94 @@
+import type { Clock, Random } from '../core/index.js';
+import { Backoff } from './backoff.js';
+
+/** State of a {@link CircuitBreaker}. */
+export enum CircuitState {
+  Closed = 'closed',
+  Open = 'open',
+  /** One probe is in flight; its result closes or opens the circuit. */
+  HalfOpen = 'half_open',
+}
+
+/** Options of {@link CircuitBreaker}. */
+export interface CircuitBreakerOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  /** Consecutive failures that open the circuit. */
+  readonly failureThreshold?: number;
+  readonly baseOpenMs?: number;
+  readonly maxOpenMs?: number;
+  /** Called on each change of state. */
+  readonly onChange?: (state: CircuitState) => void;
+}
+
+/**
+ * Stops sending to a service that keeps failing, and probes it with single calls at growing,
+ * jittered intervals. One breaker is shared by all appenders of a daemon.
+ *
+ * @example
+ * ```ts
+ * if (breaker.tryAcquire()) {
+ *   try { await send(); breaker.succeeded(); } catch { breaker.failed(); }
+ * }
+ * ```
+ */
+export class CircuitBreaker {
+  readonly #clock: Clock;
+  readonly #failureThreshold: number;
+  readonly #backoff: Backoff;
+  readonly #onChange: (state: CircuitState) => void;
+  #state = CircuitState.Closed;
+  #failures = 0;
+  #retryAtMs = 0;
+
+  constructor(options: CircuitBreakerOptions) {
+    this.#clock = options.clock;
+    this.#failureThreshold = options.failureThreshold ?? 5;
+    this.#backoff = new Backoff({
+      random: options.random,
+      baseMs: options.baseOpenMs ?? 500,
+      maxMs: options.maxOpenMs ?? 10_000,
+    });
+    this.#onChange = options.onChange ?? (() => undefined);
+  }
+
+  get state(): CircuitState {
+    return this.#state;
+  }
+
+  /** Epoch milliseconds at which an open circuit admits its next probe. */
+  get retryAtMs(): number {
+    return this.#retryAtMs;
+  }
+
+  /** True when a call may be sent now; the caller then reports how it went. */
+  tryAcquire(): boolean {
+    if (this.#state === CircuitState.Closed) return true;
+    if (this.#state === CircuitState.HalfOpen || this.#clock.nowMs() < this.#retryAtMs) {
+      return false;
+    }
+    this.#change(CircuitState.HalfOpen);
+    return true;
+  }
+
+  succeeded(): void {
+    this.#failures = 0;
+    this.#backoff.reset();
+    this.#change(CircuitState.Closed);
+  }
+
+  failed(): void {
+    this.#failures += 1;
+    if (this.#state === CircuitState.Open) return;
+    if (this.#state === CircuitState.HalfOpen || this.#failures >= this.#failureThreshold) {
+      this.#retryAtMs = this.#clock.nowMs() + this.#backoff.nextMs();
+      this.#change(CircuitState.Open);
+    }
+  }
+
+  #change(state: CircuitState): void {
+    if (state === this.#state) return;
+    this.#state = state;
+    this.#onChange(state);
+  }
+}
--- /dev/null
+++ b/src/log/tailer.ts
@@ -0,0 +1,124 @@
+import type { Clock, Random } from '../core/index.js';
+import { EventId, type EventLog } from '../telemetry/index.js';
+import { Backoff } from './backoff.js';
+import type { LogService, Offset, ReadPage } from './log-service.js';
+import { withTimeout } from './with-timeout.js';
+
+/** Options of {@link Tailer}. */
+export interface TailerOptions {
+  readonly log: LogService;
+  readonly stream: string;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly events: EventLog;
+  /**
+   * Receives each page in order. `records` starts at the offset asked for, or at `earliestOffset`
+   * when older records have been trimmed.
+   */
+  readonly onPage: (page: ReadPage, fromOffset: Offset) => void;
+  readonly fromOffset?: Offset;
+  /** Records per read. */
+  readonly limit?: number;
+  /** How long the service may hold an empty answer. */
+  readonly waitMs?: number;
+  /** Extra time beyond `waitMs` after which a read counts as silent. */
+  readonly graceMs?: number;
+}
+
+/**
+ * Follows one stream with long polls. Only moves forward; a read that fails or stays silent is
+ * repeated from the same offset after a jittered back-off.
+ *
+ * @example
+ * ```ts
+ * const tailer = new Tailer({ log, stream: 'prod.config', clock, random, events, onPage });
+ * tailer.start();
+ * ```
+ */
+export class Tailer {
+  readonly #options: TailerOptions;
+  readonly #backoff: Backoff;
+  readonly #abort = new AbortController();
+  #nextOffset: Offset;
+  #lastReadAtMs: number | undefined;
+  #running: Promise<void> | undefined;
+  #isFailing = false;
+
+  constructor(options: TailerOptions) {
+    this.#options = options;
+    this.#nextOffset = options.fromOffset ?? 0;
+    this.#backoff = new Backoff({ random: options.random });
+  }
+
+  /** Offset of the next record to read. */
+  get nextOffset(): Offset {
+    return this.#nextOffset;
+  }
+
+  /** Epoch milliseconds of the last successful read; undefined before the first. */
+  get lastReadAtMs(): number | undefined {
+    return this.#lastReadAtMs;
+  }
+
+  start(): void {
+    this.#running ??= this.#run();
+  }
+
+  /** Stops reading; no page is delivered afterwards. */
+  async stop(): Promise<void> {
+    this.#abort.abort();
+    await this.#running;
+  }
+
+  async #run(): Promise<void> {
+    const { clock, limit = 1_000, waitMs = 10_000, graceMs = 5_000 } = this.#options;
+    while (!this.#abort.signal.aborted) {
+      try {
+        const fromOffset = this.#nextOffset;
+        const page = await withTimeout(clock, waitMs + graceMs, this.#abort.signal, (signal) =>
+          this.#options.log.read(this.#options.stream, fromOffset, { limit, waitMs, signal }),
+        );
+        if (this.#stopped()) return;
+        this.#accept(page, fromOffset);
+      } catch (error) {
+        if (this.#stopped()) return;
+        await this.#pauseAfter(error);
+      }
+    }
+  }
+
+  #accept(page: ReadPage, fromOffset: Offset): void {
+    const { events, stream, clock } = this.#options;
+    const first = Math.max(fromOffset, page.earliestOffset);
+    const isInOrder = page.records.every(({ offset }, index) => offset === first + index);
+    if (page.nextOffset < fromOffset || !isInOrder) {
+      throw new RangeError(
+        `stream "${stream}" answered offsets that do not continue at ${fromOffset} ` +
+          `(next ${page.nextOffset}); waiting for the log service to catch up`,
+      );
+    }
+    this.#lastReadAtMs = clock.nowMs();
+    this.#backoff.reset();
+    if (this.#isFailing) events.info(EventId.LogReadRecovered, 'log reads work again', { stream });
+    this.#isFailing = false;
+    this.#nextOffset = first + page.records.length;
+    this.#options.onPage(page, fromOffset);
+  }
+
+  async #pauseAfter(error: unknown): Promise<void> {
+    const { clock, events, stream } = this.#options;
+    if (!this.#isFailing) {
+      const reason = error instanceof Error ? error.message : String(error);
+      events.warn(EventId.LogReadFailing, 'log reads fail; serving what is in force', {
+        stream,
+        reason,
+      });
+    }
+    this.#isFailing = true;
+    await clock.sleepUntil(clock.nowMs() + this.#backoff.nextMs(), this.#abort.signal);
+  }
+
+  #stopped(): boolean {
+    return this.#abort.signal.aborted;
+  }
+}
--- /dev/null
+++ b/src/settings-publisher/index.ts
@@ -0,0 +1,1 @@
+export * from './settings-publisher.js';
--- a/src/standins/index.ts
+++ b/src/standins/index.ts
@@ -1,1 +1,2 @@
 export * from './memory-log-service.js';
+export * from './seeded-log-faults.js';
--- /dev/null
+++ b/src/state/settings-change.ts
@@ -0,0 +1,80 @@
+import { createPublicKey, verify } from 'node:crypto';
+import { z } from 'zod';
+import { EntryKind } from './envelope.js';
+
+/** Edits in one change, at most; larger files are published in several changes. */
+export const maxEditsPerChange = 500;
+
+const editSchema = z.object({
+  path: z.string().max(300),
+  /** Revision of the path that the author saw; 0 when it never existed. */
+  expectedRevision: z.number().int().nonnegative(),
+  /** Values of the whole section; null removes it. */
+  values: z.record(z.string().max(100), z.string().max(10_000)).nullable(),
+});
+
+const changeSchema = z.object({
+  kind: z.literal(EntryKind.SettingsChange),
+  changeId: z.string().min(1).max(100),
+  /** `team/name` of the operator's key, or `root`. */
+  keyId: z.string().min(1).max(200),
+  /** Author's time in epoch milliseconds; informational. */
+  at: z.number(),
+  edits: z.array(editSchema).min(1).max(maxEditsPerChange),
+  /** Ed25519 signature of {@link signedBytes}, base64. */
+  signature: z.string().max(200),
+});
+
+/** Change of one section. */
+export type SettingsEdit = z.output<typeof editSchema>;
+
+/** A signed, atomic change of one or more sections. */
+export type SettingsChange = z.output<typeof changeSchema>;
+
+/** Decodes an entry; undefined when it is not a settings change. */
+export function decodeSettingsChange(entry: unknown): SettingsChange | undefined {
+  return changeSchema.safeParse(entry).data;
+}
+
+/**
+ * The bytes that an author signs. They name the deployment, so that a change cannot be replayed in
+ * another one.
+ */
+export function signedBytes(
+  deployment: string,
+  change: Omit<SettingsChange, 'signature' | 'kind'>,
+): Buffer {
+  const edits = change.edits.map(({ path, expectedRevision, values }) => [
+    path,
+    expectedRevision,
+    values && Object.entries(values).sort(([a], [b]) => (a < b ? -1 : 1)),
+  ]);
+  const { changeId, keyId, at } = change;
+  return Buffer.from(
+    JSON.stringify(['oriolestack.settings_change.v1', deployment, changeId, keyId, at, edits]),
+  );
+}
+
+/** True when `signature` was made over the change with the key `publicKey` (SPKI, base64). */
+export function verifyChange(
+  deployment: string,
+  change: SettingsChange,
+  publicKey: string,
+): boolean {
+  try {
+    const key = createPublicKey({
+      key: Buffer.from(publicKey, 'base64'),
+      format: 'der',
+      type: 'spki',
+    });
+    if (key.asymmetricKeyType !== 'ed25519') return false;
+    return verify(
+      null,
+      signedBytes(deployment, change),
+      key,
+      Buffer.from(change.signature, 'base64'),
+    );
+  } catch {
+    return false;
+  }
+}
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -13,6 +13,19 @@
   RequestBroken = 203,
 
   // 3xx log and state
+  LogReadFailing = 301,
+  LogReadRecovered = 302,
+  AppendRetried = 303,
+  LogCircuitChanged = 304,
+  StreamCaughtUp = 305,
+  HistoryTrimmed = 306,
+  SnapshotLoaded = 307,
+  SnapshotUnusable = 308,
+  SnapshotWritten = 309,
+  SnapshotFailed = 310,
+  ListenerFailed = 311,
+  SettingsAccepted = 312,
+  SettingsRejected = 313,
 
   // 4xx membership and fleet
 
