Add claim coordination and accepted jobs

Cause: non-repeatable calls must run at most once, and accepted jobs must finish whatever endpoint, daemon or failure domain is lost. Change: ClaimCoordinator claims before it executes and ClaimExecutor asks for permission in the turn of the first byte. An append that may still turn up is followed by a release, so that no key is held by a claim that nobody executes. JobManager, JobRunner and GenerationAttempt record text under a fence, take a new fence for each endpoint, and hand over on reclaim, stop, crash or pause. AnswerAssembler and HandoverPlanner are pure. Events 701-709 are catalogued.

--- /dev/null
+++ b/bench/histories/process.ts
@@ -0,0 +1,110 @@
+import { Clock, OrioleError, Step } from '../../src/core/index.js';
+import {
+  LogService,
+  type NewRecord,
+  type Offset,
+  type ReadOptions,
+  type ReadPage,
+} from '../../src/log/index.js';
+
+/**
+ * A simulated process: nothing runs in it while it is paused, and nothing ever again once it has
+ * crashed. Timers and answers that fall due during a pause are delivered, in order, at its end.
+ */
+export class SimulatedProcess extends Clock {
+  readonly #base: Clock;
+  #waiting: (() => void)[] = [];
+  #isPaused = false;
+  #isCrashed = false;
+
+  constructor(base: Clock) {
+    super();
+    this.#base = base;
+  }
+
+  get isCrashed(): boolean {
+    return this.#isCrashed;
+  }
+
+  get isPaused(): boolean {
+    return this.#isPaused;
+  }
+
+  override nowMs(): number {
+    return this.#base.nowMs();
+  }
+
+  override schedule(atMs: number, action: () => void): () => void {
+    let isCancelled = false;
+    const cancel = this.#base.schedule(atMs, () => {
+      this.#enter(() => {
+        if (!isCancelled) action();
+      });
+    });
+    return () => {
+      isCancelled = true;
+      cancel();
+    };
+  }
+
+  /** Delivers an outcome of the outside world to the process. */
+  async deliver<T>(outcome: Promise<T>): Promise<T> {
+    const settled = await outcome.then(
+      (value) => ({ value }),
+      (error: unknown) => ({ error }),
+    );
+    await new Promise<void>((resolve) => this.#enter(resolve));
+    if ('error' in settled) throw settled.error;
+    return settled.value;
+  }
+
+  pause(): void {
+    this.#isPaused = true;
+  }
+
+  resume(): void {
+    this.#isPaused = false;
+    const waiting = this.#waiting;
+    this.#waiting = [];
+    for (const action of waiting) this.#enter(action);
+  }
+
+  crash(): void {
+    this.#isCrashed = true;
+    this.#waiting = [];
+  }
+
+  #enter(action: () => void): void {
+    if (this.#isCrashed) return;
+    if (this.#isPaused) this.#waiting.push(action);
+    else action();
+  }
+}
+
+/** The log service as one process sees it. */
+export class ProcessLogService extends LogService {
+  readonly #inner: LogService;
+  readonly #process: SimulatedProcess;
+
+  constructor(inner: LogService, process: SimulatedProcess) {
+    super();
+    this.#inner = inner;
+    this.#process = process;
+  }
+
+  override append(stream: string, record: NewRecord): Promise<{ readonly offset: Offset }> {
+    this.#check();
+    return this.#process.deliver(this.#inner.append(stream, record));
+  }
+
+  override read(stream: string, fromOffset: Offset, options: ReadOptions): Promise<ReadPage> {
+    this.#check();
+    return this.#process.deliver(this.#inner.read(stream, fromOffset, options));
+  }
+
+  /** Continuations of promises settled before a crash still run; they must have no effect. */
+  #check(): void {
+    if (!this.#process.isCrashed) return;
+    throw new OrioleError('the process has crashed', { step: Step.Log, peer: 'local' });
+  }
+}
--- /dev/null
+++ b/src/jobs/handover-planner.ts
@@ -0,0 +1,67 @@
+/** What becomes of a generation whose endpoint is reclaimed. */
+export enum HandoverKind {
+  /** It ends on the endpoint with time to spare. */
+  Finish = 'finish',
+  /** Its KV cache moves to another endpoint of the region; nothing is recomputed. */
+  ExportKv = 'export_kv',
+  /** Another endpoint recomputes prompt and recorded text and continues. */
+  Resume = 'resume',
+}
+
+/** Facts on which {@link HandoverPlanner} decides. */
+export interface HandoverFacts {
+  readonly nowMs: number;
+  /** Epoch milliseconds of the reclaim. */
+  readonly deadlineAtMs: number;
+  /** Prompt and output tokens whose KV entries would move. */
+  readonly contextTokens: number;
+  /** Upper bound of the tokens still to come. */
+  readonly maxRemainingTokens: number;
+  /** Observed time between tokens; undefined before the second token. */
+  readonly tokenGapMs: number | undefined;
+  /** Whether endpoint, target and daemon support KV export within the region. */
+  readonly canExportKv: boolean;
+}
+
+/** Options of {@link HandoverPlanner}. */
+export interface HandoverPlannerOptions {
+  readonly kvBytesPerToken: number;
+  /** Transfer rate within the region. */
+  readonly kvBytesPerS: number;
+  readonly kvImportMs: number;
+  /** Share of the time left that a move may take by estimate. */
+  readonly usableShare?: number;
+}
+
+/**
+ * Decides how a generation leaves a reclaimed endpoint.
+ *
+ * @example
+ * ```ts
+ * const planner = new HandoverPlanner({ kvBytesPerToken: 131_072, kvBytesPerS: 2e8, kvImportMs: 500 });
+ * planner.plan(facts); // HandoverKind.ExportKv
+ * ```
+ */
+export class HandoverPlanner {
+  readonly #options: Required<HandoverPlannerOptions>;
+
+  constructor(options: HandoverPlannerOptions) {
+    // The rest covers estimates that are wrong and streams that share the transfer.
+    this.#options = { usableShare: 0.6, ...options };
+  }
+
+  plan(facts: HandoverFacts): HandoverKind {
+    const usableMs = this.#options.usableShare * (facts.deadlineAtMs - facts.nowMs);
+    if (facts.tokenGapMs !== undefined && facts.maxRemainingTokens * facts.tokenGapMs < usableMs) {
+      return HandoverKind.Finish;
+    }
+    const canExport = facts.canExportKv && this.exportMs(facts.contextTokens) < usableMs;
+    return canExport ? HandoverKind.ExportKv : HandoverKind.Resume;
+  }
+
+  /** Estimated milliseconds to export, transfer and import the KV cache. */
+  exportMs(contextTokens: number): number {
+    const { kvBytesPerToken, kvBytesPerS, kvImportMs } = this.#options;
+    return (contextTokens * kvBytesPerToken * 1_000) / kvBytesPerS + kvImportMs;
+  }
+}
--- /dev/null
+++ b/src/jobs/job-manager.ts
@@ -0,0 +1,291 @@
+import { Outcome, RequestError, Step, type IdSource, type WorkClass } from '../core/index.js';
+import {
+  AppendFailedError,
+  EntryKind,
+  EntryPriority,
+  JobStatus,
+  type Job,
+  type JobAcceptedEntry,
+  type JobRequest,
+} from '../state/index.js';
+import { EventId } from '../telemetry/index.js';
+import { JobFrameKind, type JobFrame } from './answer-assembler.js';
+import type { ReclaimNotice } from './endpoint-chooser.js';
+import { JobRunner, type JobRunnerOptions } from './job-runner.js';
+
+/** A caller's job. */
+export interface NewJob {
+  readonly workspace: string;
+  readonly service: string;
+  readonly request: JobRequest;
+  readonly workClass: WorkClass;
+  /** When the caller needs the answer, in epoch milliseconds; a late job still finishes. */
+  readonly deadlineAtMs: number;
+  /** Policy `remember_ms` of the service. */
+  readonly rememberMs: number;
+}
+
+/** Options of {@link JobManager}. */
+export interface JobManagerOptions extends JobRunnerOptions {
+  readonly newId: IdSource;
+  /** Whether this daemon is the home of the shard and so takes jobs that nobody holds. */
+  readonly isHome?: () => boolean;
+  /** Jobs that run here at the same time. */
+  readonly maxRunning?: number;
+  /** Mean time between two looks for jobs that nobody holds. */
+  readonly scanMs?: number;
+}
+
+/**
+ * Accepts jobs of one shard, keeps those that nobody holds running, and serves their text.
+ *
+ * @example
+ * ```ts
+ * const manager = new JobManager(options);
+ * manager.start();
+ * const jobId = await manager.accept(newJob);
+ * for await (const frame of manager.read(jobId, 0, signal)) send(frame);
+ * ```
+ */
+export class JobManager {
+  readonly #options: JobManagerOptions;
+  readonly #runners = new Map<string, { runner: JobRunner; ended: Promise<void> }>();
+  /** Reclaims announced so far, for runners that start later. */
+  readonly #notices = new Map<string, ReclaimNotice>();
+  #isRunning = false;
+  #cancelScan: (() => void) | undefined;
+
+  constructor(options: JobManagerOptions) {
+    this.#options = options;
+  }
+
+  /** Jobs that run here. */
+  get runningCount(): number {
+    return this.#runners.size;
+  }
+
+  /** Starts looking for jobs; to be called once the fold has caught up. */
+  start(): void {
+    this.#isRunning = true;
+    this.#scheduleScan(0);
+  }
+
+  /**
+   * Records the text of all jobs that run here and gives up their leases. Resolves when that is
+   * recorded, or at `deadlineAtMs`; then the leases expire by themselves.
+   */
+  async stop(deadlineAtMs: number): Promise<void> {
+    this.#isRunning = false;
+    this.#cancelScan?.();
+    const ended = [...this.#runners.values()].map(async ({ runner, ended }) => {
+      runner.stop();
+      await ended;
+    });
+    const enough = new AbortController();
+    const all = Promise.all(ended).then(() => {
+      enough.abort();
+    });
+    await Promise.race([all, this.#options.clock.sleepUntil(deadlineAtMs, enough.signal)]);
+  }
+
+  /**
+   * Records a job and returns its id.
+   *
+   * @throws RequestError with outcome `not_run` when the job is provably not recorded, and `unknown`
+   * with the job's id when it may be.
+   */
+  async accept(newJob: NewJob): Promise<string> {
+    const { clock, writer, newId, log, appendTimeoutMs = 5_000 } = this.#options;
+    const jobId = newId();
+    const { rememberMs, ...rest } = newJob;
+    const acceptedAtMs = clock.nowMs();
+    const entry: JobAcceptedEntry = {
+      kind: EntryKind.JobAccepted,
+      jobId,
+      ...rest,
+      acceptedAtMs,
+      rememberUntilMs: Math.max(acceptedAtMs, newJob.deadlineAtMs) + rememberMs,
+    };
+    try {
+      const deadlineAtMs = acceptedAtMs + appendTimeoutMs;
+      await writer.append(entry, { deadlineAtMs, priority: EntryPriority.High });
+    } catch (error) {
+      if (!(error instanceof AppendFailedError)) throw error;
+      throw notRecorded(jobId, error);
+    }
+    log.debug(EventId.JobAccepted, 'job is recorded', { jobId, workspace: newJob.workspace });
+    const job = this.#options.fold.job(jobId);
+    if (job && this.#canRun(job)) this.#run(job);
+    return jobId;
+  }
+
+  /** A job of this shard, or undefined when it is unknown or no longer remembered. */
+  get(jobId: string): Job | undefined {
+    return this.#options.fold.job(jobId);
+  }
+
+  /**
+   * Cancels a job; one that has ended stays as it is. Returns the job, or undefined when unknown.
+   *
+   * @throws RequestError with outcome `unknown` when the cancellation was not read back in time.
+   */
+  async cancel(jobId: string): Promise<Job | undefined> {
+    const { clock, writer, fold, appendTimeoutMs = 5_000 } = this.#options;
+    if (fold.job(jobId)?.status !== JobStatus.Active) return fold.job(jobId);
+    const cancelledAtMs = clock.nowMs();
+    try {
+      await writer.append(
+        { kind: EntryKind.JobCancelled, jobId, cancelledAtMs },
+        { deadlineAtMs: cancelledAtMs + appendTimeoutMs, priority: EntryPriority.High },
+      );
+    } catch (error) {
+      if (!(error instanceof AppendFailedError)) throw error;
+      throw new RequestError('the cancellation may not be recorded', {
+        step: Step.Job,
+        peer: jobId,
+        status: 503,
+        code: 'log_unavailable',
+        next: 'Cancel the job again; cancelling twice is harmless.',
+        outcome: Outcome.Unknown,
+        cause: error,
+      });
+    }
+    return fold.job(jobId);
+  }
+
+  /**
+   * Recorded text from `offset` (characters) on, and an end frame when the job is done. The stream
+   * of a cancelled or forgotten job ends without one.
+   */
+  async *read(jobId: string, offset: number, signal: AbortSignal): AsyncGenerator<JobFrame, void> {
+    const { fold } = this.#options;
+    let nextOffset = offset;
+    while (!signal.aborted) {
+      const changed = nextChange(fold, jobId, signal);
+      const job = fold.job(jobId);
+      if (!job) return;
+      if (job.text.length > nextOffset) {
+        yield {
+          kind: JobFrameKind.Text,
+          jobId,
+          generation: job.fence,
+          offset: nextOffset,
+          text: job.text.slice(nextOffset),
+        };
+        nextOffset = job.text.length;
+      }
+      if (job.status === JobStatus.Cancelled) return;
+      if (job.status === JobStatus.Done) {
+        yield {
+          kind: JobFrameKind.End,
+          jobId,
+          generation: job.fence,
+          lengthChars: job.text.length,
+          digest: job.digest ?? '',
+          finishReason: job.finishReason ?? '',
+        };
+        return;
+      }
+      await changed;
+    }
+  }
+
+  /** Tells all runners, present and future, that endpoints go away. */
+  reclaim(notice: ReclaimNotice): void {
+    for (const id of notice.endpointIds) this.#notices.set(id, notice);
+    for (const { runner } of this.#runners.values()) runner.reclaim(notice);
+  }
+
+  #scheduleScan(delayMs: number): void {
+    const { clock, random, scanMs = 1_000 } = this.#options;
+    this.#cancelScan = clock.schedule(clock.nowMs() + delayMs, () => {
+      this.#scan();
+      // Jitter keeps daemons from taking over the same jobs at the same moment.
+      if (this.#isRunning) this.#scheduleScan(scanMs * (0.5 + random.float()));
+    });
+  }
+
+  #scan(): void {
+    const waiting = this.#options.fold
+      .activeJobs()
+      .filter((job) => this.#canRun(job))
+      .sort((a, b) => a.deadlineAtMs - b.deadlineAtMs);
+    for (const job of waiting) {
+      if (this.#canRun(job)) this.#run(job);
+    }
+  }
+
+  #canRun(job: Job): boolean {
+    const { clock, daemon, incarnation, isHome = () => true, maxRunning = 256 } = this.#options;
+    if (!this.#isRunning || !isHome() || this.#runners.size >= maxRunning) return false;
+    if (this.#runners.has(job.jobId)) return false;
+    const isOwn = job.daemon === daemon && job.incarnation === incarnation;
+    return isOwn || job.expiresAtMs <= clock.nowMs();
+  }
+
+  #run(job: Job): void {
+    const { log } = this.#options;
+    const { jobId } = job;
+    if (job.fence !== 0) {
+      log.info(EventId.JobTakenOver, 'job is continued here', {
+        jobId,
+        previousDaemon: job.daemon,
+        recordedTokens: job.recordedTokens,
+      });
+    }
+    const runner = new JobRunner(jobId, this.#options);
+    for (const notice of this.#notices.values()) runner.reclaim(notice);
+    const ended = runner.run().then(
+      (end) => {
+        const state = this.#options.fold.job(jobId);
+        const isDone = state?.status === JobStatus.Done;
+        if (isDone) {
+          log.info(EventId.JobFinished, 'job is done', { jobId, tokens: state.recordedTokens });
+        } else log.info(EventId.JobLeaseLost, `runner ended: ${end}`, { jobId });
+      },
+      (error: unknown) => {
+        log.error(EventId.JobRunnerFailed, 'runner failed', { jobId, error: String(error) });
+      },
+    );
+    const entry = {
+      runner,
+      ended: ended.then(() => {
+        this.#runners.delete(jobId);
+      }),
+    };
+    this.#runners.set(jobId, entry);
+  }
+}
+
+/** Resolves at the next entry about the job or when `signal` is aborted. */
+function nextChange(
+  fold: JobManagerOptions['fold'],
+  jobId: string,
+  signal: AbortSignal,
+): Promise<void> {
+  return new Promise((resolve) => {
+    const finish = (): void => {
+      unsubscribe();
+      signal.removeEventListener('abort', finish);
+      resolve();
+    };
+    const unsubscribe = fold.subscribe((changedId) => {
+      if (changedId === jobId) finish();
+    });
+    signal.addEventListener('abort', finish, { once: true });
+  });
+}
+
+function notRecorded(jobId: string, cause: AppendFailedError): RequestError {
+  return new RequestError('the log did not take the job in time', {
+    step: Step.Job,
+    peer: jobId,
+    status: 503,
+    code: cause.mayBeStored ? 'acceptance_unknown' : 'not_accepted',
+    next: cause.mayBeStored
+      ? `Look for the job at GET /v1/jobs/${jobId} before sending it again.`
+      : 'Send the job again.',
+    outcome: cause.mayBeStored ? Outcome.Unknown : Outcome.NotRun,
+    cause,
+  });
+}
--- /dev/null
+++ b/src/jobs/job-runner.ts
@@ -0,0 +1,244 @@
+import type { Clock, Random } from '../core/index.js';
+import type { EngineFailure } from '../engine/index.js';
+import {
+  AppendFailedError,
+  EntryKind,
+  EntryPriority,
+  JobStatus,
+  type EntryWriter,
+  type Fence,
+  type Job,
+  type JobFold,
+} from '../state/index.js';
+import { EventId, type EventLog } from '../telemetry/index.js';
+import type { ChosenEndpoint, EndpointChooser, ReclaimNotice } from './endpoint-chooser.js';
+import { AttemptEnd, GenerationAttempt, type JobPolicy } from './generation-attempt.js';
+import type { HandoverPlanner } from './handover-planner.js';
+import type { KvMover } from './kv-mover.js';
+
+/** Why a runner no longer works on its job. */
+export enum RunnerEnd {
+  /** The job is done or cancelled. */
+  Finished = 'finished',
+  /** Another daemon holds the job. */
+  Superseded = 'superseded',
+  Stopped = 'stopped',
+}
+
+/** Options of {@link JobRunner} that all runners of a daemon share. */
+export interface JobRunnerOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly fold: JobFold;
+  readonly writer: EntryWriter;
+  readonly chooser: EndpointChooser;
+  readonly planner: HandoverPlanner;
+  readonly log: EventLog;
+  readonly daemon: string;
+  readonly incarnation: number;
+  readonly policyFor: (job: Job) => JobPolicy;
+  readonly kvMover?: KvMover;
+  /** Milliseconds after the last renewal at which other daemons try to take over. */
+  readonly leaseMs?: number;
+  /** Factor between 1 and 4 by which checkpoints widen when the append budget is short. */
+  readonly widening?: () => number;
+  readonly silenceMs?: number;
+  readonly maxBufferedTokens?: number;
+  readonly appendTimeoutMs?: number;
+  /** Mean pause before an endpoint is asked for again. */
+  readonly retryMs?: number;
+}
+
+/**
+ * Carries one job to its end: chooses an endpoint, takes the lease, generates from the last recorded
+ * text, and starts again elsewhere whenever the endpoint fails or leaves.
+ *
+ * @example
+ * ```ts
+ * const end = await new JobRunner(jobId, options).run();
+ * ```
+ */
+export class JobRunner {
+  readonly #jobId: string;
+  readonly #options: JobRunnerOptions;
+  readonly #stopping = new AbortController();
+  /** Endpoints that failed this job or are leaving. */
+  readonly #avoid = new Set<string>();
+  readonly #notices = new Map<string, ReclaimNotice>();
+  #attempt: GenerationAttempt | undefined;
+
+  constructor(jobId: string, options: JobRunnerOptions) {
+    this.#jobId = jobId;
+    this.#options = options;
+  }
+
+  /** Runs until the job has ended or another daemon has it. */
+  async run(): Promise<RunnerEnd> {
+    const { fold, chooser } = this.#options;
+    let reserved: { endpoint: ChosenEndpoint; kvHandle: string | undefined } | undefined;
+    let ownFence: Fence | undefined;
+    for (;;) {
+      const job = fold.job(this.#jobId);
+      const isActive = job?.status === JobStatus.Active;
+      if (!isActive || (ownFence !== undefined && job.fence !== ownFence)) {
+        if (reserved) chooser.finished(reserved.endpoint, undefined);
+        return isActive ? RunnerEnd.Superseded : RunnerEnd.Finished;
+      }
+      if (this.#stopping.signal.aborted) {
+        if (reserved) chooser.finished(reserved.endpoint, undefined);
+        if (ownFence !== undefined) await this.#lease(job, 0);
+        return RunnerEnd.Stopped;
+      }
+      const endpoint = reserved?.endpoint ?? (await this.#choose(job));
+      if (!endpoint) {
+        if (ownFence === undefined && this.#isHeldElsewhere()) return RunnerEnd.Superseded;
+        await this.#pause();
+        continue;
+      }
+      const kvHandle = reserved?.kvHandle;
+      reserved = undefined;
+      const fence = await this.#lease(job, this.#leaseMs);
+      if (fence === undefined) {
+        chooser.finished(endpoint, undefined);
+        // A rejected or unread entry: the fold tells who holds the job.
+        if (fold.job(this.#jobId)?.fence !== job.fence) return RunnerEnd.Superseded;
+        await this.#pause();
+        continue;
+      }
+      ownFence = fence;
+      const { end, failure, requestId } = await this.#attemptOn(endpoint, fence, kvHandle);
+      chooser.finished(endpoint, failure);
+      if (end === AttemptEnd.Finished) return RunnerEnd.Finished;
+      if (end === AttemptEnd.Superseded) return RunnerEnd.Superseded;
+      if (end === AttemptEnd.Stopped) continue;
+      this.#avoid.add(endpoint.id);
+      this.#options.log.info(EventId.JobMoved, 'job continues on another endpoint', {
+        jobId: this.#jobId,
+        endpoint: endpoint.id,
+        reason: failure ?? end,
+      });
+      if (end === AttemptEnd.ExportKv) reserved = await this.#moveKv(endpoint, requestId);
+      if (end === AttemptEnd.Failed) await this.#pause();
+    }
+  }
+
+  /** Tells the runner that endpoints go away. */
+  reclaim(notice: ReclaimNotice): void {
+    for (const id of notice.endpointIds) {
+      this.#avoid.add(id);
+      this.#notices.set(id, notice);
+    }
+    this.#attempt?.reclaim(notice);
+  }
+
+  /** Records what is generated so far and gives up the lease, so that another daemon continues. */
+  stop(): void {
+    this.#stopping.abort();
+    this.#attempt?.stop();
+  }
+
+  async #attemptOn(
+    endpoint: ChosenEndpoint,
+    fence: Fence,
+    kvHandle: string | undefined,
+  ): Promise<{ end: AttemptEnd; failure: EngineFailure | undefined; requestId: string }> {
+    const { clock, fold, writer, planner, policyFor, kvMover, ...rest } = this.#options;
+    const job = fold.job(this.#jobId);
+    const attempt = new GenerationAttempt({
+      clock,
+      fold,
+      writer,
+      planner,
+      jobId: this.#jobId,
+      fence,
+      endpoint,
+      kvHandle,
+      policy: job ? policyFor(job) : { checkpointTokens: 64, checkpointMs: 2_000 },
+      leaseMs: this.#leaseMs,
+      widening: rest.widening ?? (() => 1),
+      silenceMs: rest.silenceMs ?? 10_000,
+      maxBufferedTokens: rest.maxBufferedTokens ?? 4_096,
+      appendTimeoutMs: rest.appendTimeoutMs ?? 5_000,
+      canExportKv: kvMover !== undefined,
+    });
+    this.#attempt = attempt;
+    const ended = attempt.run();
+    // A notice or a stop may have come while the lease was being recorded.
+    const notice = this.#notices.get(endpoint.id);
+    if (notice) attempt.reclaim(notice);
+    if (this.#stopping.signal.aborted) attempt.stop();
+    try {
+      return { end: await ended, failure: attempt.failure, requestId: attempt.requestId };
+    } finally {
+      this.#attempt = undefined;
+    }
+  }
+
+  /** Falls back to endpoints that failed before, but never to those that are leaving. */
+  async #choose(job: Job): Promise<ChosenEndpoint | undefined> {
+    const { chooser } = this.#options;
+    const endpoint = await chooser.choose({ job, avoid: this.#avoid });
+    if (endpoint || this.#avoid.size === this.#notices.size) return endpoint;
+    this.#avoid.clear();
+    for (const id of this.#notices.keys()) this.#avoid.add(id);
+    return chooser.choose({ job, avoid: this.#avoid });
+  }
+
+  async #moveKv(
+    from: ChosenEndpoint,
+    requestId: string,
+  ): Promise<{ endpoint: ChosenEndpoint; kvHandle: string | undefined } | undefined> {
+    const { fold, chooser, kvMover } = this.#options;
+    const job = fold.job(this.#jobId);
+    const deadlineAtMs = this.#notices.get(from.id)?.deadlineAtMs;
+    if (!job || !kvMover || deadlineAtMs === undefined) return undefined;
+    const to = await chooser.choose({ job, avoid: this.#avoid, region: from.region });
+    if (!to) return undefined;
+    const kvHandle = await kvMover
+      .move({ requestId, from, to, deadlineAtMs })
+      .catch(() => undefined);
+    return { endpoint: to, kvHandle };
+  }
+
+  /** Starts a new generation; undefined when the entry was not accepted or not read back. */
+  async #lease(job: Job, leaseMs: number): Promise<Fence | undefined> {
+    const { clock, writer, daemon, incarnation, fold, appendTimeoutMs = 5_000 } = this.#options;
+    const nowMs = clock.nowMs();
+    const entry = {
+      kind: EntryKind.JobLease,
+      jobId: job.jobId,
+      daemon,
+      incarnation,
+      previousFence: job.fence,
+      expiresAtMs: nowMs + leaseMs,
+      isRenewal: false,
+    };
+    const options = { deadlineAtMs: nowMs + appendTimeoutMs, priority: EntryPriority.High };
+    try {
+      await writer.append(entry, options);
+    } catch (error) {
+      if (!(error instanceof AppendFailedError)) throw error;
+    }
+    // A late copy of an earlier lease may have won instead of this entry; it is this daemon's too.
+    const held = fold.job(job.jobId);
+    const isMine = held?.daemon === daemon && held.incarnation === incarnation;
+    return isMine && held.fence !== job.fence ? held.fence : undefined;
+  }
+
+  #isHeldElsewhere(): boolean {
+    const { fold, clock, daemon, incarnation } = this.#options;
+    const job = fold.job(this.#jobId);
+    if (!job || job.expiresAtMs <= clock.nowMs()) return false;
+    return job.daemon !== daemon || job.incarnation !== incarnation;
+  }
+
+  get #leaseMs(): number {
+    return this.#options.leaseMs ?? 10_000;
+  }
+
+  async #pause(): Promise<void> {
+    const { clock, random, retryMs = 250 } = this.#options;
+    const atMs = clock.nowMs() + retryMs * (0.5 + random.float());
+    await clock.sleepUntil(atMs, this.#stopping.signal);
+  }
+}
--- /dev/null
+++ b/src/jobs/kv-mover.ts
@@ -0,0 +1,26 @@
+import type { ChosenEndpoint } from './endpoint-chooser.js';
+
+/** A move of one generation's KV cache within a region. */
+export interface KvMove {
+  /** Request id of the generation that is moved. */
+  readonly requestId: string;
+  readonly from: ChosenEndpoint;
+  readonly to: ChosenEndpoint;
+  readonly deadlineAtMs: number;
+}
+
+/**
+ * Moves KV caches between endpoints, under the daemon's link budget.
+ *
+ * @example
+ * ```ts
+ * const handle = await mover.move({ requestId, from, to, deadlineAtMs });
+ * ```
+ */
+export abstract class KvMover {
+  /**
+   * Returns a handle that the target accepts as `kv_import` in a generation request, or undefined
+   * when the move failed; then the text is recomputed.
+   */
+  abstract move(move: KvMove): Promise<string | undefined>;
+}
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -21,6 +21,15 @@
   // 6xx capacity
 
   // 7xx claims and jobs
+  CallOutcomeUnknown = 701,
+  OutcomeNotRecorded = 702,
+  ClaimReleased = 703,
+  JobAccepted = 704,
+  JobTakenOver = 705,
+  JobMoved = 706,
+  JobLeaseLost = 707,
+  JobFinished = 708,
+  JobRunnerFailed = 709,
 
   // 8xx administration and security
 }
--- /dev/null
+++ b/test/calls/claim-coordinator_test.ts
@@ -0,0 +1,205 @@
+import { describe, expect, it } from 'vitest';
+import { ReplicaWriter } from '../../bench/histories/replica-writer.js';
+import {
+  BackEndCallError,
+  BackEndCaller,
+  ClaimCoordinator,
+  ClaimExecutor,
+  OutcomeRecorder,
+  keyTimeMs,
+  type BackEndAnswer,
+  type BackEndCallOptions,
+  type BackEndRequest,
+  type NonRepeatableCall,
+} from '../../src/calls/index.js';
+import { Random, RequestError, VirtualClock, countingIds } from '../../src/core/index.js';
+import { LogFault, LogFaultSource, MemoryLogService } from '../../src/standins/index.js';
+import {
+  ClaimFold,
+  EntryKind,
+  EntryPriority,
+  ResolutionVerdict,
+  type RawEntry,
+} from '../../src/state/index.js';
+import { NullEventLog } from '../../src/telemetry/index.js';
+
+class FakeCaller extends BackEndCaller {
+  runs = 0;
+  connectMs = 0;
+  answerMs = 10;
+  fault: 'none' | 'connect' | 'broken' | 'silent' = 'none';
+
+  constructor(readonly clock: VirtualClock) {
+    super();
+  }
+
+  override async call(
+    request: BackEndRequest,
+    { mayStart }: BackEndCallOptions,
+  ): Promise<BackEndAnswer> {
+    await this.clock.sleepUntil(this.clock.nowMs() + this.connectMs);
+    if (this.fault === 'connect') throw new BackEndCallError('refused', 'fake');
+    if (!mayStart()) throw new BackEndCallError('not started', 'fake');
+    this.runs += 1;
+    if (this.fault === 'silent') return new Promise(() => undefined);
+    await this.clock.sleepUntil(this.clock.nowMs() + this.answerMs);
+    if (this.fault === 'broken') throw new BackEndCallError('reset', 'fake');
+    return { status: 201, headers: {}, body: request.body };
+  }
+}
+
+class FixedFaults extends LogFaultSource {
+  constructor(readonly fault: LogFault) {
+    super();
+  }
+
+  override onAppend(): { fault: LogFault; delayMs: number } {
+    return { fault: this.fault, delayMs: 5 };
+  }
+
+  override onRead(): { fault: LogFault; delayMs: number } {
+    return { fault: LogFault.None, delayMs: 5 };
+  }
+}
+
+interface World {
+  readonly clock: VirtualClock;
+  readonly log: MemoryLogService;
+  readonly caller: FakeCaller;
+  readonly writer: ReplicaWriter;
+  handle(call?: Partial<NonRepeatableCall>): Promise<string>;
+}
+
+function newWorld(): World {
+  const clock = new VirtualClock();
+  const log = new MemoryLogService({ clock });
+  const fold = new ClaimFold();
+  const newId = countingIds('id');
+  const writer = new ReplicaWriter({ clock, log, stream: 's', daemon: 'd', newId, folds: [fold] });
+  void writer.start();
+  const eventLog = new NullEventLog();
+  const recorder = new OutcomeRecorder({ clock, random: new Random(1), writer, log: eventLog });
+  const executor = new ClaimExecutor({ clock, fold, recorder, log: eventLog });
+  const coordinator = new ClaimCoordinator({
+    clock,
+    fold,
+    writer,
+    executor,
+    recorder,
+    daemon: 'd',
+    newId,
+  });
+  const caller = new FakeCaller(clock);
+  const handle = (call: Partial<NonRepeatableCall> = {}): Promise<string> =>
+    coordinator
+      .handle({
+        workspace: 'tejidos',
+        service: 'orders',
+        idempotencyKey: 'key',
+        request: { method: 'POST', path: '/confirm', headers: {}, body: Buffer.from('order 1') },
+        deadlineAtMs: clock.nowMs() + 3_000,
+        rememberMs: 60_000,
+        fingerprintMs: 120_000,
+        caller,
+        ...call,
+      })
+      .then(
+        ({ status, isReplayed, isRecorded }) =>
+          `${status}${isReplayed ? ' replayed' : ''}${isRecorded ? '' : ' unrecorded'}`,
+        (error: unknown) =>
+          error instanceof RequestError ? `${error.code} ${error.outcome}` : String(error),
+      );
+  return { clock, log, caller, writer, handle };
+}
+
+describe('ClaimCoordinator', () => {
+  it('runs two concurrent calls of a key once, against an order confirmed twice', async () => {
+    const world = newWorld();
+    const answers = Promise.all([world.handle(), world.handle()]);
+    await world.clock.advance(5_000);
+    expect((await answers).sort()).toEqual(['201', '201 replayed']);
+    expect(world.caller.runs).toBe(1);
+  });
+
+  it('releases the key when the connection is refused, and lets the repeat run', async () => {
+    const world = newWorld();
+    world.caller.fault = 'connect';
+    const first = world.handle();
+    await world.clock.advance(500);
+    expect(await first).toBe('not_claimed not_run');
+    world.caller.fault = 'none';
+    const second = world.handle();
+    await world.clock.advance(500);
+    expect(await second).toBe('201');
+  });
+
+  it('keeps an unknown call unknown until an operator resolves it', async () => {
+    const world = newWorld();
+    world.caller.fault = 'broken';
+    const first = world.handle();
+    await world.clock.advance(6_000);
+    expect(await first).toBe('outcome_unknown unknown');
+    expect(await world.handle()).toBe('outcome_unknown unknown');
+    expect(world.caller.runs).toBe(1);
+    const resolution: RawEntry = {
+      kind: EntryKind.Resolution,
+      claimId: 'id-1',
+      verdict: ResolutionVerdict.NotRun,
+      note: 'no truck',
+      operator: 'ana',
+      resolvedAtMs: world.clock.nowMs(),
+    };
+    const options = { deadlineAtMs: world.clock.nowMs() + 1_000, priority: EntryPriority.High };
+    const resolved = world.writer.append(resolution, options);
+    await world.clock.advance(100);
+    await resolved;
+    world.caller.fault = 'none';
+    const second = world.handle();
+    await world.clock.advance(500);
+    expect(await second).toBe('201');
+  });
+
+  it('answers unknown by the deadline when the back end goes silent', async () => {
+    const world = newWorld();
+    world.caller.fault = 'silent';
+    const answer = world.handle();
+    await world.clock.advance(3_100);
+    expect(await answer).toBe('outcome_unknown unknown');
+  });
+
+  it('does not start after startByMs, against a daemon that wakes up late', async () => {
+    const world = newWorld();
+    world.caller.connectMs = 6_000;
+    const answer = world.handle({ deadlineAtMs: world.clock.nowMs() + 20_000 });
+    await world.clock.advance(21_000);
+    expect(await answer).toBe('not_claimed not_run');
+    expect(world.caller.runs).toBe(0);
+  });
+
+  it('refuses with not_run while the log is down, and frees the key afterwards', async () => {
+    const world = newWorld();
+    world.log.faults = new FixedFaults(LogFault.RequestLost);
+    const first = world.handle();
+    await world.clock.advance(6_000);
+    expect(await first).toBe('not_claimed not_run');
+    world.log.faults = new FixedFaults(LogFault.Duplicated);
+    await world.clock.advance(10_000);
+    const second = world.handle();
+    await world.clock.advance(500);
+    expect(await second).toBe('201');
+    expect(world.caller.runs).toBe(1);
+  });
+
+  it('refuses another body, a missing key and keys older than they are remembered', async () => {
+    const world = newWorld();
+    void world.handle();
+    await world.clock.advance(500);
+    const request = { method: 'POST', path: '/confirm', headers: {}, body: Buffer.from('2') };
+    expect(await world.handle({ request })).toBe('key_reused not_run');
+    expect(await world.handle({ idempotencyKey: '' })).toBe('idempotency_key_missing not_run');
+    const old = '00000000-0001-7000-8000-000000000000';
+    expect(keyTimeMs(old)).toBe(1);
+    expect(await world.handle({ idempotencyKey: old })).toBe('key_expired unknown');
+    expect(keyTimeMs('01ARZ3NDEKTSV4RRFFQ69G5FAV')).toBe(1_469_922_850_259);
+  });
+});
--- /dev/null
+++ b/test/jobs/answer-assembler_test.ts
@@ -0,0 +1,73 @@
+import { describe, expect, it } from 'vitest';
+import { sha256Hex } from '../../src/core/index.js';
+import {
+  AnswerAssembler,
+  HandoverKind,
+  HandoverPlanner,
+  JobFrameKind,
+  type JobFrame,
+} from '../../src/jobs/index.js';
+
+function frame(generation: number, offset: number, text: string, jobId = 'j'): JobFrame {
+  return { kind: JobFrameKind.Text, jobId, generation, offset, text };
+}
+
+function end(text: string): JobFrame {
+  return {
+    kind: JobFrameKind.End,
+    jobId: 'j',
+    generation: 2,
+    lengthChars: text.length,
+    digest: sha256Hex(text),
+    finishReason: 'stop',
+  };
+}
+
+describe('AnswerAssembler', () => {
+  it('drops crossed, stale, copied and early frames', () => {
+    const assembler = new AnswerAssembler('j');
+    expect(assembler.accept(frame(1, 0, 'ab'))).toBe('ab');
+    expect(assembler.accept(frame(1, 0, 'ab'))).toBeUndefined();
+    expect(assembler.accept(frame(1, 2, 'zz', 'other'))).toBeUndefined();
+    expect(assembler.accept(frame(1, 5, 'zz'))).toBeUndefined();
+    expect(assembler.accept(frame(2, 1, 'bc'))).toBe('c');
+    expect(assembler.accept(frame(1, 3, 'XX'))).toBeUndefined();
+    assembler.accept(end('abcd'));
+    expect(assembler.isComplete).toBe(false);
+    assembler.accept(frame(2, 3, 'd'));
+    assembler.accept(end('abcd'));
+    expect(assembler).toMatchObject({ isComplete: true, text: 'abcd', finishReason: 'stop' });
+  });
+
+  it('refuses an answer whose digest differs', () => {
+    const assembler = new AnswerAssembler('j');
+    assembler.accept(frame(2, 0, 'abcX'));
+    expect(() => assembler.accept(end('abcd'))).toThrow(/digest/);
+  });
+});
+
+describe('HandoverPlanner', () => {
+  const planner = new HandoverPlanner({
+    kvBytesPerToken: 1_000,
+    kvBytesPerS: 1_000_000,
+    kvImportMs: 500,
+  });
+  const facts = {
+    nowMs: 0,
+    deadlineAtMs: 10_000,
+    contextTokens: 5_000,
+    maxRemainingTokens: 1_000,
+    tokenGapMs: 50,
+    canExportKv: true,
+  };
+
+  it('exports only when export and import fit into 0.6 of the time left', () => {
+    expect(planner.plan(facts)).toBe(HandoverKind.ExportKv);
+    expect(planner.plan({ ...facts, contextTokens: 5_500 })).toBe(HandoverKind.Resume);
+    expect(planner.plan({ ...facts, canExportKv: false })).toBe(HandoverKind.Resume);
+  });
+
+  it('lets a generation finish that is surely done in time', () => {
+    expect(planner.plan({ ...facts, maxRemainingTokens: 100 })).toBe(HandoverKind.Finish);
+  });
+});
