Add routing, admission, the prefix cache view and the speed estimator

Change: Router (filters, scorers, softmax draw, per-daemon subsets, explanations in a bounded ring), CacheView, SpeedEstimator, AdmissionController, SharedLimit, FairQueue, LengthPredictor, RetryBudget, RetryPolicy, BackOff and HedgePolicy; event 501.

--- /dev/null
+++ b/src/admission/admission-controller.ts
@@ -0,0 +1,477 @@
+import { LRUCache } from 'lru-cache';
+import { Outcome, RequestError, Step, WorkClass, type Clock, type Random } from '../core/index.js';
+import { EventId, type EventLog } from '../telemetry/index.js';
+import { FairQueue } from './fair-queue.js';
+import { LimitKind, SharedLimit, type SharedLimits } from './shared-limit.js';
+
+/** What admission needs to know of a request. */
+export interface AdmissionRequest {
+  readonly requestId: string;
+  /** `team/workspace`. */
+  readonly workspaceId: string;
+  /** `team/service`. */
+  readonly serviceId: string;
+  readonly workClass: WorkClass;
+  /** Prompt tokens plus expected output tokens, weighted as the daemon likes; at least 1. */
+  readonly costTokens: number;
+  /** For the spend limit; settled by the actual spend at the end. */
+  readonly expectedUsd: number;
+  /** Time by which the request must have been sent, in epoch milliseconds. */
+  readonly startByMs: number;
+  /** Share in weighted fairness, `fair_weight` of the workspace. */
+  readonly fairWeight: number;
+  readonly limits: SharedLimits;
+}
+
+/** Why a request was refused. */
+export enum RefusalCode {
+  RateLimited = 'rate_limited',
+  ConcurrencyLimited = 'concurrency_limited',
+  SpendLimited = 'spend_limited',
+  /** The expected wait exceeds the deadline. */
+  Overloaded = 'overloaded',
+  /** The deadline passed in the queue. */
+  QueueTimeout = 'queue_timeout',
+  /** The daemon is stopping. */
+  Stopping = 'stopping',
+}
+
+/** A request that was not admitted; it was sent nowhere. */
+export interface Refusal {
+  readonly code: RefusalCode;
+  /** HTTP status: 429 for a limit of the workspace, 503 for a lack of capacity. */
+  readonly status: 429 | 503;
+  /** Time at which a retry makes sense, jittered, in epoch milliseconds. */
+  readonly retryAtMs: number;
+}
+
+/** An admitted request. End it exactly once; later calls are ignored. */
+export interface Ticket {
+  readonly request: AdmissionRequest;
+  /** Time spent in the queue. */
+  readonly queuedMs: number;
+  /** @param actualUsd - actual spend; the expected spend when it is not known. */
+  end(actualUsd?: number): void;
+}
+
+/** Receives the result of {@link AdmissionController.offer}, at once or later. */
+export interface AdmissionListener {
+  admitted(ticket: Ticket): void;
+  refused(refusal: Refusal): void;
+}
+
+/** Options of {@link AdmissionController}. */
+export interface AdmissionControllerOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly log?: EventLog;
+}
+
+/** Order in which classes are served, with their shares while all of them are queued. */
+const classShares: readonly (readonly [WorkClass, number])[] = [
+  [WorkClass.Short, 6],
+  [WorkClass.Medium, 3],
+  [WorkClass.Long, 2],
+];
+
+/** Requests queued per service; bounds memory when deadlines are hours away. */
+const maxQueuedRequests = 20_000;
+
+interface Waiting {
+  readonly request: AdmissionRequest;
+  readonly listener: AdmissionListener;
+  readonly queuedAtMs: number;
+  cancelTimer: () => void;
+}
+
+class ServiceQueue {
+  readonly classes = new Map<WorkClass, FairQueue<Waiting>>(
+    classShares.map(([workClass]) => [workClass, new FairQueue<Waiting>()]),
+  );
+  /** Cost served per class, divided by its share. */
+  readonly servedCost = new Map<WorkClass, number>();
+  /** Requests that may be at the endpoints at once. */
+  window = Infinity;
+  maxWindow = Infinity;
+  narrowedAtMs = -Infinity;
+  inFlight = 0;
+  /** Smoothed cost completed per millisecond; undefined before the first completions. */
+  costPerMs: number | undefined;
+  completedCost = 0;
+  measuredAtMs: number | undefined;
+
+  get length(): number {
+    let length = 0;
+    for (const queue of this.classes.values()) length += queue.length;
+    return length;
+  }
+}
+
+/**
+ * Admits requests: shared limits of the workspace first, then a window of requests in flight per
+ * service, and beyond it a weighted fair queue per class. A request whose expected wait exceeds its
+ * deadline is refused at once rather than after the wait.
+ *
+ * @example
+ * ```ts
+ * const ticket = await admission.admit(request, signal); // throws RequestError when refused
+ * try { await serve(request); } finally { ticket.end(actualUsd); }
+ * ```
+ */
+export class AdmissionController {
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #log: EventLog | undefined;
+  readonly #limits = new LRUCache<string, SharedLimit>({ max: 50_000 });
+  readonly #services = new Map<string, ServiceQueue>();
+  #liveDaemons = 1;
+  #othersDemandPerS: ReadonlyMap<string, number> = new Map();
+  #isStopping = false;
+
+  constructor(options: AdmissionControllerOptions) {
+    this.#clock = options.clock;
+    this.#random = options.random;
+    this.#log = options.log;
+  }
+
+  /** Requests waiting in all queues. */
+  get queued(): number {
+    let queued = 0;
+    for (const { length } of this.#services.values()) queued += length;
+    return queued;
+  }
+
+  /**
+   * Offers a request; the listener hears the result, at once or when its turn comes.
+   *
+   * @returns a function that withdraws a request that still waits.
+   */
+  offer(request: AdmissionRequest, listener: AdmissionListener): () => void {
+    const nowMs = this.#clock.nowMs();
+    const nothingToCancel = (): void => undefined;
+    if (this.#isStopping) {
+      listener.refused(this.#refusal(RefusalCode.Stopping, nowMs + 1_000));
+      return nothingToCancel;
+    }
+    const limit = this.#limit(request, nowMs);
+    const limited = limit.tryAcquire(request.expectedUsd, nowMs);
+    if (limited) {
+      listener.refused(this.#refusal(codeOfLimit(limited.kind), limited.retryAtMs));
+      return nothingToCancel;
+    }
+    const service = this.#service(request.serviceId);
+    if (service.length === 0 && service.inFlight < service.window) {
+      this.#start(service, { request, listener, queuedAtMs: nowMs, cancelTimer: nothingToCancel });
+      return nothingToCancel;
+    }
+    const expectedWaitMs = this.#expectedWaitMs(service, request);
+    if (nowMs + expectedWaitMs > request.startByMs || service.length >= maxQueuedRequests) {
+      limit.release(request.expectedUsd, 0, nowMs);
+      this.#logRefusal(request, expectedWaitMs, service.length);
+      const retryAtMs = nowMs + Math.min(Math.max(expectedWaitMs / 2, 250), 30_000);
+      listener.refused(this.#refusal(RefusalCode.Overloaded, retryAtMs));
+      return nothingToCancel;
+    }
+    return this.#enqueue(service, request, listener, nowMs);
+  }
+
+  /**
+   * Resolves with a ticket when the request may be sent.
+   *
+   * @throws RequestError with outcome `not_run` when it is refused or `signal` is aborted.
+   */
+  admit(request: AdmissionRequest, signal?: AbortSignal): Promise<Ticket> {
+    return new Promise((resolve, reject) => {
+      const onAbort = (): void => {
+        withdraw();
+        reject(
+          new RequestError('the caller went away while the request was queued', {
+            step: Step.Admit,
+            peer: request.workspaceId,
+            status: 503,
+            code: 'cancelled',
+            next: 'Send the request again if the answer is still wanted.',
+            outcome: Outcome.NotRun,
+          }),
+        );
+      };
+      const withdraw = this.offer(request, {
+        admitted: (ticket) => {
+          signal?.removeEventListener('abort', onAbort);
+          resolve(ticket);
+        },
+        refused: (refusal) => {
+          signal?.removeEventListener('abort', onAbort);
+          reject(refusalError(refusal, request));
+        },
+      });
+      if (signal?.aborted) onAbort();
+      else signal?.addEventListener('abort', onAbort, { once: true });
+    });
+  }
+
+  /**
+   * Takes over what membership knows.
+   *
+   * @param liveDaemons - daemons believed alive, this one included.
+   * @param othersDemandPerS - demand per workspace summed over the other daemons, requests per s.
+   */
+  updatePeers(liveDaemons: number, othersDemandPerS: ReadonlyMap<string, number>): void {
+    this.#liveDaemons = Math.max(1, liveDaemons);
+    this.#othersDemandPerS = othersDemandPerS;
+    const nowMs = this.#clock.nowMs();
+    for (const [workspaceId, limit] of this.#limits.entries()) {
+      limit.updatePeers(this.#liveDaemons, othersDemandPerS.get(workspaceId) ?? 0, nowMs);
+    }
+  }
+
+  /** This daemon's demand by workspace for gossip, largest first, in requests per second. */
+  demandPerS(maxWorkspaces = 32): Map<string, number> {
+    const nowMs = this.#clock.nowMs();
+    const demand = [...this.#limits.entries()]
+      .map(([workspaceId, limit]) => [workspaceId, limit.demandPerS(nowMs)] as const)
+      .filter(([, perS]) => perS > 0.01)
+      .sort(([, a], [, b]) => b - a);
+    return new Map(demand.slice(0, maxWorkspaces));
+  }
+
+  /**
+   * Adapts the window of a service to the load reports: it narrows while requests queue at the
+   * engines, where workspaces are not told apart, and widens otherwise. Daemons that all do this
+   * converge to equal windows. Call it when load reports arrive.
+   *
+   * @param batchSlots - batch slots of all usable endpoints of the service.
+   * @param queuedAtEngines - sum of the reported queues of these endpoints.
+   */
+  updateCapacity(serviceId: string, batchSlots: number, queuedAtEngines: number): void {
+    const service = this.#service(serviceId);
+    const nowMs = this.#clock.nowMs();
+    const fairWindow = Math.max(1, batchSlots / this.#liveDaemons);
+    service.maxWindow = Math.max(1, Math.min(batchSlots * 1.25, fairWindow * 4));
+    if (service.window === Infinity) service.window = Math.min(service.maxWindow, fairWindow * 2);
+    const queuedRatio = batchSlots > 0 ? queuedAtEngines / batchSlots : 1;
+    if (queuedRatio > 0.15) {
+      // One cut per second, since the reports show its effect only after their lag.
+      if (nowMs - service.narrowedAtMs >= 1_000) {
+        service.window = Math.max(1, fairWindow / 2, service.window * 0.85);
+        service.narrowedAtMs = nowMs;
+      }
+    } else if (service.inFlight >= service.window - 1) {
+      service.window += Math.max(0.25, fairWindow * 0.05);
+    }
+    service.window = Math.min(service.window, service.maxWindow);
+    this.#serve(service);
+  }
+
+  /** Requests that the daemon may have at the endpoints of a service now. */
+  window(serviceId: string): number {
+    return this.#service(serviceId).window;
+  }
+
+  /** Refuses new requests from now on; those that wait are still served. */
+  stop(): void {
+    this.#isStopping = true;
+  }
+
+  #enqueue(
+    service: ServiceQueue,
+    request: AdmissionRequest,
+    listener: AdmissionListener,
+    nowMs: number,
+  ): () => void {
+    const queue = service.classes.get(request.workClass);
+    const waiting: Waiting = {
+      request,
+      listener,
+      queuedAtMs: nowMs,
+      cancelTimer: () => undefined,
+    };
+    const withdraw = (): boolean => {
+      waiting.cancelTimer();
+      if (!queue?.remove(request.workspaceId, waiting)) return false;
+      this.#limit(request, this.#clock.nowMs()).release(
+        request.expectedUsd,
+        0,
+        this.#clock.nowMs(),
+      );
+      return true;
+    };
+    waiting.cancelTimer = this.#clock.schedule(request.startByMs, () => {
+      if (!withdraw()) return;
+      listener.refused(this.#refusal(RefusalCode.QueueTimeout, this.#clock.nowMs() + 1_000));
+    });
+    queue?.push(
+      {
+        value: waiting,
+        flow: request.workspaceId,
+        cost: Math.max(1, request.costTokens),
+        // The timer refuses at the deadline, so the queue itself never drops an item.
+        startByMs: Infinity,
+      },
+      request.fairWeight,
+    );
+    this.#serve(service);
+    return () => {
+      withdraw();
+    };
+  }
+
+  #serve(service: ServiceQueue): void {
+    while (service.inFlight < service.window) {
+      const waiting = this.#next(service);
+      if (!waiting) return;
+      waiting.cancelTimer();
+      this.#start(service, waiting);
+    }
+  }
+
+  /** Next request: of the classes with a queue, the one served least for its share. */
+  #next(service: ServiceQueue): Waiting | undefined {
+    let chosen: WorkClass | undefined;
+    let least = Infinity;
+    let floor = Infinity;
+    for (const [workClass] of classShares) {
+      const served = service.servedCost.get(workClass) ?? 0;
+      if (!service.classes.get(workClass)?.length) continue;
+      floor = Math.min(floor, served);
+      if (served < least) {
+        chosen = workClass;
+        least = served;
+      }
+    }
+    if (chosen === undefined) return undefined;
+    // A class that was idle does not save up its share.
+    for (const [workClass] of classShares) {
+      service.servedCost.set(workClass, Math.max(floor, service.servedCost.get(workClass) ?? 0));
+    }
+    const item = service.classes.get(chosen)?.shift(this.#clock.nowMs());
+    if (!item) return undefined;
+    const share = classShares.find(([workClass]) => workClass === chosen)?.[1] ?? 1;
+    service.servedCost.set(chosen, least + item.cost / share);
+    return item.value;
+  }
+
+  #start(service: ServiceQueue, { request, listener, queuedAtMs }: Waiting): void {
+    const startedAtMs = this.#clock.nowMs();
+    service.inFlight += 1;
+    let isEnded = false;
+    listener.admitted({
+      request,
+      queuedMs: startedAtMs - queuedAtMs,
+      end: (actualUsd = request.expectedUsd) => {
+        if (isEnded) return;
+        isEnded = true;
+        const nowMs = this.#clock.nowMs();
+        this.#limit(request, nowMs).release(request.expectedUsd, actualUsd, nowMs);
+        service.inFlight -= 1;
+        measureCompletion(service, request.costTokens, nowMs);
+        this.#serve(service);
+      },
+    });
+  }
+
+  /** Expected time in the queue, from the backlog that is served earlier and the recent rate. */
+  #expectedWaitMs(service: ServiceQueue, request: AdmissionRequest): number {
+    if (service.costPerMs === undefined || service.costPerMs <= 0) return 0;
+    let activeShares = 0;
+    let ownShare = 1;
+    for (const [workClass, share] of classShares) {
+      if (workClass === request.workClass) ownShare = share;
+      if (workClass === request.workClass || service.classes.get(workClass)?.length) {
+        activeShares += share;
+      }
+    }
+    const queue = service.classes.get(request.workClass);
+    const ahead = queue?.costAhead(request.workspaceId, request.fairWeight) ?? 0;
+    return ahead / ((service.costPerMs * ownShare) / activeShares);
+  }
+
+  #limit(request: AdmissionRequest, nowMs: number): SharedLimit {
+    let limit = this.#limits.get(request.workspaceId);
+    if (!limit) {
+      limit = new SharedLimit(request.limits, nowMs);
+      const others = this.#othersDemandPerS.get(request.workspaceId) ?? 0;
+      limit.updatePeers(this.#liveDaemons, others, nowMs);
+      this.#limits.set(request.workspaceId, limit);
+    }
+    limit.updateLimits(request.limits, nowMs);
+    return limit;
+  }
+
+  #service(serviceId: string): ServiceQueue {
+    let service = this.#services.get(serviceId);
+    if (!service) {
+      service = new ServiceQueue();
+      this.#services.set(serviceId, service);
+    }
+    return service;
+  }
+
+  /** Spreads retries over a fifth of the wait, so that refused callers do not return together. */
+  #refusal(code: RefusalCode, retryAtMs: number): Refusal {
+    const nowMs = this.#clock.nowMs();
+    const boundedMs = Math.min(Math.max(retryAtMs - nowMs, 50), 3_600_000);
+    const isLimit =
+      code === RefusalCode.RateLimited ||
+      code === RefusalCode.ConcurrencyLimited ||
+      code === RefusalCode.SpendLimited;
+    return {
+      code,
+      status: isLimit ? 429 : 503,
+      retryAtMs: nowMs + boundedMs * (1 + 0.2 * this.#random.float()),
+    };
+  }
+
+  #logRefusal(request: AdmissionRequest, expectedWaitMs: number, queued: number): void {
+    this.#log?.info(EventId.RequestNotAdmitted, 'the expected wait exceeds the deadline', {
+      requestId: request.requestId,
+      workspace: request.workspaceId,
+      expectedWaitMs: Math.round(expectedWaitMs),
+      queued,
+    });
+  }
+}
+
+/** Turns a refusal into the error that ends the request. */
+export function refusalError(refusal: Refusal, request: AdmissionRequest): RequestError {
+  const isLimit = refusal.status === 429;
+  const reason = isLimit
+    ? `workspace ${request.workspaceId} has reached its ${refusal.code.replace('_limited', '')} limit`
+    : `service ${request.serviceId} cannot start the request before its deadline`;
+  return new RequestError(reason, {
+    step: Step.Admit,
+    peer: request.workspaceId,
+    status: refusal.status,
+    code: refusal.code,
+    next: isLimit
+      ? 'Retry after the time in Retry-After, or ask an operator to raise the limit.'
+      : 'Retry after the time in Retry-After.',
+    outcome: Outcome.NotRun,
+    retryAtMs: refusal.retryAtMs,
+  });
+}
+
+function codeOfLimit(kind: LimitKind): RefusalCode {
+  switch (kind) {
+    case LimitKind.Rate:
+      return RefusalCode.RateLimited;
+    case LimitKind.Concurrency:
+      return RefusalCode.ConcurrencyLimited;
+    case LimitKind.Spend:
+      return RefusalCode.SpendLimited;
+  }
+}
+
+/** Measures the completion rate over spans of at least half a second. */
+function measureCompletion(service: ServiceQueue, cost: number, nowMs: number): void {
+  service.measuredAtMs ??= nowMs;
+  service.completedCost += cost;
+  const spanMs = nowMs - service.measuredAtMs;
+  if (spanMs < 500) return;
+  const rate = service.completedCost / spanMs;
+  const gain = 1 - Math.exp(-spanMs / 5_000);
+  service.costPerMs =
+    service.costPerMs === undefined ? rate : service.costPerMs + (rate - service.costPerMs) * gain;
+  service.completedCost = 0;
+  service.measuredAtMs = nowMs;
+}
--- /dev/null
+++ b/src/admission/back-off.ts
@@ -0,0 +1,41 @@
+import type { Random } from '../core/index.js';
+
+/** Options of {@link BackOff}. */
+export interface BackOffOptions {
+  readonly random: Random;
+  readonly baseMs?: number;
+  readonly maxMs?: number;
+}
+
+/**
+ * Exponential back-off with full jitter, which spreads retries after a common failure evenly.
+ *
+ * @example
+ * ```ts
+ * const backOff = new BackOff({ random });
+ * const retryAtMs = backOff.retryAtMs(1, deadlineAtMs, clock.nowMs());
+ * ```
+ */
+export class BackOff {
+  readonly #random: Random;
+  readonly #baseMs: number;
+  readonly #maxMs: number;
+
+  constructor(options: BackOffOptions) {
+    this.#random = options.random;
+    this.#baseMs = options.baseMs ?? 50;
+    this.#maxMs = options.maxMs ?? 2_000;
+  }
+
+  /** Random delay after the given number of failed attempts, in milliseconds. */
+  delayMs(failedAttempts: number): number {
+    const boundMs = Math.min(this.#maxMs, this.#baseMs * 2 ** Math.max(0, failedAttempts));
+    return this.#random.float() * boundMs;
+  }
+
+  /** Time of the next attempt; undefined when it would fall behind the deadline. */
+  retryAtMs(failedAttempts: number, deadlineAtMs: number, nowMs: number): number | undefined {
+    const atMs = nowMs + this.delayMs(failedAttempts);
+    return atMs < deadlineAtMs ? atMs : undefined;
+  }
+}
--- /dev/null
+++ b/src/admission/fair-queue.ts
@@ -0,0 +1,126 @@
+/** An item of a {@link FairQueue}. */
+export interface QueuedItem<T> {
+  readonly value: T;
+  readonly flow: string;
+  /** Cost in the unit of the queue, such as tokens. */
+  readonly cost: number;
+  /** Time from which the item is worthless, in epoch milliseconds. */
+  readonly startByMs: number;
+}
+
+interface TaggedItem<T> extends QueuedItem<T> {
+  readonly startTag: number;
+}
+
+interface Flow<T> {
+  weight: number;
+  /** Virtual finish time of the newest item. */
+  finishTag: number;
+  queuedCost: number;
+  readonly items: TaggedItem<T>[];
+}
+
+/**
+ * Queue that serves flows in proportion to their weights by start-time fair queueing: a flow with
+ * little traffic is served at once, a flow with much traffic waits behind its own items only.
+ *
+ * @example
+ * ```ts
+ * const queue = new FairQueue<string>();
+ * queue.push({ value: 'a', flow: 'tejidos/quotes', cost: 300, startByMs: nowMs + 2_000 }, 1);
+ * queue.shift(nowMs)?.value; // 'a'
+ * ```
+ */
+export class FairQueue<T> {
+  readonly #flows = new Map<string, Flow<T>>();
+  #virtualTime = 0;
+  #length = 0;
+  #queuedCost = 0;
+
+  get length(): number {
+    return this.#length;
+  }
+
+  /** Sum of the costs of all queued items. */
+  get queuedCost(): number {
+    return this.#queuedCost;
+  }
+
+  /** Appends an item to its flow. @param weight - the flow's share relative to other flows. */
+  push(item: QueuedItem<T>, weight: number): void {
+    let flow = this.#flows.get(item.flow);
+    if (!flow) {
+      flow = { weight, finishTag: 0, queuedCost: 0, items: [] };
+      this.#flows.set(item.flow, flow);
+    }
+    flow.weight = weight;
+    const startTag = Math.max(this.#virtualTime, flow.finishTag);
+    flow.finishTag = startTag + item.cost / weight;
+    flow.items.push({ ...item, startTag });
+    flow.queuedCost += item.cost;
+    this.#queuedCost += item.cost;
+    this.#length += 1;
+  }
+
+  /** Removes the next item in fair order that is still worth starting; drops the ones that are not. */
+  shift(nowMs: number): QueuedItem<T> | undefined {
+    for (;;) {
+      let next: Flow<T> | undefined;
+      let nextTag = Infinity;
+      for (const flow of this.#flows.values()) {
+        const tag = flow.items[0]?.startTag;
+        if (tag !== undefined && tag < nextTag) {
+          next = flow;
+          nextTag = tag;
+        }
+      }
+      const item = next?.items.shift();
+      if (!next || !item) return undefined;
+      if (item.startByMs > nowMs) this.#virtualTime = item.startTag;
+      this.#account(item, next);
+      if (item.startByMs > nowMs) return item;
+    }
+  }
+
+  /** Removes a queued value, such as that of a caller who hung up; false when it is not queued. */
+  remove(flowName: string, value: T): boolean {
+    const flow = this.#flows.get(flowName);
+    const index = flow?.items.findIndex((item) => item.value === value) ?? -1;
+    const item = flow?.items[index];
+    if (!flow || !item) return false;
+    flow.items.splice(index, 1);
+    this.#account(item, flow);
+    return true;
+  }
+
+  /**
+   * Cost that would be served before a new item of the flow: its own backlog, scaled up by the
+   * weights of the flows served in between, and at most the whole queue.
+   */
+  costAhead(flowName: string, weight: number): number {
+    const own = this.#flows.get(flowName);
+    let otherWeights = 0;
+    let otherCost = 0;
+    const ownTurns = (own?.queuedCost ?? 0) / weight;
+    for (const [name, flow] of this.#flows) {
+      if (name === flowName || flow.items.length === 0) continue;
+      otherWeights += flow.weight;
+      otherCost += Math.min(flow.queuedCost, ownTurns * flow.weight + (flow.items[0]?.cost ?? 0));
+    }
+    return otherWeights === 0 ? (own?.queuedCost ?? 0) : (own?.queuedCost ?? 0) + otherCost;
+  }
+
+  #account(item: QueuedItem<T>, flow: Flow<T>): void {
+    flow.queuedCost -= item.cost;
+    this.#queuedCost -= item.cost;
+    this.#length -= 1;
+    // Idle flows are dropped so that the scan covers active flows only; a flow that has used more
+    // than its share keeps its tag until virtual time catches up or the queue is empty.
+    if (this.#length === 0) {
+      this.#flows.clear();
+      this.#virtualTime = 0;
+    } else if (flow.items.length === 0 && flow.finishTag <= this.#virtualTime) {
+      this.#flows.delete(item.flow);
+    }
+  }
+}
--- /dev/null
+++ b/src/admission/retry-policy.ts
@@ -0,0 +1,49 @@
+import { Outcome } from '../core/index.js';
+import type { RoutingSettings } from '../settings/index.js';
+import type { BackOff } from './back-off.js';
+import type { RetryBudget } from './retry-budget.js';
+
+/** A failed attempt. */
+export interface FailedAttempt {
+  /** `team/workspace` and the hop, the key of the retry budget. */
+  readonly budgetKey: string;
+  /** Attempts made so far, this one included. */
+  readonly attempts: number;
+  readonly outcome: Outcome;
+  /** Whether the work may run twice. */
+  readonly repeatable: boolean;
+  /** Time by which the answer is due, in epoch milliseconds. */
+  readonly deadlineAtMs: number;
+}
+
+/**
+ * Decides whether and when a failed attempt is followed by another one. Work that may not be
+ * repeated is tried again only when it provably did not run.
+ *
+ * @example
+ * ```ts
+ * const retryAtMs = policy.retryAtMs(failed, deployment.routing('tejidos/assistant'), nowMs);
+ * ```
+ */
+export class RetryPolicy {
+  readonly #budget: RetryBudget;
+  readonly #backOff: BackOff;
+
+  constructor(budget: RetryBudget, backOff: BackOff) {
+    this.#budget = budget;
+    this.#backOff = backOff;
+  }
+
+  /** Time of the next attempt, in epoch milliseconds; undefined when the request has failed. */
+  retryAtMs(
+    failed: FailedAttempt,
+    settings: Pick<RoutingSettings, 'max_attempts'>,
+    nowMs: number,
+  ): number | undefined {
+    if (failed.outcome !== Outcome.NotRun && !failed.repeatable) return undefined;
+    if (failed.attempts >= settings.max_attempts) return undefined;
+    const atMs = this.#backOff.retryAtMs(failed.attempts - 1, failed.deadlineAtMs, nowMs);
+    if (atMs === undefined || !this.#budget.trySpend(failed.budgetKey)) return undefined;
+    return atMs;
+  }
+}
--- /dev/null
+++ b/src/fleet/prompt-prefix.ts
@@ -0,0 +1,35 @@
+import { hash32 } from '../core/index.js';
+import type { ChatMessage } from '../engine/engine-client.js';
+
+/** Characters of a prompt block; about {@link promptBlockTokens} tokens. */
+const blockChars = 256;
+
+/** Tokens that a full prompt block stands for. */
+export const promptBlockTokens = 64;
+
+/**
+ * Chained hashes of the blocks of a prompt: equal hashes at index i mean equal prompts up to and
+ * including block i. Only whole blocks are listed, as engines cache whole blocks.
+ */
+export type PromptPrefix = readonly number[];
+
+/**
+ * Hashes a prompt block by block. Hashes have 31 bits, so that V8 keeps them as small integers; a
+ * collision only misroutes a hint.
+ *
+ * @param messages - the chat, in order.
+ * @example
+ * ```ts
+ * const prefix = promptPrefix([{ role: 'system', content: rules }, { role: 'user', content: ask }]);
+ * ```
+ */
+export function promptPrefix(messages: readonly ChatMessage[]): PromptPrefix {
+  const text = messages.map(({ role, content }) => `${role}\u0000${content}\u0001`).join('');
+  const blocks: number[] = [];
+  let hash = 0;
+  for (let end = blockChars; end <= text.length; end += blockChars) {
+    hash = hash32(text.slice(end - blockChars, end), hash) >>> 1;
+    blocks.push(hash);
+  }
+  return blocks;
+}
--- /dev/null
+++ b/src/routing/load-estimate.ts
@@ -0,0 +1,98 @@
+import { WorkClass } from '../core/index.js';
+import type { CacheView } from '../fleet/cache-view.js';
+import type { EndpointView } from '../fleet/index.js';
+import type { RouteRequest } from './route-request.js';
+
+/** Assumptions for an endpoint that has not been observed. */
+export interface EngineAssumptions {
+  readonly tokenGapMs: number;
+  readonly prefillTokensPerS: number;
+  /** Time after which a load report counts half; about the lag of the reports. */
+  readonly reportHalfLifeMs: number;
+  /** Output tokens of a typical request, for the time until a batch slot becomes free. */
+  readonly outputTokens: number;
+}
+
+export const defaultAssumptions: EngineAssumptions = {
+  tokenGapMs: 30,
+  prefillTokensPerS: 8_000,
+  reportHalfLifeMs: 1_000,
+  outputTokens: 200,
+};
+
+/** What the router expects of a request at one endpoint. */
+export interface LoadEstimate {
+  /** Requests at the endpoint, including those of other daemons. */
+  readonly requests: number;
+  readonly uncachedTokens: number;
+  readonly firstTokenMs: number;
+  readonly tokenGapMs: number;
+}
+
+/** @internal Requests of other daemons by the newest report; undefined without a report. */
+export function reportedByOthers(view: EndpointView): number | undefined {
+  if (!view.report) return undefined;
+  const { runningRequests, queuedRequests } = view.report;
+  return Math.max(0, runningRequests + queuedRequests - ownRequests(view));
+}
+
+/** @internal The daemon's own requests at the endpoint. */
+export function ownRequests(view: EndpointView): number {
+  const { requests } = view.ownInFlight;
+  return requests[WorkClass.Short] + requests[WorkClass.Medium] + requests[WorkClass.Long];
+}
+
+/**
+ * Mean load by other daemons over the candidates that report, towards which old reports decay: an
+ * endpoint whose reports stop must not look empty.
+ *
+ * @internal
+ */
+export function meanReportedByOthers(views: readonly EndpointView[]): number {
+  let sum = 0;
+  let count = 0;
+  for (const view of views) {
+    const others = reportedByOthers(view);
+    if (others === undefined) continue;
+    sum += others;
+    count += 1;
+  }
+  return count > 0 ? sum / count : 0;
+}
+
+/**
+ * Estimates load and first-token time at an endpoint from the daemon's own requests, the report
+ * discounted by its age, the cache view and the observed speed.
+ *
+ * @param meanOthers - from {@link meanReportedByOthers}.
+ * @internal
+ */
+export function estimateLoad(
+  view: EndpointView,
+  request: RouteRequest,
+  caches: CacheView,
+  meanOthers: number,
+  nowMs: number,
+  assumptions: EngineAssumptions,
+): LoadEstimate {
+  const reported = reportedByOthers(view) ?? meanOthers;
+  const ageMs = view.report ? Math.max(0, nowMs - view.report.observedAtMs) : Infinity;
+  const trust = Math.pow(2, -ageMs / assumptions.reportHalfLifeMs);
+  const requests = ownRequests(view) + meanOthers + (reported - meanOthers) * trust;
+
+  const { speed } = view;
+  const tokenGapMs = speed.tokenGapMs ?? assumptions.tokenGapMs * speed.slowdownRatio;
+  const prefillTokensPerS =
+    speed.prefillTokensPerS ?? assumptions.prefillTokensPerS / speed.slowdownRatio;
+  const cachedTokens = caches.cachedTokens(view.id, request.prefix, nowMs);
+  const uncachedTokens = Math.max(0, request.promptTokens - cachedTokens);
+  const prefillMs = (uncachedTokens * 1_000 * (1 + requests / view.batchSlots)) / prefillTokensPerS;
+  const excess = Math.max(0, requests + 1 - view.batchSlots);
+  const slotMs = (tokenGapMs * assumptions.outputTokens) / view.batchSlots;
+  return {
+    requests,
+    uncachedTokens,
+    firstTokenMs: excess * slotMs + prefillMs + tokenGapMs,
+    tokenGapMs,
+  };
+}
--- /dev/null
+++ b/src/routing/route-filter.ts
@@ -0,0 +1,29 @@
+import type { EndpointView } from '../fleet/index.js';
+import type { LoadEstimate } from './load-estimate.js';
+import type { RouteRequest } from './route-request.js';
+
+/**
+ * Excludes endpoints that must not get a request. Add one to extend the router.
+ *
+ * @example
+ * ```ts
+ * class VersionFilter extends RouteFilter {
+ *   override readonly reason = 'wrong version';
+ *   override admits(view: EndpointView): boolean { return view.version === '2'; }
+ * }
+ * ```
+ */
+export abstract class RouteFilter {
+  /** Shown in explanations for the endpoints that it excludes. */
+  abstract readonly reason: string;
+
+  /** Whether the filter is skipped when it would leave no candidate. */
+  readonly isPreference: boolean = false;
+
+  abstract admits(
+    view: EndpointView,
+    request: RouteRequest,
+    load: LoadEstimate,
+    nowMs: number,
+  ): boolean;
+}
--- /dev/null
+++ b/src/routing/route-request.ts
@@ -0,0 +1,42 @@
+import type { WorkClass } from '../core/index.js';
+import type { PromptPrefix } from '../fleet/prompt-prefix.js';
+import type { WorkspaceSettings } from '../settings/index.js';
+
+/** What a workspace weighs, from its settings. */
+export type RouteWeights = Pick<
+  WorkspaceSettings,
+  'weight_cost' | 'weight_wait' | 'weight_tail' | 'weight_recompute'
+>;
+
+/** What the router needs to know of a request. */
+export interface RouteRequest {
+  readonly requestId: string;
+  /** `team/workspace`. */
+  readonly workspaceId: string;
+  /** `team/service`. */
+  readonly serviceId: string;
+  /** Model or adapter that must be loaded; empty for plain services. */
+  readonly model: string;
+  readonly workClass: WorkClass;
+  readonly promptTokens: number;
+  /** From the length predictor. */
+  readonly expectedOutputTokens: number;
+  /** Blocks of the prompt; empty when the prompt has none. */
+  readonly prefix: PromptPrefix;
+  /** Time by which the whole answer is due, in epoch milliseconds. */
+  readonly deadlineAtMs: number;
+  readonly weights: RouteWeights;
+  /** Latency objectives of the service. */
+  readonly objectiveFirstTokenMs: number;
+  readonly objectiveBetweenTokensMs: number;
+  /** From the routing settings of the service. */
+  readonly spillOver: boolean;
+  readonly shortReserveRatio: number;
+  readonly subsetSize: number;
+  /** Whether the work may run twice, so that it may be hedged, moved or used as a probe. */
+  readonly repeatable: boolean;
+  /** Whether only endpoints that check fencing tokens qualify. */
+  readonly requiresFence: boolean;
+  /** Endpoints that already failed this request or run its other copy. */
+  readonly excludedEndpoints: readonly string[];
+}
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -17,6 +17,7 @@
   // 4xx membership and fleet
 
   // 5xx routing and admission
+  RequestNotAdmitted = 501,
 
   // 6xx capacity
 
--- /dev/null
+++ b/test/admission/admission-controller_test.ts
@@ -0,0 +1,178 @@
+import { describe, expect, it } from 'vitest';
+import {
+  AdmissionController,
+  RefusalCode,
+  type AdmissionRequest,
+  type Refusal,
+  type Ticket,
+} from '../../src/admission/index.js';
+import { Outcome, Random, RequestError, VirtualClock, WorkClass } from '../../src/core/index.js';
+import { limitsSchema } from '../../src/settings/index.js';
+
+const defaultLimits = limitsSchema.parse({});
+
+function request(changes: Partial<AdmissionRequest> = {}): AdmissionRequest {
+  return {
+    requestId: 'r',
+    workspaceId: 'team/big',
+    serviceId: 'team/assistant',
+    workClass: WorkClass.Short,
+    costTokens: 100,
+    expectedUsd: 0,
+    startByMs: 1_000_000,
+    fairWeight: 1,
+    limits: defaultLimits,
+    ...changes,
+  };
+}
+
+class Scene {
+  readonly clock = new VirtualClock(0);
+  readonly admission = new AdmissionController({ clock: this.clock, random: new Random(3) });
+  readonly tickets: Ticket[] = [];
+  readonly refusals: Refusal[] = [];
+
+  constructor(window?: number) {
+    if (window === undefined) return;
+    this.admission.updatePeers(1, new Map());
+    // The window starts at twice the fair share, bounded by 1.25 times the slots.
+    this.admission.updateCapacity('team/assistant', window / 1.25, 0);
+  }
+
+  offer(changes: Partial<AdmissionRequest> = {}): () => void {
+    return this.admission.offer(request(changes), {
+      admitted: (ticket) => this.tickets.push(ticket),
+      refused: (refusal) => this.refusals.push(refusal),
+    });
+  }
+
+  /** Ends the oldest tickets, one every 100 ms, which teaches the controller its rate. */
+  endEvery100Ms(count: number): void {
+    for (let ended = 0; ended < count; ended++) {
+      this.clock.runUntil(this.clock.nowMs() + 100);
+      this.tickets.shift()?.end();
+    }
+  }
+}
+
+describe('AdmissionController', () => {
+  it('admits at once while the window has room, then in fair order', () => {
+    const scene = new Scene(2);
+    for (let index = 0; index < 12; index++) scene.offer();
+    scene.offer({ workspaceId: 'team/small' });
+    expect(scene.tickets).toHaveLength(2);
+    scene.endEvery100Ms(2);
+    // A workspace with one request is not put behind another's backlog.
+    const started = scene.tickets.map((ticket) => ticket.request.workspaceId);
+    expect(started).toContain('team/small');
+  });
+
+  it('refuses early with a retry time when the wait exceeds the deadline', () => {
+    const scene = new Scene(1);
+    for (let index = 0; index < 30; index++) scene.offer();
+    scene.endEvery100Ms(10);
+    const nowMs = scene.clock.nowMs();
+    scene.offer({ startByMs: nowMs + 500 });
+    expect(scene.refusals).toHaveLength(1);
+    const [refusal] = scene.refusals;
+    expect(refusal?.code).toBe(RefusalCode.Overloaded);
+    expect(refusal?.status).toBe(503);
+    expect(refusal?.retryAtMs).toBeGreaterThan(nowMs);
+    // The wait of another workspace is shorter, so it is still taken.
+    scene.offer({ workspaceId: 'team/small', startByMs: nowMs + 500 });
+    expect(scene.refusals).toHaveLength(1);
+  });
+
+  it('refuses a queued request when its deadline passes and frees its place in the limits', () => {
+    const scene = new Scene(1);
+    const limits = limitsSchema.parse({ concurrency_requests: '2' });
+    scene.offer({ limits });
+    scene.offer({ limits, startByMs: 300 });
+    scene.offer({ limits });
+    expect(scene.refusals.map(({ code }) => code)).toEqual([RefusalCode.ConcurrencyLimited]);
+    scene.clock.runUntil(400);
+    expect(scene.refusals[1]?.code).toBe(RefusalCode.QueueTimeout);
+    scene.offer({ limits });
+    expect(scene.refusals).toHaveLength(2);
+  });
+
+  it('serves short work before long work without starving long work', () => {
+    const scene = new Scene(1);
+    scene.offer();
+    for (let index = 0; index < 40; index++) {
+      scene.offer({ workClass: WorkClass.Long, costTokens: 100 });
+      scene.offer({ workClass: WorkClass.Short, costTokens: 100 });
+    }
+    const started: WorkClass[] = [];
+    for (let index = 0; index < 40; index++) {
+      scene.tickets.shift()?.end();
+      const [ticket] = scene.tickets;
+      if (ticket) started.push(ticket.request.workClass);
+    }
+    const long = started.filter((workClass) => workClass === WorkClass.Long).length;
+    expect(long).toBeGreaterThanOrEqual(8);
+    expect(long).toBeLessThanOrEqual(12);
+  });
+
+  it('does not count a withdrawn request', () => {
+    const scene = new Scene(1);
+    scene.offer();
+    const withdraw = scene.offer();
+    withdraw();
+    expect(scene.admission.queued).toBe(0);
+    scene.tickets[0]?.end();
+    expect(scene.tickets).toHaveLength(1);
+  });
+
+  it('ignores a second end of a ticket', () => {
+    const scene = new Scene(1);
+    for (let index = 0; index < 4; index++) scene.offer();
+    scene.tickets[0]?.end();
+    scene.tickets[0]?.end();
+    expect(scene.tickets).toHaveLength(2);
+  });
+
+  it('narrows the window while requests queue at the engines and widens it again', () => {
+    const { admission, clock } = new Scene(40);
+    const before = admission.window('team/assistant');
+    for (let round = 0; round < 5; round++) {
+      clock.runUntil(clock.nowMs() + 1_000);
+      admission.updateCapacity('team/assistant', 32, 20);
+    }
+    expect(admission.window('team/assistant')).toBeLessThan(before * 0.6);
+  });
+
+  describe('admit', () => {
+    it('rejects with a not_run error that carries the retry time', async () => {
+      const { admission } = new Scene();
+      const limits = limitsSchema.parse({ rate_per_s: '0.5', burst_requests: '1' });
+      const ticket = await admission.admit(request({ limits }));
+      ticket.end();
+      const error: unknown = await admission.admit(request({ limits })).catch((e: unknown) => e);
+      expect(error).toBeInstanceOf(RequestError);
+      if (!(error instanceof RequestError)) return;
+      expect([error.status, error.code, error.outcome]).toEqual([
+        429,
+        RefusalCode.RateLimited,
+        Outcome.NotRun,
+      ]);
+      expect(error.retryAtMs).toBeGreaterThanOrEqual(2_000);
+    });
+
+    it('withdraws a queued request when its caller goes away', async () => {
+      const { admission } = new Scene(1);
+      await admission.admit(request());
+      const abort = new AbortController();
+      const queued = admission.admit(request(), abort.signal);
+      abort.abort();
+      await expect(queued).rejects.toMatchObject({ outcome: Outcome.NotRun });
+      expect(admission.queued).toBe(0);
+    });
+
+    it('refuses new requests after stop', async () => {
+      const { admission } = new Scene();
+      admission.stop();
+      await expect(admission.admit(request())).rejects.toMatchObject({ code: 'stopping' });
+    });
+  });
+});
