--- /dev/null
+++ b/src/routing/attempt-reports.ts
@@ -0,0 +1,104 @@
+import type { CacheView } from '../fleet/cache-view.js';
+import type { PromptPrefix } from '../fleet/prompt-prefix.js';
+import type { SpeedEstimator } from '../fleet/speed-estimator.js';
+import type { Decision } from './router.js';
+
+/** Tokens over which the gap is averaged; one call per token would cost more than the relay. */
+const tokensPerObservation = 4;
+
+/**
+ * What the relay reports of one attempt at an endpoint; it feeds the cache view and the observed
+ * speed. Make one per attempt, when the request is sent.
+ *
+ * @example
+ * ```ts
+ * const attempt = new AttemptReports(caches, speeds, decision, prefix, clock.nowMs());
+ * attempt.token(clock.nowMs()); // for each token, the first one included
+ * attempt.ended(clock.nowMs());
+ * ```
+ */
+export class AttemptReports {
+  readonly #caches: CacheView;
+  readonly #speeds: SpeedEstimator;
+  readonly #endpointId: string;
+  readonly #uncachedTokens: number;
+  readonly #startedAtMs: number;
+  #firstTokenAtMs: number | undefined;
+  #countedFromMs: number;
+  #lastTokenAtMs: number;
+  #tokens = 0;
+  #isOver = false;
+
+  /** @throws RangeError when the decision has no endpoint. */
+  constructor(
+    caches: CacheView,
+    speeds: SpeedEstimator,
+    decision: Decision,
+    prefix: PromptPrefix,
+    nowMs: number,
+  ) {
+    const { endpoint, load } = decision;
+    if (!endpoint) throw new RangeError('an attempt needs a decision with an endpoint');
+    this.#caches = caches;
+    this.#speeds = speeds;
+    this.#endpointId = endpoint.id;
+    this.#uncachedTokens = load?.uncachedTokens ?? 0;
+    this.#startedAtMs = nowMs;
+    this.#countedFromMs = nowMs;
+    this.#lastTokenAtMs = nowMs;
+    caches.noteSent(endpoint.id, prefix, nowMs);
+  }
+
+  /** Time from start to the first token in milliseconds; undefined before it. */
+  get firstTokenMs(): number | undefined {
+    return this.#firstTokenAtMs === undefined
+      ? undefined
+      : this.#firstTokenAtMs - this.#startedAtMs;
+  }
+
+  /** A token arrived. */
+  token(nowMs: number): void {
+    if (this.#isOver) return;
+    this.#lastTokenAtMs = nowMs;
+    if (this.#firstTokenAtMs === undefined) {
+      this.#firstTokenAtMs = nowMs;
+      this.#countedFromMs = nowMs;
+      const elapsedMs = nowMs - this.#startedAtMs;
+      this.#speeds.observeFirstToken(this.#endpointId, this.#uncachedTokens, elapsedMs);
+      return;
+    }
+    this.#tokens += 1;
+    if (this.#tokens >= tokensPerObservation) this.#flush(nowMs);
+  }
+
+  /** Called a few times per second while the stream is open, so that a stall is noticed. */
+  checkStall(nowMs: number): void {
+    if (this.#isOver || this.#firstTokenAtMs === undefined) return;
+    this.#speeds.observeStall(this.#endpointId, nowMs - this.#lastTokenAtMs, nowMs);
+  }
+
+  /** The stream ended as a whole. */
+  ended(nowMs: number): void {
+    if (this.#isOver) return;
+    if (this.#tokens > 0) this.#flush(nowMs);
+    this.#isOver = true;
+  }
+
+  /**
+   * The attempt failed or was cancelled.
+   *
+   * @param hasLostCache - whether the endpoint is gone, and its cache with it.
+   */
+  failed(hasLostCache: boolean): void {
+    if (this.#isOver) return;
+    this.#isOver = true;
+    if (hasLostCache) this.#caches.forget(this.#endpointId);
+  }
+
+  #flush(nowMs: number): void {
+    const elapsedMs = this.#lastTokenAtMs - this.#countedFromMs;
+    this.#speeds.observeTokens(this.#endpointId, this.#tokens, elapsedMs, nowMs);
+    this.#countedFromMs = this.#lastTokenAtMs;
+    this.#tokens = 0;
+  }
+}
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -1,3 +1,4 @@
+export * from './attempt-reports.js';
 export * from './explain-store.js';
 export * from './explanation.js';
 export * from './load-estimate.js';
