Add JSON-RPC server and client between daemons

Cause: daemons need a transport for gossip, forwarded claims and reports. Change: RpcServer is a request handler with an injected peer check, RpcClient implements PeerCaller on undici. RpcError.mayHaveRun tells a caller that forwards non-repeatable work whether the method may have run. Conclusion: a timed-out call destroys its connection and the next call uses another one; checked over loopback.

--- /dev/null
+++ b/src/rpc/rpc-client.ts
@@ -0,0 +1,168 @@
+import {
+  JSONRPCErrorCode,
+  createJSONRPCRequest,
+  isJSONRPCResponse,
+  type JSONRPCResponse,
+} from 'json-rpc-2.0';
+import { Agent, request } from 'undici';
+import type { ConnectionOptions } from 'node:tls';
+import type { Clock } from '../core/index.js';
+import { PeerCaller, type PeerCallOptions } from './peer-caller.js';
+import { RpcError } from './rpc-error.js';
+import { rpcPath } from './rpc-server.js';
+
+/** Error codes of a peer that called no method. */
+const notRunCodes: readonly number[] = [
+  JSONRPCErrorCode.ParseError,
+  JSONRPCErrorCode.InvalidRequest,
+  JSONRPCErrorCode.MethodNotFound,
+];
+
+/** Options of {@link RpcClient}. */
+export interface RpcClientOptions {
+  readonly clock: Clock;
+  /** Shared secret of the deployment; absent when client certificates are used. */
+  readonly secret?: string;
+  /** Client certificate and authorities for `https` peers. */
+  readonly tls?: ConnectionOptions;
+}
+
+/**
+ * {@link PeerCaller} over HTTP.
+ *
+ * A call that times out destroys its connection, because one that went silent may stay so for ever
+ * while new connections work. No call is retried here.
+ *
+ * @example
+ * ```ts
+ * const peers = new RpcClient({ clock: new SystemClock(), secret });
+ * await peers.call('http://10.0.0.2:7000', 'status.get', {}, { deadlineAtMs: clock.nowMs() + 500 });
+ * ```
+ */
+export class RpcClient extends PeerCaller {
+  readonly #clock: Clock;
+  readonly #headers: Record<string, string>;
+  #agent: Agent;
+  #nextId = 1;
+
+  constructor(options: RpcClientOptions) {
+    super();
+    this.#clock = options.clock;
+    this.#headers = { 'content-type': 'application/json' };
+    if (options.secret !== undefined) this.#headers.authorization = `Bearer ${options.secret}`;
+    this.#agent = createAgent(options.tls);
+  }
+
+  override async call(
+    peerUrl: string,
+    method: string,
+    params: unknown,
+    { deadlineAtMs }: PeerCallOptions,
+  ): Promise<unknown> {
+    const leftMs = Math.ceil(deadlineAtMs - this.#clock.nowMs());
+    if (leftMs <= 0) {
+      throw new RpcError(`deadline of "${method}" passed before it was sent`, peerUrl, false);
+    }
+    const id = this.#nextId++;
+    const { status, text } = await this.#send(
+      peerUrl,
+      method,
+      JSON.stringify(createJSONRPCRequest(id, method, params)),
+      leftMs,
+    );
+    if (status !== 200) {
+      throw new RpcError(
+        `peer answered "${method}" with status ${status}; check the shared secret or certificate`,
+        peerUrl,
+        status >= 500,
+      );
+    }
+    return resultOf(decode(text, method, peerUrl), id, method, peerUrl);
+  }
+
+  /** Uses new certificates for new connections; calls in flight finish on the old ones. */
+  reloadTls(tls: ConnectionOptions): void {
+    const previous = this.#agent;
+    this.#agent = createAgent(tls);
+    previous.close().catch(() => undefined);
+  }
+
+  /** Closes all connections; calls in flight fail. */
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  async #send(
+    peerUrl: string,
+    method: string,
+    body: string,
+    leftMs: number,
+  ): Promise<{ status: number; text: string }> {
+    const timeout = new AbortController();
+    const timer = setTimeout(() => {
+      timeout.abort();
+    }, leftMs);
+    try {
+      // Aborting destroys the socket: with pipelining 1 no other call is on it.
+      const response = await request(`${peerUrl}${rpcPath}`, {
+        method: 'POST',
+        headers: this.#headers,
+        body,
+        dispatcher: this.#agent,
+        signal: timeout.signal,
+      });
+      return { status: response.statusCode, text: await response.body.text() };
+    } catch (error) {
+      const reason = timeout.signal.aborted ? `no answer within ${leftMs} ms` : String(error);
+      throw new RpcError(
+        `call of "${method}" failed: ${reason}`,
+        peerUrl,
+        !isConnectError(error),
+        error,
+      );
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+}
+
+function createAgent(tls: ConnectionOptions | undefined): Agent {
+  return new Agent({
+    pipelining: 1,
+    // A peer is probed about every n seconds; keeping idle connections to 460 peers costs more
+    // memory than connecting again.
+    keepAliveTimeout: 15_000,
+    connect: { timeout: 2_000, ...tls },
+  });
+}
+
+function decode(text: string, method: string, peerUrl: string): JSONRPCResponse {
+  try {
+    const answer: unknown = JSON.parse(text);
+    if (isJSONRPCResponse(answer)) return answer;
+  } catch (error) {
+    throw new RpcError(`answer to "${method}" is not JSON`, peerUrl, true, error);
+  }
+  throw new RpcError(`answer to "${method}" is not a JSON-RPC response`, peerUrl, true);
+}
+
+function resultOf(answer: JSONRPCResponse, id: number, method: string, peerUrl: string): unknown {
+  if (answer.error) {
+    const { code, message } = answer.error;
+    throw new RpcError(
+      `"${method}" failed at the peer: ${message}`,
+      peerUrl,
+      !notRunCodes.includes(code),
+    );
+  }
+  if (answer.id !== id) {
+    throw new RpcError(`answer to "${method}" carries the id of another call`, peerUrl, true);
+  }
+  return answer.result as unknown;
+}
+
+/** True when no connection was made, so that no byte of the call can have been sent. */
+function isConnectError(error: unknown): boolean {
+  const code = (error as { code?: unknown } | null)?.code;
+  return code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT' || code === 'EHOSTUNREACH';
+}
--- /dev/null
+++ b/test/rpc/rpc-client_test.ts
@@ -0,0 +1,104 @@
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import { afterEach, describe, expect, it } from 'vitest';
+import { SystemClock } from '../../src/core/index.js';
+import { RpcClient, RpcError, RpcServer, sharedSecretCheck } from '../../src/rpc/index.js';
+
+const clock = new SystemClock();
+const closers: (() => Promise<void>)[] = [];
+
+async function listen(server: Server): Promise<string> {
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  closers.push(async () => {
+    server.closeAllConnections();
+    await new Promise((resolve) => server.close(resolve));
+  });
+  return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+function connect(secret: string): RpcClient {
+  const client = new RpcClient({ clock, secret });
+  closers.push(() => client.close());
+  return client;
+}
+
+afterEach(async () => {
+  for (const close of closers.splice(0).reverse()) await close();
+});
+
+async function failureOf(call: Promise<unknown>): Promise<RpcError> {
+  const error: unknown = await call.then(
+    () => undefined,
+    (reason: unknown) => reason,
+  );
+  expect(error).toBeInstanceOf(RpcError);
+  return error as RpcError;
+}
+
+describe('RpcClient with RpcServer', () => {
+  const soon = { deadlineAtMs: clock.nowMs() + 30_000 };
+
+  it('gives each of many concurrent calls its own answer', async () => {
+    const server = new RpcServer({ check: sharedSecretCheck('s') });
+    server.register('echo', (params) => Promise.resolve(params));
+    const url = await listen(createServer(server.handle));
+    const client = connect('s');
+    const values = Array.from({ length: 50 }, (_, value) => ({ value }));
+    const answers = await Promise.all(values.map((value) => client.call(url, 'echo', value, soon)));
+    expect(answers).toEqual(values);
+  });
+
+  it('reports a refused secret and an unknown method as not run', async () => {
+    const server = new RpcServer({ check: sharedSecretCheck('right') });
+    const url = await listen(createServer(server.handle));
+    const refused = await failureOf(connect('wrong').call(url, 'echo', {}, soon));
+    expect(refused.mayHaveRun).toBe(false);
+    const unknown = await failureOf(connect('right').call(url, 'echo', {}, soon));
+    expect(unknown.mayHaveRun).toBe(false);
+  });
+
+  it('reports a failing method as one that may have run', async () => {
+    const server = new RpcServer({ check: () => true });
+    server.register('fail', () => Promise.reject(new Error('broken')));
+    const url = await listen(createServer(server.handle));
+    const error = await failureOf(connect('').call(url, 'fail', {}, soon));
+    expect(error.mayHaveRun).toBe(true);
+    expect(error.message).toContain('broken');
+  });
+
+  it('refuses a body above the bound instead of buffering it', async () => {
+    const server = new RpcServer({ check: () => true, maxBodyBytes: 100 });
+    server.register('echo', (params) => Promise.resolve(params));
+    const url = await listen(createServer(server.handle));
+    await failureOf(connect('').call(url, 'echo', { text: 'x'.repeat(1_000) }, soon));
+  });
+
+  it('destroys the connection of a call that timed out and connects anew', async () => {
+    const sockets: Socket[] = [];
+    const server = new RpcServer({ check: () => true });
+    let isSilent = true;
+    server.register('status', () => (isSilent ? new Promise(() => undefined) : Promise.resolve(1)));
+    const http = createServer(server.handle);
+    http.on('request', ({ socket }) => sockets.push(socket));
+    const url = await listen(http);
+    const client = connect('');
+    const error = await failureOf(
+      client.call(url, 'status', {}, { deadlineAtMs: clock.nowMs() + 50 }),
+    );
+    expect(error.mayHaveRun).toBe(true);
+    isSilent = false;
+    expect(await client.call(url, 'status', {}, soon)).toBe(1);
+    expect(new Set(sockets).size).toBe(2);
+    await new Promise<void>((resolve) => {
+      const first = sockets[0];
+      if (!first || first.destroyed) resolve();
+      else first.once('close', () => resolve());
+    });
+  });
+
+  it('rejects a second registration of a method', () => {
+    const server = new RpcServer({ check: () => true });
+    server.register('a', () => Promise.resolve(1));
+    expect(() => server.register('a', () => Promise.resolve(2))).toThrow('registered already');
+  });
+});
