Add SWIM-style membership with demand on its digests

Cause: home daemons, append budgets and shared limits need to know who is alive. Change: SwimProtocol probes one member per second over an abstract PeerTransport, spreads changes in digests of at most 8, exchanges full lists only when hashes differ, and retries lost daemons and seeds.

--- /dev/null
+++ b/src/membership/gossip-message.ts
@@ -0,0 +1,40 @@
+import { z } from 'zod';
+import { memberUpdateSchema } from './member.js';
+
+/** What a gossip message asks for. */
+export enum GossipKind {
+  /** Answer at once. */
+  Ping = 'ping',
+  /** Ping the target on the sender's behalf. */
+  PingRequest = 'ping_request',
+  /** Exchange complete member lists. */
+  Sync = 'sync',
+}
+
+const digestFields = {
+  /** The sender itself; tells its identity and refutes stale beliefs about it. */
+  from: memberUpdateSchema,
+  updates: z.array(memberUpdateSchema).max(10_000),
+  demand: z.array(z.tuple([z.string().max(200), z.number().nonnegative()])).max(64),
+  riders: z.record(z.string(), z.unknown()),
+  /** Hash of the present members. */
+  hash: z.string().max(32),
+};
+
+/** A message of the membership protocol. */
+export const gossipMessageSchema = z.object({
+  ...digestFields,
+  kind: z.enum(GossipKind),
+  /** Member to probe for {@link GossipKind.PingRequest}. */
+  target: memberUpdateSchema.optional(),
+});
+
+/** The answer to a {@link GossipMessage}. */
+export const gossipReplySchema = z.object({
+  ...digestFields,
+  /** For {@link GossipKind.PingRequest}: whether the target answered. */
+  reached: z.boolean(),
+});
+
+export type GossipMessage = z.output<typeof gossipMessageSchema>;
+export type GossipReply = z.output<typeof gossipReplySchema>;
--- /dev/null
+++ b/src/membership/peer-transport.ts
@@ -0,0 +1,54 @@
+import type { PeerCaller, PeerMethods } from '../rpc/index.js';
+import {
+  gossipMessageSchema,
+  gossipReplySchema,
+  type GossipMessage,
+  type GossipReply,
+} from './gossip-message.js';
+
+/** Answers a peer's message. */
+export type GossipHandler = (message: GossipMessage) => Promise<GossipReply>;
+
+/**
+ * Carries the messages of the membership protocol.
+ *
+ * @example
+ * ```ts
+ * const reply = await transport.send('http://10.0.0.2:7000', message, clock.nowMs() + 400);
+ * ```
+ */
+export abstract class PeerTransport {
+  /** @throws OrioleError when there is no valid answer by `deadlineAtMs` (epoch milliseconds). */
+  abstract send(rpcUrl: string, message: GossipMessage, deadlineAtMs: number): Promise<GossipReply>;
+
+  /** Sets the handler of incoming messages. */
+  abstract serve(handler: GossipHandler): void;
+}
+
+const gossipMethod = 'membership.gossip';
+
+/** {@link PeerTransport} over JSON-RPC. */
+export class RpcPeerTransport extends PeerTransport {
+  readonly #caller: PeerCaller;
+  readonly #methods: PeerMethods;
+
+  constructor(caller: PeerCaller, methods: PeerMethods) {
+    super();
+    this.#caller = caller;
+    this.#methods = methods;
+  }
+
+  override async send(
+    rpcUrl: string,
+    message: GossipMessage,
+    deadlineAtMs: number,
+  ): Promise<GossipReply> {
+    return gossipReplySchema.parse(
+      await this.#caller.call(rpcUrl, gossipMethod, message, { deadlineAtMs }),
+    );
+  }
+
+  override serve(handler: GossipHandler): void {
+    this.#methods.register(gossipMethod, (params) => handler(gossipMessageSchema.parse(params)));
+  }
+}
--- /dev/null
+++ b/src/membership/swim-protocol.ts
@@ -0,0 +1,411 @@
+import type { Clock, Random } from '../core/index.js';
+import { EventId, NullEventLog, type EventLog } from '../telemetry/index.js';
+import { DemandSample } from './demand-sample.js';
+import { GossipKind, type GossipMessage, type GossipReply } from './gossip-message.js';
+import { MemberTable } from './member-table.js';
+import {
+  decodeMember,
+  encodeMember,
+  isPresent,
+  MemberStatus,
+  type Member,
+  type MemberInfo,
+  type MemberUpdate,
+} from './member.js';
+import { Membership, type DemandEstimate, type GossipRider } from './membership.js';
+import type { PeerTransport } from './peer-transport.js';
+import { UpdateQueue } from './update-queue.js';
+
+/** Options of {@link SwimProtocol}. */
+export interface SwimOptions {
+  readonly self: MemberInfo;
+  readonly transport: PeerTransport;
+  readonly clock: Clock;
+  readonly random: Random;
+  /** RPC base URLs of daemons from the settings and the cloud list; read again in each round. */
+  readonly seeds: () => readonly string[];
+  readonly events?: EventLog;
+  readonly periodMs?: number;
+  readonly suspicionTimeoutMs?: number;
+  /** Bound of a direct probe and, separately, of the indirect ones. */
+  readonly probeTimeoutMs?: number;
+}
+
+const maxUpdatesPerMessage = 8;
+const indirectProbes = 3;
+const syncTimeoutMs = 2_000;
+/** A lost daemon or unknown seed is tried every few periods; the cost stays constant. */
+const reconnectEveryPeriods = 5;
+/** Tables differ for a moment after each change; only a lasting difference is worth a full list. */
+const minSyncGapMs = 10_000;
+
+/**
+ * SWIM-style membership: in each period one random member is probed, directly and then through
+ * three others, and changes ride on the probes. The cost per daemon does not grow with the
+ * cluster.
+ *
+ * @example
+ * ```ts
+ * const membership = new SwimProtocol({ self, transport, clock, random, seeds: () => urls });
+ * await membership.join();
+ * membership.start();
+ * ```
+ */
+export class SwimProtocol extends Membership {
+  readonly #transport: PeerTransport;
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #seeds: () => readonly string[];
+  readonly #events: EventLog;
+  readonly #periodMs: number;
+  readonly #suspicionTimeoutMs: number;
+  readonly #probeTimeoutMs: number;
+  readonly #table = new MemberTable();
+  readonly #queue = new UpdateQueue();
+  readonly #demand = new DemandSample();
+  readonly #riders: GossipRider[] = [];
+  readonly #listeners = new Set<() => void>();
+  #self: Member;
+  #ordered: readonly Member[] | undefined;
+  #probeOrder: string[] = [];
+  #rounds = 0;
+  #nextSyncAtMs = 0;
+  #stopTicking: (() => void) | undefined;
+
+  constructor(options: SwimOptions) {
+    super();
+    this.#transport = options.transport;
+    this.#clock = options.clock;
+    this.#random = options.random;
+    this.#seeds = options.seeds;
+    this.#events = options.events ?? new NullEventLog();
+    this.#periodMs = options.periodMs ?? 1_000;
+    this.#suspicionTimeoutMs = options.suspicionTimeoutMs ?? 5_000;
+    this.#probeTimeoutMs = options.probeTimeoutMs ?? 400;
+    const nowMs = options.clock.nowMs();
+    this.#self = {
+      ...options.self,
+      // The start time, so that a restarted daemon supersedes its previous life without memory.
+      incarnation: Math.floor(nowMs),
+      status: MemberStatus.Alive,
+      statusSinceMs: nowMs,
+    };
+    this.#transport.serve((message) => this.#answer(message));
+  }
+
+  override get self(): Member {
+    return this.#self;
+  }
+
+  override members(): readonly Member[] {
+    if (!this.#ordered) {
+      const all = [...this.#table.present()];
+      if (isPresent(this.#self)) all.push(this.#self);
+      this.#ordered = all.sort((a, b) => (a.id < b.id ? -1 : 1));
+    }
+    return this.#ordered;
+  }
+
+  override member(id: string): Member | undefined {
+    return id === this.#self.id ? this.#self : this.#table.get(id);
+  }
+
+  override recentCount(): number {
+    return this.#table.present().length + this.#table.lost().length + 1;
+  }
+
+  override onChange(listener: () => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  override setDemand(demandPerS: ReadonlyMap<string, number>): void {
+    this.#demand.setOwn(demandPerS);
+  }
+
+  override demandOf(workspaceId: string): DemandEstimate {
+    return this.#demand.estimate(workspaceId, this.#table.present().length);
+  }
+
+  override addRider(rider: GossipRider): void {
+    this.#riders.push(rider);
+  }
+
+  /** Starts probing. */
+  start(): void {
+    this.#stopTicking ??= this.#clock.every(this.#periodMs, () => {
+      this.#tick();
+    });
+  }
+
+  /** Stops probing without telling anyone; used by tests and after {@link leave}. */
+  stop(): void {
+    this.#stopTicking?.();
+    this.#stopTicking = undefined;
+  }
+
+  /**
+   * Exchanges member lists with up to three seeds.
+   *
+   * @returns false when none answered, as when all daemons start at once; probing finds them later.
+   */
+  async join(): Promise<boolean> {
+    const urls = this.#sample(this.#seedUrls(), 3);
+    const answers = await Promise.all(urls.map((url) => this.#sync(url)));
+    return answers.includes(true);
+  }
+
+  /** Tells three members that this daemon stops on purpose, and stops probing. */
+  async leave(): Promise<void> {
+    this.stop();
+    this.#self = { ...this.#self, status: MemberStatus.Left };
+    this.#changed();
+    const peers = this.#sample(this.#table.present(), 3);
+    await Promise.all(peers.map((peer) => this.#ping(peer)));
+  }
+
+  #tick(): void {
+    const nowMs = this.#clock.nowMs();
+    this.#rounds += 1;
+    this.#demand.expire(nowMs);
+    this.#table.forgetLost(nowMs);
+    for (const dead of this.#table.expireSuspects(nowMs, this.#suspicionTimeoutMs)) {
+      this.#spread(dead);
+    }
+    if (this.#rounds % reconnectEveryPeriods === 0) this.#reconnect();
+    const target = this.#nextTarget();
+    if (target) void this.#probe(target);
+  }
+
+  /** Members in random order, each once a round, so that a dead one is found within n periods. */
+  #nextTarget(): Member | undefined {
+    for (let refills = 0; refills < 2; refills++) {
+      for (let id = this.#probeOrder.pop(); id !== undefined; id = this.#probeOrder.pop()) {
+        const member = this.#table.get(id);
+        if (member && isPresent(member)) return member;
+      }
+      const present = this.#table.present();
+      this.#probeOrder = this.#sample(present, present.length).map(({ id }) => id);
+    }
+    return undefined;
+  }
+
+  async #probe(target: Member): Promise<void> {
+    if (await this.#ping(target)) return;
+    const helpers = this.#sample(
+      this.#table.present().filter(({ id }) => id !== target.id),
+      indirectProbes,
+    );
+    const answers = await Promise.all(helpers.map((helper) => this.#pingThrough(helper, target)));
+    if (answers.includes(true)) return;
+    this.#suspect(target.id);
+  }
+
+  /** @returns true when the member itself, in any incarnation, answered. */
+  async #ping(target: Member): Promise<boolean> {
+    const reply = await this.#send(
+      target.rpcUrl,
+      this.#tellBelief(this.#message(GossipKind.Ping), target.id),
+    );
+    if (!reply) return false;
+    if (reply.hash !== this.#table.hashWith(this.#self)) this.#syncLater(target.rpcUrl);
+    return reply.from[0] === target.id;
+  }
+
+  async #pingThrough(helper: Member, target: Member): Promise<boolean> {
+    const message = this.#message(GossipKind.PingRequest);
+    const reply = await this.#send(
+      helper.rpcUrl,
+      { ...message, target: encodeMember(target) },
+      // The helper spends one bound of its own on the target.
+      2 * this.#probeTimeoutMs,
+    );
+    return reply?.reached ?? false;
+  }
+
+  #suspect(id: string): void {
+    const member = this.#table.get(id);
+    if (member?.status !== MemberStatus.Alive) return;
+    this.#merge({
+      ...member,
+      status: MemberStatus.Suspect,
+      statusSinceMs: this.#clock.nowMs(),
+    });
+    this.#events.info(EventId.MemberSuspected, 'daemon answered no probe', { daemon: id });
+  }
+
+  /** Tries one lost daemon or unknown seed, so that the sides of a healed partition merge. */
+  #reconnect(): void {
+    const known = new Set(this.#table.present().map(({ rpcUrl }) => rpcUrl));
+    const urls = new Set(this.#table.lost().map(({ rpcUrl }) => rpcUrl));
+    for (const url of this.#seedUrls()) urls.add(url);
+    const candidates = [...urls].filter((url) => !known.has(url));
+    if (candidates.length > 0) void this.#sync(this.#random.pick(candidates));
+  }
+
+  #syncLater(rpcUrl: string): void {
+    const nowMs = this.#clock.nowMs();
+    if (nowMs < this.#nextSyncAtMs) return;
+    this.#nextSyncAtMs = nowMs + minSyncGapMs;
+    // Recent changes are still spreading; by then a difference is a real one.
+    this.#clock.schedule(nowMs + minSyncGapMs / 2, () => {
+      if (this.#stopTicking) void this.#sync(rpcUrl);
+    });
+  }
+
+  async #sync(rpcUrl: string): Promise<boolean> {
+    const message = this.#message(GossipKind.Sync);
+    const reply = await this.#send(
+      rpcUrl,
+      { ...message, updates: this.#fullList() },
+      syncTimeoutMs,
+    );
+    return reply !== undefined;
+  }
+
+  async #send(
+    rpcUrl: string,
+    message: GossipMessage,
+    timeoutMs = this.#probeTimeoutMs,
+  ): Promise<GossipReply | undefined> {
+    try {
+      const reply = await this.#transport.send(rpcUrl, message, this.#clock.nowMs() + timeoutMs);
+      this.#receive(reply);
+      return reply;
+    } catch {
+      // An unanswered probe is a normal result, which the caller turns into a suspicion.
+      return undefined;
+    }
+  }
+
+  async #answer(message: GossipMessage): Promise<GossipReply> {
+    const isNews = this.#receive(message);
+    if (message.kind === GossipKind.Sync) {
+      return {
+        ...this.#digest(),
+        updates: message.hash === this.#table.hashWith(this.#self) ? [] : this.#fullList(),
+        reached: true,
+      };
+    }
+    let reached = true;
+    if (message.kind === GossipKind.PingRequest && message.target) {
+      reached = await this.#ping(decodeMember(message.target, this.#clock.nowMs()));
+    }
+    // A daemon that is new here may not know what happened before it joined.
+    if (isNews) this.#syncLater(message.from[3]);
+    return { ...this.#tellBelief(this.#digest(), message.from[0]), reached };
+  }
+
+  /** Tells a member that it is believed gone, so that it can refute before the time-out. */
+  #tellBelief<T extends Omit<GossipReply, 'reached'>>(digest: T, memberId: string): T {
+    const member = this.#table.get(memberId);
+    if (!member || member.status === MemberStatus.Alive) return digest;
+    return { ...digest, updates: [...digest.updates, encodeMember(member)] };
+  }
+
+  /** @returns true when the sender was not known as alive in this incarnation. */
+  #receive(message: GossipMessage | GossipReply): boolean {
+    const nowMs = this.#clock.nowMs();
+    const sender = decodeMember(message.from, nowMs);
+    const isNews = sender.id !== this.#self.id && this.#merge(sender);
+    for (const update of message.updates) this.#merge(decodeMember(update, nowMs));
+    if (sender.id === this.#self.id) return false;
+    const known = this.#table.get(sender.id);
+    if (known && isPresent(known)) this.#demand.hear(sender.id, message.demand, nowMs);
+    for (const rider of this.#riders) {
+      const payload = message.riders[rider.name];
+      if (payload !== undefined) rider.deliver(payload, sender);
+    }
+    return isNews;
+  }
+
+  #merge(candidate: Member): boolean {
+    if (candidate.id === this.#self.id) {
+      this.#refute(candidate);
+      return false;
+    }
+    const known = this.#table.get(candidate.id);
+    if (!this.#table.merge(candidate)) return false;
+    this.#spread(candidate, known);
+    return true;
+  }
+
+  /** Raises the own incarnation above a belief that this daemon is gone. */
+  #refute(belief: Member): void {
+    if (belief.incarnation < this.#self.incarnation || this.#self.status === MemberStatus.Left) {
+      return;
+    }
+    if (belief.rpcUrl !== this.#self.rpcUrl) {
+      this.#events.warn(EventId.MemberNameTaken, 'another daemon uses the name of this one', {
+        daemon: belief.id,
+        peerUrl: belief.rpcUrl,
+      });
+      return;
+    }
+    if (belief.status === MemberStatus.Alive && belief.incarnation === this.#self.incarnation) {
+      return;
+    }
+    this.#self = { ...this.#self, incarnation: belief.incarnation + 1 };
+    this.#spread(this.#self);
+  }
+
+  #spread(member: Member, previous?: Member): void {
+    this.#queue.push(encodeMember(member));
+    this.#changed();
+    if (member.id === this.#self.id || previous?.status === member.status) return;
+    if (isPresent(member) && !(previous && isPresent(previous))) {
+      this.#events.info(EventId.MemberJoined, 'daemon joined', { daemon: member.id });
+    } else if (!isPresent(member)) {
+      this.#events.info(EventId.MemberLost, 'daemon is gone', {
+        daemon: member.id,
+        status: member.status,
+      });
+    }
+  }
+
+  #changed(): void {
+    this.#ordered = undefined;
+    for (const listener of this.#listeners) listener();
+  }
+
+  #message(kind: GossipKind): GossipMessage {
+    return { ...this.#digest(), kind };
+  }
+
+  #digest(): Omit<GossipReply, 'reached'> {
+    const riders: Record<string, unknown> = {};
+    for (const rider of this.#riders) {
+      const payload = rider.collect();
+      if (payload !== undefined) riders[rider.name] = payload;
+    }
+    return {
+      from: encodeMember(this.#self),
+      updates: this.#queue.take(maxUpdatesPerMessage, this.#table.present().length + 1),
+      demand: this.#demand.digest(),
+      riders,
+      hash: this.#table.hashWith(this.#self),
+    };
+  }
+
+  #fullList(): MemberUpdate[] {
+    return [...this.#table.all(), this.#self].map(encodeMember);
+  }
+
+  #seedUrls(): string[] {
+    return this.#seeds().filter((url) => url !== this.#self.rpcUrl);
+  }
+
+  #sample<T>(items: readonly T[], count: number): T[] {
+    const pool = [...items];
+    const chosen: T[] = [];
+    while (chosen.length < count && pool.length > 0) {
+      const index = this.#random.int(0, pool.length - 1);
+      const item = pool[index];
+      const last = pool.pop();
+      if (item === undefined || last === undefined) break;
+      if (index < pool.length) pool[index] = last;
+      chosen.push(item);
+    }
+    return chosen;
+  }
+}
--- a/src/standins/index.ts
+++ b/src/standins/index.ts
@@ -1,1 +1,2 @@
 export * from './memory-log-service.js';
+export * from './memory-peer-network.js';
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -15,6 +15,15 @@
   // 3xx log and state
 
   // 4xx membership and fleet
+  MemberJoined = 401,
+  MemberSuspected = 402,
+  MemberLost = 403,
+  MemberNameTaken = 404,
+  EndpointAdded = 410,
+  EndpointLeaving = 411,
+  EndpointSuspected = 412,
+  EndpointRestored = 413,
+  LeavingPullFailed = 414,
 
   // 5xx routing and admission
 
