Add the endpoint registry and the join of leaving signals

Cause: the router needs one view per endpoint identity that no stale list, late notice or reused address can distort. Conclusion: join laws and absence rules are checked with fast-check. Refused connects and silence are reversible and stay on the daemon, since a partition would otherwise retire all endpoints of a region for good.

--- /dev/null
+++ b/src/fleet/endpoint-registry.ts
@@ -0,0 +1,442 @@
+import { WorkClass, type Clock } from '../core/index.js';
+import type { LoadReport } from '../engine/engine-client.js';
+import { EngineFailure } from '../engine/engine-error.js';
+import type { Deployment, EndpointSettings, Section } from '../settings/index.js';
+import { EventId, NullEventLog, type EventLog } from '../telemetry/index.js';
+import {
+  EndpointState,
+  type EndpointView,
+  type ObservedSpeed,
+  type ReceivedLoadReport,
+} from './endpoint-view.js';
+import {
+  LeavingSource,
+  processSubject,
+  type LeavingEntry,
+  type LeavingMerge,
+  type ListedVm,
+} from './leaving-merge.js';
+
+/**
+ * Observed speeds of endpoints.
+ *
+ * @example
+ * ```ts
+ * const { slowdownRatio } = speeds.speedOf(view.id);
+ * ```
+ */
+export abstract class SpeedProvider {
+  /** The same object for as long as nothing changed. */
+  abstract speedOf(endpointId: string): ObservedSpeed;
+}
+
+const unknownSpeed: ObservedSpeed = {
+  tokenGapMs: undefined,
+  prefillTokensPerS: undefined,
+  slowdownRatio: 1,
+};
+
+/** {@link SpeedProvider} without observations. */
+export class UnknownSpeeds extends SpeedProvider {
+  override speedOf(): ObservedSpeed {
+    return unknownSpeed;
+  }
+}
+
+/** One of the daemon's own requests at an endpoint. */
+export interface OwnRequest {
+  /** Sets the prompt and expected output tokens still to be processed. */
+  setPendingTokens(tokens: number): void;
+  /** Ends the request; a second call is ignored. */
+  end(): void;
+}
+
+/** Options of {@link EndpointRegistry}. */
+export interface EndpointRegistryOptions {
+  readonly clock: Clock;
+  readonly leaving: LeavingMerge;
+  readonly speeds?: SpeedProvider;
+  readonly events?: EventLog;
+}
+
+/** Failures in a row that open an endpoint's circuit. */
+const circuitFailures = 3;
+const circuitBaseMs = 1_000;
+const circuitMaxMs = 30_000;
+
+interface Endpoint {
+  readonly id: string;
+  readonly vmId: string;
+  /** Subject of leaving entries for this process alone. */
+  readonly subject: string;
+  readonly incarnation: number;
+  section: Section<EndpointSettings>;
+  serviceId: string;
+  configuredModels: readonly string[];
+  configuredVersion: string;
+  loaded: { readonly models: readonly string[]; readonly version: string } | undefined;
+  isSeen: boolean;
+  isSuspect: boolean;
+  failures: number;
+  circuitOpenUntilMs: number;
+  report: ReceivedLoadReport | undefined;
+  readonly requests: Record<WorkClass, number>;
+  pendingTokens: number;
+  view: EndpointView | undefined;
+}
+
+/**
+ * Identity of an endpoint: VM, process and incarnation, never the address.
+ *
+ * @param name - `team/name` of the settings section, as several processes may run on one VM.
+ * @param incarnation - start time of the process, or else of the VM; 0 while unknown.
+ */
+export function endpointIdentity(vmId: string, name: string, incarnation: number): string {
+  return `${processSubject(vmId, name)}#${incarnation}`;
+}
+
+/**
+ * The endpoints that this daemon knows, by identity, and what it believes about each.
+ *
+ * @example
+ * ```ts
+ * registry.applyDeployment(deployment);
+ * const views = registry.views('tejidos/assistant');
+ * ```
+ */
+export class EndpointRegistry {
+  readonly #clock: Clock;
+  readonly #leaving: LeavingMerge;
+  readonly #speeds: SpeedProvider;
+  readonly #events: EventLog;
+  readonly #byId = new Map<string, Endpoint>();
+  /** Current identity at each settings section. */
+  readonly #byName = new Map<string, Endpoint>();
+  readonly #processStarts = new Map<string, number>();
+  readonly #vmStarts = new Map<string, number>();
+  readonly #views = new Map<string, readonly EndpointView[]>();
+  readonly #retireListeners: ((endpointId: string) => void)[] = [];
+  readonly #suspectListeners: ((view: EndpointView) => void)[] = [];
+  /** VMs and processes that the settings in force name. */
+  #subjects = new Set<string>();
+  #deployment: Deployment | undefined;
+
+  constructor(options: EndpointRegistryOptions) {
+    this.#clock = options.clock;
+    this.#leaving = options.leaving;
+    this.#speeds = options.speeds ?? new UnknownSpeeds();
+    this.#events = options.events ?? new NullEventLog();
+    this.#leaving.onNews((entries) => {
+      this.#onLeaving(entries);
+    });
+  }
+
+  /** Takes the settings in force. Endpoints whose identity is unchanged keep what was observed. */
+  applyDeployment(deployment: Deployment): void {
+    this.#deployment = deployment;
+    this.#subjects = new Set(
+      [...deployment.endpoints.values()].flatMap(({ id, values }) => [
+        values.vm_id,
+        processSubject(values.vm_id, id),
+      ]),
+    );
+    for (const [name, endpoint] of this.#byName) {
+      if (!deployment.endpoints.has(name)) this.#retire(endpoint);
+    }
+    for (const section of deployment.endpoints.values()) this.#place(section);
+    this.#views.clear();
+  }
+
+  /**
+   * Takes the start time of the process that answers for a section, from its health answer. A
+   * later one than known is a new endpoint.
+   *
+   * @param name - `team/name` of the settings section.
+   * @param startedAtMs - epoch milliseconds.
+   */
+  observeProcessStart(name: string, startedAtMs: number): void {
+    const section = this.#deployment?.endpoints.get(name);
+    if (!section) return;
+    const subject = processSubject(section.values.vm_id, name);
+    if (startedAtMs <= (this.#processStarts.get(subject) ?? 0)) return;
+    this.#processStarts.set(subject, startedAtMs);
+    this.#place(section);
+  }
+
+  /** Takes VM start times from the cloud's list; they stand in until a process tells its own. */
+  observeVmStarts(vms: readonly ListedVm[]): void {
+    const later = new Set<string>();
+    for (const { vmId, startedAtMs } of vms) {
+      if (!this.#subjects.has(vmId) || startedAtMs <= (this.#vmStarts.get(vmId) ?? 0)) continue;
+      this.#vmStarts.set(vmId, startedAtMs);
+      later.add(vmId);
+    }
+    if (later.size === 0 || !this.#deployment) return;
+    for (const section of this.#deployment.endpoints.values()) {
+      if (later.has(section.values.vm_id)) this.#place(section);
+    }
+  }
+
+  /** Endpoints of a service, leaving ones included, ordered by name. */
+  views(serviceId: string): readonly EndpointView[] {
+    const cached = this.#views.get(serviceId);
+    if (cached?.every((view) => this.#isCurrent(view))) return cached;
+    const views = [...this.#byName.values()]
+      .filter((endpoint) => endpoint.serviceId === serviceId)
+      .sort((a, b) => (a.section.id < b.section.id ? -1 : 1))
+      .map((endpoint) => this.#viewOf(endpoint));
+    this.#views.set(serviceId, views);
+    return views;
+  }
+
+  /** View of one identity; undefined when it is not known. */
+  view(endpointId: string): EndpointView | undefined {
+    const endpoint = this.#byId.get(endpointId);
+    return endpoint && this.#viewOf(endpoint);
+  }
+
+  /** All endpoints. */
+  all(): EndpointView[] {
+    return [...this.#byName.values()].map((endpoint) => this.#viewOf(endpoint));
+  }
+
+  /** Whether the settings in force name the VM or the process of a leaving entry. */
+  isConfigured(subject: string): boolean {
+    return this.#subjects.has(subject);
+  }
+
+  /** Counts one of the daemon's own requests from the moment it is routed. */
+  beginRequest(endpointId: string, workClass: WorkClass, pendingTokens: number): OwnRequest {
+    const endpoint = this.#byId.get(endpointId);
+    if (!endpoint) return { setPendingTokens: () => undefined, end: () => undefined };
+    let pending = 0;
+    let isEnded = false;
+    const setPendingTokens = (tokens: number): void => {
+      if (isEnded) return;
+      endpoint.pendingTokens += tokens - pending;
+      pending = tokens;
+      endpoint.view = undefined;
+    };
+    endpoint.requests[workClass] += 1;
+    setPendingTokens(pendingTokens);
+    return {
+      setPendingTokens,
+      end: () => {
+        if (isEnded) return;
+        setPendingTokens(0);
+        isEnded = true;
+        endpoint.requests[workClass] -= 1;
+        endpoint.view = undefined;
+      },
+    };
+  }
+
+  recordLoad(endpointId: string, report: LoadReport): void {
+    this.#update(endpointId, (endpoint) => {
+      endpoint.report = { ...report, receivedAtMs: this.#clock.nowMs() };
+      endpoint.isSeen = true;
+    });
+  }
+
+  /** Takes what the endpoint says it has loaded; until then the service's settings are assumed. */
+  recordLoaded(endpointId: string, models: readonly string[], version: string): void {
+    this.#update(endpointId, (endpoint) => {
+      endpoint.loaded = { models, version };
+      endpoint.isSeen = true;
+    });
+  }
+
+  recordSuccess(endpointId: string): void {
+    this.#update(endpointId, (endpoint) => {
+      endpoint.failures = 0;
+      endpoint.circuitOpenUntilMs = 0;
+      endpoint.isSeen = true;
+    });
+  }
+
+  /** Takes the failure of one of the daemon's own calls. */
+  recordFailure(endpointId: string, failure: EngineFailure): void {
+    if (failure === EngineFailure.BadRequest) return;
+    this.#update(endpointId, (endpoint) => {
+      if (failure === EngineFailure.Refused || failure === EngineFailure.Silent) {
+        this.#suspect(endpoint, failure);
+        return;
+      }
+      endpoint.failures += 1;
+      if (endpoint.failures < circuitFailures) return;
+      const backoffMs = circuitBaseMs * 2 ** (endpoint.failures - circuitFailures);
+      endpoint.circuitOpenUntilMs = this.#clock.nowMs() + Math.min(circuitMaxMs, backoffMs);
+    });
+  }
+
+  /** The endpoint itself answered that it is draining, which is final for its identity. */
+  recordDraining(endpointId: string): void {
+    const endpoint = this.#byId.get(endpointId);
+    if (!endpoint) return;
+    const nowMs = this.#clock.nowMs();
+    this.#leaving.signal([
+      {
+        subject: endpoint.subject,
+        upToIncarnation: endpoint.incarnation,
+        leavingAtMs: nowMs,
+        source: LeavingSource.Draining,
+        signalledAtMs: nowMs,
+      },
+    ]);
+  }
+
+  /** A probe on a new connection was answered: the endpoint is slow at most, not silent. */
+  restore(endpointId: string): void {
+    this.#update(endpointId, (endpoint) => {
+      endpoint.isSeen = true;
+      if (!endpoint.isSuspect) return;
+      endpoint.isSuspect = false;
+      this.#events.info(EventId.EndpointRestored, 'endpoint answered on a new connection', {
+        endpoint: endpointId,
+      });
+    });
+  }
+
+  /** Calls `listener` when an endpoint becomes suspect, so that it is probed. */
+  onSuspect(listener: (view: EndpointView) => void): void {
+    this.#suspectListeners.push(listener);
+  }
+
+  /** Calls `listener` with identities that are gone, so that state kept about them is dropped. */
+  onRetire(listener: (endpointId: string) => void): void {
+    this.#retireListeners.push(listener);
+  }
+
+  #place(section: Section<EndpointSettings>): void {
+    const vmId = section.values.vm_id;
+    const subject = processSubject(vmId, section.id);
+    const incarnation = Math.max(
+      this.#processStarts.get(subject) ?? 0,
+      this.#vmStarts.get(vmId) ?? 0,
+    );
+    const id = endpointIdentity(vmId, section.id, incarnation);
+    const serviceId = `${section.path.team}/${section.values.service}`;
+    const service = this.#deployment?.services.get(serviceId)?.values;
+    const configured = {
+      section,
+      serviceId,
+      configuredModels: service ? [...service.models, ...service.adapters] : [],
+      configuredVersion: service?.version ?? '',
+    };
+    const previous = this.#byName.get(section.id);
+    if (previous?.id === id && previous.section.values.base_url === section.values.base_url) {
+      Object.assign(previous, configured);
+      previous.view = undefined;
+      return;
+    }
+    if (previous) this.#retire(previous);
+    const endpoint: Endpoint = {
+      id,
+      vmId,
+      subject,
+      incarnation,
+      ...configured,
+      loaded: undefined,
+      isSeen: false,
+      isSuspect: false,
+      failures: 0,
+      circuitOpenUntilMs: 0,
+      report: undefined,
+      requests: { [WorkClass.Short]: 0, [WorkClass.Medium]: 0, [WorkClass.Long]: 0 },
+      pendingTokens: 0,
+      view: undefined,
+    };
+    this.#byName.set(section.id, endpoint);
+    this.#byId.set(id, endpoint);
+    this.#views.clear();
+    this.#events.info(EventId.EndpointAdded, 'endpoint is known', {
+      endpoint: id,
+      name: section.id,
+    });
+  }
+
+  #retire(endpoint: Endpoint): void {
+    if (this.#byName.get(endpoint.section.id) === endpoint) {
+      this.#byName.delete(endpoint.section.id);
+    }
+    if (this.#byId.get(endpoint.id) === endpoint) this.#byId.delete(endpoint.id);
+    this.#views.clear();
+    for (const listener of this.#retireListeners) listener(endpoint.id);
+  }
+
+  #onLeaving(entries: readonly LeavingEntry[]): void {
+    const bySubject = new Map(entries.map((entry) => [entry.subject, entry]));
+    for (const endpoint of this.#byName.values()) {
+      const entry = bySubject.get(endpoint.vmId) ?? bySubject.get(endpoint.subject);
+      if (!entry) continue;
+      endpoint.view = undefined;
+      this.#events.info(EventId.EndpointLeaving, 'endpoint is leaving', {
+        endpoint: endpoint.id,
+        source: entry.source,
+        leavingAtMs: entry.leavingAtMs,
+      });
+    }
+  }
+
+  #suspect(endpoint: Endpoint, failure: EngineFailure): void {
+    if (endpoint.isSuspect) return;
+    endpoint.isSuspect = true;
+    endpoint.view = undefined;
+    this.#events.warn(EventId.EndpointSuspected, 'endpoint is suspect and gets no new work', {
+      endpoint: endpoint.id,
+      failure,
+    });
+    const view = this.#viewOf(endpoint);
+    for (const listener of this.#suspectListeners) listener(view);
+  }
+
+  #update(endpointId: string, change: (endpoint: Endpoint) => void): void {
+    const endpoint = this.#byId.get(endpointId);
+    if (!endpoint) return;
+    change(endpoint);
+    endpoint.view = undefined;
+  }
+
+  #isCurrent(view: EndpointView): boolean {
+    const endpoint = this.#byId.get(view.id);
+    return endpoint?.view === view && this.#speeds.speedOf(view.id) === view.speed;
+  }
+
+  #viewOf(endpoint: Endpoint): EndpointView {
+    if (endpoint.view && this.#isCurrent(endpoint.view)) return endpoint.view;
+    const { values } = endpoint.section;
+    const entry =
+      this.#leaving.covering(endpoint.vmId, endpoint.incarnation) ??
+      this.#leaving.covering(endpoint.subject, endpoint.incarnation);
+    const view: EndpointView = {
+      id: endpoint.id,
+      name: endpoint.section.id,
+      serviceId: endpoint.serviceId,
+      baseUrl: values.base_url,
+      region: values.region,
+      failureDomain: values.failure_domain,
+      vmClass: values.vm_class,
+      reclaimable: values.reclaimable,
+      priceUsdPerHour: values.price_usd_per_hour,
+      batchSlots: values.batch_slots,
+      checksFence: values.checks_fence,
+      role: values.role,
+      state: stateOf(endpoint, entry !== undefined),
+      leavingAtMs: entry?.leavingAtMs,
+      loadedModels: endpoint.loaded?.models ?? endpoint.configuredModels,
+      version: endpoint.loaded?.version ?? endpoint.configuredVersion,
+      circuitOpenUntilMs: endpoint.circuitOpenUntilMs,
+      ownInFlight: { requests: { ...endpoint.requests }, pendingTokens: endpoint.pendingTokens },
+      report: endpoint.report,
+      speed: this.#speeds.speedOf(endpoint.id),
+    };
+    endpoint.view = view;
+    return view;
+  }
+}
+
+function stateOf(endpoint: Endpoint, isLeaving: boolean): EndpointState {
+  if (isLeaving) return EndpointState.Leaving;
+  if (endpoint.isSuspect) return EndpointState.Suspect;
+  return endpoint.isSeen ? EndpointState.Live : EndpointState.Starting;
+}
--- /dev/null
+++ b/src/fleet/http-endpoint-probe.ts
@@ -0,0 +1,57 @@
+import { Client } from 'undici';
+import { z } from 'zod';
+import { OrioleError, Step, type Clock } from '../core/index.js';
+import { EndpointProbe, type ProbeAnswer } from './silence-detector.js';
+
+const healthSchema = z.looseObject({ startedAtMs: z.number().nonnegative().optional() });
+
+/**
+ * {@link EndpointProbe} by `GET /health`. Any answer counts: 503 means that the endpoint is
+ * draining, and a body `{"startedAtMs": ...}` tells the incarnation.
+ *
+ * @example
+ * ```ts
+ * const probe = new HttpEndpointProbe(new SystemClock());
+ * ```
+ */
+export class HttpEndpointProbe extends EndpointProbe {
+  readonly #clock: Clock;
+
+  constructor(clock: Clock) {
+    super();
+    this.#clock = clock;
+  }
+
+  override async probe(baseUrl: string, deadlineAtMs: number): Promise<ProbeAnswer> {
+    const { origin } = new URL(baseUrl);
+    const client = new Client(origin);
+    const leftMs = Math.max(1, Math.ceil(deadlineAtMs - this.#clock.nowMs()));
+    try {
+      const response = await client.request({
+        method: 'GET',
+        path: '/health',
+        signal: AbortSignal.timeout(leftMs),
+      });
+      const text = await response.body.text();
+      return { startedAtMs: startOf(text), isDraining: response.statusCode === 503 };
+    } catch (error) {
+      throw new OrioleError('the endpoint did not answer a health probe', {
+        step: Step.Fleet,
+        peer: origin,
+        cause: error,
+      });
+    } finally {
+      await client.destroy();
+    }
+  }
+}
+
+function startOf(text: string): number | undefined {
+  try {
+    const health = healthSchema.safeParse(JSON.parse(text));
+    return health.success ? health.data.startedAtMs : undefined;
+  } catch {
+    // Engines may answer health with plain text; the probe only needs that they answer.
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/fleet/leaving-merge.ts
@@ -0,0 +1,200 @@
+import { z } from 'zod';
+import { hash64 } from '../core/index.js';
+import { SetHash } from '../membership/index.js';
+
+/** Where a leaving state was first learned. */
+export enum LeavingSource {
+  /** Reclaim notice of the cloud. */
+  Notice = 'notice',
+  /** The cloud's list names the VM as leaving, or no longer names it. */
+  List = 'list',
+  /** The endpoint itself answered that it is draining. */
+  Draining = 'draining',
+}
+
+/** All incarnations of a VM's processes, or of one process, up to a time are leaving. */
+export const leavingEntrySchema = z.object({
+  /** A VM id, or {@link processSubject} for a single process of a VM. */
+  subject: z.string().min(1).max(300),
+  /** Incarnations at or below this are leaving; epoch milliseconds. */
+  upToIncarnation: z.number().nonnegative(),
+  /** Latest time at which the VM may still run, in epoch milliseconds. */
+  leavingAtMs: z.number().nonnegative(),
+  source: z.enum(LeavingSource),
+  /** Time of the first signal by the clock of the daemon that got it, in epoch milliseconds. */
+  signalledAtMs: z.number().nonnegative(),
+});
+
+/** See {@link leavingEntrySchema}. */
+export type LeavingEntry = z.output<typeof leavingEntrySchema>;
+
+/** A VM in the cloud's list. */
+export interface ListedVm {
+  readonly vmId: string;
+  /** Start time in epoch milliseconds. */
+  readonly startedAtMs: number;
+  /** Time of the reclaim in epoch milliseconds when the VM is leaving. */
+  readonly leavingAtMs: number | undefined;
+}
+
+/** The cloud's list of live and leaving VMs as it was at some earlier time. */
+export interface VmList {
+  /** Time that the list describes, in epoch milliseconds. */
+  readonly asOfMs: number;
+  readonly vms: readonly ListedVm[];
+}
+
+/** Called with entries that were news. `isLocal` is false when a peer told them. */
+export type LeavingListener = (entries: readonly LeavingEntry[], isLocal: boolean) => void;
+
+/** Buckets by which two daemons find the part of the set in which they differ. */
+export const leavingBuckets = 64;
+
+/** Longer than any list lags; entries of VMs that are still configured are kept beyond it. */
+const memoryMs = 6 * 3_600_000;
+
+/**
+ * The set of leaving VMs as a join of all signals: entries only grow, so the order in which signals
+ * arrive does not matter and a stale list cannot bring an identity back.
+ *
+ * @example
+ * ```ts
+ * leaving.signal([{ subject: vmId, upToIncarnation, leavingAtMs, source: LeavingSource.Notice, signalledAtMs }]);
+ * leaving.covering(vmId, incarnation) !== undefined; // leaving
+ * ```
+ */
+export class LeavingMerge {
+  readonly #entries = new Map<string, LeavingEntry>();
+  readonly #hashes = Array.from({ length: leavingBuckets }, () => new SetHash());
+  readonly #total = new SetHash();
+  readonly #listeners: LeavingListener[] = [];
+  #listed = new Map<string, ListedVm>();
+  #listAsOfMs = 0;
+
+  /** Merges signals that this daemon got itself. */
+  signal(entries: readonly LeavingEntry[]): void {
+    this.#merge(entries, true);
+  }
+
+  /** Merges what a peer told. @returns the entries that were news. */
+  mergeFromPeer(entries: readonly LeavingEntry[]): readonly LeavingEntry[] {
+    return this.#merge(entries, false);
+  }
+
+  /** Takes a list of the cloud. One that is older than the last is ignored. */
+  observeList(list: VmList, nowMs: number): void {
+    if (list.asOfMs < this.#listAsOfMs) return;
+    const listed = new Map(list.vms.map((vm) => [vm.vmId, vm]));
+    const entries: LeavingEntry[] = [];
+    for (const vm of list.vms) {
+      if (vm.leavingAtMs !== undefined) {
+        entries.push(vmLeavingEntry(vm.vmId, vm.leavingAtMs, LeavingSource.List, nowMs));
+      }
+    }
+    // Only a VM that an earlier list named is gone: a list that lags lacks the newest VMs.
+    if (list.asOfMs > this.#listAsOfMs) {
+      for (const vmId of this.#listed.keys()) {
+        if (!listed.has(vmId)) {
+          entries.push(vmLeavingEntry(vmId, list.asOfMs, LeavingSource.List, nowMs));
+        }
+      }
+    }
+    this.#listed = listed;
+    this.#listAsOfMs = list.asOfMs;
+    this.signal(entries);
+  }
+
+  /** Entry by which an incarnation of a subject is leaving; undefined while it is not. */
+  covering(subject: string, incarnation: number): LeavingEntry | undefined {
+    const entry = this.#entries.get(subject);
+    return entry && incarnation <= entry.upToIncarnation ? entry : undefined;
+  }
+
+  /** Calls `listener` with each batch of news, after it was merged. */
+  onNews(listener: LeavingListener): void {
+    this.#listeners.push(listener);
+  }
+
+  /** Hash of the whole set. */
+  get hash(): string {
+    return this.#total.toString();
+  }
+
+  /** Hashes of the buckets, in order. */
+  bucketHashes(): string[] {
+    return this.#hashes.map(String);
+  }
+
+  /** Entries of the buckets in which `hashes`, a peer's, differ from the own. */
+  differing(hashes: readonly string[]): LeavingEntry[] {
+    const differs = this.#hashes.map((hash, bucket) => hash.toString() !== hashes[bucket]);
+    return [...this.#entries.values()].filter(({ subject }) => differs[bucketOf(subject)]);
+  }
+
+  entries(): LeavingEntry[] {
+    return [...this.#entries.values()];
+  }
+
+  /** Forgets old entries of VMs that no setting names any more. */
+  expire(nowMs: number, isConfigured: (subject: string) => boolean): void {
+    for (const entry of this.#entries.values()) {
+      if (entry.signalledAtMs + memoryMs < nowMs && !isConfigured(entry.subject)) {
+        this.#entries.delete(entry.subject);
+        this.#toggle(entry);
+      }
+    }
+  }
+
+  #merge(entries: readonly LeavingEntry[], isLocal: boolean): readonly LeavingEntry[] {
+    const news = entries.filter((entry) => this.#add(entry));
+    if (news.length > 0) for (const listener of this.#listeners) listener(news, isLocal);
+    return news;
+  }
+
+  #add(entry: LeavingEntry): boolean {
+    const known = this.#entries.get(entry.subject);
+    if (known && !isBeyond(entry, known)) return false;
+    if (known) this.#toggle(known);
+    this.#entries.set(entry.subject, entry);
+    this.#toggle(entry);
+    return true;
+  }
+
+  #toggle(entry: LeavingEntry): void {
+    const text = `${entry.subject} ${entry.upToIncarnation} ${entry.leavingAtMs}`;
+    this.#total.toggle(text);
+    this.#hashes[bucketOf(entry.subject)]?.toggle(text);
+  }
+}
+
+/**
+ * Order of the join: more incarnations first, then the earlier deadline. A total order, so that all
+ * daemons keep the same entry.
+ */
+function isBeyond(entry: LeavingEntry, known: LeavingEntry): boolean {
+  return entry.upToIncarnation === known.upToIncarnation
+    ? entry.leavingAtMs < known.leavingAtMs
+    : entry.upToIncarnation > known.upToIncarnation;
+}
+
+/**
+ * A VM that is reclaimed at some time takes with it every process started until then; one started
+ * under the same VM id later is a new identity.
+ */
+export function vmLeavingEntry(
+  vmId: string,
+  leavingAtMs: number,
+  source: LeavingSource,
+  signalledAtMs: number,
+): LeavingEntry {
+  return { subject: vmId, upToIncarnation: leavingAtMs, leavingAtMs, source, signalledAtMs };
+}
+
+function bucketOf(subject: string): number {
+  return Number(hash64(subject) % BigInt(leavingBuckets));
+}
+
+/** Subject of a leaving entry for one process: several may run on a VM. */
+export function processSubject(vmId: string, name: string): string {
+  return `${vmId}:${name}`;
+}
--- a/src/membership/member-table.ts
+++ b/src/membership/member-table.ts
@@ -1,5 +1,5 @@
-import { hash64 } from '../core/index.js';
 import { isPresent, MemberStatus, supersedes, type Member } from './member.js';
+import { SetHash } from './set-hash.js';
 
 /** How long a lost daemon is remembered, so that two sides of a partition find each other again. */
 export const lostMemoryMs = 1_800_000;
@@ -12,7 +12,7 @@
  */
 export class MemberTable {
   readonly #members = new Map<string, Member>();
-  #presentHash = 0n;
+  readonly #presentHash = new SetHash();
   #present: readonly Member[] | undefined;
 
   /** Merges `candidate`. @returns true when it was news. */
@@ -66,18 +66,18 @@
 
   /** Order-free hash of the present members, `self` included; equal tables have equal hashes. */
   hashWith(self: Member): string {
-    return (this.#presentHash ^ hashOf(self)).toString(36);
+    return this.#presentHash.with(hashTextOf(self));
   }
 
   #put(member: Member, known: Member | undefined): void {
-    if (known && isPresent(known)) this.#presentHash ^= hashOf(known);
-    if (isPresent(member)) this.#presentHash ^= hashOf(member);
+    if (known && isPresent(known)) this.#presentHash.toggle(hashTextOf(known));
+    if (isPresent(member)) this.#presentHash.toggle(hashTextOf(member));
     this.#members.set(member.id, member);
     this.#present = undefined;
   }
 }
 
 /** Leaves out the status, since suspicions come and go while members agree on who is present. */
-function hashOf({ id, incarnation }: Member): bigint {
-  return hash64(`${id} ${incarnation}`);
+function hashTextOf({ id, incarnation }: Member): string {
+  return `${id} ${incarnation}`;
 }
--- /dev/null
+++ b/test/fleet/leaving-merge_test.ts
@@ -0,0 +1,95 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import {
+  LeavingMerge,
+  LeavingSource,
+  vmLeavingEntry,
+  type LeavingEntry,
+} from '../../src/fleet/index.js';
+
+const entryArbitrary: fc.Arbitrary<LeavingEntry> = fc.record({
+  subject: fc.constantFrom('a', 'b', 'c'),
+  upToIncarnation: fc.integer({ min: 0, max: 5 }),
+  leavingAtMs: fc.integer({ min: 0, max: 5 }),
+  source: fc.constant(LeavingSource.Notice),
+  signalledAtMs: fc.constant(1),
+});
+
+describe('LeavingMerge', () => {
+  it('reaches the same set in any order and with repeats', () => {
+    fc.assert(
+      fc.property(
+        fc.array(entryArbitrary).chain((entries) =>
+          fc.tuple(
+            fc.constant(entries),
+            fc.shuffledSubarray([...entries, ...entries], {
+              minLength: 2 * entries.length,
+            }),
+          ),
+        ),
+        ([entries, shuffled]) => {
+          const left = new LeavingMerge();
+          const right = new LeavingMerge();
+          left.signal(entries);
+          for (const entry of shuffled) right.mergeFromPeer([entry]);
+          expect(right.hash).toBe(left.hash);
+          expect(right.differing(left.bucketHashes())).toEqual([]);
+        },
+      ),
+      { seed: 1, numRuns: 300 },
+    );
+  });
+
+  it('never takes an identity back once it is leaving', () => {
+    fc.assert(
+      fc.property(fc.array(entryArbitrary), (entries) => {
+        const leaving = new LeavingMerge();
+        const gone = new Set<string>();
+        for (const entry of entries) {
+          leaving.signal([entry]);
+          for (let at = 0; at <= entry.upToIncarnation; at++) gone.add(`${entry.subject} ${at}`);
+          for (const identity of gone) {
+            const [subject, at] = identity.split(' ');
+            expect(leaving.covering(subject ?? '', Number(at))).toBeDefined();
+          }
+        }
+      }),
+      { seed: 2, numRuns: 300 },
+    );
+  });
+
+  describe('observeList', () => {
+    const vm = { vmId: 'vm', startedAtMs: 100, leavingAtMs: undefined };
+
+    it('does not revive a VM that a stale list shows as live', () => {
+      const leaving = new LeavingMerge();
+      leaving.signal([vmLeavingEntry('vm', 5_000, LeavingSource.Notice, 1_000)]);
+      leaving.observeList({ asOfMs: 900, vms: [vm] }, 1_100);
+      expect(leaving.covering('vm', 100)).toBeDefined();
+    });
+
+    it('does not take a VM that the list does not show yet for gone', () => {
+      const leaving = new LeavingMerge();
+      leaving.observeList({ asOfMs: 50, vms: [] }, 200);
+      leaving.observeList({ asOfMs: 60, vms: [] }, 210);
+      expect(leaving.covering('vm', 100)).toBeUndefined();
+    });
+
+    it('takes a VM for gone that a newer list no longer shows, but not on an older one', () => {
+      const leaving = new LeavingMerge();
+      leaving.observeList({ asOfMs: 200, vms: [vm] }, 300);
+      leaving.observeList({ asOfMs: 150, vms: [] }, 310);
+      expect(leaving.covering('vm', 100)).toBeUndefined();
+      leaving.observeList({ asOfMs: 250, vms: [] }, 320);
+      expect(leaving.covering('vm', 100)).toBeDefined();
+      expect(leaving.covering('vm', 260)).toBeUndefined();
+    });
+  });
+
+  it('keeps old entries of VMs that are still configured', () => {
+    const leaving = new LeavingMerge();
+    leaving.signal(['kept', 'dropped'].map((id) => vmLeavingEntry(id, 9, LeavingSource.List, 0)));
+    leaving.expire(86_400_000, (subject) => subject === 'kept');
+    expect(leaving.entries().map(({ subject }) => subject)).toEqual(['kept']);
+  });
+});
