Test the spread of leaving notices over whole fleets

Cause: P5 bounds the time from the first signal on every daemon, also on one that has just started. Change: MemoryFleet runs the control parts of many daemons on one clock; tests cover starts around the signal, a stale list, a tenth of messages lost, a dead originator, a partition and a restart of all daemons.

--- a/src/standins/index.ts
+++ b/src/standins/index.ts
@@ -1,2 +1,3 @@
 export * from './memory-log-service.js';
 export * from './memory-peer-network.js';
+export * from './memory-fleet.js';
--- /dev/null
+++ b/test/fleet/leaving-gossip_test.ts
@@ -0,0 +1,135 @@
+import { describe, expect, it } from 'vitest';
+import { Random, VirtualClock } from '../../src/core/index.js';
+import { EngineFailure } from '../../src/engine/index.js';
+import {
+  EndpointRegistry,
+  EndpointState,
+  LeavingSource,
+  vmLeavingEntry,
+} from '../../src/fleet/index.js';
+import { Deployment } from '../../src/settings/index.js';
+import { MemoryFleet, regionOf, type FleetDaemon } from '../../src/standins/index.js';
+
+/** P5: the bound after the first signal. */
+const boundMs = 3_000;
+
+function boot(count: number, seed: number) {
+  const clock = new VirtualClock();
+  const fleet = new MemoryFleet({ clock, seed, regions: 4 });
+  fleet.bootMany(count);
+  return { clock, fleet };
+}
+
+function signal(daemon: FleetDaemon, vmIds: string[], nowMs: number): void {
+  daemon.leaving.signal(
+    vmIds.map((vmId) => vmLeavingEntry(vmId, nowMs + 30_000, LeavingSource.Notice, nowMs)),
+  );
+}
+
+function knowing(fleet: MemoryFleet, vmId: string): number {
+  return [...fleet.daemons.values()].filter(({ leaving }) => leaving.covering(vmId, 0)).length;
+}
+
+function registryOf(clock: VirtualClock, daemon: FleetDaemon): EndpointRegistry {
+  const registry = new EndpointRegistry({ clock, leaving: daemon.leaving });
+  const values = { service: 's', region: 'r', failure_domain: 'f', vm_id: 'vm' };
+  registry.applyDeployment(
+    Deployment.from(
+      new Map([['prod/t/endpoints/a', { ...values, base_url: 'http://10.0.0.1:1' }]]),
+    ),
+  );
+  return registry;
+}
+
+describe('LeavingGossip', () => {
+  it('keeps new work off a leaving endpoint within 3 s on every daemon, started ones included', async () => {
+    const { clock, fleet } = boot(48, 1);
+    await clock.advance(30_000);
+    fleet.boot(7);
+    await clock.advance(40);
+    signal(fleet.daemons.get(20)!, ['vm'], clock.nowMs());
+    await clock.advance(10);
+    fleet.boot(9);
+    // A list from before the notice still shows the VM as live to the daemon that starts.
+    fleet.daemons.get(9)!.leaving.observeList(
+      {
+        asOfMs: clock.nowMs() - 20_000,
+        vms: [{ vmId: 'vm', startedAtMs: 1, leavingAtMs: undefined }],
+      },
+      clock.nowMs(),
+    );
+    await clock.advance(500);
+    const late = fleet.boot(11);
+    await clock.advance(boundMs - 510);
+    expect(knowing(fleet, 'vm')).toBe(48);
+    expect(late.isReady).toBe(true);
+    for (const daemon of fleet.daemons.values()) {
+      const registry = registryOf(clock, daemon);
+      const id = registry.views('t/s')[0]!.id;
+      registry.restore(id);
+      registry.recordFailure(id, EngineFailure.Silent);
+      registry.restore(id);
+      expect(registry.view(id)?.state).toBe(EndpointState.Leaving);
+    }
+  });
+
+  it('reaches every daemon within 3 s while a tenth of the messages is lost', async () => {
+    for (let seed = 1; seed <= 5; seed++) {
+      const { clock, fleet } = boot(48, seed);
+      await clock.advance(30_000);
+      const random = new Random(seed);
+      fleet.network.isCut = () => random.float() < 0.1;
+      signal(fleet.daemons.get(seed)!, ['vm'], clock.nowMs());
+      await clock.advance(boundMs);
+      expect(knowing(fleet, 'vm')).toBe(48);
+    }
+  });
+
+  it('survives the end of the daemon that got the signal once it has told', async () => {
+    const { clock, fleet } = boot(24, 3);
+    await clock.advance(30_000);
+    signal(fleet.daemons.get(5)!, ['vm'], clock.nowMs());
+    await clock.advance(110);
+    fleet.kill(5);
+    await clock.advance(boundMs - 110);
+    expect(knowing(fleet, 'vm')).toBe(23);
+  });
+
+  it('joins both sides of a partition of minutes after it heals', async () => {
+    const { clock, fleet } = boot(24, 4);
+    await clock.advance(30_000);
+    fleet.network.isCut = (from, to) => (regionOf(from) === 'r0') !== (regionOf(to) === 'r0');
+    await clock.advance(180_000);
+    signal(fleet.daemons.get(0)!, ['inside'], clock.nowMs());
+    signal(fleet.daemons.get(1)!, ['outside'], clock.nowMs());
+    await clock.advance(boundMs);
+    expect([knowing(fleet, 'inside'), knowing(fleet, 'outside')]).toEqual([6, 18]);
+    fleet.network.isCut = () => false;
+    await clock.advance(60_000);
+    expect([knowing(fleet, 'inside'), knowing(fleet, 'outside')]).toEqual([24, 24]);
+  });
+
+  it('lets all daemons become ready when all restart at once with nobody to pull from', async () => {
+    const { clock, fleet } = boot(24, 5);
+    await clock.advance(10_000);
+    expect([...fleet.daemons.values()].every(({ isReady }) => isReady)).toBe(true);
+    signal(fleet.daemons.get(2)!, ['vm'], clock.nowMs());
+    await clock.advance(boundMs);
+    expect(knowing(fleet, 'vm')).toBe(24);
+  });
+
+  it('tells a wave seen by all daemons at once without each telling all others', async () => {
+    const { clock, fleet } = boot(48, 6);
+    await clock.advance(60_000);
+    const messages = () =>
+      [...fleet.daemons.values()].reduce(
+        (sum, { url }) => sum + fleet.network.traffic(url).messages,
+        0,
+      );
+    const before = messages();
+    for (const daemon of fleet.daemons.values()) signal(daemon, ['a', 'b', 'c'], clock.nowMs());
+    await clock.advance(1_000);
+    // 48 daemons telling all others would take 2 x 48 x 47 = 4,512 messages.
+    expect(messages() - before).toBeLessThan(1_500);
+  });
+});
