Add TlsContext: certificates reloaded while running, mutual TLS

Cause: certificates are renewed often, and a restart of an entry VM costs its streams. Change: the three PEM files are compared by content every 10 s; a set that does not fit together leaves the old one in use and logs once. Servers get the new context, and the undici connector uses it for each new connection. Events 801 to 805 are catalogued.

--- /dev/null
+++ b/src/security/tls-context.ts
@@ -0,0 +1,192 @@
+import { readFile } from 'node:fs/promises';
+import type { ServerOptions } from 'node:https';
+import { createSecureContext, type ConnectionOptions, type Server } from 'node:tls';
+import { buildConnector } from 'undici';
+import { OrioleError, sha256Hex, Step, type Clock } from '../core/index.js';
+import { EventId, type EventLog, type Metrics } from '../telemetry/index.js';
+
+/** PEM files of a daemon. */
+export interface TlsFiles {
+  /** Certificate, followed by any intermediate ones. */
+  readonly certFile: string;
+  /** Private key of the certificate. */
+  readonly keyFile: string;
+  /** Certificates of the authorities that other daemons' certificates must chain to. */
+  readonly caFile: string;
+}
+
+/** Options of {@link TlsContext}. */
+export interface TlsContextOptions {
+  readonly files: TlsFiles;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly metrics: Metrics;
+  /** How often the files are compared with what is in use. */
+  readonly checkEveryMs?: number;
+}
+
+interface TlsMaterial {
+  readonly cert: Buffer;
+  readonly key: Buffer;
+  readonly ca: Buffer;
+  readonly digest: string;
+}
+
+/**
+ * Certificates from files, replaced while running when the files change. Connections that are open
+ * keep the certificate they started with.
+ *
+ * The files are compared by content, which also notices a replaced symbolic link. A set that does
+ * not fit together, as when only one of two files has been written yet, is left aside until the next
+ * check, and the certificates in use stay.
+ *
+ * @example
+ * ```ts
+ * const tls = await TlsContext.load({ files, clock, log, metrics });
+ * const server = createServer(tls.serverOptions({ requireClient: true }), handler);
+ * const detach = tls.attach(server);
+ * const agent = new Agent({ connect: tls.connector() });
+ * ```
+ */
+export class TlsContext {
+  readonly #files: TlsFiles;
+  readonly #log: EventLog;
+  readonly #metrics: Metrics;
+  readonly #servers = new Set<Server>();
+  readonly #stopChecking: () => void;
+  #material: TlsMaterial;
+  #rejectedDigest = '';
+  #connector: buildConnector.connector;
+
+  private constructor(options: TlsContextOptions, material: TlsMaterial) {
+    this.#files = options.files;
+    this.#log = options.log;
+    this.#metrics = options.metrics;
+    this.#material = material;
+    this.#connector = buildConnector(this.clientOptions());
+    this.#stopChecking = options.clock.every(options.checkEveryMs ?? 10_000, () => {
+      void this.checkFiles();
+    });
+  }
+
+  /**
+   * Reads the files and starts to check them for changes.
+   *
+   * @throws OrioleError (step `security`) when a file cannot be read or the files do not fit.
+   */
+  static async load(options: TlsContextOptions): Promise<TlsContext> {
+    const { certFile, keyFile, caFile } = options.files;
+    try {
+      const material = await readMaterial(options.files);
+      checkMaterial(material);
+      return new TlsContext(options, material);
+    } catch (error) {
+      throw new OrioleError(
+        `cannot use ${certFile}, ${keyFile} and ${caFile}: ${messageOf(error)}; ` +
+          'check that they are readable PEM files and that the key belongs to the certificate',
+        { step: Step.Security, peer: certFile, cause: error },
+      );
+    }
+  }
+
+  /**
+   * Options of an `https` server.
+   *
+   * @param options - `requireClient` refuses clients whose certificate the authorities did not sign;
+   * it is true for the listener of other daemons.
+   */
+  serverOptions(options: { readonly requireClient: boolean }): ServerOptions {
+    const { cert, key, ca } = this.#material;
+    return {
+      cert,
+      key,
+      ca,
+      requestCert: options.requireClient,
+      rejectUnauthorized: options.requireClient,
+      minVersion: 'TLSv1.2',
+    };
+  }
+
+  /** Options of a connection to another daemon, with this daemon's own certificate. */
+  clientOptions(): ConnectionOptions {
+    const { cert, key, ca } = this.#material;
+    return { cert, key, ca, rejectUnauthorized: true, minVersion: 'TLSv1.2' };
+  }
+
+  /** Connector for an undici `Agent`; each new connection uses the certificates then in use. */
+  connector(): buildConnector.connector {
+    return (options, callback) => {
+      this.#connector(options, callback);
+    };
+  }
+
+  /**
+   * Gives the server new certificates whenever they change.
+   *
+   * @returns a function that stops this.
+   */
+  attach(server: Server): () => void {
+    this.#servers.add(server);
+    return () => {
+      this.#servers.delete(server);
+    };
+  }
+
+  /** Compares the files with what is in use, as the timer does. @returns whether they changed. */
+  async checkFiles(): Promise<boolean> {
+    let digest = '';
+    try {
+      const material = await readMaterial(this.#files);
+      digest = material.digest;
+      if (digest === this.#material.digest) return false;
+      checkMaterial(material);
+      this.#material = material;
+    } catch (error) {
+      this.#metrics.count('tls_reloads', 1, { result: 'rejected' });
+      // One line for each state of the files, not one for each check.
+      if (this.#rejectedDigest !== `${digest} ${messageOf(error)}`) {
+        this.#rejectedDigest = `${digest} ${messageOf(error)}`;
+        this.#log.warn(EventId.CertificatesRejected, 'changed certificate files cannot be used', {
+          certFile: this.#files.certFile,
+          message: messageOf(error),
+        });
+      }
+      return false;
+    }
+    const { cert, key, ca } = this.#material;
+    this.#connector = buildConnector(this.clientOptions());
+    for (const server of this.#servers) {
+      server.setSecureContext({ cert, key, ca, minVersion: 'TLSv1.2' });
+    }
+    this.#rejectedDigest = '';
+    this.#metrics.count('tls_reloads', 1, { result: 'accepted' });
+    this.#log.info(EventId.CertificatesReloaded, 'new certificates are in use', {
+      certFile: this.#files.certFile,
+    });
+    return true;
+  }
+
+  /** Stops checking the files. */
+  close(): void {
+    this.#stopChecking();
+    this.#servers.clear();
+  }
+}
+
+async function readMaterial(files: TlsFiles): Promise<TlsMaterial> {
+  const [cert, key, ca] = await Promise.all([
+    readFile(files.certFile),
+    readFile(files.keyFile),
+    readFile(files.caFile),
+  ]);
+  return { cert, key, ca, digest: [cert, key, ca].map(sha256Hex).join(' ') };
+}
+
+/** Throws when the key does not belong to the certificate or a file is not PEM. */
+function checkMaterial({ cert, key, ca }: TlsMaterial): void {
+  createSecureContext({ cert, key, ca });
+}
+
+function messageOf(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -23,4 +23,9 @@
   // 7xx claims and jobs
 
   // 8xx administration and security
+  AdminAction = 801,
+  AdminRefused = 802,
+  AdminFailed = 803,
+  CertificatesReloaded = 804,
+  CertificatesRejected = 805,
 }
