Add the administration API

Cause: operators read what is in force on every daemon and act on jobs, calls and endpoints. Change: AdminServer verifies operators' keys and removes everything outside a key's scope from each daemon's answer; AdminBackend is what the daemon implements; PeerQueries asks all daemons at once and lists one that fails, is late or sends another format as missing. The schemas shared with oriolectl live in src/admin-api. Conclusion: another team's settings, endpoints, jobs, explanations and burn rates are neither readable nor changeable in the tests, also when another daemon answers.

--- /dev/null
+++ b/src/admin-api/index.ts
@@ -0,0 +1,3 @@
+export * from './answers.js';
+export * from './queries.js';
+export * from './work-items.js';
--- /dev/null
+++ b/src/admin-api/work-items.ts
@@ -0,0 +1,22 @@
+import type { Gathered, WorkItem } from './answers.js';
+
+/**
+ * Jobs and calls known to any daemon, one entry for each id. Two daemons may hold the same shard for
+ * a while; the entry with the highest fence is the newest.
+ *
+ * @example
+ * ```ts
+ * const items = newestWorkItems(gathered);
+ * ```
+ */
+export function newestWorkItems(gathered: Gathered<readonly WorkItem[]>): WorkItem[] {
+  const newest = new Map<string, WorkItem>();
+  for (const { answer } of gathered.answers) {
+    for (const item of answer) {
+      const key = `${item.kind} ${item.id}`;
+      const known = newest.get(key);
+      if (!known || item.fence > known.fence) newest.set(key, item);
+    }
+  }
+  return [...newest.values()].sort((a, b) => (a.id < b.id ? -1 : a.id > b.id ? 1 : 0));
+}
--- /dev/null
+++ b/src/admin/admin-error.ts
@@ -0,0 +1,16 @@
+import { OrioleError, Step } from '../core/index.js';
+
+/** An answer of the administration API that is not a success. */
+export class AdminError extends OrioleError {
+  readonly status: number;
+  readonly code: string;
+  /** What the operator should do, one sentence. */
+  readonly next: string;
+
+  constructor(status: number, code: string, message: string, next: string, cause?: unknown) {
+    super(message, { step: Step.Admin, peer: 'operator', cause });
+    this.status = status;
+    this.code = code;
+    this.next = next;
+  }
+}
--- /dev/null
+++ b/src/admin/peer-queries.ts
@@ -0,0 +1,125 @@
+import { z } from 'zod';
+import {
+  AdminQuery,
+  queryAnswers,
+  queryParams,
+  type Gathered,
+  type MissingDaemon,
+  type QueryAnswer,
+  type QueryParams,
+} from '../admin-api/index.js';
+import type { Clock } from '../core/index.js';
+import type { PeerCaller, PeerMethods } from '../rpc/index.js';
+import type { AdminBackend, QueryHandlers } from './admin-backend.js';
+
+/** Options of {@link PeerQueries}. */
+export interface PeerQueriesOptions {
+  readonly backend: AdminBackend;
+  readonly peers: PeerCaller;
+  readonly clock: Clock;
+  /** A daemon that has not answered for this long is listed as missing. */
+  readonly timeoutMs?: number;
+}
+
+/** Asks all daemons the same question. */
+export class PeerQueries {
+  readonly #backend: AdminBackend;
+  readonly #peers: PeerCaller;
+  readonly #clock: Clock;
+  readonly #timeoutMs: number;
+
+  constructor(options: PeerQueriesOptions) {
+    this.#backend = options.backend;
+    this.#peers = options.peers;
+    this.#clock = options.clock;
+    this.#timeoutMs = options.timeoutMs ?? 3_000;
+  }
+
+  /**
+   * Asks this daemon and, unless `selfOnly`, all others at once.
+   *
+   * @returns answers ordered by daemon; a daemon that failed, was late or sent something else is
+   * listed as missing.
+   */
+  async gather<Q extends AdminQuery>(
+    query: Q,
+    params: QueryParams<Q>,
+    selfOnly = false,
+  ): Promise<Gathered<QueryAnswer<Q>>> {
+    const peers = selfOnly ? [] : this.#backend.peers();
+    const questions = [
+      { daemon: this.#backend.daemon, ask: () => answerQuery(this.#backend, query, params) },
+      ...peers.map(({ daemon, rpcUrl }) => ({
+        daemon,
+        ask: () => this.#askPeer(rpcUrl, query, params),
+      })),
+    ];
+    const answers: { daemon: string; answer: QueryAnswer<Q> }[] = [];
+    const missing: MissingDaemon[] = [];
+    await Promise.all(
+      questions.map(async ({ daemon, ask }) => {
+        try {
+          answers.push({ daemon, answer: await ask() });
+        } catch (error) {
+          missing.push({ daemon, reason: reasonOf(error) });
+        }
+      }),
+    );
+    return { answers: answers.sort(byDaemon), missing: missing.sort(byDaemon) };
+  }
+
+  async #askPeer<Q extends AdminQuery>(
+    rpcUrl: string,
+    query: Q,
+    params: QueryParams<Q>,
+  ): Promise<QueryAnswer<Q>> {
+    const deadlineAtMs = this.#clock.nowMs() + this.#timeoutMs;
+    const stop = new AbortController();
+    // A caller that ignores its deadline must not hold up the answers of the others.
+    const late = this.#clock.sleepUntil(deadlineAtMs, stop.signal).then(() => {
+      throw new Error(`no answer within ${this.#timeoutMs} ms`);
+    });
+    late.catch(() => undefined);
+    try {
+      const call = this.#peers.call(rpcUrl, query, params, { deadlineAtMs });
+      const answer = await Promise.race([call, late]);
+      return queryAnswers[query].parse(answer) as QueryAnswer<Q>;
+    } finally {
+      stop.abort();
+    }
+  }
+}
+
+/**
+ * Offers this daemon's answers to the other daemons' administration APIs.
+ *
+ * @example
+ * ```ts
+ * registerAdminQueries(rpcServer, backend);
+ * ```
+ */
+export function registerAdminQueries(methods: PeerMethods, backend: AdminBackend): void {
+  for (const query of Object.values(AdminQuery)) {
+    methods.register(query, async (params) =>
+      answerQuery(backend, query, queryParams[query].parse(params) as QueryParams<typeof query>),
+    );
+  }
+}
+
+async function answerQuery<Q extends AdminQuery>(
+  backend: AdminBackend,
+  query: Q,
+  params: QueryParams<Q>,
+): Promise<QueryAnswer<Q>> {
+  const handler: QueryHandlers[Q] = backend.handlers[query];
+  return handler(params);
+}
+
+function reasonOf(error: unknown): string {
+  if (error instanceof z.ZodError) return 'sent an answer that does not match its format';
+  return error instanceof Error ? error.message : String(error);
+}
+
+function byDaemon(left: { daemon: string }, right: { daemon: string }): number {
+  return left.daemon < right.daemon ? -1 : left.daemon > right.daemon ? 1 : 0;
+}
--- /dev/null
+++ b/test/admin/admin-server_test.ts
@@ -0,0 +1,331 @@
+import { request } from 'undici';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import {
+  AdminBackend,
+  AdminServer,
+  registerAdminQueries,
+  type AdminPeer,
+  type Cancellation,
+  type QueryHandlers,
+  type Resolution,
+} from '../../src/admin/index.js';
+import {
+  AdminQuery,
+  WorkKind,
+  WorkState,
+  type EndpointStatus,
+  type WorkItem,
+} from '../../src/admin-api/index.js';
+import { OrioleError, Step, SystemClock } from '../../src/core/index.js';
+import { BurnRecorder, objectivesOf } from '../../src/report/index.js';
+import { PeerCaller, PeerMethods, type PeerMethod } from '../../src/rpc/index.js';
+import { createBearerKey, formatBearerKey, KeyStore } from '../../src/security/index.js';
+import { Deployment, type SectionValues } from '../../src/settings/index.js';
+import { EventId, EventLog, NullMetrics, type Severity } from '../../src/telemetry/index.js';
+
+const clock = new SystemClock();
+const sections = [
+  { path: 'prod/tejidos/limits/tenders', revision: 1, values: { rate_per_s: '5' } },
+  { path: 'prod/tejidos-b/limits/tenders', revision: 2, values: { rate_per_s: '6' } },
+  { path: 'prod/haneul/limits/planner', revision: 3, values: { rate_per_s: '7' } },
+];
+
+function work(id: string, kind: WorkKind, workspaceId: string, fence: number): WorkItem {
+  return {
+    id,
+    kind,
+    workspaceId,
+    serviceId: `${workspaceId.split('/')[0] ?? ''}/sales`,
+    state: kind === WorkKind.Call ? WorkState.Unknown : WorkState.Running,
+    workClass: null,
+    acceptedAtMs: null,
+    deadlineAtMs: null,
+    owner: 'entry-1',
+    fence,
+    recordedTokens: null,
+    note: '',
+  };
+}
+
+function endpoint(path: string): EndpointStatus {
+  return {
+    path,
+    id: `${path}#1`,
+    serviceId: 'tejidos/sales',
+    state: 'live',
+    failureDomain: 'litoral-rosario',
+    leavingAtMs: null,
+    inFlightRequests: 0,
+    reportAgeMs: null,
+    tokenGapMs: null,
+    slowdownRatio: 1,
+  };
+}
+
+class FakeBackend extends AdminBackend {
+  override readonly deployment = 'prod';
+  readonly drained: string[] = [];
+  readonly changes: (Resolution | Cancellation)[] = [];
+  readonly handlers: QueryHandlers;
+  peerList: AdminPeer[] = [];
+  items = [
+    work('call-1', WorkKind.Call, 'tejidos/tenders', 1),
+    work('job-1', WorkKind.Job, 'tejidos/tenders', 1),
+    work('job-2', WorkKind.Job, 'haneul/planner', 1),
+  ];
+
+  constructor(override readonly daemon: string) {
+    super();
+    const burn = new BurnRecorder({
+      clock,
+      objectives: (id) => objectivesOf(new Deployment(), id),
+    });
+    burn.series('tejidos/tenders', 'tejidos/sales').refused();
+    burn.series('haneul/planner', 'haneul/planner').refused();
+    this.handlers = {
+      [AdminQuery.SettingsInForce]: () => ({
+        revision: 3,
+        nextOffset: 9,
+        caughtUpAtMs: 5,
+        sections,
+      }),
+      [AdminQuery.Status]: () => {
+        throw new OrioleError('status is not part of this test', {
+          step: Step.Admin,
+          peer: 'local',
+        });
+      },
+      [AdminQuery.Endpoints]: () =>
+        ['prod/tejidos/endpoints/w1', 'prod/haneul/endpoints/p1'].map(endpoint),
+      [AdminQuery.Drain]: ({ path }) => {
+        this.drained.push(path);
+        return { path, ids: [`${path}#1`], inFlightRequests: 2 };
+      },
+      [AdminQuery.Jobs]: ({ id }) => this.items.filter((item) => (id ?? item.id) === item.id),
+      [AdminQuery.Explain]: ({ requestId }) => ({
+        requestId,
+        workspaceId: 'haneul/planner',
+        serviceId: 'haneul/planner',
+        decidedAtMs: 1,
+        chosen: 'haneul/p1',
+        outcome: 'served',
+        candidates: [],
+      }),
+      [AdminQuery.Burn]: (filter) => burn.snapshot(filter),
+    };
+  }
+
+  override peers(): readonly AdminPeer[] {
+    return this.peerList;
+  }
+
+  override async resolve(resolution: Resolution): Promise<WorkItem> {
+    this.changes.push(resolution);
+    return work(resolution.id, WorkKind.Call, 'tejidos/tenders', 2);
+  }
+
+  override async cancel(cancellation: Cancellation): Promise<WorkItem> {
+    this.changes.push(cancellation);
+    return work(cancellation.id, WorkKind.Job, 'tejidos/tenders', 2);
+  }
+}
+
+/** Peers by URL; one that is absent refuses, and `silent` never answers. */
+class FakePeers extends PeerCaller {
+  readonly methods = new Map<string, Map<string, PeerMethod>>();
+
+  override async call(peerUrl: string, method: string, params: unknown): Promise<unknown> {
+    if (peerUrl === 'silent') return new Promise(() => undefined);
+    const handler = this.methods.get(peerUrl)?.get(method);
+    if (!handler) throw new OrioleError('connection refused', { step: Step.Rpc, peer: peerUrl });
+    // Answers cross the wire as JSON.
+    return JSON.parse(JSON.stringify(await handler(JSON.parse(JSON.stringify(params)))));
+  }
+
+  add(url: string, backend: AdminBackend): void {
+    const handlers = new Map<string, PeerMethod>();
+    class Methods extends PeerMethods {
+      override register(method: string, handler: PeerMethod): void {
+        handlers.set(method, handler);
+      }
+    }
+    registerAdminQueries(new Methods(), backend);
+    this.methods.set(url, handlers);
+  }
+}
+
+class RecordingLog extends EventLog {
+  readonly lines: { event: EventId; fields: unknown }[] = [];
+
+  override write(_level: Severity, event: EventId, _message: string, fields?: unknown): void {
+    this.lines.push({ event, fields });
+  }
+}
+
+describe('AdminServer', () => {
+  const tejidosKey = createBearerKey('tejidos/ops');
+  const callerKey = createBearerKey('tejidos/counter');
+  const hash = (digit: string): string => `scrypt$${'0'.repeat(32)}$${digit.repeat(64)}`;
+  const deployment = Deployment.from(
+    new Map<string, SectionValues>([
+      [
+        'prod/tejidos/keys/ops',
+        { kind: 'operator', secret_hash: hash('1'), scope: 'prod/tejidos' },
+      ],
+      [
+        'prod/tejidos/keys/counter',
+        { kind: 'caller', secret_hash: hash('2'), workspace: 'tenders' },
+      ],
+    ]),
+  );
+  let backend: FakeBackend;
+  let peers: FakePeers;
+  let log: RecordingLog;
+  let server: AdminServer;
+  let port = 0;
+
+  beforeEach(async () => {
+    backend = new FakeBackend('entry-1');
+    peers = new FakePeers();
+    log = new RecordingLog();
+    const keys = new KeyStore({
+      deployment: () => deployment,
+      verify: async (secret, stored) =>
+        (secret === tejidosKey.secret && stored === hash('1')) ||
+        (secret === callerKey.secret && stored === hash('2')),
+    });
+    server = new AdminServer({
+      backend,
+      keys,
+      peers,
+      clock,
+      log,
+      metrics: new NullMetrics(),
+      peerTimeoutMs: 100,
+    });
+    ({ port } = await server.listen('127.0.0.1', 0));
+  });
+
+  afterEach(() => server.close());
+
+  async function send(
+    path: string,
+    body?: unknown,
+    authorization = `Bearer ${formatBearerKey(tejidosKey)}`,
+  ): Promise<{ status: number; body: unknown }> {
+    const response = await request(`http://127.0.0.1:${port}/admin/v1/${path}`, {
+      method: body === undefined ? 'GET' : 'POST',
+      headers: { authorization },
+      ...(body !== undefined && { body: typeof body === 'string' ? body : JSON.stringify(body) }),
+    });
+    return { status: response.statusCode, body: await response.body.json() };
+  }
+
+  describe('authentication', () => {
+    it('refuses a missing, wrong or caller key', async () => {
+      expect((await send('status', undefined, 'Bearer x')).status).toBe(401);
+      const wrong = formatBearerKey({ ...tejidosKey, secret: callerKey.secret });
+      expect((await send('status', undefined, `Bearer ${wrong}`)).status).toBe(401);
+      const caller = `Bearer ${formatBearerKey(callerKey)}`;
+      expect((await send('status', undefined, caller)).status).toBe(403);
+    });
+  });
+
+  describe('scope', () => {
+    it('leaves out what belongs to another team, also in the answers of other daemons', async () => {
+      backend.peerList = [{ daemon: 'entry-2', rpcUrl: 'two' }];
+      peers.add('two', new FakeBackend('entry-2'));
+      for (const path of ['settings', 'endpoints', 'jobs', 'burn', 'explain/r-1']) {
+        const { status, body } = await send(path);
+        expect(status).toBe(200);
+        expect(JSON.stringify(body)).not.toMatch(/haneul|tejidos-b/);
+        expect((body as { answers: unknown[] }).answers).toHaveLength(2);
+      }
+      expect(JSON.stringify((await send('jobs')).body)).toContain('tejidos/tenders');
+      expect(JSON.stringify((await send('burn')).body)).toContain('tejidos/tenders');
+    });
+
+    it('drains only endpoints of its own subtree', async () => {
+      const deadlineAtMs = 1;
+      expect((await send('drain', { path: 'prod/haneul/endpoints/p1', deadlineAtMs })).status).toBe(
+        403,
+      );
+      expect((await send('drain', { path: 'prod/tejidos', deadlineAtMs })).status).toBe(400);
+      expect(backend.drained).toEqual([]);
+      const { body } = await send('drain', { path: 'prod/tejidos/endpoints/w1', deadlineAtMs });
+      expect(body).toMatchObject({ answers: [{ answer: { inFlightRequests: 2 } }] });
+      expect(backend.drained).toEqual(['prod/tejidos/endpoints/w1']);
+    });
+
+    it("treats another team's work as absent and changes nothing", async () => {
+      expect((await send('jobs/job-2/cancel', {})).status).toBe(404);
+      expect((await send('jobs/call-1/cancel', {})).status).toBe(404);
+      expect((await send('jobs/job-1/resolve', { ran: true, note: 'x' })).status).toBe(404);
+      expect(backend.changes).toEqual([]);
+    });
+  });
+
+  describe('work', () => {
+    it('resolves and cancels in the name of the operator and logs it', async () => {
+      await send('jobs/call-1/resolve', { ran: false, note: 'no truck was sent' });
+      await send('jobs/job-1/cancel', {});
+      expect(backend.changes).toEqual([
+        { id: 'call-1', ran: false, note: 'no truck was sent', operator: 'tejidos/ops' },
+        { id: 'job-1', note: '', operator: 'tejidos/ops' },
+      ]);
+      expect(log.lines.map(({ event }) => event)).toEqual([
+        EventId.AdminAction,
+        EventId.AdminAction,
+      ]);
+    });
+
+    it('does not call work absent while a daemon that may know it is silent', async () => {
+      backend.peerList = [{ daemon: 'entry-2', rpcUrl: 'gone' }];
+      const { status, body } = await send('jobs/job-9/cancel', {});
+      expect(status).toBe(503);
+      expect(JSON.stringify(body)).toContain('entry-2');
+    });
+
+    it('refuses a resolution without a note', async () => {
+      expect((await send('jobs/call-1/resolve', { ran: true })).status).toBe(400);
+    });
+  });
+
+  describe('missing daemons', () => {
+    it('lists those that refuse, are late or send something else', async () => {
+      backend.peerList = [
+        { daemon: 'entry-2', rpcUrl: 'two' },
+        { daemon: 'entry-3', rpcUrl: 'gone' },
+        { daemon: 'entry-4', rpcUrl: 'silent' },
+        { daemon: 'entry-5', rpcUrl: 'odd' },
+      ];
+      peers.add('two', new FakeBackend('entry-2'));
+      peers.methods.set('odd', new Map([[AdminQuery.Endpoints, async () => ({ no: 'list' })]]));
+      expect((await send('endpoints')).body).toMatchObject({
+        answers: [{ daemon: 'entry-1' }, { daemon: 'entry-2' }],
+        missing: [
+          { daemon: 'entry-3', reason: 'connection refused' },
+          { daemon: 'entry-4', reason: 'no answer within 100 ms' },
+          { daemon: 'entry-5', reason: 'sent an answer that does not match its format' },
+        ],
+      });
+    });
+
+    it('lists a daemon whose own answer fails, and asks nobody else when told so', async () => {
+      backend.peerList = [{ daemon: 'entry-3', rpcUrl: 'gone' }];
+      const { body } = await send('status?daemons=self');
+      expect(body).toMatchObject({ answers: [], missing: [{ daemon: 'entry-1' }] });
+    });
+  });
+
+  describe('malformed requests', () => {
+    it('answers 400, 404 or 413 and keeps serving', async () => {
+      expect((await send('nothing')).status).toBe(404);
+      expect((await send('jobs?limit=x')).status).toBe(400);
+      expect((await send('jobs/%E0%A4%A/cancel', {})).status).toBe(400);
+      expect((await send('drain', '{')).status).toBe(400);
+      expect((await send('drain', JSON.stringify('x'.repeat(100_000)))).status).toBe(413);
+      expect((await send('endpoints')).status).toBe(200);
+    });
+  });
+});
