--- a/src/admin/operator-scope.ts
+++ b/src/admin/operator-scope.ts
@@ -1,6 +1,6 @@
 import { AdminQuery, type QueryAnswer } from '../admin-api/index.js';
-import { scopeCovers } from '../security/index.js';
 import { SectionKind } from '../settings/index.js';
+import { isInScope } from '../state/index.js';
 
 /**
  * What an operator's key may see and change: the subtree of settings below its scope, and the work
@@ -26,7 +26,7 @@
 
   /** True when the settings path is in the scope. */
   coversPath(path: string): boolean {
-    return scopeCovers(this.#scope, path);
+    return isInScope(this.#scope, path);
   }
 
   /** True when the workspace, as `team/name`, is in the scope. */
