--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -55,4 +55,9 @@
   JobRunnerFailed = 709,
 
   // 8xx administration and security
+  AdminAction = 801,
+  AdminRefused = 802,
+  AdminFailed = 803,
+  CertificatesReloaded = 804,
+  CertificatesRejected = 805,
 }
