--- /dev/null
+++ b/src/capacity/endpoint-orders.ts
@@ -0,0 +1,86 @@
+import { Agent, request } from 'undici';
+import { OrioleError, Step } from '../core/index.js';
+import type { EngineRole } from '../settings/index.js';
+import type { Fence } from '../state/index.js';
+
+/** Kind of an {@link EndpointOrder}. */
+export enum OrderKind {
+  LoadModel = 'load_model',
+  LoadAdapter = 'load_adapter',
+  SetVersion = 'set_version',
+  SetRole = 'set_role',
+}
+
+/**
+ * An order names the state to reach, so that a repeated one does nothing and a late one is undone
+ * by the next.
+ */
+export type EndpointOrder =
+  | { readonly kind: OrderKind.LoadModel; readonly model: string; readonly version: string }
+  | { readonly kind: OrderKind.LoadAdapter; readonly model: string; readonly adapter: string }
+  | { readonly kind: OrderKind.SetVersion; readonly version: string }
+  | { readonly kind: OrderKind.SetRole; readonly role: EngineRole };
+
+/** An endpoint did not carry out an order. */
+export class OrderError extends OrioleError {
+  /** True when the endpoint refused the fence as old: this controller must stop. */
+  readonly isFenceOld: boolean;
+
+  constructor(message: string, peer: string, isFenceOld: boolean, cause?: unknown) {
+    super(message, { step: Step.Capacity, peer, cause });
+    this.isFenceOld = isFenceOld;
+  }
+}
+
+/**
+ * Sends orders to endpoints.
+ *
+ * @example
+ * ```ts
+ * await orders.send(view.baseUrl, { kind: OrderKind.SetVersion, version: '8' }, fence);
+ * ```
+ */
+export abstract class EndpointOrders {
+  /** Resolves when the endpoint has accepted the order. @throws OrderError */
+  abstract send(baseUrl: string, order: EndpointOrder, fence: Fence): Promise<void>;
+}
+
+/** {@link EndpointOrders} by `POST /orders`; 409 refuses an old fence. */
+export class HttpEndpointOrders extends EndpointOrders {
+  readonly #agent = new Agent({ pipelining: 1, connect: { timeout: 2_000 } });
+  readonly #timeoutMs: number;
+
+  constructor(timeoutMs = 10_000) {
+    super();
+    this.#timeoutMs = timeoutMs;
+  }
+
+  override async send(baseUrl: string, order: EndpointOrder, fence: Fence): Promise<void> {
+    let status: number;
+    try {
+      const response = await request(`${baseUrl}/orders`, {
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify({ ...order, fence }),
+        dispatcher: this.#agent,
+        signal: AbortSignal.timeout(this.#timeoutMs),
+      });
+      status = response.statusCode;
+      await response.body.dump();
+    } catch (error) {
+      throw new OrderError(`no answer to order "${order.kind}"`, baseUrl, false, error);
+    }
+    if (status >= 300) {
+      throw new OrderError(
+        `order "${order.kind}" was answered with status ${status}`,
+        baseUrl,
+        status === 409,
+      );
+    }
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+}
--- /dev/null
+++ b/src/capacity/fleet-controller.ts
@@ -0,0 +1,352 @@
+import { LRUCache } from 'lru-cache';
+import type { Clock, Random } from '../core/index.js';
+import { LeavingSource, vmLeavingEntry, type LeavingMerge } from '../fleet/index.js';
+import type { ServiceSettings } from '../settings/index.js';
+import type { Fence } from '../state/index.js';
+import { EventId, NullEventLog, type EventLog } from '../telemetry/index.js';
+import { CapacityPlanner, type PlannedVm } from './capacity-planner.js';
+import {
+  StartRefusedError,
+  type CloudApi,
+  type CloudVmList,
+  type VmOffer,
+  type VmRequest,
+} from './cloud-api.js';
+import { IntentState, type CreateIntent, type CreateIntents } from './create-intents.js';
+import { InformationSource, type InformationAge } from './information-age.js';
+import type { LeaseKeeper } from './lease-keeper.js';
+import { RefusalBackoff } from './refusal-backoff.js';
+
+/** Options of {@link FleetController}. */
+export interface FleetControllerOptions {
+  readonly serviceId: string;
+  readonly region: string;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly cloud: CloudApi;
+  readonly leases: LeaseKeeper;
+  readonly intents: CreateIntents;
+  readonly leaving: LeavingMerge;
+  readonly age: InformationAge;
+  /** Newest list of VMs; undefined before the first. */
+  readonly list: () => CloudVmList | undefined;
+  readonly settings: () => ServiceSettings | undefined;
+  /** VMs needed for the load of this service in this region. */
+  readonly targetVms: () => number;
+  readonly weightLoadMs: () => number;
+  readonly events?: EventLog;
+  /** Called after the lease was taken, with its fence. */
+  readonly onLease?: (fence: Fence) => void;
+}
+
+const maxCreatesPerTick = 16;
+/** Load falls and rises again within minutes; a VM costs a weight load to bring back. */
+const deleteAfterSurplusMs = 600_000;
+const deleteGapMs = 60_000;
+/** A VM is told to all daemons as leaving this long before it is deleted. */
+const drainMs = 120_000;
+/** Replacements while information is stale. */
+const staleGapMs = 60_000;
+const offersMaxAgeMs = 60_000;
+/** A created VM that a list of this much later does not show is gone. */
+const listPatienceMs = 120_000;
+const reclaimWindowMs = 6 * 3_600_000;
+
+/**
+ * Keeps the VMs of one service in one region at their plan while it holds the lease.
+ *
+ * Creates are recorded before they are sent and repeated with the same token until answered, also
+ * by the next holder, so that a lost answer never buys a second VM.
+ *
+ * @example
+ * ```ts
+ * const controller = new FleetController(options);
+ * clock.every(1_000, () => void controller.tick());
+ * ```
+ */
+export class FleetController {
+  readonly leaseName: string;
+  readonly #options: FleetControllerOptions;
+  readonly #events: EventLog;
+  readonly #planner = new CapacityPlanner();
+  readonly #backoff: RefusalBackoff;
+  /** VMs known to live; those that vanish from it are the ones that this controller saw lost. */
+  #known = new Map<string, PlannedVm>();
+  readonly #reclaims: { readonly failureDomain: string; readonly atMs: number }[] = [];
+  #lostUnreplaced = 0;
+  #offers: readonly VmOffer[] = [];
+  #offersAtMs = -Infinity;
+  #surplusSinceMs: number | undefined;
+  #nextDeleteAtMs = 0;
+  #nextStaleCreateAtMs = 0;
+  #lastSlot = 0;
+  /** Deleted in this term; the list shows them for a while. */
+  readonly #deleted = new LRUCache<string, true>({ max: 1_000 });
+  #isTicking = false;
+  #fence: Fence | undefined;
+  #isStaleReported = false;
+
+  constructor(options: FleetControllerOptions) {
+    this.#options = options;
+    this.#events = options.events ?? new NullEventLog();
+    this.#backoff = new RefusalBackoff(options.clock, options.random);
+    this.leaseName = `control/${options.serviceId}/${options.region}`;
+  }
+
+  /** One round; at most one runs at a time. */
+  async tick(): Promise<void> {
+    if (this.#isTicking) return;
+    this.#isTicking = true;
+    try {
+      const fence = await this.#hold();
+      if (fence !== undefined) await this.#control(fence);
+    } catch (error) {
+      // The lease or the log is unavailable; the next round starts from what is recorded.
+      this.#events.warn(EventId.ControlRoundFailed, 'a round of the controller failed', {
+        lease: this.leaseName,
+        reason: error instanceof Error ? error.message : String(error),
+      });
+    } finally {
+      this.#isTicking = false;
+    }
+  }
+
+  async #hold(): Promise<Fence | undefined> {
+    const { leases, age } = this.#options;
+    if (leases.isHeld(this.leaseName)) {
+      if (await leases.renew(this.leaseName)) age.seen(InformationSource.Log);
+    } else if ((await leases.acquire(this.leaseName)) !== undefined) {
+      age.seen(InformationSource.Log);
+    }
+    const fence = leases.isHeld(this.leaseName) ? leases.fence(this.leaseName) : undefined;
+    if (fence !== this.#fence) this.#onFence(fence);
+    return fence;
+  }
+
+  #onFence(fence: Fence | undefined): void {
+    this.#fence = fence;
+    // What an earlier term saw may have been replaced by the holder in between.
+    this.#known = new Map();
+    this.#lostUnreplaced = 0;
+    this.#surplusSinceMs = undefined;
+    if (fence === undefined) {
+      this.#events.info(EventId.ControlLeaseLost, 'lease is no longer held', {
+        lease: this.leaseName,
+      });
+      return;
+    }
+    this.#events.info(EventId.ControlLeaseTaken, 'lease is held', {
+      lease: this.leaseName,
+      fence,
+    });
+    this.#options.onLease?.(fence);
+  }
+
+  async #control(fence: Fence): Promise<void> {
+    const settings = this.#options.settings();
+    if (!settings) return;
+    await this.#repeatOpen(fence);
+    await this.#refreshOffers();
+    const vms = await this.#observe(fence);
+    // Before the first list every VM would seem missing.
+    if (!vms) return;
+    const { creates, deletes } = this.#planner.plan({
+      targetVms: this.#options.targetVms(),
+      settings,
+      vms,
+      offers: this.#offers.filter((offer) => !this.#backoff.isBlocked(offer)),
+      reclaimsPerHour: (failureDomain) => this.#reclaimsPerHour(failureDomain, vms),
+      weightLoadMs: this.#options.weightLoadMs(),
+    });
+    const allowed = this.#allowed(creates);
+    await this.#create(allowed, fence);
+    if (this.#options.age.isFresh()) {
+      this.#drainSurplus(deletes);
+      await this.#deleteDrained();
+    }
+  }
+
+  /** Limits creates while any source is stale to single replacements of VMs seen lost here. */
+  #allowed(creates: readonly VmOffer[]): readonly VmOffer[] {
+    const { age, clock } = this.#options;
+    if (age.isFresh()) {
+      this.#lostUnreplaced = 0;
+      this.#isStaleReported = false;
+      return creates.slice(0, maxCreatesPerTick);
+    }
+    if (!this.#isStaleReported) {
+      this.#isStaleReported = true;
+      this.#events.warn(EventId.ControlStale, 'information is stale; no large move is made', {
+        lease: this.leaseName,
+        sources: age.stale().join(','),
+      });
+    }
+    const nowMs = clock.nowMs();
+    if (this.#lostUnreplaced === 0 || nowMs < this.#nextStaleCreateAtMs) return [];
+    const allowed = creates.slice(0, 1);
+    if (allowed.length > 0) {
+      this.#lostUnreplaced -= 1;
+      this.#nextStaleCreateAtMs = nowMs + staleGapMs;
+    }
+    return allowed;
+  }
+
+  /** VMs that live or are being created; undefined before the first list. */
+  async #observe(fence: Fence): Promise<PlannedVm[] | undefined> {
+    const { list: newest, intents, leaving, serviceId, region, clock } = this.#options;
+    const list = newest();
+    if (!list) return undefined;
+    const vms = new Map<string, PlannedVm>();
+    const listedTokens = new Set<string>();
+    for (const vm of list.vms) {
+      if (vm.serviceId !== serviceId || vm.region !== region) continue;
+      listedTokens.add(vm.token);
+      if (!leaving.covering(vm.vmId, vm.startedAtMs)) vms.set(vm.vmId, plannedOf(vm.vmId, vm));
+    }
+    for (const intent of intents.of(this.leaseName)) {
+      const { request, state, vmId, recordedAtMs } = intent;
+      if (state === IntentState.Refused || listedTokens.has(request.token)) continue;
+      const isGone =
+        vmId !== undefined &&
+        (leaving.covering(vmId, recordedAtMs) !== undefined ||
+          list.asOfMs > recordedAtMs + listPatienceMs);
+      if (isGone) await intents.forget(this.leaseName, request.token, fence);
+      else vms.set(vmId ?? request.token, plannedOf(vmId ?? request.token, request));
+    }
+    this.#noteLosses(vms, clock.nowMs());
+    return [...vms.values()];
+  }
+
+  #noteLosses(vms: ReadonlyMap<string, PlannedVm>, nowMs: number): void {
+    for (const [vmId, { failureDomain }] of this.#known) {
+      if (vms.has(vmId) || !this.#options.leaving.covering(vmId, 0)) continue;
+      this.#reclaims.push({ failureDomain, atMs: nowMs });
+      this.#lostUnreplaced += 1;
+    }
+    this.#known = new Map(vms);
+    while ((this.#reclaims[0]?.atMs ?? nowMs) < nowMs - reclaimWindowMs) this.#reclaims.shift();
+  }
+
+  #reclaimsPerHour(failureDomain: string, vms: readonly PlannedVm[]): number {
+    const lost = this.#reclaims.filter((reclaim) => reclaim.failureDomain === failureDomain).length;
+    const count = vms.filter((vm) => vm.failureDomain === failureDomain).length;
+    return lost / (Math.max(1, count) * (reclaimWindowMs / 3_600_000));
+  }
+
+  async #refreshOffers(): Promise<void> {
+    const { cloud, region, clock, age } = this.#options;
+    if (clock.nowMs() - this.#offersAtMs < offersMaxAgeMs) return;
+    try {
+      this.#offers = await cloud.offers(region);
+      this.#offersAtMs = clock.nowMs();
+      age.seen(InformationSource.Cloud);
+    } catch {
+      // Old prices are better than none; the age of the cloud's answers limits what is done.
+    }
+  }
+
+  async #create(offers: readonly VmOffer[], fence: Fence): Promise<void> {
+    const { intents, serviceId, region, clock } = this.#options;
+    // Slots are never reused within a fence: the token of a VM that is gone would return it.
+    const slots = intents.of(this.leaseName).map(({ slot }) => slot);
+    let slot = Math.max(this.#lastSlot, ...slots);
+    const recorded: CreateIntent[] = [];
+    for (const offer of offers) {
+      slot += 1;
+      this.#lastSlot = slot;
+      const intent: CreateIntent = {
+        request: {
+          token: `${serviceId}/${region}/${fence}/${slot}`,
+          serviceId,
+          region,
+          failureDomain: offer.failureDomain,
+          vmClass: offer.vmClass,
+          reclaimable: offer.reclaimable,
+        },
+        slot,
+        recordedAtMs: clock.nowMs(),
+        state: IntentState.Open,
+        vmId: undefined,
+      };
+      await intents.record(this.leaseName, intent, fence);
+      recorded.push(intent);
+    }
+    await Promise.all(recorded.map((intent) => this.#send(intent, fence)));
+  }
+
+  /** Sends creates again whose answer is missing, whoever recorded them. */
+  async #repeatOpen(fence: Fence): Promise<void> {
+    const open = this.#options.intents
+      .of(this.leaseName)
+      .filter(({ state }) => state === IntentState.Open);
+    await Promise.all(open.map((intent) => this.#send(intent, fence)));
+  }
+
+  async #send(intent: CreateIntent, fence: Fence): Promise<void> {
+    const { cloud, leases, intents, age } = this.#options;
+    const { request } = intent;
+    // Checked in the turn in which the request is written: a holder that was paused stops here.
+    if (!leases.isHeld(this.leaseName) || leases.fence(this.leaseName) !== fence) return;
+    try {
+      const vmId = await cloud.createVm(request);
+      age.seen(InformationSource.Cloud);
+      this.#backoff.accepted(request);
+      this.#events.info(EventId.VmCreated, 'VM is created', fieldsOf(request, vmId));
+      await intents.record(this.leaseName, { ...intent, state: IntentState.Created, vmId }, fence);
+    } catch (error) {
+      if (!(error instanceof StartRefusedError)) {
+        this.#events.warn(EventId.CreateUnanswered, 'a create is unanswered and is repeated', {
+          token: request.token,
+        });
+        return;
+      }
+      age.seen(InformationSource.Cloud);
+      this.#backoff.refused(request);
+      this.#events.warn(EventId.StartRefused, 'the cloud refused to start a VM', fieldsOf(request));
+      await intents.forget(this.leaseName, request.token, fence);
+    }
+  }
+
+  #drainSurplus(deletes: readonly PlannedVm[]): void {
+    const { clock, leaving } = this.#options;
+    const nowMs = clock.nowMs();
+    const [vm] = deletes;
+    if (!vm) {
+      this.#surplusSinceMs = undefined;
+      return;
+    }
+    this.#surplusSinceMs ??= nowMs;
+    if (nowMs - this.#surplusSinceMs < deleteAfterSurplusMs || nowMs < this.#nextDeleteAtMs) return;
+    this.#nextDeleteAtMs = nowMs + deleteGapMs;
+    // A planned end is announced as a reclaim is, so that jobs and streams are moved in time. It is
+    // no loss to replace.
+    this.#known.delete(vm.vmId);
+    leaving.signal([vmLeavingEntry(vm.vmId, nowMs + drainMs, LeavingSource.Notice, nowMs)]);
+  }
+
+  /** Deletes VMs past their leaving deadline that the list still shows, whoever announced it. */
+  async #deleteDrained(): Promise<void> {
+    const { cloud, clock, leases, leaving, list, serviceId, region } = this.#options;
+    for (const vm of list()?.vms ?? []) {
+      if (vm.serviceId !== serviceId || vm.region !== region) continue;
+      const entry = leaving.covering(vm.vmId, vm.startedAtMs);
+      if (!entry || entry.leavingAtMs > clock.nowMs() || this.#deleted.has(vm.vmId)) continue;
+      if (!leases.isHeld(this.leaseName)) return;
+      await cloud.deleteVm(vm.vmId);
+      this.#deleted.set(vm.vmId, true);
+      this.#events.info(EventId.VmDeleted, 'VM past its leaving deadline is deleted', {
+        vmId: vm.vmId,
+      });
+    }
+  }
+}
+
+function plannedOf(vmId: string, request: VmRequest): PlannedVm {
+  const { failureDomain, vmClass, reclaimable } = request;
+  return { vmId, failureDomain, vmClass, reclaimable };
+}
+
+function fieldsOf(request: VmRequest, vmId?: string): Record<string, string> {
+  const { serviceId, failureDomain, token } = request;
+  return { service: serviceId, failureDomain, token, ...(vmId === undefined ? {} : { vmId }) };
+}
--- /dev/null
+++ b/src/capacity/lease-keeper.ts
@@ -0,0 +1,23 @@
+import type { Fence } from '../state/index.js';
+
+/**
+ * Leases recorded in the log, one per name.
+ *
+ * @example
+ * ```ts
+ * const fence = await leases.acquire('control/chat/seoul');
+ * ```
+ */
+export abstract class LeaseKeeper {
+  /** Tries to take a lease that is free or expired. @returns its fence; undefined when not taken. */
+  abstract acquire(name: string): Promise<Fence | undefined>;
+
+  /** Extends a held lease. @returns false when it is held no more. */
+  abstract renew(name: string): Promise<boolean>;
+
+  /** Fence of the lease held here; undefined when it is not held. */
+  abstract fence(name: string): Fence | undefined;
+
+  /** Whether the lease is held here by the local clock; false from its local deadline on. */
+  abstract isHeld(name: string): boolean;
+}
--- /dev/null
+++ b/src/capacity/weight-load-scheduler.ts
@@ -0,0 +1,151 @@
+import Denque from 'denque';
+import type { Clock } from '../core/index.js';
+import { EventId, NullEventLog, type EventLog } from '../telemetry/index.js';
+import { WeightStoreBusyError, type WeightLoadRequest, type WeightStore } from './weight-store.js';
+
+/** Options of {@link WeightLoadScheduler}. */
+export interface WeightLoadSchedulerOptions {
+  readonly clock: Clock;
+  readonly store: WeightStore;
+  /** Rate limit of the store that this daemon may use at most, in bytes per second. */
+  readonly rateBytesPerS: number;
+  readonly events?: EventLog;
+}
+
+interface WaitingLoad {
+  readonly request: WeightLoadRequest;
+  readonly bytes: number;
+  readonly settle: () => void;
+}
+
+interface DomainQueue {
+  readonly loads: Denque<WaitingLoad>;
+  /** Bytes granted so far, advanced to the others' level when the queue fills again. */
+  grantedBytes: number;
+}
+
+/** The assumed rate halves at a refusal and grows back by this share of the limit per second. */
+const recoveryPerS = 0.05;
+const minRateShare = 0.05;
+const retryUnansweredMs = 2_000;
+
+/**
+ * Starts weight loads one after the other at the store's rate, fairly by failure domain: the domain
+ * that was granted the fewest bytes is next, so that two domains that return at once become useful
+ * at the same pace.
+ *
+ * Loads run in sequence because the store's rate is the bottleneck: in parallel each would finish
+ * as late as the last.
+ *
+ * @example
+ * ```ts
+ * await scheduler.load({ token, endpointId, failureDomain, model, version });
+ * ```
+ */
+export class WeightLoadScheduler {
+  readonly #clock: Clock;
+  readonly #store: WeightStore;
+  readonly #events: EventLog;
+  readonly #limitBytesPerS: number;
+  readonly #queues = new Map<string, DomainQueue>();
+  #rateBytesPerS: number;
+  #rateAtMs: number;
+  #nextStartAtMs = 0;
+  #isRunning = false;
+
+  constructor(options: WeightLoadSchedulerOptions) {
+    this.#clock = options.clock;
+    this.#store = options.store;
+    this.#events = options.events ?? new NullEventLog();
+    this.#limitBytesPerS = options.rateBytesPerS;
+    this.#rateBytesPerS = options.rateBytesPerS;
+    this.#rateAtMs = options.clock.nowMs();
+  }
+
+  /** Loads that wait for their start. */
+  get waiting(): number {
+    let count = 0;
+    for (const { loads } of this.#queues.values()) count += loads.length;
+    return count;
+  }
+
+  /**
+   * Resolves when the store has started the load.
+   *
+   * @throws OrioleError when the size of the model cannot be learned.
+   */
+  async load(request: WeightLoadRequest): Promise<void> {
+    const bytes = await this.#store.bytesOf(request.model, request.version);
+    await new Promise<void>((resolve) => {
+      this.#queueOf(request.failureDomain).loads.push({ request, bytes, settle: resolve });
+      void this.#run();
+    });
+  }
+
+  #queueOf(failureDomain: string): DomainQueue {
+    let queue = this.#queues.get(failureDomain);
+    if (!queue) {
+      queue = { loads: new Denque(), grantedBytes: 0 };
+      this.#queues.set(failureDomain, queue);
+    }
+    if (queue.loads.length === 0) {
+      // Without this a domain that was idle for long would be served alone until it caught up.
+      const busy = [...this.#queues.values()].filter(({ loads }) => loads.length > 0);
+      const level = Math.min(...busy.map(({ grantedBytes }) => grantedBytes));
+      if (busy.length > 0) queue.grantedBytes = Math.max(queue.grantedBytes, level);
+    }
+    return queue;
+  }
+
+  async #run(): Promise<void> {
+    if (this.#isRunning) return;
+    this.#isRunning = true;
+    for (let queue = this.#nextQueue(); queue; queue = this.#nextQueue()) {
+      await this.#clock.sleepUntil(this.#nextStartAtMs);
+      // The order is chosen again after the wait, as another domain may have come back meanwhile.
+      const chosen = this.#nextQueue();
+      const load = chosen?.loads.peekFront();
+      if (chosen && load && (await this.#start(load))) {
+        chosen.loads.shift();
+        chosen.grantedBytes += load.bytes;
+        load.settle();
+      }
+    }
+    this.#isRunning = false;
+  }
+
+  #nextQueue(): DomainQueue | undefined {
+    let next: DomainQueue | undefined;
+    for (const queue of this.#queues.values()) {
+      if (queue.loads.length === 0) continue;
+      if (!next || queue.grantedBytes < next.grantedBytes) next = queue;
+    }
+    return next;
+  }
+
+  async #start({ request, bytes }: WaitingLoad): Promise<boolean> {
+    const nowMs = this.#clock.nowMs();
+    const recovered = (this.#limitBytesPerS * recoveryPerS * (nowMs - this.#rateAtMs)) / 1_000;
+    this.#rateBytesPerS = Math.min(this.#limitBytesPerS, this.#rateBytesPerS + recovered);
+    this.#rateAtMs = nowMs;
+    try {
+      await this.#store.begin(request);
+      this.#nextStartAtMs = nowMs + (bytes / this.#rateBytesPerS) * 1_000;
+      return true;
+    } catch (error) {
+      if (!(error instanceof WeightStoreBusyError)) {
+        // The token makes the repeat harmless if the load did start.
+        this.#nextStartAtMs = this.#clock.nowMs() + retryUnansweredMs;
+        return false;
+      }
+      // Other controllers share the store; halving leaves them room.
+      this.#rateBytesPerS = Math.max(this.#limitBytesPerS * minRateShare, this.#rateBytesPerS / 2);
+      this.#nextStartAtMs = Math.max(error.retryAtMs, this.#clock.nowMs() + 100);
+      this.#events.warn(EventId.WeightStoreBusy, 'the weight store is at its rate limit', {
+        failureDomain: request.failureDomain,
+        retryAtMs: error.retryAtMs,
+      });
+      return false;
+    }
+  }
+}
--- a/src/standins/index.ts
+++ b/src/standins/index.ts
@@ -1,3 +1,5 @@
 export * from './memory-log-service.js';
 export * from './memory-peer-network.js';
 export * from './memory-fleet.js';
+export * from './memory-cloud.js';
+export * from './memory-leases.js';
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -28,6 +28,20 @@
   // 5xx routing and admission
 
   // 6xx capacity
+  ControlLeaseTaken = 601,
+  ControlLeaseLost = 602,
+  VmCreated = 603,
+  StartRefused = 604,
+  CreateUnanswered = 605,
+  ControlStale = 606,
+  VmDeleted = 607,
+  ControlRoundFailed = 608,
+  CloudUnanswered = 609,
+  RolloutStarted = 610,
+  RolloutFinished = 611,
+  RolledBack = 612,
+  WeightStoreBusy = 613,
+  OrderFailed = 614,
 
   // 7xx claims and jobs
 
