--- a/src/capacity/index.ts
+++ b/src/capacity/index.ts
@@ -13,3 +13,4 @@
 export * from './rollout-planner.js';
 export * from './weight-load-scheduler.js';
 export * from './weight-store.js';
+export * from './version-rollout.js';
--- a/src/capacity/rollout-planner.ts
+++ b/src/capacity/rollout-planner.ts
@@ -54,8 +54,15 @@
  * ```
  */
 export class RolloutPlanner {
-  /** State before the first round. */
-  initial(version: string): RolloutState {
+  /**
+   * State of a controller that knows no earlier one. The version that most endpoints run is taken
+   * as the one that works, so that a take-over in the middle of a roll-out can still go back.
+   */
+  initial(desired: string, views: readonly EndpointView[]): RolloutState {
+    const counts = new Map<string, number>();
+    for (const { version } of views) counts.set(version, (counts.get(version) ?? 0) + 1);
+    const others = [...counts].filter(([version]) => version !== desired && version !== '');
+    const version = others.sort((a, b) => b[1] - a[1])[0]?.[0] ?? desired;
     return {
       phase: RolloutPhase.Steady,
       version,
--- /dev/null
+++ b/src/capacity/version-rollout.ts
@@ -0,0 +1,168 @@
+import type { Clock } from '../core/index.js';
+import { EndpointState, type EndpointRegistry, type EndpointView } from '../fleet/index.js';
+import type { Fence } from '../state/index.js';
+import { EventId, NullEventLog, type EventLog } from '../telemetry/index.js';
+import {
+  OrderError,
+  OrderKind,
+  type EndpointOrder,
+  type EndpointOrders,
+} from './endpoint-orders.js';
+import type { LeaseKeeper } from './lease-keeper.js';
+import { RolloutPhase, RolloutPlanner, type RolloutState } from './rollout-planner.js';
+
+/** Options of {@link VersionRollout}. */
+export interface VersionRolloutOptions {
+  readonly serviceId: string;
+  readonly region: string;
+  readonly leaseName: string;
+  readonly clock: Clock;
+  readonly leases: LeaseKeeper;
+  readonly orders: EndpointOrders;
+  readonly registry: EndpointRegistry;
+  /** `version` of the service's settings. */
+  readonly desiredVersion: () => string | undefined;
+  /** Waits for a turn at the weight store before an endpoint loads a version. */
+  readonly beforeLoad?: (view: EndpointView, version: string) => Promise<void>;
+  readonly events?: EventLog;
+  /** Called with each new state, to be kept for the next holder. */
+  readonly onState?: (state: RolloutState) => void;
+}
+
+/**
+ * Wait after a lease was taken before endpoints that ignore fences get orders: an order that the
+ * last holder sent in its last moment takes at most its time-out to arrive.
+ */
+const unfencedGraceMs = 15_000;
+
+/**
+ * Sends the orders of a roll-out while the lease is held.
+ *
+ * @example
+ * ```ts
+ * clock.every(1_000, () => void rollout.tick());
+ * ```
+ */
+export class VersionRollout {
+  readonly #options: VersionRolloutOptions;
+  readonly #events: EventLog;
+  readonly #planner = new RolloutPlanner();
+  /** Orders on their way or accepted whose effect is not seen yet, by endpoint. */
+  readonly #sent = new Map<string, string>();
+  readonly #failed = new Set<string>();
+  #state: RolloutState | undefined;
+  #fence: Fence | undefined;
+  #fenceAtMs = 0;
+
+  constructor(options: VersionRolloutOptions) {
+    this.#options = options;
+    this.#events = options.events ?? new NullEventLog();
+  }
+
+  get state(): RolloutState | undefined {
+    return this.#state;
+  }
+
+  /** Takes the state that an earlier holder kept. */
+  restore(state: RolloutState): void {
+    this.#state = state;
+  }
+
+  /** One round. */
+  async tick(): Promise<void> {
+    const fence = this.#heldFence();
+    const desired = this.#options.desiredVersion();
+    if (fence === undefined || desired === undefined) return;
+    const views = this.#options.registry
+      .views(this.#options.serviceId)
+      .filter(({ region }) => region === this.#options.region);
+    for (const { id, version } of views) {
+      if (this.#sent.get(id) === version) this.#sent.delete(id);
+    }
+    const current = this.#state ?? this.#planner.initial(desired, views);
+    const nowMs = this.#options.clock.nowMs();
+    const { state, changes } = this.#planner.next(current, desired, views, this.#failed, nowMs);
+    this.#enter(state, current);
+    const byId = new Map(views.map((view) => [view.id, view]));
+    await Promise.all(
+      changes.map(async ({ endpointId, version }) => {
+        const view = byId.get(endpointId);
+        if (view && this.#mayOrder(view)) await this.#order(view, version, fence);
+      }),
+    );
+  }
+
+  /** Sends one order outside a roll-out, such as a role or an adapter. @throws OrderError */
+  async order(view: EndpointView, order: EndpointOrder): Promise<void> {
+    const fence = this.#heldFence();
+    if (fence === undefined || !this.#mayOrder(view)) {
+      throw new OrderError('the lease is not held long enough; repeat later', view.baseUrl, false);
+    }
+    await this.#options.orders.send(view.baseUrl, order, fence);
+  }
+
+  #heldFence(): Fence | undefined {
+    const { leases, leaseName, clock } = this.#options;
+    const fence = leases.isHeld(leaseName) ? leases.fence(leaseName) : undefined;
+    if (fence !== this.#fence) {
+      this.#fence = fence;
+      this.#fenceAtMs = clock.nowMs();
+      this.#sent.clear();
+      this.#failed.clear();
+    }
+    return fence;
+  }
+
+  #mayOrder(view: EndpointView): boolean {
+    if (view.state === EndpointState.Leaving) return false;
+    return view.checksFence || this.#options.clock.nowMs() >= this.#fenceAtMs + unfencedGraceMs;
+  }
+
+  #enter(state: RolloutState, previous: RolloutState): void {
+    this.#state = state;
+    if (state === previous) return;
+    this.#options.onState?.(state);
+    if (state.version !== previous.version) {
+      this.#sent.clear();
+      this.#failed.clear();
+    }
+    if (state.phase === previous.phase && state.version === previous.version) return;
+    const fields = { service: this.#options.serviceId, version: state.version };
+    switch (state.phase) {
+      case RolloutPhase.Canary:
+        this.#events.info(EventId.RolloutStarted, 'roll-out has begun with one endpoint', fields);
+        break;
+      case RolloutPhase.RollingBack:
+        this.#events.error(EventId.RolledBack, 'the new version failed and is rolled back', {
+          ...fields,
+          reason: state.reason,
+        });
+        break;
+      case RolloutPhase.Steady:
+        this.#events.info(EventId.RolloutFinished, 'all endpoints run the version', fields);
+        break;
+      case RolloutPhase.Rolling:
+        break;
+    }
+  }
+
+  async #order(view: EndpointView, version: string, fence: Fence): Promise<void> {
+    if (this.#sent.get(view.id) === version) return;
+    this.#sent.set(view.id, version);
+    try {
+      await this.#options.beforeLoad?.(view, version);
+      // The wait for the weight store may have outlasted the lease.
+      if (this.#heldFence() !== fence) return;
+      const order: EndpointOrder = { kind: OrderKind.SetVersion, version };
+      await this.#options.orders.send(view.baseUrl, order, fence);
+    } catch (error) {
+      this.#sent.delete(view.id);
+      if (!(error instanceof OrderError) || !error.isFenceOld) this.#failed.add(view.id);
+      this.#events.warn(EventId.OrderFailed, 'an endpoint did not carry out an order', {
+        endpoint: view.id,
+        kind: OrderKind.SetVersion,
+        reason: error instanceof Error ? error.message : String(error),
+      });
+    }
+  }
+}
