--- a/bench/main.ts
+++ b/bench/main.ts
@@ -20,7 +20,7 @@
 function formatRows(rows: readonly BenchRow[]): string {
   const table = new Table({
     head: ['measure', 'value', 'unit', 'target', 'met'],
-    style: { head: [] },
+    style: { head: [], border: [] },
   });
   for (const { name, value, unit, target } of rows) {
     const limit = target ? `${target.isUpperBound ? '<=' : '>='} ${target.limit}` : '';
--- a/src/calls/index.ts
+++ b/src/calls/index.ts
@@ -3,3 +3,4 @@
 export * from './claim-executor.js';
 export * from './key-time.js';
 export * from './outcome-recorder.js';
+export * from './http-back-end-caller.js';
--- /dev/null
+++ b/src/daemon/accounts.ts
@@ -0,0 +1,104 @@
+import type { LengthPredictor } from '../admission/index.js';
+import type { HedgePolicy, RetryBudget } from '../admission/index.js';
+import { Outcome, type RequestError } from '../core/index.js';
+import {
+  CallerServerObserver,
+  ChatAccounts,
+  lengthKeyOf,
+  type CallerRequest,
+  type ChatContext,
+  type GenerationResult,
+} from '../pipeline/index.js';
+import type { BurnRecorder } from '../report/index.js';
+import { EventId, type EventLog, type Metrics } from '../telemetry/index.js';
+
+/** Options of {@link RequestAccounts}. */
+export interface RequestAccountsOptions {
+  readonly lengths: LengthPredictor;
+  readonly burn: BurnRecorder;
+  readonly retryBudget: RetryBudget;
+  readonly hedges: HedgePolicy;
+  readonly events: EventLog;
+  readonly metrics: Metrics;
+}
+
+/** Counts, logs and learns from completed chat requests. */
+export class RequestAccounts extends ChatAccounts {
+  readonly #options: RequestAccountsOptions;
+
+  constructor(options: RequestAccountsOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override started(context: ChatContext): void {
+    const { retryBudget, hedges } = this.#options;
+    const workspace = context.caller.workspace.id;
+    const routing = context.deployment.routing(context.call.service.id);
+    retryBudget.noteRequest(workspace, routing.retry_ratio);
+    hedges.noteRequest(workspace, routing.hedge_ratio);
+  }
+
+  override completed(context: ChatContext, result: GenerationResult, endedAtMs: number): void {
+    const { lengths, burn, hedges, events, metrics } = this.#options;
+    const workspace = context.caller.workspace.id;
+    const service = context.call.service.id;
+    const firstTokenMs = (result.firstTokenAtMs ?? endedAtMs) - context.receivedAtMs;
+    const totalMs = endedAtMs - context.receivedAtMs;
+    lengths.observe(lengthKeyOf(context), result.tokens);
+    hedges.observeFirstToken(service, context.prediction.workClass, firstTokenMs);
+    const series = burn.series(workspace, service);
+    series.firstToken(firstTokenMs);
+    if (result.tokens > 1) series.betweenTokens(result.meanGapMs);
+    series.completed(totalMs);
+    metrics.count('requests_served', 1, { workspace });
+    metrics.count('tokens_relayed', result.tokens, { workspace });
+    metrics.count('attempts', result.attempts, { workspace });
+    metrics.timing('first_token_ms', firstTokenMs, { workspace });
+    events.info(EventId.RequestServed, 'request served', {
+      requestId: context.requestId,
+      workspace,
+      endpoint: result.endpointName,
+      tokens: result.tokens,
+      attempts: result.attempts,
+      firstTokenMs: Math.round(firstTokenMs),
+      totalMs: Math.round(totalMs),
+      maxGapMs: Math.round(result.maxGapMs),
+    });
+  }
+
+  override refused(context: ChatContext, error: RequestError): void {
+    if (error.outcome !== Outcome.NotRun || error.status < 429) return;
+    this.#options.burn.series(context.caller.workspace.id, context.call.service.id).refused();
+  }
+}
+
+/** Counts and logs requests that ended with an error. */
+export class FailureAccounts extends CallerServerObserver {
+  readonly #events: EventLog;
+  readonly #metrics: Metrics;
+
+  constructor(events: EventLog, metrics: Metrics) {
+    super();
+    this.#events = events;
+    this.#metrics = metrics;
+  }
+
+  override failed(request: CallerRequest, error: RequestError): void {
+    const { requestId } = request;
+    const { code, status, step, peer, message } = error;
+    this.#metrics.count('requests_failed', 1, { code });
+    if (error.outcome === Outcome.NotRun) {
+      this.#events.info(EventId.RequestRefused, message, { requestId, code, status, step, peer });
+      return;
+    }
+    this.#events.warn(EventId.RequestBroken, message, {
+      requestId,
+      code,
+      status,
+      step,
+      peer,
+      cause: error.cause instanceof Error ? error.cause.message : '',
+    });
+  }
+}
--- /dev/null
+++ b/src/daemon/calls-service.ts
@@ -0,0 +1,248 @@
+import { z } from 'zod';
+import {
+  ClaimCoordinator,
+  ClaimExecutor,
+  OutcomeRecorder,
+  type BackEndCaller,
+  type CallAnswer,
+} from '../calls/index.js';
+import {
+  Outcome,
+  RequestError,
+  Step,
+  type Clock,
+  type IdSource,
+  type Random,
+} from '../core/index.js';
+import type { Membership } from '../membership/index.js';
+import type { PeerCaller, PeerMethods } from '../rpc/index.js';
+import {
+  ClaimFold,
+  claimSchema,
+  EntryKind,
+  EntryPriority,
+  resolutionEntrySchema,
+  type Claim,
+  type ResolutionEntry,
+} from '../state/index.js';
+import type { EventLog } from '../telemetry/index.js';
+import type { LogAccess, OpenStream } from './log-access.js';
+import { decodeResult, encodeResult, resultOrErrorSchema } from './request-error-codec.js';
+import { ShardHost, shardOfId, ShardPart } from './shard-host.js';
+
+const callSchema = z.object({
+  workspace: z.string(),
+  service: z.string(),
+  idempotencyKey: z.string(),
+  method: z.string(),
+  path: z.string(),
+  headers: z.record(z.string(), z.string()),
+  bodyBase64: z.base64(),
+  deadlineAtMs: z.number(),
+  rememberMs: z.number(),
+  fingerprintMs: z.number(),
+});
+
+/** A non-repeatable call on its way to the home of its shard. */
+export type RoutedCall = z.output<typeof callSchema>;
+
+const answerSchema = z.object({
+  status: z.number().int(),
+  headers: z.record(z.string(), z.string()),
+  bodyBase64: z.base64(),
+  isReplayed: z.boolean(),
+  isRecorded: z.boolean(),
+});
+
+const answerOrErrorSchema = resultOrErrorSchema(answerSchema);
+const executeMethod = 'calls.execute';
+const resolveMethod = 'calls.resolve';
+const resolveTimeoutMs = 10_000;
+
+/** Options of {@link CallsService}. */
+export interface CallsServiceOptions {
+  readonly daemon: string;
+  readonly shards: number;
+  readonly log: LogAccess;
+  readonly membership: Membership;
+  readonly peers: PeerCaller;
+  readonly methods: PeerMethods;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly newId: IdSource;
+  readonly events: EventLog;
+  /** Chooses the endpoint of a call and returns the way to call it. */
+  readonly backEndFor: (call: RoutedCall) => BackEndCaller;
+}
+
+/**
+ * Non-repeatable calls of all shards. A call runs on the home of its shard, where claims share
+ * appends; when the home cannot be reached, it runs here, which the log's order makes safe.
+ *
+ * @example
+ * ```ts
+ * const answer = await calls.execute(call);
+ * ```
+ */
+export class CallsService {
+  readonly #options: CallsServiceOptions;
+  readonly #shards: ShardHost<ClaimShard>;
+
+  constructor(options: CallsServiceOptions) {
+    this.#options = options;
+    this.#shards = new ShardHost<ClaimShard>({
+      name: 'claims',
+      shards: options.shards,
+      membership: options.membership,
+      clock: options.clock,
+      create: (shard) => new ClaimShard(shard, options),
+    });
+    options.methods.register(executeMethod, (params) => {
+      const call = callSchema.parse(params);
+      return encodeResult(() => this.#executeHere(call));
+    });
+    options.methods.register(resolveMethod, async (params) => {
+      const resolution = resolutionEntrySchema.omit({ kind: true }).parse(params);
+      return (await this.resolve(resolution)) ?? null;
+    });
+  }
+
+  /** Starts the shards that are at home here. */
+  start(): void {
+    this.#shards.start();
+  }
+
+  /** Runs a call at most once. @throws RequestError whose outcome says whether it may have run. */
+  async execute(call: RoutedCall): Promise<z.output<typeof answerSchema>> {
+    const home = this.#shards.remoteHome(this.#shardOf(call));
+    if (!home) return this.#executeHere(call);
+    let answer: unknown;
+    try {
+      answer = await this.#options.peers.call(home.rpcUrl, executeMethod, call, {
+        deadlineAtMs: call.deadlineAtMs,
+      });
+    } catch {
+      // Whatever the home did is in the log: here the call becomes a repeat of the same key.
+      return this.#executeHere(call);
+    }
+    return decodeResult(answerOrErrorSchema.parse(answer));
+  }
+
+  /** Claims known here, for operators. */
+  claims(): readonly Claim[] {
+    return this.#shards.hosted().flatMap((shard) => shard.claims());
+  }
+
+  /** Records an operator's finding about an unknown outcome; undefined when the claim is unknown. */
+  async resolve(resolution: Omit<ResolutionEntry, 'kind'>): Promise<Claim | undefined> {
+    const shardNumber = shardOfId(resolution.claimId) % this.#options.shards;
+    const home = this.#shards.remoteHome(shardNumber);
+    const deadlineAtMs = this.#options.clock.nowMs() + resolveTimeoutMs;
+    if (home) {
+      const { peers } = this.#options;
+      const answer = await peers.call(home.rpcUrl, resolveMethod, resolution, { deadlineAtMs });
+      return claimSchema.nullable().parse(answer) ?? undefined;
+    }
+    const shard = this.#shards.part(shardNumber);
+    await readyBy(shard, deadlineAtMs, this.#options.clock);
+    return shard.resolve(resolution);
+  }
+
+  async stop(deadlineAtMs: number): Promise<void> {
+    await this.#shards.stop(deadlineAtMs);
+  }
+
+  #shardOf({ workspace, service, idempotencyKey }: RoutedCall): number {
+    return this.#shards.shardOf(JSON.stringify([workspace, service, idempotencyKey]));
+  }
+
+  async #executeHere(call: RoutedCall): Promise<z.output<typeof answerSchema>> {
+    const { clock, backEndFor } = this.#options;
+    const shard = this.#shards.part(this.#shardOf(call));
+    await readyBy(shard, call.deadlineAtMs, clock);
+    const { idempotencyKey, method, path, headers, bodyBase64, ...rest } = call;
+    const answer: CallAnswer = await shard.coordinator.handle({
+      ...rest,
+      idempotencyKey,
+      request: { method, path, headers, body: Buffer.from(bodyBase64, 'base64') },
+      caller: backEndFor(call),
+    });
+    return {
+      status: answer.status,
+      headers: { ...answer.headers },
+      bodyBase64: Buffer.from(answer.body).toString('base64'),
+      isReplayed: answer.isReplayed,
+      isRecorded: answer.isRecorded,
+    };
+  }
+}
+
+/** Claims of one shard. @internal */
+class ClaimShard extends ShardPart {
+  readonly coordinator: ClaimCoordinator;
+  readonly #stream: OpenStream<ClaimFold>;
+  readonly #recorder: OutcomeRecorder;
+  readonly #clock: Clock;
+
+  constructor(shard: number, options: CallsServiceOptions) {
+    super();
+    const { clock, random, events, daemon, newId } = options;
+    this.#clock = clock;
+    this.#stream = options.log.open(`claims.${shard}`, new ClaimFold());
+    const { fold, writer } = this.#stream;
+    this.#recorder = new OutcomeRecorder({ clock, random: random.fork(), writer, log: events });
+    const recorder = this.#recorder;
+    const executor = new ClaimExecutor({ clock, fold, recorder, log: events });
+    this.coordinator = new ClaimCoordinator({
+      clock,
+      fold,
+      writer,
+      executor,
+      recorder,
+      daemon,
+      newId: () => `${shard}-${newId()}`,
+    });
+  }
+
+  override get ready(): Promise<void> {
+    return this.#stream.replica.ready;
+  }
+
+  claims(): readonly Claim[] {
+    return this.#stream.fold.claims();
+  }
+
+  async resolve(resolution: Omit<ResolutionEntry, 'kind'>): Promise<Claim | undefined> {
+    if (!this.#stream.fold.claim(resolution.claimId)) return undefined;
+    await this.#stream.writer.append(
+      { kind: EntryKind.Resolution, ...resolution },
+      { deadlineAtMs: this.#clock.nowMs() + 10_000, priority: EntryPriority.High },
+    );
+    return this.#stream.fold.claim(resolution.claimId);
+  }
+
+  override async stop(deadlineAtMs: number): Promise<void> {
+    await this.#recorder.drain(deadlineAtMs);
+    await this.#stream.close();
+  }
+}
+
+/** Waits until a shard is caught up. @throws RequestError (`not_run`) when that takes too long. */
+export async function readyBy(shard: ShardPart, deadlineAtMs: number, clock: Clock): Promise<void> {
+  const enough = new AbortController();
+  const isReady = await Promise.race([
+    shard.ready.then(() => true),
+    clock.sleepUntil(deadlineAtMs, enough.signal).then(() => false),
+  ]);
+  enough.abort();
+  if (isReady) return;
+  throw new RequestError('the log could not be read in time', {
+    step: Step.Log,
+    peer: 'log',
+    status: 503,
+    code: 'log_unavailable',
+    next: 'Send the request again with the same key.',
+    outcome: Outcome.NotRun,
+    retryAtMs: clock.nowMs() + 5_000,
+  });
+}
--- /dev/null
+++ b/src/daemon/daemon-parts.ts
@@ -0,0 +1,332 @@
+import { AdminServer, registerAdminQueries } from '../admin/index.js';
+import {
+  AdmissionController,
+  BackOff,
+  HedgePolicy,
+  LengthPredictor,
+  RetryBudget,
+  RetryPolicy,
+} from '../admission/index.js';
+import type { Clock, IdSource, Random } from '../core/index.js';
+import { CacheView } from '../fleet/cache-view.js';
+import {
+  EndpointRegistry,
+  EndpointState,
+  HttpEndpointProbe,
+  LeavingGossip,
+  LeavingMerge,
+  SilenceDetector,
+} from '../fleet/index.js';
+import { SpeedEstimator } from '../fleet/speed-estimator.js';
+import { RpcPeerTransport, SwimProtocol } from '../membership/index.js';
+import { BurnRecorder, objectivesOf } from '../report/index.js';
+import { ExplainStore, Router } from '../routing/index.js';
+import type { RpcClient, RpcServer } from '../rpc/index.js';
+import { KeyStore, type TlsContext } from '../security/index.js';
+import type { Deployment } from '../settings/index.js';
+import { ConfigFold } from '../state/index.js';
+import type { EventLog, Metrics } from '../telemetry/index.js';
+import { CallsService } from './calls-service.js';
+import { DaemonAdminBackend } from './daemon-admin-backend.js';
+import type { DaemonSettings } from './daemon-settings.js';
+import { DemandSharing } from './demand-sharing.js';
+import { EndpointWatch } from './endpoint-watch.js';
+import { EnginePool } from './engine-pool.js';
+import { EstimatedSpeeds } from './estimated-speeds.js';
+import { HttpKvMover, RoutedChooser } from './job-desk.js';
+import { JobsService } from './jobs-service.js';
+import { LogAccess, type OpenStream } from './log-access.js';
+import { PolicyRetries } from './policy-retries.js';
+import { RoutedSelector } from './routed-selector.js';
+import { DaemonServiceDesk } from './service-desk.js';
+
+/** Options of {@link DaemonParts}. */
+export interface DaemonPartsOptions {
+  readonly settings: DaemonSettings;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly newId: IdSource;
+  readonly events: EventLog;
+  readonly metrics: Metrics;
+  readonly tls: TlsContext | undefined;
+  readonly rpcClient: RpcClient;
+  readonly rpcServer: RpcServer;
+  readonly rpcUrl: string;
+  readonly adminUrl: string;
+  readonly state: () => { readonly isReady: boolean; readonly isStopping: boolean };
+  readonly inFlight: () => number;
+}
+
+/**
+ * All parts of a daemon, composed and not yet started. Each part can be used alone; only this class
+ * knows which of them work together.
+ *
+ * @internal
+ */
+export class DaemonParts {
+  readonly startedAtMs: number;
+  readonly log: LogAccess;
+  readonly config: OpenStream<ConfigFold>;
+  readonly keys: KeyStore;
+  readonly leaving = new LeavingMerge();
+  readonly speeds = new SpeedEstimator();
+  readonly caches = new CacheView();
+  readonly explanations = new ExplainStore();
+  readonly lengths = new LengthPredictor();
+  readonly hedges = new HedgePolicy();
+  readonly retryBudget = new RetryBudget();
+  readonly registry: EndpointRegistry;
+  readonly engines: EnginePool;
+  readonly admission: AdmissionController;
+  readonly retries: PolicyRetries;
+  readonly selector: RoutedSelector;
+  readonly burn: BurnRecorder;
+  readonly membership: SwimProtocol;
+  readonly gossip: LeavingGossip;
+  readonly watch: EndpointWatch;
+  readonly sharing: DemandSharing;
+  readonly services: DaemonServiceDesk;
+  readonly calls: CallsService;
+  readonly jobs: JobsService;
+  readonly admin: AdminServer;
+  readonly #options: DaemonPartsOptions;
+
+  constructor(options: DaemonPartsOptions) {
+    this.#options = options;
+    const { settings, clock, random, newId, events } = options;
+    const deployment = (): Deployment => this.deployment;
+    this.startedAtMs = clock.nowMs();
+    this.log = new LogAccess({ settings, clock, random: random.fork(), newId, events });
+    this.config = this.log.open(
+      'config',
+      new ConfigFold({
+        deployment: settings.daemon.deployment,
+        rootPublicKey: settings.trust.root_public_key,
+      }),
+    );
+    this.keys = new KeyStore({ deployment });
+    this.registry = new EndpointRegistry({
+      clock,
+      leaving: this.leaving,
+      speeds: new EstimatedSpeeds(this.speeds),
+      events,
+    });
+    this.engines = new EnginePool({
+      clock,
+      silenceMs: (serviceId) => this.deployment.routing(serviceId).silence_ms,
+    });
+    this.admission = new AdmissionController({ clock, random: random.fork(), log: events });
+    this.retries = new PolicyRetries({
+      policy: new RetryPolicy(this.retryBudget, new BackOff({ random: random.fork() })),
+      deployment,
+      clock,
+    });
+    this.selector = this.#createSelector();
+    this.burn = new BurnRecorder({
+      clock,
+      objectives: (serviceId) => objectivesOf(this.deployment, serviceId),
+    });
+    this.membership = this.#createMembership();
+    this.gossip = new LeavingGossip({
+      leaving: this.leaving,
+      membership: this.membership,
+      caller: options.rpcClient,
+      methods: options.rpcServer,
+      clock,
+      random: random.fork(),
+      events,
+    });
+    this.watch = new EndpointWatch({
+      daemon: settings.daemon.name,
+      registry: this.registry,
+      caches: this.caches,
+      admission: this.admission,
+      engines: this.engines,
+      deployment,
+      clock,
+      random: random.fork(),
+    });
+    this.sharing = new DemandSharing({
+      admission: this.admission,
+      membership: this.membership,
+      budget: this.log.budget,
+      clock,
+    });
+    this.services = new DaemonServiceDesk({
+      selector: this.selector,
+      retries: this.retries,
+      clock,
+      calls: () => this.calls,
+    });
+    this.calls = this.#createCalls();
+    this.jobs = this.#createJobs();
+    this.admin = this.#createAdmin();
+    this.#connect();
+  }
+
+  /** Settings in force on this daemon. */
+  get deployment(): Deployment {
+    return this.config.fold.deployment;
+  }
+
+  /** Takes the settings in force into the parts that keep state of their own. */
+  applyDeployment(): void {
+    this.registry.applyDeployment(this.deployment);
+    for (const view of this.registry.all()) this.speeds.add(view.id, view.serviceId);
+  }
+
+  /** Releases sockets and timers of the parts that are still running. */
+  async close(): Promise<void> {
+    this.sharing.stop();
+    this.watch.stop();
+    this.selector.stop();
+    this.membership.stop();
+    await Promise.all([this.engines.close(), this.services.close(), this.admin.close()]);
+    await this.config.close();
+    await this.log.close();
+  }
+
+  /** Subscriptions between parts. */
+  #connect(): void {
+    const { clock } = this.#options;
+    const apply = (): void => {
+      this.applyDeployment();
+    };
+    this.config.replica.onApplied(apply);
+    this.config.replica.onRestored(apply);
+    this.registry.onRetire((id) => {
+      this.speeds.remove(id);
+      this.caches.forget(id);
+      this.engines.forget(id);
+    });
+    // Probes suspect endpoints on a new connection, which tells slow from silent.
+    new SilenceDetector({ clock, registry: this.registry, probe: new HttpEndpointProbe(clock) });
+    this.leaving.onNews(() => {
+      for (const view of this.registry.all()) {
+        if (view.state !== EndpointState.Leaving) continue;
+        this.jobs.reclaim({
+          endpointIds: [view.id],
+          deadlineAtMs: view.leavingAtMs ?? clock.nowMs(),
+        });
+      }
+    });
+  }
+
+  #createSelector(): RoutedSelector {
+    const { settings, clock, random } = this.#options;
+    const router = new Router({
+      daemonId: settings.daemon.name,
+      region: settings.daemon.region,
+      random: random.fork(),
+      caches: this.caches,
+      speeds: this.speeds,
+      explanations: this.explanations,
+    });
+    return new RoutedSelector({
+      router,
+      registry: this.registry,
+      leaving: this.leaving,
+      caches: this.caches,
+      speeds: this.speeds,
+      engines: this.engines,
+      deployment: () => this.deployment,
+      clock,
+    });
+  }
+
+  #createMembership(): SwimProtocol {
+    const { settings, clock, random, events, rpcClient, rpcServer, rpcUrl, adminUrl } =
+      this.#options;
+    const { name, region, failure_domain, seeds } = settings.daemon;
+    const scheme = this.#options.tls ? 'https' : 'http';
+    const seedUrls = seeds.map((seed) => `${scheme}://${seed}`);
+    return new SwimProtocol({
+      self: { id: name, rpcUrl, adminUrl, region, failureDomain: failure_domain },
+      transport: new RpcPeerTransport(rpcClient, rpcServer),
+      clock,
+      random: random.fork(),
+      seeds: () => seedUrls,
+      events,
+    });
+  }
+
+  #createCalls(): CallsService {
+    const { settings, clock, random, newId, events, rpcClient, rpcServer } = this.#options;
+    return new CallsService({
+      daemon: settings.daemon.name,
+      shards: settings.log.claim_shards,
+      log: this.log,
+      membership: this.membership,
+      peers: rpcClient,
+      methods: rpcServer,
+      clock,
+      random: random.fork(),
+      newId,
+      events,
+      backEndFor: (call) => this.services.backEndFor(call),
+    });
+  }
+
+  #createJobs(): JobsService {
+    const { settings, clock, random, newId, events, rpcClient, rpcServer } = this.#options;
+    return new JobsService({
+      daemon: settings.daemon.name,
+      incarnation: Math.floor(this.startedAtMs),
+      shards: settings.log.job_shards,
+      log: this.log,
+      membership: this.membership,
+      peers: rpcClient,
+      methods: rpcServer,
+      clock,
+      random: random.fork(),
+      newId,
+      events,
+      chooser: new RoutedChooser(this.selector),
+      kvMover: new HttpKvMover(clock, (id) => this.registry.view(id)?.baseUrl),
+      policyFor: ({ service }) => {
+        const values = this.deployment.services.get(service)?.values;
+        return {
+          checkpointTokens: values?.checkpoint_tokens ?? 64,
+          checkpointMs: values?.checkpoint_ms ?? 2_000,
+        };
+      },
+    });
+  }
+
+  #createAdmin(): AdminServer {
+    const { settings, clock, events, metrics, tls, rpcClient, rpcServer, state, inFlight } =
+      this.#options;
+    const { name, deployment, region, failure_domain } = settings.daemon;
+    const backend = new DaemonAdminBackend({
+      daemon: name,
+      deployment,
+      region,
+      failureDomain: failure_domain,
+      startedAtMs: this.startedAtMs,
+      clock,
+      config: this.config.fold,
+      configReplica: this.config.replica,
+      log: this.log,
+      membership: this.membership,
+      registry: this.registry,
+      selector: this.selector,
+      admission: this.admission,
+      explanations: this.explanations,
+      burn: this.burn,
+      jobs: this.jobs,
+      calls: this.calls,
+      inFlight,
+      state,
+    });
+    registerAdminQueries(rpcServer, backend);
+    return new AdminServer({
+      backend,
+      keys: this.keys,
+      peers: rpcClient,
+      clock,
+      log: events,
+      metrics,
+      tls,
+    });
+  }
+}
--- a/src/daemon/daemon-settings.ts
+++ b/src/daemon/daemon-settings.ts
@@ -45,6 +45,8 @@
     root_public_key: text(200),
     /** Shared secret between daemons; unnecessary with mutual TLS. */
     rpc_secret: z.string().max(200).default(''),
+    /** Names in the certificates of the deployment's daemons; used with mutual TLS. */
+    peer_names: list().default([]),
   }),
   platform: z
     .strictObject({
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,31 +1,20 @@
-import type { Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
-import { randomIds, type Clock, type IdSource } from '../core/index.js';
-import { HttpLogService } from '../log/index.js';
+import { createServer as createHttpServer, type Server } from 'node:http';
+import { createServer as createHttpsServer } from 'node:https';
+import { Random, randomIds, type Clock, type IdSource } from '../core/index.js';
+import type { CallerServer } from '../pipeline/index.js';
 import {
-  AuthenticateStage,
-  CallerServer,
-  CallerServerObserver,
-  ChatAccounts,
-  ChatRoute,
-  ClassifyStage,
-  ClassPredictor,
-  GenerateStage,
-  GenerationRelay,
-  ModelsRoute,
-  ParseChatStage,
-  Pipeline,
-  RetryPermits,
-  type CallerRequest,
-  type ChatContext,
-  type GenerationResult,
-} from '../pipeline/index.js';
-import type { RequestError, WorkClass } from '../core/index.js';
-import { KeyStore } from '../security/index.js';
+  clientCertificateCheck,
+  RpcClient,
+  RpcServer,
+  sharedSecretCheck,
+  type PeerCheck,
+} from '../rpc/index.js';
+import { checkListenAddress, TlsContext } from '../security/index.js';
 import { EventId, type EventLog, type Metrics } from '../telemetry/index.js';
-import { ConfigSource } from './config-source.js';
+import { createCallerServer } from './caller-gateway.js';
+import { DaemonParts } from './daemon-parts.js';
 import type { DaemonSettings } from './daemon-settings.js';
-import { LeastInFlightSelector } from './least-in-flight-selector.js';
+import { closeServer, listen } from './listener.js';
 
 /** Options of {@link Daemon}. */
 export interface DaemonOptions {
@@ -33,11 +22,34 @@
   readonly clock: Clock;
   readonly events: EventLog;
   readonly metrics: Metrics;
+  /** Seed of all random choices; tests set it. */
+  readonly seed?: number;
   readonly newId?: IdSource;
 }
 
+/** Base URLs of a running daemon's listeners. */
+export interface DaemonUrls {
+  readonly caller: string;
+  readonly admin: string;
+  readonly rpc: string;
+}
+
+/** What a started daemon holds. @internal */
+interface Running {
+  readonly parts: DaemonParts;
+  readonly callers: CallerServer;
+  readonly servers: readonly Server[];
+  readonly rpcClient: RpcClient;
+  readonly tls: TlsContext | undefined;
+  readonly urls: DaemonUrls;
+}
+
+/** Bound on recording what the parts still hold once the last request has ended. */
+const partsStopMs = 15_000;
+
 /**
- * One daemon: reads the configuration from the log, listens for callers and relays their requests.
+ * One daemon: starts its parts in the order in which they need each other, and stops them so that no
+ * request is cut off.
  *
  * @example
  * ```ts
@@ -48,146 +60,192 @@
  */
 export class Daemon {
   readonly #options: DaemonOptions;
-  readonly #log: HttpLogService;
-  readonly #config: ConfigSource;
-  readonly #callers: CallerServer;
-  readonly #server: Server;
-  readonly #following = new AbortController();
+  #running: Running | undefined;
+  #isReady = false;
+  #isStopping = false;
+  #stopped: Promise<void> | undefined;
 
   constructor(options: DaemonOptions) {
     this.#options = options;
-    const { settings, clock } = options;
-    this.#log = new HttpLogService({ baseUrl: settings.log.base_url });
-    this.#config = new ConfigSource(this.#log, `${settings.daemon.deployment}.config`, clock);
-    this.#callers = this.#createCallerServer();
-    this.#server = this.#callers.createHttpServer();
   }
 
-  /** Base URL of the callers' listener. */
-  get callerUrl(): string {
-    const { address, port } = this.#server.address() as AddressInfo;
-    return `http://${address}:${port}`;
+  /** Addresses of the listeners. @throws Error before {@link start} has finished. */
+  get urls(): DaemonUrls {
+    return this.#started.urls;
   }
 
-  /** Catches up with the log and starts to listen. */
-  async start(): Promise<void> {
-    await this.#config.catchUp();
-    void this.#config.follow(this.#following.signal);
-    const { host, port } = this.#options.settings.daemon.caller_listen;
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(port, host, resolve);
-    });
-    this.#options.events.info(EventId.DaemonReady, 'daemon is ready', {
-      callerPort: (this.#server.address() as AddressInfo).port,
-    });
+  /** Ids of the callers' requests that have no whole answer yet. */
+  get inFlightIds(): readonly string[] {
+    return this.#running?.callers.inFlightIds ?? [];
   }
 
-  /** Finishes the requests in flight and stops. */
-  async stop(): Promise<void> {
-    this.#options.events.info(EventId.DaemonStopping, 'graceful stop begins', {
-      inFlight: this.#callers.inFlightIds.length,
-    });
-    await this.#callers.whenIdle();
-    this.#following.abort();
-    this.#server.close();
-    this.#server.closeAllConnections();
-    await this.#log.close();
-    this.#options.events.info(EventId.DaemonStopped, 'daemon has stopped');
+  /** Whether the platform's balancer should send new requests. */
+  get isReady(): boolean {
+    return this.#isReady && !this.#isStopping;
+  }
+
+  /** The daemon's parts, for tests of the whole daemon. @internal */
+  get parts(): DaemonParts {
+    return this.#started.parts;
   }
 
-  #createCallerServer(): CallerServer {
-    const { clock, events, metrics, newId } = this.#options;
-    const deployment = (): ConfigSource['deployment'] => this.#config.deployment;
-    const keys = new KeyStore({ deployment });
-    const authenticate = new AuthenticateStage(keys);
-    const relay = new GenerationRelay({
-      selector: new LeastInFlightSelector(deployment, clock),
-      retries: new FixedRetries(clock),
+  /**
+   * Catches up with log and peers, then opens for callers.
+   *
+   * @throws OrioleError when a listener would be open to others without authentication.
+   */
+  async start(): Promise<void> {
+    const { settings, clock, events, metrics } = this.#options;
+    const { daemon } = settings;
+    const tls = await this.#loadTls();
+    this.#checkListeners(tls);
+    const rpcServer = new RpcServer({ check: this.#peerCheck(tls) });
+    const rpcHttp = this.#createServer(tls, true);
+    rpcHttp.on('request', rpcServer.handle);
+    const scheme = tls ? 'https' : 'http';
+    const rpcPort = await listen(rpcHttp, daemon.rpc_listen.host, daemon.rpc_listen.port);
+    const rpcUrl = `${scheme}://${daemon.advertised_host}:${rpcPort}`;
+    const { rpc_secret } = settings.trust;
+    const rpcClient = new RpcClient({
       clock,
+      ...(rpc_secret === '' ? {} : { secret: rpc_secret }),
+      ...(tls ? { tls: tls.clientOptions() } : {}),
     });
-    return new CallerServer({
-      routes: [
-        new ChatRoute(
-          new Pipeline<ChatContext>([
-            authenticate,
-            new ParseChatStage(clock),
-            new ClassifyStage(new DefaultClassPredictor()),
-            new GenerateStage({ relay, clock, accounts: new LoggedAccounts(events, metrics) }),
-          ]),
-        ),
-        new ModelsRoute(authenticate),
-      ],
-      deployment,
-      observer: new LoggedFailures(events, metrics),
+    const newId = this.#options.newId ?? randomIds;
+    const parts = new DaemonParts({
+      settings,
       clock,
-      newId: newId ?? randomIds,
+      random: new Random(this.#options.seed ?? Date.now() ^ process.pid),
+      newId,
+      events,
+      metrics,
+      tls,
+      rpcClient,
+      rpcServer,
+      rpcUrl,
+      adminUrl: `${scheme}://${daemon.advertised_host}:${daemon.admin_listen.port}`,
+      state: () => ({ isReady: this.#isReady, isStopping: this.#isStopping }),
+      inFlight: () => this.inFlightIds.length,
     });
+    const isReady = (): boolean => this.isReady;
+    const callers = createCallerServer({ isReady, clock, newId, events, metrics }, parts);
+    const callerHttp = this.#createServer(tls, false);
+    callers.serve(callerHttp);
+    await this.#startParts(parts);
+    const adminListen = daemon.admin_listen;
+    const admin = await parts.admin.listen(adminListen.host, adminListen.port);
+    const callerPort = await listen(
+      callerHttp,
+      daemon.caller_listen.host,
+      daemon.caller_listen.port,
+    );
+    const urls: DaemonUrls = {
+      caller: `${scheme}://${daemon.advertised_host}:${callerPort}`,
+      admin: `${scheme}://${daemon.advertised_host}:${admin.port}`,
+      rpc: rpcUrl,
+    };
+    this.#running = { parts, callers, servers: [callerHttp, rpcHttp], rpcClient, tls, urls };
+    this.#isReady = true;
+    events.info(EventId.DaemonReady, 'daemon is ready', { ...urls });
   }
-}
 
-class DefaultClassPredictor extends ClassPredictor {
-  override predict(context: ChatContext): WorkClass {
-    return context.caller.workspace.values.default_class;
+  /**
+   * Stops gracefully: readiness off, no new work after a notice, open requests finished, jobs handed
+   * over, the leave announced. Later calls get the same promise.
+   */
+  stop(): Promise<void> {
+    this.#stopped ??= this.#stop();
+    return this.#stopped;
   }
-}
 
-class FixedRetries extends RetryPermits {
-  readonly #clock: Clock;
+  /** Destroys everything at once, as a kill would; for tests. @internal */
+  async kill(): Promise<void> {
+    const { parts, servers, rpcClient, tls } = this.#started;
+    await Promise.all(servers.map(closeServer));
+    await rpcClient.close();
+    await parts.close();
+    tls?.close();
+  }
 
-  constructor(clock: Clock) {
-    super();
-    this.#clock = clock;
+  async #startParts(parts: DaemonParts): Promise<void> {
+    await parts.config.replica.ready;
+    parts.applyDeployment();
+    await parts.membership.join();
+    parts.membership.start();
+    // Without seeds there is nobody to ask, and the set grows from the endpoints themselves.
+    if (this.#options.settings.daemon.seeds.length > 0) await parts.gossip.pullBeforeReady();
+    parts.calls.start();
+    parts.jobs.start();
+    parts.sharing.start();
+    await parts.watch.start();
   }
 
-  override nextAttemptAtMs(_request: unknown, attemptsMade: number): number | undefined {
-    return attemptsMade < 3 ? this.#clock.nowMs() : undefined;
+  async #stop(): Promise<void> {
+    const { settings, clock, events, metrics } = this.#options;
+    const { parts, callers, servers, rpcClient, tls } = this.#started;
+    const startedAtMs = clock.nowMs();
+    const deadlineAtMs = startedAtMs + settings.daemon.drain_timeout_ms;
+    this.#isStopping = true;
+    events.info(EventId.DaemonStopping, 'graceful stop begins', {
+      inFlight: this.inFlightIds.length,
+    });
+    // The listener stays open until the balancer has seen that readiness is off.
+    await clock.sleepUntil(startedAtMs + settings.daemon.drain_notice_ms);
+    await callers.drain(deadlineAtMs);
+    const partsDeadlineAtMs = Math.min(deadlineAtMs, clock.nowMs() + partsStopMs);
+    await Promise.all([parts.jobs.stop(partsDeadlineAtMs), parts.calls.stop(partsDeadlineAtMs)]);
+    await parts.membership.leave();
+    await Promise.all(servers.map(closeServer));
+    await rpcClient.close();
+    await parts.close();
+    await metrics.close();
+    tls?.close();
+    events.info(EventId.DaemonStopped, 'daemon has stopped', {
+      elapsedMs: Math.round(clock.nowMs() - startedAtMs),
+    });
   }
-}
 
-class LoggedAccounts extends ChatAccounts {
-  readonly #events: EventLog;
-  readonly #metrics: Metrics;
+  #loadTls(): Promise<TlsContext | undefined> {
+    const { settings, clock, events, metrics } = this.#options;
+    const { certificate_file, key_file, ca_file } = settings.tls;
+    if (certificate_file === '') return Promise.resolve(undefined);
+    return TlsContext.load({
+      files: { certFile: certificate_file, keyFile: key_file, caFile: ca_file },
+      clock,
+      log: events,
+      metrics,
+    });
+  }
 
-  constructor(events: EventLog, metrics: Metrics) {
-    super();
-    this.#events = events;
-    this.#metrics = metrics;
+  #createServer(tls: TlsContext | undefined, requireClient: boolean): Server {
+    if (!tls) return createHttpServer(httpOptions);
+    const server = createHttpsServer({ ...httpOptions, ...tls.serverOptions({ requireClient }) });
+    tls.attach(server);
+    return server;
   }
 
-  override completed(context: ChatContext, result: GenerationResult): void {
-    const workspace = context.caller.workspace.id;
-    this.#metrics.count('requests_served', 1, { workspace });
-    this.#metrics.count('tokens_relayed', result.tokens, { workspace });
-    this.#events.info(EventId.RequestServed, 'request served', {
-      requestId: context.requestId,
-      workspace,
-      endpoint: result.endpointName,
-      tokens: result.tokens,
-      attempts: result.attempts,
-      firstTokenMs: Math.round((result.firstTokenAtMs ?? 0) - context.receivedAtMs),
+  /** Callers and operators always show a key; peers show a certificate or the shared secret. */
+  #checkListeners(tls: TlsContext | undefined): void {
+    const { daemon, trust } = this.#options.settings;
+    checkListenAddress({
+      host: daemon.rpc_listen.host,
+      listener: 'rpc',
+      authenticated: tls !== undefined || trust.rpc_secret !== '',
+      allowUnauthenticated: daemon.allow_unauthenticated,
     });
   }
-}
 
-class LoggedFailures extends CallerServerObserver {
-  readonly #events: EventLog;
-  readonly #metrics: Metrics;
-
-  constructor(events: EventLog, metrics: Metrics) {
-    super();
-    this.#events = events;
-    this.#metrics = metrics;
+  #peerCheck(tls: TlsContext | undefined): PeerCheck {
+    const { rpc_secret, peer_names } = this.#options.settings.trust;
+    if (tls) return clientCertificateCheck(() => new Set(peer_names));
+    return rpc_secret === '' ? () => true : sharedSecretCheck(rpc_secret);
   }
 
-  override failed(request: CallerRequest, error: RequestError): void {
-    this.#metrics.count('requests_failed', 1, { code: error.code });
-    this.#events.warn(EventId.RequestRefused, error.message, {
-      requestId: request.requestId,
-      code: error.code,
-      status: error.status,
-      step: error.step,
-      peer: error.peer,
-    });
+  get #started(): Running {
+    if (!this.#running) throw new Error('the daemon has not started; call start() first');
+    return this.#running;
   }
 }
+
+/** A client must send its headers within 10 s; bodies have bounds of their own by route. */
+const httpOptions = { maxHeaderSize: 16_384, headersTimeout: 10_000, requestTimeout: 0 } as const;
--- /dev/null
+++ b/src/daemon/endpoint-watch.ts
@@ -0,0 +1,173 @@
+import { request } from 'undici';
+import { z } from 'zod';
+import { rendezvousOrder, type Clock, type Random } from '../core/index.js';
+import type { AdmissionController } from '../admission/index.js';
+import { EngineError, EngineFailure } from '../engine/index.js';
+import { CacheEventKind, type CacheView } from '../fleet/cache-view.js';
+import { EndpointState, type EndpointRegistry, type EndpointView } from '../fleet/index.js';
+import { ServiceKind, type Deployment } from '../settings/index.js';
+import type { EnginePool } from './engine-pool.js';
+
+const healthSchema = z.looseObject({
+  startedAtMs: z.number().optional(),
+  models: z.array(z.string()).optional(),
+  version: z.string().default(''),
+});
+
+const cacheEventsSchema = z.object({
+  next: z.number().int(),
+  events: z.array(
+    z.object({
+      sequence: z.number().int(),
+      kind: z.enum(CacheEventKind),
+      blocks: z.array(z.number().int()),
+      observed_at_ms: z.number(),
+    }),
+  ),
+});
+
+/** Options of {@link EndpointWatch}. */
+export interface EndpointWatchOptions {
+  readonly daemon: string;
+  readonly registry: EndpointRegistry;
+  readonly caches: CacheView;
+  readonly admission: AdmissionController;
+  readonly engines: EnginePool;
+  readonly deployment: () => Deployment;
+  readonly clock: Clock;
+  readonly random: Random;
+}
+
+/** Polls per second over all endpoints; a poll costs about 600 bytes of the control budget. */
+const maxPollsPerS = 10;
+const minPeriodMs = 500;
+const pollTimeoutMs = 2_000;
+
+/**
+ * Asks the endpoints of this daemon's subsets for health, load and cache events, each in turn, so
+ * that the cost does not grow with their number beyond a fixed rate of polls.
+ *
+ * @example
+ * ```ts
+ * const watch = new EndpointWatch(options);
+ * watch.start();
+ * ```
+ */
+export class EndpointWatch {
+  readonly #options: EndpointWatchOptions;
+  readonly #nextCacheSequence = new Map<string, number>();
+  readonly #polling = new Set<string>();
+  #queue: EndpointView[] = [];
+  #cancelNext: () => void = () => undefined;
+  #isRunning = false;
+
+  constructor(options: EndpointWatchOptions) {
+    this.#options = options;
+    options.registry.onRetire((id) => this.#nextCacheSequence.delete(id));
+  }
+
+  /** Polls every endpoint once and then goes on polling. */
+  async start(): Promise<void> {
+    this.#isRunning = true;
+    await Promise.all(this.#watched().map((view) => this.#poll(view)));
+    this.#shareCapacity();
+    this.#scheduleNext();
+  }
+
+  stop(): void {
+    this.#isRunning = false;
+    this.#cancelNext();
+  }
+
+  #scheduleNext(): void {
+    if (!this.#isRunning) return;
+    const { clock, random } = this.#options;
+    if (this.#queue.length === 0) {
+      this.#queue = this.#watched();
+      this.#shareCapacity();
+    }
+    const count = Math.max(1, this.#watched().length);
+    const gapMs = Math.max(minPeriodMs / count, 1_000 / maxPollsPerS) * (0.5 + random.float());
+    this.#cancelNext = clock.schedule(clock.nowMs() + gapMs, () => {
+      const view = this.#queue.pop();
+      if (view && !this.#polling.has(view.id)) void this.#poll(view);
+      this.#scheduleNext();
+    });
+  }
+
+  /** The endpoints that this daemon may route to; each service has a subset of its own. */
+  #watched(): EndpointView[] {
+    const { registry, deployment, daemon } = this.#options;
+    return [...deployment().services.values()].flatMap(({ id }) => {
+      const views = registry.views(id).filter(({ state }) => state !== EndpointState.Leaving);
+      const size = deployment().routing(id).subset_size;
+      if (views.length <= size) return views;
+      const byId = new Map(views.map((view) => [view.id, view]));
+      const order = rendezvousOrder(daemon, [...byId.keys()]).slice(0, size);
+      return order.flatMap((endpointId) => byId.get(endpointId) ?? []);
+    });
+  }
+
+  async #poll(view: EndpointView): Promise<void> {
+    const { registry, engines } = this.#options;
+    this.#polling.add(view.id);
+    const signal = AbortSignal.timeout(pollTimeoutMs);
+    try {
+      await this.#pollHealth(view, signal);
+      registry.recordLoad(view.id, await engines.client(view).load(signal));
+      if (this.#isEngine(view)) await this.#pollCacheEvents(view, signal);
+    } catch (error) {
+      // A late answer is no failure of the endpoint's work; only an unreachable one is suspect.
+      if (isRefused(error)) registry.recordFailure(view.id, EngineFailure.Refused);
+    } finally {
+      this.#polling.delete(view.id);
+    }
+  }
+
+  async #pollHealth(view: EndpointView, signal: AbortSignal): Promise<void> {
+    const { registry } = this.#options;
+    const response = await request(`${view.baseUrl}/health`, { signal });
+    const health = healthSchema.parse(await response.body.json());
+    if (health.startedAtMs !== undefined) {
+      registry.observeProcessStart(view.name, health.startedAtMs);
+    }
+    if (response.statusCode === 503) registry.recordDraining(view.id);
+    else registry.restore(view.id);
+    if (health.models) registry.recordLoaded(view.id, health.models, health.version);
+  }
+
+  async #pollCacheEvents(view: EndpointView, signal: AbortSignal): Promise<void> {
+    const from = this.#nextCacheSequence.get(view.id) ?? 0;
+    const response = await request(`${view.baseUrl}/cache/events?from=${from}`, { signal });
+    const answer = cacheEventsSchema.safeParse(await response.body.json());
+    if (!answer.success) return;
+    for (const event of answer.data.events) {
+      const { sequence, kind, blocks, observed_at_ms } = event;
+      this.#options.caches.apply(view.id, { sequence, kind, blocks, observedAtMs: observed_at_ms });
+      this.#nextCacheSequence.set(view.id, sequence + 1);
+    }
+  }
+
+  #isEngine(view: EndpointView): boolean {
+    return (
+      this.#options.deployment().services.get(view.serviceId)?.values.kind === ServiceKind.Engine
+    );
+  }
+
+  /** Tells admission how much the endpoints of each service can take. */
+  #shareCapacity(): void {
+    const { registry, deployment, admission } = this.#options;
+    for (const { id } of deployment().services.values()) {
+      const usable = registry.views(id).filter(({ state }) => state === EndpointState.Live);
+      const slots = usable.reduce((sum, view) => sum + view.batchSlots, 0);
+      const queued = usable.reduce((sum, view) => sum + (view.report?.queuedRequests ?? 0), 0);
+      if (slots > 0) admission.updateCapacity(id, slots, queued);
+    }
+  }
+}
+
+function isRefused(error: unknown): boolean {
+  const cause = error instanceof EngineError ? error.cause : error;
+  const code = (cause as { code?: unknown } | null)?.code;
+  return code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT';
+}
--- /dev/null
+++ b/src/daemon/engine-pool.ts
@@ -0,0 +1,46 @@
+import type { Clock } from '../core/index.js';
+import { HttpEngineClient } from '../engine/index.js';
+import type { EndpointView } from '../fleet/index.js';
+
+/** Options of {@link EnginePool}. */
+export interface EnginePoolOptions {
+  readonly clock: Clock;
+  /** Longest silence of a stream of the service, in milliseconds. */
+  readonly silenceMs: (serviceId: string) => number;
+}
+
+/** One engine client per endpoint identity, so that a returned address never reuses connections. */
+export class EnginePool {
+  readonly #options: EnginePoolOptions;
+  readonly #clients = new Map<string, HttpEngineClient>();
+
+  constructor(options: EnginePoolOptions) {
+    this.#options = options;
+  }
+
+  client(view: EndpointView): HttpEngineClient {
+    let client = this.#clients.get(view.id);
+    if (!client) {
+      client = new HttpEngineClient({
+        name: view.name,
+        baseUrl: view.baseUrl,
+        clock: this.#options.clock,
+        silenceMs: () => this.#options.silenceMs(view.serviceId),
+      });
+      this.#clients.set(view.id, client);
+    }
+    return client;
+  }
+
+  /** Drops the client of an identity that is gone. */
+  forget(endpointId: string): void {
+    const client = this.#clients.get(endpointId);
+    this.#clients.delete(endpointId);
+    void client?.close();
+  }
+
+  async close(): Promise<void> {
+    await Promise.all([...this.#clients.values()].map((client) => client.close()));
+    this.#clients.clear();
+  }
+}
--- /dev/null
+++ b/src/daemon/estimated-speeds.ts
@@ -0,0 +1,16 @@
+import { SpeedProvider, type ObservedSpeed } from '../fleet/index.js';
+import type { SpeedEstimator } from '../fleet/speed-estimator.js';
+
+/** Puts the observed speeds into the endpoint views. */
+export class EstimatedSpeeds extends SpeedProvider {
+  readonly #speeds: SpeedEstimator;
+
+  constructor(speeds: SpeedEstimator) {
+    super();
+    this.#speeds = speeds;
+  }
+
+  override speedOf(endpointId: string): ObservedSpeed {
+    return this.#speeds.speed(endpointId);
+  }
+}
--- /dev/null
+++ b/src/daemon/jobs-service.ts
@@ -0,0 +1,361 @@
+import { z } from 'zod';
+import { WorkClass, type Clock, type IdSource, type Random } from '../core/index.js';
+import {
+  HandoverPlanner,
+  JobFrameKind,
+  JobManager,
+  type EndpointChooser,
+  type JobFrame,
+  type JobPolicy,
+  type KvMover,
+  type ReclaimNotice,
+} from '../jobs/index.js';
+import type { Membership } from '../membership/index.js';
+import type { PeerCaller, PeerMethods } from '../rpc/index.js';
+import { JobFold, JobStatus, type Job } from '../state/index.js';
+import type { EventLog } from '../telemetry/index.js';
+import { readyBy } from './calls-service.js';
+import type { LogAccess, OpenStream } from './log-access.js';
+import { decodeResult, encodeResult, resultOrErrorSchema } from './request-error-codec.js';
+import { ShardHost, shardOfId, ShardPart } from './shard-host.js';
+
+const newJobSchema = z.object({
+  workspace: z.string(),
+  service: z.string(),
+  request: z.object({
+    model: z.string(),
+    messages: z.array(z.object({ role: z.string(), content: z.string() })),
+    maxTokens: z.int().positive(),
+    passThrough: z.record(z.string(), z.unknown()),
+  }),
+  workClass: z.enum(WorkClass),
+  deadlineAtMs: z.number(),
+  rememberMs: z.number(),
+});
+
+/** A job on its way to the home of its shard. */
+export type RoutedJob = z.output<typeof newJobSchema>;
+
+const jobInfoSchema = z.object({
+  jobId: z.string(),
+  workspace: z.string(),
+  service: z.string(),
+  status: z.enum(JobStatus),
+  fence: z.number(),
+  daemon: z.string(),
+  acceptedAtMs: z.number(),
+  deadlineAtMs: z.number(),
+  recordedTokens: z.number(),
+  lengthChars: z.number(),
+  finishReason: z.string().nullable(),
+});
+
+/** What callers see of a job, without its text. */
+export type JobInfo = z.output<typeof jobInfoSchema>;
+
+const frameSchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal(JobFrameKind.Text),
+    jobId: z.string(),
+    generation: z.number(),
+    offset: z.number(),
+    text: z.string(),
+  }),
+  z.object({
+    kind: z.literal(JobFrameKind.End),
+    jobId: z.string(),
+    generation: z.number(),
+    lengthChars: z.number(),
+    digest: z.string(),
+    finishReason: z.string(),
+  }),
+]);
+
+const acceptedSchema = resultOrErrorSchema(z.object({ jobId: z.string() }));
+const foundSchema = resultOrErrorSchema(jobInfoSchema.nullable());
+const framesSchema = z.object({ frames: z.array(frameSchema), isOver: z.boolean() });
+const framesParams = z.object({ jobId: z.string(), offset: z.number(), waitUntilMs: z.number() });
+const jobIdParams = z.object({ jobId: z.string() });
+
+/** One poll of a remote job's frames lasts at most this long. */
+const framesWaitMs = 5_000;
+const callTimeoutMs = 10_000;
+
+/** Options of {@link JobsService}. */
+export interface JobsServiceOptions {
+  readonly daemon: string;
+  /** Start time of the daemon, which tells its lives apart. */
+  readonly incarnation: number;
+  readonly shards: number;
+  readonly log: LogAccess;
+  readonly membership: Membership;
+  readonly peers: PeerCaller;
+  readonly methods: PeerMethods;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly newId: IdSource;
+  readonly events: EventLog;
+  readonly chooser: EndpointChooser;
+  readonly kvMover: KvMover;
+  readonly policyFor: (job: Job) => JobPolicy;
+}
+
+/**
+ * Accepted jobs of all shards. A job is recorded and run by the home of its shard; any daemon
+ * accepts one, shows its text and cancels it.
+ *
+ * @example
+ * ```ts
+ * const jobId = await jobs.accept(job);
+ * for await (const frame of jobs.read(jobId, 0, signal)) send(frame);
+ * ```
+ */
+export class JobsService {
+  readonly #options: JobsServiceOptions;
+  readonly #shards: ShardHost<JobShard>;
+
+  constructor(options: JobsServiceOptions) {
+    this.#options = options;
+    this.#shards = new ShardHost<JobShard>({
+      name: 'jobs',
+      shards: options.shards,
+      membership: options.membership,
+      clock: options.clock,
+      create: (shard) => new JobShard(shard, options, () => this.#shards.isHome(shard)),
+    });
+    this.#registerMethods(options.methods);
+  }
+
+  /** Starts the shards that are at home here. */
+  start(): void {
+    this.#shards.start();
+  }
+
+  /** Records a job and returns its id. @throws RequestError when it was not or may not be recorded. */
+  async accept(job: RoutedJob): Promise<string> {
+    const shard = this.#shards.shardOf(this.#options.newId());
+    const answer = await this.#atHome(shard, 'jobs.accept', { shard, job });
+    if (answer === undefined) return this.#acceptHere(shard, job);
+    return decodeResult(acceptedSchema.parse(answer)).jobId;
+  }
+
+  /** A job by id; undefined when it is unknown or forgotten. */
+  async get(jobId: string): Promise<JobInfo | undefined> {
+    return this.#find('jobs.get', jobId, (shard) => Promise.resolve(shard.manager.get(jobId)));
+  }
+
+  /** Cancels a job; one that has ended stays as it is. */
+  async cancel(jobId: string): Promise<JobInfo | undefined> {
+    return this.#find('jobs.cancel', jobId, (shard) => shard.manager.cancel(jobId));
+  }
+
+  /** Recorded text from `offset` on, ended by an end frame when the job is done. */
+  async *read(jobId: string, offset: number, signal: AbortSignal): AsyncGenerator<JobFrame, void> {
+    let nextOffset = offset;
+    while (!signal.aborted) {
+      const home = this.#shards.remoteHome(this.#shardOf(jobId));
+      const page = home
+        ? await this.#remoteFrames(home.rpcUrl, jobId, nextOffset)
+        : await this.#framesHere(jobId, nextOffset, signal);
+      for (const frame of page?.frames ?? []) {
+        if (frame.kind === JobFrameKind.Text) nextOffset = frame.offset + frame.text.length;
+        yield frame;
+      }
+      if (page?.isOver) return;
+      // The home may just have changed; the next round asks the new one.
+      if (!page) await this.#options.clock.sleepUntil(this.#options.clock.nowMs() + 250, signal);
+    }
+  }
+
+  /** Tells the runners that endpoints go away. */
+  reclaim(notice: ReclaimNotice): void {
+    for (const shard of this.#shards.hosted()) shard.manager.reclaim(notice);
+  }
+
+  /** Jobs known here, for operators. */
+  jobs(): readonly Job[] {
+    return this.#shards.hosted().flatMap((shard) => shard.jobs());
+  }
+
+  /** Records the text of the running jobs and gives up their leases. */
+  async stop(deadlineAtMs: number): Promise<void> {
+    await this.#shards.stop(deadlineAtMs);
+  }
+
+  #registerMethods(methods: PeerMethods): void {
+    methods.register('jobs.accept', (params) => {
+      const { shard, job } = z.object({ shard: z.int(), job: newJobSchema }).parse(params);
+      return encodeResult(async () => ({ jobId: await this.#acceptHere(shard, job) }));
+    });
+    methods.register('jobs.get', (params) => {
+      const { jobId } = jobIdParams.parse(params);
+      return encodeResult(async () => jobInfo((await this.#shardHere(jobId)).manager.get(jobId)));
+    });
+    methods.register('jobs.cancel', (params) => {
+      const { jobId } = jobIdParams.parse(params);
+      return encodeResult(async () =>
+        jobInfo(await (await this.#shardHere(jobId)).manager.cancel(jobId)),
+      );
+    });
+    methods.register('jobs.frames', (params) => {
+      const { jobId, offset, waitUntilMs } = framesParams.parse(params);
+      return this.#framesHere(jobId, offset, undefined, waitUntilMs);
+    });
+  }
+
+  async #find(
+    method: string,
+    jobId: string,
+    here: (shard: JobShard) => Promise<Job | undefined>,
+  ): Promise<JobInfo | undefined> {
+    const answer = await this.#atHome(this.#shardOf(jobId), method, { jobId });
+    if (answer !== undefined) return decodeResult(foundSchema.parse(answer)) ?? undefined;
+    return jobInfo(await here(await this.#shardHere(jobId))) ?? undefined;
+  }
+
+  /** Answer of the shard's home; undefined when that is this daemon or it cannot be reached. */
+  async #atHome(shard: number, method: string, params: unknown): Promise<unknown> {
+    const home = this.#shards.remoteHome(shard);
+    if (!home) return undefined;
+    const deadlineAtMs = this.#options.clock.nowMs() + callTimeoutMs;
+    try {
+      return await this.#options.peers.call(home.rpcUrl, method, params, { deadlineAtMs });
+    } catch {
+      return undefined;
+    }
+  }
+
+  #shardOf(jobId: string): number {
+    return shardOfId(jobId) % this.#options.shards;
+  }
+
+  async #shardHere(jobId: string): Promise<JobShard> {
+    const { clock } = this.#options;
+    const shard = this.#shards.part(this.#shardOf(jobId));
+    await readyBy(shard, clock.nowMs() + callTimeoutMs, clock);
+    return shard;
+  }
+
+  async #acceptHere(shard: number, job: RoutedJob): Promise<string> {
+    const { clock } = this.#options;
+    const part = this.#shards.part(shard);
+    await readyBy(part, clock.nowMs() + callTimeoutMs, clock);
+    return part.manager.accept(job);
+  }
+
+  async #remoteFrames(
+    rpcUrl: string,
+    jobId: string,
+    offset: number,
+  ): Promise<z.output<typeof framesSchema> | undefined> {
+    const nowMs = this.#options.clock.nowMs();
+    const params = { jobId, offset, waitUntilMs: nowMs + framesWaitMs };
+    try {
+      const answer = await this.#options.peers.call(rpcUrl, 'jobs.frames', params, {
+        deadlineAtMs: nowMs + framesWaitMs + 2_000,
+      });
+      return framesSchema.parse(answer);
+    } catch {
+      return undefined;
+    }
+  }
+
+  /** The first frames from `offset` on; waits for them until `waitUntilMs`. */
+  async #framesHere(
+    jobId: string,
+    offset: number,
+    signal?: AbortSignal,
+    waitUntilMs = this.#options.clock.nowMs() + framesWaitMs,
+  ): Promise<z.output<typeof framesSchema>> {
+    const shard = await this.#shardHere(jobId);
+    const enough = new AbortController();
+    const stop = (): void => {
+      enough.abort();
+    };
+    signal?.addEventListener('abort', stop, { once: true });
+    const cancelTimer = this.#options.clock.schedule(waitUntilMs, stop);
+    const frames: JobFrame[] = [];
+    let isOver = shard.manager.get(jobId) === undefined;
+    for await (const frame of shard.manager.read(jobId, offset, enough.signal)) {
+      frames.push(frame);
+      if (frame.kind === JobFrameKind.End) isOver = true;
+      if (frame.kind === JobFrameKind.Text && !hasEnded(shard.manager.get(jobId))) break;
+    }
+    if (shard.manager.get(jobId)?.status === JobStatus.Cancelled) isOver = true;
+    cancelTimer();
+    signal?.removeEventListener('abort', stop);
+    return { frames, isOver };
+  }
+}
+
+/** Jobs of one shard. @internal */
+class JobShard extends ShardPart {
+  readonly manager: JobManager;
+  readonly #stream: OpenStream<JobFold>;
+
+  constructor(shard: number, options: JobsServiceOptions, isHome: () => boolean) {
+    super();
+    const { clock, random, events, daemon, incarnation, newId, chooser, policyFor } = options;
+    this.#stream = options.log.open(`jobs.${shard}`, new JobFold());
+    const { fold, writer } = this.#stream;
+    this.manager = new JobManager({
+      clock,
+      random: random.fork(),
+      fold,
+      writer,
+      chooser,
+      kvMover: options.kvMover,
+      // Sizes of a mid-size model on a 10 Gbit/s network within a region.
+      planner: new HandoverPlanner({
+        kvBytesPerToken: 131_072,
+        kvBytesPerS: 1_250_000_000,
+        kvImportMs: 200,
+      }),
+      log: events,
+      daemon,
+      incarnation,
+      policyFor,
+      widening: () => (options.log.budget.isShort ? 4 : 1),
+      newId: () => `${shard}-${newId()}`,
+      isHome,
+    });
+    void this.ready.then(() => {
+      this.manager.start();
+    });
+  }
+
+  override get ready(): Promise<void> {
+    return this.#stream.replica.ready;
+  }
+
+  jobs(): readonly Job[] {
+    return this.#stream.fold.jobs();
+  }
+
+  override async stop(deadlineAtMs: number): Promise<void> {
+    await this.manager.stop(deadlineAtMs);
+    await this.#stream.close();
+  }
+}
+
+function hasEnded(job: Job | undefined): boolean {
+  return job?.status !== JobStatus.Active;
+}
+
+function jobInfo(job: Job | undefined): JobInfo | null {
+  if (!job) return null;
+  const { jobId, workspace, service, status, fence, daemon, acceptedAtMs, deadlineAtMs } = job;
+  return {
+    jobId,
+    workspace,
+    service,
+    status,
+    fence,
+    daemon,
+    acceptedAtMs,
+    deadlineAtMs,
+    recordedTokens: job.recordedTokens,
+    lengthChars: job.text.length,
+    finishReason: job.finishReason,
+  };
+}
--- /dev/null
+++ b/src/daemon/listener.ts
@@ -0,0 +1,23 @@
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+/** Starts to listen and resolves with the port. */
+export function listen(server: Server, host: string, port: number): Promise<number> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      server.off('error', reject);
+      resolve((server.address() as AddressInfo).port);
+    });
+  });
+}
+
+/** Stops to listen and destroys the connections that are left. */
+export function closeServer(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => {
+      resolve();
+    });
+    server.closeAllConnections();
+  });
+}
--- /dev/null
+++ b/src/daemon/log-access.ts
@@ -0,0 +1,105 @@
+import type { Clock, IdSource, Random } from '../core/index.js';
+import {
+  AppendBudget,
+  Appender,
+  CircuitBreaker,
+  CircuitState,
+  HttpLogService,
+} from '../log/index.js';
+import { StreamReplica, type Fold } from '../state/index.js';
+import { EventId, type EventLog } from '../telemetry/index.js';
+import type { DaemonSettings } from './daemon-settings.js';
+
+/** A stream that the daemon follows and writes to. */
+export interface OpenStream<F extends Fold> {
+  readonly fold: F;
+  readonly replica: StreamReplica;
+  readonly writer: Appender;
+  /** Stops following and writing. */
+  close(): Promise<void>;
+}
+
+/** Options of {@link LogAccess}. */
+export interface LogAccessOptions {
+  readonly settings: DaemonSettings;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly newId: IdSource;
+  readonly events: EventLog;
+}
+
+/**
+ * The daemon's way to the log service: one client, one circuit breaker and one share of the append
+ * budget for all streams.
+ *
+ * @example
+ * ```ts
+ * const stream = access.open('prod.jobs.0', new JobFold());
+ * await stream.replica.ready;
+ * ```
+ */
+export class LogAccess {
+  readonly budget: AppendBudget;
+  readonly #options: LogAccessOptions;
+  readonly #log: HttpLogService;
+  readonly #breaker: CircuitBreaker;
+
+  constructor(options: LogAccessOptions) {
+    this.#options = options;
+    const { settings, clock, random } = options;
+    this.#log = new HttpLogService({ baseUrl: settings.log.base_url });
+    this.budget = new AppendBudget({ clock, appendsPerS: settings.log.append_rate_per_s });
+    this.#breaker = new CircuitBreaker({
+      clock,
+      random,
+      onChange: (state) => {
+        options.events.warn(EventId.LogCircuitChanged, `circuit to the log is ${state}`, { state });
+      },
+    });
+  }
+
+  /** False while the circuit to the log service is open. */
+  get isReachable(): boolean {
+    return this.#breaker.state === CircuitState.Closed;
+  }
+
+  /** Opens a stream of the deployment and starts to follow it. */
+  open<F extends Fold>(name: string, fold: F): OpenStream<F> {
+    const { settings, clock, random, newId, events } = this.#options;
+    const stream = `${settings.daemon.deployment}.${name}`;
+    const replica = new StreamReplica({
+      log: this.#log,
+      stream,
+      fold,
+      clock,
+      random: random.fork(),
+      events,
+    });
+    const writer = new Appender({
+      log: this.#log,
+      stream,
+      writer: settings.daemon.name,
+      feed: replica,
+      clock,
+      random: random.fork(),
+      newId,
+      budget: this.budget,
+      breaker: this.#breaker,
+      events,
+    });
+    replica.start();
+    return {
+      fold,
+      replica,
+      writer,
+      close: async () => {
+        writer.stop();
+        await replica.stop();
+      },
+    };
+  }
+
+  async close(): Promise<void> {
+    await this.#log.close();
+  }
+}
--- /dev/null
+++ b/src/daemon/policy-retries.ts
@@ -0,0 +1,43 @@
+import type { RetryPolicy } from '../admission/index.js';
+import { Outcome, type Clock } from '../core/index.js';
+import { RetryPermits } from '../pipeline/index.js';
+import type { Deployment } from '../settings/index.js';
+
+/** Options of {@link PolicyRetries}. */
+export interface PolicyRetriesOptions {
+  readonly policy: RetryPolicy;
+  readonly deployment: () => Deployment;
+  readonly clock: Clock;
+}
+
+/** Retries of repeatable work under the workspace's budget and the service's routing settings. */
+export class PolicyRetries extends RetryPermits {
+  readonly #options: PolicyRetriesOptions;
+
+  constructor(options: PolicyRetriesOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override nextAttemptAtMs(
+    request: {
+      readonly workspaceId: string;
+      readonly serviceId: string;
+      readonly deadlineAtMs: number;
+    },
+    attemptsMade: number,
+  ): number | undefined {
+    const { policy, deployment, clock } = this.#options;
+    return policy.retryAtMs(
+      {
+        budgetKey: request.workspaceId,
+        attempts: attemptsMade,
+        outcome: Outcome.Unknown,
+        repeatable: true,
+        deadlineAtMs: request.deadlineAtMs,
+      },
+      deployment().routing(request.serviceId),
+      clock.nowMs(),
+    );
+  }
+}
--- /dev/null
+++ b/src/daemon/routed-selector.ts
@@ -0,0 +1,292 @@
+import { Outcome, RequestError, Step, WorkClass, type Clock } from '../core/index.js';
+import { EngineFailure, type EngineClient } from '../engine/index.js';
+import type { CacheView } from '../fleet/cache-view.js';
+import {
+  EndpointState,
+  type EndpointRegistry,
+  type EndpointView,
+  type LeavingMerge,
+  type OwnRequest,
+} from '../fleet/index.js';
+import { promptPrefix, type PromptPrefix } from '../fleet/prompt-prefix.js';
+import type { SpeedEstimator } from '../fleet/speed-estimator.js';
+import {
+  AttemptEnd,
+  EndpointLease,
+  EndpointSelector,
+  type SelectionRequest,
+} from '../pipeline/index.js';
+import { AttemptReports, type Decision, type RouteRequest, type Router } from '../routing/index.js';
+import { workspaceSchema, type Deployment } from '../settings/index.js';
+import type { EnginePool } from './engine-pool.js';
+
+/** Options of {@link RoutedSelector}. */
+export interface RoutedSelectorOptions {
+  readonly router: Router;
+  readonly registry: EndpointRegistry;
+  readonly leaving: LeavingMerge;
+  readonly caches: CacheView;
+  readonly speeds: SpeedEstimator;
+  readonly engines: EnginePool;
+  readonly deployment: () => Deployment;
+  readonly clock: Clock;
+}
+
+/** What a route depends on beyond the request itself. */
+export interface RouteQuery extends Omit<SelectionRequest, 'messages' | 'resumeText'> {
+  readonly prefix: PromptPrefix;
+  readonly promptTokens: number;
+  readonly expectedOutputTokens: number;
+  readonly isRepeatable: boolean;
+  /** When set, only endpoints of this region count. */
+  readonly region?: string;
+}
+
+/** Longest wait for an endpoint that can take a request, and the time between two looks. */
+const maxWaitMs = 5_000;
+const lookPeriodMs = 100;
+const stallCheckMs = 500;
+/** Share of a notice after which streams move, so that the rest suffices to start elsewhere. */
+const moveAfterShare = 0.3;
+
+/**
+ * Chooses endpoints with the router and reports back what becomes of each attempt: load, speed,
+ * prefix cache and circuit.
+ *
+ * @example
+ * ```ts
+ * const lease = await selector.select(request, signal);
+ * ```
+ */
+export class RoutedSelector extends EndpointSelector {
+  readonly #options: RoutedSelectorOptions;
+  readonly #leases = new Set<RoutedLease>();
+  readonly #stopChecking: () => void;
+
+  constructor(options: RoutedSelectorOptions) {
+    super();
+    this.#options = options;
+    options.leaving.onNews(() => {
+      this.#planMoves();
+    });
+    this.#stopChecking = options.clock.every(stallCheckMs, () => {
+      const nowMs = options.clock.nowMs();
+      for (const lease of this.#leases) lease.checkStall(nowMs);
+    });
+  }
+
+  override async select(request: SelectionRequest, signal: AbortSignal): Promise<EndpointLease> {
+    const { clock } = this.#options;
+    const messages =
+      request.resumeText === ''
+        ? request.messages
+        : [...request.messages, { role: 'assistant', content: request.resumeText }];
+    const query: RouteQuery = {
+      ...request,
+      prefix: promptPrefix(messages),
+      promptTokens: estimatedTokens(messages),
+      expectedOutputTokens: expectedTokens(request),
+      isRepeatable: true,
+    };
+    const giveUpAtMs = Math.min(request.deadlineAtMs, clock.nowMs() + maxWaitMs);
+    for (;;) {
+      const lease = this.tryLease(query);
+      if (lease) return lease;
+      if (signal.aborted || clock.nowMs() >= giveUpAtMs) throw this.#noEndpoint(request);
+      await clock.sleepUntil(clock.nowMs() + lookPeriodMs, signal);
+    }
+  }
+
+  /** Routes once; undefined when every endpoint is excluded. */
+  tryLease(query: RouteQuery): RoutedLease | undefined {
+    const { registry, clock, router } = this.#options;
+    const views = registry
+      .views(query.serviceId)
+      .filter(({ region }) => query.region === undefined || region === query.region);
+    const decision = router.choose(this.#routeRequest(query), views, clock.nowMs());
+    const view = decision.endpoint;
+    if (!view) return undefined;
+    const pendingTokens = query.promptTokens + query.expectedOutputTokens;
+    const lease = new RoutedLease({
+      ...this.#options,
+      view,
+      decision,
+      prefix: query.prefix,
+      own: registry.beginRequest(view.id, query.workClass, pendingTokens),
+      onEnd: () => this.#leases.delete(lease),
+    });
+    this.#leases.add(lease);
+    // The endpoint may have been announced to leave between its view and this line.
+    this.#planMove(lease);
+    return lease;
+  }
+
+  /** Requests at an endpoint now. */
+  inFlight(endpointId: string): number {
+    return [...this.#leases].filter((lease) => lease.endpointId === endpointId).length;
+  }
+
+  stop(): void {
+    this.#stopChecking();
+  }
+
+  #routeRequest(query: RouteQuery): RouteRequest {
+    const deployment = this.#options.deployment();
+    const routing = deployment.routing(query.serviceId);
+    const service = deployment.services.get(query.serviceId)?.values;
+    const weights =
+      deployment.workspaces.get(query.workspaceId)?.values ??
+      workspaceSchema.parse({ services: '' });
+    return {
+      requestId: query.requestId,
+      workspaceId: query.workspaceId,
+      serviceId: query.serviceId,
+      model: query.model,
+      workClass: query.workClass,
+      promptTokens: query.promptTokens,
+      expectedOutputTokens: query.expectedOutputTokens,
+      prefix: query.prefix,
+      deadlineAtMs: query.deadlineAtMs,
+      weights,
+      objectiveFirstTokenMs: service?.objective_first_token_ms ?? 1_900,
+      objectiveBetweenTokensMs: service?.objective_between_tokens_ms ?? 66,
+      spillOver: routing.spill_over,
+      shortReserveRatio: routing.short_reserve_ratio,
+      subsetSize: routing.subset_size,
+      repeatable: query.isRepeatable,
+      requiresFence: false,
+      excludedEndpoints: [...query.excludedIds],
+    };
+  }
+
+  #planMoves(): void {
+    for (const lease of this.#leases) this.#planMove(lease);
+  }
+
+  /** Lets a stream run on as long as the notice allows, then moves it. */
+  #planMove(lease: RoutedLease): void {
+    const { registry, clock } = this.#options;
+    const view = registry.view(lease.endpointId);
+    if (view && view.state !== EndpointState.Leaving) return;
+    const nowMs = clock.nowMs();
+    const leftMs = Math.max(0, (view?.leavingAtMs ?? nowMs) - nowMs);
+    lease.moveAt(nowMs + leftMs * moveAfterShare);
+  }
+
+  #noEndpoint(request: SelectionRequest): RequestError {
+    const isFirst = request.excludedIds.size === 0;
+    return new RequestError(`no endpoint of ${request.serviceId} can take the request`, {
+      step: Step.Route,
+      peer: request.serviceId,
+      status: 503,
+      code: 'no_endpoint',
+      next: 'Send the request again later.',
+      outcome: isFirst ? Outcome.NotRun : Outcome.Unknown,
+      retryAtMs: this.#options.clock.nowMs() + 2_000,
+    });
+  }
+}
+
+interface RoutedLeaseOptions extends RoutedSelectorOptions {
+  readonly view: EndpointView;
+  readonly decision: Decision;
+  readonly prefix: PromptPrefix;
+  readonly own: OwnRequest;
+  readonly onEnd: () => void;
+}
+
+/** One attempt at an endpoint chosen by the router. */
+export class RoutedLease extends EndpointLease {
+  readonly view: EndpointView;
+  readonly #options: RoutedLeaseOptions;
+  readonly #reports: AttemptReports;
+  readonly #move = new AbortController();
+  #cancelMove: (() => void) | undefined;
+  #hasEnded = false;
+
+  /** @internal */
+  constructor(options: RoutedLeaseOptions) {
+    super();
+    this.view = options.view;
+    this.#options = options;
+    const { caches, speeds, decision, prefix, clock } = options;
+    this.#reports = new AttemptReports(caches, speeds, decision, prefix, clock.nowMs());
+  }
+
+  override get endpointId(): string {
+    return this.view.id;
+  }
+
+  override get endpointName(): string {
+    return this.view.name;
+  }
+
+  override get client(): EngineClient {
+    return this.#options.engines.client(this.view);
+  }
+
+  override get shouldMove(): AbortSignal {
+    return this.#move.signal;
+  }
+
+  /** Class to name to the engine; aged long work is promoted. */
+  get engineClass(): WorkClass {
+    return this.#options.decision.engineClass;
+  }
+
+  /** Asks for the move at `atMs`, once. */
+  moveAt(atMs: number): void {
+    this.#cancelMove ??= this.#options.clock.schedule(atMs, () => {
+      this.#move.abort();
+    });
+  }
+
+  override token(): void {
+    this.#reports.token(this.#options.clock.nowMs());
+  }
+
+  checkStall(nowMs: number): void {
+    this.#reports.checkStall(nowMs);
+  }
+
+  override end(how: AttemptEnd): void {
+    if (this.#hasEnded) return;
+    this.#hasEnded = true;
+    this.#cancelMove?.();
+    const { registry, own, clock, onEnd } = this.#options;
+    own.end();
+    onEnd();
+    const failure = failureOf[how];
+    if (failure === undefined) {
+      this.#reports.ended(clock.nowMs());
+      if (how === AttemptEnd.Completed) registry.recordSuccess(this.endpointId);
+      return;
+    }
+    this.#reports.failed(failure === EngineFailure.Refused);
+    registry.recordFailure(this.endpointId, failure);
+  }
+}
+
+/** What an end says about the endpoint; undefined when it did nothing wrong. */
+const failureOf: Readonly<Record<AttemptEnd, EngineFailure | undefined>> = {
+  [AttemptEnd.Completed]: undefined,
+  [AttemptEnd.Moved]: undefined,
+  [AttemptEnd.Cancelled]: undefined,
+  [AttemptEnd.Refused]: EngineFailure.Refused,
+  [AttemptEnd.Rejected]: EngineFailure.Rejected,
+  [AttemptEnd.Broken]: EngineFailure.Broken,
+  [AttemptEnd.Silent]: EngineFailure.Silent,
+};
+
+/** Prompt tokens, at about four characters each. */
+export function estimatedTokens(messages: readonly { readonly content: unknown }[]): number {
+  const chars = messages.reduce(
+    (sum, { content }) => sum + (typeof content === 'string' ? content.length : 1_000),
+    0,
+  );
+  return Math.ceil(chars / 4);
+}
+
+function expectedTokens(request: SelectionRequest): number {
+  return Math.min(request.maxTokens, request.expectedOutputTokens);
+}
--- /dev/null
+++ b/src/demo/demo-cluster.ts
@@ -0,0 +1,140 @@
+import { createHash, randomBytes } from 'node:crypto';
+import { Random, randomIds, SystemClock } from '../core/index.js';
+import { Daemon, parseDaemonSettings } from '../daemon/index.js';
+import { AppendBudget, Appender, CircuitBreaker, HttpLogService } from '../log/index.js';
+import { newOperatorSecret, SigningKey } from '../security/index.js';
+import { parseSettings, type SectionValues } from '../settings/index.js';
+import { SettingsPublisher, type DesiredEdit } from '../settings-publisher/index.js';
+import { ConfigFold, rootKeyId, StreamReplica, type ConfigVerdict } from '../state/index.js';
+import { NullEventLog, NullMetrics, RoarrEventLog } from '../telemetry/index.js';
+import { demoDeployment, DemoPlatform } from './demo-platform.js';
+
+/** How long a settings change may take to be accepted. */
+const publishTimeoutMs = 20_000;
+
+/**
+ * The demonstration: stand-ins of the platform, three daemons and both teams' settings in one
+ * process.
+ *
+ * @example
+ * ```ts
+ * const cluster = new DemoCluster();
+ * await cluster.start();
+ * ```
+ */
+export class DemoCluster {
+  readonly platform = new DemoPlatform();
+  readonly daemons: Daemon[] = [];
+  readonly clock = new SystemClock();
+  readonly #rootKey = SigningKey.fromSecret(newOperatorSecret());
+  readonly #rpcSecret = randomBytes(24).toString('hex');
+
+  /** Base URL of the first daemon's callers' listener. */
+  get callerUrl(): string {
+    return this.daemons[0]?.urls.caller ?? '';
+  }
+
+  /** Key of the tender assistant's counter workspace. */
+  get callerKey(): string {
+    return this.platform.callerKeys.get('tejidos/counter') ?? '';
+  }
+
+  async start(): Promise<void> {
+    await this.platform.start();
+    const sections = parseSettings(this.platform.settingsText, 'demo.ini');
+    await this.publish([...sections].map(([path, values]) => ({ path, values })));
+    for (let index = 0; index < this.platform.failureDomains.length; index++) {
+      const daemon = this.#createDaemon(index);
+      await daemon.start();
+      this.daemons.push(daemon);
+    }
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.daemons.map((daemon) => daemon.stop()));
+    await this.platform.close();
+  }
+
+  /** Publishes a settings change as the root operator and waits for the log's verdict. */
+  async publish(edits: readonly DesiredEdit[]): Promise<ConfigVerdict> {
+    const { clock } = this;
+    const log = new HttpLogService({ baseUrl: this.platform.log.baseUrl });
+    const random = new Random(seedOf(this.#rpcSecret));
+    const events = new NullEventLog();
+    const stream = `${demoDeployment}.config`;
+    const fold = new ConfigFold({
+      deployment: demoDeployment,
+      rootPublicKey: this.#rootKey.publicKey,
+    });
+    const replica = new StreamReplica({ log, stream, fold, clock, random, events });
+    const writer = new Appender({
+      log,
+      stream,
+      writer: 'demo',
+      feed: replica,
+      clock,
+      random,
+      newId: randomIds,
+      budget: new AppendBudget({ clock, appendsPerS: 50 }),
+      breaker: new CircuitBreaker({ clock, random }),
+      events,
+    });
+    replica.start();
+    const publisher = new SettingsPublisher({
+      deployment: demoDeployment,
+      keyId: rootKeyId,
+      key: this.#rootKey,
+      replica,
+      fold,
+      writer,
+      clock,
+      newId: randomIds,
+    });
+    try {
+      return await publisher.publish(edits, clock.nowMs() + publishTimeoutMs);
+    } finally {
+      writer.stop();
+      await replica.stop();
+      await log.close();
+    }
+  }
+
+  /** Values of a section in force on a daemon. */
+  inForce(daemon: Daemon, path: string): SectionValues | undefined {
+    return daemon.parts.config.fold.sections().get(path);
+  }
+
+  #createDaemon(index: number): Daemon {
+    const place = this.platform.failureDomains[index];
+    const name = `entry-${index + 1}`;
+    const seeds = this.daemons.map((daemon) => new URL(daemon.urls.rpc).host).join(', ');
+    const text = [
+      '[daemon]',
+      `name = ${name}`,
+      `deployment = ${demoDeployment}`,
+      `region = ${place?.region ?? ''}`,
+      `failure_domain = ${place?.failureDomain ?? ''}`,
+      'caller_listen = 127.0.0.1:0',
+      'admin_listen = 127.0.0.1:0',
+      'rpc_listen = 127.0.0.1:0',
+      `seeds = ${seeds}`,
+      'drain_notice_ms = 500',
+      '[log]',
+      `base_url = ${this.platform.log.baseUrl}`,
+      '[trust]',
+      `root_public_key = "${this.#rootKey.publicKey}"`,
+      `rpc_secret = ${this.#rpcSecret}`,
+      '',
+    ].join('\n');
+    return new Daemon({
+      settings: parseDaemonSettings(text, `${name}.ini`),
+      clock: this.clock,
+      events: new RoarrEventLog({ daemon: name }),
+      metrics: new NullMetrics(),
+    });
+  }
+}
+
+function seedOf(text: string): number {
+  return createHash('sha256').update(text).digest().readInt32LE(0);
+}
--- /dev/null
+++ b/src/engine/service-client.ts
@@ -0,0 +1,122 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { Agent, request, type Dispatcher } from 'undici';
+import { Outcome, outcomeHeader } from '../core/index.js';
+import { EngineError, EngineFailure } from './engine-error.js';
+
+/** Headers that belong to one connection and are not passed on. */
+const connectionHeaders = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'host',
+  'expect',
+]);
+
+/** Options of {@link ServiceClient.relay}. */
+export interface ServiceRelayOptions {
+  /** Endpoint name, for errors. */
+  readonly name: string;
+  readonly baseUrl: string;
+  /** Path and query at the service. */
+  readonly path: string;
+  readonly requestId: string;
+  readonly timeoutMs: number;
+  /** Aborted when the caller disconnects. */
+  readonly signal: AbortSignal;
+}
+
+/**
+ * Passes repeatable calls through to plain services, streaming both bodies.
+ *
+ * @example
+ * ```ts
+ * await client.relay(request, response, { name, baseUrl, path: '/stock?sku=1', ...rest });
+ * ```
+ */
+export class ServiceClient {
+  readonly #agent = new Agent({ pipelining: 1, connect: { timeout: 2_000 } });
+
+  /**
+   * Relays one call.
+   *
+   * @throws EngineError before the answer's head was sent, with `not_run` when no connection was
+   * made. A failure after the head destroys the answer, so that it does not look complete.
+   */
+  async relay(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+    options: ServiceRelayOptions,
+  ): Promise<void> {
+    const answer = await this.#send(incoming, options);
+    if (outgoing.destroyed) {
+      answer.body.destroy();
+      return;
+    }
+    const isFailure = answer.statusCode >= 400;
+    outgoing.writeHead(answer.statusCode, {
+      ...passedHeaders(answer.headers),
+      'x-request-id': options.requestId,
+      // The service itself answered, so what it did before failing is its own to tell.
+      ...(isFailure ? { [outcomeHeader]: Outcome.Unknown } : {}),
+    });
+    await new Promise<void>((resolve) => {
+      answer.body.once('error', () => {
+        outgoing.destroy();
+        resolve();
+      });
+      outgoing.once('close', resolve);
+      answer.body.pipe(outgoing);
+    });
+  }
+
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  async #send(
+    incoming: IncomingMessage,
+    options: ServiceRelayOptions,
+  ): Promise<Dispatcher.ResponseData> {
+    const { name, baseUrl, path, timeoutMs, signal } = options;
+    const method = incoming.method ?? 'GET';
+    const hasBody = method !== 'GET' && method !== 'HEAD';
+    try {
+      return await request(`${baseUrl}${path}`, {
+        method,
+        headers: { ...passedHeaders(incoming.headers), 'x-request-id': options.requestId },
+        body: hasBody ? incoming : null,
+        headersTimeout: timeoutMs,
+        bodyTimeout: timeoutMs,
+        signal,
+        dispatcher: this.#agent,
+      });
+    } catch (error) {
+      const code = (error as { code?: unknown }).code;
+      const isRefused = code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT';
+      throw new EngineError(`endpoint ${name} brought no answer`, {
+        peer: name,
+        failure: isRefused ? EngineFailure.Refused : EngineFailure.Broken,
+        outcome: isRefused ? Outcome.NotRun : Outcome.Unknown,
+        cause: error,
+      });
+    }
+  }
+}
+
+/** The caller's key is the gateway's own business and goes no further. */
+function passedHeaders(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): Record<string, string | string[]> {
+  const passed: Record<string, string | string[]> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value !== undefined && !connectionHeaders.has(name) && name !== 'authorization') {
+      passed[name] = value;
+    }
+  }
+  return passed;
+}
--- a/src/fleet/endpoint-registry.ts
+++ b/src/fleet/endpoint-registry.ts
@@ -271,18 +271,12 @@
 
   /** The endpoint itself answered that it is draining, which is final for its identity. */
   recordDraining(endpointId: string): void {
-    const endpoint = this.#byId.get(endpointId);
-    if (!endpoint) return;
-    const nowMs = this.#clock.nowMs();
-    this.#leaving.signal([
-      {
-        subject: endpoint.subject,
-        upToIncarnation: endpoint.incarnation,
-        leavingAtMs: nowMs,
-        source: LeavingSource.Draining,
-        signalledAtMs: nowMs,
-      },
-    ]);
+    this.#signalLeaving(endpointId, this.#clock.nowMs(), LeavingSource.Draining);
+  }
+
+  /** An operator drains the endpoint: no new work, and running work moves away by `byMs`. */
+  drain(endpointId: string, byMs: number): void {
+    this.#signalLeaving(endpointId, byMs, LeavingSource.Operator);
   }
 
   /** A probe on a new connection was answered: the endpoint is slow at most, not silent. */
@@ -307,6 +301,20 @@
     this.#retireListeners.push(listener);
   }
 
+  #signalLeaving(endpointId: string, leavingAtMs: number, source: LeavingSource): void {
+    const endpoint = this.#byId.get(endpointId);
+    if (!endpoint) return;
+    this.#leaving.signal([
+      {
+        subject: endpoint.subject,
+        upToIncarnation: endpoint.incarnation,
+        leavingAtMs,
+        source,
+        signalledAtMs: this.#clock.nowMs(),
+      },
+    ]);
+  }
+
   #place(section: Section<EndpointSettings>): void {
     const vmId = section.values.vm_id;
     const subject = processSubject(vmId, section.id);
--- a/src/fleet/leaving-merge.ts
+++ b/src/fleet/leaving-merge.ts
@@ -10,6 +10,8 @@
   List = 'list',
   /** The endpoint itself answered that it is draining. */
   Draining = 'draining',
+  /** An operator drains the endpoint. */
+  Operator = 'operator',
 }
 
 /** All incarnations of a VM's processes, or of one process, up to a time are leaving. */
--- /dev/null
+++ b/src/pipeline/admit-stage.ts
@@ -0,0 +1,63 @@
+import { AdmissionController, type AdmissionRequest } from '../admission/index.js';
+import { Step, type Clock } from '../core/index.js';
+import { Stage } from './stage.js';
+import type { ChatContext } from './request-context.js';
+
+/** Options of {@link AdmitStage}. */
+export interface AdmitStageOptions {
+  readonly admission: AdmissionController;
+  readonly clock: Clock;
+  /** Price of a thousand tokens of a service, for the spend limit. */
+  readonly usdPerThousandTokens: (serviceId: string) => number;
+}
+
+/** Prompt tokens cost an engine about a tenth of generated ones. */
+const promptTokenCost = 0.1;
+
+/** Admits a chat request under the limits of its workspace, or refuses it before it runs. */
+export class AdmitStage extends Stage<ChatContext> {
+  override readonly step = Step.Admit;
+  readonly #options: AdmitStageOptions;
+
+  constructor(options: AdmitStageOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override async run(context: ChatContext): Promise<void> {
+    const request = this.#admissionRequest(context);
+    const ticket = await this.#options.admission.admit(request, context.disconnected);
+    context.response.once('close', () => {
+      ticket.end();
+    });
+    // The caller may have gone while the request was queued; then no close event follows.
+    if (context.response.destroyed) ticket.end();
+  }
+
+  #admissionRequest(context: ChatContext): AdmissionRequest {
+    const { call, caller, deployment, prediction, requestId } = context;
+    const promptChars = call.messages.reduce((sum, { content }) => sum + content.length, 0);
+    const costTokens =
+      Math.ceil((promptChars / 4) * promptTokenCost) + prediction.expectedOutputTokens;
+    const usdPerToken = this.#options.usdPerThousandTokens(call.service.id) / 1_000;
+    return {
+      requestId,
+      workspaceId: caller.workspace.id,
+      serviceId: call.service.id,
+      workClass: prediction.workClass,
+      costTokens,
+      expectedUsd: costTokens * usdPerToken,
+      startByMs: this.#startByMs(context),
+      fairWeight: caller.workspace.values.fair_weight,
+      limits: deployment.limits(caller.workspace.id),
+    };
+  }
+
+  /** Latest start that leaves the expected time for the answer itself. */
+  #startByMs(context: ChatContext): number {
+    const { call, prediction } = context;
+    const gapMs = call.service.values.objective_between_tokens_ms;
+    const answerMs = prediction.expectedOutputTokens * gapMs;
+    return Math.max(this.#options.clock.nowMs(), call.deadlineAtMs - answerMs);
+  }
+}
--- a/src/pipeline/caller-server.ts
+++ b/src/pipeline/caller-server.ts
@@ -1,4 +1,4 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { Outcome, RequestError, Step, type Clock, type IdSource } from '../core/index.js';
 import type { Deployment } from '../settings/index.js';
 import { answerError, toRequestError } from './answer-error.js';
@@ -36,35 +36,31 @@
   readonly newId: IdSource;
 }
 
-/** A caller must send its headers within this time; guards against slow-header clients. */
-const headersTimeoutMs = 10_000;
-const maxHeaderBytes = 16_384;
-
 /**
  * The HTTP listener for callers: finds the route and turns every error into an answer that says
  * whether the work ran.
  *
  * @example
  * ```ts
- * const server = new CallerServer({ routes, deployment, observer, clock, newId });
- * server.http.listen(8080);
+ * const callers = new CallerServer({ routes, deployment, observer, clock, newId });
+ * callers.serve(createServer().listen(8080));
  * ```
  */
 export class CallerServer {
   readonly #options: CallerServerOptions;
   readonly #inFlight = new Map<string, CallerRequest>();
   readonly #idleListeners = new Set<() => void>();
+  #isDraining = false;
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
   }
 
-  /** Creates the plain HTTP server; for TLS pass {@link CallerServer.listener} to `https`. */
-  createHttpServer(): Server {
-    const server = createServer(
-      { maxHeaderSize: maxHeaderBytes, headersTimeout: headersTimeoutMs, requestTimeout: 0 },
-      this.listener,
-    );
+  /** Serves the requests of an HTTP or HTTPS server. */
+  serve(server: Server): void {
+    server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+      void this.#handle(request, response);
+    });
     server.on('clientError', (error: Error & { code?: string }, socket) => {
       const status =
         error.code === 'HPE_HEADER_OVERFLOW'
@@ -74,23 +70,25 @@
             : 400;
       if (socket.writable) socket.end(rawRefusal(status));
     });
-    return server;
   }
 
-  /** Request listener for Node's `http` and `https`. */
-  readonly listener = (request: IncomingMessage, response: ServerResponse): void => {
-    void this.#handle(request, response);
-  };
-
   /** Ids of the requests that have no whole answer yet. */
   get inFlightIds(): readonly string[] {
     return [...this.#inFlight.keys()];
   }
 
-  /** Resolves once no request is in flight. */
-  whenIdle(): Promise<void> {
-    if (this.#inFlight.size === 0) return Promise.resolve();
-    return new Promise((resolve) => this.#idleListeners.add(resolve));
+  /**
+   * Asks callers to connect elsewhere for their next request and resolves once no request is in
+   * flight, or at `deadlineAtMs` (epoch milliseconds).
+   */
+  async drain(deadlineAtMs: number): Promise<void> {
+    this.#isDraining = true;
+    if (this.#inFlight.size === 0) return;
+    const idle = new AbortController();
+    this.#idleListeners.add(() => {
+      idle.abort();
+    });
+    await this.#options.clock.sleepUntil(deadlineAtMs, idle.signal);
   }
 
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -103,6 +101,7 @@
       deployment: deployment(),
       path: (request.url ?? '/').split('?')[0] ?? '/',
     };
+    if (this.#isDraining) response.setHeader('connection', 'close');
     this.#inFlight.set(incoming.requestId, incoming);
     response.once('close', () => {
       this.#ended(incoming.requestId);
--- a/src/pipeline/classify-stage.ts
+++ b/src/pipeline/classify-stage.ts
@@ -1,24 +1,55 @@
+import {
+  mediumOutputTokens,
+  shortOutputTokens,
+  type LengthKey,
+  type LengthPredictor,
+} from '../admission/index.js';
 import { Step, WorkClass } from '../core/index.js';
 import type { ChatContext } from './request-context.js';
 import { Stage } from './stage.js';
 
-/** Predicts the class of a request that declares none. */
-export abstract class ClassPredictor {
-  abstract predict(context: ChatContext): WorkClass;
-}
+/** Output assumed of a request whose class was declared and whose length was never seen. */
+const declaredTokens: Readonly<Record<WorkClass, number>> = {
+  [WorkClass.Short]: shortOutputTokens,
+  [WorkClass.Medium]: mediumOutputTokens,
+  [WorkClass.Long]: 4 * mediumOutputTokens,
+};
 
-/** Decides the class of a request: declared, else bounded by its token limit, else predicted. */
+/** Decides the class of a request: declared by the caller, else learned, else the default. */
 export class ClassifyStage extends Stage<ChatContext> {
   override readonly step = Step.Classify;
-  readonly #predictor: ClassPredictor;
+  readonly #lengths: LengthPredictor;
 
-  constructor(predictor: ClassPredictor) {
+  constructor(lengths: LengthPredictor) {
     super();
-    this.#predictor = predictor;
+    this.#lengths = lengths;
   }
 
   override run(context: ChatContext): Promise<void> {
-    context.workClass = context.call.declaredClass ?? this.#predictor.predict(context);
+    const { call, caller } = context;
+    const predicted = this.#lengths.predict(lengthKeyOf(context), {
+      maxTokens: call.maxTokens,
+      defaultClass: caller.workspace.values.default_class,
+    });
+    const declared = call.declaredClass;
+    context.prediction =
+      declared === undefined || declared === predicted.workClass
+        ? predicted
+        : {
+            workClass: declared,
+            expectedOutputTokens: Math.min(call.maxTokens, declaredTokens[declared]),
+            isLearned: false,
+          };
     return Promise.resolve();
   }
 }
+
+/** What the length of an answer is learned by: workspace, service and system prompt. */
+export function lengthKeyOf(context: ChatContext): LengthKey {
+  const [first] = context.call.messages;
+  return {
+    workspaceId: context.caller.workspace.id,
+    serviceId: context.call.service.id,
+    shape: first?.role === 'system' ? first.content.slice(0, 64) : '',
+  };
+}
--- a/src/pipeline/endpoint-selector.ts
+++ b/src/pipeline/endpoint-selector.ts
@@ -13,6 +13,8 @@
   /** Text generated so far by earlier attempts. */
   readonly resumeText: string;
   readonly maxTokens: number;
+  /** From the length predictor. */
+  readonly expectedOutputTokens: number;
   readonly workClass: WorkClass;
   readonly deadlineAtMs: number;
   /** Endpoints that failed this request already. */
--- a/src/pipeline/generate-stage.ts
+++ b/src/pipeline/generate-stage.ts
@@ -1,12 +1,17 @@
-import { Step, type Clock } from '../core/index.js';
+import { RequestError, Step, type Clock } from '../core/index.js';
 import { SseChatResponder, WholeChatResponder, type ChatAnswerHead } from './chat-responder.js';
 import type { GenerationRelay, GenerationResult } from './generation-relay.js';
 import type { ChatContext } from './request-context.js';
 import { Stage } from './stage.js';
 
-/** Told about each completed chat request. */
+/** Told about each chat request from its parse on. */
 export abstract class ChatAccounts {
-  abstract completed(context: ChatContext, result: GenerationResult): void;
+  /** The request is about to be routed. */
+  abstract started(context: ChatContext): void;
+  /** @param endedAtMs - epoch milliseconds of the last token. */
+  abstract completed(context: ChatContext, result: GenerationResult, endedAtMs: number): void;
+  /** The request ended with an error after it was parsed. */
+  abstract refused(context: ChatContext, error: RequestError): void;
 }
 
 /** Options of {@link GenerateStage}. */
@@ -27,7 +32,19 @@
   }
 
   override async run(context: ChatContext): Promise<void> {
-    const { call, response } = context;
+    const { accounts, clock } = this.#options;
+    accounts.started(context);
+    try {
+      const result = await this.#relay(context);
+      accounts.completed(context, result, clock.nowMs());
+    } catch (error) {
+      if (error instanceof RequestError) accounts.refused(context, error);
+      throw error;
+    }
+  }
+
+  #relay(context: ChatContext): Promise<GenerationResult> {
+    const { call, response, prediction } = context;
     const head: ChatAnswerHead = {
       requestId: context.requestId,
       model: call.model,
@@ -37,7 +54,7 @@
     const responder = call.isStreamed
       ? new SseChatResponder(response, head)
       : new WholeChatResponder(response, head);
-    const result = await this.#options.relay.run(
+    return this.#options.relay.run(
       {
         requestId: context.requestId,
         serviceId: call.service.id,
@@ -45,7 +62,8 @@
         model: call.model,
         messages: call.messages,
         maxTokens: call.maxTokens,
-        workClass: context.workClass,
+        expectedOutputTokens: prediction.expectedOutputTokens,
+        workClass: prediction.workClass,
         deadlineAtMs: call.deadlineAtMs,
         isResumable: call.isResumable,
         passThrough: call.passThrough,
@@ -53,6 +71,5 @@
       responder,
       context.disconnected,
     );
-    this.#options.accounts.completed(context, result);
   }
 }
--- a/src/pipeline/generation-relay.ts
+++ b/src/pipeline/generation-relay.ts
@@ -6,6 +6,7 @@
   type ChatMessage,
   type GenerationEvent,
 } from '../engine/index.js';
+import type { HedgePolicy } from '../admission/index.js';
 import type { ChatResponder, GenerationEnd } from './chat-responder.js';
 import {
   AttemptEnd,
@@ -22,6 +23,7 @@
   readonly model: string;
   readonly messages: readonly ChatMessage[];
   readonly maxTokens: number;
+  readonly expectedOutputTokens: number;
   readonly workClass: WorkClass;
   readonly deadlineAtMs: number;
   readonly isResumable: boolean;
@@ -46,6 +48,8 @@
   readonly selector: EndpointSelector;
   readonly retries: RetryPermits;
   readonly clock: Clock;
+  /** When to start a second attempt elsewhere for a late first token. */
+  readonly hedges?: HedgePolicy;
 }
 
 /** A head is sent after this long without a token, so that the caller sees a live connection. */
@@ -85,6 +89,18 @@
   }
 }
 
+/** One attempt at an endpoint. @internal */
+interface Attempt {
+  readonly lease: EndpointLease;
+  /** Aborted when another attempt brought its first token earlier. */
+  readonly lost: AbortController;
+}
+
+interface AttemptResult {
+  readonly lease: EndpointLease;
+  readonly failure: EngineError | undefined;
+}
+
 /** State of one relayed generation over all its attempts. @internal */
 class RelayRun {
   readonly #options: GenerationRelayOptions;
@@ -100,6 +116,7 @@
   #lastTokenAtMs = 0;
   #maxGapMs = 0;
   #end: GenerationEnd | undefined;
+  #winner: Attempt | undefined;
 
   constructor(
     options: GenerationRelayOptions,
@@ -115,9 +132,7 @@
 
   async toEnd(): Promise<GenerationResult> {
     for (;;) {
-      const lease = await this.#select();
-      this.#attempts += 1;
-      const failure = await this.#attempt(lease);
+      const { lease, failure } = await this.#race(await this.#select());
       if (this.#end && !failure) return this.#finish(lease, this.#end);
       if (failure) await this.#prepareNext(lease, failure);
     }
@@ -130,10 +145,60 @@
     );
   }
 
+  /**
+   * Runs an attempt and, when its first token is late and the hedge budget allows, a second one at
+   * another endpoint. The first to bring a token goes on; the other is cancelled.
+   */
+  #race(first: EndpointLease): Promise<AttemptResult> {
+    return new Promise((resolve, reject) => {
+      const open = new Set<Attempt>();
+      let isOver = false;
+      const start = (lease: EndpointLease): void => {
+        const attempt: Attempt = { lease, lost: new AbortController() };
+        open.add(attempt);
+        this.#attempt(attempt, open).then((failure) => {
+          open.delete(attempt);
+          const isDecisive = attempt === this.#winner || !failure || open.size === 0;
+          if (isOver || !isDecisive) return;
+          isOver = true;
+          cancelHedge();
+          resolve({ lease, failure });
+        }, reject);
+      };
+      const cancelHedge = this.#scheduleHedge(first, (lease) => {
+        if (isOver || this.#winner) lease.end(AttemptEnd.Cancelled);
+        else start(lease);
+      });
+      this.#winner = undefined;
+      start(first);
+    });
+  }
+
+  /** Calls `start` with a second endpoint if the first token is late; returns how to call it off. */
+  #scheduleHedge(first: EndpointLease, start: (lease: EndpointLease) => void): () => void {
+    const { hedges, clock, selector } = this.#options;
+    const { serviceId, workspaceId, workClass } = this.#task;
+    if (!hedges || this.#hasShownChunks) return () => undefined;
+    const atMs = clock.nowMs() + hedges.delayMs(serviceId, workClass);
+    return clock.schedule(atMs, () => {
+      if (this.#winner || this.#disconnected.aborted) return;
+      if (!hedges.tryHedge(workspaceId, true)) return;
+      const excludedIds = new Set([...this.#excludedIds, first.endpointId]);
+      selector
+        .select({ ...this.#task, resumeText: '', excludedIds }, this.#disconnected)
+        .then(start, () => {
+          // No second endpoint is free; the first attempt goes on alone.
+          hedges.giveBack(workspaceId);
+        });
+    });
+  }
+
   /** Runs one attempt; returns the error that ended it, or undefined after its end event. */
-  async #attempt(lease: EndpointLease): Promise<EngineError | undefined> {
-    const signal = AbortSignal.any([this.#disconnected, lease.shouldMove]);
+  async #attempt(attempt: Attempt, open: ReadonlySet<Attempt>): Promise<EngineError | undefined> {
+    const { lease, lost } = attempt;
     const task = this.#task;
+    this.#attempts += 1;
+    const signal = AbortSignal.any([this.#disconnected, lease.shouldMove, lost.signal]);
     try {
       await lease.client.generate(
         {
@@ -145,7 +210,7 @@
           workClass: task.workClass,
           passThrough: task.passThrough,
         },
-        (event) => this.#onEvent(event, lease),
+        (event) => (this.#hasWon(attempt, event, open) ? this.#onEvent(event, lease) : undefined),
         signal,
       );
       lease.end(AttemptEnd.Completed, this.#end);
@@ -155,11 +220,22 @@
         lease.end(AttemptEnd.Broken);
         throw error;
       }
-      lease.end(this.#endOf(error, lease));
+      lease.end(lost.signal.aborted ? AttemptEnd.Cancelled : this.#endOf(error, lease));
       return error;
     }
   }
 
+  /** Whether an attempt's events count; the first token decides and cancels the other attempt. */
+  #hasWon(attempt: Attempt, event: GenerationEvent, open: ReadonlySet<Attempt>): boolean {
+    if (this.#winner) return this.#winner === attempt;
+    if (event.kind === GenerationEventKind.Heartbeat) return false;
+    this.#winner = attempt;
+    for (const other of open) {
+      if (other !== attempt) other.lost.abort();
+    }
+    return true;
+  }
+
   #endOf(error: EngineError, lease: EndpointLease): AttemptEnd {
     if (this.#disconnected.aborted) return AttemptEnd.Cancelled;
     if (lease.shouldMove.aborted) return AttemptEnd.Moved;
--- /dev/null
+++ b/src/pipeline/health-route.ts
@@ -0,0 +1,25 @@
+import { CallerRoute, type CallerRequest } from './caller-server.js';
+
+/**
+ * `GET /healthz` answers while the process works; `GET /readyz` answers 200 only while the platform's
+ * balancer should send new requests.
+ */
+export class HealthRoute extends CallerRoute {
+  readonly #isReady: () => boolean;
+
+  constructor(isReady: () => boolean) {
+    super();
+    this.#isReady = isReady;
+  }
+
+  override matches(method: string, path: string): boolean {
+    return method === 'GET' && (path === '/healthz' || path === '/readyz');
+  }
+
+  override handle({ path, response }: CallerRequest): Promise<void> {
+    const isOk = path === '/healthz' || this.#isReady();
+    response.writeHead(isOk ? 200 : 503, { 'content-type': 'application/json' });
+    response.end(JSON.stringify({ ok: isOk }));
+    return Promise.resolve();
+  }
+}
--- a/src/pipeline/index.ts
+++ b/src/pipeline/index.ts
@@ -1,3 +1,4 @@
+export * from './admit-stage.js';
 export * from './answer-error.js';
 export * from './authenticate-stage.js';
 export * from './caller-server.js';
@@ -12,3 +13,6 @@
 export * from './read-body.js';
 export * from './request-context.js';
 export * from './stage.js';
+export * from './jobs-route.js';
+export * from './service-route.js';
+export * from './health-route.js';
--- /dev/null
+++ b/src/pipeline/jobs-route.ts
@@ -0,0 +1,208 @@
+import { Outcome, RequestError, Step, type Clock } from '../core/index.js';
+import { JobFrameKind, type JobFrame } from '../jobs/index.js';
+import type { LengthPrediction } from '../admission/index.js';
+import { CallerRoute, type CallerRequest } from './caller-server.js';
+import { ChatContext, RequestContext } from './request-context.js';
+import type { AuthenticateStage } from './authenticate-stage.js';
+import type { Pipeline } from './stage.js';
+
+/** A job as the jobs API shows it. */
+export interface JobView {
+  readonly jobId: string;
+  readonly workspace: string;
+  readonly status: string;
+  readonly acceptedAtMs: number;
+  readonly deadlineAtMs: number;
+  readonly lengthChars: number;
+  readonly finishReason: string | null;
+}
+
+/** Jobs as the pipeline needs them. */
+export abstract class JobDesk {
+  /** Records a job and returns its id. @throws RequestError when it is or may be not recorded. */
+  abstract accept(context: ChatContext, prediction: LengthPrediction): Promise<string>;
+  abstract get(jobId: string): Promise<JobView | undefined>;
+  abstract cancel(jobId: string): Promise<JobView | undefined>;
+  abstract read(jobId: string, offset: number, signal: AbortSignal): AsyncIterable<JobFrame>;
+}
+
+/** Options of {@link JobsRoute}. */
+export interface JobsRouteOptions {
+  readonly authenticate: AuthenticateStage;
+  /** Authenticates, parses and classifies a new job. */
+  readonly intake: Pipeline<ChatContext>;
+  readonly desk: JobDesk;
+  readonly clock: Clock;
+}
+
+const pathPattern = /^\/v1\/jobs(?:\/([\w-]{1,100})(\/stream)?)?$/;
+const heartbeatMs = 5_000;
+
+/**
+ * The jobs API: `POST /v1/jobs` accepts a chat request as a job, `GET /v1/jobs/{id}` shows it,
+ * `GET /v1/jobs/{id}/stream?offset=N` attaches to its text, `DELETE /v1/jobs/{id}` cancels it.
+ */
+export class JobsRoute extends CallerRoute {
+  readonly #options: JobsRouteOptions;
+
+  constructor(options: JobsRouteOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override matches(_method: string, path: string): boolean {
+    return pathPattern.test(path);
+  }
+
+  override async handle(incoming: CallerRequest): Promise<void> {
+    const [, jobId, stream] = pathPattern.exec(incoming.path) ?? [];
+    const method = incoming.request.method ?? '';
+    if (jobId === undefined) {
+      if (method !== 'POST') throw notAllowed(method, 'POST');
+      await this.#accept(incoming);
+      return;
+    }
+    const context = new RequestContext(incoming);
+    await this.#options.authenticate.run(context);
+    const job = await this.#ownJob(context, jobId);
+    if (stream !== undefined) {
+      if (method !== 'GET') throw notAllowed(method, 'GET');
+      await this.#stream(context, jobId);
+    } else if (method === 'DELETE') {
+      sendJob(context, 200, (await this.#options.desk.cancel(jobId)) ?? job);
+    } else if (method === 'GET') {
+      sendJob(context, 200, job);
+    } else {
+      throw notAllowed(method, 'GET, DELETE');
+    }
+  }
+
+  async #accept(incoming: CallerRequest): Promise<void> {
+    const { intake, desk } = this.#options;
+    const context = new ChatContext(incoming);
+    await intake.run(context);
+    if (!context.call.isResumable) {
+      throw refusal(400, 'not_resumable', 'a job takes plain text messages without tools', {
+        next: 'Send the request to /v1/chat/completions instead.',
+      });
+    }
+    const jobId = await desk.accept(context, context.prediction);
+    context.response.writeHead(202, {
+      'content-type': 'application/json',
+      location: `/v1/jobs/${jobId}`,
+      'x-request-id': context.requestId,
+    });
+    context.response.end(
+      JSON.stringify({
+        id: jobId,
+        object: 'job',
+        status: 'active',
+        deadline: new Date(context.call.deadlineAtMs).toISOString(),
+        stream: `/v1/jobs/${jobId}/stream?offset=0`,
+      }),
+    );
+  }
+
+  /** A job of the caller's workspace; another workspace's job is not told apart from none. */
+  async #ownJob(context: RequestContext, jobId: string): Promise<JobView> {
+    const job = await this.#options.desk.get(jobId);
+    if (job?.workspace === context.caller.workspace.id) return job;
+    throw refusal(404, 'unknown_job', `there is no job ${jobId}`, {
+      next: 'Check the id; finished jobs are forgotten after remember_ms.',
+    });
+  }
+
+  async #stream(context: RequestContext, jobId: string): Promise<void> {
+    const { response } = context;
+    const query = new URL(context.request.url ?? '', 'http://caller').searchParams;
+    const offset = Number(query.get('offset') ?? 0);
+    if (!Number.isSafeInteger(offset) || offset < 0) {
+      throw refusal(400, 'invalid_offset', 'offset is not a whole number of characters', {
+        next: 'Send the number of characters received so far.',
+      });
+    }
+    response.writeHead(200, {
+      'content-type': 'text/event-stream; charset=utf-8',
+      'cache-control': 'no-cache',
+      'x-request-id': context.requestId,
+    });
+    response.flushHeaders();
+    const stopHeartbeat = this.#options.clock.every(heartbeatMs, () => {
+      response.write(': heartbeat\n\n');
+    });
+    try {
+      for await (const frame of this.#options.desk.read(jobId, offset, context.disconnected)) {
+        if (!response.write(encodeFrame(frame))) await drained(response, context.disconnected);
+      }
+    } finally {
+      stopHeartbeat();
+      response.end();
+    }
+  }
+}
+
+function encodeFrame(frame: JobFrame): string {
+  if (frame.kind === JobFrameKind.Text) {
+    const { jobId, generation, offset, text } = frame;
+    return `event: text\ndata: ${JSON.stringify({ job: jobId, generation, offset, text })}\n\n`;
+  }
+  const { jobId, generation, lengthChars, digest, finishReason } = frame;
+  const end = {
+    job: jobId,
+    generation,
+    length_chars: lengthChars,
+    sha256: digest,
+    finish_reason: finishReason,
+  };
+  return `event: end\ndata: ${JSON.stringify(end)}\n\n`;
+}
+
+function drained(response: ChatContext['response'], signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    response.once('drain', resolve);
+    signal.addEventListener(
+      'abort',
+      () => {
+        resolve();
+      },
+      { once: true },
+    );
+  });
+}
+
+function sendJob(context: RequestContext, status: number, job: JobView): void {
+  context.response.writeHead(status, { 'content-type': 'application/json' });
+  context.response.end(
+    JSON.stringify({
+      id: job.jobId,
+      object: 'job',
+      status: job.status,
+      accepted: new Date(job.acceptedAtMs).toISOString(),
+      deadline: new Date(job.deadlineAtMs).toISOString(),
+      length_chars: job.lengthChars,
+      finish_reason: job.finishReason,
+    }),
+  );
+}
+
+function notAllowed(method: string, allowed: string): RequestError {
+  return refusal(405, 'method_not_allowed', `${method} is not served here`, {
+    next: `Use ${allowed}.`,
+  });
+}
+
+function refusal(
+  status: number,
+  code: string,
+  message: string,
+  detail: { readonly next: string },
+): RequestError {
+  return new RequestError(message, {
+    step: Step.Job,
+    peer: 'caller',
+    status,
+    code,
+    next: detail.next,
+    outcome: Outcome.NotRun,
+  });
+}
--- a/src/pipeline/parse-chat-stage.ts
+++ b/src/pipeline/parse-chat-stage.ts
@@ -35,12 +35,12 @@
 
   override async run(context: ChatContext): Promise<void> {
     const { deployment, caller } = context;
-    const text = await readBody(context.request, {
+    const body = await readBody(context.request, {
       maxBytes: deployment.limits(caller.workspace.id).max_body_bytes,
       deadlineAtMs: this.#clock.nowMs() + bodyTimeoutMs,
       clock: this.#clock,
     });
-    context.call = parseChatCall(text, context);
+    context.call = parseChatCall(body.toString('utf8'), context);
   }
 }
 
--- a/src/pipeline/read-body.ts
+++ b/src/pipeline/read-body.ts
@@ -10,11 +10,11 @@
 }
 
 /**
- * Reads a whole request body as UTF-8 text.
+ * Reads a whole request body.
  *
  * @throws RequestError 413 over the limit, 408 after the deadline, 400 when the caller breaks off.
  */
-export function readBody(request: IncomingMessage, options: ReadBodyOptions): Promise<string> {
+export function readBody(request: IncomingMessage, options: ReadBodyOptions): Promise<Buffer> {
   return new Promise((resolve, reject) => {
     const chunks: Buffer[] = [];
     let bytes = 0;
@@ -22,7 +22,7 @@
       cancelTimer();
       request.removeAllListeners('data');
       if (error) reject(error);
-      else resolve(Buffer.concat(chunks).toString('utf8'));
+      else resolve(Buffer.concat(chunks));
     };
     const cancelTimer = options.clock.schedule(options.deadlineAtMs, () => {
       finish(
--- a/src/pipeline/request-context.ts
+++ b/src/pipeline/request-context.ts
@@ -2,6 +2,7 @@
 import type { Section, ServiceSettings, WorkspaceSettings, Deployment } from '../settings/index.js';
 import type { ChatMessage } from '../engine/index.js';
 import type { WorkClass } from '../core/index.js';
+import type { LengthPrediction } from '../admission/index.js';
 
 /** Options of {@link RequestContext}. */
 export interface RequestContextOptions {
@@ -85,7 +86,7 @@
 /** Context of `POST /v1/chat/completions`. */
 export class ChatContext extends RequestContext {
   #call: ChatCall | undefined;
-  #workClass: WorkClass | undefined;
+  #prediction: LengthPrediction | undefined;
 
   /** The parsed request. @throws Error before the parse stage. */
   get call(): ChatCall {
@@ -97,13 +98,13 @@
     this.#call = call;
   }
 
-  /** Class of the request. @throws Error before the classify stage. */
-  get workClass(): WorkClass {
-    if (!this.#workClass) throw new Error('the request has not passed the classify stage');
-    return this.#workClass;
+  /** Expected length and class. @throws Error before the classify stage. */
+  get prediction(): LengthPrediction {
+    if (!this.#prediction) throw new Error('the request has not passed the classify stage');
+    return this.#prediction;
   }
 
-  set workClass(workClass: WorkClass) {
-    this.#workClass = workClass;
+  set prediction(prediction: LengthPrediction) {
+    this.#prediction = prediction;
   }
 }
--- a/src/routing/explanation.ts
+++ b/src/routing/explanation.ts
@@ -18,6 +18,10 @@
 /** Parts of an {@link Explanation} as the router leaves them. */
 export interface ExplanationParts {
   readonly requestId: string;
+  /** `team/workspace`. */
+  readonly workspaceId: string;
+  /** `team/service`. */
+  readonly serviceId: string;
   readonly atMs: number;
   readonly views: readonly EndpointView[];
   /** Reason for each view; undefined for candidates. */
@@ -54,6 +58,14 @@
   }
 
   /** Time of the decision, in epoch milliseconds. */
+  get workspaceId(): string {
+    return this.#parts.workspaceId;
+  }
+
+  get serviceId(): string {
+    return this.#parts.serviceId;
+  }
+
   get atMs(): number {
     return this.#parts.atMs;
   }
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -150,6 +150,8 @@
     if (probeIndex !== undefined && endpoint) this.#speeds?.noteProbe(endpoint.id, nowMs);
     const explanation = new Explanation({
       requestId: request.requestId,
+      workspaceId: request.workspaceId,
+      serviceId: request.serviceId,
       atMs: nowMs,
       views,
       exclusions,
--- a/src/standins/engine-server.ts
+++ b/src/standins/engine-server.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { z } from 'zod';
-import { hash32, hash64Hex } from '../core/index.js';
+import { hash32 } from '../core/index.js';
+import { promptBlockTokens, promptPrefix, type PromptPrefix } from '../fleet/prompt-prefix.js';
 import { ListeningServer, readJson, sendJson } from './listening-server.js';
 
 const chatRequest = z.looseObject({
@@ -22,9 +23,15 @@
 
 /** Characters of one generated token; fixed, so that a resumed text counts its own tokens. */
 const charsPerToken = 5;
-const cacheBlockChars = 64;
 const heartbeatMs = 1_000;
 
+interface CacheEventRecord {
+  readonly sequence: number;
+  readonly kind: 'stored' | 'evicted';
+  readonly blocks: readonly number[];
+  readonly observed_at_ms: number;
+}
+
 /** Options of {@link EngineServer}. */
 export interface EngineServerOptions {
   readonly name: string;
@@ -46,6 +53,7 @@
   readonly request: ChatRequest;
   readonly response: ServerResponse;
   readonly prompt: string;
+  readonly prefix: PromptPrefix;
   readonly startToken: number;
   readonly totalTokens: number;
   promptTokens: number;
@@ -76,9 +84,10 @@
   readonly #checksFence: boolean;
   readonly #running = new Set<Generation>();
   readonly #queue: Generation[] = [];
-  readonly #cache = new Map<string, number>();
+  readonly #cache = new Set<number>();
   readonly #reports: { atMs: number; body: unknown }[] = [];
-  readonly #cacheEvents: { sequence: number; kind: 'stored' | 'removed'; block: string }[] = [];
+  readonly #cacheEvents: CacheEventRecord[] = [];
+  readonly #startedAtMs = Date.now();
   #cacheSequence = 0;
   #highestFence = 0;
   #version = '1';
@@ -125,9 +134,9 @@
     } else if (url.pathname === '/load') {
       sendJson(response, 200, this.#laggedReport());
     } else if (url.pathname === '/health') {
-      sendJson(response, 200, {
+      sendJson(response, this.isDraining ? 503 : 200, {
         vm_id: this.vmId,
-        draining: this.isDraining,
+        startedAtMs: this.#startedAtMs,
         models: [...this.#models],
         version: this.#version,
       });
@@ -168,6 +177,7 @@
       request: chat,
       response,
       prompt,
+      prefix: promptPrefix(chat.messages),
       startToken,
       totalTokens: Math.min(answerLength(prompt), startToken + chat.max_tokens),
       promptTokens: Math.ceil((prompt.length + resumeText.length) / 4),
@@ -203,7 +213,7 @@
       const generation = this.#queue.shift();
       if (!generation) return;
       this.#running.add(generation);
-      generation.cachedTokens = this.#lookUp(generation.prompt);
+      generation.cachedTokens = this.#lookUp(generation.prefix);
       const computed = Math.max(0, generation.promptTokens - generation.cachedTokens);
       this.computedPromptTokens += computed;
       setTimeout(
@@ -277,41 +287,36 @@
   }
 
   /** Tokens of the longest cached prefix; the prompt's blocks are cached afterwards. */
-  #lookUp(prompt: string): number {
-    let cachedChars = 0;
-    let isHit = true;
-    for (const [index, block] of prefixBlocks(prompt).entries()) {
-      if (isHit && this.#cache.has(block)) cachedChars = (index + 1) * cacheBlockChars;
-      else isHit = false;
-      this.#store(block);
-    }
-    return Math.floor(cachedChars / 4);
+  #lookUp(prefix: PromptPrefix): number {
+    const firstMiss = prefix.findIndex((block) => !this.#cache.has(block));
+    for (const block of prefix) this.#store(block);
+    return (firstMiss < 0 ? prefix.length : firstMiss) * promptBlockTokens;
   }
 
-  #store(block: string): void {
-    if (this.#cache.delete(block)) {
-      this.#cache.set(block, 1);
-      return;
-    }
-    this.#cache.set(block, 1);
-    this.#publish('stored', block);
-    const oldest = this.#cache.keys().next().value;
-    if (this.#cache.size > this.#cacheBlocks && oldest !== undefined) {
-      this.#cache.delete(oldest);
-      this.#publish('removed', oldest);
-    }
+  #store(block: number): void {
+    const isNew = !this.#cache.delete(block);
+    this.#cache.add(block);
+    if (isNew) this.#publish('stored', block);
+    const oldest = this.#cache.values().next().value;
+    if (this.#cache.size <= this.#cacheBlocks || oldest === undefined) return;
+    this.#cache.delete(oldest);
+    this.#publish('evicted', oldest);
   }
 
-  #publish(kind: 'stored' | 'removed', block: string): void {
-    this.#cacheEvents.push({ sequence: this.#cacheSequence++, kind, block });
+  #publish(kind: 'stored' | 'evicted', block: number): void {
+    const sequence = this.#cacheSequence++;
+    this.#cacheEvents.push({ sequence, kind, blocks: [block], observed_at_ms: Date.now() });
     // Old events are dropped, which readers see as a gap in the sequence.
     if (this.#cacheEvents.length > 10_000) this.#cacheEvents.splice(0, 5_000);
   }
 
   #sendCacheEvents(from: number, response: ServerResponse): void {
+    const lateMs = Date.now() - this.#reportLagMs;
     sendJson(response, 200, {
       next: this.#cacheSequence,
-      events: this.#cacheEvents.filter(({ sequence }) => sequence >= from).slice(0, 1_000),
+      events: this.#cacheEvents
+        .filter(({ sequence, observed_at_ms }) => sequence >= from && observed_at_ms <= lateMs)
+        .slice(0, 1_000),
     });
   }
 
@@ -346,27 +351,28 @@
     sendJson(response, 200, { version: this.#version, models: [...this.#models] });
   }
 
+  /** Cached blocks of a running generation, under a handle that another engine imports. */
   async #exportKv(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { prompt } = z.object({ prompt: z.string() }).parse(await readJson(request));
-    sendJson(response, 200, { blocks: prefixBlocks(prompt).filter((b) => this.#cache.has(b)) });
+    const { request_id } = z.object({ request_id: z.string() }).parse(await readJson(request));
+    const running = [...this.#running].find(({ requestId }) => requestId === request_id);
+    if (!running) {
+      sendJson(response, 404, { error: `no running generation ${request_id}` });
+      return;
+    }
+    const generated = Array.from({ length: running.nextToken }, (_, index) =>
+      answerToken(running.prompt, index),
+    ).join('');
+    const content = [...running.request.messages, { role: 'assistant', content: generated }];
+    sendJson(response, 200, { blocks: promptPrefix(content) });
   }
 
   async #importKv(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { blocks } = z.object({ blocks: z.array(z.string()) }).parse(await readJson(request));
+    const { blocks } = z.object({ blocks: z.array(z.number()) }).parse(await readJson(request));
     for (const block of blocks) this.#store(block);
     sendJson(response, 200, {});
   }
 }
 
-/** Hashes of all prefixes of `prompt` in whole blocks. */
-export function prefixBlocks(prompt: string): string[] {
-  const blocks: string[] = [];
-  for (let end = cacheBlockChars; end <= prompt.length; end += cacheBlockChars) {
-    blocks.push(hash64Hex(prompt.slice(0, end)));
-  }
-  return blocks;
-}
-
 /** Length in tokens of the whole answer to a prompt: `tokens=N` in the prompt, else 20 to 60. */
 export function answerLength(prompt: string): number {
   const stated = /tokens=(\d+)/.exec(prompt)?.[1];
--- a/src/standins/plain-server.ts
+++ b/src/standins/plain-server.ts
@@ -16,6 +16,7 @@
   readonly vmId: string;
   /** Executions by idempotency key; `none` for calls without one. */
   readonly executions = new Map<string, number>();
+  readonly #startedAtMs = Date.now();
   /** Time that a call takes. */
   callMs: number;
 
@@ -31,7 +32,7 @@
     response: ServerResponse,
   ): Promise<void> {
     if (request.url === '/health') {
-      sendJson(response, 200, { vm_id: this.vmId, draining: false });
+      sendJson(response, 200, { vm_id: this.vmId, startedAtMs: this.#startedAtMs });
       return;
     }
     if (request.url === '/load') {
--- a/src/state/claim-fold.ts
+++ b/src/state/claim-fold.ts
@@ -95,7 +95,8 @@
 
 const resolutionSchema = resolutionEntrySchema.omit({ kind: true });
 
-const claimSchema = claimEntrySchema.omit({ kind: true }).extend({
+/** Schema of a {@link Claim}. */
+export const claimSchema = claimEntrySchema.omit({ kind: true }).extend({
   position: z.int().positive(),
   status: z.enum(ClaimStatus),
   answer: answerSchema.nullable(),
--- a/test/pipeline/generation-relay_test.ts
+++ b/test/pipeline/generation-relay_test.ts
@@ -164,6 +164,7 @@
   model: 'm',
   messages: [{ role: 'user', content: 'hello' }],
   maxTokens: 100,
+  expectedOutputTokens: 4,
   workClass: WorkClass.Short,
   deadlineAtMs: 1e12,
   isResumable: true,
