--- a/src/log/http-log-service.ts
+++ b/src/log/http-log-service.ts
@@ -24,6 +24,9 @@
   nextOffset: z.number().int().nonnegative(),
 });
 
+/** Body of a 410 answer. */
+const goneAnswer = z.object({ earliestOffset: z.number().int().nonnegative() });
+
 /** Options of {@link HttpLogService}. */
 export interface HttpLogServiceOptions {
   /** Base URL such as `http://10.0.0.1:9000`. */
@@ -79,19 +82,11 @@
   }
 
   override async read(stream: string, fromOffset: Offset, options: ReadOptions): Promise<ReadPage> {
-    const query = new URLSearchParams({
-      from: String(fromOffset),
-      limit: String(options.limit),
-      wait_ms: String(options.waitMs),
-    });
-    const answer = await this.#send(
-      `/streams/${encodeURIComponent(stream)}/records?${query.toString()}`,
-      {
-        method: 'GET',
-        signal: withTimeout(options.waitMs + this.#readGraceMs, options.signal),
-      },
-    );
-    return this.#decode(readAnswer, answer, false);
+    const answer = await this.#get(stream, fromOffset, options);
+    if (answer.status !== 410) return this.#decode(readAnswer, answer, false);
+    // The oldest records were trimmed. The page then starts at the oldest one kept, by contract.
+    const { earliestOffset } = this.#decode(goneAnswer, { ...answer, status: 200 }, false);
+    return this.#decode(readAnswer, await this.#get(stream, earliestOffset, options), false);
   }
 
   /** Closes all connections; requests in flight fail. */
@@ -99,6 +94,22 @@
     await this.#agent.destroy();
   }
 
+  #get(
+    stream: string,
+    fromOffset: Offset,
+    options: ReadOptions,
+  ): Promise<{ status: number; text: string }> {
+    const query = new URLSearchParams({
+      from: String(fromOffset),
+      limit: String(options.limit),
+      wait_ms: String(options.waitMs),
+    });
+    return this.#send(`/streams/${encodeURIComponent(stream)}/records?${query.toString()}`, {
+      method: 'GET',
+      signal: withTimeout(options.waitMs + this.#readGraceMs, options.signal),
+    });
+  }
+
   async #send(
     path: string,
     options: Omit<Dispatcher.RequestOptions, 'origin' | 'path'>,
--- a/src/log/index.ts
+++ b/src/log/index.ts
@@ -10,4 +10,5 @@
 export * from './position.js';
 export * from './record-feed.js';
 export * from './snapshot-codec.js';
+export * from './snapshotter.js';
 export * from './tailer.js';
--- a/src/log/snapshot-codec.ts
+++ b/src/log/snapshot-codec.ts
@@ -31,6 +31,12 @@
   readonly state: unknown;
 }
 
+/** A snapshot read from the log. */
+export interface AssembledSnapshot extends CompleteSnapshot {
+  /** Append time of its first record, which is the first of it to be trimmed. */
+  readonly beganAtMs: number;
+}
+
 /**
  * Splits a state into the entries of one snapshot. The digest also covers the offset, so that parts
  * of two snapshots cannot be mixed up.
@@ -71,6 +77,7 @@
 
 interface OpenSnapshot {
   readonly throughOffset: Offset;
+  readonly beganAtMs: number;
   readonly parts: Map<number, string>;
 }
 
@@ -82,19 +89,23 @@
  *
  * @example
  * ```ts
- * const complete = assembler.add(entry);
+ * const complete = assembler.add(entry, record.appendedAtMs);
  * ```
  */
 export class SnapshotAssembler {
   readonly #open = new Map<string, OpenSnapshot>();
 
   /** Returns the snapshot that `entry` completes; undefined for anything else. */
-  add(entry: unknown): CompleteSnapshot | undefined {
+  add(entry: unknown, appendedAtMs: number): AssembledSnapshot | undefined {
     const decoded = entrySchema.safeParse(entry).data;
     if (!decoded) return undefined;
     const { snapshotId } = decoded;
     if (decoded.kind === EntryKind.SnapshotBegin) {
-      this.#begin(snapshotId, decoded.throughOffset);
+      this.#begin(snapshotId, {
+        throughOffset: decoded.throughOffset,
+        beganAtMs: appendedAtMs,
+        parts: new Map(),
+      });
       return undefined;
     }
     const open = this.#open.get(snapshotId);
@@ -107,9 +118,9 @@
     return complete(snapshotId, open, decoded.parts, decoded.digest);
   }
 
-  #begin(snapshotId: string, throughOffset: Offset): void {
+  #begin(snapshotId: string, snapshot: OpenSnapshot): void {
     if (this.#open.has(snapshotId)) return;
-    this.#open.set(snapshotId, { throughOffset, parts: new Map() });
+    this.#open.set(snapshotId, snapshot);
     const [oldest] = this.#open.keys();
     if (this.#open.size > maxOpenSnapshots && oldest !== undefined) this.#open.delete(oldest);
   }
@@ -120,7 +131,7 @@
   open: OpenSnapshot,
   partCount: number,
   digest: string,
-): CompleteSnapshot | undefined {
+): AssembledSnapshot | undefined {
   if (open.parts.size < partCount) return undefined;
   let text = '';
   for (let index = 0; index < partCount; index++) {
@@ -131,7 +142,8 @@
   if (digestOf(open.throughOffset, text) !== digest) return undefined;
   try {
     const state: unknown = JSON.parse(text);
-    return { snapshotId, throughOffset: open.throughOffset, state };
+    const { throughOffset, beganAtMs } = open;
+    return { snapshotId, throughOffset, beganAtMs, state };
   } catch {
     return undefined;
   }
--- a/src/log/tailer.ts
+++ b/src/log/tailer.ts
@@ -75,8 +75,14 @@
     while (!this.#abort.signal.aborted) {
       try {
         const fromOffset = this.#nextOffset;
-        const page = await withTimeout(clock, waitMs + graceMs, this.#abort.signal, (signal) =>
-          this.#options.log.read(this.#options.stream, fromOffset, { limit, waitMs, signal }),
+        // The first read does not wait, so that an empty stream is known to be caught up at once.
+        const holdMs = this.#lastReadAtMs === undefined ? 0 : waitMs;
+        const page = await withTimeout(clock, holdMs + graceMs, this.#abort.signal, (signal) =>
+          this.#options.log.read(this.#options.stream, fromOffset, {
+            limit,
+            waitMs: holdMs,
+            signal,
+          }),
         );
         if (this.#stopped()) return;
         this.#accept(page, fromOffset);
--- /dev/null
+++ b/src/settings/check-settings.ts
@@ -0,0 +1,90 @@
+import type { SectionValues } from './deployment.js';
+import { KeyKind, sectionSchemas } from './schemas.js';
+import type { SettingsDocument } from './settings-document.js';
+import { ProblemSeverity, type SettingsProblem } from './settings-problem.js';
+import { SectionKind, SettingsPath } from './settings-path.js';
+
+/**
+ * Checks settings files offline: syntax, schemas, sections that stand in two files, and references
+ * between sections (as warnings, since the other section may follow in a later change).
+ *
+ * @param inForce - sections that the files are applied on top of.
+ * @example
+ * ```ts
+ * const problems = checkSettings([SettingsDocument.fromBytes(bytes, 'a.ini')]);
+ * const isValid = problems.every(({ severity }) => severity !== ProblemSeverity.Error);
+ * ```
+ */
+export function checkSettings(
+  documents: readonly SettingsDocument[],
+  inForce: ReadonlyMap<string, SectionValues> = new Map(),
+): SettingsProblem[] {
+  const all = new Map(inForce);
+  const owners = new Map<string, SettingsDocument>();
+  const problems: SettingsProblem[] = [];
+  for (const document of documents) {
+    problems.push(...document.problems);
+    for (const [path, values] of document.sections) {
+      const owner = owners.get(path);
+      if (owner) problems.push(at(document, path, '', `also stands in ${owner.file}`, 'one file'));
+      owners.set(path, document);
+      all.set(path, values);
+    }
+  }
+  for (const [path, document] of owners) problems.push(...checkReferences(path, document, all));
+  return problems;
+}
+
+/** References of one section that lead nowhere. */
+function checkReferences(
+  text: string,
+  document: SettingsDocument,
+  all: ReadonlyMap<string, SectionValues>,
+): SettingsProblem[] {
+  const path = SettingsPath.parse(text);
+  const missing = (setting: string, kind: SectionKind, names: readonly string[]) =>
+    names
+      .filter((name) => !all.has(`${path.deployment}/${path.team}/${kind}/${name}`))
+      .map((name) => {
+        const message = `"${name}" does not exist in ${path.team}/${kind}`;
+        const known = namesOf(all, `${path.deployment}/${path.team}/${kind}/`).join(', ');
+        return at(document, text, setting, message, known, ProblemSeverity.Warning);
+      });
+  const values = document.sections.get(text) ?? {};
+  switch (path.kind) {
+    case SectionKind.Workspaces: {
+      const workspace = sectionSchemas[path.kind].safeParse(values).data;
+      return missing('services', SectionKind.Services, workspace?.services ?? []);
+    }
+    case SectionKind.Endpoints: {
+      const endpoint = sectionSchemas[path.kind].safeParse(values).data;
+      return missing('service', SectionKind.Services, endpoint ? [endpoint.service] : []);
+    }
+    case SectionKind.Keys: {
+      const key = sectionSchemas[path.kind].safeParse(values).data;
+      const isCaller = key?.kind === KeyKind.Caller;
+      return missing('workspace', SectionKind.Workspaces, isCaller ? [key.workspace] : []);
+    }
+    default:
+      return [];
+  }
+}
+
+function namesOf(all: ReadonlyMap<string, SectionValues>, prefix: string): string[] {
+  return [...all.keys()]
+    .filter((path) => path.startsWith(prefix))
+    .map((path) => path.slice(prefix.length));
+}
+
+function at(
+  document: SettingsDocument,
+  path: string,
+  setting: string,
+  message: string,
+  allowed: string,
+  severity = ProblemSeverity.Error,
+): SettingsProblem {
+  const line = document.lineOf(path, setting);
+  const place = line === undefined ? { file: document.file } : { file: document.file, line };
+  return { ...place, path, setting, message, allowed, severity };
+}
--- /dev/null
+++ b/src/settings/diff-settings.ts
@@ -0,0 +1,86 @@
+import type { SectionValues } from './deployment.js';
+
+/** What happens to a section. */
+export enum DifferenceKind {
+  Added = 'added',
+  Removed = 'removed',
+  Changed = 'changed',
+}
+
+/** Change of one setting; undefined stands for "not set", so that the default applies. */
+export interface SettingDifference {
+  readonly setting: string;
+  readonly from: string | undefined;
+  readonly to: string | undefined;
+}
+
+/** Change of one section. */
+export interface SectionDifference {
+  readonly path: string;
+  readonly kind: DifferenceKind;
+  readonly settings: readonly SettingDifference[];
+}
+
+/**
+ * Differences between two sets of sections, in the order of their paths.
+ *
+ * @param scope - only sections below this path prefix are compared, such as `prod/tejidos`.
+ * @example
+ * ```ts
+ * diffSettings(inForce, parseSettings(text, file), 'prod/tejidos');
+ * ```
+ */
+export function diffSettings(
+  from: ReadonlyMap<string, SectionValues>,
+  to: ReadonlyMap<string, SectionValues>,
+  scope = '',
+): SectionDifference[] {
+  const paths = [...new Set([...from.keys(), ...to.keys()])].sort();
+  return paths
+    .filter((path) => scope === '' || path === scope || path.startsWith(`${scope}/`))
+    .flatMap((path): SectionDifference[] => {
+      const before = from.get(path);
+      const after = to.get(path);
+      const settings = diffValues(before ?? {}, after ?? {});
+      if (!before) return [{ path, kind: DifferenceKind.Added, settings }];
+      if (!after) return [{ path, kind: DifferenceKind.Removed, settings }];
+      return settings.length > 0 ? [{ path, kind: DifferenceKind.Changed, settings }] : [];
+    });
+}
+
+function diffValues(from: SectionValues, to: SectionValues): SettingDifference[] {
+  return [...new Set([...Object.keys(from), ...Object.keys(to)])]
+    .sort()
+    .map((setting) => ({ setting, from: valueOf(from, setting), to: valueOf(to, setting) }))
+    .filter((difference) => difference.from !== difference.to);
+}
+
+function valueOf(values: SectionValues, setting: string): string | undefined {
+  return Object.hasOwn(values, setting) ? values[setting] : undefined;
+}
+
+/**
+ * The differences as text, one line per setting: `+` added, `-` removed, `~` changed.
+ *
+ * @example
+ * ```ts
+ * process.stdout.write(formatDifferences(diffSettings(from, to)));
+ * ```
+ */
+export function formatDifferences(differences: readonly SectionDifference[]): string {
+  const sign = {
+    [DifferenceKind.Added]: '+',
+    [DifferenceKind.Removed]: '-',
+    [DifferenceKind.Changed]: '~',
+  };
+  return differences
+    .map(({ path, kind, settings }) => {
+      const lines = settings.map(({ setting, from, to }) => {
+        const before = from ?? '(default)';
+        const after = to ?? '(default)';
+        return `    ${setting}: ${before} -> ${after}\n`;
+      });
+      return `${sign[kind]} [${path}]\n${lines.join('')}`;
+    })
+    .join('');
+}
--- a/src/settings/field-schemas.ts
+++ b/src/settings/field-schemas.ts
@@ -4,40 +4,89 @@
 
 const decimalPattern = /^-?(?:0|[1-9]\d*)(?:\.\d+)?$/;
 
+/** Allowed values in words, attached to a schema for error messages and the reference page. */
+function allowing<T extends z.ZodType>(allowed: string, schema: T): T {
+  return schema.meta({ allowed });
+}
+
 /** A decimal with `.` as separator, within [min, max]. */
 export function decimal(min: number, max: number): z.ZodType<number, string> {
-  return z
-    .string()
-    .regex(decimalPattern, `must be a decimal number such as 12.5`)
-    .transform(Number)
-    .refine((value) => value >= min && value <= max, `must be from ${min} to ${max}`);
+  return allowing(
+    `${min} to ${max}`,
+    z
+      .string()
+      .regex(decimalPattern, `must be a decimal number such as 12.5`)
+      .transform(Number)
+      .refine((value) => value >= min && value <= max, `must be from ${min} to ${max}`),
+  );
 }
 
 /** A whole number within [min, max]. */
 export function whole(min: number, max: number): z.ZodType<number, string> {
-  return z
-    .string()
-    .regex(/^-?(?:0|[1-9]\d*)$/, 'must be a whole number')
-    .transform(Number)
-    .refine((value) => value >= min && value <= max, `must be from ${min} to ${max}`);
+  return allowing(
+    `whole number, ${min} to ${max}`,
+    z
+      .string()
+      .regex(/^-?(?:0|[1-9]\d*)$/, 'must be a whole number')
+      .transform(Number)
+      .refine((value) => value >= min && value <= max, `must be from ${min} to ${max}`),
+  );
 }
 
 /** `true` or `false`. */
 export function flag(): z.ZodType<boolean, string> {
-  return z.enum(['true', 'false']).transform((value) => value === 'true');
+  return allowing(
+    'true, false',
+    z.enum(['true', 'false']).transform((value) => value === 'true'),
+  );
 }
 
 /** Items separated by commas; white space around an item is ignored; empty text is an empty list. */
 export function list(): z.ZodType<string[], string> {
-  return z.string().transform((value) =>
-    value
-      .split(',')
-      .map((item) => item.trim())
-      .filter((item) => item !== ''),
+  return allowing(
+    'items separated by commas, may be empty',
+    z.string().transform((value) =>
+      value
+        .split(',')
+        .map((item) => item.trim())
+        .filter((item) => item !== ''),
+    ),
   );
 }
 
 /** Text of 1 to `maxLength` characters. */
 export function text(maxLength = 200): z.ZodType<string, string> {
-  return z.string().min(1, 'must not be empty').max(maxLength);
+  return allowing(
+    `text of 1 to ${maxLength} characters`,
+    z.string().min(1, 'must not be empty').max(maxLength),
+  );
+}
+
+/** Text of at most `maxLength` characters that may be empty. */
+export function optionalText(maxLength: number): z.ZodType<string, string> {
+  return allowing(`text of at most ${maxLength} characters`, z.string().max(maxLength));
+}
+
+/** Routes as `METHOD /path-prefix`, separated by commas. */
+export function routeList(): z.ZodType<string[], string> {
+  return allowing(
+    '`METHOD /path-prefix`, separated by commas, may be empty',
+    list().refine(
+      (routes) => routes.every((route) => /^[A-Z]+ \/\S*$/.test(route)),
+      'must be routes such as POST /orders',
+    ),
+  );
+}
+
+/** Base URL of an HTTP server. */
+export function httpUrl(): z.ZodType<string, string> {
+  return allowing('http or https URL', z.url({ protocol: /^https?$/ }));
+}
+
+/** Salted scrypt hash of a secret. */
+export function secretHash(): z.ZodType<string, string> {
+  return allowing(
+    '`scrypt$`, 32 hexadecimal digits of salt, `$`, 64 of hash',
+    z.string().regex(/^scrypt\$[0-9a-f]{32}\$[0-9a-f]{64}$/, 'must be scrypt$salt$hash'),
+  );
 }
--- a/src/settings/settings-document.ts
+++ b/src/settings/settings-document.ts
@@ -1,55 +1,162 @@
 import { parse } from 'ini';
 import { OrioleError, Step } from '../core/index.js';
-import { sectionSchemas } from './schemas.js';
 import type { SectionValues } from './deployment.js';
-import { SettingsPath } from './settings-path.js';
+import { checkSection } from './section-check.js';
+import { ProblemSeverity, formatProblem, type SettingsProblem } from './settings-problem.js';
+import { SectionKind, SettingsPath } from './settings-path.js';
 
-/** One thing that is wrong with a settings file. */
-export interface SettingsProblem {
-  readonly path: string;
-  readonly setting: string;
-  readonly message: string;
-}
+const sectionLine = /^\[(.*)\]$/u;
+const pathHint = `deployment/team/{${Object.values(SectionKind).join(',')}}/name`;
 
 /**
- * Parses an INI settings file into sections by path and checks each against its schema.
+ * An INI settings file: sections by path, with the line of each section and setting and every
+ * problem found. Names and values are normalized to NFC, so that a file written on any system means
+ * the same.
  *
- * @throws OrioleError (step `settings`) that lists every problem.
  * @example
  * ```ts
- * const sections = parseSettings('[prod/a/limits/w]\nrate_per_s = 5\n', 'a.ini');
+ * const document = SettingsDocument.parse('[prod/a/limits/w]\nrate_per_s = 5\n', 'a.ini');
+ * document.problems; // []
  * ```
  */
-export function parseSettings(text: string, file: string): Map<string, SectionValues> {
-  const sections = new Map<string, SectionValues>();
-  const problems: string[] = [];
-  const document: Record<string, unknown> = parse(text);
-  for (const [name, raw] of Object.entries(document)) {
-    const path = SettingsPath.tryParse(name);
-    if (!path || typeof raw !== 'object' || raw === null) {
-      problems.push(`"${name}" is not a section path`);
-      continue;
+export class SettingsDocument {
+  readonly file: string;
+  readonly #sections = new Map<string, Record<string, string>>();
+  readonly #lines = new Map<string, number>();
+  readonly #problems: SettingsProblem[] = [];
+
+  private constructor(file: string) {
+    this.file = file;
+  }
+
+  static parse(text: string, file: string): SettingsDocument {
+    const document = new SettingsDocument(file);
+    document.#readLines(text.replace(/^\uFEFF/u, '').normalize('NFC'));
+    document.#checkSections();
+    return document;
+  }
+
+  /** Parses the bytes of a file; bytes that are not UTF-8 are a problem, never replaced. */
+  static fromBytes(bytes: Uint8Array, file: string): SettingsDocument {
+    try {
+      return SettingsDocument.parse(new TextDecoder('utf-8', { fatal: true }).decode(bytes), file);
+    } catch {
+      const document = new SettingsDocument(file);
+      document.#report(undefined, '', '', 'is not UTF-8; save it as UTF-8', 'UTF-8 text');
+      return document;
+    }
+  }
+
+  /** Raw values by section path, valid or not. */
+  get sections(): ReadonlyMap<string, SectionValues> {
+    return this.#sections;
+  }
+
+  /** Every problem, in the order of the lines. */
+  get problems(): readonly SettingsProblem[] {
+    return [...this.#problems].sort((a, b) => (a.line ?? 0) - (b.line ?? 0));
+  }
+
+  /** Line of a setting, or of its section when the setting is absent; undefined for neither. */
+  lineOf(path: string, setting = ''): number | undefined {
+    return this.#lines.get(lineKey(path, setting)) ?? this.#lines.get(lineKey(path, ''));
+  }
+
+  #readLines(text: string): void {
+    let path: string | undefined;
+    // Settings below a bad section header are skipped without a message each.
+    let isSkipping = false;
+    text.split(/\r\n|\n|\r/u).forEach((raw, index) => {
+      const content = raw.trim();
+      const line = index + 1;
+      if (content === '' || content.startsWith(';') || content.startsWith('#')) return;
+      const name = sectionLine.exec(content)?.[1];
+      if (name !== undefined) {
+        path = this.#openSection(name.trim(), line);
+        isSkipping = path === undefined;
+      } else if (path !== undefined) {
+        this.#readSetting(path, content, line);
+      } else if (!isSkipping) {
+        this.#report(line, '', '', 'stands before the first section', `[${pathHint}]`);
+      }
+    });
+  }
+
+  #openSection(name: string, line: number): string | undefined {
+    if (!SettingsPath.tryParse(name)) {
+      this.#report(line, '', '', `"${name}" is not a section path`, pathHint);
+      return undefined;
     }
-    const values = Object.fromEntries(
-      Object.entries(raw).map(([setting, value]) => [setting, String(value)]),
-    );
-    const problem = checkSection(path, values)[0];
-    if (problem) problems.push(`[${name}] ${problem.setting}: ${problem.message}`);
-    else sections.set(name, values);
+    const first = this.#lines.get(lineKey(name, ''));
+    if (first !== undefined) {
+      this.#report(line, name, '', `section already stands in line ${first}`, 'one section');
+      return undefined;
+    }
+    this.#sections.set(name, {});
+    this.#lines.set(lineKey(name, ''), line);
+    return name;
   }
-  if (problems.length > 0) {
-    throw new OrioleError(problems.join('\n'), { step: Step.Settings, peer: file });
+
+  #readSetting(path: string, content: string, line: number): void {
+    // The library parses one line at a time, since it reports neither lines nor duplicates.
+    const [entry, ...others] = Object.entries(parse(content));
+    const [setting, value] = entry ?? [];
+    const isText = typeof value === 'string' || typeof value === 'boolean' || value === null;
+    if (setting === undefined || !isText || others.length > 0 || !content.includes('=')) {
+      this.#report(line, path, '', `"${content}" is not a setting`, 'name = value');
+      return;
+    }
+    const first = this.#lines.get(lineKey(path, setting));
+    if (first !== undefined) {
+      this.#report(line, path, setting, `already set in line ${first}`, 'one value');
+      return;
+    }
+    const values = this.#sections.get(path) ?? {};
+    values[setting] = String(value).normalize('NFC');
+    this.#sections.set(path, values);
+    this.#lines.set(lineKey(path, setting), line);
   }
-  return sections;
+
+  #checkSections(): void {
+    for (const [path, values] of this.#sections) {
+      for (const problem of checkSection(SettingsPath.parse(path), values)) {
+        const line = this.lineOf(path, problem.setting);
+        this.#problems.push({ ...problem, file: this.file, ...(line ? { line } : {}) });
+      }
+    }
+  }
+
+  #report(
+    line: number | undefined,
+    path: string,
+    setting: string,
+    message: string,
+    allowed: string,
+  ): void {
+    const severity = ProblemSeverity.Error;
+    const place = line === undefined ? { file: this.file } : { file: this.file, line };
+    this.#problems.push({ ...place, path, setting, message, allowed, severity });
+  }
+}
+
+function lineKey(path: string, setting: string): string {
+  return `${path}\n${setting}`;
 }
 
-/** Checks the values of one section against its schema. */
-export function checkSection(path: SettingsPath, values: SectionValues): SettingsProblem[] {
-  const result = sectionSchemas[path.kind].safeParse(values);
-  if (result.success) return [];
-  return result.error.issues.map((issue) => ({
-    path: path.toString(),
-    setting: issue.code === 'unrecognized_keys' ? issue.keys.join(', ') : issue.path.join('.'),
-    message: issue.message,
-  }));
+/**
+ * Parses an INI settings file into sections by path and checks each against its schema.
+ *
+ * @throws OrioleError (step `settings`) that lists every problem.
+ * @example
+ * ```ts
+ * const sections = parseSettings('[prod/a/limits/w]\nrate_per_s = 5\n', 'a.ini');
+ * ```
+ */
+export function parseSettings(text: string, file: string): Map<string, SectionValues> {
+  const { problems, sections } = SettingsDocument.parse(text, file);
+  if (problems.length === 0) return new Map(sections);
+  throw new OrioleError(problems.map(formatProblem).join('\n'), {
+    step: Step.Settings,
+    peer: file,
+  });
 }
--- /dev/null
+++ b/src/settings/settings-reference.ts
@@ -0,0 +1,75 @@
+import { z } from 'zod';
+import { sectionSchemas } from './schemas.js';
+import { allowedValues } from './section-check.js';
+import { SectionKind } from './settings-path.js';
+
+/** Description of one setting, taken from its schema. */
+export interface SettingDescription {
+  readonly kind: SectionKind;
+  readonly setting: string;
+  readonly meaning: string;
+  readonly unit: string;
+  readonly allowed: string;
+  /** Text of the default; undefined when the setting is required. */
+  readonly defaultText: string | undefined;
+}
+
+/** Unit by the suffix of a setting's name; the first that fits. */
+const units: readonly (readonly [suffix: string, unit: string])[] = [
+  ['_usd_per_hour', 'USD/h'],
+  ['_per_s', '1/s'],
+  ['_ms', 'ms'],
+  ['_bytes', 'bytes'],
+  ['_tokens', 'tokens'],
+  ['_requests', 'requests'],
+  ['_vms', 'VMs'],
+  ['_slots', 'slots'],
+  ['_attempts', 'attempts'],
+  ['_ratio', 'share'],
+  ['_ratio_max', 'share'],
+];
+
+/** Every setting of every section kind, in the order of the schemas. */
+export function describeSettings(): SettingDescription[] {
+  return Object.values(SectionKind).flatMap((kind) =>
+    Object.entries<z.ZodType>(sectionSchemas[kind].shape).map(([setting, schema]) => ({
+      kind,
+      setting,
+      meaning: schema.description ?? '',
+      unit: units.find(([suffix]) => setting.endsWith(suffix))?.[1] ?? '',
+      allowed: allowedValues(schema),
+      defaultText: schema instanceof z.ZodDefault ? textOf(schema.def.defaultValue) : undefined,
+    })),
+  );
+}
+
+function textOf(value: unknown): string {
+  return Array.isArray(value) ? value.join(', ') : String(value);
+}
+
+/**
+ * The settings as Markdown tables, one for each section kind; kept in
+ * `docs/operators/log-and-settings.md`, which a test compares with this text.
+ */
+export function settingsReference(): string {
+  const all = describeSettings();
+  return Object.values(SectionKind)
+    .map((kind) => {
+      const rows = all
+        .filter((description) => description.kind === kind)
+        .map(({ setting, meaning, unit, allowed, defaultText }) => {
+          const fallback =
+            defaultText === undefined ? 'required' : defaultText === '' ? 'empty' : defaultText;
+          return `| \`${setting}\` | ${unit} | ${allowed} | ${fallback} | ${meaning} |`;
+        });
+      return [
+        `### ${kind}`,
+        '',
+        '| setting | unit | allowed | default | meaning |',
+        '| --- | --- | --- | --- | --- |',
+        ...rows,
+        '',
+      ].join('\n');
+    })
+    .join('\n');
+}
--- a/src/state/stream-replica.ts
+++ b/src/state/stream-replica.ts
@@ -5,12 +5,14 @@
   Tailer,
   decodeEnvelope,
   isSnapshotEntry,
-  type CompleteSnapshot,
+  type AssembledSnapshot,
   type LogRecord,
   type LogService,
   type Offset,
   type RawEntry,
   type ReadPage,
+  type SnapshotPlace,
+  type SnapshotSource,
 } from '../log/index.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
 import type { Fold, Position } from './fold.js';
@@ -56,7 +58,7 @@
  * await replica.ready;
  * ```
  */
-export class StreamReplica extends RecordFeed {
+export class StreamReplica extends RecordFeed implements SnapshotSource {
   readonly fold: Fold;
   readonly stream: string;
   /** Resolves once the replica is caught up to the end of the stream seen at its start. */
@@ -71,13 +73,14 @@
   #markReady: () => void = () => undefined;
   #isReady = false;
   #appliedOffset: Offset = 0;
+  #appliedAtMs = -Infinity;
   #readyOffset: Offset | undefined;
   /** Records read past a gap, held until a snapshot bridges it; undefined when there is no gap. */
   #beyondGap: LogRecord[] | undefined;
   /** First stateful record of each minute since the newest snapshot's offset. */
   #uncovered: OffsetTime[] = [];
   #lastStatefulOffset: Offset = -1;
-  #snapshot: { readonly throughOffset: Offset; readonly appendedAtMs: number } | undefined;
+  #snapshot: SnapshotPlace | undefined;
 
   constructor(options: StreamReplicaOptions) {
     super();
@@ -101,10 +104,13 @@
     return this.#appliedOffset;
   }
 
-  /** Milliseconds since the last successful read; infinite before the first. */
+  /**
+   * Milliseconds since the last successful read whose records were applied; infinite before the
+   * first. It keeps growing while trimmed records are missing, since the state is then old even
+   * though reads succeed.
+   */
   get ageMs(): number {
-    const { lastReadAtMs } = this.#tailer;
-    return lastReadAtMs === undefined ? Infinity : this.#options.clock.nowMs() - lastReadAtMs;
+    return this.#options.clock.nowMs() - this.#appliedAtMs;
   }
 
   /** Append time of the oldest record that no complete snapshot covers; for the snapshotter. */
@@ -112,12 +118,16 @@
     return this.#uncovered[0]?.appendedAtMs;
   }
 
-  /** Offset and append time of the newest complete snapshot seen in the stream. */
-  get lastSnapshot():
-    { readonly throughOffset: Offset; readonly appendedAtMs: number } | undefined {
+  /** The newest complete snapshot seen in the stream. */
+  get lastSnapshot(): SnapshotPlace | undefined {
     return this.#snapshot;
   }
 
+  /** The state together with the last offset that it covers. */
+  capture(): { readonly throughOffset: Offset; readonly state: unknown } {
+    return { throughOffset: this.#appliedOffset - 1, state: this.fold.snapshot() };
+  }
+
   start(): void {
     this.#tailer.start();
   }
@@ -151,7 +161,9 @@
     this.#readyOffset ??= Math.max(page.nextOffset, this.#options.minReadyOffset ?? 0);
     if (page.earliestOffset > fromOffset) this.#openGap(fromOffset, page.earliestOffset);
     for (const record of page.records) this.#accept(record);
-    if (!this.#isReady && !this.#beyondGap && this.#appliedOffset >= this.#readyOffset) {
+    if (this.#beyondGap) return;
+    this.#appliedAtMs = this.#options.clock.nowMs();
+    if (!this.#isReady && this.#appliedOffset >= this.#readyOffset) {
       this.#isReady = true;
       this.#options.events.info(EventId.StreamCaughtUp, 'stream is caught up', {
         stream: this.stream,
@@ -180,7 +192,7 @@
     if (isStateful) this.#noteUncovered(record);
     for (const entry of entries) {
       if (!isSnapshotEntry(entry)) continue;
-      const snapshot = this.#assembler.add(entry);
+      const snapshot = this.#assembler.add(entry, record.appendedAtMs);
       if (snapshot) this.#onSnapshot(snapshot, record);
     }
   }
@@ -197,13 +209,13 @@
     this.#wakeWaiters();
   }
 
-  #onSnapshot(snapshot: CompleteSnapshot, record: LogRecord): void {
+  #onSnapshot(snapshot: AssembledSnapshot, record: LogRecord): void {
     const { throughOffset } = snapshot;
     // A snapshot covers a prefix only, so one that claims its own offset or later is forged.
     if (throughOffset >= record.offset) return;
     if (this.#beyondGap && !this.#bridge(snapshot, this.#beyondGap)) return;
     if ((this.#snapshot?.throughOffset ?? -1) >= throughOffset) return;
-    this.#snapshot = { throughOffset, appendedAtMs: record.appendedAtMs };
+    this.#snapshot = { throughOffset, beganAtMs: snapshot.beganAtMs };
     // A sample stands for the records up to the next sample; it is covered when they all are.
     this.#uncovered = this.#uncovered.filter((_, index, samples) => {
       const last = (samples[index + 1]?.offset ?? this.#lastStatefulOffset + 1) - 1;
@@ -219,7 +231,7 @@
   }
 
   /** Restores the state when `snapshot` reaches the held records, and replays those after it. */
-  #bridge(snapshot: CompleteSnapshot, held: readonly LogRecord[]): boolean {
+  #bridge(snapshot: AssembledSnapshot, held: readonly LogRecord[]): boolean {
     const { throughOffset, snapshotId } = snapshot;
     const rest = held.filter(({ offset }) => offset > throughOffset);
     const isContiguous = rest.every(({ offset }, index) => offset === throughOffset + 1 + index);
--- a/test/state/config-fold_test.ts
+++ b/test/state/config-fold_test.ts
@@ -79,6 +79,7 @@
         expect(fold.sections().size).toBe(0);
         expect(() => fold.restore(state)).toThrow();
       }),
+      { seed: 1 },
     );
     const fold = configFold();
     fold.apply({ offset: 0, index: 0 }, changeEntry('key', [teamKeySection]));
