Test lagging reads and a refusal after a lost answer

Cause: removing the line that remembers a lost answer went unnoticed by the tests, and no history had reads that lack the newest records.

Change: the log stand-in can answer reads that lag. The tailer waits at least 50 ms between two reads that find nothing, since a lagging service would otherwise be polled in a loop. A test covers a refusal that follows a lost answer.

--- a/src/log/tailer.ts
+++ b/src/log/tailer.ts
@@ -25,6 +25,9 @@
   readonly graceMs?: number;
 }
 
+/** Least time between two reads that find nothing. */
+const minPollMs = 50;
+
 /**
  * Follows one stream with long polls. Only moves forward; a read that fails or stays silent is
  * repeated from the same offset after a jittered back-off.
@@ -75,6 +78,7 @@
     while (!this.#abort.signal.aborted) {
       try {
         const fromOffset = this.#nextOffset;
+        const readAtMs = clock.nowMs();
         // The first read does not wait, so that an empty stream is known to be caught up at once.
         const holdMs = this.#lastReadAtMs === undefined ? 0 : waitMs;
         const page = await withTimeout(clock, holdMs + graceMs, this.#abort.signal, (signal) =>
@@ -86,6 +90,10 @@
         );
         if (this.#stopped()) return;
         await this.#accept(page, fromOffset);
+        // A service that answers empty pages at once, as a lagging one, must not be polled in a loop.
+        if (holdMs > 0 && page.records.length === 0 && clock.nowMs() < readAtMs + minPollMs) {
+          await clock.sleepUntil(readAtMs + minPollMs, this.#abort.signal);
+        }
       } catch (error) {
         if (this.#stopped()) return;
         await this.#pauseAfter(error);
--- a/src/standins/memory-log-service.ts
+++ b/src/standins/memory-log-service.ts
@@ -23,10 +23,18 @@
   Duplicated = 'duplicated',
 }
 
+/** Fate of one read. */
+export interface LogReadFate {
+  readonly fault: LogFault;
+  readonly delayMs: number;
+  /** The answer lacks this many of the newest records, as from a replica that lags. */
+  readonly lagRecords?: number;
+}
+
 /** Decides the fate and the delay of each call; tests hand in a seeded one. */
 export abstract class LogFaultSource {
   abstract onAppend(stream: string, record: NewRecord): { fault: LogFault; delayMs: number };
-  abstract onRead(stream: string): { fault: LogFault; delayMs: number };
+  abstract onRead(stream: string): LogReadFate;
 }
 
 /** A log service that never fails and answers at once. */
@@ -88,7 +96,7 @@
   }
 
   override async read(stream: string, fromOffset: Offset, options: ReadOptions): Promise<ReadPage> {
-    const { fault, delayMs } = this.faults.onRead(stream);
+    const { fault, delayMs, lagRecords = 0 } = this.faults.onRead(stream);
     if (delayMs > 0) await this.#clock.sleepUntil(this.#clock.nowMs() + delayMs, options.signal);
     if (fault !== LogFault.None) {
       throw new LogUnavailableError('no answer to the read', 'memory-log', false);
@@ -98,10 +106,12 @@
     }
     const { records, earliest } = this.#stream(stream);
     const start = Math.max(fromOffset, earliest);
+    const visible =
+      lagRecords > 0 ? records.slice(0, Math.max(0, records.length - lagRecords)) : records;
     return {
-      records: records.slice(start - earliest, start - earliest + options.limit),
+      records: visible.slice(start - earliest, start - earliest + options.limit),
       earliestOffset: earliest,
-      nextOffset: earliest + records.length,
+      nextOffset: earliest + visible.length,
     };
   }
 
--- a/src/standins/seeded-log-faults.ts
+++ b/src/standins/seeded-log-faults.ts
@@ -1,5 +1,5 @@
 import type { Clock, Random } from '../core/index.js';
-import { LogFault, LogFaultSource } from './memory-log-service.js';
+import { LogFault, LogFaultSource, type LogReadFate } from './memory-log-service.js';
 
 /** Options of {@link SeededLogFaults}. */
 export interface SeededLogFaultsOptions {
@@ -8,6 +8,8 @@
   /** Probability of each fault on an append; the rest succeeds. */
   readonly appendRatios?: Partial<Record<LogFault, number>>;
   readonly readLossRatio?: number;
+  /** Newest records that a read may lack, at most; uniform from 0. */
+  readonly maxLagRecords?: number;
   /** Longest delay of a call in milliseconds; delays are uniform. */
   readonly maxDelayMs?: number;
   /** Intervals in epoch milliseconds in which every call is lost. */
@@ -45,10 +47,12 @@
     return { fault: this.#isOut() ? LogFault.RequestLost : fault, delayMs: this.#delayMs() };
   }
 
-  override onRead(): { fault: LogFault; delayMs: number } {
+  override onRead(): LogReadFate {
     const isLost = this.#options.random.float() < (this.#options.readLossRatio ?? 0);
     const fault = isLost || this.#isOut() ? LogFault.RequestLost : LogFault.None;
-    return { fault, delayMs: this.#delayMs() };
+    const { random, maxLagRecords } = this.#options;
+    const lagRecords = maxLagRecords ? random.int(0, maxLagRecords) : 0;
+    return { fault, delayMs: this.#delayMs(), lagRecords };
   }
 
   #isOut(): boolean {
--- a/test/log/appender_test.ts
+++ b/test/log/appender_test.ts
@@ -66,6 +66,27 @@
     expect(appender.heldBytes).toBe(0);
   });
 
+  it('stays unknown when a refusal follows a lost answer (else not_run is untrue)', async () => {
+    class LostThenRefused extends FixedFault {
+      override onAppend(): { fault: LogFault; delayMs: number } {
+        const fault = this.#count++ === 0 ? LogFault.AnswerLost : LogFault.Refused;
+        return { fault, delayMs: 0 };
+      }
+
+      #count = 0;
+    }
+    const faults = new LostThenRefused(LogFault.None, LogFault.RequestLost);
+    const harness = new LogHarness(1, faults);
+    const appender = harness.appender('a', harness.replica(new FirstWinsFold()));
+    const deadlineAtMs = harness.clock.nowMs() + 3_000;
+    const error = appender
+      .append(claimEntry('c'), { deadlineAtMs, priority: high })
+      .catch((reason: unknown) => reason);
+    await harness.clock.advance(4_000);
+    expect(await error).toMatchObject({ mayBeStored: true });
+    expect(harness.log.recordsOf(harness.stream)).toHaveLength(1);
+  });
+
   it('refuses when its queue is full, as not sent (else an outage fills the memory)', async () => {
     const harness = new LogHarness(1, new FixedFault(LogFault.RequestLost));
     const appender = harness.appender('a', harness.replica(new FirstWinsFold()), 200);
--- a/test/settings-publisher/settings-publisher_test.ts
+++ b/test/settings-publisher/settings-publisher_test.ts
@@ -103,6 +103,7 @@
             [LogFault.RequestLost]: 0.1,
           },
           readLossRatio: 0.1,
+          maxLagRecords: 3,
           maxDelayMs: 200,
           outages: [{ fromMs: startMs + 10_000, untilMs: startMs + 25_000 }],
         });
