--- a/src/log/tailer.ts
+++ b/src/log/tailer.ts
@@ -13,9 +13,9 @@
   readonly events: EventLog;
   /**
    * Receives each page in order. `records` starts at the offset asked for, or at `earliestOffset`
-   * when older records have been trimmed.
+   * when older records have been trimmed. The next read starts when it has resolved.
    */
-  readonly onPage: (page: ReadPage, fromOffset: Offset) => void;
+  readonly onPage: (page: ReadPage, fromOffset: Offset) => Promise<void>;
   readonly fromOffset?: Offset;
   /** Records per read. */
   readonly limit?: number;
@@ -25,6 +25,9 @@
   readonly graceMs?: number;
 }
 
+/** Least time between two reads that find nothing. */
+const minPollMs = 50;
+
 /**
  * Follows one stream with long polls. Only moves forward; a read that fails or stays silent is
  * repeated from the same offset after a jittered back-off.
@@ -75,11 +78,22 @@
     while (!this.#abort.signal.aborted) {
       try {
         const fromOffset = this.#nextOffset;
-        const page = await withTimeout(clock, waitMs + graceMs, this.#abort.signal, (signal) =>
-          this.#options.log.read(this.#options.stream, fromOffset, { limit, waitMs, signal }),
+        const readAtMs = clock.nowMs();
+        // The first read does not wait, so that an empty stream is known to be caught up at once.
+        const holdMs = this.#lastReadAtMs === undefined ? 0 : waitMs;
+        const page = await withTimeout(clock, holdMs + graceMs, this.#abort.signal, (signal) =>
+          this.#options.log.read(this.#options.stream, fromOffset, {
+            limit,
+            waitMs: holdMs,
+            signal,
+          }),
         );
         if (this.#stopped()) return;
-        this.#accept(page, fromOffset);
+        await this.#accept(page, fromOffset);
+        // A service that answers empty pages at once, as a lagging one, must not be polled in a loop.
+        if (holdMs > 0 && page.records.length === 0 && clock.nowMs() < readAtMs + minPollMs) {
+          await clock.sleepUntil(readAtMs + minPollMs, this.#abort.signal);
+        }
       } catch (error) {
         if (this.#stopped()) return;
         await this.#pauseAfter(error);
@@ -87,7 +101,7 @@
     }
   }
 
-  #accept(page: ReadPage, fromOffset: Offset): void {
+  async #accept(page: ReadPage, fromOffset: Offset): Promise<void> {
     const { events, stream, clock } = this.#options;
     const first = Math.max(fromOffset, page.earliestOffset);
     const isInOrder = page.records.every(({ offset }, index) => offset === first + index);
@@ -102,7 +116,7 @@
     if (this.#isFailing) events.info(EventId.LogReadRecovered, 'log reads work again', { stream });
     this.#isFailing = false;
     this.#nextOffset = first + page.records.length;
-    this.#options.onPage(page, fromOffset);
+    await this.#options.onPage(page, fromOffset);
   }
 
   async #pauseAfter(error: unknown): Promise<void> {
