Check P1-P4 with seeded histories, and fix a job that gained a token

Cause: the guarantees need a proof under concurrent faults, not single tests. Change: bench/histories drives the real claim and job classes in simulated processes (pause, crash at any step, restart) over the in-memory log, with fast-check commands. Found and fixed: a job whose last token was recorded, but not its completion, asked its next engine for one more token (maxTokens was raised to 1).

--- a/bench/histories/fake-engine.ts
+++ b/bench/histories/fake-engine.ts
@@ -26,6 +26,13 @@
   readonly failureDomain: string;
   readonly region?: string;
   readonly tokenGapMs: number;
+  /** Told of each generation that starts, with its request id and the tag of its prompt. */
+  readonly onStart?: (requestId: string, tag: string) => void;
+}
+
+/** The whole answer to a prompt. */
+export function expectedText(tag: string, tokens: number): string {
+  return Array.from({ length: tokens }, (_, index) => `${tag}:${index} `).join('');
 }
 
 /**
@@ -73,6 +80,7 @@
     const stream = { isSilent: false };
     this.streams.add(stream);
     const tag = request.messages[0]?.content ?? '';
+    this.options.onStart?.(request.requestId, tag);
     const isKvImported = 'kv_import' in request.passThrough;
     const start = request.resumeText.split(' ').length - 1;
     if (!isKvImported) this.prefilledTokens += start;
--- a/bench/histories/process.ts
+++ b/bench/histories/process.ts
@@ -1,4 +1,4 @@
-import { Clock, OrioleError, Step } from '../../src/core/index.js';
+import { Clock } from '../../src/core/index.js';
 import {
   LogService,
   type NewRecord,
@@ -16,6 +16,9 @@
   #waiting: (() => void)[] = [];
   #isPaused = false;
   #isCrashed = false;
+  #stepsToCrash = Infinity;
+  /** Called once, outside the process, when it has crashed. */
+  onCrash: () => void = () => undefined;
 
   constructor(base: Clock) {
     super();
@@ -69,14 +72,22 @@
     for (const action of waiting) this.#enter(action);
   }
 
+  /** Crashes the process instead of its `steps`-th next timer or delivery. */
+  crashAfter(steps: number): void {
+    this.#stepsToCrash = steps;
+  }
+
   crash(): void {
+    if (this.#isCrashed) return;
     this.#isCrashed = true;
     this.#waiting = [];
+    this.onCrash();
   }
 
   #enter(action: () => void): void {
     if (this.#isCrashed) return;
     if (this.#isPaused) this.#waiting.push(action);
+    else if (--this.#stepsToCrash < 0) this.crash();
     else action();
   }
 }
@@ -93,18 +104,15 @@
   }
 
   override append(stream: string, record: NewRecord): Promise<{ readonly offset: Offset }> {
-    this.#check();
-    return this.#process.deliver(this.#inner.append(stream, record));
+    return this.#run(() => this.#inner.append(stream, record));
   }
 
   override read(stream: string, fromOffset: Offset, options: ReadOptions): Promise<ReadPage> {
-    this.#check();
-    return this.#process.deliver(this.#inner.read(stream, fromOffset, options));
+    return this.#run(() => this.#inner.read(stream, fromOffset, options));
   }
 
   /** Continuations of promises settled before a crash still run; they must have no effect. */
-  #check(): void {
-    if (!this.#process.isCrashed) return;
-    throw new OrioleError('the process has crashed', { step: Step.Log, peer: 'local' });
+  #run<T>(call: () => Promise<T>): Promise<T> {
+    return this.#process.isCrashed ? new Promise(() => undefined) : this.#process.deliver(call());
   }
 }
--- /dev/null
+++ b/bench/histories/run-history.ts
@@ -0,0 +1,73 @@
+import fc from 'fast-check';
+import { checkers } from './checkers/index.js';
+import { callsAndJobs, faults, type HistoryModel, type HistoryPart } from './commands.js';
+import { HistoryKind, type HistoryEvent } from './history.js';
+import { World } from './world.js';
+
+/** Parts that every history draws its commands from. */
+const parts: readonly HistoryPart[] = [callsAndJobs, faults];
+
+const maxCommands = 30;
+const shrinkLimitMs = 10_000;
+
+/** Result of {@link runHistory}. */
+export interface HistoryResult {
+  readonly seed: number;
+  /** Undefined when no checker found a violation. */
+  readonly failure: string | undefined;
+  /** Number of events observed, by kind. */
+  readonly counts: ReadonlyMap<HistoryKind, number>;
+}
+
+/**
+ * Runs the history of a seed and, when a guarantee is violated, looks for a shorter one that
+ * violates it too.
+ *
+ * @example
+ * ```ts
+ * const { failure } = await runHistory(42);
+ * ```
+ */
+export async function runHistory(seed: number): Promise<HistoryResult> {
+  let first: readonly HistoryEvent[] | undefined;
+  const commandLists = fc.commands<HistoryModel, World, false>(parts.flat(), {
+    maxCommands,
+    size: 'max',
+  });
+  const property = fc.asyncProperty(commandLists, fc.integer(), async (commands, worldSeed) => {
+    const world = new World(worldSeed);
+    await fc.asyncModelRun(() => ({ model: {}, real: world }), commands);
+    await world.finish();
+    first ??= world.history.events;
+    const violations = checkers.flatMap((check) => check(world.history.events));
+    if (violations.length > 0) throw new Error(violations.join('\n'));
+  });
+  const result = await fc.check(property, {
+    seed,
+    numRuns: 1,
+    plugins: [fc.unbiased(), fc.interruptAfterTimeLimit(shrinkLimitMs)],
+  });
+  const counts = new Map<HistoryKind, number>();
+  for (const { kind } of first ?? []) counts.set(kind, (counts.get(kind) ?? 0) + 1);
+  return {
+    seed,
+    failure: result.failed
+      ? describeFailure(seed, result.counterexample, result.errorInstance)
+      : undefined,
+    counts,
+  };
+}
+
+/** Command that runs the history of a seed again. */
+export function replayCommand(seed: number): string {
+  return `npm run histories -- --runs 1 --seed ${seed}`;
+}
+
+function describeFailure(seed: number, counterexample: unknown, cause: unknown): string {
+  const error = cause instanceof Error ? (cause.stack ?? cause.message) : String(cause);
+  return [
+    `history ${seed} failed; replay with: ${replayCommand(seed)}`,
+    `shortest failing commands: ${fc.stringify(counterexample)}`,
+    error,
+  ].join('\n');
+}
--- /dev/null
+++ b/bench/histories/world.ts
@@ -0,0 +1,165 @@
+import { Random, VirtualClock, sha256Hex } from '../../src/core/index.js';
+import type { ReclaimNotice } from '../../src/jobs/index.js';
+import { MemoryLogService } from '../../src/standins/index.js';
+import { JobStatus } from '../../src/state/index.js';
+import { FakeEndpoint, FakeEndpointState } from './fake-engine.js';
+import { HistoryKind, HistoryRecorder, eventsOf } from './history.js';
+import { SeededLogFaults } from './seeded-log-faults.js';
+import { SimulatedDaemon } from './simulated-daemon.js';
+
+export const failureDomains = ['domain-a', 'domain-b', 'domain-c'] as const;
+export const daemonCount = 3;
+const endpointsPerDomain = 2;
+/** Longest virtual time in which a healed system must have finished its jobs. */
+const settleLimitMs = 180_000;
+
+/** Everything that one history runs against. */
+export class World {
+  readonly clock = new VirtualClock();
+  readonly random: Random;
+  readonly history = new HistoryRecorder(this.clock);
+  readonly log: MemoryLogService;
+  readonly faults: SeededLogFaults;
+  readonly endpoints: FakeEndpoint[] = [];
+  readonly #daemons: SimulatedDaemon[] = [];
+  readonly #notices: ReclaimNotice[] = [];
+  readonly #background: Promise<void>[] = [];
+  #incarnation = 0;
+  #endpointCount = 0;
+  #callCount = 0;
+
+  constructor(seed: number) {
+    this.random = new Random(seed);
+    this.faults = new SeededLogFaults(this.clock, this.random.fork());
+    this.log = new MemoryLogService({ clock: this.clock, faults: this.faults });
+    for (const domain of failureDomains) {
+      for (let index = 0; index < endpointsPerDomain; index++) this.#startEndpoint(domain);
+    }
+    for (let index = 0; index < daemonCount; index++) this.#startDaemon(index);
+  }
+
+  /** The daemon now in a place; a crashed one until it is replaced. */
+  daemon(place: number): SimulatedDaemon {
+    return this.#daemons[place % daemonCount]!;
+  }
+
+  anyDaemon(): SimulatedDaemon {
+    return this.random.pick(this.#daemons);
+  }
+
+  newCallId(): string {
+    return `call-${++this.#callCount}`;
+  }
+
+  fault(what: string): void {
+    this.history.record({ kind: HistoryKind.Fault, what });
+  }
+
+  /** Runs an actor beside the commands. */
+  spawn(actor: () => Promise<void>): void {
+    this.#background.push(actor());
+  }
+
+  sleep(ms: number): Promise<void> {
+    return this.clock.sleepUntil(this.clock.nowMs() + ms);
+  }
+
+  /** Takes the endpoints of a failure domain away at `inMs`; replacements come later. */
+  loseDomain(domain: string, inMs: number): void {
+    const lost = this.endpoints.filter(
+      ({ options, state }) => options.failureDomain === domain && state === FakeEndpointState.Live,
+    );
+    const replaceInMs = inMs + this.random.int(1_000, 20_000);
+    this.clock.schedule(this.clock.nowMs() + inMs, () => {
+      for (const endpoint of lost) endpoint.state = FakeEndpointState.Lost;
+    });
+    this.clock.schedule(this.clock.nowMs() + replaceInMs, () => {
+      for (const { options } of lost) this.#startEndpoint(options.failureDomain);
+    });
+  }
+
+  /** Announces the loss of a failure domain; a few daemons miss the notice. */
+  announce(domain: string, noticeMs: number): void {
+    const endpointIds = this.endpoints
+      .filter(({ options }) => options.failureDomain === domain)
+      .map(({ options }) => options.id);
+    const notice = { endpointIds, deadlineAtMs: this.clock.nowMs() + noticeMs };
+    this.#notices.push(notice);
+    this.history.record({ kind: HistoryKind.ReclaimAnnounced, endpointIds });
+    for (const daemon of this.#daemons) {
+      if (this.random.float() < 0.1) continue;
+      void daemon.process.deliver(this.sleep(this.random.int(1, 500))).then(() => {
+        daemon.manager.reclaim(notice);
+      });
+    }
+    this.loseDomain(domain, noticeMs);
+  }
+
+  /** Ends all faults, waits until the accepted jobs have ended, and records how. */
+  async finish(): Promise<void> {
+    this.faults.heal();
+    for (const daemon of this.#daemons) daemon.process.resume();
+    for (let waitedMs = 0; waitedMs < settleLimitMs; waitedMs += 5_000) {
+      await this.clock.advance(5_000);
+      if (waitedMs >= 20_000 && this.#hasSettled()) break;
+    }
+    const [daemon] = this.#daemons;
+    for (const job of daemon?.jobs.jobs() ?? []) {
+      this.history.record({
+        kind: HistoryKind.JobEnded,
+        jobId: job.jobId,
+        isDone: job.status === JobStatus.Done,
+        text: job.text,
+      });
+    }
+    this.history.record({ kind: HistoryKind.HistoryEnded });
+  }
+
+  /** Whether the service has run a call of the claim's key, as an operator finds out by looking. */
+  hasRun(keyHash: string): boolean {
+    return eventsOf(this.history.events, HistoryKind.WorkRan).some(
+      ({ key }) => key !== '' && sha256Hex(key) === keyHash,
+    );
+  }
+
+  #hasSettled(): boolean {
+    return this.#daemons.every(({ jobs }) => jobs.activeJobs().length === 0);
+  }
+
+  #startDaemon(place: number): void {
+    const daemon = new SimulatedDaemon({
+      clock: this.clock,
+      log: this.log,
+      endpoints: this.endpoints,
+      random: this.random,
+      history: this.history,
+      name: `entry-${place}`,
+      incarnation: ++this.#incarnation,
+    });
+    // A new daemon pulls the leaving endpoints from a peer before it is ready.
+    for (const notice of this.#notices) daemon.manager.reclaim(notice);
+    daemon.process.onCrash = () => {
+      this.fault(`entry-${place} crashed`);
+      const atMs = this.clock.nowMs() + this.random.int(500, 10_000);
+      this.clock.schedule(atMs, () => {
+        this.#startDaemon(place);
+      });
+    };
+    this.#daemons[place] = daemon;
+  }
+
+  #startEndpoint(failureDomain: string): void {
+    const id = `endpoint-${++this.#endpointCount}`;
+    this.endpoints.push(
+      new FakeEndpoint({
+        clock: this.clock,
+        id,
+        failureDomain,
+        tokenGapMs: 100,
+        onStart: (_, tag) => {
+          this.history.record({ kind: HistoryKind.WorkRan, workId: tag, key: '' });
+        },
+      }),
+    );
+  }
+}
--- a/src/jobs/generation-attempt.ts
+++ b/src/jobs/generation-attempt.ts
@@ -126,7 +126,9 @@
       }),
     ];
     try {
-      const finishReason = await this.#generate(job);
+      // The previous holder may have died between the last text and the completion.
+      const isWhole = job.recordedTokens >= job.request.maxTokens;
+      const finishReason = isWhole ? 'length' : await this.#generate(job);
       if (finishReason !== undefined) await this.#complete(finishReason);
       else if (this.#end !== AttemptEnd.Superseded) await this.#saveRest();
       return this.#end ?? AttemptEnd.Failed;
@@ -184,7 +186,7 @@
         model: job.request.model,
         messages: job.request.messages,
         resumeText: job.text,
-        maxTokens: Math.max(1, job.request.maxTokens - job.recordedTokens),
+        maxTokens: job.request.maxTokens - job.recordedTokens,
         workClass: job.workClass,
         passThrough:
           kvHandle === undefined
--- /dev/null
+++ b/test/histories/checkers_test.ts
@@ -0,0 +1,144 @@
+import { describe, expect, it } from 'vitest';
+import { acceptedJobsSurvive } from '../../bench/histories/checkers/accepted-jobs-survive.js';
+import { atMostOnce } from '../../bench/histories/checkers/at-most-once.js';
+import { configurationInForce } from '../../bench/histories/checkers/configuration-in-force.js';
+import { gracefulStop } from '../../bench/histories/checkers/graceful-stop.js';
+import { leavingEndpointsRest } from '../../bench/histories/checkers/leaving-endpoints-rest.js';
+import { notRunIsTrue } from '../../bench/histories/checkers/not-run-is-true.js';
+import { wholeAnswers } from '../../bench/histories/checkers/whole-answers.js';
+import { HistoryKind, type HistoryEvent } from '../../bench/histories/history.js';
+import { Outcome } from '../../src/core/index.js';
+
+const atMs = 0;
+const submitted: HistoryEvent = {
+  atMs,
+  kind: HistoryKind.JobSubmitted,
+  workId: 'w',
+  expectedText: 'a b ',
+};
+const accepted: HistoryEvent = { atMs, kind: HistoryKind.JobAccepted, workId: 'w', jobId: 'j' };
+const ran = (workId: string, key = 'k'): HistoryEvent => ({
+  atMs,
+  kind: HistoryKind.WorkRan,
+  workId,
+  key,
+});
+
+describe('history checkers', () => {
+  it('P1 catches an accepted job that is not done', () => {
+    const ended: HistoryEvent = {
+      atMs,
+      kind: HistoryKind.JobEnded,
+      jobId: 'j',
+      isDone: true,
+      text: 'a b ',
+    };
+    expect(acceptedJobsSurvive([accepted, ended])).toEqual([]);
+    expect(acceptedJobsSurvive([accepted, { ...ended, isDone: false }])).toHaveLength(1);
+    expect(acceptedJobsSurvive([accepted])).toHaveLength(1);
+  });
+
+  it('P2 catches a short, a crossed and a retracted answer', () => {
+    const read = (text: string, isComplete: boolean): HistoryEvent => ({
+      atMs,
+      kind: HistoryKind.AnswerRead,
+      jobId: 'j',
+      text,
+      isComplete,
+    });
+    const right = [submitted, accepted, read('a ', false), read('a b ', true)];
+    expect(wholeAnswers(right)).toEqual([]);
+    expect(wholeAnswers([submitted, accepted, read('a ', true)])).toHaveLength(1);
+    expect(wholeAnswers([submitted, accepted, read('x ', false)])).toHaveLength(1);
+    const call: HistoryEvent[] = [
+      { atMs, kind: HistoryKind.CallStarted, callId: 'c', key: 'k', expectedBody: 'mine' },
+      { atMs, kind: HistoryKind.CallEnded, callId: 'c', outcome: undefined, body: 'other' },
+    ];
+    expect(wholeAnswers(call)).toHaveLength(1);
+  });
+
+  it('P3 catches work that ran although it was refused with not_run, even later', () => {
+    const refused: HistoryEvent = {
+      atMs,
+      kind: HistoryKind.CallEnded,
+      callId: 'c',
+      outcome: Outcome.NotRun,
+      body: '',
+    };
+    expect(notRunIsTrue([refused, ran('other')])).toEqual([]);
+    expect(notRunIsTrue([refused, ran('c')])).toHaveLength(1);
+    const job: HistoryEvent = {
+      atMs,
+      kind: HistoryKind.JobRefused,
+      workId: 'w',
+      outcome: Outcome.NotRun,
+    };
+    expect(notRunIsTrue([ran('w', ''), job])).toHaveLength(1);
+  });
+
+  it('P4 catches a key that ran twice, and lets jobs run again', () => {
+    expect(atMostOnce([ran('c1'), ran('c2', 'other'), ran('w', ''), ran('w', '')])).toEqual([]);
+    expect(atMostOnce([ran('c1'), ran('c2')])).toHaveLength(1);
+  });
+
+  it('P5 catches new work at an endpoint that has been leaving for more than 3 s', () => {
+    const leaving: HistoryEvent = {
+      atMs: 1_000,
+      kind: HistoryKind.EndpointLeaving,
+      endpointId: 'e',
+    };
+    const assigned = (time: number): HistoryEvent => ({
+      atMs: time,
+      kind: HistoryKind.WorkAssigned,
+      endpointId: 'e',
+      workId: 'w',
+    });
+    expect(leavingEndpointsRest([leaving, assigned(4_000)])).toEqual([]);
+    expect(leavingEndpointsRest([leaving, assigned(4_001)])).toHaveLength(1);
+  });
+
+  it('P6 catches a request that a planned stop cut off', () => {
+    const stop: HistoryEvent = { atMs, kind: HistoryKind.StopBegan, daemon: 'd' };
+    const began: HistoryEvent = {
+      atMs,
+      kind: HistoryKind.RequestBegan,
+      requestId: 'r',
+      daemon: 'd',
+    };
+    const ended = (isCutOff: boolean): HistoryEvent => ({
+      atMs,
+      kind: HistoryKind.RequestEnded,
+      requestId: 'r',
+      isCutOff,
+    });
+    expect(gracefulStop([began, stop, ended(false)])).toEqual([]);
+    expect(gracefulStop([began, stop, ended(true)])).toHaveLength(1);
+    expect(gracefulStop([began, stop])).toHaveLength(1);
+  });
+
+  it('P7 catches a setting that is late or goes back', () => {
+    const serving: HistoryEvent = {
+      atMs,
+      kind: HistoryKind.DaemonServing,
+      daemon: 'd',
+      untilMs: 60_000,
+    };
+    const setting: HistoryEvent = {
+      atMs: 1_000,
+      kind: HistoryKind.SettingAccepted,
+      path: 'p',
+      revision: 5,
+    };
+    const inForce = (time: number, revision: number): HistoryEvent => ({
+      atMs: time,
+      kind: HistoryKind.SettingInForce,
+      daemon: 'd',
+      path: 'p',
+      revision,
+    });
+    expect(configurationInForce([serving, setting, inForce(21_000, 5)])).toEqual([]);
+    expect(configurationInForce([serving, setting, inForce(21_001, 5)])).toHaveLength(1);
+    const reverted = [serving, setting, inForce(2_000, 5), inForce(3_000, 4)];
+    expect(configurationInForce(reverted)).toHaveLength(1);
+  });
+});
--- /dev/null
+++ b/test/histories/histories-part-1_test.ts
@@ -0,0 +1,3 @@
+import { runSeedRange } from './seed-range.js';
+
+runSeedRange(1, 250);
--- a/test/jobs/job-manager_test.ts
+++ b/test/jobs/job-manager_test.ts
@@ -169,6 +169,17 @@
     expect(first.manager.runningCount).toBe(0);
   });
 
+  it('ends a job whose text is whole, against one token too many after a crash', async () => {
+    const world = new World();
+    const first = world.daemon('d1');
+    const second = world.daemon('d2');
+    const jobId = await world.submit(first.manager, 16);
+    while (first.fold.job(jobId)!.recordedTokens < 16) await world.clock.advance(1);
+    first.process.crash();
+    await world.clock.advance(30_000);
+    expect(second.manager.get(jobId)).toMatchObject({ status: JobStatus.Done, text: whole(16) });
+  });
+
   it('hands its jobs over on a stop, without waiting for the lease to expire', async () => {
     const world = new World();
     const first = world.daemon('d1');
