--- /dev/null
+++ b/bench/policy/decision-cost.ts
@@ -0,0 +1,103 @@
+import { Random, WorkClass } from '../../src/core/index.js';
+import { CacheView } from '../../src/fleet/cache-view.js';
+import { EndpointState, type EndpointView } from '../../src/fleet/index.js';
+import { SpeedEstimator } from '../../src/fleet/speed-estimator.js';
+import { ExplainStore, Router, type RouteRequest } from '../../src/routing/index.js';
+import { EngineRole } from '../../src/settings/index.js';
+
+/** CPU time of one decision. */
+export interface DecisionCost {
+  readonly candidates: number;
+  readonly cpuUs: number;
+}
+
+/** Measures the CPU time of `Router.choose` with explanations kept; run it on an idle machine. */
+export function measureDecisionCost(candidates: number): DecisionCost {
+  const caches = new CacheView();
+  const speeds = new SpeedEstimator();
+  const prompts = Array.from({ length: 32 }, (_, prompt) =>
+    Array.from({ length: 40 }, (_unused, block) => prompt * 1_000 + block),
+  );
+  const views = Array.from({ length: candidates }, (_, index) => newView(index));
+  for (const [index, { id }] of views.entries()) {
+    speeds.add(id, 'standard');
+    for (let step = 0; step < 10; step++) speeds.observeTokens(id, 4, 120, step * 120);
+    for (let offset = 0; offset < 8; offset++) {
+      caches.noteSent(id, prompts[(index + offset) % prompts.length]!, 0);
+    }
+  }
+  const router = new Router({
+    daemonId: 'entry-1',
+    region: 'litoral',
+    random: new Random(5),
+    caches,
+    speeds,
+    explanations: new ExplainStore(1_000),
+  });
+  const requests = prompts.map((prefix, index) => newRequest(index, prefix));
+  const decide = (count: number): void => {
+    for (let index = 0; index < count; index++) {
+      router.choose(requests[index % requests.length]!, views, 1_000 + index);
+    }
+  };
+  const count = Math.max(200, Math.round(400_000 / candidates));
+  decide(count);
+  const before = process.cpuUsage();
+  decide(count);
+  const { user, system } = process.cpuUsage(before);
+  return { candidates, cpuUs: (user + system) / count };
+}
+
+function newView(index: number): EndpointView {
+  return {
+    id: `e${index}`,
+    name: `team/e${index}`,
+    serviceId: 'team/assistant',
+    baseUrl: 'http://127.0.0.1:1',
+    region: index % 4 === 0 ? 'cuyo' : 'litoral',
+    failureDomain: `d${index % 3}`,
+    vmClass: 'standard',
+    reclaimable: true,
+    priceUsdPerHour: 1 + (index % 5) / 4,
+    batchSlots: 8,
+    checksFence: true,
+    role: EngineRole.Mixed,
+    state: index % 10 === 9 ? EndpointState.Leaving : EndpointState.Live,
+    leavingAtMs: undefined,
+    loadedModels: ['base', 'adapter'],
+    version: '1',
+    circuitOpenUntilMs: 0,
+    ownInFlight: { requests: { short: index % 2, medium: index % 3, long: 1 }, pendingTokens: 0 },
+    report: {
+      runningRequests: index % 8,
+      queuedRequests: 0,
+      kvUsedRatio: 0.5,
+      observedAtMs: 500,
+      receivedAtMs: 900,
+    },
+    speed: { tokenGapMs: 28 + (index % 6), prefillTokensPerS: 7_000, slowdownRatio: 1 },
+  };
+}
+
+function newRequest(index: number, prefix: readonly number[]): RouteRequest {
+  return {
+    requestId: `r${index}`,
+    workspaceId: 'team/w',
+    serviceId: 'team/assistant',
+    model: 'adapter',
+    workClass: index % 3 === 0 ? WorkClass.Long : WorkClass.Short,
+    promptTokens: prefix.length * 64,
+    expectedOutputTokens: 200,
+    prefix,
+    deadlineAtMs: 1e9,
+    weights: { weight_cost: 1, weight_wait: 1, weight_tail: 1, weight_recompute: 1 },
+    objectiveFirstTokenMs: 1_900,
+    objectiveBetweenTokensMs: 66,
+    spillOver: true,
+    shortReserveRatio: 0.25,
+    subsetSize: 1_000,
+    repeatable: true,
+    requiresFence: false,
+    excludedEndpoints: [],
+  };
+}
