Measure control cost; spread leaving notices in groups and as arrays

Change: ControlCostSuite; entries travel as arrays, and each call to a group of eight has its receiver tell the rest.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,8 +1,9 @@
 import { mkdir, writeFile } from 'node:fs/promises';
 import Table from 'cli-table3';
+import { ControlCostSuite } from './control-cost.js';
 import type { BenchRow, BenchSuite } from './suite.js';
 
-const suites: readonly BenchSuite[] = [];
+const suites: readonly BenchSuite[] = [new ControlCostSuite()];
 
 /** Runs the suites named on the command line, or all of them, and writes a table and JSON. */
 async function main(names: readonly string[]): Promise<void> {
--- a/src/fleet/leaving-gossip.ts
+++ b/src/fleet/leaving-gossip.ts
@@ -3,14 +3,23 @@
 import { isPresent, type Member, type Membership } from '../membership/index.js';
 import type { PeerCaller, PeerMethods } from '../rpc/index.js';
 import { EventId, NullEventLog, type EventLog } from '../telemetry/index.js';
-import { leavingEntrySchema, type LeavingEntry, type LeavingMerge } from './leaving-merge.js';
+import {
+  decodeLeaving,
+  encodeLeaving,
+  leavingTupleSchema,
+  type LeavingEntry,
+  type LeavingMerge,
+} from './leaving-merge.js';
 
-const entriesSchema = z.array(leavingEntrySchema).max(20_000);
+/** What the receiver of a push is to tell on: its whole region, or the daemons named. */
+const wholeRegion = 'region';
+
+const entriesSchema = z.array(leavingTupleSchema).max(20_000);
 const pushSchema = z.object({
   entries: entriesSchema,
-  /** Whether the receiver is to tell its own region. */
-  relay: z.boolean(),
+  tell: z.union([z.literal(wholeRegion), z.array(z.string().max(200)).max(1_000)]),
 });
+type Tell = z.output<typeof pushSchema>['tell'];
 const pullSchema = z.object({ hashes: z.array(z.string().max(32)).max(256) });
 const pullAnswerSchema = z.object({
   entries: entriesSchema,
@@ -24,6 +33,8 @@
 const callTimeoutMs = 500;
 const pushAttempts = 3;
 const relaysPerRegion = 2;
+/** Daemons told by one call, its receiver telling the rest; spreads a wave's bytes evenly. */
+const groupSize = 8;
 /** Signals of a wave arrive within milliseconds of each other and are told in one message. */
 const batchDelayMs = 20;
 /** Daemons that see the same signal wait differently long, so that few of them tell it. */
@@ -47,7 +58,7 @@
 
 /**
  * Tells leaving entries to all daemons. The daemon with the first signal calls all members of its
- * region and two in each other region, which tell theirs; a hash on each membership probe finds
+ * region, in groups, and two in each other region, which tell theirs; a hash on each membership probe finds
  * what a lost call left out.
  *
  * @example
@@ -76,14 +87,14 @@
     this.#random = options.random;
     this.#events = options.events ?? new NullEventLog();
     options.methods.register(pushMethod, (params) => {
-      const { entries, relay } = pushSchema.parse(params);
-      this.#receive(entries, relay);
+      const { entries, tell } = pushSchema.parse(params);
+      this.#receive(entries.map(decodeLeaving), tell);
       return Promise.resolve({});
     });
     options.methods.register(pullMethod, (params) => {
       const { hashes } = pullSchema.parse(params);
       return Promise.resolve({
-        entries: this.#leaving.differing(hashes),
+        entries: this.#leaving.differing(hashes).map(encodeLeaving),
         isComplete: this.#isComplete,
       });
     });
@@ -126,10 +137,16 @@
     return false;
   }
 
-  #receive(entries: readonly LeavingEntry[], relay: boolean): void {
+  #receive(entries: readonly LeavingEntry[], tell: Tell): void {
     const news = this.#leaving.mergeFromPeer(entries);
     const untold = entries.filter(({ subject }) => this.#pending.delete(subject));
-    if (!relay) return;
+    if (tell !== wholeRegion) {
+      for (const id of tell) {
+        const member = this.#membership.member(id);
+        if (member) void this.#pushWithRetries(member, entries);
+      }
+      return;
+    }
     const toTell = new Map([...news, ...untold].map((entry) => [entry.subject, entry]));
     if (toTell.size > 0) this.#tellRegion([...toTell.values()]);
   }
@@ -166,8 +183,18 @@
 
   #tellRegion(entries: readonly LeavingEntry[]): void {
     const { region } = this.#membership.self;
-    for (const member of this.#others()) {
-      if (member.region === region) void this.#pushWithRetries(member, entries);
+    const members = this.#shuffled(this.#others().filter((member) => member.region === region));
+    for (let start = 0; start < members.length; start += groupSize) {
+      void this.#pushToGroup(members.slice(start, start + groupSize), entries);
+    }
+  }
+
+  /** Has the first of a group that answers tell the rest. */
+  async #pushToGroup(group: readonly Member[], entries: readonly LeavingEntry[]): Promise<void> {
+    for (const [index, head] of group.entries()) {
+      const rest = group.slice(index + 1).map(({ id }) => id);
+      if (await this.#push(head, entries, rest)) return;
+      void this.#pushWithRetries(head, entries);
     }
   }
 
@@ -175,21 +202,21 @@
   async #pushToOneOf(candidates: Member[], entries: readonly LeavingEntry[]): Promise<void> {
     for (let attempt = 0; attempt < pushAttempts; attempt++) {
       const candidate = candidates.pop();
-      if (!candidate || (await this.#push(candidate, entries, true))) return;
+      if (!candidate || (await this.#push(candidate, entries, wholeRegion))) return;
     }
   }
 
   async #pushWithRetries(member: Member, entries: readonly LeavingEntry[]): Promise<void> {
     for (let attempt = 0; attempt < pushAttempts; attempt++) {
-      if (await this.#push(member, entries, false)) return;
+      if (await this.#push(member, entries, [])) return;
       const current = this.#membership.member(member.id);
       if (!current || !isPresent(current)) return;
     }
   }
 
-  async #push(member: Member, entries: readonly LeavingEntry[], relay: boolean): Promise<boolean> {
-    const answer = await this.#call(member, pushMethod, { entries, relay });
-    return answer !== undefined;
+  async #push(member: Member, entries: readonly LeavingEntry[], tell: Tell): Promise<boolean> {
+    const params = { entries: entries.map(encodeLeaving), tell };
+    return (await this.#call(member, pushMethod, params)) !== undefined;
   }
 
   #compare(payload: unknown, from: Member): void {
@@ -211,7 +238,7 @@
       await this.#call(peer, pullMethod, { hashes: this.#leaving.bucketHashes() }),
     );
     if (!answer.success) return false;
-    this.#leaving.mergeFromPeer(answer.data.entries);
+    this.#leaving.mergeFromPeer(answer.data.entries.map(decodeLeaving));
     return answer.data.isComplete;
   }
 
--- a/src/fleet/leaving-merge.ts
+++ b/src/fleet/leaving-merge.ts
@@ -44,6 +44,38 @@
   readonly vms: readonly ListedVm[];
 }
 
+const sources = Object.values(LeavingSource);
+
+/** An entry on the wire, as an array: a wave tells hundreds of entries to each daemon. */
+export const leavingTupleSchema = z.tuple([
+  leavingEntrySchema.shape.subject,
+  z.number().nonnegative(),
+  z.number().nonnegative(),
+  z.number().int().nonnegative(),
+  z.number().nonnegative(),
+]);
+
+/** See {@link leavingTupleSchema}. */
+export type LeavingTuple = z.output<typeof leavingTupleSchema>;
+
+/** @internal */
+export function encodeLeaving(entry: LeavingEntry): LeavingTuple {
+  const { subject, upToIncarnation, leavingAtMs, source, signalledAtMs } = entry;
+  return [subject, upToIncarnation, leavingAtMs, sources.indexOf(source), signalledAtMs];
+}
+
+/** @internal */
+export function decodeLeaving(tuple: LeavingTuple): LeavingEntry {
+  const [subject, upToIncarnation, leavingAtMs, source, signalledAtMs] = tuple;
+  return {
+    subject,
+    upToIncarnation,
+    leavingAtMs,
+    source: sources[source] ?? LeavingSource.Notice,
+    signalledAtMs,
+  };
+}
+
 /** Called with entries that were news. `isLocal` is false when a peer told them. */
 export type LeavingListener = (entries: readonly LeavingEntry[], isLocal: boolean) => void;
 
