Limit lease traffic to candidates and keep endpoint order between requests

Cause: every daemon would have asked for each lease each second, the holder of a lease need not poll the cloud's list, and each own request rebuilt and sorted a service's endpoints. Two daemons could also give an expired leaving entry back to each other for ever. Change: isAmongFirst picks candidates and pollers by rendezvous hashing, a holder always polls, renewals are 3 s apart, the registry keeps the order by service, LeavingMerge refuses entries that it would forget.

--- a/src/capacity/cloud-watcher.ts
+++ b/src/capacity/cloud-watcher.ts
@@ -1,9 +1,10 @@
-import { hash64, type Clock } from '../core/index.js';
+import type { Clock } from '../core/index.js';
 import { LeavingSource, vmLeavingEntry, type LeavingMerge, type ListedVm } from '../fleet/index.js';
 import type { Membership } from '../membership/index.js';
 import { EventId, NullEventLog, type EventLog } from '../telemetry/index.js';
 import type { CloudApi, CloudVmList } from './cloud-api.js';
 import { InformationSource, type InformationAge } from './information-age.js';
+import { isAmongFirst } from './region-rank.js';
 
 /** Options of {@link CloudWatcher}. */
 export interface CloudWatcherOptions {
@@ -14,6 +15,8 @@
   readonly clock: Clock;
   readonly age: InformationAge;
   readonly events?: EventLog;
+  /** Whether this daemon polls in any case, as one that holds a controller's lease must. */
+  readonly isNeeded?: () => boolean;
   /** Called with each list, for start times. */
   readonly onList?: (vms: readonly ListedVm[]) => void;
 }
@@ -59,15 +62,12 @@
     this.#stop.abort();
   }
 
-  /** Whether this daemon polls, by rendezvous hashing over the members of its region. */
+  /** Whether this daemon polls the cloud now. */
   isPoller(): boolean {
-    const { membership, region } = this.#options;
-    const rank = (id: string): bigint => hash64(`cloud-watcher ${id}`);
-    const own = rank(membership.self.id);
-    const ahead = membership
-      .members()
-      .filter((member) => member.region === region && rank(member.id) > own);
-    return ahead.length < pollersPerRegion;
+    const { membership, region, isNeeded } = this.#options;
+    return (
+      isAmongFirst(membership, region, 'cloud-watcher', pollersPerRegion) || isNeeded?.() === true
+    );
   }
 
   /** Reads the list once. @throws CloudUnavailableError */
--- a/src/capacity/fleet-controller.ts
+++ b/src/capacity/fleet-controller.ts
@@ -25,6 +25,8 @@
   readonly random: Random;
   readonly cloud: CloudApi;
   readonly leases: LeaseKeeper;
+  /** Whether this daemon tries to take the lease when it is free; see {@link isAmongFirst}. */
+  readonly isCandidate: () => boolean;
   readonly intents: CreateIntents;
   readonly leaving: LeavingMerge;
   readonly age: InformationAge;
@@ -39,6 +41,9 @@
   readonly onLease?: (fence: Fence) => void;
 }
 
+/** Each renewal is an append to the log, which takes a few hundred a second in all. */
+const renewGapMs = 3_000;
+const acquireGapMs = 2_000;
 const maxCreatesPerTick = 16;
 /** Load falls and rises again within minutes; a VM costs a weight load to bring back. */
 const deleteAfterSurplusMs = 600_000;
@@ -80,6 +85,7 @@
   #nextDeleteAtMs = 0;
   #nextStaleCreateAtMs = 0;
   #lastSlot = 0;
+  #nextLeaseAtMs = 0;
   /** Deleted in this term; the list shows them for a while. */
   readonly #deleted = new LRUCache<string, true>({ max: 1_000 });
   #isTicking = false;
@@ -93,6 +99,11 @@
     this.leaseName = `control/${options.serviceId}/${options.region}`;
   }
 
+  /** Whether the lease is held here. */
+  get isHolding(): boolean {
+    return this.#options.leases.isHeld(this.leaseName);
+  }
+
   /** One round; at most one runs at a time. */
   async tick(): Promise<void> {
     if (this.#isTicking) return;
@@ -112,11 +123,16 @@
   }
 
   async #hold(): Promise<Fence | undefined> {
-    const { leases, age } = this.#options;
-    if (leases.isHeld(this.leaseName)) {
-      if (await leases.renew(this.leaseName)) age.seen(InformationSource.Log);
-    } else if ((await leases.acquire(this.leaseName)) !== undefined) {
-      age.seen(InformationSource.Log);
+    const { leases, age, clock, isCandidate, random } = this.#options;
+    const nowMs = clock.nowMs();
+    if (nowMs >= this.#nextLeaseAtMs) {
+      if (leases.isHeld(this.leaseName)) {
+        this.#nextLeaseAtMs = nowMs + renewGapMs;
+        if (await leases.renew(this.leaseName)) age.seen(InformationSource.Log);
+      } else if (isCandidate()) {
+        this.#nextLeaseAtMs = nowMs + acquireGapMs * (0.5 + random.float());
+        if ((await leases.acquire(this.leaseName)) !== undefined) age.seen(InformationSource.Log);
+      }
     }
     const fence = leases.isHeld(this.leaseName) ? leases.fence(this.leaseName) : undefined;
     if (fence !== this.#fence) this.#onFence(fence);
--- a/src/capacity/index.ts
+++ b/src/capacity/index.ts
@@ -14,3 +14,4 @@
 export * from './weight-load-scheduler.js';
 export * from './weight-store.js';
 export * from './version-rollout.js';
+export * from './region-rank.js';
--- a/src/capacity/lease-keeper.ts
+++ b/src/capacity/lease-keeper.ts
@@ -9,7 +9,12 @@
  * ```
  */
 export abstract class LeaseKeeper {
-  /** Tries to take a lease that is free or expired. @returns its fence; undefined when not taken. */
+  /**
+   * Tries to take a lease. Appends to the log only when the lease is free or expired as far as the
+   * local fold knows, since candidates ask every few seconds.
+   *
+   * @returns its fence; undefined when it was not taken.
+   */
   abstract acquire(name: string): Promise<Fence | undefined>;
 
   /** Extends a held lease. @returns false when it is held no more. */
--- a/src/fleet/endpoint-registry.ts
+++ b/src/fleet/endpoint-registry.ts
@@ -114,6 +114,7 @@
   readonly #byName = new Map<string, Endpoint>();
   readonly #processStarts = new Map<string, number>();
   readonly #vmStarts = new Map<string, number>();
+  readonly #byService = new Map<string, readonly Endpoint[]>();
   readonly #views = new Map<string, readonly EndpointView[]>();
   readonly #retireListeners: ((endpointId: string) => void)[] = [];
   readonly #suspectListeners: ((view: EndpointView) => void)[] = [];
@@ -144,7 +145,13 @@
       if (!deployment.endpoints.has(name)) this.#retire(endpoint);
     }
     for (const section of deployment.endpoints.values()) this.#place(section);
-    this.#views.clear();
+    this.#forgetOrder();
+    for (const subject of this.#processStarts.keys()) {
+      if (!this.#subjects.has(subject)) this.#processStarts.delete(subject);
+    }
+    for (const vmId of this.#vmStarts.keys()) {
+      if (!this.#subjects.has(vmId)) this.#vmStarts.delete(vmId);
+    }
   }
 
   /**
@@ -181,10 +188,7 @@
   views(serviceId: string): readonly EndpointView[] {
     const cached = this.#views.get(serviceId);
     if (cached?.every((view) => this.#isCurrent(view))) return cached;
-    const views = [...this.#byName.values()]
-      .filter((endpoint) => endpoint.serviceId === serviceId)
-      .sort((a, b) => (a.section.id < b.section.id ? -1 : 1))
-      .map((endpoint) => this.#viewOf(endpoint));
+    const views = this.#ordered(serviceId).map((endpoint) => this.#viewOf(endpoint));
     this.#views.set(serviceId, views);
     return views;
   }
@@ -307,6 +311,23 @@
     this.#retireListeners.push(listener);
   }
 
+  /** Endpoints of a service by name, kept because own requests change views many times a second. */
+  #ordered(serviceId: string): readonly Endpoint[] {
+    let endpoints = this.#byService.get(serviceId);
+    if (!endpoints) {
+      endpoints = [...this.#byName.values()]
+        .filter((endpoint) => endpoint.serviceId === serviceId)
+        .sort((a, b) => (a.section.id < b.section.id ? -1 : 1));
+      this.#byService.set(serviceId, endpoints);
+    }
+    return endpoints;
+  }
+
+  #forgetOrder(): void {
+    this.#byService.clear();
+    this.#views.clear();
+  }
+
   #place(section: Section<EndpointSettings>): void {
     const vmId = section.values.vm_id;
     const subject = processSubject(vmId, section.id);
@@ -348,7 +369,7 @@
     };
     this.#byName.set(section.id, endpoint);
     this.#byId.set(id, endpoint);
-    this.#views.clear();
+    this.#forgetOrder();
     this.#events.info(EventId.EndpointAdded, 'endpoint is known', {
       endpoint: id,
       name: section.id,
@@ -360,7 +381,7 @@
       this.#byName.delete(endpoint.section.id);
     }
     if (this.#byId.get(endpoint.id) === endpoint) this.#byId.delete(endpoint.id);
-    this.#views.clear();
+    this.#forgetOrder();
     for (const listener of this.#retireListeners) listener(endpoint.id);
   }
 
--- a/src/fleet/leaving-merge.ts
+++ b/src/fleet/leaving-merge.ts
@@ -100,6 +100,8 @@
   readonly #hashes = Array.from({ length: leavingBuckets }, () => new SetHash());
   readonly #total = new SetHash();
   readonly #listeners: LeavingListener[] = [];
+  /** Set by the last {@link expire}, so that a peer that is later with it does not undo it. */
+  #isExpired: (entry: LeavingEntry) => boolean = () => false;
   #listed = new Map<string, ListedVm>();
   #listAsOfMs = 0;
 
@@ -110,7 +112,10 @@
 
   /** Merges what a peer told. @returns the entries that were news. */
   mergeFromPeer(entries: readonly LeavingEntry[]): readonly LeavingEntry[] {
-    return this.#merge(entries, false);
+    return this.#merge(
+      entries.filter((entry) => !this.#isExpired(entry)),
+      false,
+    );
   }
 
   /** Takes a list of the cloud. One that is older than the last is ignored. */
@@ -167,13 +172,14 @@
     return [...this.#entries.values()];
   }
 
-  /** Forgets old entries of VMs that no setting names any more. */
+  /** Forgets old entries of VMs that no setting names any more. Call it about once a minute. */
   expire(nowMs: number, isConfigured: (subject: string) => boolean): void {
+    this.#isExpired = (entry) =>
+      entry.signalledAtMs + memoryMs < nowMs && !isConfigured(entry.subject);
     for (const entry of this.#entries.values()) {
-      if (entry.signalledAtMs + memoryMs < nowMs && !isConfigured(entry.subject)) {
-        this.#entries.delete(entry.subject);
-        this.#toggle(entry);
-      }
+      if (!this.#isExpired(entry)) continue;
+      this.#entries.delete(entry.subject);
+      this.#toggle(entry);
     }
   }
 
--- a/test/capacity/fleet-controller_test.ts
+++ b/test/capacity/fleet-controller_test.ts
@@ -3,6 +3,7 @@
   CloudWatcher,
   FleetController,
   InformationAge,
+  isAmongFirst,
   type VmOffer,
 } from '../../src/capacity/index.js';
 import { Random, VirtualClock } from '../../src/core/index.js';
@@ -42,15 +43,23 @@
     const leaving = new LeavingMerge();
     const age = new InformationAge(this.clock);
     const { clock, cloud } = this;
-    const watcher = new CloudWatcher({ cloud, region: 'seoul', leaving, membership, clock, age });
-    watcher.start();
-    const controller = new FleetController({
+    const watcher: CloudWatcher = new CloudWatcher({
+      cloud,
+      region: 'seoul',
+      leaving,
+      membership,
+      clock,
+      age,
+      isNeeded: () => controller.isHolding,
+    });
+    const controller: FleetController = new FleetController({
       serviceId: 't/chat',
       region: 'seoul',
       clock,
       random: new Random(2),
       cloud,
       leases: new MemoryLeaseKeeper(this.stream),
+      isCandidate: () => isAmongFirst(membership, 'seoul', 't/chat', 3),
       intents: this.stream,
       leaving,
       age,
@@ -59,6 +68,7 @@
       targetVms: () => this.targetVms,
       weightLoadMs: () => 60_000,
     });
+    watcher.start();
     const stopTicking = clock.every(1_000, () => void controller.tick());
     return {
       controller,
--- a/test/fleet/leaving-merge_test.ts
+++ b/test/fleet/leaving-merge_test.ts
@@ -88,8 +88,11 @@
 
   it('keeps old entries of VMs that are still configured', () => {
     const leaving = new LeavingMerge();
-    leaving.signal(['kept', 'dropped'].map((id) => vmLeavingEntry(id, 9, LeavingSource.List, 0)));
+    const entries = ['kept', 'dropped'].map((id) => vmLeavingEntry(id, 9, LeavingSource.List, 0));
+    leaving.signal(entries);
     leaving.expire(86_400_000, (subject) => subject === 'kept');
+    // Two daemons that expire at different times must not give the entry back to each other.
+    leaving.mergeFromPeer(entries);
     expect(leaving.entries().map(({ subject }) => subject)).toEqual(['kept']);
   });
 });
