Measure the spread of leaving notices with lost messages

Cause: the suite showed only the case without loss. Change: one more wave while a tenth of the messages is lost. Conclusion: the figure follows with the run of the suite.

--- a/bench/control-cost.ts
+++ b/bench/control-cost.ts
@@ -138,6 +138,10 @@
     knownAfterMs = Math.max(knownAfterMs, await spreadWave(fleet, clock, wave, index));
     await clock.advance(5_000);
   }
+  const random = new Random(1);
+  fleet.network.isCut = () => random.float() < 0.1;
+  const lossyAfterMs = await spreadWave(fleet, clock, wave, waves);
+  fleet.network.isCut = () => false;
   // A daemon sends one message in each call, as the client or as the server. A peer is met again
   // after about as many seconds as there are daemons, when its connection is closed.
   const httpCpuPercent = (call.coldCpuUs * steady.messagesPerS) / 10_000;
@@ -165,6 +169,7 @@
       's',
       knownTarget,
     ),
+    row('the same with a tenth of messages lost', lossyAfterMs / 1_000, 's', knownTarget),
   ];
 }
 
