--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,13 +1,7 @@
 import { mkdir, writeFile } from 'node:fs/promises';
 import Table from 'cli-table3';
-import { LogCatchUpSuite } from './log-catch-up.js';
-import type { BenchRow, BenchSuite } from './suite.js';
-
-const suites: readonly BenchSuite[] = [new LogCatchUpSuite()];
-import { RecoverySuite } from './recovery.js';
-import type { BenchRow, BenchSuite } from './suite.js';
-
-const suites: readonly BenchSuite[] = [new RecoverySuite()];
+import type { BenchRow } from './suite.js';
+import { suites } from './suites.js';
 
 /** Runs the suites named on the command line, or all of them, and writes a table and JSON. */
 async function main(names: readonly string[]): Promise<void> {
--- /dev/null
+++ b/bench/suites.ts
@@ -0,0 +1,11 @@
+import { ControlCostSuite } from './control-cost.js';
+import { LogCatchUpSuite } from './log-catch-up.js';
+import { RecoverySuite } from './recovery.js';
+import type { BenchSuite } from './suite.js';
+
+/** All suites in the order in which they run. */
+export const suites: readonly BenchSuite[] = [
+  new LogCatchUpSuite(),
+  new RecoverySuite(),
+  new ControlCostSuite(),
+];
--- a/src/fleet/leaving-merge.ts
+++ b/src/fleet/leaving-merge.ts
@@ -46,6 +46,38 @@
   readonly vms: readonly ListedVm[];
 }
 
+const sources = Object.values(LeavingSource);
+
+/** An entry on the wire, as an array: a wave tells hundreds of entries to each daemon. */
+export const leavingTupleSchema = z.tuple([
+  leavingEntrySchema.shape.subject,
+  z.number().nonnegative(),
+  z.number().nonnegative(),
+  z.number().int().nonnegative(),
+  z.number().nonnegative(),
+]);
+
+/** See {@link leavingTupleSchema}. */
+export type LeavingTuple = z.output<typeof leavingTupleSchema>;
+
+/** @internal */
+export function encodeLeaving(entry: LeavingEntry): LeavingTuple {
+  const { subject, upToIncarnation, leavingAtMs, source, signalledAtMs } = entry;
+  return [subject, upToIncarnation, leavingAtMs, sources.indexOf(source), signalledAtMs];
+}
+
+/** @internal */
+export function decodeLeaving(tuple: LeavingTuple): LeavingEntry {
+  const [subject, upToIncarnation, leavingAtMs, source, signalledAtMs] = tuple;
+  return {
+    subject,
+    upToIncarnation,
+    leavingAtMs,
+    source: sources[source] ?? LeavingSource.Notice,
+    signalledAtMs,
+  };
+}
+
 /** Called with entries that were news. `isLocal` is false when a peer told them. */
 export type LeavingListener = (entries: readonly LeavingEntry[], isLocal: boolean) => void;
 
@@ -70,6 +102,8 @@
   readonly #hashes = Array.from({ length: leavingBuckets }, () => new SetHash());
   readonly #total = new SetHash();
   readonly #listeners: LeavingListener[] = [];
+  /** Set by the last {@link expire}, so that a peer that is later with it does not undo it. */
+  #isExpired: (entry: LeavingEntry) => boolean = () => false;
   #listed = new Map<string, ListedVm>();
   #listAsOfMs = 0;
 
@@ -80,7 +114,10 @@
 
   /** Merges what a peer told. @returns the entries that were news. */
   mergeFromPeer(entries: readonly LeavingEntry[]): readonly LeavingEntry[] {
-    return this.#merge(entries, false);
+    return this.#merge(
+      entries.filter((entry) => !this.#isExpired(entry)),
+      false,
+    );
   }
 
   /** Takes a list of the cloud. One that is older than the last is ignored. */
@@ -137,13 +174,14 @@
     return [...this.#entries.values()];
   }
 
-  /** Forgets old entries of VMs that no setting names any more. */
+  /** Forgets old entries of VMs that no setting names any more. Call it about once a minute. */
   expire(nowMs: number, isConfigured: (subject: string) => boolean): void {
+    this.#isExpired = (entry) =>
+      entry.signalledAtMs + memoryMs < nowMs && !isConfigured(entry.subject);
     for (const entry of this.#entries.values()) {
-      if (entry.signalledAtMs + memoryMs < nowMs && !isConfigured(entry.subject)) {
-        this.#entries.delete(entry.subject);
-        this.#toggle(entry);
-      }
+      if (!this.#isExpired(entry)) continue;
+      this.#entries.delete(entry.subject);
+      this.#toggle(entry);
     }
   }
 
--- a/test/capacity/fleet-controller_test.ts
+++ b/test/capacity/fleet-controller_test.ts
@@ -3,6 +3,7 @@
   CloudWatcher,
   FleetController,
   InformationAge,
+  isAmongFirst,
   type VmOffer,
 } from '../../src/capacity/index.js';
 import { Random, VirtualClock } from '../../src/core/index.js';
@@ -42,15 +43,23 @@
     const leaving = new LeavingMerge();
     const age = new InformationAge(this.clock);
     const { clock, cloud } = this;
-    const watcher = new CloudWatcher({ cloud, region: 'seoul', leaving, membership, clock, age });
-    watcher.start();
-    const controller = new FleetController({
+    const watcher: CloudWatcher = new CloudWatcher({
+      cloud,
+      region: 'seoul',
+      leaving,
+      membership,
+      clock,
+      age,
+      isNeeded: () => controller.isHolding,
+    });
+    const controller: FleetController = new FleetController({
       serviceId: 't/chat',
       region: 'seoul',
       clock,
       random: new Random(2),
       cloud,
       leases: new MemoryLeaseKeeper(this.stream),
+      isCandidate: () => isAmongFirst(membership, 'seoul', 't/chat', 3),
       intents: this.stream,
       leaving,
       age,
@@ -59,6 +68,7 @@
       targetVms: () => this.targetVms,
       weightLoadMs: () => 60_000,
     });
+    watcher.start();
     const stopTicking = clock.every(1_000, () => void controller.tick());
     return {
       controller,
@@ -108,6 +118,21 @@
     expect(world.serving()).toBe(8);
   });
 
+  it('sends nothing after a pause that outlasted the lease; the next holder does', async () => {
+    const world = new World();
+    world.stream.recordDelayMs = 12_000;
+    world.boot('d1');
+    await world.clock.advance(5_000);
+    expect(world.stream.of('control/t/chat/seoul').length).toBe(1);
+    world.stream.recordDelayMs = 0;
+    world.boot('d2');
+    await world.clock.advance(6_000);
+    expect(world.cloud.startedCount).toBe(0);
+    await world.clock.advance(300_000);
+    expect(world.cloud.startedCount).toBe(8);
+    expect(world.serving()).toBe(8);
+  });
+
   it('replaces a reclaimed failure domain although its restarts are refused at first', async () => {
     const world = new World();
     world.boot('d1');
