Add oriolectl

Cause: operators control a deployment only by publishing settings and reading back what is in force.

--- /dev/null
+++ b/src/ctl/commands/report-burn.ts
@@ -0,0 +1,47 @@
+import { AdminQuery } from '../../admin-api/index.js';
+import { BurnAlert, BurnReport, renderHtml, renderText } from '../../report/index.js';
+import { connectionArgs, connectionOf } from '../connection.js';
+import { ctlCommand, jsonArg } from '../ctl-command.js';
+import { ExitCode } from '../exit-code.js';
+import { renderJson, reportMissing, withProgress } from '../output.js';
+
+/** `oriolectl report burn`: burn rates of all objectives. */
+export const reportBurnCommand = ctlCommand({
+  name: 'report burn',
+  description: 'Show burn rates and budgets of the service-level objectives.',
+  examples: [
+    'oriolectl report burn',
+    'oriolectl report burn --workspace tejidos/tenders --html burn.html',
+    'oriolectl report burn --fail-on-alert --json',
+  ],
+  args: {
+    workspace: { type: 'string', description: 'only this workspace', valueHint: 'team/name' },
+    service: { type: 'string', description: 'only this service', valueHint: 'team/name' },
+    html: { type: 'string', description: 'also write a page with plots', valueHint: 'file' },
+    'fail-on-alert': {
+      type: 'boolean',
+      description: 'exit with 9 when a rule is raised',
+      default: false,
+    },
+    ...jsonArg,
+    ...connectionArgs,
+  },
+  async run(context, args) {
+    const admin = await context.openAdmin(connectionOf(args, context.env));
+    const gathered = await withProgress(
+      context,
+      'collecting histograms from the daemons',
+      admin.query(AdminQuery.Burn, { workspaceId: args.workspace, serviceId: args.service }),
+    );
+    const report = BurnReport.merge(
+      gathered.answers.map(({ daemon, answer }) => ({ daemon, snapshot: answer })),
+      gathered.missing,
+      context.clock.nowMs(),
+    );
+    context.out(args.json ? renderJson(report) : renderText(report));
+    if (args.html !== undefined) await context.writeFile(args.html, renderHtml(report), false);
+    const code = reportMissing(context, gathered.missing);
+    const raised = report.alert !== BurnAlert.None && args['fail-on-alert'];
+    return raised ? ExitCode.Finding : code;
+  },
+});
