--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -4,3 +4,6 @@
 export * from './fold.js';
 export * from './settings-change.js';
 export * from './stream-replica.js';
+export * from './claim-fold.js';
+export * from './job-fold.js';
+export * from './lease-fold.js';
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -28,12 +28,45 @@
   SettingsRejected = 313,
 
   // 4xx membership and fleet
+  MemberJoined = 401,
+  MemberSuspected = 402,
+  MemberLost = 403,
+  MemberNameTaken = 404,
+  EndpointAdded = 410,
+  EndpointLeaving = 411,
+  EndpointSuspected = 412,
+  EndpointRestored = 413,
+  LeavingPullFailed = 414,
 
   // 5xx routing and admission
+  RequestNotAdmitted = 501,
 
   // 6xx capacity
+  ControlLeaseTaken = 601,
+  ControlLeaseLost = 602,
+  VmCreated = 603,
+  StartRefused = 604,
+  CreateUnanswered = 605,
+  ControlStale = 606,
+  VmDeleted = 607,
+  ControlRoundFailed = 608,
+  CloudUnanswered = 609,
+  RolloutStarted = 610,
+  RolloutFinished = 611,
+  RolledBack = 612,
+  WeightStoreBusy = 613,
+  OrderFailed = 614,
 
   // 7xx claims and jobs
+  CallOutcomeUnknown = 701,
+  OutcomeNotRecorded = 702,
+  ClaimReleased = 703,
+  JobAccepted = 704,
+  JobTakenOver = 705,
+  JobMoved = 706,
+  JobLeaseLost = 707,
+  JobFinished = 708,
+  JobRunnerFailed = 709,
 
   // 8xx administration and security
   AdminAction = 801,
