Drop the short first read of oriolectl

Cause: the tailer now answers its first read at once, so the 500 ms long poll that kept oriolectl from waiting 10 s on an empty stream only adds reads. Change: the session uses the tailer's own wait. Conclusion: the tests of the settings commands pass without it.

--- a/src/ctl/settings-session.ts
+++ b/src/ctl/settings-session.ts
@@ -61,8 +61,6 @@
       clock,
       random: random.fork(),
       events: new NullEventLog(),
-      // An empty stream holds the first read for this long before the replica is ready.
-      waitMs: 500,
     });
     replica.start();
     const timeout = new AbortController();
