--- a/src/security/tls-context.ts
+++ b/src/security/tls-context.ts
@@ -1,6 +1,11 @@
 import { readFile } from 'node:fs/promises';
 import type { ServerOptions } from 'node:https';
-import { createSecureContext, type ConnectionOptions, type Server } from 'node:tls';
+import {
+  createSecureContext,
+  type ConnectionOptions,
+  type SecureContextOptions,
+  type Server,
+} from 'node:tls';
 import { buildConnector } from 'undici';
 import { OrioleError, sha256Hex, Step, type Clock } from '../core/index.js';
 import { EventId, type EventLog, type Metrics } from '../telemetry/index.js';
@@ -11,8 +16,11 @@
   readonly certFile: string;
   /** Private key of the certificate. */
   readonly keyFile: string;
-  /** Certificates of the authorities that other daemons' certificates must chain to. */
-  readonly caFile: string;
+  /**
+   * Certificates of the authorities that other daemons' certificates must chain to; without it,
+   * those of the system are trusted and no client certificate can be demanded.
+   */
+  readonly caFile?: string | undefined;
 }
 
 /** Options of {@link TlsContext}. */
@@ -28,7 +36,7 @@
 interface TlsMaterial {
   readonly cert: Buffer;
   readonly key: Buffer;
-  readonly ca: Buffer;
+  readonly ca: Buffer | undefined;
   readonly digest: string;
 }
 
@@ -82,7 +90,7 @@
       return new TlsContext(options, material);
     } catch (error) {
       throw new OrioleError(
-        `cannot use ${certFile}, ${keyFile} and ${caFile}: ${messageOf(error)}; ` +
+        `cannot use ${[certFile, keyFile, caFile].filter(Boolean).join(', ')}: ${messageOf(error)}; ` +
           'check that they are readable PEM files and that the key belongs to the certificate',
         { step: Step.Security, peer: certFile, cause: error },
       );
@@ -94,23 +102,25 @@
    *
    * @param options - `requireClient` refuses clients whose certificate the authorities did not sign;
    * it is true for the listener of other daemons.
+   * @throws OrioleError (step `security`) when client certificates are required without a `caFile`.
    */
   serverOptions(options: { readonly requireClient: boolean }): ServerOptions {
-    const { cert, key, ca } = this.#material;
+    if (options.requireClient && !this.#material.ca) {
+      throw new OrioleError(
+        'mutual TLS needs the authorities of the other daemons; name them in ca_file',
+        { step: Step.Security, peer: this.#files.certFile },
+      );
+    }
     return {
-      cert,
-      key,
-      ca,
+      ...this.#credentials(),
       requestCert: options.requireClient,
       rejectUnauthorized: options.requireClient,
-      minVersion: 'TLSv1.2',
     };
   }
 
   /** Options of a connection to another daemon, with this daemon's own certificate. */
   clientOptions(): ConnectionOptions {
-    const { cert, key, ca } = this.#material;
-    return { cert, key, ca, rejectUnauthorized: true, minVersion: 'TLSv1.2' };
+    return { ...this.#credentials(), rejectUnauthorized: true };
   }
 
   /** Connector for an undici `Agent`; each new connection uses the certificates then in use. */
@@ -153,11 +163,8 @@
       }
       return false;
     }
-    const { cert, key, ca } = this.#material;
     this.#connector = buildConnector(this.clientOptions());
-    for (const server of this.#servers) {
-      server.setSecureContext({ cert, key, ca, minVersion: 'TLSv1.2' });
-    }
+    for (const server of this.#servers) server.setSecureContext(this.#credentials());
     this.#rejectedDigest = '';
     this.#metrics.count('tls_reloads', 1, { result: 'accepted' });
     this.#log.info(EventId.CertificatesReloaded, 'new certificates are in use', {
@@ -171,20 +178,25 @@
     this.#stopChecking();
     this.#servers.clear();
   }
+
+  #credentials(): SecureContextOptions {
+    const { cert, key, ca } = this.#material;
+    return { cert, key, minVersion: 'TLSv1.2', ...(ca && { ca }) };
+  }
 }
 
 async function readMaterial(files: TlsFiles): Promise<TlsMaterial> {
   const [cert, key, ca] = await Promise.all([
     readFile(files.certFile),
     readFile(files.keyFile),
-    readFile(files.caFile),
+    files.caFile ? readFile(files.caFile) : undefined,
   ]);
-  return { cert, key, ca, digest: [cert, key, ca].map(sha256Hex).join(' ') };
+  return { cert, key, ca, digest: [cert, key, ca ?? ''].map(sha256Hex).join(' ') };
 }
 
 /** Throws when the key does not belong to the certificate or a file is not PEM. */
 function checkMaterial({ cert, key, ca }: TlsMaterial): void {
-  createSecureContext({ cert, key, ca });
+  createSecureContext({ cert, key, ...(ca && { ca }) });
 }
 
 function messageOf(error: unknown): string {
--- a/test/security/tls-context_test.ts
+++ b/test/security/tls-context_test.ts
@@ -167,6 +167,12 @@
     expect(clock.pendingTimers).toBe(0);
   });
 
+  it('refuses to demand client certificates without an authority to check them by', async () => {
+    const daemon = await load({ caFile: undefined });
+    expect(daemon.serverOptions({ requireClient: false }).rejectUnauthorized).toBe(false);
+    expect(() => daemon.serverOptions({ requireClient: true })).toThrow('ca_file');
+  });
+
   it('names the files when they do not fit at start', async () => {
     await install('daemon-2', 'key', files.keyFile);
     await expect(load()).rejects.toThrow(files.certFile);
