--- a/src/settings/diff-settings.ts
+++ b/src/settings/diff-settings.ts
@@ -1,4 +1,5 @@
 import type { SectionValues } from './deployment.js';
+import { isPathWithin } from './settings-path.js';
 
 /** What happens to a section. */
 export enum DifferenceKind {
@@ -37,7 +38,7 @@
 ): SectionDifference[] {
   const paths = [...new Set([...from.keys(), ...to.keys()])].sort();
   return paths
-    .filter((path) => scope === '' || path === scope || path.startsWith(`${scope}/`))
+    .filter((path) => scope === '' || isPathWithin(scope, path))
     .flatMap((path): SectionDifference[] => {
       const before = from.get(path);
       const after = to.get(path);
--- a/src/settings/settings-path.ts
+++ b/src/settings/settings-path.ts
@@ -20,6 +20,11 @@
   return namePattern.test(name) && name === name.normalize('NFC');
 }
 
+/** True when `path` is `prefix` or lies below it. */
+export function isPathWithin(prefix: string, path: string): boolean {
+  return path === prefix || path.startsWith(`${prefix}/`);
+}
+
 /**
  * Path of a section: `deployment/team/kind/name`.
  *
--- a/src/settings/settings-tree.ts
+++ b/src/settings/settings-tree.ts
@@ -1,5 +1,5 @@
 import type { SectionValues } from './deployment.js';
-import { SettingsPath } from './settings-path.js';
+import { SettingsPath, isPathWithin } from './settings-path.js';
 
 /**
  * Sections as a hierarchy of paths: deployment, team, kind, name.
@@ -34,9 +34,7 @@
   /** Sections at or below `prefix`, in the order of their paths. */
   subtree(prefix: string): Map<string, SectionValues> {
     return new Map(
-      [...this.#sections].filter(
-        ([path]) => prefix === '' || path === prefix || path.startsWith(`${prefix}/`),
-      ),
+      [...this.#sections].filter(([path]) => prefix === '' || isPathWithin(prefix, path)),
     );
   }
 }
--- a/src/state/config-fold.ts
+++ b/src/state/config-fold.ts
@@ -6,6 +6,7 @@
   SectionKind,
   SettingsPath,
   checkSection,
+  isPathWithin,
   keySchema,
   type SectionValues,
 } from '../settings/index.js';
@@ -306,18 +307,13 @@
   return Deployment.from(sections);
 }
 
-/** True when `scope` is `path` or one of its ancestors. */
-export function isInScope(scope: string, path: string): boolean {
-  return scope !== '' && (path === scope || path.startsWith(`${scope}/`));
-}
-
 /** A key may only create operator keys whose scope lies within its own. */
 function isEditCovered(scope: string, edit: SettingsEdit): boolean {
-  if (!isInScope(scope, edit.path)) return false;
+  if (scope === '' || !isPathWithin(scope, edit.path)) return false;
   const path = SettingsPath.tryParse(edit.path);
   if (path?.kind !== SectionKind.Keys || edit.values?.kind !== KeyKind.Operator) return true;
   const granted = edit.values.scope ?? '';
-  return granted === '' || isInScope(scope, granted);
+  return granted === '' || isPathWithin(scope, granted);
 }
 
 function invalidEdits(edits: readonly SettingsEdit[]): string[] {
--- a/test/log/appender_test.ts
+++ b/test/log/appender_test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
 import { Random } from '../../src/core/index.js';
-import { AppendFailedError, EntryPriority } from '../../src/log/index.js';
+import { AppendFailedError, EntryPriority, type Appender } from '../../src/log/index.js';
 import { LogFault, LogFaultSource, SeededLogFaults } from '../../src/standins/index.js';
 import { fenceOf } from '../../src/state/index.js';
 import { FirstWinsFold, LogHarness, claimEntry } from './log-harness.js';
@@ -23,6 +23,16 @@
   }
 }
 
+/** The error of one append that is given 3 s. */
+async function errorOf(harness: LogHarness, appender: Appender): Promise<unknown> {
+  const deadlineAtMs = harness.clock.nowMs() + 3_000;
+  const error = appender
+    .append(claimEntry('c'), { deadlineAtMs, priority: EntryPriority.High })
+    .catch((reason: unknown) => reason);
+  await harness.clock.advance(4_000);
+  return error;
+}
+
 describe('Appender', () => {
   const high = EntryPriority.High;
 
@@ -57,12 +67,10 @@
   ])('reports mayBeStored=$mayBeStored after $fault (else not_run is untrue)', async (row) => {
     const harness = new LogHarness(1, new FixedFault(row.fault));
     const appender = harness.appender('a', harness.replica(new FirstWinsFold()));
-    const deadlineAtMs = harness.clock.nowMs() + 3_000;
-    const error = appender
-      .append(claimEntry('c'), { deadlineAtMs, priority: high })
-      .catch((reason: unknown) => reason);
-    await harness.clock.advance(4_000);
-    expect(await error).toMatchObject({ name: 'AppendFailedError', mayBeStored: row.mayBeStored });
+    expect(await errorOf(harness, appender)).toMatchObject({
+      name: 'AppendFailedError',
+      mayBeStored: row.mayBeStored,
+    });
     expect(appender.heldBytes).toBe(0);
   });
 
@@ -78,12 +86,7 @@
     const faults = new LostThenRefused(LogFault.None, LogFault.RequestLost);
     const harness = new LogHarness(1, faults);
     const appender = harness.appender('a', harness.replica(new FirstWinsFold()));
-    const deadlineAtMs = harness.clock.nowMs() + 3_000;
-    const error = appender
-      .append(claimEntry('c'), { deadlineAtMs, priority: high })
-      .catch((reason: unknown) => reason);
-    await harness.clock.advance(4_000);
-    expect(await error).toMatchObject({ mayBeStored: true });
+    expect(await errorOf(harness, appender)).toMatchObject({ mayBeStored: true });
     expect(harness.log.recordsOf(harness.stream)).toHaveLength(1);
   });
 
