Keep the readiness floor across two restarts in a row

The floor handed to the new process was the applied offset of a predecessor that had itself only just started, and a lagging read then made the new one ready too early.

Change: StreamReplica.knownOffset includes the end seen and the floor that the replica was given; this is what peers report to a daemon that starts.

--- a/src/state/stream-replica.ts
+++ b/src/state/stream-replica.ts
@@ -122,6 +122,15 @@
     return this.#appliedOffset;
   }
 
+  /**
+   * The stream is known to reach at least to here; a daemon reports this to the peers that start,
+   * for their `minReadyOffset`. Unlike `appliedOffset` it does not fall when the replica that is
+   * asked has itself just started.
+   */
+  get knownOffset(): Offset {
+    return Math.max(this.#appliedOffset, this.#readyOffset ?? this.#options.minReadyOffset ?? 0);
+  }
+
   /**
    * Milliseconds since the last successful read whose records were applied; infinite before the
    * first. It keeps growing while trimmed records are missing, since the state is then old even
--- a/test/settings-publisher/settings-publisher_test.ts
+++ b/test/settings-publisher/settings-publisher_test.ts
@@ -125,7 +125,7 @@
           await harness.clock.advance(random.int(0, 3_000));
           if (random.float() < 0.15) {
             // The new process serves only once it is ready, with the peer's offset as a floor.
-            const floor = daemon.appliedOffset;
+            const floor = daemon.knownOffset;
             await daemon.stop();
             daemon = harness.replica(configFold(), floor);
           }
--- a/test/state/stream-replica_test.ts
+++ b/test/state/stream-replica_test.ts
@@ -34,6 +34,11 @@
     expect(replica.isReady).toBe(true);
   });
 
+  it('reports its floor before it has read anything (else two restarts in a row go back)', () => {
+    const harness = new LogHarness();
+    expect(harness.replica(new FirstWinsFold(), 7).knownOffset).toBe(7);
+  });
+
   it('shows the age of the last read during an outage and catches up after it', async () => {
     const harness = new LogHarness();
     const replica = harness.replica(new FirstWinsFold());
