--- a/src/state/config-fold.ts
+++ b/src/state/config-fold.ts
@@ -307,13 +307,18 @@
   return Deployment.from(sections);
 }
 
+/** True when a key with `scope` may read and write `path`; the empty scope covers nothing. */
+export function isInScope(scope: string, path: string): boolean {
+  return scope !== '' && isPathWithin(scope, path);
+}
+
 /** A key may only create operator keys whose scope lies within its own. */
 function isEditCovered(scope: string, edit: SettingsEdit): boolean {
-  if (scope === '' || !isPathWithin(scope, edit.path)) return false;
+  if (!isInScope(scope, edit.path)) return false;
   const path = SettingsPath.tryParse(edit.path);
   if (path?.kind !== SectionKind.Keys || edit.values?.kind !== KeyKind.Operator) return true;
   const granted = edit.values.scope ?? '';
-  return granted === '' || isPathWithin(scope, granted);
+  return granted === '' || isInScope(scope, granted);
 }
 
 function invalidEdits(edits: readonly SettingsEdit[]): string[] {
