--- a/src/state/config-fold.ts
+++ b/src/state/config-fold.ts
@@ -6,6 +6,7 @@
   SectionKind,
   SettingsPath,
   checkSection,
+  isPathWithin,
   keySchema,
   type SectionValues,
 } from '../settings/index.js';
@@ -306,9 +307,9 @@
   return Deployment.from(sections);
 }
 
-/** True when `scope` is `path` or one of its ancestors. */
+/** True when a key with `scope` may read and write `path`; the empty scope covers nothing. */
 export function isInScope(scope: string, path: string): boolean {
-  return scope !== '' && (path === scope || path.startsWith(`${scope}/`));
+  return scope !== '' && isPathWithin(scope, path);
 }
 
 /** A key may only create operator keys whose scope lies within its own. */
