--- a/bench/recovery.ts
+++ b/bench/recovery.ts
@@ -22,6 +22,8 @@
 const tokenGapMs = 50;
 /** The loss strikes when half of each answer is generated. */
 const lossAtMs = (jobTokens * tokenGapMs) / 2;
+/** Target of the design page for recomputed tokens under reclaims. */
+const reclaimTarget = { limit: 0.3, isUpperBound: true };
 const domains = ['a', 'b', 'c'];
 
 /** KV moves that share one link, one after another; a move that ends after its deadline fails. */
@@ -81,23 +83,28 @@
     for (const hasKvExport of [true, false]) {
       for (const noticeMs of [5_000, 15_000, 30_000]) {
         const what = `${noticeMs / 1_000} s notice, ${hasKvExport ? 'with' : 'no'} KV export`;
-        rows.push(...shareRows(what, await measure({ noticeMs, losesDaemon: false, hasKvExport })));
+        const result = await measure({ noticeMs, losesDaemon: false, hasKvExport });
+        rows.push(...shareRows(what, result, reclaimTarget));
       }
     }
     return rows;
   }
 }
 
-function shareRows(what: string, { recomputedShare, decodedAgainShare }: Result): BenchRow[] {
+function shareRows(
+  what: string,
+  { recomputedShare, decodedAgainShare }: Result,
+  target?: BenchRow['target'],
+): BenchRow[] {
   const unit = 'ratio to restart';
   return [
-    { name: `${what}, prefilled or decoded again`, value: recomputedShare, unit },
     {
-      name: `${what}, decoded again`,
-      value: decodedAgainShare,
+      name: `${what}, prefilled or decoded again`,
+      value: recomputedShare,
       unit,
-      target: { limit: 0.3, isUpperBound: true },
+      ...(target && { target }),
     },
+    { name: `${what}, decoded again`, value: decodedAgainShare, unit },
   ];
 }
 
--- a/src/jobs/generation-attempt.ts
+++ b/src/jobs/generation-attempt.ts
@@ -6,7 +6,6 @@
   type GenerationEvent,
 } from '../engine/index.js';
 import {
-  AppendFailedError,
   EntryKind,
   EntryPriority,
   JobStatus,
@@ -18,6 +17,7 @@
 } from '../state/index.js';
 import type { ChosenEndpoint, ReclaimNotice } from './endpoint-chooser.js';
 import { HandoverKind, type HandoverPlanner } from './handover-planner.js';
+import { renewLease } from './lease-renewal.js';
 
 /** How a generation on one endpoint ended. */
 export enum AttemptEnd {
@@ -108,7 +108,7 @@
 
   /** Runs until the attempt has ended; rejects only on errors of the product itself. */
   async run(): Promise<AttemptEnd> {
-    const { clock, fold, jobId, policy, leaseMs, silenceMs } = this.#options;
+    const { clock, fold, jobId, policy, silenceMs } = this.#options;
     const job = this.#heldJob();
     if (!job) return AttemptEnd.Superseded;
     this.#recordedTokens = job.recordedTokens;
@@ -120,7 +120,7 @@
         const isDue = this.#buffer.length > 0 && this.#isCheckpointDue();
         if (isDue) void this.#flush();
       }),
-      clock.every(leaseMs / 3, () => void this.#renew()),
+      renewLease(this.#options),
       clock.every(silenceMs / 4, () => {
         if (clock.nowMs() - this.#lastEventAtMs >= silenceMs) this.#fail(EngineFailure.Silent);
       }),
@@ -292,30 +292,14 @@
     if (job?.status === JobStatus.Done) this.#end = AttemptEnd.Finished;
   }
 
-  async #renew(): Promise<void> {
-    const { clock, jobId, fence, leaseMs } = this.#options;
-    const job = this.#heldJob();
-    if (!job) return;
-    await this.#append({
-      kind: EntryKind.JobLease,
-      jobId,
-      daemon: job.daemon,
-      incarnation: job.incarnation,
-      previousFence: fence,
-      expiresAtMs: clock.nowMs() + leaseMs,
-      isRenewal: true,
-    });
-  }
-
-  /** Appends once; after a failure it waits before the caller looks at the fold again. */
+  /** Appends once; after any failure it waits before the caller looks at the fold again. */
   async #append(entry: RawEntry): Promise<void> {
     const { clock, writer, appendTimeoutMs } = this.#options;
     const priority =
       entry.kind === EntryKind.JobProgress ? EntryPriority.Normal : EntryPriority.High;
     try {
       await writer.append(entry, { deadlineAtMs: clock.nowMs() + appendTimeoutMs, priority });
-    } catch (error) {
-      if (!(error instanceof AppendFailedError)) throw error;
+    } catch {
       await clock.sleepUntil(clock.nowMs() + retryMs);
     }
   }
--- a/src/jobs/job-runner.ts
+++ b/src/jobs/job-runner.ts
@@ -15,6 +15,7 @@
 import { AttemptEnd, GenerationAttempt, type JobPolicy } from './generation-attempt.js';
 import type { HandoverPlanner } from './handover-planner.js';
 import type { KvMover } from './kv-mover.js';
+import { renewLease } from './lease-renewal.js';
 
 /** Why a runner no longer works on its job. */
 export enum RunnerEnd {
@@ -194,9 +195,20 @@
     if (!job || !kvMover || deadlineAtMs === undefined) return undefined;
     const to = await chooser.choose({ job, avoid: this.#avoid, region: from.region });
     if (!to) return undefined;
+    // A move may take longer than a lease.
+    const { clock, writer } = this.#options;
+    const stopRenewing = renewLease({
+      clock,
+      fold,
+      writer,
+      jobId: job.jobId,
+      fence: job.fence,
+      leaseMs: this.#leaseMs,
+    });
     const kvHandle = await kvMover
       .move({ requestId, from, to, deadlineAtMs })
-      .catch(() => undefined);
+      .catch(() => undefined)
+      .finally(stopRenewing);
     return { endpoint: to, kvHandle };
   }
 
--- a/test/jobs/job-manager_test.ts
+++ b/test/jobs/job-manager_test.ts
@@ -4,7 +4,7 @@
 import { ProcessLogService, SimulatedProcess } from '../../bench/histories/process.js';
 import { ReplicaWriter } from '../../bench/histories/replica-writer.js';
 import { Random, VirtualClock, WorkClass, countingIds } from '../../src/core/index.js';
-import { AnswerAssembler, HandoverPlanner, JobManager } from '../../src/jobs/index.js';
+import { AnswerAssembler, HandoverPlanner, JobManager, KvMover } from '../../src/jobs/index.js';
 import { LogFault, LogFaultSource, MemoryLogService } from '../../src/standins/index.js';
 import { JobFold, JobStatus } from '../../src/state/index.js';
 import { NullEventLog } from '../../src/telemetry/index.js';
@@ -19,6 +19,17 @@
   }
 }
 
+class SlowKvMover extends KvMover {
+  constructor(readonly clock: VirtualClock) {
+    super();
+  }
+
+  override async move(): Promise<string> {
+    await this.clock.sleepUntil(this.clock.nowMs() + 12_000);
+    return 'kv';
+  }
+}
+
 class World {
   readonly clock = new VirtualClock();
   readonly log = new MemoryLogService({ clock: this.clock });
@@ -27,7 +38,10 @@
       new FakeEndpoint({ clock: this.clock, id, failureDomain: `domain-${id}`, tokenGapMs: 50 }),
   );
 
-  daemon(name: string): {
+  daemon(
+    name: string,
+    kvMover?: KvMover,
+  ): {
     manager: JobManager;
     process: SimulatedProcess;
     fold: JobFold;
@@ -52,7 +66,8 @@
       fold,
       writer,
       chooser,
-      planner: new HandoverPlanner({ kvBytesPerToken: 1, kvBytesPerS: 1, kvImportMs: 1 }),
+      planner: new HandoverPlanner({ kvBytesPerToken: 1, kvBytesPerS: 1_000, kvImportMs: 1 }),
+      ...(kvMover && { kvMover }),
       log: new NullEventLog(),
       daemon: name,
       incarnation: 1,
@@ -144,6 +159,23 @@
     expect(generated).toBe(200);
   });
 
+  it('keeps its lease during a KV move, against a take-over that recomputes the text', async () => {
+    const world = new World();
+    const mover = new SlowKvMover(world.clock);
+    const first = world.daemon('d1', mover);
+    world.daemon('d2', mover);
+    const jobId = await world.submit(first.manager, 1_000);
+    await world.clock.advance(3_000);
+    const leaving = world.busy()!;
+    const deadlineAtMs = world.clock.nowMs() + 20_000;
+    first.manager.reclaim({ endpointIds: [leaving.options.id], deadlineAtMs });
+    await world.clock.advance(14_000);
+    expect(first.fold.job(jobId)?.daemon).toBe('d1');
+    const prefilled = world.endpoints.reduce((sum, endpoint) => sum + endpoint.prefilledTokens, 0);
+    // Only the prompt `q` of the first generation.
+    expect(prefilled).toBe(1);
+  });
+
   it('is taken over after a crash, from the last recorded text', async () => {
     const world = new World();
     const first = world.daemon('d1');
