--- a/bench/main.ts
+++ b/bench/main.ts
@@ -10,6 +10,8 @@
   new RecoverySuite(),
   new ControlCostSuite(),
 ];
+import type { BenchRow } from './suite.js';
+import { suites } from './suites.js';
 
 /** Runs the suites named on the command line, or all of them, and writes a table and JSON. */
 async function main(names: readonly string[]): Promise<void> {
