--- a/src/capacity/index.ts
+++ b/src/capacity/index.ts
@@ -15,3 +15,4 @@
 export * from './weight-store.js';
 export * from './version-rollout.js';
 export * from './region-rank.js';
+export * from './log-lease-keeper.js';
