--- a/src/ctl/commands/drain.ts
+++ b/src/ctl/commands/drain.ts
@@ -1,9 +1,10 @@
 import { AdminQuery } from '../../admin-api/index.js';
-import { connectionArgs, connectionOf } from '../connection.js';
+import { connectionArgs } from '../connection.js';
 import { ctlCommand, jsonArg } from '../ctl-command.js';
 import { CtlError } from '../ctl-error.js';
 import { ExitCode } from '../exit-code.js';
-import { renderJson, renderTable, reportMissing, withProgress } from '../output.js';
+import { renderJson, renderTable, reportMissing } from '../output.js';
+import { askDaemons } from '../session.js';
 
 /** `oriolectl drain`: makes every daemon treat an endpoint as leaving. */
 export const drainCommand = ctlCommand({
@@ -32,13 +33,11 @@
         `--within-s "${seconds}" is not a whole number of seconds`,
       );
     }
-    const admin = await context.openAdmin(connectionOf(args, context.env));
     const deadlineAtMs = context.clock.nowMs() + Number(seconds) * 1_000;
-    const gathered = await withProgress(
-      context,
-      'waiting for the daemons',
-      admin.query(AdminQuery.Drain, { path: args.path, deadlineAtMs }),
-    );
+    const gathered = await askDaemons(context, args, AdminQuery.Drain, {
+      path: args.path,
+      deadlineAtMs,
+    });
     if (args.json) context.out(renderJson(gathered));
     else {
       context.out(
--- a/src/ctl/commands/endpoints.ts
+++ b/src/ctl/commands/endpoints.ts
@@ -1,14 +1,8 @@
 import { AdminQuery } from '../../admin-api/index.js';
-import { connectionArgs, connectionOf } from '../connection.js';
+import { connectionArgs } from '../connection.js';
 import { ctlCommand, jsonArg } from '../ctl-command.js';
-import {
-  formatAge,
-  formatTime,
-  renderJson,
-  renderTable,
-  reportMissing,
-  withProgress,
-} from '../output.js';
+import { formatAge, formatTime, renderJson, renderTable, reportMissing } from '../output.js';
+import { askDaemons } from '../session.js';
 
 /** `oriolectl endpoints`: what each daemon believes about each endpoint. */
 export const endpointsCommand = ctlCommand({
@@ -26,12 +20,7 @@
     ...connectionArgs,
   },
   async run(context, args) {
-    const admin = await context.openAdmin(connectionOf(args, context.env));
-    const gathered = await withProgress(
-      context,
-      'waiting for the daemons',
-      admin.query(AdminQuery.Endpoints, { path: args.path }),
-    );
+    const gathered = await askDaemons(context, args, AdminQuery.Endpoints, { path: args.path });
     if (args.json) context.out(renderJson(gathered));
     else {
       const rows = gathered.answers.flatMap(({ daemon, answer }) =>
--- a/src/ctl/commands/explain.ts
+++ b/src/ctl/commands/explain.ts
@@ -1,8 +1,9 @@
 import { AdminQuery } from '../../admin-api/index.js';
-import { connectionArgs, connectionOf } from '../connection.js';
+import { connectionArgs } from '../connection.js';
 import { ctlCommand, jsonArg } from '../ctl-command.js';
 import { ExitCode } from '../exit-code.js';
-import { formatTime, renderJson, renderTable, reportMissing, withProgress } from '../output.js';
+import { formatTime, renderJson, renderTable, reportMissing } from '../output.js';
+import { askDaemons } from '../session.js';
 
 /** `oriolectl explain`: why a request went where it went. */
 export const explainCommand = ctlCommand({
@@ -15,12 +16,9 @@
     ...connectionArgs,
   },
   async run(context, args) {
-    const admin = await context.openAdmin(connectionOf(args, context.env));
-    const gathered = await withProgress(
-      context,
-      'waiting for the daemons',
-      admin.query(AdminQuery.Explain, { requestId: args.request }),
-    );
+    const gathered = await askDaemons(context, args, AdminQuery.Explain, {
+      requestId: args.request,
+    });
     const found = gathered.answers.flatMap(({ daemon, answer }) =>
       answer ? [{ daemon, ...answer }] : [],
     );
--- a/src/ctl/commands/jobs-cancel.ts
+++ b/src/ctl/commands/jobs-cancel.ts
@@ -1,8 +1,9 @@
-import { connectionArgs, connectionOf } from '../connection.js';
+import { connectionArgs } from '../connection.js';
 import { ctlCommand, jsonArg } from '../ctl-command.js';
 import { ExitCode } from '../exit-code.js';
 import { renderJson, withProgress } from '../output.js';
 import { renderWorkTable } from './work-table.js';
+import { openAdmin } from '../session.js';
 
 /** `oriolectl jobs cancel`: withdraws an accepted job. */
 export const jobsCancelCommand = ctlCommand({
@@ -16,7 +17,7 @@
     ...connectionArgs,
   },
   async run(context, args) {
-    const admin = await context.openAdmin(connectionOf(args, context.env));
+    const admin = await openAdmin(context, args);
     const item = await withProgress(
       context,
       'waiting for the cancellation to be recorded',
--- a/src/ctl/commands/jobs-list.ts
+++ b/src/ctl/commands/jobs-list.ts
@@ -1,10 +1,11 @@
 import { AdminQuery, newestWorkItems, WorkState } from '../../admin-api/index.js';
-import { connectionArgs, connectionOf } from '../connection.js';
+import { connectionArgs } from '../connection.js';
 import { ctlCommand, jsonArg } from '../ctl-command.js';
 import { CtlError } from '../ctl-error.js';
 import { ExitCode } from '../exit-code.js';
-import { renderJson, reportMissing, withProgress } from '../output.js';
+import { renderJson, reportMissing } from '../output.js';
 import { renderWorkTable } from './work-table.js';
+import { askDaemons } from '../session.js';
 
 /** `oriolectl jobs list`: accepted jobs and non-repeatable calls. */
 export const jobsListCommand = ctlCommand({
@@ -34,17 +35,12 @@
     if (!/^[1-9]\d{0,3}$/.test(args.limit)) {
       throw new CtlError(ExitCode.Usage, `--limit "${args.limit}" is not from 1 to 9999`);
     }
-    const admin = await context.openAdmin(connectionOf(args, context.env));
     const state = Object.values(WorkState).find((one) => one === args.state);
-    const gathered = await withProgress(
-      context,
-      'waiting for the daemons',
-      admin.query(AdminQuery.Jobs, {
-        state,
-        workspaceId: args.workspace,
-        limit: Number(args.limit),
-      }),
-    );
+    const gathered = await askDaemons(context, args, AdminQuery.Jobs, {
+      state,
+      workspaceId: args.workspace,
+      limit: Number(args.limit),
+    });
     const items = newestWorkItems(gathered);
     if (args.json) context.out(renderJson({ items, missing: gathered.missing }));
     else context.out(renderWorkTable(items));
--- a/src/ctl/commands/jobs-show.ts
+++ b/src/ctl/commands/jobs-show.ts
@@ -1,9 +1,10 @@
 import { AdminQuery, newestWorkItems } from '../../admin-api/index.js';
-import { connectionArgs, connectionOf } from '../connection.js';
+import { connectionArgs } from '../connection.js';
 import { ctlCommand, jsonArg } from '../ctl-command.js';
 import { ExitCode } from '../exit-code.js';
-import { renderJson, reportMissing, withProgress } from '../output.js';
+import { renderJson, reportMissing } from '../output.js';
 import { renderWorkTable } from './work-table.js';
+import { askDaemons } from '../session.js';
 
 /** `oriolectl jobs show`: one job or call. */
 export const jobsShowCommand = ctlCommand({
@@ -16,12 +17,7 @@
     ...connectionArgs,
   },
   async run(context, args) {
-    const admin = await context.openAdmin(connectionOf(args, context.env));
-    const gathered = await withProgress(
-      context,
-      'waiting for the daemons',
-      admin.query(AdminQuery.Jobs, { id: args.id, limit: 10 }),
-    );
+    const gathered = await askDaemons(context, args, AdminQuery.Jobs, { id: args.id, limit: 10 });
     const items = newestWorkItems(gathered);
     const code = reportMissing(context, gathered.missing);
     if (items.length === 0) {
--- a/src/ctl/commands/report-burn.ts
+++ b/src/ctl/commands/report-burn.ts
@@ -1,9 +1,10 @@
 import { AdminQuery } from '../../admin-api/index.js';
 import { BurnAlert, BurnReport, renderHtml, renderText } from '../../report/index.js';
-import { connectionArgs, connectionOf } from '../connection.js';
+import { connectionArgs } from '../connection.js';
 import { ctlCommand, jsonArg } from '../ctl-command.js';
 import { ExitCode } from '../exit-code.js';
-import { renderJson, reportMissing, withProgress } from '../output.js';
+import { renderJson, reportMissing } from '../output.js';
+import { askDaemons } from '../session.js';
 
 /** `oriolectl report burn`: burn rates of all objectives. */
 export const reportBurnCommand = ctlCommand({
@@ -27,12 +28,10 @@
     ...connectionArgs,
   },
   async run(context, args) {
-    const admin = await context.openAdmin(connectionOf(args, context.env));
-    const gathered = await withProgress(
-      context,
-      'collecting histograms from the daemons',
-      admin.query(AdminQuery.Burn, { workspaceId: args.workspace, serviceId: args.service }),
-    );
+    const gathered = await askDaemons(context, args, AdminQuery.Burn, {
+      workspaceId: args.workspace,
+      serviceId: args.service,
+    });
     const report = BurnReport.merge(
       gathered.answers.map(({ daemon, answer }) => ({ daemon, snapshot: answer })),
       gathered.missing,
--- a/src/ctl/commands/settings-apply.ts
+++ b/src/ctl/commands/settings-apply.ts
@@ -16,6 +16,7 @@
 import { renderJson, renderTable, withProgress } from '../output.js';
 import { readSettingsFile, type SettingsFile } from '../settings-file.js';
 import type { SettingsSession } from '../settings-session.js';
+import { readSettings } from '../session.js';
 
 /** How often the daemons are asked whether the change is in force. */
 const pollMs = 500;
@@ -64,11 +65,7 @@
     const file = await readSettingsFile(context, args.file);
     const removals = parseRemovals(args.remove);
     const deadlineAtMs = context.clock.nowMs() + connection.timeoutMs;
-    const session = await withProgress(
-      context,
-      'reading the settings in force',
-      context.openSettings(connection),
-    );
+    const session = await readSettings(context, args);
     try {
       if (!isValid(context, file, session.sections())) return ExitCode.InvalidSettings;
       const edits = [...editsOf(file, session), ...removals];
--- a/src/ctl/commands/settings-check.ts
+++ b/src/ctl/commands/settings-check.ts
@@ -1,9 +1,10 @@
 import { checkSettings, formatProblem, ProblemSeverity } from '../../settings/index.js';
-import { connectionArgs, connectionOf } from '../connection.js';
+import { connectionArgs } from '../connection.js';
 import { ctlCommand, jsonArg } from '../ctl-command.js';
 import { ExitCode } from '../exit-code.js';
-import { renderJson, withProgress } from '../output.js';
+import { renderJson } from '../output.js';
 import { readSettingsFile } from '../settings-file.js';
+import { readSettings } from '../session.js';
 
 /** `oriolectl settings check`: finds mistakes in files; needs no connection. */
 export const settingsCheckCommand = ctlCommand({
@@ -33,11 +34,7 @@
     const documents = files.map(({ document }) => document);
     let problems = checkSettings(documents);
     if (args['in-force']) {
-      const session = await withProgress(
-        context,
-        'reading the settings in force',
-        context.openSettings(connectionOf(args, context.env)),
-      );
+      const session = await readSettings(context, args);
       problems = checkSettings(documents, session.sections());
       await session.close();
     }
--- a/src/ctl/commands/settings-diff.ts
+++ b/src/ctl/commands/settings-diff.ts
@@ -1,9 +1,10 @@
 import { diffSettings, formatDifferences } from '../../settings/index.js';
-import { connectionArgs, connectionOf } from '../connection.js';
+import { connectionArgs } from '../connection.js';
 import { ctlCommand, jsonArg } from '../ctl-command.js';
 import { ExitCode } from '../exit-code.js';
-import { renderJson, withProgress } from '../output.js';
+import { renderJson } from '../output.js';
 import { readSettingsFile } from '../settings-file.js';
+import { readSettings } from '../session.js';
 
 /** `oriolectl settings diff`: what a file would change. */
 export const settingsDiffCommand = ctlCommand({
@@ -21,11 +22,7 @@
   },
   async run(context, args) {
     const { document } = await readSettingsFile(context, args.file);
-    const session = await withProgress(
-      context,
-      'reading the settings in force',
-      context.openSettings(connectionOf(args, context.env)),
-    );
+    const session = await readSettings(context, args);
     // Sections that the file does not name stay as they are, so they are no difference.
     const inForce = new Map(
       [...session.sections()].filter(([path]) => document.sections.has(path)),
--- a/src/ctl/commands/settings-get.ts
+++ b/src/ctl/commands/settings-get.ts
@@ -1,9 +1,10 @@
 import { SettingsTree } from '../../settings/index.js';
-import { connectionArgs, connectionOf } from '../connection.js';
+import { connectionArgs } from '../connection.js';
 import { ctlCommand, jsonArg } from '../ctl-command.js';
 import { ExitCode } from '../exit-code.js';
-import { renderJson, withProgress } from '../output.js';
+import { renderJson } from '../output.js';
 import { formatWithRevisions } from '../settings-file.js';
+import { readSettings } from '../session.js';
 
 /** `oriolectl settings get`: settings from the log, ready to be edited and applied. */
 export const settingsGetCommand = ctlCommand({
@@ -19,11 +20,7 @@
     ...connectionArgs,
   },
   async run(context, args) {
-    const session = await withProgress(
-      context,
-      'reading the settings',
-      context.openSettings(connectionOf(args, context.env)),
-    );
+    const session = await readSettings(context, args);
     await session.close();
     const sections = new SettingsTree(session.sections()).subtree(args.path);
     if (sections.size === 0) {
--- a/src/ctl/commands/settings-history.ts
+++ b/src/ctl/commands/settings-history.ts
@@ -1,8 +1,9 @@
 import { diffSettings, formatDifferences, type SectionValues } from '../../settings/index.js';
-import { connectionArgs, connectionOf } from '../connection.js';
+import { connectionArgs } from '../connection.js';
 import { ctlCommand, jsonArg } from '../ctl-command.js';
 import { ExitCode } from '../exit-code.js';
-import { formatTime, renderJson, withProgress } from '../output.js';
+import { formatTime, renderJson } from '../output.js';
+import { readSettings } from '../session.js';
 
 /** `oriolectl settings history`: who set a section to what. */
 export const settingsHistoryCommand = ctlCommand({
@@ -18,11 +19,7 @@
     ...connectionArgs,
   },
   async run(context, args) {
-    const session = await withProgress(
-      context,
-      'reading the settings',
-      context.openSettings(connectionOf(args, context.env)),
-    );
+    const session = await readSettings(context, args);
     await session.close();
     const versions = session.history(args.path);
     if (versions.length === 0) {
--- a/src/ctl/commands/settings-in-force.ts
+++ b/src/ctl/commands/settings-in-force.ts
@@ -1,8 +1,9 @@
 import { AdminQuery, type Gathered, type SettingsInForce } from '../../admin-api/index.js';
-import { connectionArgs, connectionOf } from '../connection.js';
+import { connectionArgs } from '../connection.js';
 import { ctlCommand, jsonArg } from '../ctl-command.js';
 import { ExitCode } from '../exit-code.js';
-import { formatAge, renderJson, renderTable, reportMissing, withProgress } from '../output.js';
+import { formatAge, renderJson, renderTable, reportMissing } from '../output.js';
+import { askDaemons } from '../session.js';
 
 /** `oriolectl settings in-force`: what each daemon has applied. */
 export const settingsInForceCommand = ctlCommand({
@@ -23,12 +24,10 @@
     ...connectionArgs,
   },
   async run(context, args) {
-    const admin = await context.openAdmin(connectionOf(args, context.env));
-    const gathered = await withProgress(
-      context,
-      'waiting for the daemons',
-      admin.query(AdminQuery.SettingsInForce, { path: args.path, sections: args.path !== '' }),
-    );
+    const gathered = await askDaemons(context, args, AdminQuery.SettingsInForce, {
+      path: args.path,
+      sections: args.path !== '',
+    });
     const nowMs = context.clock.nowMs();
     if (args.json) context.out(renderJson(gathered));
     else {
--- a/src/ctl/commands/status.ts
+++ b/src/ctl/commands/status.ts
@@ -1,7 +1,8 @@
 import { AdminQuery } from '../../admin-api/index.js';
-import { connectionArgs, connectionOf } from '../connection.js';
+import { connectionArgs } from '../connection.js';
 import { ctlCommand, jsonArg } from '../ctl-command.js';
-import { formatAge, renderJson, renderTable, reportMissing, withProgress } from '../output.js';
+import { formatAge, renderJson, renderTable, reportMissing } from '../output.js';
+import { askDaemons } from '../session.js';
 
 /** `oriolectl status`: one line for each daemon. */
 export const statusCommand = ctlCommand({
@@ -10,12 +11,7 @@
   examples: ['oriolectl status', 'oriolectl status --json'],
   args: { ...jsonArg, ...connectionArgs },
   async run(context, args) {
-    const admin = await context.openAdmin(connectionOf(args, context.env));
-    const gathered = await withProgress(
-      context,
-      'waiting for the daemons',
-      admin.query(AdminQuery.Status, {}),
-    );
+    const gathered = await askDaemons(context, args, AdminQuery.Status, {});
     const nowMs = context.clock.nowMs();
     if (args.json) context.out(renderJson(gathered));
     else {
--- a/src/ctl/index.ts
+++ b/src/ctl/index.ts
@@ -7,6 +7,7 @@
 export * from './ctl-error.js';
 export * from './exit-code.js';
 export * from './output.js';
+export * from './session.js';
 export * from './settings-file.js';
 export * from './settings-session.js';
 export * from './system-context.js';
