Reserve part of the window for short work and size it by free slots

Change: short_reserve_ratio of the window is for short work only; the window narrows to an equal share of the slots when fewer than 5% are free.

--- a/bench/policy/workload.ts
+++ b/bench/policy/workload.ts
@@ -172,8 +172,8 @@
         blocks,
         finalBlocks,
         isOutlier,
-        startByMs: nowMs + kind.patienceMs,
-        deadlineAtMs: nowMs + kind.patienceMs + outputTokens * typicalGapMs * 3,
+        startByMs: nowMs + kind.startWithinMs,
+        deadlineAtMs: nowMs + kind.startWithinMs + outputTokens * typicalGapMs * 3,
       },
     });
   }
--- a/src/admission/admission-controller.ts
+++ b/src/admission/admission-controller.ts
@@ -60,6 +60,17 @@
   refused(refusal: Refusal): void;
 }
 
+/** Capacity of a service as the load reports show it; endpoints that leave are not counted. */
+export interface ServiceCapacity {
+  /** Batch slots of all usable endpoints. */
+  readonly batchSlots: number;
+  /** Sums over the newest reports of these endpoints. */
+  readonly runningRequests: number;
+  readonly queuedRequests: number;
+  /** `short_reserve_ratio` of the routing settings. */
+  readonly shortReserveRatio: number;
+}
+
 /** Options of {@link AdmissionController}. */
 export interface AdmissionControllerOptions {
   readonly clock: Clock;
@@ -95,6 +106,10 @@
   maxWindow = Infinity;
   narrowedAtMs = -Infinity;
   inFlight = 0;
+  /** Requests in flight that are not short. */
+  longerInFlight = 0;
+  /** Share of the window that only short work may use. */
+  shortReserveRatio = 0;
   /** Smoothed cost completed per millisecond; undefined before the first completions. */
   costPerMs: number | undefined;
   completedCost = 0;
@@ -105,6 +120,14 @@
     for (const queue of this.classes.values()) length += queue.length;
     return length;
   }
+
+  /** Whether a request of the class may be sent now. */
+  hasRoom(workClass: WorkClass): boolean {
+    if (this.inFlight >= this.window) return false;
+    if (workClass === WorkClass.Short) return true;
+    // At least one longer request may always run, else a small window would starve them.
+    return this.longerInFlight < Math.max(1, this.window * (1 - this.shortReserveRatio));
+  }
 }
 
 /**
@@ -160,7 +183,7 @@
       return nothingToCancel;
     }
     const service = this.#service(request.serviceId);
-    if (service.length === 0 && service.inFlight < service.window) {
+    if (!service.classes.get(request.workClass)?.length && service.hasRoom(request.workClass)) {
       this.#start(service, { request, listener, queuedAtMs: nowMs, cancelTimer: nothingToCancel });
       return nothingToCancel;
     }
@@ -236,24 +259,24 @@
   }
 
   /**
-   * Adapts the window of a service to the load reports: it narrows while requests queue at the
-   * engines, where workspaces are not told apart, and widens otherwise. Daemons that all do this
-   * converge to equal windows. Call it when load reports arrive.
-   *
-   * @param batchSlots - batch slots of all usable endpoints of the service.
-   * @param queuedAtEngines - sum of the reported queues of these endpoints.
+   * Adapts the window of a service to the load reports: it narrows to an equal share of the batch
+   * slots while requests queue at the engines, where workspaces are not told apart, and widens
+   * while slots are free. Daemons that all do this converge. Call it when load reports arrive.
    */
-  updateCapacity(serviceId: string, batchSlots: number, queuedAtEngines: number): void {
+  updateCapacity(serviceId: string, capacity: ServiceCapacity): void {
+    const { batchSlots, runningRequests, queuedRequests } = capacity;
     const service = this.#service(serviceId);
+    service.shortReserveRatio = capacity.shortReserveRatio;
     const nowMs = this.#clock.nowMs();
     const fairWindow = Math.max(1, batchSlots / this.#liveDaemons);
     service.maxWindow = Math.max(1, Math.min(batchSlots * 1.25, fairWindow * 4));
     if (service.window === Infinity) service.window = Math.min(service.maxWindow, fairWindow * 2);
-    const queuedRatio = batchSlots > 0 ? queuedAtEngines / batchSlots : 1;
-    if (queuedRatio > 0.15) {
+    const isFull =
+      queuedRequests > batchSlots * 0.05 || runningRequests + queuedRequests > batchSlots * 0.95;
+    if (isFull) {
       // One cut per second, since the reports show its effect only after their lag.
       if (nowMs - service.narrowedAtMs >= 1_000) {
-        service.window = Math.max(1, fairWindow / 2, service.window * 0.85);
+        service.window = Math.max(1, fairWindow, service.window * 0.85);
         service.narrowedAtMs = nowMs;
       }
     } else if (service.inFlight >= service.window - 1) {
@@ -317,7 +340,7 @@
   }
 
   #serve(service: ServiceQueue): void {
-    while (service.inFlight < service.window) {
+    for (;;) {
       const waiting = this.#next(service);
       if (!waiting) return;
       waiting.cancelTimer();
@@ -325,14 +348,14 @@
     }
   }
 
-  /** Next request: of the classes with a queue, the one served least for its share. */
+  /** Next request that may be sent: of the queued classes, the one served least for its share. */
   #next(service: ServiceQueue): Waiting | undefined {
     let chosen: WorkClass | undefined;
     let least = Infinity;
     let floor = Infinity;
     for (const [workClass] of classShares) {
       const served = service.servedCost.get(workClass) ?? 0;
-      if (!service.classes.get(workClass)?.length) continue;
+      if (!service.classes.get(workClass)?.length || !service.hasRoom(workClass)) continue;
       floor = Math.min(floor, served);
       if (served < least) {
         chosen = workClass;
@@ -353,7 +376,9 @@
 
   #start(service: ServiceQueue, { request, listener, queuedAtMs }: Waiting): void {
     const startedAtMs = this.#clock.nowMs();
+    const longer = request.workClass === WorkClass.Short ? 0 : 1;
     service.inFlight += 1;
+    service.longerInFlight += longer;
     let isEnded = false;
     listener.admitted({
       request,
@@ -364,6 +389,7 @@
         const nowMs = this.#clock.nowMs();
         this.#limit(request, nowMs).release(request.expectedUsd, actualUsd, nowMs);
         service.inFlight -= 1;
+        service.longerInFlight -= longer;
         measureCompletion(service, request.costTokens, nowMs);
         this.#serve(service);
       },
