Let workspaces far below their share exceed a full window a little

Cause: at twice the load, small workspaces waited seconds for the next free slot of the daemon's window, and their expected wait counted one request of every other workspace. Change: a workspace below 0.6 of its equal part of the window may start at once within 1.1 of the window; windows leave a tenth of the slots free under overload; a flow without a backlog expects no other flow's cost ahead.

--- a/src/admission/admission-controller.ts
+++ b/src/admission/admission-controller.ts
@@ -85,6 +85,15 @@
   [WorkClass.Long, 2],
 ];
 
+/** Share of the window by which underserved workspaces may exceed it. */
+const overcommitRatio = 0.1;
+
+/** Share of its equal part of the window below which a workspace is underserved. */
+const underservedRatio = 0.6;
+
+/** Share of the batch slots that all windows together leave free under overload. */
+const freeSlotRatio = 0.1;
+
 /** Requests queued per service; bounds memory when deadlines are hours away. */
 const maxQueuedRequests = 20_000;
 
@@ -108,6 +117,8 @@
   inFlight = 0;
   /** Requests in flight that are not short. */
   longerInFlight = 0;
+  /** Requests in flight by workspace, without those at zero. */
+  readonly flowsInFlight = new Map<string, number>();
   /** Share of the window that only short work may use. */
   shortReserveRatio = 0;
   /** Smoothed cost completed per millisecond; undefined before the first completions. */
@@ -128,6 +139,17 @@
     // At least one longer request may always run, else a small window would starve them.
     return this.longerInFlight < Math.max(1, this.window * (1 - this.shortReserveRatio));
   }
+
+  /**
+   * Whether a workspace far below its equal part of a full window may exceed the window a little:
+   * with few slots per daemon, waiting for the next one to become free takes seconds.
+   */
+  isUnderserved(workspaceId: string): boolean {
+    if (this.inFlight >= this.window * (1 + overcommitRatio) + 1) return false;
+    const own = this.flowsInFlight.get(workspaceId) ?? 0;
+    const flows = this.flowsInFlight.size + (own === 0 ? 1 : 0);
+    return own + 1 <= (this.window / flows) * underservedRatio;
+  }
 }
 
 /**
@@ -183,7 +205,9 @@
       return nothingToCancel;
     }
     const service = this.#service(request.serviceId);
-    if (!service.classes.get(request.workClass)?.length && service.hasRoom(request.workClass)) {
+    const isNext =
+      !service.classes.get(request.workClass)?.length && service.hasRoom(request.workClass);
+    if (isNext || service.isUnderserved(request.workspaceId)) {
       this.#start(service, { request, listener, queuedAtMs: nowMs, cancelTimer: nothingToCancel });
       return nothingToCancel;
     }
@@ -276,7 +300,8 @@
     if (isFull) {
       // One cut per second, since the reports show its effect only after their lag.
       if (nowMs - service.narrowedAtMs >= 1_000) {
-        service.window = Math.max(1, fairWindow, service.window * 0.85);
+        const leastWindow = Math.max(1, fairWindow * (1 - freeSlotRatio));
+        service.window = Math.max(leastWindow, service.window * 0.85);
         service.narrowedAtMs = nowMs;
       }
     } else if (service.inFlight >= service.window - 1) {
@@ -379,6 +404,8 @@
     const longer = request.workClass === WorkClass.Short ? 0 : 1;
     service.inFlight += 1;
     service.longerInFlight += longer;
+    const flows = service.flowsInFlight;
+    flows.set(request.workspaceId, (flows.get(request.workspaceId) ?? 0) + 1);
     let isEnded = false;
     listener.admitted({
       request,
@@ -390,6 +417,9 @@
         this.#limit(request, nowMs).release(request.expectedUsd, actualUsd, nowMs);
         service.inFlight -= 1;
         service.longerInFlight -= longer;
+        const left = (flows.get(request.workspaceId) ?? 1) - 1;
+        if (left > 0) flows.set(request.workspaceId, left);
+        else flows.delete(request.workspaceId);
         measureCompletion(service, request.costTokens, nowMs);
         this.#serve(service);
       },
--- a/src/admission/fair-queue.ts
+++ b/src/admission/fair-queue.ts
@@ -94,20 +94,18 @@
   }
 
   /**
-   * Cost that would be served before a new item of the flow: its own backlog, scaled up by the
-   * weights of the flows served in between, and at most the whole queue.
+   * Cost that would be served before a new item of the flow: its own backlog and what the other
+   * flows are entitled to meanwhile. A flow without a backlog is next.
    */
   costAhead(flowName: string, weight: number): number {
     const own = this.#flows.get(flowName);
-    let otherWeights = 0;
+    const ownCost = own?.queuedCost ?? 0;
     let otherCost = 0;
-    const ownTurns = (own?.queuedCost ?? 0) / weight;
     for (const [name, flow] of this.#flows) {
-      if (name === flowName || flow.items.length === 0) continue;
-      otherWeights += flow.weight;
-      otherCost += Math.min(flow.queuedCost, ownTurns * flow.weight + (flow.items[0]?.cost ?? 0));
+      if (name === flowName) continue;
+      otherCost += Math.min(flow.queuedCost, (ownCost / weight) * flow.weight);
     }
-    return otherWeights === 0 ? (own?.queuedCost ?? 0) : (own?.queuedCost ?? 0) + otherCost;
+    return ownCost + otherCost;
   }
 
   #account(item: QueuedItem<T>, flow: Flow<T>): void {
