Count only repeated work as recomputed and hand streams over 10 s before a reclaim

Change: attempts after a break or move are marked; jobs follow the kind of work; the last move is 10 s before the deadline.

--- a/bench/policy/simulation.ts
+++ b/bench/policy/simulation.ts
@@ -105,6 +105,8 @@
   readonly end: RequestEnd;
   /** From arrival at the daemon to the first token there; undefined without one. */
   readonly firstTokenMs: number | undefined;
+  /** Time in the daemon's queue. */
+  readonly queuedMs: number;
   readonly endAtMs: number;
   /** Mean time between tokens. */
   readonly betweenTokensMs: number;
@@ -192,6 +194,8 @@
   readonly reports: AttemptReports | undefined;
   readonly sentAtMs: number;
   readonly linkMs: number;
+  /** Whether it follows an attempt that broke or was moved; hedges do not. */
+  readonly isRepeat: boolean;
   /** Output tokens that earlier attempts had delivered. */
   readonly resumedTokens: number;
   produced: number;
@@ -207,6 +211,8 @@
   readonly tried: string[] = [];
   attemptCount = 0;
   startedAttempts = 0;
+  /** Whether an attempt broke or was moved. */
+  hasBroken = false;
   delivered = 0;
   firstTokenAtMs: number | undefined;
   lastTokenAtMs = 0;
@@ -524,7 +530,7 @@
     const nowMs = this.#clock.nowMs();
     const choice = this.#choose(daemon, task);
     if (!choice) {
-      if (nowMs >= task.request.startByMs && task.workClass !== WorkClass.Long) {
+      if (nowMs >= task.request.startByMs && task.request.kind.workClass !== WorkClass.Long) {
         this.#finish(
           daemon,
           task,
@@ -572,6 +578,7 @@
       reports,
       sentAtMs: nowMs,
       linkMs: region === daemon.region ? 1 : 12,
+      isRepeat: task.hasBroken,
       resumedTokens: task.delivered,
       produced: 0,
       isOver: false,
@@ -654,7 +661,7 @@
     task.attempts.splice(task.attempts.indexOf(attempt), 1);
     task.uncachedTokens += usage.uncachedTokens;
     if (usage.hasStarted) task.startedAttempts += 1;
-    if (task.attemptCount > 1) task.repeatedTokens += usage.uncachedTokens;
+    if (attempt.isRepeat) task.repeatedTokens += usage.uncachedTokens;
     const { priceUsdPerHour, batchSlots } = attempt.endpoint.view;
     task.usd += (usage.slotMs * priceUsdPerHour) / batchSlots / 3_600_000;
   }
@@ -665,12 +672,13 @@
     daemon.known.set(attempt.endpoint.view.id, nowMs);
     this.#settle(daemon, task, attempt, usage);
     if (task.attempts.length > 0 || task.end !== RequestEnd.Open) return;
+    task.hasBroken = true;
     if (this.#options.restartsOnReclaim) {
       task.repeatedTokens += task.delivered;
       task.delivered = 0;
     }
     // Long work is accepted jobs, which are resumed whatever the budget says.
-    const isJob = task.workClass === WorkClass.Long;
+    const isJob = task.request.kind.workClass === WorkClass.Long;
     const retryAtMs = isJob
       ? nowMs + 50 + this.#random.float() * 200
       : daemon.retries.retryAtMs(
@@ -866,7 +874,7 @@
       endpoint.engine.kill();
     });
     if (!this.#options.restartsOnReclaim) {
-      const lastMoveMs = endpoint.leavingAtMs - Math.min(4_000, this.#knobs.noticeMs / 2);
+      const lastMoveMs = endpoint.leavingAtMs - Math.min(10_000, this.#knobs.noticeMs / 2);
       this.#clock.schedule(nowMs + 300, () => {
         this.#moveStreams(endpoint, false);
       });
@@ -904,6 +912,7 @@
     if (!choice) return;
     const canImport = choice.endpoint.region === region && transferMs < 0.6 * leftMs;
     this.#cancel(daemon, task, attempt);
+    task.hasBroken = true;
     this.#clock.schedule(this.#clock.nowMs() + (canImport ? transferMs : 0), () => {
       if (task.end === RequestEnd.Open) {
         this.#dispatch(daemon, task, choice, canImport ? tokens : 0);
@@ -941,6 +950,7 @@
     request,
     end: task.end,
     firstTokenMs: firstTokenAtMs === undefined ? undefined : firstTokenAtMs - request.arrivalMs,
+    queuedMs: task.ticket?.queuedMs ?? 0,
     endAtMs: task.endAtMs,
     betweenTokensMs:
       firstTokenAtMs === undefined ? 0 : (task.lastTokenAtMs - firstTokenAtMs) / decoded,
