--- a/src/daemon/daemon-parts.ts
+++ b/src/daemon/daemon-parts.ts
@@ -24,8 +24,8 @@
 import type { RpcClient, RpcServer } from '../rpc/index.js';
 import { KeyStore, type TlsContext } from '../security/index.js';
 import type { Deployment } from '../settings/index.js';
-import { ConfigFold } from '../state/index.js';
-import type { EventLog, Metrics } from '../telemetry/index.js';
+import { ConfigFold, type RawEntry } from '../state/index.js';
+import { EventId, type EventLog, type Metrics } from '../telemetry/index.js';
 import { CallsService } from './calls-service.js';
 import { DaemonAdminBackend } from './daemon-admin-backend.js';
 import type { DaemonSettings } from './daemon-settings.js';
@@ -35,6 +35,7 @@
 import { EstimatedSpeeds } from './estimated-speeds.js';
 import { HttpKvMover, RoutedChooser } from './job-desk.js';
 import { JobsService } from './jobs-service.js';
+import { registerKnownOffset } from './known-offset.js';
 import { LogAccess, type OpenStream } from './log-access.js';
 import { PolicyRetries } from './policy-retries.js';
 import { RoutedSelector } from './routed-selector.js';
@@ -53,6 +54,8 @@
   readonly rpcServer: RpcServer;
   readonly rpcUrl: string;
   readonly adminUrl: string;
+  /** Highest offset of the configuration stream that a peer knows; 0 when none answered. */
+  readonly minConfigOffset: number;
   readonly state: () => { readonly isReady: boolean; readonly isStopping: boolean };
   readonly inFlight: () => number;
 }
@@ -103,6 +106,7 @@
         deployment: settings.daemon.deployment,
         rootPublicKey: settings.trust.root_public_key,
       }),
+      options.minConfigOffset,
     );
     this.keys = new KeyStore({ deployment });
     this.registry = new EndpointRegistry({
@@ -192,8 +196,12 @@
     const apply = (): void => {
       this.applyDeployment();
     };
-    this.config.replica.onApplied(apply);
+    this.config.replica.onApplied((position, entry) => {
+      this.#logVerdict(entry);
+      apply();
+    });
     this.config.replica.onRestored(apply);
+    registerKnownOffset(this.#options.rpcServer, this.config.replica);
     this.registry.onRetire((id) => {
       this.speeds.remove(id);
       this.caches.forget(id);
@@ -212,6 +220,19 @@
     });
   }
 
+  #logVerdict(entry: RawEntry): void {
+    const changeId = entry.changeId;
+    const verdict = typeof changeId === 'string' ? this.config.fold.verdict(changeId) : undefined;
+    if (!verdict || !this.config.replica.isReady) return;
+    const { isAccepted, paths, message, revision, keyId } = verdict;
+    const fields = { changeId: verdict.changeId, keyId, revision, paths: paths.join(', ') };
+    if (isAccepted) {
+      this.#options.events.info(EventId.SettingsAccepted, 'settings change is in force', fields);
+    } else {
+      this.#options.events.warn(EventId.SettingsRejected, message, fields);
+    }
+  }
+
   #createSelector(): RoutedSelector {
     const { settings, clock, random } = this.#options;
     const router = new Router({
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -14,6 +14,7 @@
 import { createCallerServer } from './caller-gateway.js';
 import { DaemonParts } from './daemon-parts.js';
 import type { DaemonSettings } from './daemon-settings.js';
+import { askKnownOffset } from './known-offset.js';
 import { closeServer, listen } from './listener.js';
 
 /** Options of {@link Daemon}. */
@@ -112,6 +113,7 @@
       ...(tls ? { tls: tls.clientOptions() } : {}),
     });
     const newId = this.#options.newId ?? randomIds;
+    const seedUrls = daemon.seeds.map((seed) => `${scheme}://${seed}`);
     const parts = new DaemonParts({
       settings,
       clock,
@@ -124,6 +126,7 @@
       rpcServer,
       rpcUrl,
       adminUrl: `${scheme}://${daemon.advertised_host}:${daemon.admin_listen.port}`,
+      minConfigOffset: await askKnownOffset(rpcClient, seedUrls, clock),
       state: () => ({ isReady: this.#isReady, isStopping: this.#isStopping }),
       inFlight: () => this.inFlightIds.length,
     });
--- a/src/daemon/endpoint-watch.ts
+++ b/src/daemon/endpoint-watch.ts
@@ -159,9 +159,15 @@
     const { registry, deployment, admission } = this.#options;
     for (const { id } of deployment().services.values()) {
       const usable = registry.views(id).filter(({ state }) => state === EndpointState.Live);
-      const slots = usable.reduce((sum, view) => sum + view.batchSlots, 0);
-      const queued = usable.reduce((sum, view) => sum + (view.report?.queuedRequests ?? 0), 0);
-      if (slots > 0) admission.updateCapacity(id, slots, queued);
+      if (usable.length === 0) continue;
+      const sum = (field: (view: EndpointView) => number): number =>
+        usable.reduce((total, view) => total + field(view), 0);
+      admission.updateCapacity(id, {
+        batchSlots: sum((view) => view.batchSlots),
+        runningRequests: sum((view) => view.report?.runningRequests ?? 0),
+        queuedRequests: sum((view) => view.report?.queuedRequests ?? 0),
+        shortReserveRatio: deployment().routing(id).short_reserve_ratio,
+      });
     }
   }
 }
--- /dev/null
+++ b/src/daemon/known-offset.ts
@@ -0,0 +1,36 @@
+import { z } from 'zod';
+import type { Clock } from '../core/index.js';
+import type { PeerCaller, PeerMethods } from '../rpc/index.js';
+import type { StreamReplica } from '../state/index.js';
+
+const method = 'config.known_offset';
+const timeoutMs = 1_000;
+const answerSchema = z.object({ offset: z.number().int().nonnegative() });
+
+/** Tells starting daemons how far this daemon knows the configuration stream to reach. */
+export function registerKnownOffset(methods: PeerMethods, replica: StreamReplica): void {
+  methods.register(method, () => Promise.resolve({ offset: replica.knownOffset }));
+}
+
+/**
+ * Asks the peers how far the configuration stream reaches. A lagging read of the log then cannot
+ * make a restarted daemon ready with settings older than it had served before.
+ *
+ * @returns the highest offset; 0 when no peer answered.
+ */
+export async function askKnownOffset(
+  peers: PeerCaller,
+  urls: readonly string[],
+  clock: Clock,
+): Promise<number> {
+  const deadlineAtMs = clock.nowMs() + timeoutMs;
+  const offsets = await Promise.all(
+    urls.map((url) =>
+      peers.call(url, method, {}, { deadlineAtMs }).then(
+        (answer) => answerSchema.parse(answer).offset,
+        () => 0,
+      ),
+    ),
+  );
+  return Math.max(0, ...offsets);
+}
--- a/src/daemon/log-access.ts
+++ b/src/daemon/log-access.ts
@@ -5,6 +5,7 @@
   CircuitBreaker,
   CircuitState,
   HttpLogService,
+  Snapshotter,
 } from '../log/index.js';
 import { StreamReplica, type Fold } from '../state/index.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
@@ -63,8 +64,12 @@
     return this.#breaker.state === CircuitState.Closed;
   }
 
-  /** Opens a stream of the deployment and starts to follow it. */
-  open<F extends Fold>(name: string, fold: F): OpenStream<F> {
+  /**
+   * Opens a stream of the deployment and starts to follow it.
+   *
+   * @param minReadyOffset - the stream is not ready below this offset, such as what a peer knows.
+   */
+  open<F extends Fold>(name: string, fold: F, minReadyOffset = 0): OpenStream<F> {
     const { settings, clock, random, newId, events } = this.#options;
     const stream = `${settings.daemon.deployment}.${name}`;
     const replica = new StreamReplica({
@@ -74,6 +79,7 @@
       clock,
       random: random.fork(),
       events,
+      minReadyOffset,
     });
     const writer = new Appender({
       log: this.#log,
@@ -87,12 +93,23 @@
       breaker: this.#breaker,
       events,
     });
+    const snapshotter = new Snapshotter({
+      source: replica,
+      writer,
+      clock,
+      random: random.fork(),
+      newId,
+      events,
+      retentionMs: settings.log.retention_ms,
+    });
     replica.start();
+    snapshotter.start();
     return {
       fold,
       replica,
       writer,
       close: async () => {
+        snapshotter.stop();
         writer.stop();
         await replica.stop();
       },
