Forget reclaim notices an hour after their deadline

Cause: a job manager kept every notice for its whole life; at the designed size a daemon hears of thousands of endpoints a month. Change: each new notice drops those whose deadline passed an hour ago.

--- a/src/jobs/job-manager.ts
+++ b/src/jobs/job-manager.ts
@@ -36,6 +36,12 @@
   readonly scanMs?: number;
 }
 
+/**
+ * Identities of endpoints never come back, so an old notice only costs memory. The hour covers
+ * endpoints that outlive their announced deadline.
+ */
+const forgetNoticeMs = 3_600_000;
+
 /**
  * Accepts jobs of one shard, keeps those that nobody holds running, and serves their text.
  *
@@ -192,6 +198,10 @@
 
   /** Tells all runners, present and future, that endpoints go away. */
   reclaim(notice: ReclaimNotice): void {
+    const nowMs = this.#options.clock.nowMs();
+    for (const [id, { deadlineAtMs }] of this.#notices) {
+      if (deadlineAtMs + forgetNoticeMs <= nowMs) this.#notices.delete(id);
+    }
     for (const id of notice.endpointIds) this.#notices.set(id, notice);
     for (const { runner } of this.#runners.values()) runner.reclaim(notice);
   }
