--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,15 +1,5 @@
 import { mkdir, writeFile } from 'node:fs/promises';
 import Table from 'cli-table3';
-import { ControlCostSuite } from './control-cost.js';
-import { LogCatchUpSuite } from './log-catch-up.js';
-import { RecoverySuite } from './recovery.js';
-import type { BenchRow, BenchSuite } from './suite.js';
-
-const suites: readonly BenchSuite[] = [
-  new LogCatchUpSuite(),
-  new RecoverySuite(),
-  new ControlCostSuite(),
-];
 import type { BenchRow } from './suite.js';
 import { suites } from './suites.js';
 
