Keep the prefix cache view over gaps and price recomputed tokens higher

Cause: the router recomputed as much as random routing. A lost cache event dropped the whole view of an endpoint, and engines announce a shared prompt only once, so it was never learned again. Change: after a gap only blocks about as old as those evicted before are dropped; a stored block refreshes the blocks before it; a gross mismatch with an answer's usage drops the view instead. A recomputed token costs 3e-6 USD-equivalents.

--- a/bench/policy/run-summary.ts
+++ b/bench/policy/run-summary.ts
@@ -29,6 +29,7 @@
   readonly usd: number;
   readonly promptTokens: number;
   readonly uncachedTokens: number;
+  readonly recomputedTokens: number;
   readonly repeatedTokens: number;
   /** Accepted long work that did not complete. */
   readonly lostJobs: number;
@@ -94,6 +95,7 @@
     usd: sum(({ usd }) => usd),
     promptTokens: sum(({ request }) => request.promptTokens),
     uncachedTokens: sum(({ uncachedTokens }) => uncachedTokens),
+    recomputedTokens: sum(({ recomputedTokens }) => recomputedTokens),
     repeatedTokens: sum(({ repeatedTokens }) => repeatedTokens),
     lostJobs: count(
       ({ request, end }) =>
--- a/bench/policy/workload.ts
+++ b/bench/policy/workload.ts
@@ -25,6 +25,8 @@
   readonly workspace: number;
   readonly kind: WorkKind;
   readonly promptTokens: number;
+  /** Prompt tokens that no earlier request had; no policy can find them in a cache. */
+  readonly newTokens: number;
   readonly outputTokens: number;
   readonly blocks: readonly number[];
   readonly finalBlocks: readonly number[];
@@ -168,6 +170,7 @@
         workspace,
         kind,
         promptTokens: blocks.length * 64,
+        newTokens: (blocks.length - repeatedBlocks) * 64,
         outputTokens,
         blocks,
         finalBlocks,
--- a/src/fleet/cache-view.ts
+++ b/src/fleet/cache-view.ts
@@ -15,6 +15,8 @@
   readonly sequence: number;
   /** Block hashes as in {@link PromptPrefix}; empty for {@link CacheEventKind.Cleared}. */
   readonly blocks: readonly number[];
+  /** Block before the first of `blocks`, which is cached too; undefined at the start of a prompt. */
+  readonly parentBlock?: number | undefined;
   /** Time of the change by the engine's clock, in epoch milliseconds. */
   readonly observedAtMs: number;
 }
@@ -27,12 +29,27 @@
   readonly maxBlocks?: number;
 }
 
+/** Evidence that a block is cached. */
+interface KnownBlock {
+  atMs: number;
+  /** Block before it, as far as known. */
+  parent: number | undefined;
+}
+
 interface EndpointCache {
-  /** Block to the time of the newest evidence that it is cached; oldest evidence first. */
-  readonly knownAtMs: Map<number, number>;
+  /** Evidence by block; blocks learned first come first. */
+  readonly known: Map<number, KnownBlock>;
   lastSequence: number | undefined;
+  /** Smoothed age of the evidence for blocks that were evicted; undefined before any was. */
+  evictionAgeMs: number | undefined;
 }
 
+/** Share of the usual age at eviction from which a block may have been evicted in a gap. */
+const doubtfulAgeRatio = 0.5;
+
+/** Expected cached tokens from which an answer with less than half of them shows a wrong view. */
+const minCheckedTokens = 512;
+
 /**
  * What a daemon believes about the prefix caches of endpoints, from the engines' cache events and
  * from its own requests. It is a hint: a wrong belief costs recomputed tokens, never an answer.
@@ -55,53 +72,82 @@
   }
 
   /**
-   * Applies an engine's event. Repeated and older events are ignored. After a gap, blocks without
-   * evidence newer than the event are dropped, since an eviction may have been lost.
+   * Applies an engine's event. Repeated and older events are ignored. After a gap, blocks are
+   * dropped that may have been evicted in it: engines evict the least recently used blocks, so
+   * these are the ones whose evidence is about as old as that of blocks evicted before. Dropping
+   * all blocks would lose the shared prompts, which an engine announces only once.
    */
   apply(endpointId: string, event: CacheEvent): void {
     const cache = this.#cache(endpointId);
-    const { lastSequence, knownAtMs } = cache;
+    const { lastSequence, known } = cache;
     if (lastSequence !== undefined && event.sequence <= lastSequence) return;
-    const hasGap = lastSequence !== undefined && event.sequence > lastSequence + 1;
-    if (hasGap || event.kind === CacheEventKind.Cleared) {
-      for (const [block, atMs] of knownAtMs) {
-        if (atMs <= event.observedAtMs) knownAtMs.delete(block);
-      }
+    if (lastSequence !== undefined && event.sequence > lastSequence + 1) {
+      const evictionAgeMs = cache.evictionAgeMs ?? Infinity;
+      this.#dropBefore(cache, event.observedAtMs - evictionAgeMs * doubtfulAgeRatio);
     }
     cache.lastSequence = event.sequence;
-    for (const block of event.blocks) {
-      const atMs = knownAtMs.get(block) ?? -Infinity;
-      if (event.kind === CacheEventKind.Stored) {
-        this.#remember(knownAtMs, block, Math.max(atMs, event.observedAtMs));
-      } else if (event.kind === CacheEventKind.Evicted && atMs <= event.observedAtMs) {
-        knownAtMs.delete(block);
-      }
+    switch (event.kind) {
+      case CacheEventKind.Cleared:
+        this.#dropBefore(cache, event.observedAtMs);
+        break;
+      case CacheEventKind.Evicted:
+        for (const block of event.blocks) {
+          const evidence = known.get(block);
+          if (!evidence || evidence.atMs > event.observedAtMs) continue;
+          const ageMs = event.observedAtMs - evidence.atMs;
+          cache.evictionAgeMs =
+            cache.evictionAgeMs === undefined
+              ? ageMs
+              : cache.evictionAgeMs + (ageMs - cache.evictionAgeMs) * 0.02;
+          known.delete(block);
+        }
+        break;
+      case CacheEventKind.Stored:
+        this.#touchChain(known, event.parentBlock, event.observedAtMs);
+        this.#remember(known, event.blocks, event.parentBlock, event.observedAtMs);
+        break;
     }
   }
 
   /** Notes that the daemon sent a prompt, which leaves its blocks in the endpoint's cache. */
   noteSent(endpointId: string, prefix: PromptPrefix, nowMs: number): void {
-    const { knownAtMs } = this.#cache(endpointId);
-    for (const block of prefix) this.#remember(knownAtMs, block, nowMs);
+    this.#remember(this.#cache(endpointId).known, prefix, undefined, nowMs);
+  }
+
+  /**
+   * Compares the expectation with what an answer's usage says; a gross error drops the view of the
+   * endpoint, since an event such as a cleared cache was lost.
+   *
+   * @param expectedTokens - {@link cachedTokens} at the time of sending.
+   * @param sentAtMs - time of sending, in epoch milliseconds.
+   */
+  noteServed(
+    endpointId: string,
+    expectedTokens: number,
+    cachedTokens: number,
+    sentAtMs: number,
+  ): void {
+    if (expectedTokens < minCheckedTokens || cachedTokens * 2 >= expectedTokens) return;
+    this.#dropBefore(this.#cache(endpointId), sentAtMs - 1);
   }
 
   /** Expected cached tokens of the prompt, weighted by the age of the evidence. */
   cachedTokens(endpointId: string, prefix: PromptPrefix, nowMs: number): number {
-    const knownAtMs = this.#endpoints.get(endpointId)?.knownAtMs;
+    const known = this.#endpoints.get(endpointId)?.known;
     const first = prefix[0];
-    if (!knownAtMs || first === undefined || !knownAtMs.has(first)) return 0;
+    if (!known || first === undefined || !known.has(first)) return 0;
     // Engines evict from the end of a prefix, so the cached blocks are a run from the start and
     // bisection finds its end; a linear walk would dominate the decision for long prompts.
-    let known = 0;
+    let last = 0;
     let unknown = prefix.length;
-    while (known + 1 < unknown) {
-      const middle = (known + unknown) >> 1;
-      if (knownAtMs.has(prefix[middle] ?? -1)) known = middle;
+    while (last + 1 < unknown) {
+      const middle = (last + unknown) >> 1;
+      if (known.has(prefix[middle] ?? -1)) last = middle;
       else unknown = middle;
     }
-    const atMs = knownAtMs.get(prefix[known] ?? -1) ?? nowMs;
+    const atMs = known.get(prefix[last] ?? -1)?.atMs ?? nowMs;
     const ageMs = Math.max(0, nowMs - atMs);
-    return (known + 1) * promptBlockTokens * Math.exp((-Math.LN2 * ageMs) / this.#halfLifeMs);
+    return (last + 1) * promptBlockTokens * Math.exp((-Math.LN2 * ageMs) / this.#halfLifeMs);
   }
 
   /** Drops what is known of an endpoint, when its identity has left. */
@@ -112,18 +158,49 @@
   #cache(endpointId: string): EndpointCache {
     let cache = this.#endpoints.get(endpointId);
     if (!cache) {
-      cache = { knownAtMs: new Map(), lastSequence: undefined };
+      cache = { known: new Map(), lastSequence: undefined, evictionAgeMs: undefined };
       this.#endpoints.set(endpointId, cache);
     }
     return cache;
   }
 
-  /** Moves the block to the end of the map, whose insertion order is the order of eviction. */
-  #remember(knownAtMs: Map<number, number>, block: number, atMs: number): void {
-    knownAtMs.delete(block);
-    knownAtMs.set(block, atMs);
-    if (knownAtMs.size <= this.#maxBlocks) return;
-    const oldest = knownAtMs.keys().next().value;
-    if (oldest !== undefined) knownAtMs.delete(oldest);
+  #dropBefore({ known }: EndpointCache, atMs: number): void {
+    for (const [block, evidence] of known) {
+      if (evidence.atMs <= atMs) known.delete(block);
+    }
+  }
+
+  /** A stored block shows that the blocks before it are cached and were just used. */
+  #touchChain(known: Map<number, KnownBlock>, from: number | undefined, atMs: number): void {
+    let block = from;
+    while (block !== undefined) {
+      const evidence = known.get(block);
+      if (!evidence || evidence.atMs >= atMs) return;
+      evidence.atMs = atMs;
+      block = evidence.parent;
+    }
+  }
+
+  #remember(
+    known: Map<number, KnownBlock>,
+    blocks: readonly number[],
+    parentBlock: number | undefined,
+    atMs: number,
+  ): void {
+    let parent = parentBlock;
+    for (const block of blocks) {
+      const evidence = known.get(block);
+      if (evidence) {
+        evidence.atMs = Math.max(evidence.atMs, atMs);
+        evidence.parent ??= parent;
+      } else {
+        known.set(block, { atMs, parent });
+      }
+      parent = block;
+    }
+    for (const block of known.keys()) {
+      if (known.size <= this.#maxBlocks) return;
+      known.delete(block);
+    }
   }
 }
--- a/src/routing/attempt-reports.ts
+++ b/src/routing/attempt-reports.ts
@@ -1,6 +1,6 @@
 import type { CacheView } from '../fleet/cache-view.js';
-import type { PromptPrefix } from '../fleet/prompt-prefix.js';
 import type { SpeedEstimator } from '../fleet/speed-estimator.js';
+import type { RouteRequest } from './route-request.js';
 import type { Decision } from './router.js';
 
 /** Tokens over which the gap is averaged; one call per token would cost more than the relay. */
@@ -12,15 +12,16 @@
  *
  * @example
  * ```ts
- * const attempt = new AttemptReports(caches, speeds, decision, prefix, clock.nowMs());
+ * const attempt = new AttemptReports(caches, speeds, decision, request, clock.nowMs());
  * attempt.token(clock.nowMs()); // for each token, the first one included
- * attempt.ended(clock.nowMs());
+ * attempt.ended(clock.nowMs(), end.cachedTokens);
  * ```
  */
 export class AttemptReports {
   readonly #caches: CacheView;
   readonly #speeds: SpeedEstimator;
   readonly #endpointId: string;
+  readonly #promptTokens: number;
   readonly #uncachedTokens: number;
   readonly #startedAtMs: number;
   #firstTokenAtMs: number | undefined;
@@ -34,7 +35,7 @@
     caches: CacheView,
     speeds: SpeedEstimator,
     decision: Decision,
-    prefix: PromptPrefix,
+    request: Pick<RouteRequest, 'prefix' | 'promptTokens'>,
     nowMs: number,
   ) {
     const { endpoint, load } = decision;
@@ -42,11 +43,12 @@
     this.#caches = caches;
     this.#speeds = speeds;
     this.#endpointId = endpoint.id;
-    this.#uncachedTokens = load?.uncachedTokens ?? 0;
+    this.#promptTokens = request.promptTokens;
+    this.#uncachedTokens = load?.uncachedTokens ?? request.promptTokens;
     this.#startedAtMs = nowMs;
     this.#countedFromMs = nowMs;
     this.#lastTokenAtMs = nowMs;
-    caches.noteSent(endpoint.id, prefix, nowMs);
+    caches.noteSent(endpoint.id, request.prefix, nowMs);
   }
 
   /** Time from start to the first token in milliseconds; undefined before it. */
@@ -77,9 +79,17 @@
     this.#speeds.observeStall(this.#endpointId, nowMs - this.#lastTokenAtMs, nowMs);
   }
 
-  /** The stream ended as a whole. */
-  ended(nowMs: number): void {
+  /**
+   * The stream ended as a whole.
+   *
+   * @param cachedTokens - prompt tokens that the engine found cached; undefined when not reported.
+   */
+  ended(nowMs: number, cachedTokens?: number): void {
     if (this.#isOver) return;
+    if (cachedTokens !== undefined) {
+      const expected = this.#promptTokens - this.#uncachedTokens;
+      this.#caches.noteServed(this.#endpointId, expected, cachedTokens, this.#startedAtMs);
+    }
     if (this.#tokens > 0) this.#flush(nowMs);
     this.#isOver = true;
   }
--- a/src/routing/standard-scorers.ts
+++ b/src/routing/standard-scorers.ts
@@ -18,7 +18,7 @@
 export const defaultPrices: ScorePrices = {
   usdPerWaitS: 0.001,
   usdPerMiss: 0.000_5,
-  usdPerUncachedToken: 2e-7,
+  usdPerUncachedToken: 3e-6,
   usdPerLinkGb: 0.02,
   regionRoundTripMs: 24,
 };
