Sharpen the random draw to a twentieth of the best score

Cause: the draw with a scale of a tenth spent cost and cached prompts on near-best endpoints. Change: temperatureRatio 0.1 -> 0.05.

--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -96,7 +96,7 @@
     this.#filters = options.filters ?? standardFilters(options.region);
     this.#scorers = options.scorers ?? standardScorers(options.region);
     this.#assumptions = options.assumptions ?? defaultAssumptions;
-    this.#temperatureRatio = options.temperatureRatio ?? 0.1;
+    this.#temperatureRatio = options.temperatureRatio ?? 0.05;
     this.#daemonId = options.daemonId;
   }
 
