Require room for the whole request in the capacity preference

Cause: the load estimate is fractional, and an endpoint with 7.9 of 8 slots in use counted as free. Change: the estimate plus the request itself must fit.

--- a/src/routing/standard-filters.ts
+++ b/src/routing/standard-filters.ts
@@ -98,7 +98,7 @@
 
   override admits(view: EndpointView, request: RouteRequest, load: LoadEstimate): boolean {
     const reserve = request.workClass === WorkClass.Short ? 0 : request.shortReserveRatio;
-    return load.requests < view.batchSlots * (1 - reserve);
+    return load.requests + 1 <= view.batchSlots * (1 - reserve);
   }
 }
 
