Count own requests that a load report cannot contain yet

Cause: the others' load was the report minus all own requests, so each request sent since the report hid one request of another daemon. Change: the router remembers its sends and subtracts only those that the report can contain.

--- a/src/routing/load-estimate.ts
+++ b/src/routing/load-estimate.ts
@@ -1,6 +1,7 @@
 import { WorkClass } from '../core/index.js';
 import type { CacheView } from '../fleet/cache-view.js';
 import type { EndpointView } from '../fleet/index.js';
+import type { RecentSends } from './recent-sends.js';
 import type { RouteRequest } from './route-request.js';
 
 /** Assumptions for an endpoint that has not been observed. */
@@ -42,11 +43,18 @@
   tokenGapMs: number;
 }
 
-/** @internal Requests of other daemons by the newest report; undefined without a report. */
-export function reportedByOthers(view: EndpointView): number | undefined {
+/**
+ * Requests of other daemons by the newest report; undefined without a report.
+ *
+ * @param sentSinceReport - own requests that the report cannot contain yet; without them, each own
+ *   request would hide one of the others.
+ * @internal
+ */
+export function reportedByOthers(view: EndpointView, sentSinceReport: number): number | undefined {
   if (!view.report) return undefined;
   const { runningRequests, queuedRequests } = view.report;
-  return Math.max(0, runningRequests + queuedRequests - ownRequests(view));
+  const ownReported = Math.max(0, ownRequests(view) - sentSinceReport);
+  return Math.max(0, runningRequests + queuedRequests - ownReported);
 }
 
 /** @internal The daemon's own requests at the endpoint. */
@@ -61,11 +69,11 @@
  *
  * @internal
  */
-export function meanReportedByOthers(views: readonly EndpointView[]): number {
+export function meanReportedByOthers(views: readonly EndpointView[], sent: RecentSends): number {
   let sum = 0;
   let count = 0;
   for (const view of views) {
-    const others = reportedByOthers(view);
+    const others = reportedByOthers(view, sent.since(view));
     if (others === undefined) continue;
     sum += others;
     count += 1;
@@ -86,11 +94,12 @@
   view: EndpointView,
   request: RouteRequest,
   caches: CacheView,
+  sent: RecentSends,
   meanOthers: number,
   nowMs: number,
   assumptions: EngineAssumptions,
 ): void {
-  const reported = reportedByOthers(view) ?? meanOthers;
+  const reported = reportedByOthers(view, sent.since(view)) ?? meanOthers;
   const ageMs = view.report ? Math.max(0, nowMs - view.report.observedAtMs) : Infinity;
   const trust = Math.exp((-Math.LN2 * ageMs) / assumptions.reportHalfLifeMs);
   const requests = ownRequests(view) + meanOthers + (reported - meanOthers) * trust;
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -12,6 +12,7 @@
   type EngineAssumptions,
   type LoadEstimate,
 } from './load-estimate.js';
+import { RecentSends } from './recent-sends.js';
 import type { RouteFilter } from './route-filter.js';
 import type { RouteRequest } from './route-request.js';
 import type { RouteScorer } from './route-scorer.js';
@@ -84,6 +85,7 @@
   readonly #temperatureRatio: number;
   readonly #daemonId: string;
   readonly #subsets = new Map<string, SubsetSelector>();
+  readonly #sent = new RecentSends();
   #decisionsSinceProbe = 0;
   /** Totals of the current decision, kept to save an allocation. */
   #scratch = new Float64Array(0);
@@ -113,14 +115,23 @@
     const totals = this.#scratch;
     const loads = new Float64Array(count * loadFields);
     const load = { requests: 0, uncachedTokens: 0, firstTokenMs: 0, tokenGapMs: 0 };
-    const meanOthers = meanReportedByOthers(views);
+    const meanOthers = meanReportedByOthers(views, this.#sent);
     const preferenceMisses: number[] = [];
 
     let bestUsd = Infinity;
     for (let index = 0; index < count; index++) {
       const view = views[index];
       if (!view) continue;
-      estimateLoad(load, view, request, this.#caches, meanOthers, nowMs, this.#assumptions);
+      estimateLoad(
+        load,
+        view,
+        request,
+        this.#caches,
+        this.#sent,
+        meanOthers,
+        nowMs,
+        this.#assumptions,
+      );
       writeLoad(loads, index, load);
       const excluding = this.#firstExclusion(view, request, load, nowMs);
       if (excluding) {
@@ -149,6 +160,7 @@
     const chosenIndex = probeIndex ?? this.#draw(count, totals, bestUsd, scaleUsd);
     const endpoint = chosenIndex === undefined ? undefined : views[chosenIndex];
     if (probeIndex !== undefined && endpoint) this.#speeds?.noteProbe(endpoint.id, nowMs);
+    if (endpoint) this.#sent.add(endpoint.id, nowMs);
     if (chosenIndex !== undefined) readLoad(load, loads, chosenIndex);
     const explanation = new Explanation({
       request,
