Extend the seeded histories to settings (P7)

Cause: P7 had a checker and no histories that exercise it. Change: half of the histories run ConfigFold, StreamReplica, Appender, SettingsPublisher and Snapshotter on each simulated daemon, with two operators, lagging and silent reads, trimmed streams, duplicated and late appends, and restarts that ask their peers for the known offset. An independent judge reads the stored records. The checker now also covers daemons that return, values, and the answers that operators get.

--- a/bench/histories/commands.ts
+++ b/bench/histories/commands.ts
@@ -1,44 +1,9 @@
 import fc from 'fast-check';
 import { EntryKind, EntryPriority, ClaimStatus, ResolutionVerdict } from '../../src/state/index.js';
 import { repeatCall, submitJob } from './actors.js';
+import { Command, place, waitMs, type HistoryPart } from './command.js';
 import { failureDomains, type World } from './world.js';
 
-/** Histories keep no model of their own: the checkers judge what was observed. */
-export type HistoryModel = Record<string, never>;
-
-/** A step of a history; it starts something and lets virtual time pass. */
-export type HistoryCommand = fc.AsyncCommand<HistoryModel, World>;
-
-class Command implements HistoryCommand {
-  readonly #text: string;
-  readonly #waitMs: number;
-  readonly #action: (world: World) => void;
-
-  constructor(text: string, waitMs: number, action: (world: World) => void) {
-    this.#text = text;
-    this.#waitMs = waitMs;
-    this.#action = action;
-  }
-
-  check(): boolean {
-    return true;
-  }
-
-  async run(_model: HistoryModel, world: World): Promise<void> {
-    this.#action(world);
-    await world.clock.advance(this.#waitMs);
-  }
-
-  toString(): string {
-    return `${this.#text} then ${this.#waitMs} ms`;
-  }
-}
-
-/** Commands of one part of the system; colleagues add parts for leaving, stops and settings. */
-export type HistoryPart = readonly fc.Arbitrary<HistoryCommand>[];
-
-const waitMs = fc.integer({ min: 0, max: 2_500 });
-const place = fc.integer({ min: 0, max: 2 });
 const domain = fc.constantFrom(...failureDomains);
 
 const call = fc
--- a/bench/histories/history.ts
+++ b/bench/histories/history.ts
@@ -18,6 +18,7 @@
   RequestBegan = 'request_began',
   RequestEnded = 'request_ended',
   SettingAccepted = 'setting_accepted',
+  SettingAnswered = 'setting_answered',
   SettingInForce = 'setting_in_force',
   DaemonServing = 'daemon_serving',
   Fault = 'fault',
@@ -86,12 +87,22 @@
       readonly kind: HistoryKind.SettingAccepted;
       readonly path: string;
       readonly revision: number;
+      /** Empty when the change removed the section. */
+      readonly value: string;
+    }
+  /** The operator who published a change was told the decision on it. */
+  | {
+      readonly kind: HistoryKind.SettingAnswered;
+      readonly path: string;
+      readonly revision: number;
+      readonly isAccepted: boolean;
     }
   | {
       readonly kind: HistoryKind.SettingInForce;
       readonly daemon: string;
       readonly path: string;
       readonly revision: number;
+      readonly value: string;
     }
   /** From `atMs` to `untilMs` the daemon runs and reaches the log. */
   | {
@@ -115,8 +126,9 @@
     this.#clock = clock;
   }
 
-  record(event: WithoutTime<HistoryEvent>): void {
-    this.events.push({ ...event, atMs: this.#clock.nowMs() });
+  /** @param atMs - when it happened, for what is noticed later. */
+  record(event: WithoutTime<HistoryEvent>, atMs = this.#clock.nowMs()): void {
+    this.events.push({ ...event, atMs });
   }
 }
 
--- a/bench/histories/process.ts
+++ b/bench/histories/process.ts
@@ -17,6 +17,8 @@
   #isPaused = false;
   #isCrashed = false;
   #stepsToCrash = Infinity;
+  /** Reads of the log that will get no answer, as on a connection that has gone silent. */
+  silentReads = 0;
   /** Called once, outside the process, when it has crashed. */
   onCrash: () => void = () => undefined;
 
@@ -108,6 +110,10 @@
   }
 
   override read(stream: string, fromOffset: Offset, options: ReadOptions): Promise<ReadPage> {
+    if (this.#process.silentReads > 0) {
+      this.#process.silentReads -= 1;
+      return new Promise(() => undefined);
+    }
     return this.#run(() => this.#inner.read(stream, fromOffset, options));
   }
 
--- a/bench/histories/run-history.ts
+++ b/bench/histories/run-history.ts
@@ -1,11 +1,17 @@
 import fc from 'fast-check';
 import { checkers } from './checkers/index.js';
-import { callsAndJobs, faults, type HistoryModel, type HistoryPart } from './commands.js';
+import type { HistoryModel, HistoryPart } from './command.js';
+import { callsAndJobs, faults } from './commands.js';
 import { HistoryKind, type HistoryEvent } from './history.js';
-import { World } from './world.js';
+import { settings } from './settings-commands.js';
+import { World, type WorldParts } from './world.js';
 
-/** Parts that every history draws its commands from. */
-const parts: readonly HistoryPart[] = [callsAndJobs, faults];
+/** What a history draws its commands from; the seed decides, to keep the run time of most short. */
+function partsOf(seed: number): { world: WorldParts; commands: readonly HistoryPart[] } {
+  const world = { settings: seed % 2 === 0 };
+  const commands = [callsAndJobs, faults, ...(world.settings ? [settings] : [])];
+  return { world, commands };
+}
 
 const maxCommands = 30;
 const shrinkLimitMs = 10_000;
@@ -30,12 +36,13 @@
  */
 export async function runHistory(seed: number): Promise<HistoryResult> {
   let first: readonly HistoryEvent[] | undefined;
-  const commandLists = fc.commands<HistoryModel, World, false>(parts.flat(), {
+  const parts = partsOf(seed);
+  const commandLists = fc.commands<HistoryModel, World, false>(parts.commands.flat(), {
     maxCommands,
     size: 'max',
   });
   const property = fc.asyncProperty(commandLists, fc.integer(), async (commands, worldSeed) => {
-    const world = new World(worldSeed);
+    const world = new World(worldSeed, parts.world);
     await fc.asyncModelRun(() => ({ model: {}, real: world }), commands);
     await world.finish();
     first ??= world.history.events;
--- a/bench/histories/seeded-log-faults.ts
+++ b/bench/histories/seeded-log-faults.ts
@@ -1,5 +1,5 @@
 import type { Clock, Random } from '../../src/core/index.js';
-import { LogFault, LogFaultSource } from '../../src/standins/index.js';
+import { LogFault, LogFaultSource, type LogReadFate } from '../../src/standins/index.js';
 
 /** Share of appends with a fault outside outages. */
 const appendFaults: readonly (readonly [number, LogFault])[] = [
@@ -34,7 +34,7 @@
 
   override onAppend(): { fault: LogFault; delayMs: number } {
     const random = this.#random;
-    if (this.#clock.nowMs() < this.#outageUntilMs) {
+    if (this.isOut) {
       // In an outage most requests are lost, and a few take effect unseen.
       const fault = random.float() < 0.1 ? LogFault.AnswerLost : LogFault.RequestLost;
       return { fault, delayMs: random.int(100, 2_000) };
@@ -47,12 +47,17 @@
     return { fault, delayMs };
   }
 
-  override onRead(): { fault: LogFault; delayMs: number } {
+  /** True while every call is lost. */
+  get isOut(): boolean {
+    return this.#clock.nowMs() < this.#outageUntilMs;
+  }
+
+  override onRead(): LogReadFate {
     const random = this.#random;
-    const isOut = this.#clock.nowMs() < this.#outageUntilMs;
-    if (isOut) return { fault: LogFault.RequestLost, delayMs: random.int(100, 500) };
+    if (this.isOut) return { fault: LogFault.RequestLost, delayMs: random.int(100, 500) };
     if (this.#isHealed) return { fault: LogFault.None, delayMs: 2 };
     const fault = random.float() < 0.02 ? LogFault.RequestLost : LogFault.None;
-    return { fault, delayMs: random.int(1, 20) };
+    const lagRecords = random.float() < 0.1 ? random.int(1, 4) : 0;
+    return { fault, delayMs: random.int(1, 20), lagRecords };
   }
 }
--- a/bench/histories/simulated-daemon.ts
+++ b/bench/histories/simulated-daemon.ts
@@ -8,13 +8,16 @@
 import type { LogService } from '../../src/log/index.js';
 import { HandoverPlanner, JobManager } from '../../src/jobs/index.js';
 import { ClaimFold, JobFold, type Fold } from '../../src/state/index.js';
+import type { MemoryPeerNetwork } from '../../src/standins/index.js';
 import { NullEventLog } from '../../src/telemetry/index.js';
 import { FakeBackEnd, callIdHeader, keyHeader } from './fake-back-end.js';
 import { FakeChooser } from './fake-chooser.js';
 import type { FakeEndpoint } from './fake-engine.js';
 import type { HistoryRecorder } from './history.js';
+import { listenInProcess } from './process-peers.js';
 import { ProcessLogService, SimulatedProcess } from './process.js';
 import { ReplicaWriter } from './replica-writer.js';
+import { SimulatedSettings } from './simulated-settings.js';
 
 /** Options of {@link SimulatedDaemon}. */
 export interface SimulatedDaemonOptions {
@@ -25,6 +28,9 @@
   readonly history: HistoryRecorder;
   readonly name: string;
   readonly incarnation: number;
+  /** Undefined in histories without settings. */
+  readonly network: MemoryPeerNetwork | undefined;
+  readonly urls: readonly string[];
 }
 
 /** A call as a caller sends it. */
@@ -42,6 +48,7 @@
   readonly jobs = new JobFold();
   readonly claimWriter: ReplicaWriter;
   readonly manager: JobManager;
+  readonly settings: SimulatedSettings | undefined;
   readonly #coordinator: ClaimCoordinator;
   readonly #backEnd: FakeBackEnd;
 
@@ -91,6 +98,19 @@
       appendTimeoutMs: 3_000,
     });
     this.manager.start();
+    if (options.network) {
+      const url = daemonUrl(name);
+      this.settings = new SimulatedSettings({
+        process,
+        log: new ProcessLogService(options.log, process),
+        random: random.fork(),
+        run,
+        daemon: name,
+        peers: listenInProcess(options.network, url, process),
+        seedUrls: options.urls,
+        history,
+      });
+    }
   }
 
   /** Runs `action` inside the process; never settles when the process has crashed. */
@@ -119,3 +139,8 @@
     );
   }
 }
+
+/** RPC address of a daemon, the same for each of its runs. */
+export function daemonUrl(name: string): string {
+  return `http://${name}:7000`;
+}
--- /dev/null
+++ b/bench/histories/simulated-settings.ts
@@ -0,0 +1,181 @@
+import { countingIds, type Random } from '../../src/core/index.js';
+import { askKnownOffset, registerKnownOffset } from '../../src/daemon/known-offset.js';
+import {
+  AppendBudget,
+  Appender,
+  CircuitBreaker,
+  Snapshotter,
+  type LogService,
+} from '../../src/log/index.js';
+import { SigningKey } from '../../src/security/signing-key.js';
+import { SettingsPublisher } from '../../src/settings-publisher/index.js';
+import { ConfigFold, StreamReplica } from '../../src/state/index.js';
+import { NullEventLog } from '../../src/telemetry/index.js';
+import { HistoryKind, type HistoryRecorder } from './history.js';
+import type { ProcessPeers } from './process-peers.js';
+import type { SimulatedProcess } from './process.js';
+
+export const configStream = 'prod.config';
+export const settingsPaths = [
+  'prod/tejidos/limits/a',
+  'prod/tejidos/limits/b',
+  'prod/haneul/limits/c',
+] as const;
+/** Setting whose value the histories edit. */
+export const editedSetting = 'rate_per_s';
+
+const rootKey = SigningKey.fromSecret('root-secret-root-secret-root-secret');
+/** Short enough for several snapshots in a history; the log is trimmed by commands. */
+const retentionMs = 16_000;
+const snapshotCheckMs = 1_000;
+
+/** Options of {@link SimulatedSettings} and {@link Operator}. */
+export interface SettingsParticipantOptions {
+  readonly process: SimulatedProcess;
+  /** The log service as the process sees it. */
+  readonly log: LogService;
+  readonly random: Random;
+  /** Unique among all runs of all processes. */
+  readonly run: string;
+}
+
+/** Options of {@link SimulatedSettings}. */
+export interface SimulatedSettingsOptions extends SettingsParticipantOptions {
+  readonly daemon: string;
+  readonly peers: ProcessPeers;
+  readonly seedUrls: readonly string[];
+  readonly history: HistoryRecorder;
+}
+
+/** The parts of a daemon that follow the configuration stream and write its snapshots. */
+export class SimulatedSettings {
+  readonly fold = newFold();
+  readonly #options: SimulatedSettingsOptions;
+  readonly #recorded = new Map<string, number>();
+  #replica: StreamReplica | undefined;
+
+  constructor(options: SimulatedSettingsOptions) {
+    this.#options = options;
+    void this.#start();
+  }
+
+  /** Records what is in force, as a request that is served now would see it. */
+  observe(): void {
+    if (this.#replica?.isReady !== true) return;
+    const { history, daemon } = this.#options;
+    const sections = this.fold.sections();
+    for (const path of settingsPaths) {
+      const revision = this.fold.revisionOf(path);
+      if (revision === (this.#recorded.get(path) ?? 0)) continue;
+      this.#recorded.set(path, revision);
+      const value = sections.get(path)?.[editedSetting] ?? '';
+      history.record({ kind: HistoryKind.SettingInForce, daemon, path, revision, value });
+    }
+  }
+
+  async #start(): Promise<void> {
+    const { process, random, run, daemon, peers, seedUrls } = this.#options;
+    const others = seedUrls.filter((url) => url !== peers.url);
+    const minReadyOffset = await askKnownOffset(peers.caller, others, process);
+    const replica = newReplica(this.#options, this.fold, minReadyOffset);
+    this.#replica = replica;
+    registerKnownOffset(peers.methods, replica);
+    replica.onApplied(() => {
+      this.observe();
+    });
+    replica.onRestored(() => {
+      this.observe();
+    });
+    void replica.ready.then(() => {
+      this.observe();
+    });
+    const snapshotter = new Snapshotter({
+      source: replica,
+      writer: newAppender(this.#options, replica, daemon),
+      clock: process,
+      random: random.fork(),
+      newId: countingIds(`${run}.snapshot`),
+      events: new NullEventLog(),
+      retentionMs,
+      checkMs: snapshotCheckMs,
+      partTimeoutMs: 10_000,
+      partLength: 2_000,
+    });
+    snapshotter.start();
+  }
+}
+
+/** One run of an operator's tool. */
+export class Operator {
+  readonly publisher: SettingsPublisher;
+  readonly #fold = newFold();
+  readonly #replica: StreamReplica;
+  readonly #writer: Appender;
+
+  constructor(options: SettingsParticipantOptions) {
+    const { process, run } = options;
+    this.#replica = newReplica(options, this.#fold);
+    this.#writer = newAppender(options, this.#replica, run);
+    this.publisher = new SettingsPublisher({
+      deployment: 'prod',
+      keyId: 'root',
+      key: rootKey,
+      replica: this.#replica,
+      fold: this.#fold,
+      writer: this.#writer,
+      clock: process,
+      newId: countingIds(`${run}.change`),
+    });
+  }
+
+  /** Revision of a path that the operator has read. */
+  revisionOf(path: string): number {
+    return this.#fold.revisionOf(path);
+  }
+
+  close(): void {
+    this.#writer.stop();
+    void this.#replica.stop();
+  }
+}
+
+function newFold(): ConfigFold {
+  return new ConfigFold({ deployment: 'prod', rootPublicKey: rootKey.publicKey });
+}
+
+function newReplica(
+  { process, log, random }: SettingsParticipantOptions,
+  fold: ConfigFold,
+  minReadyOffset = 0,
+): StreamReplica {
+  const replica = new StreamReplica({
+    log,
+    stream: configStream,
+    fold,
+    clock: process,
+    random: random.fork(),
+    events: new NullEventLog(),
+    minReadyOffset,
+  });
+  replica.start();
+  return replica;
+}
+
+function newAppender(
+  { process, log, random, run }: SettingsParticipantOptions,
+  feed: StreamReplica,
+  writer: string,
+): Appender {
+  return new Appender({
+    log,
+    stream: configStream,
+    writer,
+    feed,
+    clock: process,
+    random: random.fork(),
+    newId: countingIds(`${run}.record`),
+    budget: new AppendBudget({ clock: process, appendsPerS: 10 }),
+    breaker: new CircuitBreaker({ clock: process, random: random.fork() }),
+    events: new NullEventLog(),
+  });
+}
--- a/bench/histories/world.ts
+++ b/bench/histories/world.ts
@@ -1,18 +1,30 @@
 import { Random, VirtualClock, sha256Hex } from '../../src/core/index.js';
 import type { ReclaimNotice } from '../../src/jobs/index.js';
-import { MemoryLogService } from '../../src/standins/index.js';
+import { MemoryLogService, MemoryPeerNetwork } from '../../src/standins/index.js';
 import { JobStatus } from '../../src/state/index.js';
 import { FakeEndpoint, FakeEndpointState } from './fake-engine.js';
 import { HistoryKind, HistoryRecorder, eventsOf } from './history.js';
 import { SeededLogFaults } from './seeded-log-faults.js';
-import { SimulatedDaemon } from './simulated-daemon.js';
+import { ProcessLogService, SimulatedProcess } from './process.js';
+import { SettingsJudge } from './settings-judge.js';
+import { SimulatedDaemon, daemonUrl } from './simulated-daemon.js';
+import { Operator } from './simulated-settings.js';
 
 export const failureDomains = ['domain-a', 'domain-b', 'domain-c'] as const;
 export const daemonCount = 3;
+export const operatorCount = 2;
+const observePeriodMs = 100;
+/** Longer than a read that stays silent, so that two in a row do not exceed the 20 s of P7. */
+const silenceGapMs = 40_000;
 const endpointsPerDomain = 2;
 /** Longest virtual time in which a healed system must have finished its jobs. */
 const settleLimitMs = 180_000;
 
+/** Which optional parts a history has; each costs run time. */
+export interface WorldParts {
+  readonly settings: boolean;
+}
+
 /** Everything that one history runs against. */
 export class World {
   readonly clock = new VirtualClock();
@@ -23,19 +35,61 @@
   readonly endpoints: FakeEndpoint[] = [];
   readonly #daemons: SimulatedDaemon[] = [];
   readonly #notices: ReclaimNotice[] = [];
+  readonly network: MemoryPeerNetwork | undefined;
+  readonly judge: SettingsJudge | undefined;
+  readonly #operators: Operator[] = [];
+  readonly #servingSinceMs = new Map<number, number>();
+  readonly #silentUntilMs = new Map<number, number>();
+  #operatorRuns = 0;
   #actorError: unknown;
   #incarnation = 0;
   #endpointCount = 0;
   #callCount = 0;
 
-  constructor(seed: number) {
+  constructor(seed: number, parts: WorldParts) {
     this.random = new Random(seed);
     this.faults = new SeededLogFaults(this.clock, this.random.fork());
     this.log = new MemoryLogService({ clock: this.clock, faults: this.faults });
     for (const domain of failureDomains) {
       for (let index = 0; index < endpointsPerDomain; index++) this.#startEndpoint(domain);
     }
+    if (parts.settings) {
+      this.network = new MemoryPeerNetwork({ clock: this.clock });
+      this.judge = new SettingsJudge(this.log, this.history);
+    }
     for (let index = 0; index < daemonCount; index++) this.#startDaemon(index);
+    if (parts.settings) {
+      for (let index = 0; index < operatorCount; index++) this.restartOperator(index);
+      this.clock.every(observePeriodMs, () => {
+        this.#observe();
+      });
+    }
+  }
+
+  /** The tool that an operator runs now. */
+  operator(index: number): Operator {
+    return this.#operators[index]!;
+  }
+
+  /** Ends an operator's tool, whose appends on their way still arrive, and starts it again. */
+  restartOperator(index: number): void {
+    this.#operators[index]?.close();
+    const process = new SimulatedProcess(this.clock);
+    this.#operators[index] = new Operator({
+      process,
+      log: new ProcessLogService(this.log, process),
+      random: this.random.fork(),
+      run: `operator-${index}.${++this.#operatorRuns}`,
+    });
+  }
+
+  /** Makes the next read of the log by a daemon silent, at most once in a while. */
+  silenceRead(place: number): void {
+    const nowMs = this.clock.nowMs();
+    if (nowMs < (this.#silentUntilMs.get(place) ?? 0)) return;
+    this.#silentUntilMs.set(place, nowMs + silenceGapMs);
+    this.fault(`a read of entry-${place} goes silent`);
+    this.daemon(place).process.silentReads += 1;
   }
 
   /** The daemon now in a place; a crashed one until it is replaced. */
@@ -109,6 +163,7 @@
       await this.clock.advance(5_000);
       if (waitedMs >= 20_000 && this.#hasSettled()) break;
     }
+    this.#observe(true);
     if (this.#actorError !== undefined) throw this.#actorError as Error;
     const [daemon] = this.#daemons;
     for (const job of daemon?.jobs.jobs() ?? []) {
@@ -129,6 +184,23 @@
     );
   }
 
+  /** Follows the log and which daemons run and reach it. */
+  #observe(isEnd = false): void {
+    this.judge?.observe();
+    const nowMs = this.clock.nowMs();
+    this.#daemons.forEach(({ process }, place) => {
+      const isServing = !isEnd && !process.isPaused && !process.isCrashed && !this.faults.isOut;
+      const sinceMs = this.#servingSinceMs.get(place);
+      if (isServing && sinceMs === undefined) this.#servingSinceMs.set(place, nowMs);
+      if (isServing || sinceMs === undefined) return;
+      this.#servingSinceMs.delete(place);
+      this.history.record(
+        { kind: HistoryKind.DaemonServing, daemon: `entry-${place}`, untilMs: nowMs },
+        sinceMs,
+      );
+    });
+  }
+
   #hasSettled(): boolean {
     return this.#daemons.every(({ jobs }) => jobs.activeJobs().length === 0);
   }
@@ -142,11 +214,14 @@
       history: this.history,
       name: `entry-${place}`,
       incarnation: ++this.#incarnation,
+      network: this.network,
+      urls: Array.from({ length: daemonCount }, (_, index) => daemonUrl(`entry-${index}`)),
     });
     // A new daemon pulls the leaving endpoints from a peer before it is ready.
     for (const notice of this.#notices) daemon.manager.reclaim(notice);
     daemon.process.onCrash = () => {
       this.fault(`entry-${place} crashed`);
+      this.network?.close(daemonUrl(`entry-${place}`));
       const atMs = this.clock.nowMs() + this.random.int(500, 10_000);
       this.clock.schedule(atMs, () => {
         this.#startDaemon(place);
--- a/test/histories/checkers_test.ts
+++ b/test/histories/checkers_test.ts
@@ -116,29 +116,58 @@
     expect(gracefulStop([began, stop])).toHaveLength(1);
   });
 
-  it('P7 catches a setting that is late or goes back', () => {
-    const serving: HistoryEvent = {
-      atMs,
+  describe('P7', () => {
+    const serving = (from: number): HistoryEvent => ({
+      atMs: from,
       kind: HistoryKind.DaemonServing,
       daemon: 'd',
       untilMs: 60_000,
-    };
+    });
     const setting: HistoryEvent = {
       atMs: 1_000,
       kind: HistoryKind.SettingAccepted,
       path: 'p',
       revision: 5,
+      value: '9',
     };
-    const inForce = (time: number, revision: number): HistoryEvent => ({
+    const inForce = (time: number, revision = 5, value = '9'): HistoryEvent => ({
       atMs: time,
       kind: HistoryKind.SettingInForce,
       daemon: 'd',
       path: 'p',
       revision,
+      value,
+    });
+
+    it('catches a setting that is late after its acceptance or after the daemon returned', () => {
+      expect(configurationInForce([serving(0), setting, inForce(21_000)])).toEqual([]);
+      expect(configurationInForce([serving(0), setting, inForce(21_001)])).toHaveLength(1);
+      expect(configurationInForce([serving(30_000), setting, inForce(50_000)])).toEqual([]);
+      expect(configurationInForce([serving(30_000), setting, inForce(50_001)])).toHaveLength(1);
+    });
+
+    it('catches a setting that goes back', () => {
+      const older: HistoryEvent = { ...setting, atMs: 500, revision: 4 };
+      const events = [serving(0), older, setting, inForce(2_000), inForce(3_000, 4)];
+      expect(configurationInForce(events)).toHaveLength(1);
+    });
+
+    it('catches a value that was not accepted', () => {
+      expect(configurationInForce([setting, inForce(2_000, 5, '8')])).toHaveLength(1);
+      expect(configurationInForce([setting, inForce(2_000, 6)])).toHaveLength(1);
+    });
+
+    it('catches a false answer to the operator', () => {
+      const answered = (isAccepted: boolean, revision: number): HistoryEvent => ({
+        atMs,
+        kind: HistoryKind.SettingAnswered,
+        path: 'p',
+        revision,
+        isAccepted,
+      });
+      expect(configurationInForce([setting, answered(true, 5), answered(false, 6)])).toEqual([]);
+      expect(configurationInForce([setting, answered(false, 5)])).toHaveLength(1);
+      expect(configurationInForce([setting, answered(true, 6)])).toHaveLength(1);
     });
-    expect(configurationInForce([serving, setting, inForce(21_000, 5)])).toEqual([]);
-    expect(configurationInForce([serving, setting, inForce(21_001, 5)])).toHaveLength(1);
-    const reverted = [serving, setting, inForce(2_000, 5), inForce(3_000, 4)];
-    expect(configurationInForce(reverted)).toHaveLength(1);
   });
 });
