Confirm the end of the configuration stream by an append at start

Change: the replica of the configuration stream appends an empty record at its start and is not ready before it has read that back. Conclusion: a restart no longer depends on what peers know. A daemon that starts while the log takes no appends becomes ready only when it does; the others keep serving.

--- a/bench/histories/simulated-settings.ts
+++ b/bench/histories/simulated-settings.ts
@@ -9,7 +9,7 @@
 } from '../../src/log/index.js';
 import { SigningKey } from '../../src/security/signing-key.js';
 import { SettingsPublisher } from '../../src/settings-publisher/index.js';
-import { ConfigFold, StreamReplica } from '../../src/state/index.js';
+import { ConfigFold, StreamReplica, type StreamReplicaOptions } from '../../src/state/index.js';
 import { NullEventLog } from '../../src/telemetry/index.js';
 import { HistoryKind, type HistoryRecorder } from './history.js';
 import type { ProcessPeers } from './process-peers.js';
@@ -77,7 +77,8 @@
     const { process, random, run, daemon, peers, seedUrls } = this.#options;
     const others = seedUrls.filter((url) => url !== peers.url);
     const minReadyOffset = await askKnownOffset(peers.caller, others, process);
-    const replica = newReplica(this.#options, this.fold, minReadyOffset);
+    const barrier = { writer: daemon, newId: countingIds(`${run}.barrier`) };
+    const replica = newReplica(this.#options, this.fold, { minReadyOffset, barrier });
     this.#replica = replica;
     registerKnownOffset(peers.methods, replica);
     replica.onApplied(() => {
@@ -146,7 +147,7 @@
 function newReplica(
   { process, log, random }: SettingsParticipantOptions,
   fold: ConfigFold,
-  minReadyOffset = 0,
+  start: Pick<StreamReplicaOptions, 'minReadyOffset' | 'barrier'> = {},
 ): StreamReplica {
   const replica = new StreamReplica({
     log,
@@ -155,7 +156,7 @@
     clock: process,
     random: random.fork(),
     events: new NullEventLog(),
-    minReadyOffset,
+    ...start,
   });
   replica.start();
   return replica;
--- a/src/daemon/daemon-parts.ts
+++ b/src/daemon/daemon-parts.ts
@@ -107,6 +107,7 @@
         rootPublicKey: settings.trust.root_public_key,
       }),
       options.minConfigOffset,
+      true,
     );
     this.keys = new KeyStore({ deployment });
     this.registry = new EndpointRegistry({
--- a/src/daemon/log-access.ts
+++ b/src/daemon/log-access.ts
@@ -68,8 +68,15 @@
    * Opens a stream of the deployment and starts to follow it.
    *
    * @param minReadyOffset - the stream is not ready below this offset, such as what a peer knows.
+   * @param hasBarrier - whether the stream's end is confirmed by an append before it is ready, for
+   *   state that must never be older than before a restart.
    */
-  open<F extends Fold>(name: string, fold: F, minReadyOffset = 0): OpenStream<F> {
+  open<F extends Fold>(
+    name: string,
+    fold: F,
+    minReadyOffset = 0,
+    hasBarrier = false,
+  ): OpenStream<F> {
     const { settings, clock, random, newId, events } = this.#options;
     const stream = `${settings.daemon.deployment}.${name}`;
     const replica = new StreamReplica({
@@ -80,6 +87,7 @@
       random: random.fork(),
       events,
       minReadyOffset,
+      ...(hasBarrier ? { barrier: { writer: settings.daemon.name, newId } } : {}),
     });
     const writer = new Appender({
       log: this.#log,
--- /dev/null
+++ b/src/log/append-barrier.ts
@@ -0,0 +1,47 @@
+import type { Clock, IdSource, Random } from '../core/index.js';
+import { Backoff } from './backoff.js';
+import { encodeEnvelope } from './envelope.js';
+import type { LogService, Offset } from './log-service.js';
+import { withTimeout } from './with-timeout.js';
+
+/** Options of {@link appendBarrier}. */
+export interface AppendBarrierOptions {
+  readonly log: LogService;
+  readonly stream: string;
+  /** Name of the daemon, stored in the record. */
+  readonly writer: string;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly newId: IdSource;
+  readonly signal: AbortSignal;
+}
+
+const attemptTimeoutMs = 2_000;
+
+/**
+ * Appends an empty record, whose offset bounds the end of the stream from above: a reader that has
+ * reached it has seen everything stored before, even when the log's reads lag.
+ *
+ * @returns the offset after the record; undefined when `signal` was aborted first.
+ * @example
+ * ```ts
+ * const offset = await appendBarrier({ log, stream: 'prod.config', writer: 'entry-1', ...rest });
+ * ```
+ */
+export async function appendBarrier(options: AppendBarrierOptions): Promise<Offset | undefined> {
+  const { log, stream, writer, clock, random, newId, signal } = options;
+  const backoff = new Backoff({ random });
+  const data = encodeEnvelope(writer, []);
+  while (!signal.aborted) {
+    try {
+      const { offset } = await withTimeout(clock, attemptTimeoutMs, signal, (attempt) =>
+        log.append(stream, { id: newId(), data }, attempt),
+      );
+      return offset + 1;
+    } catch {
+      // A second barrier is as good as the first, so an append without an answer is repeated.
+      await clock.sleepUntil(clock.nowMs() + backoff.nextMs(), signal);
+    }
+  }
+  return undefined;
+}
--- a/src/log/index.ts
+++ b/src/log/index.ts
@@ -1,3 +1,4 @@
+export * from './append-barrier.js';
 export * from './append-budget.js';
 export * from './appender.js';
 export * from './backoff.js';
--- a/src/state/stream-replica.ts
+++ b/src/state/stream-replica.ts
@@ -1,9 +1,10 @@
 import { setImmediate } from 'node:timers/promises';
-import { OrioleError, type Clock, type Random } from '../core/index.js';
+import { OrioleError, type Clock, type IdSource, type Random } from '../core/index.js';
 import {
   RecordFeed,
   SnapshotAssembler,
   Tailer,
+  appendBarrier,
   decodeEnvelope,
   isSnapshotEntry,
   type AssembledSnapshot,
@@ -31,6 +32,12 @@
    * highest one that a peer reports. A lagging read of the log then cannot make it ready early.
    */
   readonly minReadyOffset?: Offset;
+  /**
+   * Name under which the replica appends a barrier at its start; it is not ready before it has read
+   * that back. Peers may know less than an earlier run of this daemon did, and reads may lag, so
+   * that only a barrier keeps a restart from going back to older state.
+   */
+  readonly barrier?: { readonly writer: string; readonly newId: IdSource };
   readonly limit?: number;
   readonly waitMs?: number;
 }
@@ -86,6 +93,9 @@
   #appliedOffset: Offset = 0;
   #appliedAtMs = -Infinity;
   #readyOffset: Offset | undefined;
+  /** Undefined until the barrier is stored. */
+  #barrierOffset: Offset | undefined;
+  readonly #stop = new AbortController();
   /**
    * Records read and not applied: past a gap until a snapshot bridges it, and at the start of a long
    * stream until its end is known. Undefined while records are applied as they arrive.
@@ -106,6 +116,7 @@
     this.fold = options.fold;
     this.stream = options.stream;
     this.#startedAtMs = options.clock.nowMs();
+    if (!options.barrier) this.#barrierOffset = 0;
     this.ready = new Promise((resolve) => (this.#markReady = resolve));
     this.#tailer = new Tailer({
       ...options,
@@ -157,9 +168,11 @@
 
   start(): void {
     this.#tailer.start();
+    void this.#confirmEnd();
   }
 
   async stop(): Promise<void> {
+    this.#stop.abort();
     await this.#tailer.stop();
   }
 
@@ -193,7 +206,27 @@
     if (this.#held && end + 1 >= this.#readyOffset) await this.#release(this.#held);
     if (this.#held) return;
     this.#appliedAtMs = this.#options.clock.nowMs();
-    if (!this.#isReady && this.#appliedOffset >= this.#readyOffset) {
+    this.#checkReady();
+  }
+
+  async #confirmEnd(): Promise<void> {
+    const { barrier, log, clock, random } = this.#options;
+    if (!barrier || this.#barrierOffset !== undefined) return;
+    this.#barrierOffset = await appendBarrier({
+      ...barrier,
+      log,
+      stream: this.stream,
+      clock,
+      random: random.fork(),
+      signal: this.#stop.signal,
+    });
+    this.#checkReady();
+  }
+
+  #checkReady(): void {
+    if (this.#readyOffset === undefined || this.#barrierOffset === undefined) return;
+    const dueOffset = Math.max(this.#readyOffset, this.#barrierOffset);
+    if (!this.#isReady && !this.#held && this.#appliedOffset >= dueOffset) {
       this.#isReady = true;
       this.#options.events.info(EventId.StreamCaughtUp, 'stream is caught up', {
         stream: this.stream,
--- a/test/state/stream-replica_test.ts
+++ b/test/state/stream-replica_test.ts
@@ -1,6 +1,14 @@
 import { describe, expect, it } from 'vitest';
+import { countingIds } from '../../src/core/index.js';
 import { encodeSnapshot } from '../../src/log/index.js';
-import { LogFault, LogFaultSource, NoLogFaults } from '../../src/standins/index.js';
+import {
+  LogFault,
+  LogFaultSource,
+  NoLogFaults,
+  type LogReadFate,
+} from '../../src/standins/index.js';
+import { StreamReplica } from '../../src/state/index.js';
+import { NullEventLog } from '../../src/telemetry/index.js';
 import { FirstWinsFold, LogHarness, claimEntry } from '../log/log-harness.js';
 
 class LostReads extends LogFaultSource {
@@ -13,6 +21,14 @@
   }
 }
 
+class LaggingReads extends NoLogFaults {
+  lagRecords = 2;
+
+  override onRead(): LogReadFate {
+    return { fault: LogFault.None, delayMs: 1, lagRecords: this.lagRecords };
+  }
+}
+
 describe('StreamReplica', () => {
   it('is ready only at the end seen at start (else a new daemon serves old settings)', async () => {
     const harness = new LogHarness();
@@ -34,6 +50,30 @@
     expect(replica.isReady).toBe(true);
   });
 
+  it('is not ready before its barrier is read back (else a lagging read goes back unseen)', async () => {
+    const harness = new LogHarness();
+    for (const id of ['a', 'b', 'c']) await harness.store(claimEntry(id));
+    const lagging = new LaggingReads();
+    harness.log.faults = lagging;
+    const { clock, log, stream, random } = harness;
+    const replica = new StreamReplica({
+      log,
+      stream,
+      fold: new FirstWinsFold(),
+      clock,
+      random,
+      events: new NullEventLog(),
+      barrier: { writer: 'entry-1', newId: countingIds('barrier') },
+    });
+    replica.start();
+    await clock.advance(10_000);
+    expect(replica.isReady).toBe(false);
+    lagging.lagRecords = 0;
+    await clock.advance(20_000);
+    expect(replica.isReady).toBe(true);
+    expect(log.recordsOf(stream)).toHaveLength(4);
+  });
+
   it('reports its floor before it has read anything (else two restarts in a row go back)', () => {
     const harness = new LogHarness();
     expect(harness.replica(new FirstWinsFold(), 7).knownOffset).toBe(7);
