Keep create intents and roll-out state in the control stream

Cause: FleetController and VersionRollout had no durable store, so a new holder of a lease could neither repeat an unanswered create nor know that a version had failed.

Change: ControlFold folds leases and controller_state entries of a control stream. An entry counts only under the lease's current fence and with a growing sequence, so that a replaced holder or a duplicated append changes nothing. ControllerStore writes intents and roll-out state to it. VersionRollout keeps a new state before it sends the orders that follow. The planner returns the same object while a service is steady; it made a new one each round, which would have been an append a second. The cloud's list tells the base URLs and the price of a VM, and EndpointRegistry takes endpoints that no setting names.

--- a/src/capacity/cloud-api.ts
+++ b/src/capacity/cloud-api.ts
@@ -13,7 +13,11 @@
 }
 
 /** A VM in the cloud's list, with what it was started for. */
-export interface CloudVm extends ListedVm, VmRequest {}
+export interface CloudVm extends ListedVm, VmRequest {
+  /** Base URLs of the endpoints on the VM, in a fixed order; empty until they have started. */
+  readonly baseUrls: readonly string[];
+  readonly priceUsdPerHour: number;
+}
 
 /** {@link VmList} with the details that the controller needs. */
 export interface CloudVmList extends VmList {
--- a/src/capacity/cloud-watcher.ts
+++ b/src/capacity/cloud-watcher.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../core/index.js';
-import { LeavingSource, vmLeavingEntry, type LeavingMerge, type ListedVm } from '../fleet/index.js';
+import { LeavingSource, vmLeavingEntry, type LeavingMerge } from '../fleet/index.js';
 import type { Membership } from '../membership/index.js';
 import { EventId, NullEventLog, type EventLog } from '../telemetry/index.js';
 import type { CloudApi, CloudVmList } from './cloud-api.js';
@@ -17,8 +17,8 @@
   readonly events?: EventLog;
   /** Whether this daemon polls in any case, as one that holds a controller's lease must. */
   readonly isNeeded?: () => boolean;
-  /** Called with each list, for start times. */
-  readonly onList?: (vms: readonly ListedVm[]) => void;
+  /** Called with each list that is newer than the last. */
+  readonly onList?: (list: CloudVmList) => void;
 }
 
 /** Daemons of a region that poll the cloud: one may be dead or paused without delaying notices. */
@@ -80,7 +80,7 @@
     else return;
     this.#latest = list;
     leaving.observeList(list, clock.nowMs());
-    this.#options.onList?.(list.vms);
+    this.#options.onList?.(list);
   }
 
   async #pollNotices(): Promise<void> {
--- /dev/null
+++ b/src/capacity/controller-store.ts
@@ -0,0 +1,126 @@
+import { z } from 'zod';
+import { OrioleError, Step, type Clock } from '../core/index.js';
+import { EntryPriority, type EntryWriter } from '../log/index.js';
+import { EntryKind, type ControlFold, type Fence } from '../state/index.js';
+import { CreateIntents, IntentState, type CreateIntent } from './create-intents.js';
+import { RolloutPhase, type RolloutState } from './rollout-planner.js';
+
+/** Options of {@link ControllerStore}. */
+export interface ControllerStoreOptions {
+  readonly writer: EntryWriter;
+  /** Fold of the stream that `writer` appends to. */
+  readonly fold: ControlFold;
+  readonly clock: Clock;
+}
+
+const optionalText = z
+  .string()
+  .optional()
+  .transform((value) => value);
+
+const intentSchema = z.object({
+  request: z.object({
+    token: z.string(),
+    serviceId: z.string(),
+    region: z.string(),
+    failureDomain: z.string(),
+    vmClass: z.string(),
+    reclaimable: z.boolean(),
+  }),
+  slot: z.int(),
+  recordedAtMs: z.number(),
+  state: z.enum(IntentState),
+  vmId: optionalText,
+});
+
+const rolloutSchema = z.object({
+  phase: z.enum(RolloutPhase),
+  version: z.string(),
+  previousVersion: z.string(),
+  canaryId: optionalText,
+  canaryHealthySinceMs: z
+    .number()
+    .optional()
+    .transform((value) => value),
+  failedVersion: optionalText,
+  reason: z.string(),
+});
+
+const rolloutKey = 'rollout';
+const intentPrefix = 'intent/';
+/** As long as a lease lasts; later the entry could not be accepted any more. */
+const appendTimeoutMs = 10_000;
+
+/**
+ * What controllers keep in the control stream for the next holder of their lease: creates that are
+ * under way and the state of a roll-out.
+ *
+ * @example
+ * ```ts
+ * const store = new ControllerStore({ writer, fold, clock });
+ * store.rollout('control/t/chat/seoul')?.failedVersion;
+ * ```
+ */
+export class ControllerStore extends CreateIntents {
+  readonly #options: ControllerStoreOptions;
+  /** Last sequence given out, by lease name and fence. */
+  readonly #sequences = new Map<string, { readonly fence: Fence; readonly sequence: number }>();
+
+  constructor(options: ControllerStoreOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override of(name: string): readonly CreateIntent[] {
+    return [...this.#options.fold.values(name)].flatMap(([key, value]) => {
+      if (!key.startsWith(intentPrefix)) return [];
+      const intent = intentSchema.safeParse(value);
+      return intent.success ? [{ ...intent.data, vmId: intent.data.vmId }] : [];
+    });
+  }
+
+  override record(name: string, intent: CreateIntent, fence: Fence): Promise<void> {
+    return this.#keep(name, intentPrefix + intent.request.token, intent, fence);
+  }
+
+  override forget(name: string, token: string, fence: Fence): Promise<void> {
+    return this.#keep(name, intentPrefix + token, null, fence);
+  }
+
+  /** Roll-out that the last holder kept; undefined when there is none. */
+  rollout(name: string): RolloutState | undefined {
+    const result = rolloutSchema.safeParse(this.#options.fold.values(name).get(rolloutKey));
+    if (!result.success) return undefined;
+    const { canaryId, canaryHealthySinceMs, failedVersion, ...rest } = result.data;
+    return { ...rest, canaryId, canaryHealthySinceMs, failedVersion };
+  }
+
+  /** Keeps the state of a roll-out. @throws OrioleError as {@link record} does. */
+  recordRollout(name: string, state: RolloutState, fence: Fence): Promise<void> {
+    return this.#keep(name, rolloutKey, state, fence);
+  }
+
+  async #keep(name: string, key: string, value: unknown, fence: Fence): Promise<void> {
+    const { writer, fold, clock } = this.#options;
+    const sequence = this.#nextSequence(name, fence);
+    await writer.append(
+      { kind: EntryKind.ControllerState, name, fence, sequence, key, value },
+      { deadlineAtMs: clock.nowMs() + appendTimeoutMs, priority: EntryPriority.High },
+    );
+    // Read back, so the fold has decided: a later fence or sequence means that it was not accepted.
+    if (fold.leases.fence(name) !== fence || fold.sequence(name, fence) < sequence) {
+      throw new OrioleError('the lease has another holder; nothing was recorded', {
+        step: Step.Capacity,
+        peer: name,
+      });
+    }
+  }
+
+  #nextSequence(name: string, fence: Fence): number {
+    const given = this.#sequences.get(name);
+    const own = given?.fence === fence ? given.sequence : 0;
+    const sequence = Math.max(own, this.#options.fold.sequence(name, fence)) + 1;
+    this.#sequences.set(name, { fence, sequence });
+    return sequence;
+  }
+}
--- a/src/capacity/fleet-controller.ts
+++ b/src/capacity/fleet-controller.ts
@@ -15,7 +15,7 @@
 import { IntentState, type CreateIntent, type CreateIntents } from './create-intents.js';
 import { InformationSource, type InformationAge } from './information-age.js';
 import type { LeaseKeeper } from './lease-keeper.js';
-import { RefusalBackoff } from './refusal-backoff.js';
+import { RefusalBackoff, type BlockedOffer } from './refusal-backoff.js';
 
 /** Options of {@link FleetController}. */
 export interface FleetControllerOptions {
@@ -104,6 +104,11 @@
     return this.#options.leases.isHeld(this.leaseName);
   }
 
+  /** Kinds of VMs whose starts were refused and are not tried now. */
+  get refusedStarts(): readonly BlockedOffer[] {
+    return this.#backoff.blocked();
+  }
+
   /** One round; at most one runs at a time. */
   async tick(): Promise<void> {
     if (this.#isTicking) return;
--- a/src/capacity/http-cloud-api.ts
+++ b/src/capacity/http-cloud-api.ts
@@ -28,6 +28,8 @@
       failureDomain: z.string(),
       vmClass: z.string(),
       reclaimable: z.boolean(),
+      baseUrls: z.array(z.url({ protocol: /^https?$/ })).default([]),
+      priceUsdPerHour: z.number().default(1),
     }),
   ),
 });
--- a/src/capacity/index.ts
+++ b/src/capacity/index.ts
@@ -16,3 +16,5 @@
 export * from './version-rollout.js';
 export * from './region-rank.js';
 export * from './log-lease-keeper.js';
+export * from './controller-store.js';
+export * from './model-loads.js';
--- a/src/capacity/refusal-backoff.ts
+++ b/src/capacity/refusal-backoff.ts
@@ -1,7 +1,16 @@
 import type { Clock, Random } from '../core/index.js';
 import type { VmOffer } from './cloud-api.js';
 
-type OfferKind = Pick<VmOffer, 'failureDomain' | 'vmClass' | 'reclaimable'>;
+/** What a refusal holds for. */
+export type OfferKind = Pick<VmOffer, 'failureDomain' | 'vmClass' | 'reclaimable'>;
+
+/** Refused starts of one kind of offer. */
+export interface BlockedOffer extends OfferKind {
+  /** Refusals in a row. */
+  readonly refusals: number;
+  /** Epoch milliseconds until which none is tried. */
+  readonly untilMs: number;
+}
 
 const baseMs = 5_000;
 const maxMs = 300_000;
@@ -19,7 +28,7 @@
 export class RefusalBackoff {
   readonly #clock: Clock;
   readonly #random: Random;
-  readonly #states = new Map<string, { refusals: number; untilMs: number }>();
+  readonly #states = new Map<string, BlockedOffer>();
 
   constructor(clock: Clock, random: Random) {
     this.#clock = clock;
@@ -31,13 +40,20 @@
     const fullMs = Math.min(maxMs, baseMs * 2 ** (refusals - 1));
     // Half fixed, half random: controllers of several services share the exhausted pool.
     const untilMs = this.#clock.nowMs() + fullMs * (0.5 + this.#random.float() / 2);
-    this.#states.set(keyOf(offer), { refusals, untilMs });
+    const { failureDomain, vmClass, reclaimable } = offer;
+    this.#states.set(keyOf(offer), { failureDomain, vmClass, reclaimable, refusals, untilMs });
   }
 
   accepted(offer: OfferKind): void {
     this.#states.delete(keyOf(offer));
   }
 
+  /** Kinds of offers that are blocked now. */
+  blocked(): readonly BlockedOffer[] {
+    const nowMs = this.#clock.nowMs();
+    return [...this.#states.values()].filter(({ untilMs }) => untilMs > nowMs);
+  }
+
   isBlocked(offer: OfferKind): boolean {
     return (this.#states.get(keyOf(offer))?.untilMs ?? 0) > this.#clock.nowMs();
   }
--- a/src/capacity/rollout-planner.ts
+++ b/src/capacity/rollout-planner.ts
@@ -110,6 +110,8 @@
       if (isCanaryBad || failures.length >= maxFailures) return rollBack(current, failures);
     }
     if (current.phase === RolloutPhase.Canary) return this.#watchCanary(current, views, nowMs);
+    // The same object while nothing changes: each new state is an append to the log.
+    if (current.phase === RolloutPhase.Steady) return current;
     const isDone = views.every((view) => view.version === current.version);
     return isDone ? { ...current, phase: RolloutPhase.Steady, canaryId: undefined } : current;
   }
--- a/src/capacity/version-rollout.ts
+++ b/src/capacity/version-rollout.ts
@@ -25,8 +25,11 @@
   /** Waits for a turn at the weight store before an endpoint loads a version. */
   readonly beforeLoad?: (view: EndpointView, version: string) => Promise<void>;
   readonly events?: EventLog;
-  /** Called with each new state, to be kept for the next holder. */
-  readonly onState?: (state: RolloutState) => void;
+  /**
+   * Keeps a new state for the next holder, before any order that follows from it is sent. When it
+   * rejects, the round ends and the state is not entered.
+   */
+  readonly onState?: (state: RolloutState, fence: Fence) => Promise<void>;
 }
 
 /**
@@ -53,6 +56,7 @@
   #state: RolloutState | undefined;
   #fence: Fence | undefined;
   #fenceAtMs = 0;
+  #isSaving = false;
 
   constructor(options: VersionRolloutOptions) {
     this.#options = options;
@@ -63,16 +67,16 @@
     return this.#state;
   }
 
-  /** Takes the state that an earlier holder kept. */
-  restore(state: RolloutState): void {
+  /** Takes the state that an earlier holder kept; undefined when there is none. */
+  restore(state: RolloutState | undefined): void {
     this.#state = state;
   }
 
-  /** One round. */
+  /** One round; one that begins while a state is being kept does nothing. */
   async tick(): Promise<void> {
     const fence = this.#heldFence();
     const desired = this.#options.desiredVersion();
-    if (fence === undefined || desired === undefined) return;
+    if (fence === undefined || desired === undefined || this.#isSaving) return;
     const views = this.#options.registry
       .views(this.#options.serviceId)
       .filter(({ region }) => region === this.#options.region);
@@ -82,12 +86,13 @@
     const current = this.#state ?? this.#planner.initial(desired, views);
     const nowMs = this.#options.clock.nowMs();
     const { state, changes } = this.#planner.next(current, desired, views, this.#failed, nowMs);
+    if (state !== current && !(await this.#save(state, fence))) return;
     this.#enter(state, current);
     const byId = new Map(views.map((view) => [view.id, view]));
     await Promise.all(
       changes.map(async ({ endpointId, version }) => {
         const view = byId.get(endpointId);
-        if (view && this.#mayOrder(view)) await this.#order(view, version, fence);
+        if (view && this.mayOrder(view)) await this.#order(view, version, fence);
       }),
     );
   }
@@ -95,7 +100,7 @@
   /** Sends one order outside a roll-out, such as a role or an adapter. @throws OrderError */
   async order(view: EndpointView, order: EndpointOrder): Promise<void> {
     const fence = this.#heldFence();
-    if (fence === undefined || !this.#mayOrder(view)) {
+    if (fence === undefined || !this.mayOrder(view)) {
       throw new OrderError('the lease is not held long enough; repeat later', view.baseUrl, false);
     }
     await this.#options.orders.send(view.baseUrl, order, fence);
@@ -113,15 +118,27 @@
     return fence;
   }
 
-  #mayOrder(view: EndpointView): boolean {
+  /** Whether an order may be sent to an endpoint now; see {@link unfencedGraceMs}. */
+  mayOrder(view: EndpointView): boolean {
     if (view.state === EndpointState.Leaving) return false;
     return view.checksFence || this.#options.clock.nowMs() >= this.#fenceAtMs + unfencedGraceMs;
   }
 
+  /** @returns whether the lease is still held with `fence` after the state was kept. */
+  async #save(state: RolloutState, fence: Fence): Promise<boolean> {
+    if (!this.#options.onState) return true;
+    this.#isSaving = true;
+    try {
+      await this.#options.onState(state, fence);
+    } finally {
+      this.#isSaving = false;
+    }
+    return this.#heldFence() === fence;
+  }
+
   #enter(state: RolloutState, previous: RolloutState): void {
     this.#state = state;
     if (state === previous) return;
-    this.#options.onState?.(state);
     if (state.version !== previous.version) {
       this.#sent.clear();
       this.#failed.clear();
--- a/src/fleet/endpoint-registry.ts
+++ b/src/fleet/endpoint-registry.ts
@@ -121,6 +121,8 @@
   /** VMs and processes that the settings in force name. */
   #subjects = new Set<string>();
   #deployment: Deployment | undefined;
+  /** Configured and created endpoints by name. */
+  #sections: ReadonlyMap<string, Section<EndpointSettings>> = new Map();
 
   constructor(options: EndpointRegistryOptions) {
     this.#clock = options.clock;
@@ -132,19 +134,31 @@
     });
   }
 
-  /** Takes the settings in force. Endpoints whose identity is unchanged keep what was observed. */
-  applyDeployment(deployment: Deployment): void {
+  /**
+   * Takes the settings in force. Endpoints whose identity is unchanged keep what was observed.
+   *
+   * @param createdSections - endpoints of VMs that controllers created. The settings go first: a name
+   * or a VM that they name is ignored here.
+   */
+  applyDeployment(
+    deployment: Deployment,
+    createdSections: readonly Section<EndpointSettings>[] = [],
+  ): void {
     this.#deployment = deployment;
+    const configured = [...deployment.endpoints.values()];
+    const configuredVms = new Set(configured.map(({ values }) => values.vm_id));
+    const created = createdSections.filter(
+      ({ id, values }) => !deployment.endpoints.has(id) && !configuredVms.has(values.vm_id),
+    );
+    const sections = [...configured, ...created];
+    this.#sections = new Map(sections.map((section) => [section.id, section]));
     this.#subjects = new Set(
-      [...deployment.endpoints.values()].flatMap(({ id, values }) => [
-        values.vm_id,
-        processSubject(values.vm_id, id),
-      ]),
+      sections.flatMap(({ id, values }) => [values.vm_id, processSubject(values.vm_id, id)]),
     );
     for (const [name, endpoint] of this.#byName) {
-      if (!deployment.endpoints.has(name)) this.#retire(endpoint);
+      if (!this.#sections.has(name)) this.#retire(endpoint);
     }
-    for (const section of deployment.endpoints.values()) this.#place(section);
+    for (const section of sections) this.#place(section);
     this.#forgetOrder();
     for (const subject of this.#processStarts.keys()) {
       if (!this.#subjects.has(subject)) this.#processStarts.delete(subject);
@@ -158,11 +172,11 @@
    * Takes the start time of the process that answers for a section, from its health answer. A
    * later one than known is a new endpoint.
    *
-   * @param name - `team/name` of the settings section.
+   * @param name - name of the endpoint: `team/name` of its settings section, or of a created one.
    * @param startedAtMs - epoch milliseconds.
    */
   observeProcessStart(name: string, startedAtMs: number): void {
-    const section = this.#deployment?.endpoints.get(name);
+    const section = this.#sections.get(name);
     if (!section) return;
     const subject = processSubject(section.values.vm_id, name);
     if (startedAtMs <= (this.#processStarts.get(subject) ?? 0)) return;
@@ -179,7 +193,7 @@
       later.add(vmId);
     }
     if (later.size === 0 || !this.#deployment) return;
-    for (const section of this.#deployment.endpoints.values()) {
+    for (const section of this.#sections.values()) {
       if (later.has(section.values.vm_id)) this.#place(section);
     }
   }
@@ -204,7 +218,7 @@
     return [...this.#byName.values()].map((endpoint) => this.#viewOf(endpoint));
   }
 
-  /** Whether the settings in force name the VM or the process of a leaving entry. */
+  /** Whether the settings in force or a created endpoint name the VM or the process of a leaving entry. */
   isConfigured(subject: string): boolean {
     return this.#subjects.has(subject);
   }
--- a/src/standins/memory-cloud.ts
+++ b/src/standins/memory-cloud.ts
@@ -28,6 +28,10 @@
   readonly offers: readonly VmOffer[];
   /** Age of the list. */
   readonly listLagMs?: number;
+  /** Starts the endpoints of a new VM. @returns their base URLs. */
+  readonly onStart?: (vm: CloudVm) => Promise<readonly string[]>;
+  /** Ends what runs on a VM that is deleted or reclaimed. */
+  readonly onEnd?: (vm: CloudVm) => void;
 }
 
 interface StoredVm extends CloudVm {
@@ -53,6 +57,7 @@
   readonly #clock: Clock;
   readonly #offers: readonly VmOffer[];
   readonly #listLagMs: number;
+  readonly #options: MemoryCloudOptions;
   readonly #history: { readonly atMs: number; readonly vms: ReadonlyMap<string, StoredVm> }[] = [];
   #vms = new Map<string, StoredVm>();
   readonly #notices: (ReclaimNotice & { readonly region: string })[] = [];
@@ -62,6 +67,7 @@
 
   constructor(options: MemoryCloudOptions) {
     super();
+    this.#options = options;
     this.#clock = options.clock;
     this.#offers = options.offers;
     this.#listLagMs = options.listLagMs ?? 10_000;
@@ -73,6 +79,11 @@
     return [...this.#vms.values()].filter(({ endedAtMs }) => endedAtMs === undefined);
   }
 
+  /** Takes in a VM that was started before, with the endpoints that run on it. */
+  adopt(vm: CloudVm): void {
+    this.#change(vm.vmId, { ...vm, endedAtMs: undefined });
+  }
+
   /** All VMs ever started. */
   get startedCount(): number {
     return this.#nextVm - 1;
@@ -116,8 +127,11 @@
         vmId,
         startedAtMs: this.#clock.nowMs(),
         leavingAtMs: undefined,
+        baseUrls: [],
+        priceUsdPerHour: this.#priceOf(request),
         endedAtMs: undefined,
       });
+      void this.#startEndpoints(vmId);
     }
     if (this.faults.losesCreateAnswers) {
       await this.#clock.sleepUntil(this.#clock.nowMs() + 1_000);
@@ -173,10 +187,30 @@
     if (this.faults.isDown) throw new CloudUnavailableError('the cloud is down', 'memory-cloud');
   }
 
+  #priceOf({ failureDomain, vmClass, reclaimable }: VmRequest): number {
+    return (
+      this.#offers.find(
+        (offer) =>
+          offer.failureDomain === failureDomain &&
+          offer.vmClass === vmClass &&
+          offer.reclaimable === reclaimable,
+      )?.priceUsdPerHour ?? 1
+    );
+  }
+
+  async #startEndpoints(vmId: string): Promise<void> {
+    const vm = this.#vms.get(vmId);
+    if (!vm || !this.#options.onStart) return;
+    const baseUrls = await this.#options.onStart(vm);
+    const current = this.#vms.get(vmId);
+    if (current) this.#change(vmId, { ...current, baseUrls });
+  }
+
   #end(vmId: string): void {
     const vm = this.#vms.get(vmId);
     if (vm?.endedAtMs === undefined && vm) {
       this.#change(vmId, { ...vm, endedAtMs: this.#clock.nowMs() });
+      this.#options.onEnd?.(vm);
     }
   }
 
--- /dev/null
+++ b/src/state/control-fold.ts
@@ -0,0 +1,136 @@
+import { z } from 'zod';
+import { OrioleError, Step } from '../core/index.js';
+import { EntryKind } from './envelope.js';
+import { Fold, type Fence, type Position } from './fold.js';
+import { LeaseFold } from './lease-fold.js';
+import { OrderedFold } from './ordered-fold.js';
+
+/** Schema of a `controller_state` entry. */
+export const controllerStateEntrySchema = z.object({
+  kind: z.literal(EntryKind.ControllerState),
+  /** Name of the lease under which the controller works. */
+  name: z.string().min(1),
+  /** Fence of the lease that the writer held. */
+  fence: z.int().positive(),
+  /** Grows with each entry of a fence, so that a duplicated or late append changes nothing. */
+  sequence: z.int().positive(),
+  /** What is kept, such as `intent/{token}`. */
+  key: z.string().min(1).max(512),
+  /** JSON value; null removes the key. */
+  value: z.unknown(),
+});
+
+/** Entry by which a controller keeps a value for the next holder of its lease. */
+export type ControllerStateEntry = z.output<typeof controllerStateEntrySchema>;
+
+const keptSchema = z.object({
+  name: z.string(),
+  fence: z.int(),
+  sequence: z.int(),
+  values: z.array(z.tuple([z.string(), z.unknown()])),
+});
+
+interface Kept {
+  fence: Fence;
+  sequence: number;
+  readonly values: Map<string, unknown>;
+}
+
+type KeptSnapshot = z.output<typeof keptSchema>[];
+
+/** Values kept by controllers, by lease name. */
+class ControllerValues extends OrderedFold<ControllerStateEntry, KeptSnapshot> {
+  readonly #leases: LeaseFold;
+  readonly #kept = new Map<string, Kept>();
+
+  constructor(leases: LeaseFold) {
+    super(controllerStateEntrySchema, z.array(keptSchema));
+    this.#leases = leases;
+  }
+
+  kept(name: string): Kept | undefined {
+    return this.#kept.get(name);
+  }
+
+  protected override applyEntry(_position: number, entry: ControllerStateEntry): void {
+    const { name, fence, sequence, key, value } = entry;
+    if (fence !== this.#leases.fence(name)) return;
+    let kept = this.#kept.get(name);
+    if (!kept) {
+      kept = { fence, sequence: 0, values: new Map() };
+      this.#kept.set(name, kept);
+    }
+    if (fence === kept.fence && sequence <= kept.sequence) return;
+    kept.fence = fence;
+    kept.sequence = sequence;
+    if (value === null || value === undefined) kept.values.delete(key);
+    else kept.values.set(key, value);
+  }
+
+  protected override stateSnapshot(): KeptSnapshot {
+    return [...this.#kept].map(([name, { fence, sequence, values }]) => ({
+      name,
+      fence,
+      sequence,
+      values: [...values],
+    }));
+  }
+
+  protected override restoreState(state: KeptSnapshot): void {
+    this.#kept.clear();
+    for (const { name, fence, sequence, values } of state) {
+      this.#kept.set(name, { fence, sequence, values: new Map(values) });
+    }
+  }
+}
+
+const snapshotSchema = z.object({ leases: z.unknown(), values: z.unknown() });
+
+/**
+ * State of a `control.{region}` stream: the controllers' leases and what each controller keeps for
+ * the next holder. A value is accepted if and only if its fence is the current one of the lease, so
+ * that a holder that was replaced while it was paused changes nothing.
+ *
+ * @example
+ * ```ts
+ * fold.leases.fence('control/t/chat/seoul');
+ * fold.values('control/t/chat/seoul').get('rollout');
+ * ```
+ */
+export class ControlFold extends Fold {
+  readonly leases = new LeaseFold();
+  readonly #values = new ControllerValues(this.leases);
+
+  /** Values of a lease name by key, as stored; check them with a schema before use. */
+  values(name: string): ReadonlyMap<string, unknown> {
+    return this.#values.kept(name)?.values ?? new Map();
+  }
+
+  /** Sequence of the last accepted value under a fence; 0 when there is none. */
+  sequence(name: string, fence: Fence): number {
+    const kept = this.#values.kept(name);
+    return kept?.fence === fence ? kept.sequence : 0;
+  }
+
+  override apply(position: Position, entry: unknown): void {
+    this.leases.apply(position, entry);
+    this.#values.apply(position, entry);
+  }
+
+  override snapshot(): unknown {
+    return { leases: this.leases.snapshot(), values: this.#values.snapshot() };
+  }
+
+  override restore(snapshot: unknown): void {
+    const result = snapshotSchema.safeParse(snapshot);
+    if (!result.success) {
+      throw new OrioleError('control snapshot does not decode; replay the stream', {
+        step: Step.State,
+        peer: 'control',
+        cause: result.error,
+      });
+    }
+    this.leases.restore(result.data.leases);
+    this.#values.restore(result.data.values);
+  }
+}
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -7,3 +7,4 @@
 export * from './claim-fold.js';
 export * from './job-fold.js';
 export * from './lease-fold.js';
+export * from './control-fold.js';
--- /dev/null
+++ b/test/state/control-fold_test.ts
@@ -0,0 +1,57 @@
+import { describe, expect, it } from 'vitest';
+import { ControlFold, EntryKind } from '../../src/state/index.js';
+
+const name = 'control/t/chat/seoul';
+
+function setUp() {
+  const fold = new ControlFold();
+  let offset = 0;
+  const apply = (entry: Record<string, unknown>): number => {
+    fold.apply({ offset: ++offset, index: 0 }, { name, ...entry });
+    return fold.leases.fence(name);
+  };
+  const lease = (holder: string): number =>
+    apply({
+      kind: EntryKind.Lease,
+      holder,
+      incarnation: 1,
+      previousFence: fold.leases.fence(name),
+      expiresAtMs: offset,
+    });
+  const keep = (fence: number, sequence: number, key: string, value: unknown): void => {
+    apply({ kind: EntryKind.ControllerState, fence, sequence, key, value });
+  };
+  return { fold, lease, keep };
+}
+
+describe('ControlFold', () => {
+  it('keeps values over a change of the holder and takes nothing from the replaced one', () => {
+    const { fold, lease, keep } = setUp();
+    const first = lease('d1');
+    keep(first, 1, 'rollout', 'a');
+    const second = lease('d2');
+    keep(first, 2, 'rollout', 'late');
+    expect(fold.values(name).get('rollout')).toBe('a');
+    keep(second, 1, 'rollout', 'b');
+    expect(fold.values(name).get('rollout')).toBe('b');
+  });
+
+  it('does not bring a forgotten create back when its append is duplicated', () => {
+    const { fold, lease, keep } = setUp();
+    const fence = lease('d1');
+    keep(fence, 1, 'intent/x', { slot: 1 });
+    keep(fence, 2, 'intent/x', null);
+    keep(fence, 1, 'intent/x', { slot: 1 });
+    expect(fold.values(name).size).toBe(0);
+  });
+
+  it('continues from a snapshot as from the entries', () => {
+    const { fold, lease, keep } = setUp();
+    const fence = lease('d1');
+    keep(fence, 1, 'rollout', 'a');
+    const restored = new ControlFold();
+    restored.restore(JSON.parse(JSON.stringify(fold.snapshot())));
+    expect(restored.snapshot()).toEqual(fold.snapshot());
+    expect([restored.leases.fence(name), restored.sequence(name, fence)]).toEqual([fence, 1]);
+  });
+});
