Run capacity control on the daemon

Cause: nothing on a running daemon used src/capacity.

Change: CapacityService runs the cloud watcher and, on the three candidate daemons of a region, one ServiceControl for each engine service: VMs, missing models and versions. Only candidates follow control.{region}. Loads wait for their turn at the weight store before an order is sent. Leaving entries expire once a minute. oriolectl status shows controllers, roll-outs, refused starts and stale sources.

--- a/src/admin-api/answers.ts
+++ b/src/admin-api/answers.ts
@@ -20,6 +20,42 @@
   sections: z.array(sectionInForceSchema),
 });
 
+/** Capacity control on one daemon. */
+export const capacityStatusSchema = z.object({
+  /** Whether the daemon is a candidate for controllers and follows the control stream. */
+  followsControl: z.boolean(),
+  /** Controllers whose lease the daemon holds. */
+  controllers: z.array(
+    z.object({
+      serviceId: z.string(),
+      region: z.string(),
+      fence: z.number(),
+      /** Kinds of VMs whose starts the cloud refused and that are not tried until `untilMs`. */
+      refusedStarts: z.array(
+        z.object({
+          failureDomain: z.string(),
+          vmClass: z.string(),
+          reclaimable: z.boolean(),
+          refusals: z.number(),
+          untilMs: z.number(),
+        }),
+      ),
+      rollout: z
+        .object({
+          phase: z.string(),
+          version: z.string(),
+          failedVersion: z.string().nullable(),
+          reason: z.string(),
+          endpointsOnVersion: z.number(),
+          endpoints: z.number(),
+        })
+        .nullable(),
+    }),
+  ),
+  /** Sources unseen for more than 30 s, on which no large move is made: `list`, `log`, `cloud`. */
+  staleSources: z.array(z.string()),
+});
+
 /** State of one daemon. */
 export const daemonStatusSchema = z.object({
   version: z.string(),
@@ -37,6 +73,8 @@
   suspectMembers: z.number(),
   inFlightRequests: z.number(),
   queuedRequests: z.number(),
+  /** Null when the daemon has no cloud API. */
+  capacity: capacityStatusSchema.nullable().default(null),
 });
 
 /** What one daemon believes about one endpoint. */
@@ -138,6 +176,7 @@
 export type SectionInForce = z.output<typeof sectionInForceSchema>;
 export type SettingsInForce = z.output<typeof settingsInForceSchema>;
 export type DaemonStatus = z.output<typeof daemonStatusSchema>;
+export type CapacityStatus = z.output<typeof capacityStatusSchema>;
 export type EndpointStatus = z.output<typeof endpointStatusSchema>;
 export type WorkItem = z.output<typeof workItemSchema>;
 export type Explanation = z.output<typeof explanationSchema>;
--- /dev/null
+++ b/src/capacity/model-loads.ts
@@ -0,0 +1,95 @@
+import { EndpointState, type EndpointView } from '../fleet/index.js';
+import type { Fence } from '../state/index.js';
+import { EventId, NullEventLog, type EventLog } from '../telemetry/index.js';
+import { OrderKind, type EndpointOrders } from './endpoint-orders.js';
+import type { LeaseKeeper } from './lease-keeper.js';
+
+/** Options of {@link ModelLoads}. */
+export interface ModelLoadsOptions {
+  readonly leaseName: string;
+  readonly leases: LeaseKeeper;
+  readonly orders: EndpointOrders;
+  /** Endpoints of the service in the region. */
+  readonly views: () => readonly EndpointView[];
+  /** Models that every endpoint of the service has loaded. */
+  readonly models: () => readonly string[];
+  /** Version that new endpoints load. */
+  readonly version: () => string | undefined;
+  /** Whether an endpoint may be ordered now; see {@link VersionRollout.mayOrder}. */
+  readonly mayOrder: (view: EndpointView) => boolean;
+  /** Waits for a turn at the weight store. */
+  readonly beforeLoad?: (view: EndpointView, model: string, version: string) => Promise<void>;
+  readonly events?: EventLog;
+}
+
+/**
+ * Orders endpoints to load the models of their service that they lack, such as those on a new VM,
+ * while the lease is held.
+ *
+ * @example
+ * ```ts
+ * clock.every(1_000, () => loads.tick());
+ * ```
+ */
+export class ModelLoads {
+  readonly #options: ModelLoadsOptions;
+  readonly #events: EventLog;
+  /** Loads that wait or were ordered and are not reported yet, with the fence of the order. */
+  readonly #ordered = new Map<string, Fence>();
+
+  constructor(options: ModelLoadsOptions) {
+    this.#options = options;
+    this.#events = options.events ?? new NullEventLog();
+  }
+
+  /** Starts the loads that are missing; they go on after it returns. */
+  tick(): void {
+    const { leases, leaseName, views, models, version, mayOrder } = this.#options;
+    const fence = leases.isHeld(leaseName) ? leases.fence(leaseName) : undefined;
+    const wanted = version();
+    if (fence === undefined || wanted === undefined) return;
+    const present = views();
+    const ids = new Set(present.map(({ id }) => id));
+    for (const key of this.#ordered.keys()) {
+      if (!ids.has(key.slice(0, key.lastIndexOf(' ')))) this.#ordered.delete(key);
+    }
+    for (const view of present) {
+      for (const model of models()) {
+        const key = `${view.id} ${model}`;
+        if (view.loadedModels.includes(model)) this.#ordered.delete(key);
+        else if (
+          view.state === EndpointState.Live &&
+          mayOrder(view) &&
+          this.#ordered.get(key) !== fence
+        ) {
+          this.#ordered.set(key, fence);
+          void this.#load(view, model, wanted, fence);
+        }
+      }
+    }
+  }
+
+  async #load(view: EndpointView, model: string, version: string, fence: Fence): Promise<void> {
+    const { leases, leaseName, orders, beforeLoad } = this.#options;
+    const key = `${view.id} ${model}`;
+    try {
+      await beforeLoad?.(view, model, version);
+      // The wait for the weight store may have outlasted the lease.
+      if (!leases.isHeld(leaseName) || leases.fence(leaseName) !== fence) return;
+      const order = { kind: OrderKind.LoadModel, model, version } as const;
+      await orders.send(view.baseUrl, order, fence);
+      this.#events.info(EventId.ModelLoadOrdered, 'an endpoint was ordered to load a model', {
+        endpoint: view.id,
+        model,
+        version,
+      });
+    } catch (error) {
+      this.#ordered.delete(key);
+      this.#events.warn(EventId.OrderFailed, 'an endpoint did not carry out an order', {
+        endpoint: view.id,
+        kind: OrderKind.LoadModel,
+        reason: error instanceof Error ? error.message : String(error),
+      });
+    }
+  }
+}
--- a/src/daemon/daemon-admin-backend.ts
+++ b/src/daemon/daemon-admin-backend.ts
@@ -2,6 +2,7 @@
   AdminQuery,
   WorkKind,
   WorkState,
+  type CapacityStatus,
   type DaemonStatus,
   type DrainResult,
   type EndpointStatus,
@@ -56,6 +57,8 @@
   readonly burn: BurnRecorder;
   readonly jobs: JobsService;
   readonly calls: CallsService;
+  /** Undefined without a cloud API. */
+  readonly capacity: () => CapacityStatus | undefined;
   /** Requests of callers without a whole answer yet. */
   readonly inFlight: () => number;
   readonly state: () => { readonly isReady: boolean; readonly isStopping: boolean };
@@ -164,6 +167,7 @@
       suspectMembers: members.filter(({ status }) => status === MemberStatus.Suspect).length,
       inFlightRequests: inFlight(),
       queuedRequests: admission.queued,
+      capacity: this.#options.capacity() ?? null,
     };
   }
 
--- a/src/daemon/daemon-parts.ts
+++ b/src/daemon/daemon-parts.ts
@@ -7,6 +7,7 @@
   RetryBudget,
   RetryPolicy,
 } from '../admission/index.js';
+import { HttpCloudApi, HttpEndpointOrders, HttpWeightStore } from '../capacity/index.js';
 import type { Clock, IdSource, Random } from '../core/index.js';
 import { CacheView } from '../fleet/cache-view.js';
 import {
@@ -27,6 +28,9 @@
 import { ConfigFold, type RawEntry } from '../state/index.js';
 import { EventId, type EventLog, type Metrics } from '../telemetry/index.js';
 import { CallsService } from './calls-service.js';
+import { CapacityService } from './capacity-service.js';
+import { createdEndpoints, type CreatedVm } from './created-endpoints.js';
+import { CreatedVms } from './created-vms.js';
 import { DaemonAdminBackend } from './daemon-admin-backend.js';
 import type { DaemonSettings } from './daemon-settings.js';
 import { DemandSharing } from './demand-sharing.js';
@@ -60,6 +64,9 @@
   readonly inFlight: () => number;
 }
 
+/** Leaving entries are kept for hours; expiring them is a cheap scan. */
+const expirePeriodMs = 60_000;
+
 /**
  * All parts of a daemon, composed and not yet started. Each part can be used alone; only this class
  * knows which of them work together.
@@ -91,8 +98,14 @@
   readonly services: DaemonServiceDesk;
   readonly calls: CallsService;
   readonly jobs: JobsService;
+  readonly created: CreatedVms;
+  /** Undefined when the settings name no cloud API. */
+  readonly capacity: CapacityService | undefined;
   readonly admin: AdminServer;
   readonly #options: DaemonPartsOptions;
+  #createdVms: readonly CreatedVm[] = [];
+  #closePlatform: () => Promise<unknown> = () => Promise.resolve();
+  #stopExpiring: (() => void) | undefined;
 
   constructor(options: DaemonPartsOptions) {
     this.#options = options;
@@ -164,6 +177,18 @@
     });
     this.calls = this.#createCalls();
     this.jobs = this.#createJobs();
+    this.created = new CreatedVms({
+      membership: this.membership,
+      caller: options.rpcClient,
+      methods: options.rpcServer,
+      clock,
+      random: random.fork(),
+      onChange: (vms) => {
+        this.#createdVms = vms;
+        this.applyDeployment();
+      },
+    });
+    this.capacity = this.#createCapacity();
     this.admin = this.#createAdmin();
     this.#connect();
   }
@@ -175,12 +200,39 @@
 
   /** Takes the settings in force into the parts that keep state of their own. */
   applyDeployment(): void {
-    this.registry.applyDeployment(this.deployment);
+    const { deployment } = this.#options.settings.daemon;
+    this.registry.applyDeployment(
+      this.deployment,
+      createdEndpoints(this.#createdVms, this.deployment, deployment),
+    );
+    // Their start times are known from the list only once the endpoints are.
+    this.registry.observeVmStarts(
+      this.#createdVms.map(({ vmId, startedAtMs }) => ({
+        vmId,
+        startedAtMs,
+        leavingAtMs: undefined,
+      })),
+    );
     for (const view of this.registry.all()) this.speeds.add(view.id, view.serviceId);
   }
 
+  /** Starts capacity control, and forgets old leaving entries from time to time. */
+  startCapacity(): void {
+    const { clock } = this.#options;
+    this.#stopExpiring = clock.every(expirePeriodMs, () => {
+      this.leaving.expire(clock.nowMs(), (subject) => this.registry.isConfigured(subject));
+    });
+    if (!this.capacity) return;
+    this.capacity.start();
+    this.created.start();
+  }
+
   /** Releases sockets and timers of the parts that are still running. */
   async close(): Promise<void> {
+    this.#stopExpiring?.();
+    this.created.stop();
+    await this.capacity?.stop();
+    await this.#closePlatform();
     this.sharing.stop();
     this.watch.stop();
     this.selector.stop();
@@ -314,6 +366,41 @@
     });
   }
 
+  #createCapacity(): CapacityService | undefined {
+    const { settings, clock, random, events } = this.#options;
+    const { cloud_url, weight_store_url, weight_store_bytes_per_s } = settings.platform;
+    if (cloud_url === '') return undefined;
+    const { name, region } = settings.daemon;
+    const cloud = new HttpCloudApi({ baseUrl: cloud_url });
+    const orders = new HttpEndpointOrders();
+    const weightStore =
+      weight_store_url === ''
+        ? undefined
+        : new HttpWeightStore({ baseUrl: weight_store_url, clock });
+    this.#closePlatform = () =>
+      Promise.all([cloud.close(), orders.close(), weightStore?.close() ?? Promise.resolve()]);
+    return new CapacityService({
+      daemon: name,
+      region,
+      incarnation: Math.floor(this.startedAtMs),
+      cloud,
+      weightStore,
+      weightBytesPerS: weight_store_bytes_per_s,
+      orders,
+      openStream: (fold) => this.log.open(`control.${region}`, fold),
+      membership: this.membership,
+      registry: this.registry,
+      leaving: this.leaving,
+      deployment: () => this.deployment,
+      clock,
+      random: random.fork(),
+      events,
+      onList: (list) => {
+        this.created.observeList(region, list);
+      },
+    });
+  }
+
   #createAdmin(): AdminServer {
     const { settings, clock, events, metrics, tls, rpcClient, rpcServer, state, inFlight } =
       this.#options;
@@ -336,6 +423,7 @@
       burn: this.burn,
       jobs: this.jobs,
       calls: this.calls,
+      capacity: () => this.capacity?.status(),
       inFlight,
       state,
     });
--- a/src/daemon/daemon-settings.ts
+++ b/src/daemon/daemon-settings.ts
@@ -52,6 +52,8 @@
     .strictObject({
       cloud_url: z.string().default(''),
       weight_store_url: z.string().default(''),
+      /** Rate of the weight store that one daemon's controllers use at most. */
+      weight_store_bytes_per_s: whole(1_000, 1_000_000_000_000).default(1_000_000_000),
       link_bits_per_s: whole(1_000, 1_000_000_000_000).default(20_000_000),
       link_usd_per_gb: decimal(0, 100).default(0.02),
     })
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -181,6 +181,7 @@
     parts.jobs.start();
     parts.sharing.start();
     await parts.watch.start();
+    parts.startCapacity();
   }
 
   async #stop(): Promise<void> {
--- /dev/null
+++ b/src/daemon/service-control.ts
@@ -0,0 +1,164 @@
+import type { CapacityStatus } from '../admin-api/index.js';
+import {
+  FleetController,
+  ModelLoads,
+  VersionRollout,
+  type CloudApi,
+  type CloudVmList,
+  type ControllerStore,
+  type EndpointOrders,
+  type InformationAge,
+  type LeaseKeeper,
+  type WeightLoadScheduler,
+} from '../capacity/index.js';
+import type { Clock, Random } from '../core/index.js';
+import type { EndpointRegistry, EndpointView, LeavingMerge } from '../fleet/index.js';
+import type { Deployment, ServiceSettings } from '../settings/index.js';
+import type { EventLog } from '../telemetry/index.js';
+import { endpointsNeeded } from './load-target.js';
+
+/** Options of {@link ServiceControl}. */
+export interface ServiceControlOptions {
+  readonly serviceId: string;
+  readonly region: string;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly events: EventLog;
+  readonly cloud: CloudApi;
+  readonly orders: EndpointOrders;
+  /** Undefined when no weight store is configured. */
+  readonly loads: WeightLoadScheduler | undefined;
+  readonly leases: LeaseKeeper;
+  readonly store: ControllerStore;
+  readonly isCandidate: () => boolean;
+  readonly list: () => CloudVmList | undefined;
+  readonly age: InformationAge;
+  readonly registry: EndpointRegistry;
+  readonly leaving: LeavingMerge;
+  readonly deployment: () => Deployment;
+}
+
+type ControllerStatus = CapacityStatus['controllers'][number];
+
+/** A load of tens of gigabytes at the store's rate, before one was seen. */
+const weightLoadMs = 60_000;
+
+/** The controller of one engine service in one region: its VMs, its models and its version. */
+export class ServiceControl {
+  readonly #options: ServiceControlOptions;
+  readonly #controller: FleetController;
+  readonly #rollout: VersionRollout;
+  readonly #models: ModelLoads;
+
+  constructor(options: ServiceControlOptions) {
+    this.#options = options;
+    const { serviceId, region, clock, leases, store, orders, registry, events } = options;
+    const leaseName = `control/${serviceId}/${region}`;
+    this.#controller = new FleetController({
+      ...options,
+      random: options.random.fork(),
+      intents: store,
+      settings: () => this.#settings,
+      targetVms: () => endpointsNeeded(this.#views()),
+      weightLoadMs: () => weightLoadMs,
+      onLease: () => {
+        this.#rollout.restore(store.rollout(leaseName));
+      },
+    });
+    this.#rollout = new VersionRollout({
+      serviceId,
+      region,
+      leaseName,
+      clock,
+      leases,
+      orders,
+      registry,
+      events,
+      desiredVersion: () => this.#settings?.version,
+      beforeLoad: (view, version) => this.#loadVersion(view, version),
+      onState: (state, fence) => store.recordRollout(leaseName, state, fence),
+    });
+    this.#models = new ModelLoads({
+      leaseName,
+      leases,
+      orders,
+      events,
+      views: () => this.#views(),
+      models: () => this.#settings?.models ?? [],
+      // A version that failed must not reach new endpoints either.
+      version: () => this.#rollout.state?.version,
+      mayOrder: (view) => this.#rollout.mayOrder(view),
+      beforeLoad: (view, model, version) => this.#load(view, model, version),
+    });
+  }
+
+  get isHolding(): boolean {
+    return this.#controller.isHolding;
+  }
+
+  /** One round. */
+  async tick(): Promise<void> {
+    await this.#controller.tick();
+    if (!this.isHolding) return;
+    // An order or the weight store may take long; the VMs must not wait for it.
+    void this.#rollOut();
+    this.#models.tick();
+  }
+
+  /** What `oriolectl status` shows while the lease is held here. */
+  status(): ControllerStatus | undefined {
+    const { serviceId, region, leases } = this.#options;
+    const fence = leases.fence(this.#controller.leaseName);
+    if (!this.isHolding || fence === undefined) return undefined;
+    const state = this.#rollout.state;
+    const views = this.#views();
+    return {
+      serviceId,
+      region,
+      fence,
+      refusedStarts: this.#controller.refusedStarts.map((blocked) => ({ ...blocked })),
+      rollout: state
+        ? {
+            phase: state.phase,
+            version: state.version,
+            failedVersion: state.failedVersion ?? null,
+            reason: state.reason,
+            endpointsOnVersion: views.filter(({ version }) => version === state.version).length,
+            endpoints: views.length,
+          }
+        : null,
+    };
+  }
+
+  get #settings(): ServiceSettings | undefined {
+    return this.#options.deployment().services.get(this.#options.serviceId)?.values;
+  }
+
+  #views(): readonly EndpointView[] {
+    const { registry, serviceId, region } = this.#options;
+    return registry.views(serviceId).filter((view) => view.region === region);
+  }
+
+  async #rollOut(): Promise<void> {
+    try {
+      await this.#rollout.tick();
+    } catch {
+      // The state could not be kept for the next holder, so nothing was ordered; the controller's
+      // own round reports that the log is unavailable.
+    }
+  }
+
+  async #loadVersion(view: EndpointView, version: string): Promise<void> {
+    for (const model of this.#settings?.models ?? []) await this.#load(view, model, version);
+  }
+
+  async #load(view: EndpointView, model: string, version: string): Promise<void> {
+    await this.#options.loads?.load({
+      token: `${view.id}/${model}/${version}`,
+      endpointId: view.id,
+      failureDomain: view.failureDomain,
+      model,
+      version,
+    });
+  }
+}
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -56,6 +56,8 @@
   RolledBack = 612,
   WeightStoreBusy = 613,
   OrderFailed = 614,
+  ControlFollowed = 620,
+  ModelLoadOrdered = 621,
 
   // 7xx claims and jobs
   CallOutcomeUnknown = 701,
