Measure the state that grows with the deployment

Cause: the size in two years needs slopes that no suite gave: memory per endpoint, section, claim and job, the CPU and bytes of an endpoint poll, and claims when few of many daemons are homes. Change: bench/state-size.ts; measureClaims of the log-catch-up suite takes the number of daemons that share the append rate.

--- a/bench/log-catch-up.ts
+++ b/bench/log-catch-up.ts
@@ -98,7 +98,7 @@
   override async run(): Promise<BenchRow[]> {
     const rows: BenchRow[] = [];
     for (const records of [1_000, 10_000, 100_000]) rows.push(...(await catchUp(records)));
-    for (const writers of [1, 8, 32]) rows.push(...(await claims(writers)));
+    for (const writers of [1, 8, 32]) rows.push(...(await measureClaims(writers)));
     return rows;
   }
 }
@@ -167,7 +167,12 @@
 }
 
 /** Each writer is the home daemon of its own shard, as in a deployment. */
-function startWriters(count: number, clock: VirtualClock, random: Random): Writer[] {
+function startWriters(
+  count: number,
+  liveDaemons: number,
+  clock: VirtualClock,
+  random: Random,
+): Writer[] {
   const faults = new SeededLogFaults({ clock, random: random.fork(), maxDelayMs: 4 });
   const log = new MemoryLogService({ clock, faults });
   const events = new NullEventLog();
@@ -190,7 +195,7 @@
       clock,
       random: random.fork(),
       newId: countingIds(`entry-${n}`),
-      budget: new AppendBudget({ clock, appendsPerS: 300, liveDaemons: count }),
+      budget: new AppendBudget({ clock, appendsPerS: 300, liveDaemons }),
       breaker: new CircuitBreaker({ clock, random: random.fork() }),
       events,
     });
@@ -198,17 +203,23 @@
   });
 }
 
-async function claims(count: number): Promise<BenchRow[]> {
-  const open = await drive(count, async (writer, clock, random, record) => {
+/**
+ * Claims through the group commit of `count` home daemons.
+ *
+ * @param liveDaemons - daemons that share the append rate, homes or not.
+ */
+export async function measureClaims(count: number, liveDaemons = count): Promise<BenchRow[]> {
+  const open = await drive(count, liveDaemons, async (writer, clock, random, record) => {
     // Poisson arrivals of 1,000 claims/s in all.
     const meanMs = count;
     await clock.sleepUntil(clock.nowMs() + random.exponential(meanMs));
     void record(writer);
   });
-  const closed = await drive(count, async (writer, _clock, _random, record) => {
+  const closed = await drive(count, liveDaemons, async (writer, _clock, _random, record) => {
     await Promise.all(Array.from({ length: 4_096 / count }, () => record(writer)));
   });
-  const label = `${count} writers`;
+  const label =
+    liveDaemons === count ? `${count} writers` : `${count} writers of ${liveDaemons} daemons`;
   const sorted = open.latenciesMs.sort((a, b) => a - b);
   return [
     { name: `claims per second, 4096 waiting, ${label}`, value: closed.perS, unit: '1/s' },
@@ -235,11 +246,12 @@
 
 async function drive(
   count: number,
+  liveDaemons: number,
   load: Load,
 ): Promise<{ perS: number; appendsPerS: number; latenciesMs: number[] }> {
   const clock = new VirtualClock();
   const random = new Random(7);
-  const writers = startWriters(count, clock, random);
+  const writers = startWriters(count, liveDaemons, clock, random);
   const latenciesMs: number[] = [];
   const endMs = clock.nowMs() + 5_000;
   let claimed = 0;
--- a/bench/suites.ts
+++ b/bench/suites.ts
@@ -1,6 +1,7 @@
 import { ControlCostSuite } from './control-cost.js';
 import { LogCatchUpSuite } from './log-catch-up.js';
 import { RecoverySuite } from './recovery.js';
+import { StateSizeSuite } from './state-size.js';
 import type { BenchSuite } from './suite.js';
 
 /** All suites in the order in which they run. */
@@ -8,4 +9,5 @@
   new LogCatchUpSuite(),
   new RecoverySuite(),
   new ControlCostSuite(),
+  new StateSizeSuite(),
 ];
