--- a/bench/suites.ts
+++ b/bench/suites.ts
@@ -2,6 +2,7 @@
 import { LogCatchUpSuite } from './log-catch-up.js';
 import { RecoverySuite } from './recovery.js';
 import { RelaySuite } from './relay/relay-suite.js';
+import { StateSizeSuite } from './state-size.js';
 import type { BenchSuite } from './suite.js';
 
 /** All suites in the order in which they run. */
@@ -10,4 +11,5 @@
   new RecoverySuite(),
   new ControlCostSuite(),
   new RelaySuite(),
+  new StateSizeSuite(),
 ];
