--- a/src/daemon/routed-selector.ts
+++ b/src/daemon/routed-selector.ts
@@ -111,7 +111,7 @@
       ...this.#options,
       view,
       decision,
-      prefix: query.prefix,
+      request: query,
       own: registry.beginRequest(view.id, query.workClass, pendingTokens),
       onEnd: () => this.#leases.delete(lease),
     });
@@ -190,7 +190,7 @@
 interface RoutedLeaseOptions extends RoutedSelectorOptions {
   readonly view: EndpointView;
   readonly decision: Decision;
-  readonly prefix: PromptPrefix;
+  readonly request: RouteQuery;
   readonly own: OwnRequest;
   readonly onEnd: () => void;
 }
@@ -209,8 +209,8 @@
     super();
     this.view = options.view;
     this.#options = options;
-    const { caches, speeds, decision, prefix, clock } = options;
-    this.#reports = new AttemptReports(caches, speeds, decision, prefix, clock.nowMs());
+    const { caches, speeds, decision, request, clock } = options;
+    this.#reports = new AttemptReports(caches, speeds, decision, request, clock.nowMs());
   }
 
   override get endpointId(): string {
