Share the options of sharded services and reuse the settings session in the bench

Cause: calls and jobs repeated ten options and the wait for a shard; the bench wrote its own publisher. Change: ShardedServiceOptions and readyBy in a file of their own; the bench opens a SettingsSession.

--- a/bench/relay/bench-settings.ts
+++ b/bench/relay/bench-settings.ts
@@ -1,54 +1,38 @@
-import { Random, randomIds, type Clock } from '../../src/core/index.js';
-import { AppendBudget, Appender, CircuitBreaker, HttpLogService } from '../../src/log/index.js';
-import type { SigningKey } from '../../src/security/index.js';
-import { SettingsPublisher } from '../../src/settings-publisher/index.js';
-import { ConfigFold, rootKeyId, StreamReplica } from '../../src/state/index.js';
-import { NullEventLog } from '../../src/telemetry/index.js';
+import { Random, type Clock } from '../../src/core/index.js';
+import { SettingsSession } from '../../src/ctl/index.js';
+import { HttpLogService } from '../../src/log/index.js';
+import { SigningKey } from '../../src/security/index.js';
+import { rootKeyId } from '../../src/state/index.js';
 
 /** Options of {@link publishBenchSettings}. */
 export interface BenchSettingsOptions {
   readonly deployment: string;
   readonly logUrl: string;
   readonly engineUrl: string;
-  readonly rootKey: SigningKey;
+  /** Secret of the deployment's root operator. */
+  readonly rootSecret: string;
   readonly secretHash: string;
   readonly clock: Clock;
 }
 
+const publishTimeoutMs = 10_000;
+
 /** Publishes one team with one engine that takes any number of streams. */
 export async function publishBenchSettings(options: BenchSettingsOptions): Promise<void> {
-  const { deployment, rootKey, clock } = options;
+  const { deployment, rootSecret, clock } = options;
   const log = new HttpLogService({ baseUrl: options.logUrl });
-  const random = new Random(1);
-  const events = new NullEventLog();
-  const stream = `${deployment}.config`;
-  const fold = new ConfigFold({ deployment, rootPublicKey: rootKey.publicKey });
-  const replica = new StreamReplica({ log, stream, fold, clock, random, events });
-  const writer = new Appender({
+  const deadlineAtMs = clock.nowMs() + publishTimeoutMs;
+  const session = await SettingsSession.open({
     log,
-    stream,
-    writer: 'bench',
-    feed: replica,
-    clock,
-    random,
-    newId: randomIds,
-    budget: new AppendBudget({ clock, appendsPerS: 50 }),
-    breaker: new CircuitBreaker({ clock, random }),
-    events,
-  });
-  replica.start();
-  const publisher = new SettingsPublisher({
     deployment,
-    keyId: rootKeyId,
-    key: rootKey,
-    replica,
-    fold,
-    writer,
+    rootPublicKey: SigningKey.fromSecret(rootSecret).publicKey,
+    key: { keyId: rootKeyId, secret: rootSecret },
     clock,
-    newId: randomIds,
+    random: new Random(1),
+    deadlineAtMs,
   });
   const root = `${deployment}/bench`;
-  const verdict = await publisher.publish(
+  const verdict = await session.publish(
     [
       { path: `${root}/services/engine`, values: { kind: 'engine', models: 'bench' } },
       { path: `${root}/workspaces/load`, values: { services: 'engine' } },
@@ -73,10 +57,9 @@
         },
       },
     ],
-    clock.nowMs() + 10_000,
+    deadlineAtMs,
   );
-  writer.stop();
-  await replica.stop();
+  await session.close();
   await log.close();
   if (!verdict.isAccepted) throw new Error(verdict.message);
 }
--- a/bench/relay/relay-suite.ts
+++ b/bench/relay/relay-suite.ts
@@ -39,17 +39,17 @@
     const log = new LogServer();
     const engineUrl = await source.listen();
     await log.listen();
-    const rootKey = SigningKey.fromSecret(newOperatorSecret());
+    const rootSecret = newOperatorSecret();
     const key = createBearerKey('bench/caller');
     await publishBenchSettings({
       deployment,
       logUrl: log.baseUrl,
       engineUrl,
-      rootKey,
+      rootSecret,
       secretHash: await hashSecret(key.secret),
       clock: new SystemClock(),
     });
-    const daemonIni = daemonSettings(log.baseUrl, rootKey.publicKey);
+    const daemonIni = daemonSettings(log.baseUrl, SigningKey.fromSecret(rootSecret).publicKey);
     const pair: RelayPair = {
       bare: await RelayProcess.start({ kind: 'bare', engineUrl, daemonIni }),
       daemon: await RelayProcess.start({ kind: 'daemon', engineUrl, daemonIni }),
--- a/src/daemon/calls-service.ts
+++ b/src/daemon/calls-service.ts
@@ -6,16 +6,7 @@
   type BackEndCaller,
   type CallAnswer,
 } from '../calls/index.js';
-import {
-  Outcome,
-  RequestError,
-  Step,
-  type Clock,
-  type IdSource,
-  type Random,
-} from '../core/index.js';
-import type { Membership } from '../membership/index.js';
-import type { PeerCaller, PeerMethods } from '../rpc/index.js';
+import type { Clock } from '../core/index.js';
 import {
   ClaimFold,
   claimSchema,
@@ -25,11 +16,11 @@
   type Claim,
   type ResolutionEntry,
 } from '../state/index.js';
-import type { EventLog } from '../telemetry/index.js';
-import type { LogAccess, OpenStream } from './log-access.js';
+import type { OpenStream } from './log-access.js';
 import { runAtHome } from './home-fallback.js';
 import { decodeResult, encodeResult, resultOrErrorSchema } from './request-error-codec.js';
 import { ShardHost, shardOfId, ShardPart } from './shard-host.js';
+import { readyBy, type ShardedServiceOptions } from './sharded-service.js';
 
 const callSchema = z.object({
   workspace: z.string(),
@@ -63,17 +54,7 @@
 const fallbackMs = 2_000;
 
 /** Options of {@link CallsService}. */
-export interface CallsServiceOptions {
-  readonly daemon: string;
-  readonly shards: number;
-  readonly log: LogAccess;
-  readonly membership: Membership;
-  readonly peers: PeerCaller;
-  readonly methods: PeerMethods;
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly newId: IdSource;
-  readonly events: EventLog;
+export interface CallsServiceOptions extends ShardedServiceOptions {
   /** Chooses the endpoint of a call and returns the way to call it. */
   readonly backEndFor: (call: RoutedCall) => BackEndCaller;
 }
@@ -229,23 +210,3 @@
     await this.#stream.close();
   }
 }
-
-/** Waits until a shard is caught up. @throws RequestError (`not_run`) when that takes too long. */
-export async function readyBy(shard: ShardPart, deadlineAtMs: number, clock: Clock): Promise<void> {
-  const enough = new AbortController();
-  const isReady = await Promise.race([
-    shard.ready.then(() => true),
-    clock.sleepUntil(deadlineAtMs, enough.signal).then(() => false),
-  ]);
-  enough.abort();
-  if (isReady) return;
-  throw new RequestError('the log could not be read in time', {
-    step: Step.Log,
-    peer: 'log',
-    status: 503,
-    code: 'log_unavailable',
-    next: 'Send the request again with the same key.',
-    outcome: Outcome.NotRun,
-    retryAtMs: clock.nowMs() + 5_000,
-  });
-}
--- a/src/daemon/jobs-service.ts
+++ b/src/daemon/jobs-service.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { WorkClass, type Clock, type IdSource, type Random } from '../core/index.js';
+import { WorkClass } from '../core/index.js';
 import {
   HandoverPlanner,
   JobFrameKind,
@@ -10,15 +10,13 @@
   type KvMover,
   type ReclaimNotice,
 } from '../jobs/index.js';
-import type { Membership } from '../membership/index.js';
-import type { PeerCaller, PeerMethods } from '../rpc/index.js';
+import type { PeerMethods } from '../rpc/index.js';
 import { JobFold, JobStatus, type Job } from '../state/index.js';
-import type { EventLog } from '../telemetry/index.js';
-import { readyBy } from './calls-service.js';
-import type { LogAccess, OpenStream } from './log-access.js';
+import type { OpenStream } from './log-access.js';
 import { runAtHome } from './home-fallback.js';
 import { decodeResult, encodeResult, resultOrErrorSchema } from './request-error-codec.js';
 import { ShardHost, shardOfId, ShardPart } from './shard-host.js';
+import { readyBy, type ShardedServiceOptions } from './sharded-service.js';
 
 const newJobSchema = z.object({
   /** Chosen by the daemon that the caller reached, so that accepting twice records one job. */
@@ -85,19 +83,9 @@
 const callTimeoutMs = 10_000;
 
 /** Options of {@link JobsService}. */
-export interface JobsServiceOptions {
-  readonly daemon: string;
+export interface JobsServiceOptions extends ShardedServiceOptions {
   /** Start time of the daemon, which tells its lives apart. */
   readonly incarnation: number;
-  readonly shards: number;
-  readonly log: LogAccess;
-  readonly membership: Membership;
-  readonly peers: PeerCaller;
-  readonly methods: PeerMethods;
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly newId: IdSource;
-  readonly events: EventLog;
   readonly chooser: EndpointChooser;
   readonly kvMover: KvMover;
   readonly policyFor: (job: Job) => JobPolicy;
