Release the request body once it is parsed

Cause: listeners that stayed on the request kept its body in memory while the answer streamed. Change: readBody removes its listeners when it is done.

--- a/src/pipeline/read-body.ts
+++ b/src/pipeline/read-body.ts
@@ -20,7 +20,8 @@
     let bytes = 0;
     const finish = (error?: RequestError): void => {
       cancelTimer();
-      request.removeAllListeners('data');
+      // A listener that stays keeps the body in memory for as long as its answer streams.
+      request.off('data', onData).off('end', onEnd).off('error', onError);
       if (error) reject(error);
       else resolve(Buffer.concat(chunks));
     };
@@ -29,20 +30,21 @@
         refusal(408, 'slow_body', 'the request body did not arrive in time', 'Send it faster.'),
       );
     });
-    request.on('data', (chunk: Buffer) => {
+    const onData = (chunk: Buffer): void => {
       bytes += chunk.length;
       chunks.push(chunk);
       if (bytes > options.maxBytes) {
         const limit = `Send at most ${options.maxBytes} bytes.`;
         finish(refusal(413, 'body_too_large', 'the request body is too large', limit));
       }
-    });
-    request.once('end', () => {
+    };
+    const onEnd = (): void => {
       finish();
-    });
-    request.once('error', () => {
+    };
+    const onError = (): void => {
       finish(refusal(400, 'broken_body', 'the request body broke off', 'Send it again.'));
-    });
+    };
+    request.on('data', onData).on('end', onEnd).on('error', onError);
   });
 }
 
