--- a/bench/policy/main.ts
+++ b/bench/policy/main.ts
@@ -1,8 +1,9 @@
 import { mkdir, writeFile } from 'node:fs/promises';
+import { Worker } from 'node:worker_threads';
 import Table from 'cli-table3';
 import { renderLineChart } from '../../src/report/line-chart.js';
 import { runCoarseFleet, type CoarseFleetResult } from './coarse-fleet.js';
-import { measureDecisionCost, type DecisionCost } from './decision-cost.js';
+import type { DecisionCost } from './decision-cost.js';
 import { deployments } from './deployments.js';
 import { pooledQuantile } from './estimate.js';
 import { baselines, PolicyName } from './policies.js';
@@ -67,7 +68,7 @@
     }),
   );
   print('Spread over 3,600 endpoints before 460 daemons at 70% load', coarseTable(coarse));
-  const costs = [10, 100, 1_000].map(measureDecisionCost);
+  const costs = await decisionCosts([10, 100, 1_000]);
   print('CPU time of a decision', costTable(costs));
   targets.push(decisionTarget(costs));
   print(`Targets, ${seeds} seeds, 95% confidence intervals`, targetTable(targets));
@@ -84,6 +85,15 @@
   );
 }
 
+function decisionCosts(candidates: readonly number[]): Promise<DecisionCost[]> {
+  const worker = new Worker(new URL('./decision-cost-worker.js', import.meta.url));
+  return new Promise((resolve, reject) => {
+    worker.once('error', reject);
+    worker.once('message', resolve);
+    worker.postMessage(candidates);
+  });
+}
+
 const policyNames = [PolicyName.Router, PolicyName.Oracle, ...baselines];
 const coarsePolicies = [
   PolicyName.Router,
--- a/src/routing/load-estimate.ts
+++ b/src/routing/load-estimate.ts
@@ -64,16 +64,22 @@
 }
 
 /**
- * Mean load by other daemons over the candidates that report, towards which old reports decay: an
- * endpoint whose reports stop must not look empty.
+ * Fills in the load by other daemons of each view, NaN without a report, and returns the mean, towards
+ * which old reports decay: an endpoint whose reports stop must not look empty.
  *
  * @internal
  */
-export function meanReportedByOthers(views: readonly EndpointView[], sent: RecentSends): number {
+export function fillReportedByOthers(
+  target: Float64Array,
+  views: readonly EndpointView[],
+  sent: RecentSends,
+): number {
   let sum = 0;
   let count = 0;
-  for (const view of views) {
-    const others = reportedByOthers(view, sent.since(view));
+  for (let index = 0; index < views.length; index++) {
+    const view = views[index];
+    const others = view && reportedByOthers(view, sent.since(view));
+    target[index] = others ?? NaN;
     if (others === undefined) continue;
     sum += others;
     count += 1;
@@ -86,7 +92,8 @@
  * discounted by its age, the cache view and the observed speed.
  *
  * @param target - overwritten with the estimate.
- * @param meanOthers - from {@link meanReportedByOthers}.
+ * @param reportedOthers - of the view, from {@link fillReportedByOthers}; NaN without a report.
+ * @param meanOthers - from {@link fillReportedByOthers}.
  * @internal
  */
 export function estimateLoad(
@@ -94,12 +101,12 @@
   view: EndpointView,
   request: RouteRequest,
   caches: CacheView,
-  sent: RecentSends,
+  reportedOthers: number,
   meanOthers: number,
   nowMs: number,
   assumptions: EngineAssumptions,
 ): void {
-  const reported = reportedByOthers(view, sent.since(view)) ?? meanOthers;
+  const reported = Number.isNaN(reportedOthers) ? meanOthers : reportedOthers;
   const ageMs = view.report ? Math.max(0, nowMs - view.report.observedAtMs) : Infinity;
   const trust = Math.exp((-Math.LN2 * ageMs) / assumptions.reportHalfLifeMs);
   const requests = ownRequests(view) + meanOthers + (reported - meanOthers) * trust;
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -7,7 +7,7 @@
 import {
   defaultAssumptions,
   estimateLoad,
-  meanReportedByOthers,
+  fillReportedByOthers,
   ownRequests,
   type EngineAssumptions,
   type LoadEstimate,
@@ -87,8 +87,9 @@
   readonly #subsets = new Map<string, SubsetSelector>();
   readonly #sent = new RecentSends();
   #decisionsSinceProbe = 0;
-  /** Totals of the current decision, kept to save an allocation. */
-  #scratch = new Float64Array(0);
+  /** Scores and load by others of the current decision, kept to save allocations. */
+  #totals = new Float64Array(0);
+  #others = new Float64Array(0);
 
   constructor(options: RouterOptions) {
     this.#random = options.random;
@@ -111,11 +112,15 @@
   choose(request: RouteRequest, allViews: readonly EndpointView[], nowMs: number): Decision {
     const views = this.#subset(request).select(allViews, request.subsetSize);
     const count = views.length;
-    if (this.#scratch.length < count) this.#scratch = new Float64Array(count * 2);
-    const totals = this.#scratch;
+    if (this.#totals.length < count) {
+      this.#totals = new Float64Array(count * 2);
+      this.#others = new Float64Array(count * 2);
+    }
+    const totals = this.#totals;
+    const others = this.#others;
     const loads = new Float64Array(count * loadFields);
     const load = { requests: 0, uncachedTokens: 0, firstTokenMs: 0, tokenGapMs: 0 };
-    const meanOthers = meanReportedByOthers(views, this.#sent);
+    const meanOthers = fillReportedByOthers(others, views, this.#sent);
     const preferenceMisses: number[] = [];
 
     let bestUsd = Infinity;
@@ -127,7 +132,7 @@
         view,
         request,
         this.#caches,
-        this.#sent,
+        others[index] ?? NaN,
         meanOthers,
         nowMs,
         this.#assumptions,
