--- a/bench/histories/history.ts
+++ b/bench/histories/history.ts
@@ -14,6 +14,7 @@
   ReclaimAnnounced = 'reclaim_announced',
   EndpointLeaving = 'endpoint_leaving',
   WorkAssigned = 'work_assigned',
+  RegionsCut = 'regions_cut',
   StopBegan = 'stop_began',
   RequestBegan = 'request_began',
   RequestEnded = 'request_ended',
@@ -69,11 +70,14 @@
   | { readonly kind: HistoryKind.ReclaimAnnounced; readonly endpointIds: readonly string[] }
   /** First signal that an endpoint is leaving, wherever it was seen. */
   | { readonly kind: HistoryKind.EndpointLeaving; readonly endpointId: string }
-  /** An endpoint received new work. */
+  /** No message passes between the regions from `atMs` to `untilMs`. */
+  | { readonly kind: HistoryKind.RegionsCut; readonly untilMs: number }
+  /** An endpoint received new work; `isRemote` when it came from another region. */
   | {
       readonly kind: HistoryKind.WorkAssigned;
       readonly endpointId: string;
       readonly workId: string;
+      readonly isRemote: boolean;
     }
   | { readonly kind: HistoryKind.StopBegan; readonly daemon: string }
   | { readonly kind: HistoryKind.RequestBegan; readonly requestId: string; readonly daemon: string }
--- a/bench/histories/simulated-daemon.ts
+++ b/bench/histories/simulated-daemon.ts
@@ -17,6 +17,8 @@
 import { listenInProcess } from './process-peers.js';
 import { ProcessLogService, SimulatedProcess } from './process.js';
 import { ReplicaWriter } from './replica-writer.js';
+import type { SimulatedEndpoints } from './simulated-endpoints.js';
+import { SimulatedFleet } from './simulated-fleet.js';
 import { SimulatedSettings } from './simulated-settings.js';
 
 /** Options of {@link SimulatedDaemon}. */
@@ -28,9 +30,13 @@
   readonly history: HistoryRecorder;
   readonly name: string;
   readonly incarnation: number;
-  /** Undefined in histories without settings. */
-  readonly network: MemoryPeerNetwork | undefined;
+  readonly network: MemoryPeerNetwork;
+  /** RPC addresses of all daemons. */
   readonly urls: readonly string[];
+  readonly region: string;
+  readonly hasSettings: boolean;
+  /** Undefined in histories without chats. */
+  readonly chatEndpoints: SimulatedEndpoints | undefined;
 }
 
 /** A call as a caller sends it. */
@@ -49,6 +55,8 @@
   readonly claimWriter: ReplicaWriter;
   readonly manager: JobManager;
   readonly settings: SimulatedSettings | undefined;
+  readonly fleet: SimulatedFleet | undefined;
+  readonly region: string;
   readonly #coordinator: ClaimCoordinator;
   readonly #backEnd: FakeBackEnd;
 
@@ -57,6 +65,7 @@
     const random = options.random.fork();
     const process = new SimulatedProcess(clock);
     this.process = process;
+    this.region = options.region;
     const log = new NullEventLog();
     const run = `${name}.${incarnation}`;
     const writerOf = (stream: string, fold: Fold): ReplicaWriter => {
@@ -98,19 +107,31 @@
       appendTimeoutMs: 3_000,
     });
     this.manager.start();
-    if (options.network) {
-      const url = daemonUrl(name);
+    const peers = listenInProcess(options.network, daemonUrl(name), process);
+    const seedUrls = options.urls;
+    if (options.hasSettings) {
       this.settings = new SimulatedSettings({
         process,
         log: new ProcessLogService(options.log, process),
         random: random.fork(),
         run,
         daemon: name,
-        peers: listenInProcess(options.network, url, process),
-        seedUrls: options.urls,
+        peers,
+        seedUrls,
         history,
       });
     }
+    if (options.chatEndpoints) {
+      this.fleet = new SimulatedFleet({
+        process,
+        random: random.fork(),
+        daemon: name,
+        region: options.region,
+        peers,
+        seedUrls,
+        endpoints: options.chatEndpoints,
+      });
+    }
   }
 
   /** Runs `action` inside the process; never settles when the process has crashed. */
--- a/src/daemon/daemon-parts.ts
+++ b/src/daemon/daemon-parts.ts
@@ -251,6 +251,7 @@
       caches: this.caches,
       speeds: this.speeds,
       engines: this.engines,
+      isCurrent: () => this.gossip.isCurrent,
       deployment: () => this.deployment,
       clock,
     });
--- a/src/daemon/routed-selector.ts
+++ b/src/daemon/routed-selector.ts
@@ -18,7 +18,11 @@
 } from '../pipeline/index.js';
 import { AttemptReports, type Decision, type RouteRequest, type Router } from '../routing/index.js';
 import { workspaceSchema, type Deployment } from '../settings/index.js';
-import type { EnginePool } from './engine-pool.js';
+
+/** Gives the client of an endpoint; in a daemon, the engine pool. */
+export interface EngineClients {
+  client(view: EndpointView): EngineClient;
+}
 
 /** Options of {@link RoutedSelector}. */
 export interface RoutedSelectorOptions {
@@ -27,7 +31,9 @@
   readonly leaving: LeavingMerge;
   readonly caches: CacheView;
   readonly speeds: SpeedEstimator;
-  readonly engines: EnginePool;
+  readonly engines: EngineClients;
+  /** Whether the daemon knows which endpoints are leaving; false for a moment after a pause. */
+  readonly isCurrent: () => boolean;
   readonly deployment: () => Deployment;
   readonly clock: Clock;
 }
@@ -97,9 +103,10 @@
     }
   }
 
-  /** Routes once; undefined when every endpoint is excluded. */
+  /** Routes once; undefined when every endpoint is excluded or the daemon was paused just now. */
   tryLease(query: RouteQuery): RoutedLease | undefined {
-    const { registry, clock, router } = this.#options;
+    const { registry, clock, router, isCurrent } = this.#options;
+    if (!isCurrent()) return undefined;
     const views = registry
       .views(query.serviceId)
       .filter(({ region }) => query.region === undefined || region === query.region);
--- a/src/fleet/leaving-gossip.ts
+++ b/src/fleet/leaving-gossip.ts
@@ -45,6 +45,12 @@
 /** A peer that starts at the same time has nothing to give; waiting longer would not help. */
 const startPatienceMs = 3_000;
 
+/** Period of a timer that shows, by being late, that the process was paused. */
+const heartbeatMs = 500;
+/** A daemon paused for longer may have missed a signal, of which P5 allows it to know nothing 3 s. */
+const maxPauseMs = 1_500;
+const regionRetryMs = 500;
+
 /** Options of {@link LeavingGossip}. */
 export interface LeavingGossipOptions {
   readonly leaving: LeavingMerge;
@@ -78,6 +84,8 @@
   #isComplete = false;
   #nextPullAtMs = 0;
   #isFlushDue = false;
+  #heartbeatAtMs: number;
+  #isCatchingUp = false;
 
   constructor(options: LeavingGossipOptions) {
     this.#leaving = options.leaving;
@@ -86,6 +94,10 @@
     this.#clock = options.clock;
     this.#random = options.random;
     this.#events = options.events ?? new NullEventLog();
+    this.#heartbeatAtMs = options.clock.nowMs();
+    options.clock.every(heartbeatMs, () => {
+      this.#beat();
+    });
     options.methods.register(pushMethod, (params) => {
       const { entries, tell } = pushSchema.parse(params);
       this.#receive(entries.map(decodeLeaving), tell);
@@ -95,7 +107,8 @@
       const { hashes } = pullSchema.parse(params);
       return Promise.resolve({
         entries: this.#leaving.differing(hashes).map(encodeLeaving),
-        isComplete: this.#isComplete,
+        // A peer that was paused itself has no news for one that was.
+        isComplete: this.#isComplete && this.isCurrent,
       });
     });
     this.#membership.addRider({
@@ -110,6 +123,15 @@
     });
   }
 
+  /**
+   * False from a pause of the process until the leaving set was pulled again. New work must wait,
+   * since an endpoint may have been announced to leave during the pause.
+   */
+  get isCurrent(): boolean {
+    this.#beat();
+    return !this.#isCatchingUp;
+  }
+
   /**
    * Pulls the leaving set from a peer that has a complete one. Call it after joining and before
    * the daemon takes requests.
@@ -118,23 +140,39 @@
    * set then grows from the cloud's notices and list and from the endpoints themselves.
    */
   async pullBeforeReady(): Promise<boolean> {
+    const hasPulled = await this.#pullFromAny();
+    this.#isComplete = true;
+    if (!hasPulled) {
+      this.#events.warn(EventId.LeavingPullFailed, 'no peer gave a complete leaving set', {
+        peers: this.#others().length,
+      });
+    }
+    return hasPulled;
+  }
+
+  #beat(): void {
+    const nowMs = this.#clock.nowMs();
+    const hasPaused = nowMs - this.#heartbeatAtMs > maxPauseMs;
+    this.#heartbeatAtMs = nowMs;
+    // One that has not pulled its first set yet takes no work anyway.
+    if (!hasPaused || this.#isCatchingUp || !this.#isComplete) return;
+    this.#isCatchingUp = true;
+    void this.#pullFromAny().then(() => {
+      this.#isCatchingUp = false;
+    });
+  }
+
+  /** @returns false when no peer with a complete set answered within 3 s. */
+  async #pullFromAny(): Promise<boolean> {
     const giveUpAtMs = this.#clock.nowMs() + startPatienceMs;
     for (;;) {
       for (const peer of this.#shuffled(this.#others()).slice(0, 3)) {
-        if (await this.#pull(peer)) {
-          this.#isComplete = true;
-          return true;
-        }
+        if (await this.#pull(peer)) return true;
       }
       const nowMs = this.#clock.nowMs();
-      if (nowMs >= giveUpAtMs) break;
+      if (nowMs >= giveUpAtMs) return false;
       await this.#clock.sleepUntil(Math.min(giveUpAtMs, nowMs + 250));
     }
-    this.#isComplete = true;
-    this.#events.warn(EventId.LeavingPullFailed, 'no peer gave a complete leaving set', {
-      peers: this.#others().length,
-    });
-    return false;
   }
 
   #receive(entries: readonly LeavingEntry[], tell: Tell): void {
@@ -175,9 +213,28 @@
     }
     for (const members of regions.values()) {
       const candidates = this.#shuffled(members);
-      for (let relay = 0; relay < relaysPerRegion; relay++) {
-        void this.#pushToOneOf(candidates, entries);
-      }
+      const relays = Array.from({ length: relaysPerRegion }, () =>
+        this.#pushToOneOf(candidates, entries),
+      );
+      void Promise.all(relays).then((results) => {
+        if (!results.includes(true)) return this.#pushUntilTaken(members, entries);
+        return undefined;
+      });
+    }
+  }
+
+  /**
+   * Tries a region that no relay answered in, as one that is cut off, until one does or the VMs are
+   * gone: a cut that ends before membership has noticed it leaves nothing else to tell the region.
+   */
+  async #pushUntilTaken(
+    members: readonly Member[],
+    entries: readonly LeavingEntry[],
+  ): Promise<void> {
+    const giveUpAtMs = Math.max(...entries.map(({ leavingAtMs }) => leavingAtMs));
+    while (this.#clock.nowMs() < giveUpAtMs) {
+      await this.#clock.sleepUntil(this.#clock.nowMs() + regionRetryMs);
+      if (await this.#push(this.#random.pick(members), entries, wholeRegion)) return;
     }
   }
 
@@ -199,11 +256,13 @@
   }
 
   /** Takes candidates from the shared list until one has taken the entries. */
-  async #pushToOneOf(candidates: Member[], entries: readonly LeavingEntry[]): Promise<void> {
+  async #pushToOneOf(candidates: Member[], entries: readonly LeavingEntry[]): Promise<boolean> {
     for (let attempt = 0; attempt < pushAttempts; attempt++) {
       const candidate = candidates.pop();
-      if (!candidate || (await this.#push(candidate, entries, wholeRegion))) return;
+      if (!candidate) return false;
+      if (await this.#push(candidate, entries, wholeRegion)) return true;
     }
+    return false;
   }
 
   async #pushWithRetries(member: Member, entries: readonly LeavingEntry[]): Promise<void> {
--- a/src/log/tailer.ts
+++ b/src/log/tailer.ts
@@ -25,6 +25,12 @@
   readonly graceMs?: number;
 }
 
+/**
+ * Longest pause between failed reads. With one silent read after it (15 s), a change is still read
+ * within the 20 s of P7 after an outage; with 5 s it was not.
+ */
+const maxPauseMs = 2_500;
+
 /** Least time between two reads that find nothing. */
 const minPollMs = 50;
 
@@ -50,7 +56,7 @@
   constructor(options: TailerOptions) {
     this.#options = options;
     this.#nextOffset = options.fromOffset ?? 0;
-    this.#backoff = new Backoff({ random: options.random });
+    this.#backoff = new Backoff({ random: options.random, maxMs: maxPauseMs });
   }
 
   /** Offset of the next record to read. */
@@ -76,9 +82,9 @@
   async #run(): Promise<void> {
     const { clock, limit = 1_000, waitMs = 10_000, graceMs = 5_000 } = this.#options;
     while (!this.#abort.signal.aborted) {
+      const readAtMs = clock.nowMs();
       try {
         const fromOffset = this.#nextOffset;
-        const readAtMs = clock.nowMs();
         // The first read does not wait, so that an empty stream is known to be caught up at once.
         const holdMs = this.#lastReadAtMs === undefined ? 0 : waitMs;
         const page = await withTimeout(clock, holdMs + graceMs, this.#abort.signal, (signal) =>
@@ -96,7 +102,7 @@
         }
       } catch (error) {
         if (this.#stopped()) return;
-        await this.#pauseAfter(error);
+        await this.#pauseAfter(error, readAtMs);
       }
     }
   }
@@ -119,7 +125,7 @@
     await this.#options.onPage(page, fromOffset);
   }
 
-  async #pauseAfter(error: unknown): Promise<void> {
+  async #pauseAfter(error: unknown, readAtMs: number): Promise<void> {
     const { clock, events, stream } = this.#options;
     if (!this.#isFailing) {
       const reason = error instanceof Error ? error.message : String(error);
@@ -129,7 +135,9 @@
       });
     }
     this.#isFailing = true;
-    await clock.sleepUntil(clock.nowMs() + this.#backoff.nextMs(), this.#abort.signal);
+    // A read that was silent has waited long enough itself.
+    const untilMs = Math.max(clock.nowMs(), readAtMs + this.#backoff.nextMs());
+    await clock.sleepUntil(untilMs, this.#abort.signal);
   }
 
   #stopped(): boolean {
--- /dev/null
+++ b/test/log/tailer_test.ts
@@ -0,0 +1,36 @@
+import { describe, expect, it } from 'vitest';
+import { LogFault, NoLogFaults, type LogReadFate } from '../../src/standins/index.js';
+import { FirstWinsFold, LogHarness, claimEntry } from './log-harness.js';
+
+/** Reads fail for a while, and the first one after that gets no answer. */
+class OutageThenSilence extends NoLogFaults {
+  hasOutage = false;
+  isNextSilent = false;
+
+  override onRead(): LogReadFate {
+    if (this.hasOutage) return { fault: LogFault.RequestLost, delayMs: 1 };
+    if (!this.isNextSilent) return { fault: LogFault.None, delayMs: 1 };
+    this.isNextSilent = false;
+    return { fault: LogFault.None, delayMs: 1e9 };
+  }
+}
+
+describe('Tailer', () => {
+  it('reads within 20 s of an outage that ends in a silent read (else P7 is violated)', async () => {
+    for (let seed = 1; seed <= 20; seed++) {
+      const faults = new OutageThenSilence();
+      const harness = new LogHarness(seed, faults);
+      const replica = harness.replica(new FirstWinsFold());
+      await harness.clock.advance(10);
+      faults.hasOutage = true;
+      await harness.store(claimEntry('a'));
+      // The first read after this one meets the outage, and the pauses grow to their limit.
+      await harness.clock.advance(60_000);
+      await harness.store(claimEntry('b'));
+      faults.hasOutage = false;
+      faults.isNextSilent = true;
+      await harness.clock.advance(20_000);
+      expect(replica.fold.winners.has('b')).toBe(true);
+    }
+  });
+});
