Extend the seeded histories to planned stops (P6)

Cause: P6 had a checker and no histories. Change: the order of a planned stop moves from Daemon to gracefulStop, which the histories drive for one daemon or for two thirds together, also with the log down, with calls, jobs and chats running. Signals of P5 name the region that saw them, so that an operator's drain across a cut is judged rightly, and a new daemon reads the cloud's earlier notices.

--- a/bench/histories/chat-commands.ts
+++ b/bench/histories/chat-commands.ts
@@ -114,7 +114,7 @@
 
 async function runChat(world: World, tokens: number): Promise<void> {
   const { history, random } = world;
-  const ready = world.daemons.filter(({ fleet, process }) => fleet?.isReady && !process.isCrashed);
+  const ready = world.daemons.filter(({ fleet, takesRequests }) => fleet?.isReady && takesRequests);
   if (ready.length === 0) return;
   const daemon = random.pick(ready);
   const callId = world.newCallId();
--- a/bench/histories/commands.ts
+++ b/bench/histories/commands.ts
@@ -60,18 +60,21 @@
     }),
 );
 
-const stop = fc.record({ waitMs, place }).map(
-  ({ waitMs: wait, place: at }) =>
-    new Command(`stop(${at})`, wait, (world) => {
-      const { manager, process } = world.daemon(at);
-      if (process.isPaused || process.isCrashed) return;
-      world.fault(`entry-${at} stops`);
-      world.spawn(async () => {
-        await manager.stop(world.clock.nowMs() + 5_000);
-        process.crash();
-      });
-    }),
-);
+const stop = fc
+  .record({
+    waitMs,
+    // Up to two thirds at the same time, some of them with the log down.
+    places: fc.subarray([0, 1, 2], { minLength: 1, maxLength: 2 }),
+    outageMs: fc.oneof(fc.constant(0), fc.integer({ min: 500, max: 20_000 })),
+  })
+  .map(
+    ({ waitMs: wait, places, outageMs }) =>
+      new Command(`stop(${places.join('+')}, log down ${outageMs})`, wait, (world) => {
+        world.fault(`daemons ${places.join(', ')} stop, log down for ${outageMs} ms`);
+        if (outageMs > 0) world.faults.startOutage(world.clock.nowMs() + outageMs);
+        for (const at of places) world.spawn(() => world.daemon(at).stop());
+      }),
+  );
 
 const outage = fc.record({ waitMs, outageMs: fc.integer({ min: 500, max: 20_000 }) }).map(
   ({ waitMs: wait, outageMs }) =>
--- a/bench/histories/history.ts
+++ b/bench/histories/history.ts
@@ -16,6 +16,7 @@
   WorkAssigned = 'work_assigned',
   RegionsCut = 'regions_cut',
   StopBegan = 'stop_began',
+  DaemonCrashed = 'daemon_crashed',
   RequestBegan = 'request_began',
   RequestEnded = 'request_ended',
   SettingAccepted = 'setting_accepted',
@@ -68,18 +69,24 @@
       readonly text: string;
     }
   | { readonly kind: HistoryKind.ReclaimAnnounced; readonly endpointIds: readonly string[] }
-  /** First signal that an endpoint is leaving, wherever it was seen. */
-  | { readonly kind: HistoryKind.EndpointLeaving; readonly endpointId: string }
+  /** A daemon of the region got a signal that an endpoint is leaving. */
+  | {
+      readonly kind: HistoryKind.EndpointLeaving;
+      readonly endpointId: string;
+      readonly region: string;
+    }
   /** No message passes between the regions from `atMs` to `untilMs`. */
   | { readonly kind: HistoryKind.RegionsCut; readonly untilMs: number }
-  /** An endpoint received new work; `isRemote` when it came from another region. */
+  /** An endpoint received new work; `region` is that of the daemon. */
   | {
       readonly kind: HistoryKind.WorkAssigned;
       readonly endpointId: string;
       readonly workId: string;
-      readonly isRemote: boolean;
+      readonly region: string;
     }
+  /** Daemons of stops and requests are named with their run, as `entry-0.3`. */
   | { readonly kind: HistoryKind.StopBegan; readonly daemon: string }
+  | { readonly kind: HistoryKind.DaemonCrashed; readonly daemon: string }
   | { readonly kind: HistoryKind.RequestBegan; readonly requestId: string; readonly daemon: string }
   /** `isCutOff` when the caller saw the connection end without a whole answer or refusal. */
   | {
--- a/bench/histories/process.ts
+++ b/bench/histories/process.ts
@@ -21,12 +21,15 @@
   silentReads = 0;
   /** Called once, outside the process, when it has crashed. */
   onCrash: () => void = () => undefined;
+  /** Called once, outside the process, when it has ended on purpose. */
+  onExit: () => void = () => undefined;
 
   constructor(base: Clock) {
     super();
     this.#base = base;
   }
 
+  /** True once the process has crashed or ended. */
   get isCrashed(): boolean {
     return this.#isCrashed;
   }
@@ -80,10 +83,19 @@
   }
 
   crash(): void {
-    if (this.#isCrashed) return;
+    if (this.#end()) this.onCrash();
+  }
+
+  /** Ends the process on purpose. */
+  exit(): void {
+    if (this.#end()) this.onExit();
+  }
+
+  #end(): boolean {
+    if (this.#isCrashed) return false;
     this.#isCrashed = true;
     this.#waiting = [];
-    this.onCrash();
+    return true;
   }
 
   #enter(action: () => void): void {
--- a/bench/histories/simulated-daemon.ts
+++ b/bench/histories/simulated-daemon.ts
@@ -5,6 +5,7 @@
   type CallAnswer,
 } from '../../src/calls/index.js';
 import { Random, countingIds, type Clock } from '../../src/core/index.js';
+import { gracefulStop } from '../../src/daemon/graceful-stop.js';
 import type { LogService } from '../../src/log/index.js';
 import { HandoverPlanner, JobManager } from '../../src/jobs/index.js';
 import { ClaimFold, JobFold, type Fold } from '../../src/state/index.js';
@@ -13,7 +14,7 @@
 import { FakeBackEnd, callIdHeader, keyHeader } from './fake-back-end.js';
 import { FakeChooser } from './fake-chooser.js';
 import type { FakeEndpoint } from './fake-engine.js';
-import type { HistoryRecorder } from './history.js';
+import { HistoryKind, type HistoryRecorder } from './history.js';
 import { listenInProcess } from './process-peers.js';
 import { ProcessLogService, SimulatedProcess } from './process.js';
 import { ReplicaWriter } from './replica-writer.js';
@@ -47,6 +48,10 @@
   readonly deadlineAtMs: number;
 }
 
+const noticeMs = 1_000;
+/** Longer than any request of a history takes. */
+const drainTimeoutMs = 90_000;
+
 /** The product's classes for calls and jobs, wired as in a daemon, inside a simulated process. */
 export class SimulatedDaemon {
   readonly process: SimulatedProcess;
@@ -57,6 +62,14 @@
   readonly settings: SimulatedSettings | undefined;
   readonly fleet: SimulatedFleet | undefined;
   readonly region: string;
+  /** Name of this run, unique in the history. */
+  readonly run: string;
+  readonly #options: SimulatedDaemonOptions;
+  readonly #recorder: OutcomeRecorder;
+  readonly #openRequests = new Set<string>();
+  #idle = new AbortController();
+  #requestCount = 0;
+  #noticedAtMs = Infinity;
   readonly #coordinator: ClaimCoordinator;
   readonly #backEnd: FakeBackEnd;
 
@@ -68,6 +81,8 @@
     this.region = options.region;
     const log = new NullEventLog();
     const run = `${name}.${incarnation}`;
+    this.run = run;
+    this.#options = options;
     const writerOf = (stream: string, fold: Fold): ReplicaWriter => {
       const writer = new ReplicaWriter({
         clock: process,
@@ -84,6 +99,7 @@
     const shared = { clock: process, log, daemon: name };
     const claimShared = { ...shared, writer: this.claimWriter, fold: this.claims };
     const recorder = new OutcomeRecorder({ ...claimShared, random: random.fork() });
+    this.#recorder = recorder;
     this.#coordinator = new ClaimCoordinator({
       ...claimShared,
       recorder,
@@ -134,10 +150,65 @@
     }
   }
 
-  /** Runs `action` inside the process; never settles when the process has crashed. */
+  /** False from the moment at which the balancer has seen that the daemon stops. */
+  get takesRequests(): boolean {
+    const { clock } = this.#options;
+    return clock.nowMs() < this.#noticedAtMs && !this.process.isCrashed;
+  }
+
+  /** Serves a request of a caller; never settles when the process has crashed. */
   async enter<T>(action: () => Promise<T>): Promise<T> {
     await this.process.deliver(Promise.resolve());
-    return this.process.deliver(action());
+    const end = this.#beginRequest();
+    try {
+      return await this.process.deliver(action());
+    } finally {
+      end();
+    }
+  }
+
+  /** Serves a caller's request until the returned function is called. */
+  #beginRequest(): () => void {
+    const { history } = this.#options;
+    const requestId = `${this.run}.request-${++this.#requestCount}`;
+    history.record({ kind: HistoryKind.RequestBegan, requestId, daemon: this.run });
+    this.#openRequests.add(requestId);
+    return () => {
+      if (!this.#openRequests.delete(requestId)) return;
+      history.record({ kind: HistoryKind.RequestEnded, requestId, isCutOff: false });
+      if (this.#openRequests.size === 0) this.#idle.abort();
+    };
+  }
+
+  /** Stops as a daemon does on SIGTERM, and ends the process. */
+  async stop(): Promise<void> {
+    const { process } = this;
+    const { clock, history } = this.#options;
+    if (process.isCrashed || process.isPaused || this.#noticedAtMs < Infinity) return;
+    history.record({ kind: HistoryKind.StopBegan, daemon: this.run });
+    this.#noticedAtMs = clock.nowMs() + noticeMs;
+    await gracefulStop({
+      clock: process,
+      // The balancer is a little faster than the daemon waits for it.
+      noticeMs: noticeMs + 500,
+      timeoutMs: drainTimeoutMs,
+      drainCallers: (deadlineAtMs) => this.#drain(deadlineAtMs),
+      stopParts: async (deadlineAtMs) => {
+        await Promise.all([this.manager.stop(deadlineAtMs), this.#recorder.drain(deadlineAtMs)]);
+      },
+      leave: async () => this.fleet?.membership.leave(),
+    });
+    for (const requestId of this.#openRequests) {
+      history.record({ kind: HistoryKind.RequestEnded, requestId, isCutOff: true });
+    }
+    this.#openRequests.clear();
+    process.exit();
+  }
+
+  async #drain(deadlineAtMs: number): Promise<void> {
+    if (this.#openRequests.size === 0) return;
+    this.#idle = new AbortController();
+    await this.process.sleepUntil(deadlineAtMs, this.#idle.signal);
   }
 
   call({ callId, key, body, deadlineAtMs }: SimulatedCall): Promise<CallAnswer> {
--- a/bench/histories/simulated-endpoints.ts
+++ b/bench/histories/simulated-endpoints.ts
@@ -54,7 +54,7 @@
   readonly #options: SimulatedEndpointsOptions;
   /** All VMs ever, for lists that describe an earlier time. */
   readonly #vms: { readonly run: EngineRun; readonly region: string; endedAtMs: number }[] = [];
-  readonly #signalled = new Set<EngineRun>();
+  readonly #signalled = new Set<string>();
   #vmCount = 0;
   #cutUntilMs = 0;
   /** Faults of single generations; ended with the other faults. */
@@ -129,24 +129,35 @@
   }
 
   /** Records that daemons learned that runs are leaving. */
-  recordLeaving(entries: readonly LeavingEntry[]): void {
+  recordLeaving(entries: readonly LeavingEntry[], region: string): void {
     for (const { subject, upToIncarnation } of entries) {
       for (const { name, run } of this.places) {
         const isNamed = subject === run.vmId || subject === processSubject(run.vmId, name);
-        if (isNamed && run.startedAtMs <= upToIncarnation) this.recordSignal(run);
+        if (isNamed && run.startedAtMs <= upToIncarnation) this.recordSignal(run, region);
       }
     }
   }
 
-  recordSignal(run: EngineRun): void {
-    if (this.#signalled.has(run)) return;
-    this.#signalled.add(run);
+  recordSignal(run: EngineRun, region: string): void {
+    const signal = `${identityOf(run)} ${region}`;
+    if (this.#signalled.has(signal)) return;
+    this.#signalled.add(signal);
     this.#options.history.record({
       kind: HistoryKind.EndpointLeaving,
       endpointId: identityOf(run),
+      region,
     });
   }
 
+  /** Reclaims of a region's VMs that were announced so far; a daemon reads all of them at its start. */
+  notices(region: string): ReadonlyMap<string, number> {
+    return new Map(
+      this.#vms
+        .filter((vm) => vm.region === region && vm.endedAtMs === Infinity)
+        .flatMap(({ run }) => (run.leaving ? [[run.vmId, run.leaving.atMs] as const] : [])),
+    );
+  }
+
   clientFor(name: string, region: string, process: SimulatedProcess): EngineClient {
     const place = this.places.find((candidate) => candidate.name === name);
     if (!place) throw new RangeError(`no place is named ${name}`);
@@ -173,6 +184,11 @@
   return `${vmId}@${startedAtMs}`;
 }
 
+/** Read through a function, as the state changes while a generation waits. */
+function isGone({ isLost }: EngineRun): boolean {
+  return isLost;
+}
+
 /** What goes wrong in one generation. */
 enum GenerationFault {
   None = 'none',
@@ -255,9 +271,9 @@
       throw this.#error(EngineFailure.Rejected, Outcome.NotRun);
     }
     const workId = request.messages[0]?.content ?? '';
-    const isRemote = this.#region !== this.#place.region;
+    const region = this.#region;
     const endpointId = identityOf(run);
-    history.record({ kind: HistoryKind.WorkAssigned, endpointId, workId, isRemote });
+    history.record({ kind: HistoryKind.WorkAssigned, endpointId, workId, region });
     history.record({ kind: HistoryKind.WorkRan, workId, key: '' });
     const faultAt = fault === GenerationFault.BrokenEarly ? 0 : random.int(0, request.maxTokens);
     if (fault === GenerationFault.SlowStart) await this.#sleep(random.int(300, 2_500), signal);
@@ -265,7 +281,7 @@
     for (let sent = 0; sent < request.maxTokens; sent++) {
       await this.#sleep(tokenGapMs, signal);
       const breaks = fault === GenerationFault.Broken || fault === GenerationFault.BrokenEarly;
-      if (signal.aborted || run.isLost || (breaks && sent === faultAt)) {
+      if (signal.aborted || isGone(run) || (breaks && sent === faultAt)) {
         throw this.#error(EngineFailure.Broken, Outcome.Unknown);
       }
       if (this.#isCut() || (fault === GenerationFault.Silent && sent === faultAt)) {
--- a/bench/histories/simulated-fleet.ts
+++ b/bench/histories/simulated-fleet.ts
@@ -105,7 +105,7 @@
     });
     this.#registry.applyDeployment(this.#deployment);
     leaving.onNews((entries, isLocal) => {
-      if (isLocal) endpoints.recordLeaving(entries);
+      if (isLocal) endpoints.recordLeaving(entries, region);
     });
     void this.#start();
   }
@@ -165,6 +165,9 @@
     this.membership.start();
     await this.#gossip.pullBeforeReady();
     const { places } = this.#options.endpoints;
+    // The cloud tells a new watcher the earlier notices too.
+    const notices = this.#options.endpoints.notices(this.#options.region);
+    for (const [vmId, atMs] of notices) this.notice([vmId], atMs);
     await Promise.all(places.map((place) => this.#poll(place)));
     for (const place of places) {
       process.every(pollMs + random.int(0, 200), () => void this.#poll(place));
@@ -188,7 +191,7 @@
     const current = this.#registry.all().find(({ name }) => name === place.name);
     if (!current) return;
     if (run.isDraining) {
-      endpoints.recordSignal(run);
+      endpoints.recordSignal(run, region);
       this.#registry.recordDraining(current.id);
     } else this.#registry.restore(current.id);
   }
--- a/bench/histories/world.ts
+++ b/bench/histories/world.ts
@@ -115,7 +115,11 @@
   }
 
   anyDaemon(): SimulatedDaemon {
-    return this.random.pick(this.#daemons);
+    // The balancer sends to a crashed daemon for a while, but to none that announced its stop.
+    const open = this.#daemons.filter(({ takesRequests, process }) => {
+      return takesRequests || process.isCrashed;
+    });
+    return this.random.pick(open.length > 0 ? open : this.#daemons);
   }
 
   newCallId(): string {
@@ -240,14 +244,21 @@
     });
     // A new daemon pulls the leaving endpoints from a peer before it is ready.
     for (const notice of this.#notices) daemon.manager.reclaim(notice);
-    daemon.process.onCrash = () => {
-      this.fault(`entry-${place} crashed`);
+    const replaceLater = (what: string): void => {
+      this.fault(`entry-${place} ${what}`);
       this.network.close(daemonUrl(`entry-${place}`));
       const atMs = this.clock.nowMs() + this.random.int(500, 10_000);
       this.clock.schedule(atMs, () => {
         this.#startDaemon(place);
       });
     };
+    daemon.process.onCrash = () => {
+      this.history.record({ kind: HistoryKind.DaemonCrashed, daemon: daemon.run });
+      replaceLater('crashed');
+    };
+    daemon.process.onExit = () => {
+      replaceLater('has stopped');
+    };
     this.#daemons[place] = daemon;
   }
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -14,6 +14,7 @@
 import { createCallerServer } from './caller-gateway.js';
 import { DaemonParts } from './daemon-parts.js';
 import type { DaemonSettings } from './daemon-settings.js';
+import { gracefulStop } from './graceful-stop.js';
 import { askKnownOffset } from './known-offset.js';
 import { closeServer, listen } from './listener.js';
 
@@ -45,9 +46,6 @@
   readonly urls: DaemonUrls;
 }
 
-/** Bound on recording what the parts still hold once the last request has ended. */
-const partsStopMs = 15_000;
-
 /**
  * One daemon: starts its parts in the order in which they need each other, and stops them so that no
  * request is cut off.
@@ -187,17 +185,20 @@
     const { settings, clock, events, metrics } = this.#options;
     const { parts, callers, servers, rpcClient, tls } = this.#started;
     const startedAtMs = clock.nowMs();
-    const deadlineAtMs = startedAtMs + settings.daemon.drain_timeout_ms;
     this.#isStopping = true;
     events.info(EventId.DaemonStopping, 'graceful stop begins', {
       inFlight: this.inFlightIds.length,
     });
-    // The listener stays open until the balancer has seen that readiness is off.
-    await clock.sleepUntil(startedAtMs + settings.daemon.drain_notice_ms);
-    await callers.drain(deadlineAtMs);
-    const partsDeadlineAtMs = Math.min(deadlineAtMs, clock.nowMs() + partsStopMs);
-    await Promise.all([parts.jobs.stop(partsDeadlineAtMs), parts.calls.stop(partsDeadlineAtMs)]);
-    await parts.membership.leave();
+    await gracefulStop({
+      clock,
+      noticeMs: settings.daemon.drain_notice_ms,
+      timeoutMs: settings.daemon.drain_timeout_ms,
+      drainCallers: (deadlineAtMs) => callers.drain(deadlineAtMs),
+      stopParts: async (deadlineAtMs) => {
+        await Promise.all([parts.jobs.stop(deadlineAtMs), parts.calls.stop(deadlineAtMs)]);
+      },
+      leave: () => parts.membership.leave(),
+    });
     await Promise.all(servers.map(closeServer));
     await rpcClient.close();
     await parts.close();
--- /dev/null
+++ b/src/daemon/graceful-stop.ts
@@ -0,0 +1,39 @@
+import type { Clock } from '../core/index.js';
+
+/** Options of {@link gracefulStop}. */
+export interface GracefulStopOptions {
+  readonly clock: Clock;
+  /** Time in which the balancer sees that readiness is off and still sends requests. */
+  readonly noticeMs: number;
+  /** Longest time of the whole stop until the parts are stopped. */
+  readonly timeoutMs: number;
+  /** Resolves when no request is open, or at `deadlineAtMs`. */
+  readonly drainCallers: (deadlineAtMs: number) => Promise<void>;
+  /** Hands over jobs and records what is pending, until `deadlineAtMs` at the latest. */
+  readonly stopParts: (deadlineAtMs: number) => Promise<void>;
+  /** Tells the other daemons. */
+  readonly leave: () => Promise<void>;
+}
+
+/** Bound on recording what the parts still hold once the last request has ended. */
+const partsStopMs = 15_000;
+
+/**
+ * Order of a planned stop after readiness is off: requests still arrive during the notice, all open
+ * ones are answered, and only then are the parts that answer them stopped.
+ *
+ * @example
+ * ```ts
+ * await gracefulStop({ clock, noticeMs: 3_000, timeoutMs: 600_000, ...steps });
+ * ```
+ */
+export async function gracefulStop(options: GracefulStopOptions): Promise<void> {
+  const { clock, noticeMs, timeoutMs } = options;
+  const startedAtMs = clock.nowMs();
+  const deadlineAtMs = startedAtMs + timeoutMs;
+  // The listener stays open until the balancer has seen that readiness is off.
+  await clock.sleepUntil(startedAtMs + noticeMs);
+  await options.drainCallers(deadlineAtMs);
+  await options.stopParts(Math.min(deadlineAtMs, clock.nowMs() + partsStopMs));
+  await options.leave();
+}
--- a/test/histories/checkers_test.ts
+++ b/test/histories/checkers_test.ts
@@ -55,6 +55,12 @@
       { atMs, kind: HistoryKind.CallEnded, callId: 'c', outcome: undefined, body: 'other' },
     ];
     expect(wholeAnswers(call)).toHaveLength(1);
+    const failed = (body: string): HistoryEvent[] => [
+      { atMs, kind: HistoryKind.CallStarted, callId: 'c', key: '', expectedBody: 'mine' },
+      { atMs, kind: HistoryKind.CallEnded, callId: 'c', outcome: Outcome.Unknown, body },
+    ];
+    expect(wholeAnswers(failed('mi'))).toEqual([]);
+    expect(wholeAnswers(failed('mx'))).toHaveLength(1);
   });
 
   it('P3 catches work that ran although it was refused with not_run, even later', () => {
@@ -86,20 +92,24 @@
       atMs: 1_000,
       kind: HistoryKind.EndpointLeaving,
       endpointId: 'e',
+      region: 'north',
     };
-    const assigned = (time: number, isRemote = false): HistoryEvent => ({
+    const assigned = (time: number, region = 'north'): HistoryEvent => ({
       atMs: time,
       kind: HistoryKind.WorkAssigned,
       endpointId: 'e',
       workId: 'w',
-      isRemote,
+      region,
     });
     expect(leavingEndpointsRest([leaving, assigned(4_000)])).toEqual([]);
     expect(leavingEndpointsRest([leaving, assigned(4_001)])).toHaveLength(1);
+    expect(leavingEndpointsRest([leaving, assigned(4_001, 'south')])).toHaveLength(1);
     const cut: HistoryEvent = { atMs: 500, kind: HistoryKind.RegionsCut, untilMs: 9_000 };
-    expect(leavingEndpointsRest([cut, leaving, assigned(12_000, true)])).toEqual([]);
-    expect(leavingEndpointsRest([cut, leaving, assigned(12_001, true)])).toHaveLength(1);
+    expect(leavingEndpointsRest([cut, leaving, assigned(12_000, 'south')])).toEqual([]);
+    expect(leavingEndpointsRest([cut, leaving, assigned(12_001, 'south')])).toHaveLength(1);
     expect(leavingEndpointsRest([cut, leaving, assigned(4_001)])).toHaveLength(1);
+    const own: HistoryEvent = { ...leaving, atMs: 2_000, region: 'south' };
+    expect(leavingEndpointsRest([cut, leaving, own, assigned(5_001, 'south')])).toHaveLength(1);
   });
 
   it('P6 catches a request that a planned stop cut off', () => {
@@ -119,6 +129,8 @@
     expect(gracefulStop([began, stop, ended(false)])).toEqual([]);
     expect(gracefulStop([began, stop, ended(true)])).toHaveLength(1);
     expect(gracefulStop([began, stop])).toHaveLength(1);
+    const crash: HistoryEvent = { atMs, kind: HistoryKind.DaemonCrashed, daemon: 'd' };
+    expect(gracefulStop([began, stop, crash])).toEqual([]);
   });
 
   describe('P7', () => {
