Tell other regions of leaving endpoints through cuts

Change: LeavingGossip also tries the lost members of a region until one answers or the VM is gone. P5 counts no time in which no ready daemon that knows the signal reaches a region.

--- a/bench/histories/history.ts
+++ b/bench/histories/history.ts
@@ -14,7 +14,7 @@
   ReclaimAnnounced = 'reclaim_announced',
   EndpointLeaving = 'endpoint_leaving',
   WorkAssigned = 'work_assigned',
-  RegionsCut = 'regions_cut',
+  SignalHeldUp = 'signal_held_up',
   StopBegan = 'stop_began',
   DaemonCrashed = 'daemon_crashed',
   RequestBegan = 'request_began',
@@ -69,14 +69,18 @@
       readonly text: string;
     }
   | { readonly kind: HistoryKind.ReclaimAnnounced; readonly endpointIds: readonly string[] }
-  /** A daemon of the region got a signal that an endpoint is leaving. */
+  /** First signal that an endpoint is leaving, wherever it was seen. */
+  | { readonly kind: HistoryKind.EndpointLeaving; readonly endpointId: string }
+  /**
+   * From `atMs` to `untilMs` no daemon that knows that the endpoint is leaving runs and reaches the
+   * region.
+   */
   | {
-      readonly kind: HistoryKind.EndpointLeaving;
+      readonly kind: HistoryKind.SignalHeldUp;
       readonly endpointId: string;
       readonly region: string;
+      readonly untilMs: number;
     }
-  /** No message passes between the regions from `atMs` to `untilMs`. */
-  | { readonly kind: HistoryKind.RegionsCut; readonly untilMs: number }
   /** An endpoint received new work; `region` is that of the daemon. */
   | {
       readonly kind: HistoryKind.WorkAssigned;
--- a/bench/histories/simulated-daemon.ts
+++ b/bench/histories/simulated-daemon.ts
@@ -142,6 +142,7 @@
         process,
         random: random.fork(),
         daemon: name,
+        run,
         region: options.region,
         peers,
         seedUrls,
@@ -156,8 +157,12 @@
     return clock.nowMs() < this.#noticedAtMs && !this.process.isCrashed;
   }
 
-  /** Serves a request of a caller; never settles when the process has crashed. */
+  /**
+   * Serves a request of a caller; never settles when the process has crashed or, when all daemons
+   * stop, the balancer has none to send to.
+   */
   async enter<T>(action: () => Promise<T>): Promise<T> {
+    if (!this.takesRequests) return new Promise(() => undefined);
     await this.process.deliver(Promise.resolve());
     const end = this.#beginRequest();
     try {
--- a/bench/histories/simulated-endpoints.ts
+++ b/bench/histories/simulated-endpoints.ts
@@ -54,7 +54,11 @@
   readonly #options: SimulatedEndpointsOptions;
   /** All VMs ever, for lists that describe an earlier time. */
   readonly #vms: { readonly run: EngineRun; readonly region: string; endedAtMs: number }[] = [];
-  readonly #signalled = new Set<string>();
+  /** Runs that were signalled to leave, with the daemon runs that know. */
+  readonly #signals = new Map<
+    EngineRun,
+    { readonly knownBy: Set<string>; readonly heldUpSinceMs: Map<string, number> }
+  >();
   #vmCount = 0;
   #cutUntilMs = 0;
   /** Faults of single generations; ended with the other faults. */
@@ -73,7 +77,6 @@
   /** Cuts the link between the regions. */
   cut(untilMs: number): void {
     this.#cutUntilMs = Math.max(this.#cutUntilMs, untilMs);
-    this.#options.history.record({ kind: HistoryKind.RegionsCut, untilMs: this.#cutUntilMs });
   }
 
   heal(): void {
@@ -128,25 +131,59 @@
     return { asOfMs, vms };
   }
 
-  /** Records that daemons learned that runs are leaving. */
-  recordLeaving(entries: readonly LeavingEntry[], region: string): void {
+  /** Notes what a run of a daemon has learned, from its own signals or from a peer. */
+  learned(entries: readonly LeavingEntry[], daemonRun: string): void {
     for (const { subject, upToIncarnation } of entries) {
       for (const { name, run } of this.places) {
         const isNamed = subject === run.vmId || subject === processSubject(run.vmId, name);
-        if (isNamed && run.startedAtMs <= upToIncarnation) this.recordSignal(run, region);
+        if (isNamed && run.startedAtMs <= upToIncarnation) this.signalled(run, daemonRun);
       }
     }
   }
 
-  recordSignal(run: EngineRun, region: string): void {
-    const signal = `${identityOf(run)} ${region}`;
-    if (this.#signalled.has(signal)) return;
-    this.#signalled.add(signal);
-    this.#options.history.record({
-      kind: HistoryKind.EndpointLeaving,
-      endpointId: identityOf(run),
-      region,
-    });
+  signalled(run: EngineRun, daemonRun: string): void {
+    let signal = this.#signals.get(run);
+    if (!signal) {
+      signal = { knownBy: new Set(), heldUpSinceMs: new Map() };
+      this.#signals.set(run, signal);
+      const endpointId = identityOf(run);
+      this.#options.history.record({ kind: HistoryKind.EndpointLeaving, endpointId });
+    }
+    signal.knownBy.add(daemonRun);
+  }
+
+  /** Follows which regions no signal can reach. @param running - unpaused daemon runs. */
+  observe(running: readonly { readonly run: string; readonly region: string }[]): void {
+    const { clock, history } = this.#options;
+    const nowMs = clock.nowMs();
+    for (const [run, { knownBy, heldUpSinceMs }] of this.#signals) {
+      const knowing = running.filter((daemon) => knownBy.has(daemon.run));
+      for (const region of regions) {
+        const isHeldUp = !knowing.some((daemon) => !this.isCut(daemon.region, region));
+        const sinceMs = heldUpSinceMs.get(region);
+        if (isHeldUp && sinceMs === undefined) heldUpSinceMs.set(region, nowMs);
+        if (isHeldUp || sinceMs === undefined) continue;
+        heldUpSinceMs.delete(region);
+        const endpointId = identityOf(run);
+        history.record(
+          { kind: HistoryKind.SignalHeldUp, endpointId, region, untilMs: nowMs },
+          sinceMs,
+        );
+      }
+    }
+  }
+
+  /** Ends the observation: what is held up now stays so. */
+  endObservation(): void {
+    for (const [run, { heldUpSinceMs }] of this.#signals) {
+      for (const [region, sinceMs] of heldUpSinceMs) {
+        const endpointId = identityOf(run);
+        this.#options.history.record(
+          { kind: HistoryKind.SignalHeldUp, endpointId, region, untilMs: Infinity },
+          sinceMs,
+        );
+      }
+    }
   }
 
   /** Reclaims of a region's VMs that were announced so far; a daemon reads all of them at its start. */
--- a/bench/histories/simulated-fleet.ts
+++ b/bench/histories/simulated-fleet.ts
@@ -31,6 +31,8 @@
   readonly process: SimulatedProcess;
   readonly random: Random;
   readonly daemon: string;
+  /** Name of this run of the daemon. */
+  readonly run: string;
   readonly region: string;
   readonly peers: ProcessPeers;
   readonly seedUrls: readonly string[];
@@ -104,8 +106,8 @@
       hedges: this.#hedges,
     });
     this.#registry.applyDeployment(this.#deployment);
-    leaving.onNews((entries, isLocal) => {
-      if (isLocal) endpoints.recordLeaving(entries, region);
+    leaving.onNews((entries) => {
+      endpoints.learned(entries, options.run);
     });
     void this.#start();
   }
@@ -180,7 +182,7 @@
 
   /** Asks an endpoint for its health, as the daemon's endpoint watch does. */
   async #poll(place: EnginePlace): Promise<void> {
-    const { process, endpoints, region, random } = this.#options;
+    const { process, endpoints, region, random, run: daemonRun } = this.#options;
     const view = this.#registry.all().find(({ name }) => name === place.name);
     await process.deliver(Promise.resolve());
     await process.sleepUntil(process.nowMs() + random.int(1, 30));
@@ -191,7 +193,7 @@
     const current = this.#registry.all().find(({ name }) => name === place.name);
     if (!current) return;
     if (run.isDraining) {
-      endpoints.recordSignal(run, region);
+      endpoints.signalled(run, daemonRun);
       this.#registry.recordDraining(current.id);
     } else this.#registry.restore(current.id);
   }
--- a/bench/histories/world.ts
+++ b/bench/histories/world.ts
@@ -72,6 +72,8 @@
     for (let index = 0; index < this.#daemonCount; index++) this.#startDaemon(index);
     if (parts.settings) {
       for (let index = 0; index < operatorCount; index++) this.restartOperator(index);
+    }
+    if (parts.settings || parts.chats) {
       this.clock.every(observePeriodMs, () => {
         this.#observe();
       });
@@ -209,6 +211,13 @@
   /** Follows the log and which daemons run and reach it. */
   #observe(isEnd = false): void {
     this.judge?.observe();
+    this.chatEndpoints?.observe(
+      // A daemon that is still starting has not met its peers yet.
+      this.#daemons.filter(
+        ({ process, fleet }) => !process.isPaused && !process.isCrashed && fleet?.isReady === true,
+      ),
+    );
+    if (isEnd) this.chatEndpoints?.endObservation();
     const nowMs = this.clock.nowMs();
     this.#daemons.forEach(({ process }, place) => {
       const isServing = !isEnd && !process.isPaused && !process.isCrashed && !this.faults.isOut;
--- a/src/fleet/leaving-gossip.ts
+++ b/src/fleet/leaving-gossip.ts
@@ -204,37 +204,31 @@
 
   #tellAll(entries: readonly LeavingEntry[]): void {
     this.#tellRegion(entries);
-    const regions = new Map<string, Member[]>();
-    for (const member of this.#others()) {
-      if (member.region === this.#membership.self.region) continue;
-      const members = regions.get(member.region);
-      if (members) members.push(member);
-      else regions.set(member.region, [member]);
-    }
-    for (const members of regions.values()) {
-      const candidates = this.#shuffled(members);
-      const relays = Array.from({ length: relaysPerRegion }, () =>
-        this.#pushToOneOf(candidates, entries),
-      );
-      void Promise.all(relays).then((results) => {
-        if (!results.includes(true)) return this.#pushUntilTaken(members, entries);
-        return undefined;
-      });
+    const ownRegion = this.#membership.self.region;
+    const regions = new Set([...this.#others(), ...this.#membership.lostMembers()].map(regionOf));
+    for (const region of regions) {
+      if (region !== ownRegion) void this.#tellOtherRegion(region, entries);
     }
   }
 
   /**
-   * Tries a region that no relay answered in, as one that is cut off, until one does or the VMs are
-   * gone: a cut that ends before membership has noticed it leaves nothing else to tell the region.
+   * Tells two daemons of another region. One that is cut off is tried until it answers or the VMs
+   * are gone: after the cut, only this tells it of the signal before membership has healed.
    */
-  async #pushUntilTaken(
-    members: readonly Member[],
-    entries: readonly LeavingEntry[],
-  ): Promise<void> {
+  async #tellOtherRegion(region: string, entries: readonly LeavingEntry[]): Promise<void> {
     const giveUpAtMs = Math.max(...entries.map(({ leavingAtMs }) => leavingAtMs));
-    while (this.#clock.nowMs() < giveUpAtMs) {
-      await this.#clock.sleepUntil(this.#clock.nowMs() + regionRetryMs);
-      if (await this.#push(this.#random.pick(members), entries, wholeRegion)) return;
+    for (;;) {
+      const present = this.#others().filter((member) => member.region === region);
+      const lost = this.#membership.lostMembers().filter((member) => member.region === region);
+      // Taken from the end: the lost ones are the last resort.
+      const candidates = [...this.#shuffled(lost), ...this.#shuffled(present)];
+      const relays = Array.from({ length: relaysPerRegion }, () =>
+        this.#pushToOneOf(candidates, entries),
+      );
+      if ((await Promise.all(relays)).includes(true)) return;
+      const nowMs = this.#clock.nowMs();
+      if (nowMs >= giveUpAtMs) return;
+      await this.#clock.sleepUntil(nowMs + regionRetryMs);
     }
   }
 
@@ -323,3 +317,7 @@
       .map(({ item }) => item);
   }
 }
+
+function regionOf({ region }: Member): string {
+  return region;
+}
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -44,6 +44,9 @@
    */
   abstract recentCount(): number;
 
+  /** Members lost without a farewell in the last half hour; they may be cut off and still run. */
+  abstract lostMembers(): readonly Member[];
+
   /** Calls `listener` after the set of members changed. @returns a function that stops it. */
   abstract onChange(listener: () => void): () => void;
 
--- a/src/membership/swim-protocol.ts
+++ b/src/membership/swim-protocol.ts
@@ -114,6 +114,10 @@
     return this.#table.present().length + this.#table.lost().length + 1;
   }
 
+  override lostMembers(): readonly Member[] {
+    return this.#table.lost();
+  }
+
   override onChange(listener: () => void): () => void {
     this.#listeners.add(listener);
     return () => this.#listeners.delete(listener);
--- a/test/histories/checkers_test.ts
+++ b/test/histories/checkers_test.ts
@@ -92,7 +92,6 @@
       atMs: 1_000,
       kind: HistoryKind.EndpointLeaving,
       endpointId: 'e',
-      region: 'north',
     };
     const assigned = (time: number, region = 'north'): HistoryEvent => ({
       atMs: time,
@@ -104,12 +103,18 @@
     expect(leavingEndpointsRest([leaving, assigned(4_000)])).toEqual([]);
     expect(leavingEndpointsRest([leaving, assigned(4_001)])).toHaveLength(1);
     expect(leavingEndpointsRest([leaving, assigned(4_001, 'south')])).toHaveLength(1);
-    const cut: HistoryEvent = { atMs: 500, kind: HistoryKind.RegionsCut, untilMs: 9_000 };
-    expect(leavingEndpointsRest([cut, leaving, assigned(12_000, 'south')])).toEqual([]);
-    expect(leavingEndpointsRest([cut, leaving, assigned(12_001, 'south')])).toHaveLength(1);
-    expect(leavingEndpointsRest([cut, leaving, assigned(4_001)])).toHaveLength(1);
-    const own: HistoryEvent = { ...leaving, atMs: 2_000, region: 'south' };
-    expect(leavingEndpointsRest([cut, leaving, own, assigned(5_001, 'south')])).toHaveLength(1);
+    const heldUp: HistoryEvent = {
+      atMs: 1_500,
+      kind: HistoryKind.SignalHeldUp,
+      endpointId: 'e',
+      region: 'south',
+      untilMs: 9_000,
+    };
+    expect(leavingEndpointsRest([heldUp, leaving, assigned(12_000, 'south')])).toEqual([]);
+    expect(leavingEndpointsRest([heldUp, leaving, assigned(12_001, 'south')])).toHaveLength(1);
+    expect(leavingEndpointsRest([heldUp, leaving, assigned(4_001)])).toHaveLength(1);
+    const late: HistoryEvent = { ...heldUp, atMs: 4_000 };
+    expect(leavingEndpointsRest([late, leaving, assigned(4_001, 'south')])).toHaveLength(1);
   });
 
   it('P6 catches a request that a planned stop cut off', () => {
