--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -47,6 +47,8 @@
 
 /** Bound on recording what the parts still hold once the last request has ended. */
 const partsStopMs = 15_000;
+/** Ids are 36 characters long; 5,000 open requests in one line would exceed common log limits. */
+const idsPerEvent = 100;
 
 /**
  * One daemon: starts its parts in the order in which they need each other, and stops them so that no
@@ -161,6 +163,22 @@
     return this.#stopped;
   }
 
+  /**
+   * Logs the requests that an end of the process would cut off now.
+   *
+   * @returns how many there are.
+   */
+  reportCutOff(): number {
+    const ids = this.inFlightIds;
+    for (let start = 0; start < ids.length; start += idsPerEvent) {
+      this.#options.events.error(EventId.StopForced, 'open requests are cut off', {
+        inFlight: ids.length,
+        requestIds: ids.slice(start, start + idsPerEvent).join(' '),
+      });
+    }
+    return ids.length;
+  }
+
   /** Destroys everything at once, as a kill would; for tests. @internal */
   async kill(): Promise<void> {
     const { parts, servers, rpcClient, tls } = this.#started;
@@ -195,6 +213,7 @@
     // The listener stays open until the balancer has seen that readiness is off.
     await clock.sleepUntil(startedAtMs + settings.daemon.drain_notice_ms);
     await callers.drain(deadlineAtMs);
+    this.reportCutOff();
     const partsDeadlineAtMs = Math.min(deadlineAtMs, clock.nowMs() + partsStopMs);
     await Promise.all([parts.jobs.stop(partsDeadlineAtMs), parts.calls.stop(partsDeadlineAtMs)]);
     await parts.membership.leave();
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -37,11 +37,24 @@
     metrics: metricsOf(settings),
   });
   await daemon.start();
+  let isStopping = false;
   const stop = (): void => {
-    void daemon.stop().then(() => process.exit(0));
+    if (isStopping) {
+      // A second signal means that the operator does not wait for the open requests.
+      const isCut = daemon.reportCutOff() > 0;
+      process.exit(isCut ? 1 : 0);
+    }
+    isStopping = true;
+    daemon.stop().then(
+      () => process.exit(0),
+      (error: unknown) => {
+        process.stderr.write(`oriolestackd: the graceful stop failed: ${String(error)}\n`);
+        process.exit(1);
+      },
+    );
   };
-  process.once('SIGTERM', stop);
-  process.once('SIGINT', stop);
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
 }
 
 function metricsOf(settings: DaemonSettings): Metrics {
--- a/src/telemetry/event-log.ts
+++ b/src/telemetry/event-log.ts
@@ -1,3 +1,4 @@
+import './enable-roarr.js';
 import { Roarr, ROARR, type Logger, type MessageContext } from 'roarr';
 import { EventId } from './events.js';
 
@@ -73,7 +74,10 @@
   }
 }
 
-/** Sends roarr's lines to standard error, which roarr leaves disabled unless told otherwise. */
+// roarr's own writer is standard output, which belongs to the results of commands and the demo.
+ROARR.write = () => undefined;
+
+/** Sends the lines of every {@link RoarrEventLog} to standard error; until then they are dropped. */
 export function writeEventsToStderr(): void {
   ROARR.write = (line) => {
     process.stderr.write(`${line}\n`);
