Correct what operators are told about calls, jobs and lost daemons

A cancel lost its operator and note. Path filters by startsWith also matched prod/tejidos-b for prod/tejidos. A lost daemon vanished from in-force and burn reports.

Change: resolve answers resolved_not_run; job_cancelled carries operator and note; filters end at a slash; both reports list daemons lost in the last half hour as missing, and settings apply names them without waiting for them. A finished job counts in the burn report of the daemon that finished it.

--- a/src/admin-api/answers.ts
+++ b/src/admin-api/answers.ts
@@ -133,7 +133,12 @@
 });
 
 /** A daemon that did not answer. */
-export const missingDaemonSchema = z.object({ daemon: z.string(), reason: z.string() });
+export const missingDaemonSchema = z.object({
+  daemon: z.string(),
+  reason: z.string(),
+  /** When the asked daemon lost it; undefined for one that is a member and did not answer. */
+  lostAtMs: z.number().optional(),
+});
 
 export type SectionInForce = z.output<typeof sectionInForceSchema>;
 export type SettingsInForce = z.output<typeof settingsInForceSchema>;
--- a/src/admin/admin-backend.ts
+++ b/src/admin/admin-backend.ts
@@ -1,4 +1,10 @@
-import type { AdminQuery, QueryAnswer, QueryParams, WorkItem } from '../admin-api/index.js';
+import type {
+  AdminQuery,
+  MissingDaemon,
+  QueryAnswer,
+  QueryParams,
+  WorkItem,
+} from '../admin-api/index.js';
 
 /** Another daemon, as the administration API reaches it. */
 export interface AdminPeer {
@@ -51,6 +57,9 @@
   /** All other daemons that should answer, including suspect ones. */
   abstract peers(): readonly AdminPeer[];
 
+  /** Daemons lost without a farewell in the last half hour; they may still serve, cut off from here. */
+  abstract lost(): readonly MissingDaemon[];
+
   /**
    * Records the outcome of a call, or finds that the log already holds one.
    *
--- a/src/admin/peer-queries.ts
+++ b/src/admin/peer-queries.ts
@@ -21,6 +21,15 @@
   readonly timeoutMs?: number;
 }
 
+/**
+ * Queries whose answer is about all daemons that may still serve. The others are about work, which
+ * the remaining daemons have taken over from a lost one.
+ */
+const queriesOverLost: ReadonlySet<AdminQuery> = new Set([
+  AdminQuery.SettingsInForce,
+  AdminQuery.Burn,
+]);
+
 /** Asks all daemons the same question. */
 export class PeerQueries {
   readonly #backend: AdminBackend;
@@ -55,7 +64,8 @@
       })),
     ];
     const answers: { daemon: string; answer: QueryAnswer<Q> }[] = [];
-    const missing: MissingDaemon[] = [];
+    const missing: MissingDaemon[] =
+      !selfOnly && queriesOverLost.has(query) ? [...this.#backend.lost()] : [];
     await Promise.all(
       questions.map(async ({ daemon, ask }) => {
         try {
--- a/src/ctl/commands/settings-apply.ts
+++ b/src/ctl/commands/settings-apply.ts
@@ -210,7 +210,9 @@
     const inForce = answers.filter(({ answer }) => answer.revision >= revision);
     const behind = answers.filter(({ answer }) => answer.revision < revision);
     const notInForce = [...behind, ...missing].map(({ daemon }) => daemon).sort();
-    if (notInForce.length === 0 || clock.nowMs() >= deadlineAtMs) {
+    // A lost daemon is named but not waited for: it may not come back.
+    const isLost = missing.every(({ lostAtMs }) => lostAtMs !== undefined);
+    if ((behind.length === 0 && isLost) || clock.nowMs() >= deadlineAtMs) {
       return { inForce: inForce.map(({ daemon }) => daemon), notInForce };
     }
     await clock.sleepUntil(Math.min(deadlineAtMs, clock.nowMs() + pollMs));
--- a/src/daemon/calls-service.ts
+++ b/src/daemon/calls-service.ts
@@ -213,12 +213,14 @@
   }
 
   async resolve(resolution: Omit<ResolutionEntry, 'kind'>): Promise<Claim | undefined> {
-    if (!this.#stream.fold.claim(resolution.claimId)) return undefined;
+    const claim = this.#stream.fold.claim(resolution.claimId);
+    if (!claim) return undefined;
     await this.#stream.writer.append(
       { kind: EntryKind.Resolution, ...resolution },
       { deadlineAtMs: this.#clock.nowMs() + 10_000, priority: EntryPriority.High },
     );
-    return this.#stream.fold.claim(resolution.claimId);
+    // A claim resolved as not run frees its key, and the fold forgets it.
+    return this.#stream.fold.claim(resolution.claimId) ?? { ...claim, resolution };
   }
 
   override async stop(deadlineAtMs: number): Promise<void> {
--- a/src/daemon/daemon-admin-backend.ts
+++ b/src/daemon/daemon-admin-backend.ts
@@ -6,6 +6,7 @@
   type DrainResult,
   type EndpointStatus,
   type Explanation as AdminExplanation,
+  type MissingDaemon,
   type QueryParams,
   type SettingsInForce,
   type WorkItem,
@@ -23,6 +24,7 @@
 import { MemberStatus, type Membership } from '../membership/index.js';
 import type { BurnRecorder } from '../report/index.js';
 import type { ExplainStore } from '../routing/index.js';
+import { isPathWithin } from '../settings/index.js';
 import {
   ClaimStatus,
   JobStatus,
@@ -95,6 +97,14 @@
       .map(({ id, rpcUrl }) => ({ daemon: id, rpcUrl }));
   }
 
+  override lost(): readonly MissingDaemon[] {
+    return this.#options.membership.lost().map(({ id, statusSinceMs }) => ({
+      daemon: id,
+      reason: `lost at ${new Date(statusSinceMs).toISOString()} and not heard since`,
+      lostAtMs: statusSinceMs,
+    }));
+  }
+
   override async resolve({ id, ran, note, operator }: Resolution): Promise<WorkItem> {
     const claim = await this.#options.calls.resolve({
       claimId: id,
@@ -107,8 +117,8 @@
     return callItem(claim);
   }
 
-  override async cancel({ id }: Cancellation): Promise<WorkItem> {
-    const job = await this.#options.jobs.cancel(id);
+  override async cancel({ id, note, operator }: Cancellation): Promise<WorkItem> {
+    const job = await this.#options.jobs.cancel(id, { note, operator });
     if (!job) throw this.#unknown(id);
     return {
       id,
@@ -122,7 +132,7 @@
       owner: job.daemon,
       fence: job.fence,
       recordedTokens: job.recordedTokens,
-      note: '',
+      note: job.cancellation?.note ?? '',
     };
   }
 
@@ -130,7 +140,7 @@
     const { config, configReplica, clock } = this.#options;
     const shown = sections
       ? [...config.sections()]
-          .filter(([sectionPath]) => sectionPath.startsWith(path))
+          .filter(([sectionPath]) => isBelow(path, sectionPath))
           .map(([sectionPath, values]) => ({
             path: sectionPath,
             revision: config.revisionOf(sectionPath),
@@ -172,7 +182,7 @@
     return registry
       .all()
       .map((view) => this.#endpointStatus(view))
-      .filter((endpoint) => endpoint.path.startsWith(path));
+      .filter((endpoint) => isBelow(path, endpoint.path));
   }
 
   #endpointStatus(view: EndpointView): EndpointStatus {
@@ -249,6 +259,11 @@
   }
 }
 
+/** Whether `path` is the filter or lies below it; an empty filter matches everything. */
+function isBelow(filter: string, path: string): boolean {
+  return filter === '' || isPathWithin(filter.replace(/\/+$/, ''), path);
+}
+
 function jobState(status: JobStatus, fence: number): WorkState {
   switch (status) {
     case JobStatus.Active:
@@ -273,7 +288,7 @@
     owner: job.daemon,
     fence: job.fence,
     recordedTokens: job.recordedTokens,
-    note: '',
+    note: job.cancellation?.note ?? '',
   };
 }
 
@@ -284,13 +299,19 @@
   [ClaimStatus.ResolvedRan]: WorkState.ResolvedRan,
 };
 
+function callState({ status, resolution }: Claim): WorkState {
+  return resolution?.verdict === ResolutionVerdict.NotRun
+    ? WorkState.ResolvedNotRun
+    : callStates[status];
+}
+
 function callItem(claim: Claim): WorkItem {
   return {
     id: claim.claimId,
     kind: WorkKind.Call,
     workspaceId: claim.workspace,
     serviceId: claim.service,
-    state: callStates[claim.status],
+    state: callState(claim),
     workClass: null,
     acceptedAtMs: claim.claimedAtMs,
     deadlineAtMs: claim.finishByMs,
--- a/src/daemon/daemon-parts.ts
+++ b/src/daemon/daemon-parts.ts
@@ -304,6 +304,9 @@
       events,
       chooser: new RoutedChooser(this.selector),
       kvMover: new HttpKvMover(clock, (id) => this.registry.view(id)?.baseUrl),
+      onDone: ({ workspace, service, acceptedAtMs }) => {
+        this.burn.series(workspace, service).completed(clock.nowMs() - acceptedAtMs);
+      },
       policyFor: ({ service }) => {
         const values = this.deployment.services.get(service)?.values;
         return {
--- a/src/daemon/jobs-service.ts
+++ b/src/daemon/jobs-service.ts
@@ -36,6 +36,8 @@
 /** A job on its way to the home of its shard. */
 export type RoutedJob = z.output<typeof newJobSchema>;
 
+const cancellationSchema = z.object({ operator: z.string(), note: z.string() });
+
 const jobInfoSchema = z.object({
   jobId: z.string(),
   workspace: z.string(),
@@ -48,6 +50,7 @@
   recordedTokens: z.number(),
   lengthChars: z.number(),
   finishReason: z.string().nullable(),
+  cancellation: cancellationSchema.nullable(),
 });
 
 /** What callers see of a job, without its text. */
@@ -76,6 +79,10 @@
 const framesSchema = z.object({ frames: z.array(frameSchema), isOver: z.boolean() });
 const framesParams = z.object({ jobId: z.string(), offset: z.number(), waitUntilMs: z.number() });
 const jobIdParams = z.object({ jobId: z.string() });
+const cancelParams = jobIdParams.extend({ by: cancellationSchema.optional() });
+
+/** Who cancels a job and why. */
+export type JobCancellation = z.output<typeof cancellationSchema>;
 
 /** One poll of a remote job's frames lasts at most this long. */
 const framesWaitMs = 5_000;
@@ -98,6 +105,8 @@
   readonly chooser: EndpointChooser;
   readonly kvMover: KvMover;
   readonly policyFor: (job: Job) => JobPolicy;
+  /** Called once for each job that this daemon brought to its end. */
+  readonly onDone: (job: Job) => void;
 }
 
 /**
@@ -145,8 +154,8 @@
   }
 
   /** Cancels a job; one that has ended stays as it is. */
-  async cancel(jobId: string): Promise<JobInfo | undefined> {
-    return this.#find('jobs.cancel', jobId, (shard) => shard.manager.cancel(jobId));
+  async cancel(jobId: string, by?: JobCancellation): Promise<JobInfo | undefined> {
+    return this.#find('jobs.cancel', jobId, (shard) => shard.manager.cancel(jobId, by), { by });
   }
 
   /** Recorded text from `offset` on, ended by an end frame when the job is done. */
@@ -192,9 +201,9 @@
       return encodeResult(async () => jobInfo((await this.#shardHere(jobId)).manager.get(jobId)));
     });
     methods.register('jobs.cancel', (params) => {
-      const { jobId } = jobIdParams.parse(params);
+      const { jobId, by } = cancelParams.parse(params);
       return encodeResult(async () =>
-        jobInfo(await (await this.#shardHere(jobId)).manager.cancel(jobId)),
+        jobInfo(await (await this.#shardHere(jobId)).manager.cancel(jobId, by)),
       );
     });
     methods.register('jobs.frames', (params) => {
@@ -207,8 +216,9 @@
     method: string,
     jobId: string,
     here: (shard: JobShard) => Promise<Job | undefined>,
+    more: object = {},
   ): Promise<JobInfo | undefined> {
-    const answer = await this.#atHome(this.#shardOf(jobId), method, { jobId });
+    const answer = await this.#atHome(this.#shardOf(jobId), method, { jobId, ...more });
     if (answer !== undefined) return decodeResult(foundSchema.parse(answer)) ?? undefined;
     return jobInfo(await here(await this.#shardHere(jobId))) ?? undefined;
   }
@@ -319,6 +329,12 @@
       newId: () => `${shard}-${newId()}`,
       isHome,
     });
+    fold.subscribe((jobId) => {
+      const job = fold.job(jobId);
+      // A replay shows jobs of earlier lives, which other incarnations brought to their end.
+      if (job?.status !== JobStatus.Done) return;
+      if (job.daemon === daemon && job.incarnation === incarnation) options.onDone(job);
+    });
     void this.ready.then(() => {
       this.manager.start();
     });
@@ -357,5 +373,6 @@
     recordedTokens: job.recordedTokens,
     lengthChars: job.text.length,
     finishReason: job.finishReason,
+    cancellation: job.cancellation,
   };
 }
--- a/src/jobs/job-manager.ts
+++ b/src/jobs/job-manager.ts
@@ -135,13 +135,13 @@
    *
    * @throws RequestError with outcome `unknown` when the cancellation was not read back in time.
    */
-  async cancel(jobId: string): Promise<Job | undefined> {
+  async cancel(jobId: string, by = byCaller): Promise<Job | undefined> {
     const { clock, writer, fold, appendTimeoutMs = 5_000 } = this.#options;
     if (fold.job(jobId)?.status !== JobStatus.Active) return fold.job(jobId);
     const cancelledAtMs = clock.nowMs();
     try {
       await writer.append(
-        { kind: EntryKind.JobCancelled, jobId, cancelledAtMs },
+        { kind: EntryKind.JobCancelled, jobId, cancelledAtMs, ...by },
         { deadlineAtMs: cancelledAtMs + appendTimeoutMs, priority: EntryPriority.High },
       );
     } catch (error) {
@@ -267,6 +267,9 @@
   }
 }
 
+/** Cancellation by the caller, who has no operator's key. */
+const byCaller = { operator: '', note: '' };
+
 /** Resolves at the next entry about the job or when `signal` is aborted. */
 function nextChange(
   fold: JobManagerOptions['fold'],
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -35,6 +35,9 @@
   /** Alive and suspect members including this one, ordered by id. */
   abstract members(): readonly Member[];
 
+  /** Members lost without a farewell in the last half hour. */
+  abstract lost(): readonly Member[];
+
   /** A member by id, whatever its status; undefined when unknown. */
   abstract member(id: string): Member | undefined;
 
--- a/src/membership/swim-protocol.ts
+++ b/src/membership/swim-protocol.ts
@@ -106,6 +106,10 @@
     return this.#ordered;
   }
 
+  override lost(): readonly Member[] {
+    return this.#table.lost();
+  }
+
   override member(id: string): Member | undefined {
     return id === this.#self.id ? this.#self : this.#table.get(id);
   }
--- a/src/state/job-fold.ts
+++ b/src/state/job-fold.ts
@@ -78,6 +78,9 @@
   kind: z.literal(EntryKind.JobCancelled),
   jobId: z.string().min(1),
   cancelledAtMs: z.number(),
+  /** Id of the operator's key; empty when the caller cancelled. */
+  operator: z.string().max(200).default(''),
+  note: z.string().max(500).default(''),
 });
 
 const entrySchema = z.discriminatedUnion('kind', [
@@ -106,6 +109,8 @@
   text: z.string(),
   finishReason: z.string().nullable(),
   digest: z.string().nullable(),
+  /** Who cancelled the job and why; snapshots of earlier versions lack it. */
+  cancellation: z.object({ operator: z.string(), note: z.string() }).nullable().default(null),
 });
 
 /** An accepted job. */
@@ -190,6 +195,7 @@
       text: '',
       finishReason: null,
       digest: null,
+      cancellation: null,
     });
     this.#jobs.set(entry.jobId, job);
     this.#activeIds.add(entry.jobId);
@@ -238,6 +244,10 @@
       return { ...job, status: JobStatus.Done, finishReason, digest };
     }
     case EntryKind.JobCancelled:
-      return { ...job, status: JobStatus.Cancelled };
+      return {
+        ...job,
+        status: JobStatus.Cancelled,
+        cancellation: { operator: entry.operator, note: entry.note },
+      };
   }
 }
--- a/test/admin/fake-backend.ts
+++ b/test/admin/fake-backend.ts
@@ -10,6 +10,7 @@
   WorkKind,
   WorkState,
   type EndpointStatus,
+  type MissingDaemon,
   type WorkItem,
 } from '../../src/admin-api/index.js';
 import { OrioleError, Step, SystemClock } from '../../src/core/index.js';
@@ -58,6 +59,7 @@
 /** A daemon with settings and work of two teams. */
 export class FakeBackend extends AdminBackend {
   override readonly deployment = 'prod';
+  lostDaemons: readonly MissingDaemon[] = [];
   readonly drained: string[] = [];
   readonly changes: (Resolution | Cancellation)[] = [];
   readonly handlers: QueryHandlers;
@@ -113,6 +115,10 @@
     return this.peerList;
   }
 
+  override lost(): readonly MissingDaemon[] {
+    return this.lostDaemons;
+  }
+
   override async resolve(resolution: Resolution): Promise<WorkItem> {
     this.changes.push(resolution);
     return work(resolution.id, WorkKind.Call, 'tejidos/tenders', 2);
--- a/test/processes/process-cluster.ts
+++ b/test/processes/process-cluster.ts
@@ -70,10 +70,12 @@
   #directory = '';
   readonly #adminUrls: string[] = [];
   #adminUrl = '';
+  #logUrl = '';
 
   async start(): Promise<void> {
     this.#directory = await mkdtemp(join(tmpdir(), 'oriole-processes-'));
     await this.log.listen();
+    this.#logUrl = this.log.baseUrl;
     await this.plain.listen();
     for (let index = 1; index <= engineCount; index++) {
       const engine = new EngineServer({
@@ -232,7 +234,7 @@
     const env = {
       ...process.env,
       ORIOLECTL_ADMIN_URL: this.#adminUrl,
-      ORIOLECTL_LOG_URL: this.log.baseUrl,
+      ORIOLECTL_LOG_URL: this.#logUrl,
       ORIOLECTL_DEPLOYMENT: deployment,
       ORIOLECTL_ROOT_PUBLIC_KEY: SigningKey.fromSecret(this.#rootKey.secret).publicKey,
       ORIOLECTL_KEY_FILE: join(this.#directory, keyFile),
