--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -46,6 +46,9 @@
   readonly urls: DaemonUrls;
 }
 
+/** Ids are 36 characters long; 5,000 open requests in one line would exceed common log limits. */
+const idsPerEvent = 100;
+
 /**
  * One daemon: starts its parts in the order in which they need each other, and stops them so that no
  * request is cut off.
@@ -159,6 +162,22 @@
     return this.#stopped;
   }
 
+  /**
+   * Logs the requests that an end of the process would cut off now.
+   *
+   * @returns how many there are.
+   */
+  reportCutOff(): number {
+    const ids = this.inFlightIds;
+    for (let start = 0; start < ids.length; start += idsPerEvent) {
+      this.#options.events.error(EventId.StopForced, 'open requests are cut off', {
+        inFlight: ids.length,
+        requestIds: ids.slice(start, start + idsPerEvent).join(' '),
+      });
+    }
+    return ids.length;
+  }
+
   /** Destroys everything at once, as a kill would; for tests. @internal */
   async kill(): Promise<void> {
     const { parts, servers, rpcClient, tls } = this.#started;
@@ -194,7 +213,10 @@
       clock,
       noticeMs: settings.daemon.drain_notice_ms,
       timeoutMs: settings.daemon.drain_timeout_ms,
-      drainCallers: (deadlineAtMs) => callers.drain(deadlineAtMs),
+      drainCallers: async (deadlineAtMs) => {
+        await callers.drain(deadlineAtMs);
+        this.reportCutOff();
+      },
       stopParts: async (deadlineAtMs) => {
         await Promise.all([parts.jobs.stop(deadlineAtMs), parts.calls.stop(deadlineAtMs)]);
       },
