Test the sends missing from a report and the excess over a full window

Change: one test each; the first guards against hiding another daemon's request, the second against an unbounded excess.

--- a/test/admission/admission-controller_test.ts
+++ b/test/admission/admission-controller_test.ts
@@ -130,6 +130,15 @@
     expect(scene.tickets).toHaveLength(8);
   });
 
+  it('lets a workspace without requests exceed a full window, but only a little', () => {
+    const scene = new Scene(20);
+    for (let index = 0; index < 30; index++) scene.offer();
+    expect(scene.tickets).toHaveLength(20);
+    for (let index = 0; index < 10; index++) scene.offer({ workspaceId: `team/small-${index}` });
+    // A tenth of the window and one request.
+    expect(scene.tickets).toHaveLength(23);
+  });
+
   it('does not count a withdrawn request', () => {
     const scene = new Scene(1);
     scene.offer();
--- a/test/routing/router_test.ts
+++ b/test/routing/router_test.ts
@@ -133,6 +133,17 @@
       expect(router.choose(request(), views, 0).endpoint?.id).toBe('free');
     });
 
+    it('does not let a request sent after the report hide one of another daemon', () => {
+      const router = newRouter();
+      const before = view('a', { report: busy(5, 0) });
+      expect(router.choose(request(), [before], 10).load?.requests).toBeCloseTo(5, 1);
+      const own = { requests: { ...idle, [WorkClass.Short]: 1 }, pendingTokens: 0 };
+      const after = { ...before, ownInFlight: own };
+      expect(router.choose(request(), [after], 20).load?.requests).toBeCloseTo(6, 1);
+      const reported = { ...after, report: busy(6, 30) };
+      expect(router.choose(request(), [reported], 30).load?.requests).toBeCloseTo(6, 1);
+    });
+
     it('does not take an endpoint with an old report for an empty one', () => {
       const views = [view('old', { report: busy(0, -60_000) }), view('b', { report: busy(6) })];
       const decision = newRouter().choose(request(), views, 0);
