Build all simulated endpoint views in one place

Cause: three files of the policy bench listed the same fields of an endpoint view. Change: simulatedView with the differences only.

--- a/bench/policy/coarse-fleet.ts
+++ b/bench/policy/coarse-fleet.ts
@@ -1,9 +1,9 @@
 import { Random, VirtualClock, WorkClass } from '../../src/core/index.js';
 import { CacheView } from '../../src/fleet/cache-view.js';
-import { EndpointState, type EndpointView } from '../../src/fleet/index.js';
+import type { EndpointView } from '../../src/fleet/index.js';
 import { Router, SubsetSelector, type RouteRequest } from '../../src/routing/index.js';
-import { EngineRole } from '../../src/settings/index.js';
 import { BaselinePolicy, PolicyName, RouterPolicy, type RoutingPolicy } from './policies.js';
+import { serviceId, simulatedView } from './simulated-view.js';
 
 /** Options of {@link runCoarseFleet}. */
 export interface CoarseFleetOptions {
@@ -146,28 +146,12 @@
     running: 0,
     queue: [],
     reported: 0,
-    view: {
-      id: String(index),
-      name: `team/e${index}`,
-      serviceId: 'team/assistant',
-      baseUrl: 'http://127.0.0.1:1',
+    view: simulatedView(String(index), {
       region: `region-${domain % regions}`,
       failureDomain: `domain-${domain}`,
-      vmClass: 'standard',
-      reclaimable: true,
-      priceUsdPerHour: 2,
       batchSlots: slots,
-      checksFence: true,
-      role: EngineRole.Mixed,
-      state: EndpointState.Live,
-      leavingAtMs: undefined,
-      loadedModels: ['base'],
-      version: '1',
-      circuitOpenUntilMs: 0,
-      ownInFlight: { requests: { short: 0, medium: 0, long: 0 }, pendingTokens: 0 },
-      report: undefined,
       speed: { tokenGapMs: 30, prefillTokensPerS: 8_000, slowdownRatio: 1 },
-    },
+    }),
   };
 }
 
@@ -188,7 +172,7 @@
 const routeRequest: RouteRequest = {
   requestId: 'r',
   workspaceId: 'team/w',
-  serviceId: 'team/assistant',
+  serviceId,
   model: 'base',
   workClass: WorkClass.Short,
   promptTokens: 1_000,
--- a/bench/policy/decision-cost.ts
+++ b/bench/policy/decision-cost.ts
@@ -3,7 +3,7 @@
 import { EndpointState, type EndpointView } from '../../src/fleet/index.js';
 import { SpeedEstimator } from '../../src/fleet/speed-estimator.js';
 import { ExplainStore, Router, type RouteRequest } from '../../src/routing/index.js';
-import { EngineRole } from '../../src/settings/index.js';
+import { serviceId, simulatedView } from './simulated-view.js';
 
 /** CPU time of one decision. */
 export interface DecisionCost {
@@ -62,24 +62,12 @@
 }
 
 function newView(index: number): EndpointView {
-  return {
-    id: `e${index}`,
-    name: `team/e${index}`,
-    serviceId: 'team/assistant',
-    baseUrl: 'http://127.0.0.1:1',
+  return simulatedView(`e${index}`, {
     region: index % 4 === 0 ? 'cuyo' : 'litoral',
     failureDomain: `d${index % 3}`,
-    vmClass: 'standard',
-    reclaimable: true,
     priceUsdPerHour: 1 + (index % 5) / 4,
-    batchSlots: 8,
-    checksFence: true,
-    role: EngineRole.Mixed,
     state: index % 10 === 9 ? EndpointState.Leaving : EndpointState.Live,
-    leavingAtMs: undefined,
     loadedModels: ['base', 'adapter'],
-    version: '1',
-    circuitOpenUntilMs: 0,
     ownInFlight: { requests: { short: index % 2, medium: index % 3, long: 1 }, pendingTokens: 0 },
     report: {
       runningRequests: index % 8,
@@ -89,14 +77,14 @@
       receivedAtMs: 900,
     },
     speed: { tokenGapMs: 28 + (index % 6), prefillTokensPerS: 7_000, slowdownRatio: 1 },
-  };
+  });
 }
 
 function newRequest(index: number, prefix: readonly number[]): RouteRequest {
   return {
     requestId: `r${index}`,
     workspaceId: 'team/w',
-    serviceId: 'team/assistant',
+    serviceId,
     model: 'adapter',
     workClass: index % 3 === 0 ? WorkClass.Long : WorkClass.Short,
     promptTokens: prefix.length * 64,
--- a/bench/policy/simulation.ts
+++ b/bench/policy/simulation.ts
@@ -21,7 +21,7 @@
   type Decision,
   type RouteRequest,
 } from '../../src/routing/index.js';
-import { EngineRole, limitsSchema } from '../../src/settings/index.js';
+import { limitsSchema } from '../../src/settings/index.js';
 import type { DeploymentShape, EndpointGroup } from './deployments.js';
 import {
   defaultEngineModel,
@@ -36,6 +36,7 @@
   type Choice,
   type RoutingPolicy,
 } from './policies.js';
+import { serviceId, simulatedView } from './simulated-view.js';
 import { generateWorkload, type SimulatedRequest } from './workload.js';
 
 /** Faults and delays of a run; each can be set on its own. */
@@ -138,7 +139,6 @@
   readonly measureEndMs: number;
 }
 
-const serviceId = 'team/assistant';
 const limits = limitsSchema.parse({ rate_per_s: '100000', burst_requests: '100000' });
 const settings = {
   max_attempts: 3,
@@ -165,28 +165,13 @@
   constructor(id: string, group: EndpointGroup, engine: SimulatedEngine) {
     this.group = group;
     this.engine = engine;
-    this.view = {
-      id,
-      name: `team/${id}`,
-      serviceId,
-      baseUrl: 'http://127.0.0.1:1',
+    this.view = simulatedView(id, {
       region: group.region,
       failureDomain: group.failureDomain,
-      vmClass: 'standard',
       reclaimable: group.reclaimable,
       priceUsdPerHour: group.priceUsdPerHour,
       batchSlots: engine.model.batchSlots,
-      checksFence: true,
-      role: EngineRole.Mixed,
-      state: EndpointState.Live,
-      leavingAtMs: undefined,
-      loadedModels: ['base'],
-      version: '1',
-      circuitOpenUntilMs: 0,
-      ownInFlight: { requests: { short: 0, medium: 0, long: 0 }, pendingTokens: 0 },
-      report: undefined,
-      speed: { tokenGapMs: undefined, prefillTokensPerS: undefined, slowdownRatio: 1 },
-    };
+    });
   }
 }
 
