--- a/src/daemon/accounts.ts
+++ b/src/daemon/accounts.ts
@@ -5,9 +5,12 @@
   CallerServerObserver,
   ChatAccounts,
   lengthKeyOf,
+  ServiceAccounts,
   type CallerRequest,
   type ChatContext,
   type GenerationResult,
+  type ServiceCall,
+  type TokenGapListener,
 } from '../pipeline/index.js';
 import type { BurnRecorder } from '../report/index.js';
 import { EventId, type EventLog, type Metrics } from '../telemetry/index.js';
@@ -31,12 +34,16 @@
     this.#options = options;
   }
 
-  override started(context: ChatContext): void {
-    const { retryBudget, hedges } = this.#options;
+  override started(context: ChatContext): TokenGapListener {
+    const { retryBudget, hedges, burn } = this.#options;
     const workspace = context.caller.workspace.id;
     const routing = context.deployment.routing(context.call.service.id);
     retryBudget.noteRequest(workspace, routing.retry_ratio);
     hedges.noteRequest(workspace, routing.hedge_ratio);
+    const series = burn.series(workspace, context.call.service.id);
+    return (gapMs, atMs) => {
+      series.betweenTokens(gapMs, atMs);
+    };
   }
 
   override completed(context: ChatContext, result: GenerationResult, endedAtMs: number): void {
@@ -49,7 +56,6 @@
     hedges.observeFirstToken(service, context.prediction.workClass, firstTokenMs);
     const series = burn.series(workspace, service);
     series.firstToken(firstTokenMs);
-    if (result.tokens > 1) series.betweenTokens(result.meanGapMs);
     series.completed(totalMs);
     metrics.count('requests_served', 1, { workspace });
     metrics.count('tokens_relayed', result.tokens, { workspace });
@@ -66,26 +72,51 @@
       maxGapMs: Math.round(result.maxGapMs),
     });
   }
+}
+
+/** Counts answered calls of plain services, repeatable or not. */
+export class CallAccounts extends ServiceAccounts {
+  readonly #burn: BurnRecorder;
+
+  constructor(burn: BurnRecorder) {
+    super();
+    this.#burn = burn;
+  }
 
-  override refused(context: ChatContext, error: RequestError): void {
-    if (error.outcome !== Outcome.NotRun || error.status < 429) return;
-    this.#options.burn.series(context.caller.workspace.id, context.call.service.id).refused();
+  override completed(call: ServiceCall, endedAtMs: number): void {
+    const { context, service } = call;
+    const totalMs = endedAtMs - context.receivedAtMs;
+    this.#burn.series(context.caller.workspace.id, service.id).completed(totalMs);
   }
 }
 
+/** Whether an error counts as a missing answer: mistakes and departures of callers do not. */
+function isMissedAnswer({ outcome, status }: RequestError): boolean {
+  return outcome === Outcome.Unknown ? status !== callerGoneStatus : status >= 429;
+}
+
+/** Status of a request whose caller disconnected before the answer; it is never sent. */
+const callerGoneStatus = 499;
+
 /** Counts and logs requests that ended with an error. */
 export class FailureAccounts extends CallerServerObserver {
   readonly #events: EventLog;
   readonly #metrics: Metrics;
+  readonly #burn: BurnRecorder;
 
-  constructor(events: EventLog, metrics: Metrics) {
+  constructor(events: EventLog, metrics: Metrics, burn: BurnRecorder) {
     super();
+    this.#burn = burn;
     this.#events = events;
     this.#metrics = metrics;
   }
 
   override failed(request: CallerRequest, error: RequestError): void {
-    const { requestId } = request;
+    const { requestId, attribution } = request;
+    const { workspaceId, serviceId } = attribution;
+    if (workspaceId !== undefined && serviceId !== undefined && isMissedAnswer(error)) {
+      this.#burn.series(workspaceId, serviceId).refused();
+    }
     const { code, status, step, peer, message } = error;
     this.#metrics.count('requests_failed', 1, { code });
     if (error.outcome === Outcome.NotRun) {
--- a/src/daemon/caller-gateway.ts
+++ b/src/daemon/caller-gateway.ts
@@ -16,7 +16,7 @@
   type ChatContext,
 } from '../pipeline/index.js';
 import type { EventLog, Metrics } from '../telemetry/index.js';
-import { FailureAccounts, RequestAccounts } from './accounts.js';
+import { CallAccounts, FailureAccounts, RequestAccounts } from './accounts.js';
 import type { DaemonParts } from './daemon-parts.js';
 import { DaemonJobDesk } from './job-desk.js';
 
@@ -62,11 +62,16 @@
         desk: new DaemonJobDesk(parts.jobs),
         clock,
       }),
-      new ServiceRoute({ authenticate, desk: parts.services, clock }),
+      new ServiceRoute({
+        authenticate,
+        desk: parts.services,
+        accounts: new CallAccounts(burn),
+        clock,
+      }),
       new HealthRoute(options.isReady),
     ],
     deployment: () => parts.deployment,
-    observer: new FailureAccounts(events, metrics),
+    observer: new FailureAccounts(events, metrics, burn),
     clock,
     newId,
   });
--- a/src/daemon/daemon-admin-backend.ts
+++ b/src/daemon/daemon-admin-backend.ts
@@ -137,7 +137,7 @@
   }
 
   #settingsInForce({ path, sections }: QueryParams<AdminQuery.SettingsInForce>): SettingsInForce {
-    const { config, configReplica, clock } = this.#options;
+    const { config, configReplica } = this.#options;
     const shown = sections
       ? [...config.sections()]
           .filter(([sectionPath]) => isBelow(path, sectionPath))
@@ -150,13 +150,13 @@
     return {
       revision: config.revision,
       nextOffset: configReplica.appliedOffset,
-      caughtUpAtMs: clock.nowMs() - Math.min(configReplica.ageMs, clock.nowMs()),
+      caughtUpAtMs: configReplica.appliedAtMs,
       sections: shown,
     };
   }
 
   #status(): DaemonStatus {
-    const { clock, config, configReplica, log, membership, admission } = this.#options;
+    const { config, configReplica, log, membership, admission } = this.#options;
     const { region, failureDomain, startedAtMs, inFlight, state } = this.#options;
     const { isReady, isStopping } = state();
     const members = membership.members();
@@ -168,7 +168,7 @@
       stopping: isStopping,
       startedAtMs,
       settingsRevision: config.revision,
-      settingsCaughtUpAtMs: clock.nowMs() - Math.min(configReplica.ageMs, clock.nowMs()),
+      settingsCaughtUpAtMs: configReplica.appliedAtMs,
       logReachable: log.isReachable,
       liveMembers: members.filter(({ status }) => status === MemberStatus.Alive).length,
       suspectMembers: members.filter(({ status }) => status === MemberStatus.Suspect).length,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -270,4 +270,10 @@
 }
 
 /** A client must send its headers within 10 s; bodies have bounds of their own by route. */
-const httpOptions = { maxHeaderSize: 16_384, headersTimeout: 10_000, requestTimeout: 0 } as const;
+const httpOptions = {
+  maxHeaderSize: 16_384,
+  headersTimeout: 10_000,
+  // Node's default of 30 s would let slow headers hold a connection for 40 s.
+  connectionsCheckingInterval: 1_000,
+  requestTimeout: 0,
+} as const;
--- a/src/pipeline/caller-server.ts
+++ b/src/pipeline/caller-server.ts
@@ -20,6 +20,14 @@
   readonly deployment: Deployment;
   /** Path without the query. */
   readonly path: string;
+  /** What the stages have found out about whose work the request is. */
+  readonly attribution: RequestAttribution;
+}
+
+/** Workspace and service of a request, as `team/name`; undefined until a stage knows them. */
+export interface RequestAttribution {
+  workspaceId?: string;
+  serviceId?: string;
 }
 
 /** Told about refused and broken requests. */
@@ -100,6 +108,7 @@
       receivedAtMs: clock.nowMs(),
       deployment: deployment(),
       path: (request.url ?? '/').split('?')[0] ?? '/',
+      attribution: {},
     };
     if (this.#isDraining) response.setHeader('connection', 'close');
     this.#inFlight.set(incoming.requestId, incoming);
--- a/src/pipeline/generate-stage.ts
+++ b/src/pipeline/generate-stage.ts
@@ -1,17 +1,19 @@
-import { RequestError, Step, type Clock } from '../core/index.js';
+import { Step, type Clock } from '../core/index.js';
 import { SseChatResponder, WholeChatResponder, type ChatAnswerHead } from './chat-responder.js';
-import type { GenerationRelay, GenerationResult } from './generation-relay.js';
+import type { GenerationRelay, GenerationResult, TokenGapListener } from './generation-relay.js';
 import type { ChatContext } from './request-context.js';
 import { Stage } from './stage.js';
 
 /** Told about each chat request from its parse on. */
 export abstract class ChatAccounts {
-  /** The request is about to be routed. */
-  abstract started(context: ChatContext): void;
+  /**
+   * The request is about to be routed.
+   *
+   * @returns what is told each gap between two tokens.
+   */
+  abstract started(context: ChatContext): TokenGapListener;
   /** @param endedAtMs - epoch milliseconds of the last token. */
   abstract completed(context: ChatContext, result: GenerationResult, endedAtMs: number): void;
-  /** The request ended with an error after it was parsed. */
-  abstract refused(context: ChatContext, error: RequestError): void;
 }
 
 /** Options of {@link GenerateStage}. */
@@ -33,17 +35,12 @@
 
   override async run(context: ChatContext): Promise<void> {
     const { accounts, clock } = this.#options;
-    accounts.started(context);
-    try {
-      const result = await this.#relay(context);
-      accounts.completed(context, result, clock.nowMs());
-    } catch (error) {
-      if (error instanceof RequestError) accounts.refused(context, error);
-      throw error;
-    }
+    const onTokenGap = accounts.started(context);
+    const result = await this.#relay(context, onTokenGap);
+    accounts.completed(context, result, clock.nowMs());
   }
 
-  #relay(context: ChatContext): Promise<GenerationResult> {
+  #relay(context: ChatContext, onTokenGap: TokenGapListener): Promise<GenerationResult> {
     const { call, response, prediction } = context;
     const head: ChatAnswerHead = {
       requestId: context.requestId,
@@ -67,6 +64,7 @@
         deadlineAtMs: call.deadlineAtMs,
         isResumable: call.isResumable,
         passThrough: call.passThrough,
+        onTokenGap,
       },
       responder,
       context.disconnected,
--- a/src/pipeline/generation-relay.ts
+++ b/src/pipeline/generation-relay.ts
@@ -15,6 +15,9 @@
   type RetryPermits,
 } from './endpoint-selector.js';
 
+/** Told each gap between two tokens: its length, and the epoch milliseconds of its end. */
+export type TokenGapListener = (gapMs: number, atMs: number) => void;
+
 /** A generation that is to be relayed to a caller. */
 export interface GenerationTask {
   readonly requestId: string;
@@ -28,6 +31,7 @@
   readonly deadlineAtMs: number;
   readonly isResumable: boolean;
   readonly passThrough: Readonly<Record<string, unknown>>;
+  readonly onTokenGap?: TokenGapListener;
 }
 
 /** What came of a relayed generation. */
@@ -39,7 +43,6 @@
   readonly firstTokenAtMs: number | undefined;
   /** Longest time between two tokens, in milliseconds. */
   readonly maxGapMs: number;
-  readonly meanGapMs: number;
   readonly end: GenerationEnd;
 }
 
@@ -259,7 +262,7 @@
     const nowMs = this.#options.clock.nowMs();
     if (text !== '') {
       if (this.#firstTokenAtMs === undefined) this.#firstTokenAtMs = nowMs;
-      else this.#maxGapMs = Math.max(this.#maxGapMs, nowMs - this.#lastTokenAtMs);
+      else this.#onGap(nowMs - this.#lastTokenAtMs, nowMs);
       this.#lastTokenAtMs = nowMs;
       this.#tokens += 1;
       if (this.#task.isResumable) this.#shownText += text;
@@ -268,6 +271,11 @@
     return this.#responder.token(text, chunkJson);
   }
 
+  #onGap(gapMs: number, nowMs: number): void {
+    if (gapMs > this.#maxGapMs) this.#maxGapMs = gapMs;
+    this.#task.onTokenGap?.(gapMs, nowMs);
+  }
+
   /** Waits until the next attempt may start. @throws RequestError when there may be none. */
   async #prepareNext(lease: EndpointLease, failure: EngineError): Promise<void> {
     const { clock, retries } = this.#options;
@@ -306,14 +314,12 @@
       completionTokens: Math.max(this.#tokens, end.completionTokens),
     };
     this.#responder.end(whole);
-    const spanMs = this.#lastTokenAtMs - (this.#firstTokenAtMs ?? this.#lastTokenAtMs);
     return {
       endpointName: lease.endpointName,
       attempts: this.#attempts,
       tokens: this.#tokens,
       firstTokenAtMs: this.#firstTokenAtMs,
       maxGapMs: this.#maxGapMs,
-      meanGapMs: this.#tokens > 1 ? spanMs / (this.#tokens - 1) : 0,
       end: whole,
     };
   }
--- a/src/pipeline/request-context.ts
+++ b/src/pipeline/request-context.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Section, ServiceSettings, WorkspaceSettings, Deployment } from '../settings/index.js';
+import type { RequestAttribution } from './caller-server.js';
 import type { ChatMessage } from '../engine/index.js';
 import type { WorkClass } from '../core/index.js';
 import type { LengthPrediction } from '../admission/index.js';
@@ -13,6 +14,7 @@
   readonly receivedAtMs: number;
   /** Settings in force when the request came in; they stay the same until it ends. */
   readonly deployment: Deployment;
+  readonly attribution: RequestAttribution;
 }
 
 /** Who calls, once authenticated. */
@@ -35,6 +37,7 @@
   readonly response: ServerResponse;
   readonly receivedAtMs: number;
   readonly deployment: Deployment;
+  readonly attribution: RequestAttribution;
   readonly #disconnect = new AbortController();
   #caller: Caller | undefined;
 
@@ -44,6 +47,7 @@
     this.response = options.response;
     this.receivedAtMs = options.receivedAtMs;
     this.deployment = options.deployment;
+    this.attribution = options.attribution;
     options.response.on('close', () => {
       if (!options.response.writableFinished) this.#disconnect.abort();
     });
@@ -62,6 +66,7 @@
 
   set caller(caller: Caller) {
     this.#caller = caller;
+    this.attribution.workspaceId = caller.workspace.id;
   }
 }
 
@@ -96,6 +101,7 @@
 
   set call(call: ChatCall) {
     this.#call = call;
+    this.attribution.serviceId = call.service.id;
   }
 
   /** Expected length and class. @throws Error before the classify stage. */
--- a/src/pipeline/service-route.ts
+++ b/src/pipeline/service-route.ts
@@ -1,3 +1,4 @@
+import { posix } from 'node:path';
 import { Outcome, RequestError, Step, type Clock } from '../core/index.js';
 import { ServiceKind, type Section, type ServiceSettings } from '../settings/index.js';
 import type { AuthenticateStage } from './authenticate-stage.js';
@@ -33,10 +34,17 @@
   abstract runOnce(call: ServiceCall, key: string, body: Uint8Array): Promise<NonRepeatableAnswer>;
 }
 
+/** Told about answered calls of plain services. */
+export abstract class ServiceAccounts {
+  /** @param endedAtMs - epoch milliseconds at which the whole answer was handed over. */
+  abstract completed(call: ServiceCall, endedAtMs: number): void;
+}
+
 /** Options of {@link ServiceRoute}. */
 export interface ServiceRouteOptions {
   readonly authenticate: AuthenticateStage;
   readonly desk: ServiceDesk;
+  readonly accounts: ServiceAccounts;
   readonly clock: Clock;
 }
 
@@ -65,10 +73,15 @@
     const call = this.#call(context, incoming);
     if (isNonRepeatable(call)) await this.#runOnce(call);
     else await this.#options.desk.relay(call);
+    // An answer that broke off after its head was destroyed instead of ended.
+    if (context.response.writableEnded) {
+      this.#options.accounts.completed(call, this.#options.clock.nowMs());
+    }
   }
 
   #call(context: RequestContext, incoming: CallerRequest): ServiceCall {
-    const name = decodeURIComponent(pathPattern.exec(incoming.path)?.[1] ?? '');
+    const encodedName = pathPattern.exec(incoming.path)?.[1] ?? '';
+    const name = decoded(encodedName);
     const { team, workspace } = context.caller;
     const service = incoming.deployment.services.get(`${team}/${name}`);
     const isServed =
@@ -78,12 +91,12 @@
         next: 'Check the name of the service with the operators.',
       });
     }
-    const url = incoming.request.url ?? '';
-    const path = url.slice(url.indexOf('/', '/services/'.length + 1));
+    context.attribution.serviceId = service.id;
+    const rest = (incoming.request.url ?? '').slice('/services/'.length + encodedName.length);
     return {
       context,
       service,
-      path: path.startsWith('/services/') ? '/' : path,
+      path: rest.startsWith('/') ? rest : `/${rest}`,
       deadlineAtMs: context.receivedAtMs + service.values.call_timeout_ms,
     };
   }
@@ -113,24 +126,32 @@
   }
 }
 
-/** Whether the service's settings list the call's route as non-repeatable. */
+/**
+ * Whether the service's settings list the call's route as non-repeatable. Services differ in how
+ * they read a path, so any spelling that one of them may take for a listed route counts as it.
+ */
 export function isNonRepeatable({ context, service, path }: ServiceCall): boolean {
   const method = context.request.method ?? '';
-  // Settings name decoded paths; an encoded or doubled slash must not slip past them.
-  const plainPath = normalizedPath(path);
+  const plainPath = plainPathOf(path);
   return service.values.non_repeatable_routes.some((route) => {
     const [routeMethod, prefix = '/'] = route.split(/\s+/, 2);
     if (routeMethod !== method) return false;
-    return (
-      plainPath === prefix || plainPath.startsWith(prefix.endsWith('/') ? prefix : `${prefix}/`)
-    );
+    const plainPrefix = plainPathOf(prefix).replace(/\/$/, '');
+    return plainPath === plainPrefix || plainPath.startsWith(`${plainPrefix}/`);
   });
 }
 
-function normalizedPath(path: string): string {
-  const { pathname } = new URL(path.replace(/^\/+/, '/'), 'http://service');
+/** Path without query, case, percent-encoding, path parameters and doubled slashes or dots. */
+function plainPathOf(path: string): string {
+  let plain = path.split(/[?#]/, 1)[0] ?? '';
+  // A proxy before the service may decode once more; four rounds are beyond any such chain.
+  for (let round = 0; round < 4 && plain.includes('%'); round++) plain = decoded(plain);
+  return posix.normalize(`/${plain.replaceAll('\\', '/').replace(/;[^/]*/g, '')}`).toLowerCase();
+}
+
+function decoded(text: string): string {
   try {
-    return decodeURIComponent(pathname).replace(/\/{2,}/g, '/');
+    return decodeURIComponent(text);
   } catch {
     throw refusal(400, 'malformed_path', 'the path is not valid percent-encoding', {
       next: 'Encode the path and send the request again.',
--- a/src/report/burn-recorder.ts
+++ b/src/report/burn-recorder.ts
@@ -127,9 +127,13 @@
     this.#record(Objective.FirstToken, valueMs, valueMs > this.#objectives.firstTokenMs);
   }
 
-  /** @param valueMs - from one token to the next. */
-  betweenTokens(valueMs: number): void {
-    this.#record(Objective.BetweenTokens, valueMs, valueMs > this.#objectives.betweenTokensMs);
+  /**
+   * @param valueMs - from one token to the next.
+   * @param atMs - epoch milliseconds of the second; the relay has it at hand for each token.
+   */
+  betweenTokens(valueMs: number, atMs = this.#clock.nowMs()): void {
+    const isLate = valueMs > this.#objectives.betweenTokensMs;
+    this.#windows[Objective.BetweenTokens].record(atMs, valueMs, isLate);
   }
 
   /** Counts a whole answer. @param valueMs - from the whole request to its end. */
--- a/src/state/stream-replica.ts
+++ b/src/state/stream-replica.ts
@@ -140,6 +140,11 @@
     return this.#options.clock.nowMs() - this.#appliedAtMs;
   }
 
+  /** Epoch milliseconds of the last successful read whose records were applied; 0 before the first. */
+  get appliedAtMs(): number {
+    return Math.max(0, this.#appliedAtMs);
+  }
+
   /** Append time of the oldest record that no complete snapshot covers; for the snapshotter. */
   get oldestUncoveredAtMs(): number | undefined {
     return this.#uncovered[0]?.appendedAtMs;
--- a/test/admin/admin-server_test.ts
+++ b/test/admin/admin-server_test.ts
@@ -191,6 +191,16 @@
       });
     });
 
+    it('lists lost daemons where settings and counts are read, and not where work is', async () => {
+      backend.lostDaemons = [{ daemon: 'entry-9', reason: 'lost', lostAtMs: 1 }];
+      for (const path of ['settings', 'burn']) {
+        expect((await send(path)).body).toMatchObject({ missing: [{ daemon: 'entry-9' }] });
+      }
+      for (const path of ['jobs', 'endpoints', 'settings?daemons=self']) {
+        expect((await send(path)).body).toMatchObject({ missing: [] });
+      }
+    });
+
     it('lists a daemon whose own answer fails, and asks nobody else when told so', async () => {
       backend.peerList = [{ daemon: 'entry-3', rpcUrl: 'gone' }];
       const { body } = await send('status?daemons=self');
--- /dev/null
+++ b/test/engine/service-client_test.ts
@@ -0,0 +1,52 @@
+import { once } from 'node:events';
+import { createServer, request as httpRequest, type IncomingMessage } from 'node:http';
+import type { Server } from 'node:http';
+import { afterEach, describe, expect, it } from 'vitest';
+import { closeServer, listen } from '../../src/daemon/listener.js';
+import { ServiceClient } from '../../src/engine/index.js';
+
+describe('ServiceClient', () => {
+  const servers: Server[] = [];
+  const client = new ServiceClient();
+
+  afterEach(async () => {
+    await Promise.all(servers.splice(0).map(closeServer));
+    await client.close();
+  });
+
+  async function serve(server: Server): Promise<number> {
+    servers.push(server);
+    return listen(server, '127.0.0.1', 0);
+  }
+
+  it('streams both bodies at once, so that neither side waits for a whole body', async () => {
+    const echoPort = await serve(
+      createServer((request, response) => {
+        request.pipe(response);
+      }),
+    );
+    const port = await serve(
+      createServer((request, response) => {
+        void client.relay(request, response, {
+          name: 'echo',
+          baseUrl: `http://127.0.0.1:${echoPort}`,
+          path: '/echo',
+          requestId: 'r-1',
+          timeoutMs: 10_000,
+          signal: new AbortController().signal,
+        });
+      }),
+    );
+    const caller = httpRequest({ port, method: 'POST', path: '/' });
+    // The second part is sent only after the first came back.
+    caller.write('first');
+    const [answer] = (await once(caller, 'response')) as [IncomingMessage];
+    const ended = once(answer, 'end');
+    const [first] = (await once(answer, 'data')) as [Buffer];
+    expect(first.toString()).toBe('first');
+    caller.end('second');
+    const [second] = (await once(answer, 'data')) as [Buffer];
+    expect(second.toString()).toBe('second');
+    await ended;
+  });
+});
--- /dev/null
+++ b/test/pipeline/caller-server_test.ts
@@ -0,0 +1,208 @@
+import { createServer, type Server } from 'node:http';
+import { connect } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { afterAll, afterEach, beforeAll, describe, expect, it } from 'vitest';
+import { z } from 'zod';
+import { countingIds, SystemClock } from '../../src/core/index.js';
+import { listen } from '../../src/daemon/listener.js';
+import { DemoCluster } from '../../src/demo/demo-cluster.js';
+import { CallerServer, CallerServerObserver } from '../../src/pipeline/index.js';
+import { Deployment } from '../../src/settings/index.js';
+import { wholeAnswer } from '../../src/standins/index.js';
+
+const errorSchema = z.object({ error: z.object({ code: z.string(), next: z.string().min(1) }) });
+const confirmations = '/services/orders/confirmations';
+
+async function until(condition: () => boolean | Promise<boolean>): Promise<void> {
+  while (!(await condition())) await sleep(10);
+}
+
+describe('CallerServer with a whole daemon', () => {
+  const cluster = new DemoCluster();
+
+  beforeAll(async () => {
+    await cluster.start();
+  });
+
+  // A request that is still counted would hold up every graceful stop.
+  afterEach(async () => {
+    await until(() => cluster.daemons.every(({ inFlightIds }) => inFlightIds.length === 0));
+  });
+
+  afterAll(async () => {
+    await cluster.stop();
+  });
+
+  function send(path: string, init: RequestInit = {}): Promise<Response> {
+    const headers = new Headers({ authorization: `Bearer ${cluster.callerKey}` });
+    new Headers(init.headers).forEach((value, name) => {
+      headers.set(name, value);
+    });
+    return fetch(`${cluster.callerUrl}${path}`, { ...init, headers });
+  }
+
+  function post(path: string, body: string, headers: Record<string, string> = {}) {
+    return send(path, { method: 'POST', body, headers });
+  }
+
+  async function expectRefusal(response: Response, status: number, code: string): Promise<void> {
+    expect(response.status).toBe(status);
+    expect(errorSchema.parse(await response.json()).error.code).toBe(code);
+    expect(response.headers.get('oriolestack-outcome')).toBe('not_run');
+  }
+
+  const chatBody = (content: string, stream: boolean): string =>
+    JSON.stringify({ model: 'fence-1', messages: [{ role: 'user', content }], stream });
+
+  describe('bad requests', () => {
+    const chat = '/v1/chat/completions';
+
+    it('refuses malformed JSON', async () => {
+      await expectRefusal(await post(chat, '{"model":'), 400, 'malformed_json');
+    });
+
+    it('refuses an unknown model and another team’s model', async () => {
+      for (const model of ['none', 'term-1']) {
+        const body = JSON.stringify({ model, messages: [{ role: 'user', content: 'x' }] });
+        await expectRefusal(await post(chat, body), 404, 'model_not_found');
+      }
+    });
+
+    it('refuses a wrong key, a missing key and a key of an unknown workspace', async () => {
+      for (const authorization of ['Bearer nothing', '', 'Bearer ok_tejidos/none-key_aaaa']) {
+        const response = await post(chat, chatBody('x', false), { authorization });
+        await expectRefusal(response, 401, 'invalid_api_key');
+      }
+    });
+
+    it('refuses a body over the limit and still delivers the refusal', async () => {
+      const body = chatBody('x'.repeat(6 * 1_048_576), false);
+      await expectRefusal(await post(chat, body), 413, 'body_too_large');
+    });
+
+    it('refuses headers over the limit', async () => {
+      const response = await send('/v1/models', { headers: { 'x-large': 'x'.repeat(20_000) } });
+      await expectRefusal(response, 431, 'headers_too_large');
+    });
+
+    it('refuses an unknown service and a path with broken percent-encoding', async () => {
+      await expectRefusal(await send('/services/none/x'), 404, 'unknown_service');
+      await expectRefusal(await send('/services/%zz/x'), 400, 'malformed_path');
+      await expectRefusal(await send('/services/orders/%zz'), 400, 'malformed_path');
+    });
+  });
+
+  describe('chat', () => {
+    it('gives the same answer over SSE and whole', async () => {
+      const content = 'Rolls for a yard? tokens=40';
+      const expected = wholeAnswer([{ role: 'user', content }]);
+      const whole = await post('/v1/chat/completions', chatBody(content, false));
+      const wholeSchema = z.object({
+        choices: z.array(z.object({ message: z.object({ content: z.string() }) })),
+      });
+      expect(wholeSchema.parse(await whole.json()).choices[0]?.message.content).toBe(expected);
+      const streamed = await post('/v1/chat/completions', chatBody(content, true));
+      const text = await streamed.text();
+      expect(text.endsWith('data: [DONE]\n\n')).toBe(true);
+      const tokens = [...text.matchAll(/"content":"([^"]*)"/g)].map(([, token]) => token);
+      expect(tokens.join('')).toBe(expected);
+    });
+
+    it('cancels the engine’s work when the caller disconnects in the middle', async () => {
+      const abort = new AbortController();
+      const response = await send('/v1/chat/completions', {
+        method: 'POST',
+        body: chatBody('Caller leaves. tokens=100000', true),
+        signal: abort.signal,
+      });
+      await response.body?.getReader().read();
+      abort.abort();
+      const load = z.object({ running_requests: z.number() });
+      await until(async () => {
+        const loads = await Promise.all(
+          cluster.platform.engines.map(async ({ baseUrl }) =>
+            load.parse(await (await fetch(`${baseUrl}/load`)).json()),
+          ),
+        );
+        return loads.every(({ running_requests }) => running_requests === 0);
+      });
+      expect(cluster.daemons[0]?.parts.admission.queued).toBe(0);
+    });
+  });
+
+  describe('calls that must not be repeated', () => {
+    it.each([
+      confirmations,
+      '/services/orders//confirmations',
+      '/services/orders/Confirmations',
+      '/services/orders/%63onfirmations',
+      '/services/orders/%2563onfirmations',
+      '/services/orders/x/..%2fconfirmations',
+      '/services/orders/confirmations;v=1/7?rush=1',
+    ])('refuses %s without a key, however the route is spelled', async (path) => {
+      await expectRefusal(await post(path, '{}'), 400, 'idempotency_key_missing');
+    });
+
+    it('replays the answer to a repeat and refuses the key for another body', async () => {
+      const headers = { 'idempotency-key': 'caller-server-1' };
+      const first = await post(confirmations, '{"rolls":1}', headers);
+      expect(first.status).toBe(200);
+      const again = await post(confirmations, '{"rolls":1}', headers);
+      expect(again.headers.get('oriolestack-replayed')).toBe('true');
+      expect(await again.text()).toBe(await first.text());
+      const other = await post(confirmations, '{"rolls":2}', headers);
+      await expectRefusal(other, 422, 'key_reused');
+      const executions = cluster.platform.plainServers.map(
+        (server) => server.executions.get('caller-server-1') ?? 0,
+      );
+      expect(executions.reduce((sum, count) => sum + count, 0)).toBe(1);
+    });
+  });
+
+  describe('calls that may be repeated', () => {
+    it.each([
+      ['/services/orders', '/'],
+      ['/services/orders?path=/a/b', '/?path=/a/b'],
+      ['/services/orders/stock/7?unit=m', '/stock/7?unit=m'],
+    ])('passes %s on as %s', async (path, expected) => {
+      const response = await send(path);
+      expect(await response.json()).toMatchObject({ path: expected });
+    });
+  });
+});
+
+/** Remembers what failed. */
+class FailureLog extends CallerServerObserver {
+  override failed(): void {
+    // The answers themselves are checked.
+  }
+}
+
+describe('CallerServer on a bare listener', () => {
+  let server: Server | undefined;
+
+  afterEach(() => {
+    server?.close();
+    server?.closeAllConnections();
+  });
+
+  it('answers 408 to headers that do not arrive, so that they hold no connection', async () => {
+    server = createServer({ headersTimeout: 100, connectionsCheckingInterval: 20 });
+    const callers = new CallerServer({
+      routes: [],
+      deployment: () => new Deployment(),
+      observer: new FailureLog(),
+      clock: new SystemClock(),
+      newId: countingIds('r'),
+    });
+    callers.serve(server);
+    const port = await listen(server, '127.0.0.1', 0);
+    const socket = connect(port, '127.0.0.1');
+    socket.write('GET /v1/models HTTP/1.1\r\nhost: x\r\n');
+    let answer = '';
+    for await (const chunk of socket) answer += String(chunk);
+    expect(answer).toMatch(/^HTTP\/1\.1 408 /);
+    expect(answer).toContain('oriolestack-outcome: not_run');
+    expect(callers.inFlightIds).toEqual([]);
+  });
+});
--- /dev/null
+++ b/test/pipeline/read-body_test.ts
@@ -0,0 +1,56 @@
+import { createServer, request as httpRequest, type Server } from 'node:http';
+import { afterEach, describe, expect, it } from 'vitest';
+import { RequestError, VirtualClock } from '../../src/core/index.js';
+import { closeServer, listen } from '../../src/daemon/listener.js';
+import { readBody } from '../../src/pipeline/read-body.js';
+
+describe('readBody', () => {
+  const clock = new VirtualClock(1_800_000_000_000);
+  let server: Server | undefined;
+
+  afterEach(async () => {
+    if (server) await closeServer(server);
+  });
+
+  /** Sends part of a body, then calls `interfere`; returns the code that the reader gave up with. */
+  async function codeAfter(interfere: (destroy: () => void) => Promise<void>): Promise<string> {
+    const deadlineAtMs = clock.nowMs() + 30_000;
+    let begin: () => void = () => undefined;
+    const begun = new Promise<void>((resolve) => {
+      begin = resolve;
+    });
+    const result = new Promise<string>((resolve) => {
+      server = createServer((request) => {
+        request.once('data', begin);
+        readBody(request, { maxBytes: 1_000, deadlineAtMs, clock }).then(
+          () => {
+            resolve('read');
+          },
+          (error: unknown) => {
+            resolve(error instanceof RequestError ? error.code : String(error));
+          },
+        );
+      });
+    });
+    if (!server) throw new Error('there is no server');
+    const port = await listen(server, '127.0.0.1', 0);
+    const caller = httpRequest({ port, method: 'POST', headers: { 'content-length': '100' } });
+    caller.on('error', () => undefined);
+    caller.write('part');
+    await begun;
+    await interfere(() => caller.destroy());
+    return result;
+  }
+
+  it('gives up on a body that does not arrive in time', async () => {
+    expect(await codeAfter(() => clock.advance(30_000))).toBe('slow_body');
+  });
+
+  it('notices a caller that disconnects in the middle of its body', async () => {
+    const code = await codeAfter((destroy) => {
+      destroy();
+      return Promise.resolve();
+    });
+    expect(code).toBe('broken_body');
+  });
+});
--- a/test/processes/calls-and-log_test.ts
+++ b/test/processes/calls-and-log_test.ts
@@ -101,6 +101,8 @@
       before.map(({ answer }) => answer.revision),
     );
     expect(cluster.plain.executions.get('order-2')).toBeUndefined();
+    const { out: status } = await cluster.ctl('status', '--json');
+    expect(status).toMatch(/"logReachable":\s*false/);
 
     await cluster.log.listen(logPort);
     const recovered = await until(async () => {
--- a/test/processes/oriolectl_test.ts
+++ b/test/processes/oriolectl_test.ts
@@ -51,6 +51,9 @@
     const { out, code } = await cluster.ctl('settings', 'in-force', path);
     expect(code).toBe(0);
     expect(out).toContain('entry-1, entry-2, entry-3');
+    // A path names whole parts: prod/tejidos must not show prod/tejidos-b.
+    const part = await cluster.ctl('settings', 'in-force', path.slice(0, -1));
+    expect(part.out).not.toContain('rate_per_s');
     // A file edited from an older revision must not overwrite the change.
     expect((await cluster.ctl('settings', 'apply', file)).code).toBe(0);
     const stale = await cluster.file('stale.ini', `[${path}]\nrate_per_s = 7\n`);
@@ -72,6 +75,8 @@
     expect(status.answers.map(({ daemon }) => daemon)).toEqual(names);
     const endpoints = await cluster.ctl('endpoints');
     expect(endpoints.out).toContain('prod/tejidos/endpoints/orders-1');
+    const part = await cluster.ctl('endpoints', 'prod/tejidos/endpoints/orders');
+    expect(part.out).not.toContain('orders-1');
     expect((await cluster.ctl('jobs', 'show', jobId)).out).toContain('done');
     expect((await cluster.ctl('jobs', 'list')).out).toContain(jobId);
     const explained = await cluster.ctl('explain', requestId);
--- a/test/state/job-fold_test.ts
+++ b/test/state/job-fold_test.ts
@@ -75,6 +75,14 @@
     expect(whole.job('j1')?.status).toBe(JobStatus.Done);
   });
 
+  it('keeps who cancelled and why, so that a lost quote can be traced to an operator', () => {
+    const cancelled = { kind: EntryKind.JobCancelled, jobId: 'j1', cancelledAtMs: 3_000 };
+    const byOperator = foldOf(accepted, { ...cancelled, operator: 'tejidos/ops', note: 'void' });
+    expect(byOperator.job('j1')?.cancellation).toEqual({ operator: 'tejidos/ops', note: 'void' });
+    // Entries of earlier versions name nobody.
+    expect(foldOf(accepted, cancelled).job('j1')?.status).toBe(JobStatus.Cancelled);
+  });
+
   it('keeps the fence on renewal by the holder only', () => {
     const fold = foldOf(accepted, lease('a', 0), lease('a', 2, true), lease('b', 2, true));
     expect(fold.job('j1')).toMatchObject({ fence: 2, daemon: 'a' });
