Keep the test cluster's daemons in the order of their names

Cause: npm test failed once in test/processes/oriolectl_test.ts. Two daemons start together, and the one whose settings file was written first took index 1, while the URLs were kept by name. The test then killed entry-2 and waited for entry-3 to be lost.

Change: the daemons are sorted by name after the start.

--- a/test/processes/process-cluster.ts
+++ b/test/processes/process-cluster.ts
@@ -92,6 +92,8 @@
     const rest = await Promise.all(
       ['entry-2', 'entry-3'].map((name) => this.#startDaemon(name, seeds)),
     );
+    // Daemons that start together are kept in the order of their names, as their URLs are.
+    this.daemons.sort((left, right) => (left.name < right.name ? -1 : 1));
     for (const { caller, admin } of [first, ...rest]) {
       this.#callerUrls.push(caller);
       this.#adminUrls.push(admin);
