Answer a claim that the log did not take before the caller gives up

Cause: with the log down, a forwarded call waited for its claim longer than the daemon that forwarded it, which then had to say unknown although nothing had run. Change: a claim may wait for half of the caller's time at most, and the forwarding daemon keeps a fifth of it for its own look into the log.

--- a/src/calls/claim-coordinator.ts
+++ b/src/calls/claim-coordinator.ts
@@ -118,7 +118,9 @@
       ...identity,
       daemon,
       claimedAtMs,
-      startByMs: Math.min(call.deadlineAtMs, claimedAtMs + startWithinMs),
+      // Half of the caller's time is left for the call itself and for an answer about a claim that
+      // the log did not take, which must not come after the caller has given up.
+      startByMs: claimedAtMs + Math.min(startWithinMs, (call.deadlineAtMs - claimedAtMs) / 2),
       finishByMs: call.deadlineAtMs,
       rememberUntilMs: claimedAtMs + call.rememberMs,
       fingerprintUntilMs: claimedAtMs + call.rememberMs + call.fingerprintMs,
--- a/src/daemon/calls-service.ts
+++ b/src/daemon/calls-service.ts
@@ -52,6 +52,7 @@
 const resolveTimeoutMs = 10_000;
 /** Time kept for looking into the log when the home of a shard does not answer. */
 const fallbackMs = 2_000;
+const fallbackShare = 0.2;
 
 /** Options of {@link CallsService}. */
 export interface CallsServiceOptions extends ShardedServiceOptions {
@@ -100,8 +101,9 @@
   async execute(call: RoutedCall): Promise<z.output<typeof answerSchema>> {
     const home = this.#shards.remoteHome(this.#shardOf(call));
     if (!home) return this.#executeHere(call);
-    const { peers } = this.#options;
-    const deadlineAtMs = call.deadlineAtMs - fallbackMs;
+    const { peers, clock } = this.#options;
+    const leftMs = call.deadlineAtMs - clock.nowMs();
+    const deadlineAtMs = call.deadlineAtMs - Math.min(fallbackMs, leftMs * fallbackShare);
     return runAtHome(
       async () => {
         const answer = await peers.call(home.rpcUrl, executeMethod, call, { deadlineAtMs });
