Carry the router's class, probe and cache results through the relay

Cause: the daemon ignored three results of the policy: the promoted class of aged long work, probes that should run beside a second copy, and the engine's count of cached tokens; the queue was bounded only by the deadline of an hour. Change: leases tell class and probe; attempts report cached tokens; routing setting queue_ms.

--- a/src/daemon/routed-selector.ts
+++ b/src/daemon/routed-selector.ts
@@ -236,11 +236,14 @@
     return this.#move.signal;
   }
 
-  /** Class to name to the engine; aged long work is promoted. */
-  get engineClass(): WorkClass {
+  override get engineClass(): WorkClass {
     return this.#options.decision.engineClass;
   }
 
+  override get isProbe(): boolean {
+    return this.#options.decision.isProbe;
+  }
+
   /** Asks for the move at `atMs`, once. */
   moveAt(atMs: number): void {
     this.#cancelMove ??= this.#options.clock.schedule(atMs, () => {
@@ -256,7 +259,7 @@
     this.#reports.checkStall(nowMs);
   }
 
-  override end(how: AttemptEnd): void {
+  override end(how: AttemptEnd, usage?: { readonly cachedTokens: number }): void {
     if (this.#hasEnded) return;
     this.#hasEnded = true;
     this.#cancelMove?.();
@@ -265,7 +268,7 @@
     onEnd();
     const failure = failureOf[how];
     if (failure === undefined) {
-      this.#reports.ended(clock.nowMs());
+      this.#reports.ended(clock.nowMs(), usage?.cachedTokens);
       if (how === AttemptEnd.Completed) registry.recordSuccess(this.endpointId);
       return;
     }
--- a/src/pipeline/admit-stage.ts
+++ b/src/pipeline/admit-stage.ts
@@ -53,11 +53,14 @@
     };
   }
 
-  /** Latest start that leaves the expected time for the answer itself. */
+  /** Latest start within the queue's bound that leaves the expected time for the answer itself. */
   #startByMs(context: ChatContext): number {
     const { call, prediction } = context;
     const gapMs = call.service.values.objective_between_tokens_ms;
     const answerMs = prediction.expectedOutputTokens * gapMs;
-    return Math.max(this.#options.clock.nowMs(), call.deadlineAtMs - answerMs);
+    const queueUntilMs =
+      context.receivedAtMs + context.deployment.routing(call.service.id).queue_ms;
+    const latestMs = Math.min(queueUntilMs, call.deadlineAtMs - answerMs);
+    return Math.max(this.#options.clock.nowMs(), latestMs);
   }
 }
--- a/src/pipeline/endpoint-selector.ts
+++ b/src/pipeline/endpoint-selector.ts
@@ -41,6 +41,16 @@
   abstract readonly client: EngineClient;
   /** Aborted when the attempt should move to another endpoint, as before a reclaim. */
   abstract readonly shouldMove: AbortSignal;
+  /** Class to name to the engine, such as for long work promoted to meet its deadline. */
+  get engineClass(): WorkClass | undefined {
+    return undefined;
+  }
+
+  /** Whether the attempt only finds out if a slow endpoint has recovered. */
+  get isProbe(): boolean {
+    return false;
+  }
+
   abstract token(): void;
   abstract end(how: AttemptEnd, usage?: { promptTokens: number; cachedTokens: number }): void;
 }
--- a/src/pipeline/generation-relay.ts
+++ b/src/pipeline/generation-relay.ts
@@ -183,16 +183,18 @@
     const { hedges, clock, selector } = this.#options;
     const { serviceId, workspaceId, workClass } = this.#task;
     if (!hedges || this.#hasShownChunks) return () => undefined;
-    const atMs = clock.nowMs() + hedges.delayMs(serviceId, workClass);
+    // A probe of a slow endpoint must not cost the caller anything, so it never runs alone.
+    const delayMs = first.isProbe ? 0 : hedges.delayMs(serviceId, workClass);
+    const atMs = clock.nowMs() + delayMs;
     return clock.schedule(atMs, () => {
       if (this.#winner || this.#disconnected.aborted) return;
-      if (!hedges.tryHedge(workspaceId, true)) return;
+      if (!first.isProbe && !hedges.tryHedge(workspaceId, true)) return;
       const excludedIds = new Set([...this.#excludedIds, first.endpointId]);
       selector
         .select({ ...this.#task, resumeText: '', excludedIds }, this.#disconnected)
         .then(start, () => {
           // No second endpoint is free; the first attempt goes on alone.
-          hedges.giveBack(workspaceId);
+          if (!first.isProbe) hedges.giveBack(workspaceId);
         });
     });
   }
@@ -218,7 +220,7 @@
           messages: task.messages,
           resumeText: this.#shownText,
           maxTokens: Math.max(1, task.maxTokens - this.#tokens),
-          workClass: task.workClass,
+          workClass: lease.engineClass ?? task.workClass,
           passThrough: task.passThrough,
         },
         (event) => (this.#hasWon(attempt, event, open) ? this.#onEvent(event, lease) : undefined),
--- a/src/settings/schemas.ts
+++ b/src/settings/schemas.ts
@@ -132,6 +132,9 @@
   short_reserve_ratio: decimal(0, 0.9)
     .default(0.25)
     .describe('Share of batch slots kept free of long work.'),
+  queue_ms: whole(0, 3_600_000)
+    .default(10_000)
+    .describe('Longest wait in a queue; a request that would wait longer is refused at once.'),
   silence_ms: whole(200, 600_000)
     .default(3_000)
     .describe('Longest silence of an engine stream before it is suspect.'),
