Test the gossip's guards and the order of a planned stop

Cause: the faults that the histories found had no focused tests of their own. Change: tests for a pause, a cut that outlasts membership, and gracefulStop. The histories of chats let their daemons meet before the first fault, and npm test requires events of P5 to P7.

--- a/bench/histories/run-history.ts
+++ b/bench/histories/run-history.ts
@@ -49,6 +49,7 @@
   });
   const property = fc.asyncProperty(commandLists, fc.integer(), async (commands, worldSeed) => {
     const world = new World(worldSeed, parts.world);
+    await world.start();
     await fc.asyncModelRun(() => ({ model: {}, real: world }), commands);
     await world.finish();
     first ??= world.history.events;
--- a/bench/histories/world.ts
+++ b/bench/histories/world.ts
@@ -13,6 +13,7 @@
 
 export const failureDomains = ['domain-a', 'domain-b', 'domain-c'] as const;
 export const operatorCount = 2;
+const warmUpMs = 4_000;
 const observePeriodMs = 100;
 /** Longer than a read that stays silent, so that two in a row do not exceed the 20 s of P7. */
 const silenceGapMs = 40_000;
@@ -80,6 +81,11 @@
     }
   }
 
+  /** Lets the daemons of chats meet, as faults come to a deployment that runs already. */
+  async start(): Promise<void> {
+    if (this.#parts.chats) await this.clock.advance(warmUpMs);
+  }
+
   /** The tool that an operator runs now. */
   operator(index: number): Operator {
     return this.#operators[index]!;
--- /dev/null
+++ b/test/daemon/graceful-stop_test.ts
@@ -0,0 +1,30 @@
+import { describe, expect, it } from 'vitest';
+import { VirtualClock } from '../../src/core/index.js';
+import { gracefulStop } from '../../src/daemon/graceful-stop.js';
+
+describe('gracefulStop', () => {
+  it('answers open requests before it stops what answers them (else requests are cut off)', async () => {
+    const clock = new VirtualClock();
+    const startedAtMs = clock.nowMs();
+    const steps: [string, number][] = [];
+    const step = (name: string, takesMs: number) => async (): Promise<void> => {
+      steps.push([name, clock.nowMs() - startedAtMs]);
+      await clock.sleepUntil(clock.nowMs() + takesMs);
+    };
+    const stopped = gracefulStop({
+      clock,
+      noticeMs: 3_000,
+      timeoutMs: 60_000,
+      drainCallers: step('drain', 20_000),
+      stopParts: step('stop', 100),
+      leave: step('leave', 0),
+    });
+    await clock.advance(30_000);
+    await stopped;
+    expect(steps).toEqual([
+      ['drain', 3_000],
+      ['stop', 23_000],
+      ['leave', 23_100],
+    ]);
+  });
+});
--- a/test/fleet/leaving-gossip_test.ts
+++ b/test/fleet/leaving-gossip_test.ts
@@ -1,14 +1,24 @@
 import { describe, expect, it } from 'vitest';
+import { listenInProcess } from '../../bench/histories/process-peers.js';
+import { SimulatedProcess } from '../../bench/histories/process.js';
 import { Random, VirtualClock } from '../../src/core/index.js';
 import { EngineFailure } from '../../src/engine/index.js';
 import {
   EndpointRegistry,
   EndpointState,
+  LeavingGossip,
+  LeavingMerge,
   LeavingSource,
   vmLeavingEntry,
 } from '../../src/fleet/index.js';
 import { Deployment } from '../../src/settings/index.js';
-import { MemoryFleet, regionOf, type FleetDaemon } from '../../src/standins/index.js';
+import { RpcPeerTransport, SwimProtocol } from '../../src/membership/index.js';
+import {
+  MemoryFleet,
+  MemoryPeerNetwork,
+  regionOf,
+  type FleetDaemon,
+} from '../../src/standins/index.js';
 
 /** P5: the bound after the first signal. */
 const boundMs = 3_000;
@@ -109,6 +119,55 @@
     expect([knowing(fleet, 'inside'), knowing(fleet, 'outside')]).toEqual([24, 24]);
   });
 
+  it('tells a region that was cut off within 3 s of the end of the cut', async () => {
+    const { clock, fleet } = boot(16, 5);
+    await clock.advance(30_000);
+    fleet.network.isCut = (from, to) => (regionOf(from) === 'r0') !== (regionOf(to) === 'r0');
+    // Long enough for membership to take the region for dead, so that nobody is left to tell.
+    await clock.advance(25_000);
+    signal(fleet.daemons.get(1)!, ['vm'], clock.nowMs());
+    await clock.advance(5_000);
+    fleet.network.isCut = () => false;
+    await clock.advance(boundMs);
+    expect(knowing(fleet, 'vm')).toBe(16);
+  });
+
+  it('holds back new work after a pause until a peer told what was missed', async () => {
+    const clock = new VirtualClock();
+    const network = new MemoryPeerNetwork({ clock });
+    const paused = new SimulatedProcess(clock);
+    const start = (id: string, process: SimulatedProcess) => {
+      const peers = listenInProcess(network, `http://${id}`, process);
+      const membership = new SwimProtocol({
+        self: { id, rpcUrl: peers.url, adminUrl: peers.url, region: 'r', failureDomain: 'f' },
+        transport: new RpcPeerTransport(peers.caller, peers.methods),
+        clock: process,
+        random: new Random(1),
+        seeds: () => ['http://a', 'http://b'],
+      });
+      const leaving = new LeavingMerge();
+      const options = { leaving, membership, clock: process, random: new Random(2) };
+      const gossip = new LeavingGossip({ ...options, ...peers });
+      membership.start();
+      void membership.join().then(() => gossip.pullBeforeReady());
+      return { leaving, gossip };
+    };
+    const a = start('a', paused);
+    const b = start('b', new SimulatedProcess(clock));
+    await clock.advance(10_000);
+    expect(a.gossip.isCurrent).toBe(true);
+    paused.pause();
+    const nowMs = clock.nowMs();
+    b.leaving.signal([vmLeavingEntry('vm', nowMs + 30_000, LeavingSource.Notice, nowMs)]);
+    await clock.advance(10_000);
+    expect(a.gossip.isCurrent).toBe(false);
+    paused.resume();
+    expect(a.gossip.isCurrent).toBe(false);
+    await clock.advance(1_000);
+    expect(a.gossip.isCurrent).toBe(true);
+    expect(a.leaving.covering('vm', 0)).toBeDefined();
+  });
+
   it('lets all daemons become ready when all restart at once with nobody to pull from', async () => {
     const { clock, fleet } = boot(24, 5);
     await clock.advance(10_000);
--- a/test/histories/seed-range.ts
+++ b/test/histories/seed-range.ts
@@ -22,6 +22,11 @@
           HistoryKind.CallEnded,
           HistoryKind.Fault,
           HistoryKind.ReclaimAnnounced,
+          HistoryKind.WorkAssigned,
+          HistoryKind.StopBegan,
+          HistoryKind.RequestEnded,
+          HistoryKind.SettingAccepted,
+          HistoryKind.SettingInForce,
         ]) {
           expect(totals.get(kind) ?? 0).toBeGreaterThan(count / 2);
         }
