Keep the parsed sections that a settings change leaves alone

Cause: Deployment.from parsed every section again for each change. Change: it takes the previous view and keeps a section whose object of raw values is the same. ConfigFold passes its last view.

--- a/src/settings/deployment.ts
+++ b/src/settings/deployment.ts
@@ -43,11 +43,20 @@
   readonly #routing = new Map<string, RoutingSettings>();
   readonly #limits = new Map<string, LimitsSettings>();
 
-  /** @param sections - path to raw values, as accepted by the configuration fold. */
-  static from(sections: ReadonlyMap<string, SectionValues>): Deployment {
+  readonly #sources = new Map<string, Source>();
+
+  /**
+   * @param sections - path to raw values, as accepted by the configuration fold.
+   * @param previous - an earlier view; its parsed sections are kept where the object of raw values is
+   * still the same.
+   */
+  static from(sections: ReadonlyMap<string, SectionValues>, previous?: Deployment): Deployment {
     const deployment = new Deployment();
     for (const [pathText, values] of sections) {
-      deployment.#add(SettingsPath.parse(pathText), values);
+      const known = previous ? previous.#sources.get(pathText) : undefined;
+      const source = known?.values === values ? known : parseSource(pathText, values);
+      deployment.#sources.set(pathText, source);
+      deployment.#add(source.parsed);
     }
     return deployment;
   }
@@ -85,27 +94,63 @@
       .sort((a, b) => (a.id < b.id ? -1 : 1));
   }
 
-  #add(path: SettingsPath, values: SectionValues): void {
-    const id = path.qualifiedName;
-    switch (path.kind) {
+  #add(parsed: ParsedSection): void {
+    const { kind, section } = parsed;
+    switch (kind) {
       case SectionKind.Services:
-        this.services.set(id, { id, path, values: serviceSchema.parse(values) });
+        this.services.set(section.id, section);
         break;
       case SectionKind.Workspaces:
-        this.workspaces.set(id, { id, path, values: workspaceSchema.parse(values) });
+        this.workspaces.set(section.id, section);
         break;
       case SectionKind.Endpoints:
-        this.endpoints.set(id, { id, path, values: endpointSchema.parse(values) });
+        this.endpoints.set(section.id, section);
         break;
       case SectionKind.Keys:
-        this.keys.set(id, { id, path, values: keySchema.parse(values) });
+        this.keys.set(section.id, section);
         break;
       case SectionKind.Routing:
-        this.#routing.set(id, routingSchema.parse(values));
+        this.#routing.set(section.id, section.values);
         break;
       case SectionKind.Limits:
-        this.#limits.set(id, limitsSchema.parse(values));
+        this.#limits.set(section.id, section.values);
         break;
     }
   }
 }
+
+type ParsedSection =
+  | { readonly kind: SectionKind.Services; readonly section: Section<ServiceSettings> }
+  | { readonly kind: SectionKind.Workspaces; readonly section: Section<WorkspaceSettings> }
+  | { readonly kind: SectionKind.Endpoints; readonly section: Section<EndpointSettings> }
+  | { readonly kind: SectionKind.Keys; readonly section: Section<KeySettings> }
+  | { readonly kind: SectionKind.Routing; readonly section: Section<RoutingSettings> }
+  | { readonly kind: SectionKind.Limits; readonly section: Section<LimitsSettings> };
+
+/** A section together with the raw values that it was parsed from. */
+interface Source {
+  readonly values: SectionValues;
+  readonly parsed: ParsedSection;
+}
+
+function parseSource(pathText: string, values: SectionValues): Source {
+  return { values, parsed: parseSection(SettingsPath.parse(pathText), values) };
+}
+
+function parseSection(path: SettingsPath, values: SectionValues): ParsedSection {
+  const { kind, qualifiedName: id } = path;
+  switch (kind) {
+    case SectionKind.Services:
+      return { kind, section: { id, path, values: serviceSchema.parse(values) } };
+    case SectionKind.Workspaces:
+      return { kind, section: { id, path, values: workspaceSchema.parse(values) } };
+    case SectionKind.Endpoints:
+      return { kind, section: { id, path, values: endpointSchema.parse(values) } };
+    case SectionKind.Keys:
+      return { kind, section: { id, path, values: keySchema.parse(values) } };
+    case SectionKind.Routing:
+      return { kind, section: { id, path, values: routingSchema.parse(values) } };
+    case SectionKind.Limits:
+      return { kind, section: { id, path, values: limitsSchema.parse(values) } };
+  }
+}
--- a/src/state/config-fold.ts
+++ b/src/state/config-fold.ts
@@ -120,6 +120,8 @@
   #unverified = new Map<string, ConfigVerdict>();
   #lastFence = 0;
   #deployment: Deployment | undefined;
+  /** The view before the last accepted change, whose parsed sections are kept. */
+  #previous: Deployment | undefined;
 
   constructor(options: ConfigFoldOptions) {
     super();
@@ -130,7 +132,7 @@
 
   /** Typed view of the settings in force; the same object until a change is accepted. */
   get deployment(): Deployment {
-    this.#deployment ??= Deployment.from(this.sections());
+    this.#deployment ??= Deployment.from(this.sections(), this.#previous);
     return this.#deployment;
   }
 
@@ -290,6 +292,7 @@
       versions.push({ revision, changeId, keyId, at, values });
       this.#versions.set(path, versions.slice(-this.#versionsKept));
     }
+    this.#previous = this.#deployment ?? this.#previous;
     this.#deployment = undefined;
   }
 
