Gate traffic between regions and KV moves

Cause: nothing asked LinkBudget, and a wave of reclaims planned each KV export as if it had the whole rate. Change: RegionLinks holds a budget per region and direction. Requests and stream text of engines in other regions and calls of peers pass it where they are sent; routing leaves out a region whose link is full. KvTransfers gives the moves of a daemon their turns; HandoverPlanner reserves one with each planned export and counts those before it. Conclusion: of a wave of three exports the test plans two and resumes one.

--- a/src/daemon/daemon-parts.ts
+++ b/src/daemon/daemon-parts.ts
@@ -19,10 +19,11 @@
   SilenceDetector,
 } from '../fleet/index.js';
 import { SpeedEstimator } from '../fleet/speed-estimator.js';
+import { KvTransfers } from '../jobs/index.js';
 import { RpcPeerTransport, SwimProtocol } from '../membership/index.js';
 import { BurnRecorder, objectivesOf } from '../report/index.js';
 import { ExplainStore, Router } from '../routing/index.js';
-import type { RpcClient, RpcServer } from '../rpc/index.js';
+import type { PeerCaller, RpcClient, RpcServer } from '../rpc/index.js';
 import { KeyStore, type TlsContext } from '../security/index.js';
 import type { Deployment } from '../settings/index.js';
 import { ConfigFold, type RawEntry } from '../state/index.js';
@@ -38,10 +39,12 @@
 import { EnginePool } from './engine-pool.js';
 import { EstimatedSpeeds } from './estimated-speeds.js';
 import { HttpKvMover, RoutedChooser } from './job-desk.js';
-import { JobsService } from './jobs-service.js';
+import { JobsService, kvBytesPerS } from './jobs-service.js';
 import { registerKnownOffset } from './known-offset.js';
+import { LinkedPeerCaller } from './linked-peer-caller.js';
 import { LogAccess, type OpenStream } from './log-access.js';
 import { PolicyRetries } from './policy-retries.js';
+import { RegionLinks } from './region-links.js';
 import { RoutedSelector } from './routed-selector.js';
 import { DaemonServiceDesk } from './service-desk.js';
 
@@ -86,6 +89,7 @@
   readonly hedges = new HedgePolicy();
   readonly retryBudget = new RetryBudget();
   readonly registry: EndpointRegistry;
+  readonly links: RegionLinks;
   readonly engines: EnginePool;
   readonly admission: AdmissionController;
   readonly retries: PolicyRetries;
@@ -103,6 +107,7 @@
   readonly capacity: CapacityService | undefined;
   readonly admin: AdminServer;
   readonly #options: DaemonPartsOptions;
+  readonly #peers: PeerCaller;
   #createdVms: readonly CreatedVm[] = [];
   #closePlatform: () => Promise<unknown> = () => Promise.resolve();
   #stopExpiring: (() => void) | undefined;
@@ -128,7 +133,19 @@
       speeds: new EstimatedSpeeds(this.speeds),
       events,
     });
+    this.links = new RegionLinks({
+      clock,
+      membership: () => this.membership,
+      bitsPerS: settings.platform.link_bits_per_s,
+    });
+    this.#peers = new LinkedPeerCaller({
+      caller: options.rpcClient,
+      links: this.links,
+      regionOf: (peerUrl) => this.#regionOf(peerUrl),
+      clock,
+    });
     this.engines = new EnginePool({
+      links: this.links,
       clock,
       silenceMs: (serviceId) => this.deployment.routing(serviceId).silence_ms,
     });
@@ -147,7 +164,7 @@
     this.gossip = new LeavingGossip({
       leaving: this.leaving,
       membership: this.membership,
-      caller: options.rpcClient,
+      caller: this.#peers,
       methods: options.rpcServer,
       clock,
       random: random.fork(),
@@ -179,7 +196,7 @@
     this.jobs = this.#createJobs();
     this.created = new CreatedVms({
       membership: this.membership,
-      caller: options.rpcClient,
+      caller: this.#peers,
       methods: options.rpcServer,
       clock,
       random: random.fork(),
@@ -272,6 +289,10 @@
     });
   }
 
+  #regionOf(rpcUrl: string): string | undefined {
+    return this.membership.members().find((member) => member.rpcUrl === rpcUrl)?.region;
+  }
+
   #logVerdict(entry: RawEntry): void {
     const changeId = entry.changeId;
     const verdict = typeof changeId === 'string' ? this.config.fold.verdict(changeId) : undefined;
@@ -304,18 +325,18 @@
       engines: this.engines,
       deployment: () => this.deployment,
       clock,
+      links: this.links,
     });
   }
 
   #createMembership(): SwimProtocol {
-    const { settings, clock, random, events, rpcClient, rpcServer, rpcUrl, adminUrl } =
-      this.#options;
+    const { settings, clock, random, events, rpcServer, rpcUrl, adminUrl } = this.#options;
     const { name, region, failure_domain, seeds } = settings.daemon;
     const scheme = this.#options.tls ? 'https' : 'http';
     const seedUrls = seeds.map((seed) => `${scheme}://${seed}`);
     return new SwimProtocol({
       self: { id: name, rpcUrl, adminUrl, region, failureDomain: failure_domain },
-      transport: new RpcPeerTransport(rpcClient, rpcServer),
+      transport: new RpcPeerTransport(this.#peers, rpcServer),
       clock,
       random: random.fork(),
       seeds: () => seedUrls,
@@ -324,13 +345,13 @@
   }
 
   #createCalls(): CallsService {
-    const { settings, clock, random, newId, events, rpcClient, rpcServer } = this.#options;
+    const { settings, clock, random, newId, events, rpcServer } = this.#options;
     return new CallsService({
       daemon: settings.daemon.name,
       shards: settings.log.claim_shards,
       log: this.log,
       membership: this.membership,
-      peers: rpcClient,
+      peers: this.#peers,
       methods: rpcServer,
       clock,
       random: random.fork(),
@@ -341,21 +362,23 @@
   }
 
   #createJobs(): JobsService {
-    const { settings, clock, random, newId, events, rpcClient, rpcServer } = this.#options;
+    const { settings, clock, random, newId, events, rpcServer } = this.#options;
+    const kvTransfers = new KvTransfers({ clock, bytesPerS: () => kvBytesPerS });
     return new JobsService({
       daemon: settings.daemon.name,
       incarnation: Math.floor(this.startedAtMs),
       shards: settings.log.job_shards,
       log: this.log,
       membership: this.membership,
-      peers: rpcClient,
+      peers: this.#peers,
       methods: rpcServer,
       clock,
       random: random.fork(),
       newId,
       events,
       chooser: new RoutedChooser(this.selector),
-      kvMover: new HttpKvMover(clock, (id) => this.registry.view(id)?.baseUrl),
+      kvMover: new HttpKvMover(clock, (id) => this.registry.view(id)?.baseUrl, kvTransfers),
+      kvTransfers,
       policyFor: ({ service }) => {
         const values = this.deployment.services.get(service)?.values;
         return {
@@ -402,8 +425,7 @@
   }
 
   #createAdmin(): AdminServer {
-    const { settings, clock, events, metrics, tls, rpcClient, rpcServer, state, inFlight } =
-      this.#options;
+    const { settings, clock, events, metrics, tls, rpcServer, state, inFlight } = this.#options;
     const { name, deployment, region, failure_domain } = settings.daemon;
     const backend = new DaemonAdminBackend({
       daemon: name,
@@ -431,7 +453,7 @@
     return new AdminServer({
       backend,
       keys: this.keys,
-      peers: rpcClient,
+      peers: this.#peers,
       clock,
       log: events,
       metrics,
--- a/src/daemon/engine-pool.ts
+++ b/src/daemon/engine-pool.ts
@@ -1,12 +1,15 @@
 import type { Clock } from '../core/index.js';
-import { HttpEngineClient } from '../engine/index.js';
+import { HttpEngineClient, type EngineClient } from '../engine/index.js';
 import type { EndpointView } from '../fleet/index.js';
+import { LinkedEngineClient } from './linked-engine-client.js';
+import type { RegionLinks } from './region-links.js';
 
 /** Options of {@link EnginePool}. */
 export interface EnginePoolOptions {
   readonly clock: Clock;
   /** Longest silence of a stream of the service, in milliseconds. */
   readonly silenceMs: (serviceId: string) => number;
+  readonly links: RegionLinks;
 }
 
 /** One engine client per endpoint identity, so that a returned address never reuses connections. */
@@ -18,7 +21,7 @@
     this.#options = options;
   }
 
-  client(view: EndpointView): HttpEngineClient {
+  client(view: EndpointView): EngineClient {
     let client = this.#clients.get(view.id);
     if (!client) {
       client = new HttpEngineClient({
@@ -29,7 +32,8 @@
       });
       this.#clients.set(view.id, client);
     }
-    return client;
+    const { links } = this.#options;
+    return links.crosses(view.region) ? new LinkedEngineClient(client, view.region, links) : client;
   }
 
   /** Drops the client of an identity that is gone. */
--- a/src/daemon/job-desk.ts
+++ b/src/daemon/job-desk.ts
@@ -4,6 +4,7 @@
 import {
   EndpointChooser,
   KvMover,
+  type KvTransfers,
   type ChosenEndpoint,
   type EndpointQuery,
   type JobFrame,
@@ -109,9 +110,15 @@
 export class HttpKvMover extends KvMover {
   readonly #clock: Clock;
   readonly #baseUrlOf: (endpointId: string) => string | undefined;
+  readonly #transfers: KvTransfers;
 
-  constructor(clock: Clock, baseUrlOf: (endpointId: string) => string | undefined) {
+  constructor(
+    clock: Clock,
+    baseUrlOf: (endpointId: string) => string | undefined,
+    transfers: KvTransfers,
+  ) {
     super();
+    this.#transfers = transfers;
     this.#clock = clock;
     this.#baseUrlOf = baseUrlOf;
   }
@@ -120,9 +127,12 @@
     const from = this.#baseUrlOf(move.from.id);
     const to = this.#baseUrlOf(move.to.id);
     if (from === undefined || to === undefined) return undefined;
+    // Between regions the link carries no KV cache (design page, section 3.10).
+    if (move.from.region !== move.to.region) return undefined;
     const leftMs = Math.max(1, Math.floor(move.deadlineAtMs - this.#clock.nowMs()));
     const signal = AbortSignal.timeout(leftMs);
     try {
+      await this.#transfers.turn(move.requestId, signal);
       const exported = await post(`${from}/kv/export`, { request_id: move.requestId }, signal);
       const { blocks } = exportAnswer.parse(exported);
       await post(`${to}/kv/import`, { blocks }, signal);
--- a/src/daemon/jobs-service.ts
+++ b/src/daemon/jobs-service.ts
@@ -8,6 +8,7 @@
   type JobFrame,
   type JobPolicy,
   type KvMover,
+  type KvTransfers,
   type ReclaimNotice,
 } from '../jobs/index.js';
 import type { Membership } from '../membership/index.js';
@@ -19,6 +20,9 @@
 import { decodeResult, encodeResult, resultOrErrorSchema } from './request-error-codec.js';
 import { ShardHost, shardOfId, ShardPart } from './shard-host.js';
 
+/** Transfer rate of KV caches on a 10 Gbit/s network within a region. */
+export const kvBytesPerS = 1_250_000_000;
+
 const newJobSchema = z.object({
   workspace: z.string(),
   service: z.string(),
@@ -97,6 +101,8 @@
   readonly events: EventLog;
   readonly chooser: EndpointChooser;
   readonly kvMover: KvMover;
+  /** Transfers within the region that all shards share. */
+  readonly kvTransfers: KvTransfers;
   readonly policyFor: (job: Job) => JobPolicy;
 }
 
@@ -305,11 +311,12 @@
       writer,
       chooser,
       kvMover: options.kvMover,
-      // Sizes of a mid-size model on a 10 Gbit/s network within a region.
+      // Size of a mid-size model.
       planner: new HandoverPlanner({
         kvBytesPerToken: 131_072,
-        kvBytesPerS: 1_250_000_000,
+        kvBytesPerS,
         kvImportMs: 200,
+        transfers: options.kvTransfers,
       }),
       log: events,
       daemon,
--- /dev/null
+++ b/src/daemon/linked-engine-client.ts
@@ -0,0 +1,57 @@
+import { LinkClass } from '../capacity/index.js';
+import {
+  EngineClient,
+  GenerationEventKind,
+  type GenerationEvent,
+  type GenerationRequest,
+  type LoadReport,
+} from '../engine/index.js';
+import { LinkDirection, type RegionLinks } from './region-links.js';
+
+/**
+ * {@link EngineClient} of an endpoint in another region: requests and text wait for room on the
+ * link. Reading pauses meanwhile, which holds the engine back.
+ */
+export class LinkedEngineClient extends EngineClient {
+  readonly #client: EngineClient;
+  readonly #region: string;
+  readonly #links: RegionLinks;
+
+  constructor(client: EngineClient, region: string, links: RegionLinks) {
+    super();
+    this.#client = client;
+    this.#region = region;
+    this.#links = links;
+  }
+
+  override async generate(
+    request: GenerationRequest,
+    onEvent: (event: GenerationEvent) => void | Promise<void>,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const bytes = Buffer.byteLength(JSON.stringify(request));
+    await this.#links.pass(this.#region, LinkDirection.Out, LinkClass.Requests, bytes, signal);
+    await this.#client.generate(request, (event) => this.#receive(event, onEvent, signal), signal);
+  }
+
+  override cancel(requestId: string): Promise<void> {
+    return this.#client.cancel(requestId);
+  }
+
+  override load(signal: AbortSignal): Promise<LoadReport> {
+    return this.#client.load(signal);
+  }
+
+  #receive(
+    event: GenerationEvent,
+    onEvent: (event: GenerationEvent) => void | Promise<void>,
+    signal: AbortSignal,
+  ): void | Promise<void> {
+    if (event.kind !== GenerationEventKind.Token) return onEvent(event);
+    const bytes = event.chunkJson.length;
+    const way = [this.#region, LinkDirection.In, LinkClass.StreamText, bytes] as const;
+    // Without a promise while there is room: one for each token would cost more than the token.
+    if (this.#links.take(...way)) return onEvent(event);
+    return this.#links.pass(...way, signal).then(() => onEvent(event));
+  }
+}
--- /dev/null
+++ b/src/daemon/linked-peer-caller.ts
@@ -0,0 +1,49 @@
+import { LinkClass } from '../capacity/index.js';
+import type { Clock } from '../core/index.js';
+import { PeerCaller, type PeerCallOptions } from '../rpc/index.js';
+import { LinkDirection, type RegionLinks } from './region-links.js';
+
+/** Options of {@link LinkedPeerCaller}. */
+export interface LinkedPeerCallerOptions {
+  readonly caller: PeerCaller;
+  readonly links: RegionLinks;
+  /** Region of the daemon at an RPC URL; undefined while it is not known. */
+  readonly regionOf: (peerUrl: string) => string | undefined;
+  readonly clock: Clock;
+}
+
+/** Prefixes of methods that carry callers' work; everything else is control traffic. */
+const workPrefixes = ['calls.', 'jobs.'] as const;
+
+/**
+ * {@link PeerCaller} that counts and gates what it sends to other regions: control traffic first,
+ * callers' work as requests.
+ */
+export class LinkedPeerCaller extends PeerCaller {
+  readonly #options: LinkedPeerCallerOptions;
+
+  constructor(options: LinkedPeerCallerOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override async call(
+    peerUrl: string,
+    method: string,
+    params: unknown,
+    options: PeerCallOptions,
+  ): Promise<unknown> {
+    const { caller, links, regionOf, clock } = this.#options;
+    const region = regionOf(peerUrl);
+    if (region !== undefined && links.crosses(region)) {
+      const isWork = workPrefixes.some((prefix) => method.startsWith(prefix));
+      const linkClass = isWork ? LinkClass.Requests : LinkClass.Control;
+      const bytes = Buffer.byteLength(JSON.stringify(params ?? null));
+      const deadline = new AbortController();
+      const cancel = clock.schedule(options.deadlineAtMs, () => deadline.abort());
+      await links.pass(region, LinkDirection.Out, linkClass, bytes, deadline.signal);
+      cancel();
+    }
+    return caller.call(peerUrl, method, params, options);
+  }
+}
--- a/src/daemon/load-target.ts
+++ b/src/daemon/load-target.ts
@@ -1,19 +1,42 @@
+import { targetVmsFor } from '../capacity/index.js';
+import type { Clock } from '../core/index.js';
 import { EndpointState, type EndpointView } from '../fleet/index.js';
 
-/** Share of the batch slots that may be in use; the rest takes bursts until a new VM has loaded. */
-const usedShare = 0.6;
+/** A VM takes about a minute until it serves, so shorter peaks are none of its business. */
+const averagedOverMs = 60_000;
 
 /**
- * Endpoints needed for the load that the endpoints of a service in a region report. A daemon gets
- * the reports of its subset only, whose mean stands for the others.
+ * Endpoints needed for the load that the endpoints of a service in a region report, averaged over a
+ * minute. A daemon gets the reports of its subset only, whose mean stands for the others.
+ *
+ * @example
+ * ```ts
+ * const targetVms = target.update(registry.views('t/chat'));
+ * ```
  */
-export function endpointsNeeded(views: readonly EndpointView[]): number {
-  const present = views.filter(({ state }) => state !== EndpointState.Leaving);
-  const reported = present.flatMap(({ report, batchSlots }) =>
-    report ? [{ busy: report.runningRequests + report.queuedRequests, batchSlots }] : [],
-  );
-  const slots = reported.reduce((sum, { batchSlots }) => sum + batchSlots, 0);
-  if (slots === 0) return present.length;
-  const busy = reported.reduce((sum, report) => sum + report.busy, 0);
-  return Math.ceil(((busy / slots) * present.length) / usedShare);
+export class LoadTarget {
+  readonly #clock: Clock;
+  #busyPerEndpoint = 0;
+  #atMs: number;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+    this.#atMs = clock.nowMs();
+  }
+
+  /** Takes the reports of now; 0 before the first, when only `min_vms` counts. */
+  update(views: readonly EndpointView[]): number {
+    const nowMs = this.#clock.nowMs();
+    const weight = 1 - Math.exp(-(nowMs - this.#atMs) / averagedOverMs);
+    this.#atMs = nowMs;
+    const present = views.filter(({ state }) => state !== EndpointState.Leaving);
+    const reported = present.flatMap(({ report, batchSlots }) =>
+      report ? [{ busy: report.runningRequests + report.queuedRequests, batchSlots }] : [],
+    );
+    if (reported.length === 0) return 0;
+    const busy = reported.reduce((sum, report) => sum + report.busy, 0) / reported.length;
+    const slots = reported.reduce((sum, { batchSlots }) => sum + batchSlots, 0) / reported.length;
+    this.#busyPerEndpoint += weight * (busy - this.#busyPerEndpoint);
+    return targetVmsFor(this.#busyPerEndpoint * present.length, slots);
+  }
 }
--- a/src/daemon/routed-selector.ts
+++ b/src/daemon/routed-selector.ts
@@ -1,3 +1,4 @@
+import { LinkClass } from '../capacity/index.js';
 import { Outcome, RequestError, Step, WorkClass, type Clock } from '../core/index.js';
 import { EngineFailure, type EngineClient } from '../engine/index.js';
 import type { CacheView } from '../fleet/cache-view.js';
@@ -19,6 +20,7 @@
 import { AttemptReports, type Decision, type RouteRequest, type Router } from '../routing/index.js';
 import { workspaceSchema, type Deployment } from '../settings/index.js';
 import type { EnginePool } from './engine-pool.js';
+import { LinkDirection, type RegionLinks } from './region-links.js';
 
 /** Options of {@link RoutedSelector}. */
 export interface RoutedSelectorOptions {
@@ -30,6 +32,7 @@
   readonly engines: EnginePool;
   readonly deployment: () => Deployment;
   readonly clock: Clock;
+  readonly links: RegionLinks;
 }
 
 /** What a route depends on beyond the request itself. */
@@ -99,10 +102,15 @@
 
   /** Routes once; undefined when every endpoint is excluded. */
   tryLease(query: RouteQuery): RoutedLease | undefined {
-    const { registry, clock, router } = this.#options;
+    const { registry, clock, router, links } = this.#options;
+    // A request spills over only while the link has room for it; later it would wait there.
     const views = registry
       .views(query.serviceId)
-      .filter(({ region }) => query.region === undefined || region === query.region);
+      .filter(
+        ({ region }) =>
+          (query.region === undefined || region === query.region) &&
+          links.delayMs(region, LinkDirection.Out, LinkClass.Requests) === 0,
+      );
     const decision = router.choose(this.#routeRequest(query), views, clock.nowMs());
     const view = decision.endpoint;
     if (!view) return undefined;
--- a/src/daemon/service-control.ts
+++ b/src/daemon/service-control.ts
@@ -15,7 +15,7 @@
 import type { EndpointRegistry, EndpointView, LeavingMerge } from '../fleet/index.js';
 import type { Deployment, ServiceSettings } from '../settings/index.js';
 import type { EventLog } from '../telemetry/index.js';
-import { endpointsNeeded } from './load-target.js';
+import { LoadTarget } from './load-target.js';
 
 /** Options of {@link ServiceControl}. */
 export interface ServiceControlOptions {
@@ -53,13 +53,14 @@
   constructor(options: ServiceControlOptions) {
     this.#options = options;
     const { serviceId, region, clock, leases, store, orders, registry, events } = options;
+    const load = new LoadTarget(clock);
     const leaseName = `control/${serviceId}/${region}`;
     this.#controller = new FleetController({
       ...options,
       random: options.random.fork(),
       intents: store,
       settings: () => this.#settings,
-      targetVms: () => endpointsNeeded(this.#views()),
+      targetVms: () => load.update(this.#views()),
       weightLoadMs: () => weightLoadMs,
       onLease: () => {
         this.#rollout.restore(store.rollout(leaseName));
--- a/src/jobs/generation-attempt.ts
+++ b/src/jobs/generation-attempt.ts
@@ -148,6 +148,7 @@
     const outputTokens = this.#recordedTokens + this.#buffer.length;
     const isPaced = this.#firstTokenAtMs !== undefined && this.#tokensHere > 1;
     const plan = planner.plan({
+      requestId: this.requestId,
       nowMs,
       deadlineAtMs: notice.deadlineAtMs,
       contextTokens: promptTokens(job) + outputTokens,
--- a/src/jobs/handover-planner.ts
+++ b/src/jobs/handover-planner.ts
@@ -1,3 +1,5 @@
+import type { KvTransfers } from './kv-transfers.js';
+
 /** What becomes of a generation whose endpoint is reclaimed. */
 export enum HandoverKind {
   /** It ends on the endpoint with time to spare. */
@@ -10,6 +12,8 @@
 
 /** Facts on which {@link HandoverPlanner} decides. */
 export interface HandoverFacts {
+  /** Request id of the generation. */
+  readonly requestId: string;
   readonly nowMs: number;
   /** Epoch milliseconds of the reclaim. */
   readonly deadlineAtMs: number;
@@ -31,6 +35,8 @@
   readonly kvImportMs: number;
   /** Share of the time left that a move may take by estimate. */
   readonly usableShare?: number;
+  /** Transfers that share the rate; a planned export reserves its turn there. */
+  readonly transfers?: KvTransfers;
 }
 
 /**
@@ -43,25 +49,32 @@
  * ```
  */
 export class HandoverPlanner {
-  readonly #options: Required<HandoverPlannerOptions>;
+  readonly #options: HandoverPlannerOptions & { readonly usableShare: number };
 
   constructor(options: HandoverPlannerOptions) {
     // The rest covers estimates that are wrong and streams that share the transfer.
     this.#options = { usableShare: 0.6, ...options };
   }
 
+  /** Decides, and reserves the transfer of an export. */
   plan(facts: HandoverFacts): HandoverKind {
     const usableMs = this.#options.usableShare * (facts.deadlineAtMs - facts.nowMs);
     if (facts.tokenGapMs !== undefined && facts.maxRemainingTokens * facts.tokenGapMs < usableMs) {
       return HandoverKind.Finish;
     }
     const canExport = facts.canExportKv && this.exportMs(facts.contextTokens) < usableMs;
-    return canExport ? HandoverKind.ExportKv : HandoverKind.Resume;
+    if (!canExport) return HandoverKind.Resume;
+    // A wave is planned within one turn: without the reservation each export would expect the whole
+    // rate for itself.
+    const bytes = facts.contextTokens * this.#options.kvBytesPerToken;
+    this.#options.transfers?.reserve(facts.requestId, bytes);
+    return HandoverKind.ExportKv;
   }
 
-  /** Estimated milliseconds to export, transfer and import the KV cache. */
+  /** Estimated milliseconds to export, transfer and import the KV cache, after those reserved. */
   exportMs(contextTokens: number): number {
     const { kvBytesPerToken, kvBytesPerS, kvImportMs } = this.#options;
-    return (contextTokens * kvBytesPerToken * 1_000) / kvBytesPerS + kvImportMs;
+    const backlogMs = this.#options.transfers?.backlogMs() ?? 0;
+    return backlogMs + (contextTokens * kvBytesPerToken * 1_000) / kvBytesPerS + kvImportMs;
   }
 }
--- a/src/jobs/index.ts
+++ b/src/jobs/index.ts
@@ -5,3 +5,4 @@
 export * from './job-manager.js';
 export * from './job-runner.js';
 export * from './kv-mover.js';
+export * from './kv-transfers.js';
--- a/test/jobs/answer-assembler_test.ts
+++ b/test/jobs/answer-assembler_test.ts
@@ -1,10 +1,11 @@
 import { describe, expect, it } from 'vitest';
-import { sha256Hex } from '../../src/core/index.js';
+import { VirtualClock, sha256Hex } from '../../src/core/index.js';
 import {
   AnswerAssembler,
   HandoverKind,
   HandoverPlanner,
   JobFrameKind,
+  KvTransfers,
   type JobFrame,
 } from '../../src/jobs/index.js';
 
@@ -53,6 +54,7 @@
     kvImportMs: 500,
   });
   const facts = {
+    requestId: 'r',
     nowMs: 0,
     deadlineAtMs: 10_000,
     contextTokens: 5_000,
@@ -67,6 +69,23 @@
     expect(planner.plan({ ...facts, canExportKv: false })).toBe(HandoverKind.Resume);
   });
 
+  it('plans a wave so that exports share the rate and late ones resume', () => {
+    const clock = new VirtualClock(0);
+    const transfers = new KvTransfers({ clock, bytesPerS: () => 1_000_000 });
+    const shared = new HandoverPlanner({
+      kvBytesPerToken: 1_000,
+      kvBytesPerS: 1_000_000,
+      kvImportMs: 500,
+      transfers,
+    });
+    const plans = ['a', 'b', 'c'].map((requestId) =>
+      shared.plan({ ...facts, requestId, contextTokens: 2_500 }),
+    );
+    expect(plans).toEqual([HandoverKind.ExportKv, HandoverKind.ExportKv, HandoverKind.Resume]);
+    clock.runUntil(4_000);
+    expect(transfers.backlogMs()).toBe(1_000);
+  });
+
   it('lets a generation finish that is surely done in time', () => {
     expect(planner.plan({ ...facts, maxRemainingTokens: 100 })).toBe(HandoverKind.Finish);
   });
