Reclaim a VM by a cloud notice in the demonstration

Cause: the walk-through drained the engine itself, so no cloud took part. The quote's VM is reclaimed with 2 s of notice; a new step checks that its replacement answers all daemons. The walk-through started a reclaim with each frame during the first one; it starts one now.

--- a/src/demo/demo-cluster.ts
+++ b/src/demo/demo-cluster.ts
@@ -1,5 +1,5 @@
 import { createHash, randomBytes } from 'node:crypto';
-import { Random, randomIds, SystemClock } from '../core/index.js';
+import { Random, randomIds } from '../core/index.js';
 import { Daemon, parseDaemonSettings } from '../daemon/index.js';
 import { AppendBudget, Appender, CircuitBreaker, HttpLogService } from '../log/index.js';
 import { newOperatorSecret, SigningKey } from '../security/index.js';
@@ -25,10 +25,16 @@
 export class DemoCluster {
   readonly platform = new DemoPlatform();
   readonly daemons: Daemon[] = [];
-  readonly clock = new SystemClock();
+  readonly clock = this.platform.clock;
+  readonly #daemonCount: number;
   readonly #rootKey = SigningKey.fromSecret(newOperatorSecret());
   readonly #rpcSecret = randomBytes(24).toString('hex');
 
+  /** @param daemonCount - daemons to start, at most one for each failure domain. */
+  constructor(daemonCount = 3) {
+    this.#daemonCount = daemonCount;
+  }
+
   /** Base URL of the first daemon's callers' listener. */
   get callerUrl(): string {
     return this.daemons[0]?.urls.caller ?? '';
@@ -43,7 +49,7 @@
     await this.platform.start();
     const sections = parseSettings(this.platform.settingsText, 'demo.ini');
     await this.publish([...sections].map(([path, values]) => ({ path, values })));
-    for (let index = 0; index < this.platform.failureDomains.length; index++) {
+    for (let index = 0; index < this.#daemonCount; index++) {
       const daemon = this.#createDaemon(index);
       await daemon.start();
       this.daemons.push(daemon);
@@ -121,6 +127,9 @@
       'drain_notice_ms = 500',
       '[log]',
       `base_url = ${this.platform.log.baseUrl}`,
+      '[platform]',
+      `cloud_url = ${this.platform.cloud.baseUrl}`,
+      `weight_store_url = ${this.platform.weightStoreUrl}`,
       '[trust]',
       `root_public_key = "${this.#rootKey.publicKey}"`,
       `rpc_secret = ${this.#rpcSecret}`,
--- a/src/demo/demo-platform.ts
+++ b/src/demo/demo-platform.ts
@@ -1,5 +1,13 @@
 import { createBearerKey, formatBearerKey, hashSecret } from '../security/index.js';
-import { EngineServer, LogServer, PlainServer } from '../standins/index.js';
+import { SystemClock } from '../core/index.js';
+import {
+  EngineServer,
+  LogServer,
+  MemoryWeightStore,
+  PlainServer,
+  WeightStoreServer,
+} from '../standins/index.js';
+import { DemoCloud, demoTokenGapMs } from './demo-cloud.js';
 import {
   planning,
   teamSettings,
@@ -15,6 +23,9 @@
   { region: 'cuyo', failureDomain: 'cuyo-mendoza', priceUsdPerHour: 0.7 },
 ] as const;
 
+/** On-demand VMs cost this many times as much as reclaimable ones. */
+const onDemandFactor = 3;
+
 /** Name of the demonstration's deployment. */
 export const demoDeployment = 'demo';
 
@@ -32,18 +43,46 @@
  * ```
  */
 export class DemoPlatform {
+  readonly clock = new SystemClock();
   readonly log = new LogServer();
-  readonly engines: EngineServer[] = [];
+  readonly cloud = new DemoCloud({
+    clock: this.clock,
+    offers: failureDomains.flatMap(({ failureDomain, priceUsdPerHour }) => [
+      { failureDomain, vmClass: 'standard', reclaimable: true, priceUsdPerHour },
+      {
+        failureDomain,
+        vmClass: 'standard',
+        reclaimable: false,
+        priceUsdPerHour: priceUsdPerHour * onDemandFactor,
+      },
+    ]),
+  });
+  readonly weightStore = new MemoryWeightStore({
+    clock: this.clock,
+    rateBytesPerS: 1e9,
+    modelBytes: 1e8,
+  });
   readonly plainServers: PlainServer[] = [];
   /** Caller keys by `team/workspace`. */
   readonly callerKeys = new Map<string, string>();
   readonly #settings: string[] = [];
+  readonly #weightServer = new WeightStoreServer(this.weightStore, this.clock);
+  #weightStoreUrl = '';
 
   /** Failure domains, one for each daemon of the demonstration. */
   get failureDomains(): readonly DemoFailureDomain[] {
     return failureDomains;
   }
 
+  /** Engines of both teams, those on VMs that were created or have ended included. */
+  get engines(): readonly EngineServer[] {
+    return [...this.cloud.engines.values()];
+  }
+
+  get weightStoreUrl(): string {
+    return this.#weightStoreUrl;
+  }
+
   /** INI text of both teams. */
   get settingsText(): string {
     return this.#settings.join('\n');
@@ -51,12 +90,16 @@
 
   async start(): Promise<void> {
     await this.log.listen();
+    await this.cloud.listen();
+    this.#weightStoreUrl = await this.#weightServer.listen();
     for (const team of [tejidos, planning]) await this.#startTeam(team);
   }
 
   async close(): Promise<void> {
     await Promise.all(
-      [...this.engines, ...this.plainServers, this.log].map((server) => server.close()),
+      [this.cloud, this.#weightServer, ...this.plainServers, this.log].map((server) =>
+        server.close(),
+      ),
     );
   }
 
@@ -67,10 +110,13 @@
         name: `${team.engineService}-${index + 1}`,
         vmId: `vm-${team.engineService}-${index + 1}`,
         models: [team.model],
+        checksFence: true,
+        tokenGapMs: demoTokenGapMs,
       });
       await engine.listen();
-      this.engines.push(engine);
-      endpoints.push(demoEndpoint(engine, team.engineService, index));
+      const endpoint = demoEndpoint(engine, team.engineService, index);
+      this.cloud.register(engine, team.team, endpoint);
+      endpoints.push(endpoint);
     }
     for (let index = 0; index < team.plainWorkers; index++) {
       const plain = new PlainServer({
@@ -107,6 +153,8 @@
     // The first worker of each failure domain is on demand, so that a reclaim leaves one.
     reclaimable: index >= failureDomains.length,
     priceUsdPerHour:
-      index < failureDomains.length ? place.priceUsdPerHour * 3 : place.priceUsdPerHour,
+      index < failureDomains.length
+        ? place.priceUsdPerHour * onDemandFactor
+        : place.priceUsdPerHour,
   };
 }
--- a/src/demo/team-settings.ts
+++ b/src/demo/team-settings.ts
@@ -16,6 +16,8 @@
   readonly engineService: string;
   readonly model: string;
   readonly engineWorkers: number;
+  /** VMs in each region that hold after the loss of a failure domain. */
+  readonly minVms: number;
   readonly plainService: string;
   readonly plainWorkers: number;
   readonly nonRepeatableRoute: string;
@@ -29,6 +31,7 @@
   engineService: 'sales-assistant',
   model: 'fence-1',
   engineWorkers: 8,
+  minVms: 3,
   plainService: 'orders',
   plainWorkers: 3,
   nonRepeatableRoute: 'POST /confirmations',
@@ -42,6 +45,7 @@
   engineService: 'planner',
   model: 'term-1',
   engineWorkers: 6,
+  minVms: 2,
   plainService: 'school',
   plainWorkers: 3,
   nonRepeatableRoute: 'POST /publications',
@@ -67,6 +71,7 @@
     `models = ${team.model}`,
     'checkpoint_tokens = 16',
     'checkpoint_ms = 500',
+    `min_vms = ${team.minVms}`,
     `[${root}/services/${team.plainService}]`,
     'kind = plain',
     `non_repeatable_routes = ${team.nonRepeatableRoute}`,
@@ -88,6 +93,7 @@
       `vm_id = ${endpoint.vmId}`,
       `price_usd_per_hour = ${endpoint.priceUsdPerHour}`,
       `reclaimable = ${endpoint.reclaimable}`,
+      `checks_fence = ${endpoint.service === team.engineService}`,
     ]),
     '',
   ].join('\n');
--- a/src/demo/walk-through.ts
+++ b/src/demo/walk-through.ts
@@ -1,9 +1,13 @@
 import Table from 'cli-table3';
 import { createParser } from 'eventsource-parser';
 import { z } from 'zod';
+import type { CloudVm } from '../capacity/index.js';
 import { sha256Hex } from '../core/index.js';
+import type { Daemon } from '../daemon/index.js';
+import { EndpointState, type EndpointView } from '../fleet/index.js';
 import { AnswerAssembler, JobFrameKind } from '../jobs/index.js';
 import { wholeAnswer } from '../standins/index.js';
+import { askEndpoint, shortQuestion } from './ask-endpoint.js';
 import type { DemoCluster } from './demo-cluster.js';
 import { demoDeployment } from './demo-platform.js';
 
@@ -18,9 +22,14 @@
   readonly run: (cluster: DemoCluster) => Promise<StepResult>;
 }
 
+/** Notice of the cloud before it kills a VM. */
+const noticeMs = 2_000;
+const replacementTimeoutMs = 30_000;
+
 const steps: readonly WalkStep[] = [
   { name: 'chat stream', run: chatStream },
   { name: 'tender quote across a reclaim', run: quoteAcrossReclaim },
+  { name: 'replacement of the reclaimed VM', run: replacementServes },
   { name: 'confirmation sent twice', run: confirmationTwice },
   { name: 'settings change in force', run: settingsChange },
   { name: 'graceful stop', run: gracefulStop },
@@ -61,7 +70,7 @@
   };
 }
 
-/** The engine that works on the quote leaves in the middle, and is killed after its notice. */
+/** The cloud reclaims the VM that works on the quote: seconds of notice, then it is killed. */
 async function quoteAcrossReclaim(cluster: DemoCluster): Promise<StepResult> {
   const messages = [{ role: 'user', content: 'Tender for 3 km of fence. tokens=300' }];
   const accepted = await post(cluster, 0, 'tejidos/tenders', '/v1/jobs', {
@@ -69,17 +78,17 @@
     messages,
   });
   const { id } = z.object({ id: z.string() }).parse(await accepted.json());
-  let reclaimed = '';
+  let reclaim: Promise<string> | undefined;
   const assembler = new AnswerAssembler(id);
   const generations = new Set<number>();
   await readJob(cluster, id, async (frame) => {
     assembler.accept(frame);
     generations.add(frame.generation);
-    if (reclaimed === '' && assembler.nextOffset > 200) {
-      reclaimed = await reclaimEngineOf(cluster, id);
-    }
+    // Frames arrive while the reclaim is under way; only the first starts one.
+    if (assembler.nextOffset > 200) await (reclaim ??= reclaimEngineOf(cluster, id));
   });
   const expected = wholeAnswer(messages);
+  const reclaimed = (await reclaim) ?? 'no engine';
   return {
     isRight: assembler.text === expected && assembler.isComplete && generations.size > 1,
     detail:
@@ -89,6 +98,52 @@
   };
 }
 
+/** The controller replaces the reclaimed VM; every daemon knows the new endpoint and it serves. */
+async function replacementServes(cluster: DemoCluster): Promise<StepResult> {
+  const { clock, platform, daemons } = cluster;
+  const startedAtMs = clock.nowMs();
+  while (clock.nowMs() < startedAtMs + replacementTimeoutMs) {
+    for (const vm of platform.cloud.vms.running().filter(isReplacement(cluster))) {
+      const views = daemons.flatMap((daemon) => loadedView(daemon, vm.vmId) ?? []);
+      if (views.length < daemons.length) continue;
+      const answers = await Promise.all(
+        daemons.map(async (daemon, index) => {
+          const view = views[index];
+          return view ? askEndpoint(daemon, view, `replacement-${index}`) : undefined;
+        }),
+      );
+      return {
+        isRight: answers.every((answer) => answer === wholeAnswer(shortQuestion)),
+        detail:
+          `${vm.vmId} in ${vm.failureDomain} has loaded the model and answers all daemons ` +
+          `${Math.round(clock.nowMs() - startedAtMs)} ms after the kill`,
+      };
+    }
+    await clock.sleepUntil(clock.nowMs() + 100);
+  }
+  return { isRight: false, detail: 'no replacement served in time' };
+}
+
+/** A VM of the quote's service in the region of the reclaimed one, started after its notice. */
+function isReplacement(cluster: DemoCluster): (vm: CloudVm) => boolean {
+  const { reclaimed } = cluster.platform.cloud;
+  return ({ serviceId, region, startedAtMs }) =>
+    serviceId === reclaimed?.serviceId &&
+    region === reclaimed.region &&
+    startedAtMs > reclaimed.noticeAtMs;
+}
+
+function loadedView(daemon: Daemon, vmId: string): EndpointView | undefined {
+  return daemon.parts.registry
+    .all()
+    .find(
+      ({ name, state, loadedModels }) =>
+        name === `tejidos/${vmId}-1` &&
+        state === EndpointState.Live &&
+        loadedModels.includes('fence-1'),
+    );
+}
+
 async function confirmationTwice(cluster: DemoCluster): Promise<StepResult> {
   const key = `order-${Date.now()}`;
   const send = (daemon: number): Promise<Response> =>
@@ -233,15 +288,13 @@
   }
 }
 
-/** Announces the reclaim of the engine that works on a job, and kills it when the notice is over. */
+/** Lets the cloud reclaim the VM of the engine that works on a job, and waits until it is killed. */
 async function reclaimEngineOf(cluster: DemoCluster, jobId: string): Promise<string> {
-  const noticeMs = 2_000;
   const engine = cluster.platform.engines.find(({ startedRequests }) =>
     startedRequests.some((requestId) => requestId.startsWith(jobId)),
   );
   if (!engine) return 'no engine';
-  engine.isDraining = true;
+  cluster.platform.cloud.reclaim(engine.vmId, noticeMs);
   await cluster.clock.sleepUntil(cluster.clock.nowMs() + noticeMs);
-  await engine.kill();
   return engine.name;
 }
--- a/src/standins/memory-cloud.ts
+++ b/src/standins/memory-cloud.ts
@@ -79,9 +79,15 @@
     return [...this.#vms.values()].filter(({ endedAtMs }) => endedAtMs === undefined);
   }
 
-  /** Takes in a VM that was started before, with the endpoints that run on it. */
+  /** Takes in a VM that ran before this cloud was watched: every list shows it. */
   adopt(vm: CloudVm): void {
-    this.#change(vm.vmId, { ...vm, endedAtMs: undefined });
+    const stored = { ...vm, endedAtMs: undefined };
+    this.#vms = new Map(this.#vms).set(vm.vmId, stored);
+    const earlier = this.#history.splice(0);
+    this.#history.push({ atMs: -Infinity, vms: new Map([[vm.vmId, stored]]) });
+    for (const { atMs, vms } of earlier) {
+      this.#history.push({ atMs, vms: new Map(vms).set(vm.vmId, stored) });
+    }
   }
 
   /** All VMs ever started. */
