--- a/bench/histories/simulated-fleet.ts
+++ b/bench/histories/simulated-fleet.ts
@@ -2,6 +2,7 @@
 import { WorkClass, type Random } from '../../src/core/index.js';
 import { EstimatedSpeeds } from '../../src/daemon/estimated-speeds.js';
 import { PolicyRetries } from '../../src/daemon/policy-retries.js';
+import { RegionLinks } from '../../src/daemon/region-links.js';
 import { RoutedSelector } from '../../src/daemon/routed-selector.js';
 import {
   EndpointRegistry,
@@ -96,6 +97,11 @@
         isCurrent: () => this.#gossip.isCurrent,
         deployment,
         clock: process,
+        links: new RegionLinks({
+          clock: process,
+          membership: () => this.membership,
+          bitsPerS: 20_000_000,
+        }),
       }),
       retries: new PolicyRetries({
         policy: new RetryPolicy(this.#retryBudget, new BackOff({ random: random.fork() })),
--- a/bench/state-size.ts
+++ b/bench/state-size.ts
@@ -1,7 +1,15 @@
 import { subscribe, unsubscribe } from 'node:diagnostics_channel';
 import type { Socket } from 'node:net';
 import { AdmissionController } from '../src/admission/index.js';
-import { Random, SystemClock, VirtualClock, WorkClass, sha256Hex } from '../src/core/index.js';
+import {
+  Random,
+  SystemClock,
+  VirtualClock,
+  WorkClass,
+  sha256Hex,
+  type Clock,
+} from '../src/core/index.js';
+import { RegionLinks } from '../src/daemon/region-links.js';
 import { EnginePool } from '../src/daemon/engine-pool.js';
 import { EndpointWatch } from '../src/daemon/endpoint-watch.js';
 import { CacheView } from '../src/fleet/cache-view.js';
@@ -382,7 +390,7 @@
   const clock = new SystemClock();
   const registry = new EndpointRegistry({ clock, leaving: new LeavingMerge() });
   registry.applyDeployment(deployment);
-  const pool = new EnginePool({ clock, silenceMs: () => 3_000 });
+  const pool = new EnginePool({ clock, silenceMs: () => 3_000, links: new OneRegion(clock) });
   const watch = new EndpointWatch({
     daemon: 'entry-1',
     registry,
@@ -436,3 +444,17 @@
     },
   ];
 }
+
+/** Links of a daemon whose endpoints are all in its own region. */
+class OneRegion extends RegionLinks {
+  constructor(clock: Clock) {
+    const membership = (): never => {
+      throw new Error('nothing crosses between regions here');
+    };
+    super({ clock, membership, bitsPerS: 20_000_000 });
+  }
+
+  override crosses(): boolean {
+    return false;
+  }
+}
--- a/src/daemon/jobs-service.ts
+++ b/src/daemon/jobs-service.ts
@@ -8,6 +8,7 @@
   type JobFrame,
   type JobPolicy,
   type KvMover,
+  type KvTransfers,
   type ReclaimNotice,
 } from '../jobs/index.js';
 import type { PeerMethods } from '../rpc/index.js';
@@ -18,6 +19,9 @@
 import { ShardHost, shardOfId, ShardPart } from './shard-host.js';
 import { readyBy, type ShardedServiceOptions } from './sharded-service.js';
 
+/** Transfer rate of KV caches on a 10 Gbit/s network within a region. */
+export const kvBytesPerS = 1_250_000_000;
+
 const newJobSchema = z.object({
   /** Chosen by the daemon that the caller reached, so that accepting twice records one job. */
   jobId: z.string().max(100),
@@ -95,6 +99,8 @@
   readonly incarnation: number;
   readonly chooser: EndpointChooser;
   readonly kvMover: KvMover;
+  /** Transfers within the region that all shards share. */
+  readonly kvTransfers: KvTransfers;
   readonly policyFor: (job: Job) => JobPolicy;
   /** Called once for each job that this daemon brought to its end. */
   readonly onDone: (job: Job) => void;
@@ -314,11 +320,12 @@
       writer,
       chooser,
       kvMover: options.kvMover,
-      // Sizes of a mid-size model on a 10 Gbit/s network within a region.
+      // Size of a mid-size model.
       planner: new HandoverPlanner({
         kvBytesPerToken: 131_072,
-        kvBytesPerS: 1_250_000_000,
+        kvBytesPerS,
         kvImportMs: 200,
+        transfers: options.kvTransfers,
       }),
       log: events,
       daemon,
--- a/src/daemon/routed-selector.ts
+++ b/src/daemon/routed-selector.ts
@@ -1,3 +1,4 @@
+import { LinkClass } from '../capacity/index.js';
 import { Outcome, RequestError, Step, WorkClass, type Clock } from '../core/index.js';
 import { EngineFailure, type EngineClient } from '../engine/index.js';
 import type { CacheView } from '../fleet/cache-view.js';
@@ -18,6 +19,7 @@
 } from '../pipeline/index.js';
 import { AttemptReports, type Decision, type RouteRequest, type Router } from '../routing/index.js';
 import { workspaceSchema, type Deployment } from '../settings/index.js';
+import { LinkDirection, type RegionLinks } from './region-links.js';
 
 /** Gives the client of an endpoint; in a daemon, the engine pool. */
 export interface EngineClients {
@@ -36,6 +38,7 @@
   readonly isCurrent: () => boolean;
   readonly deployment: () => Deployment;
   readonly clock: Clock;
+  readonly links: RegionLinks;
 }
 
 /** What a route depends on beyond the request itself. */
@@ -105,11 +108,16 @@
 
   /** Routes once; undefined when every endpoint is excluded or the daemon was paused just now. */
   tryLease(query: RouteQuery): RoutedLease | undefined {
-    const { registry, clock, router, isCurrent } = this.#options;
+    const { registry, clock, router, links, isCurrent } = this.#options;
     if (!isCurrent()) return undefined;
+    // A request spills over only while the link has room for it; later it would wait there.
     const views = registry
       .views(query.serviceId)
-      .filter(({ region }) => query.region === undefined || region === query.region);
+      .filter(
+        ({ region }) =>
+          (query.region === undefined || region === query.region) &&
+          links.delayMs(region, LinkDirection.Out, LinkClass.Requests) === 0,
+      );
     const decision = router.choose(this.#routeRequest(query), views, clock.nowMs());
     const view = decision.endpoint;
     if (!view) return undefined;
@@ -204,6 +212,7 @@
 
 /** One attempt at an endpoint chosen by the router. */
 export class RoutedLease extends EndpointLease {
+  override readonly isProbe: boolean;
   readonly view: EndpointView;
   readonly #options: RoutedLeaseOptions;
   readonly #reports: AttemptReports;
@@ -215,6 +224,7 @@
   constructor(options: RoutedLeaseOptions) {
     super();
     this.view = options.view;
+    this.isProbe = options.decision.isProbe;
     this.#options = options;
     const { caches, speeds, decision, request, clock } = options;
     this.#reports = new AttemptReports(caches, speeds, decision, request, clock.nowMs());
@@ -240,10 +250,6 @@
     return this.#options.decision.engineClass;
   }
 
-  override get isProbe(): boolean {
-    return this.#options.decision.isProbe;
-  }
-
   /** Asks for the move at `atMs`, once. */
   moveAt(atMs: number): void {
     this.#cancelMove ??= this.#options.clock.schedule(atMs, () => {
--- a/src/pipeline/endpoint-selector.ts
+++ b/src/pipeline/endpoint-selector.ts
@@ -47,9 +47,7 @@
   }
 
   /** Whether the attempt only finds out if a slow endpoint has recovered. */
-  get isProbe(): boolean {
-    return false;
-  }
+  readonly isProbe: boolean = false;
 
   abstract token(): void;
   abstract end(how: AttemptEnd, usage?: { promptTokens: number; cachedTokens: number }): void;
