--- a/bench/histories/history.ts
+++ b/bench/histories/history.ts
@@ -14,7 +14,9 @@
   ReclaimAnnounced = 'reclaim_announced',
   EndpointLeaving = 'endpoint_leaving',
   WorkAssigned = 'work_assigned',
+  SignalHeldUp = 'signal_held_up',
   StopBegan = 'stop_began',
+  DaemonCrashed = 'daemon_crashed',
   RequestBegan = 'request_began',
   RequestEnded = 'request_ended',
   SettingAccepted = 'setting_accepted',
@@ -69,13 +71,26 @@
   | { readonly kind: HistoryKind.ReclaimAnnounced; readonly endpointIds: readonly string[] }
   /** First signal that an endpoint is leaving, wherever it was seen. */
   | { readonly kind: HistoryKind.EndpointLeaving; readonly endpointId: string }
-  /** An endpoint received new work. */
+  /**
+   * From `atMs` to `untilMs` no daemon that knows that the endpoint is leaving runs and reaches the
+   * region.
+   */
+  | {
+      readonly kind: HistoryKind.SignalHeldUp;
+      readonly endpointId: string;
+      readonly region: string;
+      readonly untilMs: number;
+    }
+  /** An endpoint received new work; `region` is that of the daemon. */
   | {
       readonly kind: HistoryKind.WorkAssigned;
       readonly endpointId: string;
       readonly workId: string;
+      readonly region: string;
     }
+  /** Daemons of stops and requests are named with their run, as `entry-0.3`. */
   | { readonly kind: HistoryKind.StopBegan; readonly daemon: string }
+  | { readonly kind: HistoryKind.DaemonCrashed; readonly daemon: string }
   | { readonly kind: HistoryKind.RequestBegan; readonly requestId: string; readonly daemon: string }
   /** `isCutOff` when the caller saw the connection end without a whole answer or refusal. */
   | {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -14,6 +14,7 @@
 import { createCallerServer } from './caller-gateway.js';
 import { DaemonParts } from './daemon-parts.js';
 import type { DaemonSettings } from './daemon-settings.js';
+import { gracefulStop } from './graceful-stop.js';
 import { askKnownOffset } from './known-offset.js';
 import { closeServer, listen } from './listener.js';
 
@@ -45,8 +46,8 @@
   readonly urls: DaemonUrls;
 }
 
-/** Bound on recording what the parts still hold once the last request has ended. */
-const partsStopMs = 15_000;
+/** Ids are 36 characters long; 5,000 open requests in one line would exceed common log limits. */
+const idsPerEvent = 100;
 
 /**
  * One daemon: starts its parts in the order in which they need each other, and stops them so that no
@@ -161,6 +162,22 @@
     return this.#stopped;
   }
 
+  /**
+   * Logs the requests that an end of the process would cut off now.
+   *
+   * @returns how many there are.
+   */
+  reportCutOff(): number {
+    const ids = this.inFlightIds;
+    for (let start = 0; start < ids.length; start += idsPerEvent) {
+      this.#options.events.error(EventId.StopForced, 'open requests are cut off', {
+        inFlight: ids.length,
+        requestIds: ids.slice(start, start + idsPerEvent).join(' '),
+      });
+    }
+    return ids.length;
+  }
+
   /** Destroys everything at once, as a kill would; for tests. @internal */
   async kill(): Promise<void> {
     const { parts, servers, rpcClient, tls } = this.#started;
@@ -188,17 +205,23 @@
     const { settings, clock, events, metrics } = this.#options;
     const { parts, callers, servers, rpcClient, tls } = this.#started;
     const startedAtMs = clock.nowMs();
-    const deadlineAtMs = startedAtMs + settings.daemon.drain_timeout_ms;
     this.#isStopping = true;
     events.info(EventId.DaemonStopping, 'graceful stop begins', {
       inFlight: this.inFlightIds.length,
     });
-    // The listener stays open until the balancer has seen that readiness is off.
-    await clock.sleepUntil(startedAtMs + settings.daemon.drain_notice_ms);
-    await callers.drain(deadlineAtMs);
-    const partsDeadlineAtMs = Math.min(deadlineAtMs, clock.nowMs() + partsStopMs);
-    await Promise.all([parts.jobs.stop(partsDeadlineAtMs), parts.calls.stop(partsDeadlineAtMs)]);
-    await parts.membership.leave();
+    await gracefulStop({
+      clock,
+      noticeMs: settings.daemon.drain_notice_ms,
+      timeoutMs: settings.daemon.drain_timeout_ms,
+      drainCallers: async (deadlineAtMs) => {
+        await callers.drain(deadlineAtMs);
+        this.reportCutOff();
+      },
+      stopParts: async (deadlineAtMs) => {
+        await Promise.all([parts.jobs.stop(deadlineAtMs), parts.calls.stop(deadlineAtMs)]);
+      },
+      leave: () => parts.membership.leave(),
+    });
     await Promise.all(servers.map(closeServer));
     await rpcClient.close();
     await parts.close();
@@ -252,4 +275,10 @@
 }
 
 /** A client must send its headers within 10 s; bodies have bounds of their own by route. */
-const httpOptions = { maxHeaderSize: 16_384, headersTimeout: 10_000, requestTimeout: 0 } as const;
+const httpOptions = {
+  maxHeaderSize: 16_384,
+  headersTimeout: 10_000,
+  // Node's default of 30 s would let slow headers hold a connection for 40 s.
+  connectionsCheckingInterval: 1_000,
+  requestTimeout: 0,
+} as const;
--- a/src/membership/swim-protocol.ts
+++ b/src/membership/swim-protocol.ts
@@ -106,6 +106,10 @@
     return this.#ordered;
   }
 
+  override lost(): readonly Member[] {
+    return this.#table.lost();
+  }
+
   override member(id: string): Member | undefined {
     return id === this.#self.id ? this.#self : this.#table.get(id);
   }
@@ -114,6 +118,10 @@
     return this.#table.present().length + this.#table.lost().length + 1;
   }
 
+  override lostMembers(): readonly Member[] {
+    return this.#table.lost();
+  }
+
   override onChange(listener: () => void): () => void {
     this.#listeners.add(listener);
     return () => this.#listeners.delete(listener);
