--- a/scripts/check.mjs
+++ b/scripts/check.mjs
@@ -1,5 +1,6 @@
 // Runs every check of `npm test` in a fixed order and stops at the first that fails.
 import { spawnSync } from 'node:child_process';
+import { existsSync, readFileSync } from 'node:fs';
 
 const checks = [
   ['format', 'node_modules/.bin/prettier', ['--check', '--log-level=warn', '.']],
@@ -19,3 +20,7 @@
   console.log(`check ${name}: ${result.status === 0 ? 'ok' : 'FAILED'} in ${seconds} s`);
   if (result.status !== 0) process.exit(1);
 }
+
+if (existsSync('KNOWN-RED.txt')) {
+  console.log(`known to fail, not part of these checks:\n${readFileSync('KNOWN-RED.txt', 'utf8')}`);
+}
--- a/src/daemon/caller-gateway.ts
+++ b/src/daemon/caller-gateway.ts
@@ -64,6 +64,7 @@
       }),
       new ServiceRoute({
         authenticate,
+        admission,
         desk: parts.services,
         accounts: new CallAccounts(burn),
         clock,
--- a/src/daemon/daemon-parts.ts
+++ b/src/daemon/daemon-parts.ts
@@ -268,7 +268,8 @@
     };
     this.config.replica.onApplied((position, entry) => {
       this.#logVerdict(entry);
-      apply();
+      // While the history is replayed, only its result matters; the start applies it once.
+      if (this.config.replica.isReady) apply();
     });
     this.config.replica.onRestored(apply);
     registerKnownOffset(this.#options.rpcServer, this.config.replica);
--- a/src/daemon/endpoint-watch.ts
+++ b/src/daemon/endpoint-watch.ts
@@ -38,8 +38,11 @@
   readonly random: Random;
 }
 
-/** Polls per second over all endpoints; a poll costs about 600 bytes of the control budget. */
-const maxPollsPerS = 10;
+/**
+ * Polls per second over all endpoints. A poll costs about 930 bytes and gossip 7.4 kB/s at 460
+ * daemons, which together stay within the control budget of 13 kB/s.
+ */
+const maxPollsPerS = 6;
 const minPeriodMs = 500;
 const pollTimeoutMs = 2_000;
 
@@ -113,9 +116,9 @@
     this.#polling.add(view.id);
     const signal = AbortSignal.timeout(pollTimeoutMs);
     try {
-      await this.#pollHealth(view, signal);
-      registry.recordLoad(view.id, await engines.client(view).load(signal));
-      if (this.#isEngine(view)) await this.#pollCacheEvents(view, signal);
+      const current = await this.#pollHealth(view, signal);
+      registry.recordLoad(current.id, await engines.client(current).load(signal));
+      if (this.#isEngine(current)) await this.#pollCacheEvents(current, signal);
     } catch (error) {
       // A late answer is no failure of the endpoint's work; only an unreachable one is suspect.
       if (isRefused(error)) registry.recordFailure(view.id, EngineFailure.Refused);
@@ -124,16 +127,19 @@
     }
   }
 
-  async #pollHealth(view: EndpointView, signal: AbortSignal): Promise<void> {
+  /** Returns the endpoint's current view: its answer may tell a start time and so a new identity. */
+  async #pollHealth(view: EndpointView, signal: AbortSignal): Promise<EndpointView> {
     const { registry } = this.#options;
     const response = await request(`${view.baseUrl}/health`, { signal });
     const health = healthSchema.parse(await response.body.json());
     if (health.startedAtMs !== undefined) {
       registry.observeProcessStart(view.name, health.startedAtMs);
     }
-    if (response.statusCode === 503) registry.recordDraining(view.id);
-    else registry.restore(view.id);
-    if (health.models) registry.recordLoaded(view.id, health.models, health.version);
+    const current = registry.views(view.serviceId).find(({ name }) => name === view.name) ?? view;
+    if (response.statusCode === 503) registry.recordDraining(current.id);
+    else registry.restore(current.id);
+    if (health.models) registry.recordLoaded(current.id, health.models, health.version);
+    return current;
   }
 
   async #pollCacheEvents(view: EndpointView, signal: AbortSignal): Promise<void> {
--- a/src/daemon/job-desk.ts
+++ b/src/daemon/job-desk.ts
@@ -10,9 +10,15 @@
   type JobFrame,
   type KvMove,
 } from '../jobs/index.js';
-import { AttemptEnd, JobDesk, type ChatContext, type JobView } from '../pipeline/index.js';
+import {
+  AttemptEnd,
+  estimatedTokens,
+  JobDesk,
+  type ChatContext,
+  type JobView,
+} from '../pipeline/index.js';
 import type { JobsService } from './jobs-service.js';
-import { estimatedTokens, type RoutedLease, type RoutedSelector } from './routed-selector.js';
+import type { RoutedLease, RoutedSelector } from './routed-selector.js';
 import { request } from 'undici';
 import { z } from 'zod';
 import type { Clock } from '../core/index.js';
--- a/src/daemon/routed-selector.ts
+++ b/src/daemon/routed-selector.ts
@@ -15,6 +15,7 @@
   AttemptEnd,
   EndpointLease,
   EndpointSelector,
+  estimatedTokens,
   type SelectionRequest,
 } from '../pipeline/index.js';
 import { AttemptReports, type Decision, type RouteRequest, type Router } from '../routing/index.js';
@@ -294,15 +295,6 @@
   [AttemptEnd.Silent]: EngineFailure.Silent,
 };
 
-/** Prompt tokens, at about four characters each. */
-export function estimatedTokens(messages: readonly { readonly content: unknown }[]): number {
-  const chars = messages.reduce(
-    (sum, { content }) => sum + (typeof content === 'string' ? content.length : 1_000),
-    0,
-  );
-  return Math.ceil(chars / 4);
-}
-
 function expectedTokens(request: SelectionRequest): number {
   return Math.min(request.maxTokens, request.expectedOutputTokens);
 }
--- a/src/pipeline/admit-stage.ts
+++ b/src/pipeline/admit-stage.ts
@@ -1,7 +1,9 @@
-import { AdmissionController, type AdmissionRequest } from '../admission/index.js';
+import type { AdmissionController } from '../admission/index.js';
 import { Step, type Clock } from '../core/index.js';
-import { Stage } from './stage.js';
+import { admitRequest, type AdmittedWork } from './call-admission.js';
+import { estimatedTokens } from './prompt-tokens.js';
 import type { ChatContext } from './request-context.js';
+import { Stage } from './stage.js';
 
 /** Options of {@link AdmitStage}. */
 export interface AdmitStageOptions {
@@ -25,31 +27,20 @@
   }
 
   override async run(context: ChatContext): Promise<void> {
-    const request = this.#admissionRequest(context);
-    const ticket = await this.#options.admission.admit(request, context.disconnected);
-    context.response.once('close', () => {
-      ticket.end();
-    });
-    // The caller may have gone while the request was queued; then no close event follows.
-    if (context.response.destroyed) ticket.end();
+    await admitRequest(this.#options.admission, context, this.#workOf(context));
   }
 
-  #admissionRequest(context: ChatContext): AdmissionRequest {
-    const { call, caller, deployment, prediction, requestId } = context;
-    const promptChars = call.messages.reduce((sum, { content }) => sum + content.length, 0);
-    const costTokens =
-      Math.ceil((promptChars / 4) * promptTokenCost) + prediction.expectedOutputTokens;
+  #workOf(context: ChatContext): AdmittedWork {
+    const { call, prediction } = context;
+    const promptCost = Math.ceil(estimatedTokens(call.messages) * promptTokenCost);
+    const costTokens = promptCost + prediction.expectedOutputTokens;
     const usdPerToken = this.#options.usdPerThousandTokens(call.service.id) / 1_000;
     return {
-      requestId,
-      workspaceId: caller.workspace.id,
       serviceId: call.service.id,
       workClass: prediction.workClass,
       costTokens,
       expectedUsd: costTokens * usdPerToken,
       startByMs: this.#startByMs(context),
-      fairWeight: caller.workspace.values.fair_weight,
-      limits: deployment.limits(caller.workspace.id),
     };
   }
 
--- /dev/null
+++ b/src/pipeline/call-admission.ts
@@ -0,0 +1,38 @@
+import type { AdmissionController, AdmissionRequest } from '../admission/index.js';
+import type { RequestContext } from './request-context.js';
+
+/** Parts of an admission request that depend on the kind of call. */
+export type AdmittedWork = Pick<
+  AdmissionRequest,
+  'serviceId' | 'workClass' | 'costTokens' | 'expectedUsd' | 'startByMs'
+>;
+
+/**
+ * Admits a caller's request and gives its place back when the answer is out or the caller is gone.
+ *
+ * @throws RequestError with outcome `not_run` when it is refused.
+ * @example
+ * ```ts
+ * await admitRequest(admission, context, { serviceId, workClass, costTokens: 1, ...rest });
+ * ```
+ */
+export async function admitRequest(
+  admission: AdmissionController,
+  context: RequestContext,
+  work: AdmittedWork,
+): Promise<void> {
+  const { caller, deployment, requestId, response, disconnected } = context;
+  const request: AdmissionRequest = {
+    requestId,
+    workspaceId: caller.workspace.id,
+    fairWeight: caller.workspace.values.fair_weight,
+    limits: deployment.limits(caller.workspace.id),
+    ...work,
+  };
+  const ticket = await admission.admit(request, disconnected);
+  response.once('close', () => {
+    ticket.end();
+  });
+  // The caller may have gone while the request was queued; then no close event follows.
+  if (response.destroyed) ticket.end();
+}
--- a/src/pipeline/classify-stage.ts
+++ b/src/pipeline/classify-stage.ts
@@ -50,6 +50,7 @@
   return {
     workspaceId: context.caller.workspace.id,
     serviceId: context.call.service.id,
-    shape: first?.role === 'system' ? first.content.slice(0, 64) : '',
+    // Callers may send content in parts; only text tells one system prompt from another.
+    shape: first?.role === 'system' ? JSON.stringify(first.content).slice(0, 64) : '',
   };
 }
--- a/src/pipeline/generation-relay.ts
+++ b/src/pipeline/generation-relay.ts
@@ -297,7 +297,7 @@
     const isMove = lease.shouldMove.aborted;
     this.#excludedIds.add(lease.endpointId);
     if (this.#disconnected.aborted) throw this.#failed(499, 'caller_gone', failure);
-    if (failure.failure === EngineFailure.BadRequest) throw badRequest(failure);
+    if (failure.failure === EngineFailure.BadRequest) throw this.#refusedByEngine(failure);
     if (this.#hasShownChunks && !this.#task.isResumable) {
       throw this.#failed(502, 'answer_interrupted', failure);
     }
@@ -308,6 +308,19 @@
     await clock.sleepUntil(atMs, this.#disconnected);
   }
 
+  /** Another engine would refuse the request too; an earlier attempt may have run all the same. */
+  #refusedByEngine(failure: EngineError): RequestError {
+    return new RequestError(failure.message, {
+      step: Step.Dispatch,
+      peer: failure.peer,
+      status: 400,
+      code: 'refused_by_engine',
+      next: 'Correct the request.',
+      outcome: this.#attempts === 1 ? Outcome.NotRun : Outcome.Unknown,
+      cause: failure,
+    });
+  }
+
   #failed(status: number, code: string, failure: EngineError): RequestError {
     // A generation has no effect beyond its answer, yet "not run" is only said where it is true.
     const hasNotRun = failure.outcome === Outcome.NotRun && this.#attempts === 1;
@@ -347,15 +360,3 @@
   [EngineFailure.Silent]: AttemptEnd.Silent,
   [EngineFailure.BadRequest]: AttemptEnd.Completed,
 };
-
-function badRequest(failure: EngineError): RequestError {
-  return new RequestError(failure.message, {
-    step: Step.Dispatch,
-    peer: failure.peer,
-    status: 400,
-    code: 'refused_by_engine',
-    next: 'Correct the request.',
-    outcome: Outcome.NotRun,
-    cause: failure,
-  });
-}
--- a/src/pipeline/index.ts
+++ b/src/pipeline/index.ts
@@ -16,3 +16,5 @@
 export * from './jobs-route.js';
 export * from './service-route.js';
 export * from './health-route.js';
+export * from './call-admission.js';
+export * from './prompt-tokens.js';
--- a/src/pipeline/service-route.ts
+++ b/src/pipeline/service-route.ts
@@ -1,7 +1,9 @@
 import { posix } from 'node:path';
-import { Outcome, RequestError, Step, type Clock } from '../core/index.js';
+import type { AdmissionController } from '../admission/index.js';
+import { Outcome, RequestError, Step, WorkClass, type Clock } from '../core/index.js';
 import { ServiceKind, type Section, type ServiceSettings } from '../settings/index.js';
 import type { AuthenticateStage } from './authenticate-stage.js';
+import { admitRequest } from './call-admission.js';
 import { CallerRoute, type CallerRequest } from './caller-server.js';
 import { readBody } from './read-body.js';
 import { RequestContext } from './request-context.js';
@@ -43,6 +45,7 @@
 /** Options of {@link ServiceRoute}. */
 export interface ServiceRouteOptions {
   readonly authenticate: AuthenticateStage;
+  readonly admission: AdmissionController;
   readonly desk: ServiceDesk;
   readonly accounts: ServiceAccounts;
   readonly clock: Clock;
@@ -71,6 +74,7 @@
     const context = new RequestContext(incoming);
     await this.#options.authenticate.run(context);
     const call = this.#call(context, incoming);
+    await this.#admit(call);
     if (isNonRepeatable(call)) await this.#runOnce(call);
     else await this.#options.desk.relay(call);
     // An answer that broke off after its head was destroyed instead of ended.
@@ -79,6 +83,18 @@
     }
   }
 
+  /** Holds the workspace's limits; a refusal comes before any byte of the call is sent. */
+  #admit({ context, service, deadlineAtMs }: ServiceCall): Promise<void> {
+    const queueUntilMs = context.receivedAtMs + context.deployment.routing(service.id).queue_ms;
+    return admitRequest(this.#options.admission, context, {
+      serviceId: service.id,
+      workClass: WorkClass.Short,
+      costTokens: 1,
+      expectedUsd: 0,
+      startByMs: Math.min(queueUntilMs, deadlineAtMs),
+    });
+  }
+
   #call(context: RequestContext, incoming: CallerRequest): ServiceCall {
     const encodedName = pathPattern.exec(incoming.path)?.[1] ?? '';
     const name = decoded(encodedName);
--- a/test/pipeline/caller-server_test.ts
+++ b/test/pipeline/caller-server_test.ts
@@ -160,6 +160,21 @@
   });
 
   describe('calls that may be repeated', () => {
+    it('holds the rate limit of the workspace before anything is sent', async () => {
+      const path = 'demo/tejidos/limits/rural';
+      await cluster.publish([{ path, values: { rate_per_s: '0.01', burst_requests: '1' } }]);
+      await until(() =>
+        cluster.daemons.every((daemon) => cluster.inForce(daemon, path) !== undefined),
+      );
+      const key = cluster.platform.callerKeys.get('tejidos/rural') ?? '';
+      const headers = { authorization: `Bearer ${key}` };
+      let response = await send('/services/orders/stock', { headers });
+      for (let calls = 0; response.ok && calls < 10; calls++) {
+        response = await send('/services/orders/stock', { headers });
+      }
+      await expectRefusal(response, 429, 'rate_limited');
+    });
+
     it.each([
       ['/services/orders', '/'],
       ['/services/orders?path=/a/b', '/?path=/a/b'],
--- a/test/pipeline/generation-relay_test.ts
+++ b/test/pipeline/generation-relay_test.ts
@@ -260,6 +260,25 @@
     });
   });
 
+  describe('when an engine refuses the request itself', () => {
+    it('does not say not_run after an earlier attempt has shown text', async () => {
+      const { result } = relay([
+        new ScriptedLease('a', new ScriptedEngine(2)),
+        new ScriptedLease('b', new ScriptedEngine(0, EngineFailure.BadRequest)),
+      ]);
+      await expect(result).rejects.toMatchObject({
+        code: 'refused_by_engine',
+        outcome: Outcome.Unknown,
+      });
+    });
+
+    it('says not_run for the only attempt', async () => {
+      const engine = new ScriptedEngine(0, EngineFailure.BadRequest);
+      const { result } = relay([new ScriptedLease('a', engine)]);
+      await expect(result).rejects.toMatchObject({ outcome: Outcome.NotRun });
+    });
+  });
+
   describe('when the endpoint leaves', () => {
     it('moves without using the retry budget', async () => {
       const move: { now?: () => void } = {};
