Ask a service's status route about a call whose outcome is unknown

Cause: the setting status_route was checked and stored, and nothing used it; a repeat of an unknown call always needed an operator. Change: a repeat asks the route; status 200 is recorded as the call's answer and replayed, anything else leaves the outcome unknown; the call is never run again.

--- a/src/calls/claim-coordinator.ts
+++ b/src/calls/claim-coordinator.ts
@@ -35,6 +35,11 @@
   /** Policy `fingerprint_ms` of the service. */
   readonly fingerprintMs: number;
   readonly caller: BackEndCaller;
+  /**
+   * Asks the service what became of the key; undefined when it cannot tell. Only a definite answer
+   * counts: a service that does not know the key may still be about to run the call.
+   */
+  readonly askStatus?: () => Promise<BackEndAnswer | undefined>;
 }
 
 /** Answer to a caller of a non-repeatable call. */
@@ -167,10 +172,10 @@
         return replay(held);
       case ClaimStatus.Unknown:
       case ClaimStatus.ResolvedRan:
-        throw outcomeUnknown(409);
+        return this.#askStatus(held, call);
       case ClaimStatus.Claimed:
         // Past its deadline the claimant has given up or died; waiting would bring nothing.
-        if (this.#options.clock.nowMs() >= held.finishByMs) throw outcomeUnknown(409);
+        if (this.#options.clock.nowMs() >= held.finishByMs) return this.#askStatus(held, call);
         await this.#waitForChange(held, Math.min(call.deadlineAtMs, held.finishByMs));
         if (this.#options.clock.nowMs() < call.deadlineAtMs) return undefined;
         if (this.#options.fold.claim(held.claimId)?.status === ClaimStatus.Answered) {
@@ -183,6 +188,14 @@
     }
   }
 
+  /** The answer as the service tells it, which is recorded for later repeats. */
+  async #askStatus(held: Claim, call: NonRepeatableCall): Promise<CallAnswer> {
+    const answer = await call.askStatus?.().catch(() => undefined);
+    if (!answer) throw outcomeUnknown(409);
+    void this.#options.executor.recordAnswer(held.claimId, answer);
+    return { ...answer, isReplayed: true, isRecorded: false };
+  }
+
   async #waitForChange(held: Claim, untilMs: number): Promise<void> {
     const { fold, clock } = this.#options;
     const changed = new AbortController();
--- a/src/calls/claim-executor.ts
+++ b/src/calls/claim-executor.ts
@@ -90,7 +90,7 @@
         clock.sleepUntil(finishByMs, enough.signal).then(() => undefined),
       ]);
       if (!answer) throw new Error('no answer by the deadline');
-      const stored = this.#recordAnswer(claimId, answer);
+      const stored = this.recordAnswer(claimId, answer);
       const isRecorded = await Promise.race([
         stored.then(() => true),
         clock.sleepUntil(finishByMs, enough.signal).then(() => false),
@@ -107,7 +107,7 @@
       void recorder.record({ kind: EntryKind.Outcome, claimId, answer: null });
       // An answer after the deadline replaces `unknown`, which saves the operator's work.
       answered.then(
-        (answer) => this.#recordAnswer(claimId, answer),
+        (answer) => this.recordAnswer(claimId, answer),
         () => undefined,
       );
       return { end: ExecutionEnd.Unknown, cause };
@@ -121,7 +121,8 @@
     }
   }
 
-  #recordAnswer(claimId: string, answer: BackEndAnswer): Promise<void> {
+  /** Records the back end's answer to a claimed call; resolves when it is stored. */
+  recordAnswer(claimId: string, answer: BackEndAnswer): Promise<void> {
     const { recorder, maxRecordedBodyBytes } = this.#options;
     const recorded: RecordedAnswer = {
       status: answer.status,
--- a/src/daemon/calls-service.ts
+++ b/src/daemon/calls-service.ts
@@ -3,6 +3,7 @@
   ClaimCoordinator,
   ClaimExecutor,
   OutcomeRecorder,
+  type BackEndAnswer,
   type BackEndCaller,
   type CallAnswer,
 } from '../calls/index.js';
@@ -58,6 +59,8 @@
 export interface CallsServiceOptions extends ShardedServiceOptions {
   /** Chooses the endpoint of a call and returns the way to call it. */
   readonly backEndFor: (call: RoutedCall) => BackEndCaller;
+  /** Asks the service's status route about a call; undefined when it cannot tell. */
+  readonly askStatus: (call: RoutedCall) => Promise<BackEndAnswer | undefined>;
 }
 
 /**
@@ -143,7 +146,7 @@
   }
 
   async #executeHere(call: RoutedCall): Promise<z.output<typeof answerSchema>> {
-    const { clock, backEndFor } = this.#options;
+    const { clock, backEndFor, askStatus } = this.#options;
     const shard = this.#shards.part(this.#shardOf(call));
     await readyBy(shard, call.deadlineAtMs, clock);
     const { idempotencyKey, method, path, headers, bodyBase64, ...rest } = call;
@@ -152,6 +155,7 @@
       idempotencyKey,
       request: { method, path, headers, body: Buffer.from(bodyBase64, 'base64') },
       caller: backEndFor(call),
+      askStatus: () => askStatus(call),
     });
     return {
       status: answer.status,
--- a/src/daemon/daemon-parts.ts
+++ b/src/daemon/daemon-parts.ts
@@ -192,6 +192,7 @@
       retries: this.retries,
       clock,
       calls: () => this.calls,
+      deployment,
     });
     this.calls = this.#createCalls();
     this.jobs = this.#createJobs();
@@ -361,6 +362,7 @@
       newId,
       events,
       backEndFor: (call) => this.services.backEndFor(call),
+      askStatus: (call) => this.services.askStatus(call),
     });
   }
 
--- a/src/daemon/service-desk.ts
+++ b/src/daemon/service-desk.ts
@@ -14,6 +14,7 @@
   type RetryPermits,
   type ServiceCall,
 } from '../pipeline/index.js';
+import type { Deployment } from '../settings/index.js';
 import type { CallsService, RoutedCall } from './calls-service.js';
 import type { RoutedLease, RoutedSelector } from './routed-selector.js';
 
@@ -22,9 +23,12 @@
   readonly calls: () => CallsService;
   readonly selector: RoutedSelector;
   readonly retries: RetryPermits;
+  readonly deployment: () => Deployment;
   readonly clock: Clock;
 }
 
+const statusTimeoutMs = 5_000;
+
 /** Headers of a non-repeatable call that reach the service. */
 const passedHeaderNames = ['content-type', 'accept', 'accept-language'] as const;
 
@@ -108,6 +112,32 @@
     });
   }
 
+  /** Asks the service's status route, if it has one, about the key of a call. */
+  async askStatus(call: RoutedCall): Promise<BackEndAnswer | undefined> {
+    const { selector, deployment } = this.#options;
+    const route = deployment().services.get(call.service)?.values.status_route ?? '';
+    if (route === '') return undefined;
+    const lease = selector.tryLease({
+      requestId: call.idempotencyKey,
+      serviceId: call.service,
+      workspaceId: call.workspace,
+      deadlineAtMs: call.deadlineAtMs,
+      excludedIds: new Set(),
+      isRepeatable: true,
+      ...plainCallShape,
+    });
+    if (!lease) return undefined;
+    const path = route.replaceAll('{key}', encodeURIComponent(call.idempotencyKey));
+    try {
+      const answer = await this.#client.get(lease.view.baseUrl, path, statusTimeoutMs);
+      lease.end(AttemptEnd.Completed);
+      return answer.status === 200 ? answer : undefined;
+    } catch {
+      lease.end(AttemptEnd.Broken);
+      return undefined;
+    }
+  }
+
   async close(): Promise<void> {
     await this.#client.close();
   }
--- a/src/engine/service-client.ts
+++ b/src/engine/service-client.ts
@@ -74,6 +74,24 @@
     });
   }
 
+  /** Reads a small resource of a service. @throws an error of undici when no whole answer comes. */
+  async get(
+    baseUrl: string,
+    path: string,
+    timeoutMs: number,
+  ): Promise<{ status: number; headers: Record<string, string>; body: Uint8Array }> {
+    const answer = await request(`${baseUrl}${path}`, {
+      signal: AbortSignal.timeout(timeoutMs),
+      dispatcher: this.#agent,
+    });
+    const type = answer.headers['content-type'];
+    return {
+      status: answer.statusCode,
+      headers: typeof type === 'string' ? { 'content-type': type } : {},
+      body: new Uint8Array(await answer.body.arrayBuffer()),
+    };
+  }
+
   async close(): Promise<void> {
     await this.#agent.destroy();
   }
--- a/test/calls/claim-coordinator_test.ts
+++ b/test/calls/claim-coordinator_test.ts
@@ -133,6 +133,25 @@
     expect(await second).toBe('201');
   });
 
+  it('takes the answer of the status route for an unknown call, and never runs it again', async () => {
+    const world = newWorld();
+    world.caller.fault = 'broken';
+    const first = world.handle();
+    await world.clock.advance(6_000);
+    expect(await first).toBe('outcome_unknown unknown');
+    const undecided = world.handle({ askStatus: () => Promise.resolve(undefined) });
+    await world.clock.advance(500);
+    expect(await undecided).toBe('outcome_unknown unknown');
+    const told = { status: 200, headers: {}, body: Buffer.from('confirmed') };
+    const asked = world.handle({ askStatus: () => Promise.resolve(told) });
+    await world.clock.advance(500);
+    expect(await asked).toBe('200 replayed unrecorded');
+    const later = world.handle();
+    await world.clock.advance(500);
+    expect(await later).toBe('200 replayed');
+    expect(world.caller.runs).toBe(1);
+  });
+
   it('keeps an unknown call unknown until an operator resolves it', async () => {
     const world = newWorld();
     world.caller.fault = 'broken';
