Take back the assumption that unobserved endpoints are like their peers

Conclusion: a fixed default stays, although a new endpoint beside faster peers gets little work until it is observed.

--- a/src/routing/load-estimate.ts
+++ b/src/routing/load-estimate.ts
@@ -21,34 +21,6 @@
   outputTokens: 200,
 };
 
-/**
- * Assumptions for the unobserved among `views`: as fast as the observed ones on average. A fixed
- * assumption slower than the peers would keep a new endpoint from getting the work by which it could
- * be observed.
- *
- * @internal
- */
-export function assumeLikePeers(
-  views: readonly EndpointView[],
-  assumptions: EngineAssumptions,
-): EngineAssumptions {
-  let gapSumMs = 0;
-  let prefillSumPerS = 0;
-  let observed = 0;
-  for (const { speed } of views) {
-    if (speed.tokenGapMs === undefined || speed.prefillTokensPerS === undefined) continue;
-    gapSumMs += speed.tokenGapMs;
-    prefillSumPerS += speed.prefillTokensPerS;
-    observed += 1;
-  }
-  if (observed === 0 || observed === views.length) return assumptions;
-  return {
-    ...assumptions,
-    tokenGapMs: gapSumMs / observed,
-    prefillTokensPerS: prefillSumPerS / observed,
-  };
-}
-
 /** What the router expects of a request at one endpoint. */
 export interface LoadEstimate {
   /** Requests at the endpoint, including those of other daemons. */
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -5,7 +5,6 @@
 import type { ExplainStore } from './explain-store.js';
 import { Explanation, loadFields, readLoad, writeLoad } from './explanation.js';
 import {
-  assumeLikePeers,
   defaultAssumptions,
   estimateLoad,
   fillReportedByOthers,
@@ -122,7 +121,6 @@
     const loads = new Float64Array(count * loadFields);
     const load = { requests: 0, uncachedTokens: 0, firstTokenMs: 0, tokenGapMs: 0 };
     const meanOthers = fillReportedByOthers(others, views, this.#sent);
-    const assumptions = assumeLikePeers(views, this.#assumptions);
     const preferenceMisses: number[] = [];
 
     let bestUsd = Infinity;
@@ -137,7 +135,7 @@
         others[index] ?? NaN,
         meanOthers,
         nowMs,
-        assumptions,
+        this.#assumptions,
       );
       writeLoad(loads, index, load);
       const excluding = this.#firstExclusion(view, request, load, nowMs);
