--- a/src/daemon/daemon-parts.ts
+++ b/src/daemon/daemon-parts.ts
@@ -22,7 +22,7 @@
 import { KvTransfers } from '../jobs/index.js';
 import { RpcPeerTransport, SwimProtocol } from '../membership/index.js';
 import { BurnRecorder, objectivesOf } from '../report/index.js';
-import { ExplainStore, Router } from '../routing/index.js';
+import { defaultPrices, ExplainStore, Router, standardScorers } from '../routing/index.js';
 import type { PeerCaller, RpcClient, RpcServer } from '../rpc/index.js';
 import { KeyStore, type TlsContext } from '../security/index.js';
 import type { Deployment } from '../settings/index.js';
@@ -318,6 +318,10 @@
       caches: this.caches,
       speeds: this.speeds,
       explanations: this.explanations,
+      scorers: standardScorers(settings.daemon.region, {
+        ...defaultPrices,
+        usdPerLinkGb: settings.platform.link_usd_per_gb,
+      }),
     });
     return new RoutedSelector({
       router,
--- a/src/daemon/endpoint-watch.ts
+++ b/src/daemon/endpoint-watch.ts
@@ -42,7 +42,7 @@
  * Polls per second over all endpoints. A poll costs about 930 bytes and gossip 7.4 kB/s at 460
  * daemons, which together stay within the control budget of 13 kB/s.
  */
-const maxPollsPerS = 6;
+const maxPollsPerS = 5;
 const minPeriodMs = 500;
 const pollTimeoutMs = 2_000;
 
