Read pending requests before a stop whose notice passed in a pause

Change: the stop goes on only after the process has run for 100 ms without a pause; the 100 ms are the end of the notice.

--- a/src/daemon/graceful-stop.ts
+++ b/src/daemon/graceful-stop.ts
@@ -18,6 +18,22 @@
 /** Bound on recording what the parts still hold once the last request has ended. */
 const partsStopMs = 15_000;
 
+/** Time in which requests that have reached the sockets are read, if the process runs. */
+const settleMs = 100;
+
+/**
+ * Waits until the process has run for a moment without a pause. After a pause that outlasts the notice
+ * its timers fire before it reads the requests that came meanwhile, which then would be cut off.
+ */
+async function readPending(clock: Clock): Promise<void> {
+  let lateMs: number;
+  do {
+    const dueAtMs = clock.nowMs() + settleMs;
+    await clock.sleepUntil(dueAtMs);
+    lateMs = clock.nowMs() - dueAtMs;
+  } while (lateMs > settleMs);
+}
+
 /**
  * Order of a planned stop after readiness is off: requests still arrive during the notice, all open
  * ones are answered, and only then are the parts that answer them stopped.
@@ -32,7 +48,8 @@
   const startedAtMs = clock.nowMs();
   const deadlineAtMs = startedAtMs + timeoutMs;
   // The listener stays open until the balancer has seen that readiness is off.
-  await clock.sleepUntil(startedAtMs + noticeMs);
+  await clock.sleepUntil(startedAtMs + Math.max(0, noticeMs - settleMs));
+  await readPending(clock);
   await options.drainCallers(deadlineAtMs);
   await options.stopParts(Math.min(deadlineAtMs, clock.nowMs() + partsStopMs));
   await options.leave();
