--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -113,6 +113,9 @@
       ...(rpc_secret === '' ? {} : { secret: rpc_secret }),
       ...(tls ? { tls: tls.clientOptions() } : {}),
     });
+    tls?.onChange(() => {
+      rpcClient.reloadTls(tls.clientOptions());
+    });
     const newId = this.#options.newId ?? randomIds;
     const seedUrls = daemon.seeds.map((seed) => `${scheme}://${seed}`);
     const parts = new DaemonParts({
--- a/src/security/tls-context.ts
+++ b/src/security/tls-context.ts
@@ -61,6 +61,7 @@
   readonly #log: EventLog;
   readonly #metrics: Metrics;
   readonly #servers = new Set<Server>();
+  readonly #listeners: (() => void)[] = [];
   readonly #stopChecking: () => void;
   #material: TlsMaterial;
   #rejectedDigest = '';
@@ -142,6 +143,11 @@
     };
   }
 
+  /** Calls `listener` after each change of the certificates, for clients that keep connections. */
+  onChange(listener: () => void): void {
+    this.#listeners.push(listener);
+  }
+
   /** Compares the files with what is in use, as the timer does. @returns whether they changed. */
   async checkFiles(): Promise<boolean> {
     let digest = '';
@@ -165,6 +171,7 @@
     }
     this.#connector = buildConnector(this.clientOptions());
     for (const server of this.#servers) server.setSecureContext(this.#credentials());
+    for (const listener of this.#listeners) listener();
     this.#rejectedDigest = '';
     this.#metrics.count('tls_reloads', 1, { result: 'accepted' });
     this.#log.info(EventId.CertificatesReloaded, 'new certificates are in use', {
--- a/test/security/tls-context_test.ts
+++ b/test/security/tls-context_test.ts
@@ -115,10 +115,13 @@
     const daemon = await load();
     const port = await listen(daemon);
     expect(await presentedName(daemon, port)).toBe('daemon-1');
+    let changes = 0;
+    daemon.onChange(() => changes++);
     expect(await daemon.checkFiles()).toBe(false);
     await install('daemon-2', 'pem', files.certFile);
     await install('daemon-2', 'key', files.keyFile);
     expect(await daemon.checkFiles()).toBe(true);
+    expect(changes).toBe(1);
     expect(await presentedName(daemon, port)).toBe('daemon-2');
     expect(await call(daemon, port)).toBe('ok');
     expect(log.events).toEqual([EventId.CertificatesReloaded]);
