Use one refusal of callers' input and the settings session in the demonstration

Cause: a re-read of the whole change found four functions of the pipeline that built the same not_run refusal, and the demonstration composing a log client, replica, appender and publisher that SettingsSession already composes. Change: callerRefusal serves the four; DemoCluster.publish opens a SettingsSession. Behaviour, codes and tests are as before.

--- a/src/demo/demo-cluster.ts
+++ b/src/demo/demo-cluster.ts
@@ -1,12 +1,13 @@
 import { createHash, randomBytes } from 'node:crypto';
-import { Random, randomIds } from '../core/index.js';
+import { Random } from '../core/index.js';
+import { SettingsSession } from '../ctl/index.js';
 import { Daemon, parseDaemonSettings } from '../daemon/index.js';
-import { AppendBudget, Appender, CircuitBreaker, HttpLogService } from '../log/index.js';
+import { HttpLogService } from '../log/index.js';
 import { newOperatorSecret, SigningKey } from '../security/index.js';
 import { parseSettings, type SectionValues } from '../settings/index.js';
-import { SettingsPublisher, type DesiredEdit } from '../settings-publisher/index.js';
-import { ConfigFold, rootKeyId, StreamReplica, type ConfigVerdict } from '../state/index.js';
-import { NullEventLog, NullMetrics, RoarrEventLog } from '../telemetry/index.js';
+import type { DesiredEdit } from '../settings-publisher/index.js';
+import { rootKeyId, type ConfigVerdict } from '../state/index.js';
+import { NullMetrics, RoarrEventLog } from '../telemetry/index.js';
 import { demoDeployment, DemoPlatform } from './demo-platform.js';
 
 /** How long a settings change may take to be accepted. */
@@ -27,7 +28,8 @@
   readonly daemons: Daemon[] = [];
   readonly clock = this.platform.clock;
   readonly #daemonCount: number;
-  readonly #rootKey = SigningKey.fromSecret(newOperatorSecret());
+  readonly #rootSecret = newOperatorSecret();
+  readonly #rootPublicKey = SigningKey.fromSecret(this.#rootSecret).publicKey;
   readonly #rpcSecret = randomBytes(24).toString('hex');
 
   /** @param daemonCount - daemons to start, at most one for each failure domain. */
@@ -65,42 +67,20 @@
   async publish(edits: readonly DesiredEdit[]): Promise<ConfigVerdict> {
     const { clock } = this;
     const log = new HttpLogService({ baseUrl: this.platform.log.baseUrl });
-    const random = new Random(seedOf(this.#rpcSecret));
-    const events = new NullEventLog();
-    const stream = `${demoDeployment}.config`;
-    const fold = new ConfigFold({
-      deployment: demoDeployment,
-      rootPublicKey: this.#rootKey.publicKey,
-    });
-    const replica = new StreamReplica({ log, stream, fold, clock, random, events });
-    const writer = new Appender({
+    const deadlineAtMs = clock.nowMs() + publishTimeoutMs;
+    const session = await SettingsSession.open({
       log,
-      stream,
-      writer: 'demo',
-      feed: replica,
-      clock,
-      random,
-      newId: randomIds,
-      budget: new AppendBudget({ clock, appendsPerS: 50 }),
-      breaker: new CircuitBreaker({ clock, random }),
-      events,
-    });
-    replica.start();
-    const publisher = new SettingsPublisher({
       deployment: demoDeployment,
-      keyId: rootKeyId,
-      key: this.#rootKey,
-      replica,
-      fold,
-      writer,
+      rootPublicKey: this.#rootPublicKey,
+      key: { keyId: rootKeyId, secret: this.#rootSecret },
       clock,
-      newId: randomIds,
+      random: new Random(seedOf(this.#rpcSecret)),
+      deadlineAtMs,
     });
     try {
-      return await publisher.publish(edits, clock.nowMs() + publishTimeoutMs);
+      return await session.publish(edits, deadlineAtMs);
     } finally {
-      writer.stop();
-      await replica.stop();
+      await session.close();
       await log.close();
     }
   }
@@ -131,7 +111,7 @@
       `cloud_url = ${this.platform.cloud.baseUrl}`,
       `weight_store_url = ${this.platform.weightStoreUrl}`,
       '[trust]',
-      `root_public_key = "${this.#rootKey.publicKey}"`,
+      `root_public_key = "${this.#rootPublicKey}"`,
       `rpc_secret = ${this.#rpcSecret}`,
       '',
     ].join('\n');
--- a/src/pipeline/jobs-route.ts
+++ b/src/pipeline/jobs-route.ts
@@ -1,6 +1,7 @@
-import { Outcome, RequestError, Step, type Clock } from '../core/index.js';
+import { RequestError, Step, type Clock } from '../core/index.js';
 import { JobFrameKind, type JobFrame } from '../jobs/index.js';
 import type { LengthPrediction } from '../admission/index.js';
+import { callerRefusal } from './caller-refusal.js';
 import { CallerRoute, type CallerRequest } from './caller-server.js';
 import { ChatContext, RequestContext } from './request-context.js';
 import type { AuthenticateStage } from './authenticate-stage.js';
@@ -197,12 +198,5 @@
   message: string,
   detail: { readonly next: string },
 ): RequestError {
-  return new RequestError(message, {
-    step: Step.Job,
-    peer: 'caller',
-    status,
-    code,
-    next: detail.next,
-    outcome: Outcome.NotRun,
-  });
+  return callerRefusal(Step.Job, status, code, message, detail.next);
 }
--- a/src/pipeline/parse-chat-stage.ts
+++ b/src/pipeline/parse-chat-stage.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
 import { Outcome, RequestError, Step, WorkClass, type Clock } from '../core/index.js';
 import type { Section, ServiceSettings } from '../settings/index.js';
+import { callerRefusal } from './caller-refusal.js';
 import { readBody } from './read-body.js';
 import type { ChatCall, ChatContext, RequestContext } from './request-context.js';
 import { Stage } from './stage.js';
@@ -137,12 +138,5 @@
 }
 
 function badRequest(code: string, message: string, next: string): RequestError {
-  return new RequestError(message, {
-    step: Step.Parse,
-    peer: 'caller',
-    status: 400,
-    code,
-    next,
-    outcome: Outcome.NotRun,
-  });
+  return callerRefusal(Step.Parse, 400, code, message, next);
 }
--- a/src/pipeline/read-body.ts
+++ b/src/pipeline/read-body.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http';
-import { Outcome, RequestError, Step, type Clock } from '../core/index.js';
+import { RequestError, Step, type Clock } from '../core/index.js';
+import { callerRefusal } from './caller-refusal.js';
 
 /** Options of {@link readBody}. */
 export interface ReadBodyOptions {
@@ -49,12 +50,5 @@
 }
 
 function refusal(status: number, code: string, message: string, next: string): RequestError {
-  return new RequestError(message, {
-    step: Step.Parse,
-    peer: 'caller',
-    status,
-    code,
-    next,
-    outcome: Outcome.NotRun,
-  });
+  return callerRefusal(Step.Parse, status, code, message, next);
 }
--- a/src/pipeline/service-route.ts
+++ b/src/pipeline/service-route.ts
@@ -2,6 +2,7 @@
 import type { AdmissionController } from '../admission/index.js';
 import { Outcome, RequestError, Step, WorkClass, type Clock } from '../core/index.js';
 import { ServiceKind, type Section, type ServiceSettings } from '../settings/index.js';
+import { callerRefusal } from './caller-refusal.js';
 import type { AuthenticateStage } from './authenticate-stage.js';
 import { admitRequest } from './call-admission.js';
 import { CallerRoute, type CallerRequest } from './caller-server.js';
@@ -181,12 +182,5 @@
   message: string,
   detail: { readonly next: string },
 ): RequestError {
-  return new RequestError(message, {
-    step: Step.Parse,
-    peer: 'caller',
-    status,
-    code,
-    next: detail.next,
-    outcome: Outcome.NotRun,
-  });
+  return callerRefusal(Step.Parse, status, code, message, detail.next);
 }
