--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -7,6 +7,7 @@
       'dist/**',
       'node_modules/**',
       'bench/out/**',
+      'target/**',
       'scripts/**',
       'eslint.config.mjs',
       'vitest.config.ts',
--- /dev/null
+++ b/src/capacity/duty-lease.ts
@@ -0,0 +1,215 @@
+import { z } from 'zod';
+import type { Clock } from '../core/index.js';
+import { AppendConflictError, LogUnavailableError, type KeyedLog } from '../log/index.js';
+import type { KeyedReplica } from '../log/keyed-replica.js';
+import type { DaemonSamples } from '../membership/daemon-samples.js';
+import type { Fence } from '../state/index.js';
+import { EventId, type EventLog } from '../telemetry/index.js';
+
+const leaseSchema = z.object({
+  /** Empty after a release. */
+  holder: z.string(),
+  incarnation: z.number(),
+  fence: z.int().positive(),
+  /** Holder before this one; empty when there was none. */
+  previousHolder: z.string(),
+});
+
+/** The lease as it stands in the store. */
+export type DutyLeaseRecord = z.output<typeof leaseSchema>;
+
+/** Options of {@link DutyLease}. */
+export interface DutyLeaseOptions {
+  readonly log: KeyedLog;
+  readonly topic: string;
+  readonly replica: KeyedReplica;
+  readonly samples: DaemonSamples;
+  readonly daemon: string;
+  readonly incarnation: number;
+  /** How long the holder may act after its last heartbeat, in milliseconds. */
+  readonly leaseMs: number;
+  readonly clock: Clock;
+  /** Wall clock in epoch milliseconds, which goes on while the VM is suspended. */
+  readonly wallNowMs: () => number;
+  readonly events: EventLog;
+}
+
+const leaseKey = 'lease';
+
+/** Others wait this much longer than the holder acts, for the time that a heartbeat is under way. */
+const takeoverMarginMs = 700;
+
+/** The holder stops this long before its lease ends, for the time that its calls are under way. */
+const holderMarginMs = 400;
+
+/** Wall and steady clock may drift apart this far without a suspension. */
+const clockDriftMs = 250;
+
+/**
+ * The right to act for all daemons. A holder is replaced by a conditional append, whose offset makes
+ * the new fence; its heartbeats are the samples that it publishes anyway. The holder acts only
+ * while its last acknowledged sample is younger than the lease, others take over only when they
+ * have seen no sample of it for longer, so that two never act at the same time.
+ *
+ * @example
+ * ```ts
+ * await lease.tick();
+ * const { fence } = lease;
+ * if (fence !== undefined) await act(fence);
+ * ```
+ */
+export class DutyLease {
+  readonly #options: DutyLeaseOptions;
+  #held: Fence | undefined;
+  /** End of the topic after this daemon's own last append. */
+  #ownEndOffset = 0;
+  #lastRecordAtMs: number;
+  /** Wall clock less steady clock; a jump shows a suspension or a clock step. */
+  #clockOffsetMs: number;
+  #notBeforeMs = 0;
+
+  constructor(options: DutyLeaseOptions) {
+    this.#options = options;
+    this.#lastRecordAtMs = options.clock.nowMs();
+    this.#clockOffsetMs = options.wallNowMs() - options.clock.nowMs();
+    options.replica.onRecord(({ key, offset }) => {
+      if (key !== leaseKey) return;
+      this.#lastRecordAtMs = options.clock.nowMs();
+      const record = this.#record();
+      if (this.#held !== undefined && offset >= this.#ownEndOffset && !this.#isOwn(record)) {
+        this.#lose('another daemon took the lease');
+      }
+    });
+  }
+
+  /** Fence under which this daemon may act now; undefined when it may not. */
+  get fence(): Fence | undefined {
+    if (this.#held === undefined) return undefined;
+    const { samples, clock, leaseMs } = this.#options;
+    if (this.#wasSuspended()) return undefined;
+    const untilMs = samples.publishedAtMs + leaseMs - holderMarginMs;
+    return clock.nowMs() < untilMs ? this.#held : undefined;
+  }
+
+  /** Takes the lease when it is free, and gives it up when it has lapsed. */
+  async tick(): Promise<void> {
+    const { samples, clock, leaseMs, replica } = this.#options;
+    const nowMs = clock.nowMs();
+    const hasLapsed = samples.publishedAtMs + leaseMs <= nowMs || this.#wasSuspended();
+    if (this.#held !== undefined && hasLapsed) this.#lose('its heartbeats were not acknowledged');
+    this.#clockOffsetMs = this.#options.wallNowMs() - clock.nowMs();
+    if (this.#held !== undefined || hasLapsed || replica.isFailing) return;
+    if (nowMs < this.#notBeforeMs || replica.endOffset === undefined) return;
+    if (this.#isFree(nowMs)) await this.#acquire();
+  }
+
+  /** Stops acting on this fence, since the platform has seen a higher one. */
+  fenced(): void {
+    this.#lose('the platform has seen a higher fence');
+    this.#notBeforeMs = this.#options.clock.nowMs() + this.#options.leaseMs;
+  }
+
+  /**
+   * Appends a record of a duty on the condition that the lease has not changed hands.
+   *
+   * @returns whether it is stored.
+   */
+  async append(key: string, value: unknown): Promise<boolean> {
+    if (this.fence === undefined) return false;
+    return this.#append(key, value);
+  }
+
+  /** Gives the lease up, so that another daemon need not wait for it to lapse. */
+  async release(): Promise<void> {
+    const fence = this.#held;
+    if (fence === undefined) return;
+    const { daemon, incarnation } = this.#options;
+    this.#lose('the daemon is stopping');
+    await this.#append(leaseKey, { holder: '', incarnation, fence, previousHolder: daemon });
+  }
+
+  #wasSuspended(): boolean {
+    const { clock, wallNowMs } = this.#options;
+    return Math.abs(wallNowMs() - clock.nowMs() - this.#clockOffsetMs) > clockDriftMs;
+  }
+
+  #isFree(nowMs: number): boolean {
+    const { samples, leaseMs, daemon } = this.#options;
+    const record = this.#record();
+    if (!record) return true;
+    const idleMs = leaseMs + takeoverMarginMs;
+    // A holder that returns within the lease would make two changes of hands in one.
+    const isOwnReturn = record.previousHolder === daemon && record.holder !== daemon;
+    if (isOwnReturn && nowMs < this.#lastRecordAtMs + idleMs) return false;
+    if (record.holder === '') return true;
+    const heardAtMs = Math.max(this.#lastRecordAtMs, samples.receivedAtMs(record.holder) ?? 0);
+    return nowMs >= heardAtMs + idleMs;
+  }
+
+  async #acquire(): Promise<void> {
+    const { daemon, incarnation, events, clock } = this.#options;
+    const previous = this.#record();
+    const fence = this.#endOffset + 1;
+    const record: DutyLeaseRecord = {
+      holder: daemon,
+      incarnation,
+      fence,
+      previousHolder: previous ? previous.holder || previous.previousHolder : '',
+    };
+    if (!(await this.#append(leaseKey, record))) return;
+    this.#held = fence;
+    this.#clockOffsetMs = this.#options.wallNowMs() - clock.nowMs();
+    events.info(EventId.ControlLeaseTaken, 'lease is held', { lease: 'duties', fence });
+  }
+
+  #lose(reason: string): void {
+    const fence = this.#held;
+    if (fence === undefined) return;
+    this.#held = undefined;
+    this.#options.events.info(EventId.ControlLeaseLost, 'lease is no longer held', {
+      lease: 'duties',
+      fence,
+      reason,
+    });
+  }
+
+  get #endOffset(): number {
+    return Math.max(this.#options.replica.endOffset ?? 0, this.#ownEndOffset);
+  }
+
+  async #append(key: string, value: unknown): Promise<boolean> {
+    const { log, topic, replica, events } = this.#options;
+    const expectedEndOffset = this.#endOffset;
+    try {
+      const offset = await log.append(topic, key, Buffer.from(JSON.stringify(value)), {
+        expectedEndOffset,
+      });
+      this.#ownEndOffset = offset + 1;
+      return true;
+    } catch (error) {
+      // Whether a lost answer hides a stored record shows when the topic is read; until then the
+      // daemon does not act on it.
+      const reason = error instanceof Error ? error.message : String(error);
+      events.info(EventId.AppendRetried, 'a duty record is not known to be stored', { key, reason });
+      if (error instanceof AppendConflictError || error instanceof LogUnavailableError) {
+        await replica.refresh().catch((refreshError: unknown) => {
+          events.warn(EventId.LogReadFailing, 'the duties could not be read again', {
+            stream: topic,
+            reason: String(refreshError),
+          });
+        });
+      }
+      return false;
+    }
+  }
+
+  #record(): DutyLeaseRecord | undefined {
+    const value = this.#options.replica.get(leaseKey)?.value;
+    return value && leaseSchema.safeParse(JSON.parse(Buffer.from(value).toString())).data;
+  }
+
+  #isOwn(record: DutyLeaseRecord | undefined): boolean {
+    const { daemon, incarnation } = this.#options;
+    return record?.holder === daemon && record.incarnation === incarnation;
+  }
+}
--- /dev/null
+++ b/src/capacity/usage-reporter.ts
@@ -0,0 +1,128 @@
+import { z } from 'zod';
+import type { Clock } from '../core/index.js';
+import type { KeyedReplica } from '../log/keyed-replica.js';
+import type { DaemonSamples } from '../membership/daemon-samples.js';
+import { EventId, type EventLog } from '../telemetry/index.js';
+import { DutyFencedError, type DutyClient, type UsageReport } from './duty-client.js';
+import type { DutyLease } from './duty-lease.js';
+import { mergeCounts, type UsageCounter, type UsageCounts } from './usage-counter.js';
+
+const intentSchema = z.object({
+  window: z.int(),
+  counts: z.record(z.string(), z.number()),
+});
+
+/** Options of {@link UsageReporter}. */
+export interface UsageReporterOptions {
+  readonly counter: UsageCounter;
+  readonly samples: DaemonSamples;
+  readonly lease: DutyLease;
+  readonly replica: KeyedReplica;
+  readonly duties: DutyClient;
+  readonly daemon: string;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  /** A report is due this long after the end of its window, in milliseconds. */
+  readonly dueMs: number;
+}
+
+const intentKey = 'usage';
+
+/** Samples of a window's last moments arrive within this time. */
+const settleMs = 1_800;
+
+/** A daemon that has gone silent is waited for until this part of the time has passed. */
+const patienceRatio = 0.7;
+
+/** Windows before the present that a first holder reports. */
+const maxWindowsBack = 4;
+
+/**
+ * Reports the usage of each window once, while this daemon holds the duties. The counts are stored
+ * before they are sent: a report whose answer is lost is sent again with the same counts, also by
+ * the next holder.
+ */
+export class UsageReporter {
+  readonly #options: UsageReporterOptions;
+  #isTicking = false;
+  /** Newest window whose report the platform has acknowledged to this daemon. */
+  #reportedWindow = -Infinity;
+  /** Report that this daemon stored last, which the replica may not have read yet. */
+  #ownStored: UsageReport | undefined;
+
+  constructor(options: UsageReporterOptions) {
+    this.#options = options;
+  }
+
+  /** Sends the next report that is due, if any; at most one call is under way. */
+  async tick(): Promise<void> {
+    if (this.#isTicking || this.#options.lease.fence === undefined) return;
+    this.#isTicking = true;
+    try {
+      await this.#report();
+    } catch (error) {
+      if (error instanceof DutyFencedError) this.#options.lease.fenced();
+      this.#options.events.warn(EventId.UsageUnanswered, 'a usage report is not known to be taken', {
+        reason: error instanceof Error ? error.message : String(error),
+      });
+    } finally {
+      this.#isTicking = false;
+    }
+  }
+
+  async #report(): Promise<void> {
+    const { lease } = this.#options;
+    const stored = this.#stored();
+    if (stored && stored.window > this.#reportedWindow) {
+      await this.#send(stored);
+      return;
+    }
+    const window = this.#nextWindow(stored);
+    if (window === undefined) return;
+    const report: UsageReport = { window, counts: this.#countsOf(window) };
+    if (!(await lease.append(intentKey, report))) return;
+    this.#ownStored = report;
+    await this.#send(report);
+  }
+
+  async #send(report: UsageReport): Promise<void> {
+    const { duties, lease, daemon, events } = this.#options;
+    const { fence } = lease;
+    if (fence === undefined) return;
+    await duties.reportUsage(report, { daemon, fence });
+    this.#reportedWindow = Math.max(this.#reportedWindow, report.window);
+    events.info(EventId.UsageReported, 'usage of a window is reported', {
+      window: report.window,
+      requests: Object.values(report.counts).reduce((sum, count) => sum + count, 0),
+      fence,
+    });
+  }
+
+  /** The oldest window that is not stored and whose counts are complete or waited for long enough. */
+  #nextWindow(stored: UsageReport | undefined): number | undefined {
+    const { counter, clock, samples, dueMs } = this.#options;
+    const nowMs = clock.nowMs();
+    const current = counter.windowOf(nowMs);
+    const first = Math.max(current - maxWindowsBack, (stored?.window ?? -Infinity) + 1);
+    if (first >= current) return undefined;
+    const endedAtMs = counter.endOfMs(first);
+    if (nowMs < endedAtMs + settleMs) return undefined;
+    const isComplete = samples.others().every(({ sampledAtMs }) => sampledAtMs >= endedAtMs);
+    return isComplete || nowMs >= endedAtMs + dueMs * patienceRatio ? first : undefined;
+  }
+
+  #countsOf(window: number): UsageCounts {
+    const { counter, samples } = this.#options;
+    const sources = [counter.windows(), ...samples.all().map(({ usage }) => usage)];
+    return sources
+      .flatMap((windows) => windows.filter(([index]) => index === window))
+      .reduce<UsageCounts>((sum, [, counts]) => mergeCounts(sum, counts), {});
+  }
+
+  #stored(): UsageReport | undefined {
+    const value = this.#options.replica.get(intentKey)?.value;
+    const read = value && intentSchema.safeParse(JSON.parse(Buffer.from(value).toString())).data;
+    const own = this.#ownStored;
+    return own && own.window >= (read?.window ?? -Infinity) ? own : read;
+  }
+}
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -4,3 +4,4 @@
 export * from './leaving-merge.js';
 export * from './http-endpoint-probe.js';
 export * from './silence-detector.js';
+export * from './registered-endpoints.js';
--- a/src/fleet/prompt-prefix.ts
+++ b/src/fleet/prompt-prefix.ts
@@ -33,3 +33,27 @@
   }
   return blocks;
 }
+
+/** A part of a prompt that engines cache as a whole. */
+export interface PromptPart {
+  readonly id: string;
+  readonly tokens: number;
+}
+
+/** Odd, so that the blocks of a part stay distinct; the golden ratio spreads them evenly. */
+const blockStride = 0x9e3779b1;
+
+/** Like {@link promptPrefix}, for a prompt that is described by its parts in order. */
+export function promptPrefixOfParts(parts: readonly PromptPart[]): PromptPrefix {
+  const blocks: number[] = [];
+  let hash = 0;
+  let tokens = 0;
+  for (const part of parts) {
+    hash = hash32(part.id, hash) >>> 1;
+    tokens += part.tokens;
+    for (let index = 0; blocks.length < Math.floor(tokens / promptBlockTokens); index++) {
+      blocks.push((hash + Math.imul(index, blockStride)) >>> 1);
+    }
+  }
+  return blocks;
+}
--- /dev/null
+++ b/src/fleet/registered-endpoints.ts
@@ -0,0 +1,173 @@
+import type { Clock } from '../core/index.js';
+import { Deployment, EngineRole, SettingsPath } from '../settings/index.js';
+import type { EndpointSettings, Section } from '../settings/index.js';
+import { EventId, type EventLog } from '../telemetry/index.js';
+import type { EndpointRegistry } from './endpoint-registry.js';
+import type { EndpointView } from './endpoint-view.js';
+
+/** What an endpoint says of itself in the store. */
+export interface EndpointRegistration {
+  /** Identity of the process, which it answers for. */
+  readonly instanceId: string;
+  readonly serviceName: string;
+  readonly baseUrl: string;
+  readonly region: string;
+  readonly failureDomain: string;
+  readonly batchSlots: number;
+  /** Epoch milliseconds; 0 when it does not say. A later start under the same id is a new endpoint. */
+  readonly startedAtMs: number;
+  readonly isDraining: boolean;
+  /** Epoch milliseconds at which the VM goes, if that is known. */
+  readonly leavesAtMs: number | undefined;
+  readonly reclaimable: boolean;
+}
+
+/** Options of {@link RegisteredEndpoints}. */
+export interface RegisteredEndpointsOptions {
+  readonly registry: EndpointRegistry;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  /** Whether removals may come from the store's own outage rather than from the endpoints. */
+  readonly isStoreRecovering: () => boolean;
+}
+
+/** Team under which registered endpoints stand beside those of the settings. */
+const team = 'registered';
+
+/** Only its team counts, since ids of registrations need not be names of sections. */
+const registeredPath = SettingsPath.parse(`platform/${team}/endpoints/any`);
+
+/** Endpoints whose registration lapsed in an outage of the store register again within this time. */
+const lapseGraceMs = 2_000;
+
+/**
+ * Feeds the {@link EndpointRegistry} from registrations. An endpoint whose registration goes gets no
+ * new work, unless the registration may have lapsed because the store was away: then the endpoint is
+ * kept for as long as live ones need to register again.
+ *
+ * @example
+ * ```ts
+ * endpoints.register(registration);
+ * endpoints.remove('i-7');
+ * ```
+ */
+export class RegisteredEndpoints {
+  readonly #options: RegisteredEndpointsOptions;
+  readonly #registrations = new Map<string, EndpointRegistration>();
+  readonly #cancelRemovals = new Map<string, () => void>();
+
+  constructor(options: RegisteredEndpointsOptions) {
+    this.#options = options;
+  }
+
+  /** Takes a new or changed registration. */
+  register(registration: EndpointRegistration): void {
+    const { instanceId } = registration;
+    this.#cancelRemoval(instanceId);
+    const known = this.#registrations.get(instanceId);
+    this.#registrations.set(instanceId, registration);
+    if (!known || !isSamePlace(known, registration)) this.#place();
+    const view = this.#viewOf(instanceId);
+    if (!view) return;
+    const { registry } = this.#options;
+    registry.restore(view.id);
+    if (!registration.isDraining) return;
+    if (registration.leavesAtMs === undefined) registry.recordDraining(view.id);
+    else registry.drain(view.id, registration.leavesAtMs);
+  }
+
+  /** Takes the end of a registration. */
+  remove(instanceId: string): void {
+    if (!this.#registrations.has(instanceId) || this.#cancelRemovals.has(instanceId)) return;
+    if (!this.#options.isStoreRecovering()) {
+      this.#drop(instanceId);
+      return;
+    }
+    const { clock, events } = this.#options;
+    events.info(EventId.EndpointLapsed, 'registration may have lapsed with the store; kept a while', {
+      endpoint: instanceId,
+      graceMs: lapseGraceMs,
+    });
+    const cancel = clock.schedule(clock.nowMs() + lapseGraceMs, () => {
+      this.#cancelRemovals.delete(instanceId);
+      this.#drop(instanceId);
+    });
+    this.#cancelRemovals.set(instanceId, cancel);
+  }
+
+  /** Registrations of a service, draining ones included. */
+  of(serviceName: string): EndpointRegistration[] {
+    return [...this.#registrations.values()].filter(
+      (registration) => registration.serviceName === serviceName,
+    );
+  }
+
+  /** Id of a service in the registry. */
+  serviceId(serviceName: string): string {
+    return `${team}/${serviceName}`;
+  }
+
+  /** Identity of the process behind a view. */
+  instanceIdOf(view: EndpointView): string {
+    return view.name.slice(team.length + 1);
+  }
+
+  #drop(instanceId: string): void {
+    this.#registrations.delete(instanceId);
+    this.#place();
+  }
+
+  #cancelRemoval(instanceId: string): void {
+    this.#cancelRemovals.get(instanceId)?.();
+    this.#cancelRemovals.delete(instanceId);
+  }
+
+  #place(): void {
+    const { registry } = this.#options;
+    const registrations = [...this.#registrations.values()];
+    registry.applyDeployment(Deployment.from(new Map()), registrations.map(sectionOf));
+    for (const { instanceId, startedAtMs } of registrations) {
+      registry.observeProcessStart(`${team}/${instanceId}`, startedAtMs);
+      const view = this.#viewOf(instanceId);
+      if (view) registry.restore(view.id);
+    }
+  }
+
+  #viewOf(instanceId: string): EndpointView | undefined {
+    const registration = this.#registrations.get(instanceId);
+    if (!registration) return undefined;
+    return this.#options.registry
+      .views(this.serviceId(registration.serviceName))
+      .find((view) => this.instanceIdOf(view) === instanceId);
+  }
+}
+
+function isSamePlace(a: EndpointRegistration, b: EndpointRegistration): boolean {
+  return (
+    a.baseUrl === b.baseUrl &&
+    a.serviceName === b.serviceName &&
+    a.startedAtMs === b.startedAtMs &&
+    a.batchSlots === b.batchSlots
+  );
+}
+
+function sectionOf(registration: EndpointRegistration): Section<EndpointSettings> {
+  const { instanceId, serviceName, baseUrl, region, failureDomain } = registration;
+  return {
+    id: `${team}/${instanceId}`,
+    path: registeredPath,
+    values: {
+      service: serviceName,
+      base_url: baseUrl,
+      region,
+      failure_domain: failureDomain,
+      vm_id: instanceId,
+      vm_class: 'standard',
+      reclaimable: registration.reclaimable,
+      price_usd_per_hour: 1,
+      batch_slots: registration.batchSlots,
+      checks_fence: false,
+      role: EngineRole.Mixed,
+    },
+  };
+}
--- /dev/null
+++ b/src/gateway/caller-exchange.ts
@@ -0,0 +1,85 @@
+import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from 'node:http';
+import type { RequestDescription } from './request-codec.js';
+import type { TrafficRoute, TrafficService, TrafficWorkspace } from './traffic-config.js';
+
+/** Everything that is known of a caller's request once it has been read and admitted. */
+export interface AdmittedRequest {
+  readonly description: RequestDescription;
+  readonly route: TrafficRoute;
+  readonly service: TrafficService;
+  /** Undefined for public routes. */
+  readonly workspace: TrafficWorkspace | undefined;
+  readonly body: Buffer;
+  /** Epoch milliseconds. */
+  readonly receivedAtMs: number;
+  /** Time by which the whole answer is due, in epoch milliseconds. */
+  readonly deadlineAtMs: number;
+  /** Whether the deadline is the route's rather than the caller's. */
+  readonly isRouteTimeout: boolean;
+}
+
+/** The caller's side of one request: whether it is still there, and what it has been told. */
+export class CallerExchange {
+  readonly request: IncomingMessage;
+  readonly #response: ServerResponse;
+  readonly #goneListeners: (() => void)[] = [];
+  #isGone = false;
+
+  constructor(request: IncomingMessage, response: ServerResponse) {
+    this.request = request;
+    this.#response = response;
+    response.once('close', () => {
+      if (response.writableFinished) return;
+      this.#isGone = true;
+      for (const listener of this.#goneListeners) listener();
+    });
+  }
+
+  /** Whether the caller closed its connection before the whole answer. */
+  get isGone(): boolean {
+    return this.#isGone;
+  }
+
+  /** Whether the head of the answer is out, so that no other answer can be given. */
+  get hasAnswered(): boolean {
+    return this.#response.headersSent;
+  }
+
+  /** Calls `listener` when the caller leaves before it has the whole answer. */
+  onGone(listener: () => void): void {
+    this.#goneListeners.push(listener);
+  }
+
+  /** Sends a whole answer. */
+  answer(status: number, headers: OutgoingHttpHeaders, body: Buffer): void {
+    if (this.#isGone || this.hasAnswered) return;
+    this.#response.writeHead(status, { ...headers, 'content-length': body.length });
+    this.#response.end(body);
+  }
+
+  /** Sends the head of an answer whose length is not known. */
+  begin(status: number, headers: OutgoingHttpHeaders): void {
+    if (this.#isGone || this.hasAnswered) return;
+    this.#response.writeHead(status, headers);
+  }
+
+  /** Sends a part of the body. @returns false when the caller reads too slowly; see {@link onDrain}. */
+  write(bytes: Buffer): boolean {
+    if (this.#isGone) return true;
+    return this.#response.write(bytes);
+  }
+
+  onDrain(listener: () => void): void {
+    this.#response.once('drain', listener);
+  }
+
+  /** Ends an answer as complete. */
+  end(): void {
+    if (!this.#isGone) this.#response.end();
+  }
+
+  /** Closes the connection, so that an answer that is not whole does not look complete. */
+  cut(): void {
+    this.#response.destroy();
+  }
+}
--- /dev/null
+++ b/src/gateway/endpoint-connections.ts
@@ -0,0 +1,144 @@
+import {
+  Agent,
+  request as httpRequest,
+  type ClientRequest,
+  type IncomingMessage,
+  type OutgoingHttpHeaders,
+} from 'node:http';
+import type { Clock } from '../core/index.js';
+
+/** A request for one endpoint. */
+export interface EndpointRequest {
+  readonly baseUrl: string;
+  readonly method: string;
+  /** Path and query, unchanged. */
+  readonly path: string;
+  readonly headers: OutgoingHttpHeaders;
+  readonly body: Buffer;
+  /** Whether a connection may be used that other requests used before. */
+  readonly mayReuseConnection: boolean;
+}
+
+/** Told about the steps of one send. Exactly one of `failed` and `answered` is called. */
+export interface SendObserver {
+  answered(answer: IncomingMessage): void;
+  /** @param mayHaveRun - false when no byte of the request can have reached the endpoint. */
+  failed(reason: string, mayHaveRun: boolean): void;
+}
+
+/** A request on its way. */
+export interface PendingSend {
+  /** Closes the connection, so that the endpoint stops its work. */
+  abort(): void;
+}
+
+/**
+ * An idle connection is used again for less than endpoints keep it open, since a request that
+ * crosses the close is lost.
+ */
+const maxIdleMs = 4_000;
+
+/** Two lost opening packets in a row are rare; the first is sent again after a second. */
+const connectTimeoutMs = 600;
+
+const maxIdleConnections = 24;
+
+/**
+ * Sends requests to endpoints over kept connections, one request at a time on each. Nothing is ever
+ * sent again by itself.
+ *
+ * @example
+ * ```ts
+ * const send = connections.send(request, { answered, failed });
+ * ```
+ */
+export class EndpointConnections {
+  readonly #clock: Clock;
+  readonly #kept = new Agent({
+    keepAlive: true,
+    maxFreeSockets: maxIdleConnections,
+    scheduling: 'lifo',
+    timeout: maxIdleMs,
+  });
+  readonly #single = new Agent({ keepAlive: false });
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  send(request: EndpointRequest, observer: SendObserver): PendingSend {
+    const { hostname, port } = new URL(request.baseUrl);
+    const outgoing = httpRequest({
+      agent: request.mayReuseConnection ? this.#kept : this.#single,
+      host: hostname,
+      port: Number(port || 80),
+      method: request.method,
+      path: request.path,
+      headers: request.headers,
+      setHost: false,
+    });
+    new Send(outgoing, observer, this.#clock).start(request.body);
+    return { abort: () => outgoing.destroy() };
+  }
+
+  close(): void {
+    this.#kept.destroy();
+    this.#single.destroy();
+  }
+}
+
+/** Follows one request until its answer begins. */
+class Send {
+  readonly #outgoing: ClientRequest;
+  readonly #observer: SendObserver;
+  readonly #clock: Clock;
+  #cancelConnectTimer: () => void = () => undefined;
+  #mayHaveRun = false;
+  #isDone = false;
+
+  constructor(outgoing: ClientRequest, observer: SendObserver, clock: Clock) {
+    this.#outgoing = outgoing;
+    this.#observer = observer;
+    this.#clock = clock;
+  }
+
+  start(body: Buffer): void {
+    const outgoing = this.#outgoing;
+    outgoing.on('socket', (socket) => {
+      // The agent's timeout is for idle connections; a silent answer is the caller's to judge.
+      socket.setTimeout(0);
+      socket.setNoDelay(true);
+      if (!socket.connecting) {
+        this.#mayHaveRun = true;
+        return;
+      }
+      this.#cancelConnectTimer = this.#clock.schedule(
+        this.#clock.nowMs() + connectTimeoutMs,
+        () => outgoing.destroy(new Error('no connection in time')),
+      );
+      socket.once('connect', () => {
+        this.#mayHaveRun = true;
+        this.#cancelConnectTimer();
+      });
+    });
+    outgoing.on('response', (answer) => {
+      if (this.#isDone) return;
+      this.#isDone = true;
+      this.#observer.answered(answer);
+    });
+    outgoing.on('error', (error) => {
+      this.#fail(error.message);
+    });
+    outgoing.on('close', () => {
+      this.#fail('the connection was closed without an answer');
+    });
+    outgoing.end(body);
+  }
+
+  #fail(reason: string): void {
+    this.#cancelConnectTimer();
+    if (this.#isDone) return;
+    this.#isDone = true;
+    this.#observer.failed(reason, this.#mayHaveRun);
+  }
+}
--- /dev/null
+++ b/src/gateway/gateway-listener.ts
@@ -0,0 +1,161 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { RequestError, type Clock } from '../core/index.js';
+import { EventId, type EventLog } from '../telemetry/index.js';
+import { CallerExchange } from './caller-exchange.js';
+import type { ConfigHolder } from './config-holder.js';
+import { MissingRequestIdError, type RequestCodec } from './request-codec.js';
+import type { RequestAdmission } from './request-admission.js';
+import type { RequestRelay } from './request-relay.js';
+
+/** Options of {@link GatewayListener}. */
+export interface GatewayListenerOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly admission: RequestAdmission;
+  readonly relay: RequestRelay;
+  readonly config: ConfigHolder;
+  readonly codec: RequestCodec;
+  readonly clock: Clock;
+  readonly events: EventLog;
+}
+
+/** Larger than any configured limit on headers, which is checked for each request. */
+const maxHeaderBytes = 65_536;
+
+/** Limits until the first configuration is known. */
+const defaultHeaderTimeoutMs = 3_000;
+const defaultIdleTimeoutMs = 15_000;
+
+/** How often connections are checked against the limit on headers. */
+const checkIntervalMs = 500;
+
+/**
+ * The HTTP listener for callers of the gateway. Each request is admitted, relayed and answered
+ * exactly once; while draining, answers ask callers to connect elsewhere.
+ */
+export class GatewayListener {
+  readonly #options: GatewayListenerOptions;
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+  readonly #idleListeners: (() => void)[] = [];
+  #inFlight = 0;
+  #isDraining = false;
+
+  constructor(options: GatewayListenerOptions) {
+    this.#options = options;
+    this.#server = createServer({
+      maxHeaderSize: maxHeaderBytes,
+      connectionsCheckingInterval: checkIntervalMs,
+      noDelay: true,
+    });
+    this.#applyLimits(defaultHeaderTimeoutMs, defaultIdleTimeoutMs);
+    // Long bodies may take as long as the caller waits.
+    this.#server.requestTimeout = 0;
+    this.#server.on('connection', (socket) => {
+      this.#sockets.add(socket);
+      socket.once('close', () => this.#sockets.delete(socket));
+    });
+    this.#server.on('request', (request, response) => void this.#handle(request, response));
+    options.config.onChange(({ config }) => {
+      this.#applyLimits(config.limits.headerTimeoutMs, config.limits.idleTimeoutMs);
+    });
+  }
+
+  /** Requests that have no whole answer yet. */
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  listen(): Promise<void> {
+    const { host, port } = this.#options;
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen({ host, port, backlog: 1_024 }, resolve);
+    });
+  }
+
+  /**
+   * Asks callers to connect elsewhere. Connections that become idle are closed after their next
+   * answer; those that stay idle are closed by {@link closeIdle}.
+   */
+  startDraining(): void {
+    this.#isDraining = true;
+  }
+
+  /** Closes connections on which no request is open. */
+  closeIdle(): void {
+    this.#server.closeIdleConnections();
+  }
+
+  /** Resolves once no request is open, or at `deadlineAtMs` (epoch milliseconds). */
+  async idle(deadlineAtMs: number): Promise<void> {
+    if (this.#inFlight === 0) return;
+    const idle = new AbortController();
+    this.#idleListeners.push(() => {
+      idle.abort();
+    });
+    await this.#options.clock.sleepUntil(deadlineAtMs, idle.signal);
+  }
+
+  close(): void {
+    this.#server.close();
+    for (const socket of this.#sockets) socket.destroy();
+  }
+
+  #applyLimits(headerTimeoutMs: number, idleTimeoutMs: number): void {
+    this.#server.headersTimeout = headerTimeoutMs;
+    this.#server.keepAliveTimeout = idleTimeoutMs;
+  }
+
+  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { admission, relay } = this.#options;
+    const exchange = new CallerExchange(request, response);
+    if (this.#isDraining) response.setHeader('connection', 'close');
+    this.#inFlight += 1;
+    response.once('close', () => {
+      this.#ended();
+    });
+    try {
+      await relay.relay(exchange, await admission.admit(exchange));
+    } catch (error) {
+      this.#refuse(exchange, error);
+    }
+  }
+
+  #refuse(exchange: CallerExchange, error: unknown): void {
+    const { codec, clock, events } = this.#options;
+    const refusal = error instanceof RequestError ? error : undefined;
+    const requestId = this.#requestIdOf(exchange);
+    const status = refusal?.status ?? 500;
+    const reason = error instanceof Error ? error.message : String(error);
+    events.warn(EventId.RequestRefused, 'a request was refused', {
+      ...(requestId === undefined ? {} : { requestId }),
+      status,
+      reason,
+      ...(refusal ? {} : { stack: (error as Error).stack ?? '' }),
+    });
+    if (exchange.hasAnswered) {
+      exchange.cut();
+      return;
+    }
+    const { retryAtMs } = refusal ?? {};
+    const retryAfterMs = retryAtMs === undefined ? undefined : Math.max(0, retryAtMs - clock.nowMs());
+    exchange.answer(status, codec.ownHeaders(requestId, retryAfterMs), Buffer.alloc(0));
+  }
+
+  #requestIdOf(exchange: CallerExchange): string | undefined {
+    try {
+      return this.#options.codec.describe(exchange.request.headers).requestId;
+    } catch (error) {
+      if (error instanceof MissingRequestIdError) return undefined;
+      throw error;
+    }
+  }
+
+  #ended(): void {
+    this.#inFlight -= 1;
+    if (this.#inFlight > 0) return;
+    for (const listener of this.#idleListeners.splice(0)) listener();
+  }
+}
--- /dev/null
+++ b/src/gateway/gateway.ts
@@ -0,0 +1,351 @@
+import { RetryBudget } from '../admission/retry-budget.js';
+import type { DutyClient } from '../capacity/duty-client.js';
+import { DutyLease } from '../capacity/duty-lease.js';
+import { EndpointScaler, type ScaledService } from '../capacity/endpoint-scaler.js';
+import { UsageCounter } from '../capacity/usage-counter.js';
+import { UsageReporter } from '../capacity/usage-reporter.js';
+import { Random, type Clock } from '../core/index.js';
+import { EstimatedSpeeds } from '../daemon/estimated-speeds.js';
+import { CacheView } from '../fleet/cache-view.js';
+import {
+  EndpointRegistry,
+  LeavingMerge,
+  RegisteredEndpoints,
+  SilenceDetector,
+  type EndpointProbe,
+} from '../fleet/index.js';
+import { SpeedEstimator } from '../fleet/speed-estimator.js';
+import type { KeyedLog } from '../log/keyed-log.js';
+import { KeyedReplica } from '../log/keyed-replica.js';
+import { DaemonSamples, type SampleContent } from '../membership/daemon-samples.js';
+import { Router } from '../routing/index.js';
+import { EventId, type EventLog } from '../telemetry/index.js';
+import type { AdmittedRequest } from './caller-exchange.js';
+import { ConfigHolder } from './config-holder.js';
+import { EndpointConnections } from './endpoint-connections.js';
+import { GatewayListener } from './gateway-listener.js';
+import { Placement } from './placement.js';
+import { RequestAdmission } from './request-admission.js';
+import type { RequestCodec } from './request-codec.js';
+import { RequestRelay, UsageObserver } from './request-relay.js';
+import { PeerDemand, WorkspaceQuotas } from './workspace-quotas.js';
+
+/** Topics of the store that the gateway reads and writes. */
+export interface GatewayTopics {
+  readonly config: string;
+  readonly registrations: string;
+  readonly daemons: string;
+  readonly duties: string;
+}
+
+/** Options of {@link Gateway}. */
+export interface GatewayOptions {
+  readonly daemon: string;
+  readonly region: string;
+  readonly host: string;
+  readonly port: number;
+  readonly store: KeyedLog;
+  readonly topics: GatewayTopics;
+  readonly codec: RequestCodec;
+  readonly duties: DutyClient;
+  readonly probe: (healthPathOf: (baseUrl: string) => string) => EndpointProbe;
+  readonly clock: Clock;
+  readonly wallNowMs: () => number;
+  readonly random: Random;
+  readonly events: EventLog;
+  readonly leaseMs: number;
+  readonly usageWindowMs: number;
+  readonly usageDueMs: number;
+  /** Sends beyond the first of each request that a service bears in a window, from all daemons. */
+  readonly retrySlack: number;
+}
+
+/** How long reads of topics that change rarely are held open; bounds how long a silent connection hides. */
+const configWaitMs = 1_200;
+const dutiesWaitMs = 4_000;
+const registrationsWaitMs = 1_200;
+
+/** Least time between two reads of a topic. */
+const configGapMs = 50;
+const registrationsGapMs = 400;
+const samplesGapMs = 900;
+
+/** How often the duties are looked at. */
+const dutyPeriodMs = 500;
+
+/** Removals this soon after an outage of the store may be its own doing. */
+const recoveringMs = 3_000;
+
+/** Daemons assumed to share the retry slack, so that a new daemon does not take it all. */
+const assumedDaemons = 8;
+
+/** How long a stopping daemon keeps idle connections, until the balancer sends nobody any more. */
+const stopNoticeMs = 3_000;
+
+/** Time before the forced end at which a stopping daemon ends by itself. */
+const stopMarginMs = 250;
+
+/** One daemon of the gateway: everything between callers, endpoints and the store. */
+export class Gateway {
+  readonly config: ConfigHolder;
+  readonly endpoints: RegisteredEndpoints;
+  readonly configReplica: KeyedReplica;
+  readonly registrationReplica: KeyedReplica;
+  readonly #options: GatewayOptions;
+  readonly #registry: EndpointRegistry;
+  readonly #connections: EndpointConnections;
+  readonly #listener: GatewayListener;
+  readonly #samples: DaemonSamples;
+  readonly #samplesReplica: KeyedReplica;
+  readonly #dutiesReplica: KeyedReplica;
+  readonly #lease: DutyLease;
+  readonly #usage: UsageReporter;
+  readonly #scaler: EndpointScaler;
+  readonly #counter: UsageCounter;
+  readonly #quotas: WorkspaceQuotas;
+  #isStopping = false;
+
+  constructor(options: GatewayOptions) {
+    this.#options = options;
+    const { clock, events, codec, daemon, topics } = options;
+    const incarnation = options.wallNowMs();
+    this.config = new ConfigHolder(events);
+    this.configReplica = this.#replica(topics.config, configWaitMs, configGapMs);
+    this.registrationReplica = this.#replica(
+      topics.registrations,
+      registrationsWaitMs,
+      registrationsGapMs,
+    );
+    this.#samplesReplica = this.#replica(topics.daemons, dutiesWaitMs, samplesGapMs);
+    this.#dutiesReplica = this.#replica(topics.duties, dutiesWaitMs, samplesGapMs);
+
+    const speeds = new SpeedEstimator();
+    const caches = new CacheView();
+    this.#registry = new EndpointRegistry({
+      clock,
+      leaving: new LeavingMerge(),
+      speeds: new EstimatedSpeeds(speeds),
+      events,
+    });
+    this.#registry.onRetire((endpointId) => {
+      speeds.remove(endpointId);
+      caches.forget(endpointId);
+    });
+    this.endpoints = new RegisteredEndpoints({
+      registry: this.#registry,
+      clock,
+      events,
+      isStoreRecovering: () => this.#isStoreRecovering(),
+    });
+    this.#connections = new EndpointConnections(clock);
+    this.#counter = new UsageCounter(options.usageWindowMs);
+    this.#samples = new DaemonSamples({
+      log: options.store,
+      topic: topics.daemons,
+      replica: this.#samplesReplica,
+      daemon,
+      incarnation,
+      clock,
+      events,
+      content: () => this.#sampleContent(),
+    });
+    this.#quotas = new WorkspaceQuotas(new SampledDemand(this.#samples));
+    this.#listener = this.#createListener(codec, speeds, caches);
+    this.#lease = new DutyLease({
+      log: options.store,
+      topic: topics.duties,
+      replica: this.#dutiesReplica,
+      samples: this.#samples,
+      daemon,
+      incarnation,
+      leaseMs: options.leaseMs,
+      clock,
+      wallNowMs: options.wallNowMs,
+      events,
+    });
+    this.#usage = new UsageReporter({
+      counter: this.#counter,
+      samples: this.#samples,
+      lease: this.#lease,
+      replica: this.#dutiesReplica,
+      duties: options.duties,
+      daemon,
+      clock,
+      events,
+      dueMs: options.usageDueMs,
+    });
+    this.#scaler = new EndpointScaler({
+      lease: this.#lease,
+      duties: options.duties,
+      daemon,
+      services: () => this.#scaledServices(),
+      clock,
+      events,
+    });
+  }
+
+  /** Whether the balancer may send new callers. */
+  get isReady(): boolean {
+    return !this.#isStopping && this.config.table !== undefined;
+  }
+
+  /** Starts serving. @throws Error when the address cannot be listened at. */
+  async start(): Promise<void> {
+    const { clock } = this.#options;
+    await this.#listener.listen();
+    this.configReplica.start();
+    this.registrationReplica.start();
+    this.#samplesReplica.start();
+    this.#dutiesReplica.start();
+    this.#samples.start();
+    clock.every(dutyPeriodMs, () => void this.#tickDuties());
+  }
+
+  /** Stops without cutting off a request, as far as `deadlineAtMs` (epoch milliseconds) allows. */
+  async stop(deadlineAtMs: number): Promise<void> {
+    if (this.#isStopping) return;
+    this.#isStopping = true;
+    const { clock, events } = this.#options;
+    events.info(EventId.DaemonStopping, 'daemon is stopping', { open: this.#listener.inFlight });
+    this.#listener.startDraining();
+    await this.#lease.release();
+    await clock.sleepUntil(Math.min(clock.nowMs() + stopNoticeMs, deadlineAtMs - stopMarginMs));
+    this.#listener.closeIdle();
+    await this.#listener.idle(deadlineAtMs - stopMarginMs);
+    await this.#samples.leave();
+    events.info(EventId.DaemonStopped, 'daemon has stopped', { open: this.#listener.inFlight });
+    this.#listener.close();
+    this.#connections.close();
+  }
+
+  #createListener(codec: RequestCodec, speeds: SpeedEstimator, caches: CacheView): GatewayListener {
+    const { clock, events, daemon, region, random, host, port, retrySlack } = this.#options;
+    const router = new Router({ daemonId: daemon, region, random: random.fork(), caches });
+    const silence = new SilenceDetector({
+      clock,
+      registry: this.#registry,
+      probe: this.#options.probe((baseUrl) => this.#healthPathOf(baseUrl)),
+    });
+    const slackShare = Math.max(1, Math.floor((retrySlack * 0.5) / assumedDaemons));
+    const relay = new RequestRelay({
+      placement: new Placement({
+        router,
+        registry: this.#registry,
+        endpoints: this.endpoints,
+        caches,
+        speeds,
+        clock,
+      }),
+      endpoints: this.endpoints,
+      registry: this.#registry,
+      connections: this.#connections,
+      codec,
+      silence,
+      retries: new RetryBudget(slackShare, slackShare),
+      usage: new CountedUsage(this.#counter),
+      clock,
+      events,
+    });
+    const admission = new RequestAdmission({
+      config: this.config,
+      codec,
+      quotas: this.#quotas,
+      clock,
+    });
+    return new GatewayListener({
+      host,
+      port,
+      admission,
+      relay,
+      config: this.config,
+      codec,
+      clock,
+      events,
+    });
+  }
+
+  #replica(topic: string, waitMs: number, minGapMs: number): KeyedReplica {
+    const { store, clock, random, events } = this.#options;
+    return new KeyedReplica({
+      log: store,
+      topic,
+      clock,
+      random: random.fork(),
+      events,
+      waitMs,
+      minGapMs,
+    });
+  }
+
+  async #tickDuties(): Promise<void> {
+    if (this.#isStopping) return;
+    await this.#lease.tick();
+    await Promise.all([this.#usage.tick(), this.#scaler.tick()]);
+  }
+
+  #isStoreRecovering(): boolean {
+    const replica = this.registrationReplica;
+    return replica.isFailing || this.#options.clock.nowMs() < replica.recoveredAtMs + recoveringMs;
+  }
+
+  #healthPathOf(baseUrl: string): string {
+    const view = this.#registry.all().find((candidate) => candidate.baseUrl === baseUrl);
+    const service = this.config.table?.config.services.find(
+      ({ name }) => view && this.endpoints.serviceId(name) === view.serviceId,
+    );
+    return service?.healthPath ?? '/health';
+  }
+
+  #sampleContent(): SampleContent {
+    const inFlight: Record<string, number> = {};
+    for (const view of this.#registry.all()) {
+      const own = Object.values(view.ownInFlight.requests).reduce((sum, count) => sum + count, 0);
+      if (own > 0) inFlight[view.serviceId] = (inFlight[view.serviceId] ?? 0) + own;
+    }
+    const demands = this.#quotas.demands(this.#options.clock.nowMs());
+    return { demands, inFlight, usage: this.#counter.windows() };
+  }
+
+  #scaledServices(): ScaledService[] {
+    const services = this.config.table?.config.services ?? [];
+    return services.flatMap(({ name, scaling }) =>
+      scaling
+        ? [{ serviceName: name, target: 3 * scaling.priceByDomain.size, ...scaling }]
+        : [],
+    );
+  }
+}
+
+/** Counts begun requests of workspaces. */
+class CountedUsage extends UsageObserver {
+  readonly #counter: UsageCounter;
+
+  constructor(counter: UsageCounter) {
+    super();
+    this.#counter = counter;
+  }
+
+  override began({ workspace }: AdmittedRequest, atMs: number): void {
+    if (workspace) this.#counter.count(workspace.name, atMs);
+  }
+}
+
+/** {@link PeerDemand} from the samples of the other daemons. */
+class SampledDemand extends PeerDemand {
+  readonly #samples: DaemonSamples;
+
+  constructor(samples: DaemonSamples) {
+    super();
+    this.#samples = samples;
+  }
+
+  override get daemons(): number {
+    return this.#samples.others().length + 1;
+  }
+
+  override othersDemandPerS(workspaceName: string): number {
+    return this.#samples
+      .others()
+      .reduce((sum, { demands }) => sum + (demands[workspaceName] ?? 0), 0);
+  }
+}
--- /dev/null
+++ b/src/gateway/request-admission.ts
@@ -0,0 +1,122 @@
+import { Outcome, RequestError, Step, type Clock } from '../core/index.js';
+import type { CallerExchange, AdmittedRequest } from './caller-exchange.js';
+import type { ConfigHolder } from './config-holder.js';
+import { MissingRequestIdError, type RequestCodec, type RequestDescription } from './request-codec.js';
+import type { RouteTable } from './route-table.js';
+import type { TrafficRoute, TrafficWorkspace } from './traffic-config.js';
+import type { WorkspaceQuotas } from './workspace-quotas.js';
+
+/** Options of {@link RequestAdmission}. */
+export interface RequestAdmissionOptions {
+  readonly config: ConfigHolder;
+  readonly codec: RequestCodec;
+  readonly quotas: WorkspaceQuotas;
+  readonly clock: Clock;
+}
+
+/** When a caller comes back to a daemon that has no configuration yet, in milliseconds. */
+const noConfigRetryMs = 500;
+
+/** Reads a request and decides whether it may go to an endpoint: route, key, size and quota. */
+export class RequestAdmission {
+  readonly #options: RequestAdmissionOptions;
+
+  constructor(options: RequestAdmissionOptions) {
+    this.#options = options;
+  }
+
+  /** @throws RequestError when the request is refused; nothing of it has run then. */
+  async admit(exchange: CallerExchange): Promise<AdmittedRequest> {
+    const { clock } = this.#options;
+    const receivedAtMs = clock.nowMs();
+    const table = this.#table();
+    const description = this.#describe(exchange);
+    const route = routeOf(exchange, table);
+    const workspace = workspaceOf(route, description, table);
+    const serviceName = table.serviceOf(route, description.requestId);
+    const service = serviceName === undefined ? undefined : table.service(serviceName);
+    if (!service) throw refusal(503, `route "${route.name}" has no service`, noConfigRetryMs + receivedAtMs);
+    const body = await readWhole(exchange, table.config.limits.maxBodyBytes);
+    const nowMs = clock.nowMs();
+    if (workspace) this.#charge(workspace, description, nowMs);
+    const patienceMs = description.patienceMs ?? Infinity;
+    return {
+      description,
+      route,
+      service,
+      workspace,
+      body,
+      receivedAtMs,
+      deadlineAtMs: receivedAtMs + Math.min(patienceMs, route.timeoutMs),
+      isRouteTimeout: route.timeoutMs <= patienceMs,
+    };
+  }
+
+  #table(): RouteTable {
+    const { table } = this.#options.config;
+    if (table) return table;
+    throw refusal(503, 'no configuration is known yet', this.#options.clock.nowMs() + noConfigRetryMs);
+  }
+
+  #describe(exchange: CallerExchange): RequestDescription {
+    try {
+      return this.#options.codec.describe(exchange.request.headers);
+    } catch (error) {
+      if (error instanceof MissingRequestIdError) throw refusal(400, error.message);
+      throw error;
+    }
+  }
+
+  #charge(workspace: TrafficWorkspace, description: RequestDescription, nowMs: number): void {
+    const retryAtMs = this.#options.quotas.tryTake(workspace, description, nowMs);
+    if (retryAtMs === undefined) return;
+    throw refusal(429, `workspace "${workspace.name}" is over its quota`, retryAtMs);
+  }
+}
+
+function routeOf({ request }: CallerExchange, table: RouteTable): TrafficRoute {
+  const path = (request.url ?? '/').split('?', 1)[0] ?? '/';
+  const route = table.route(request.headers.host ?? '', path);
+  if (route) return route;
+  throw refusal(404, `no route of version ${table.config.version} matches`);
+}
+
+function workspaceOf(
+  route: TrafficRoute,
+  { callerKey }: RequestDescription,
+  table: RouteTable,
+): TrafficWorkspace | undefined {
+  if (route.isPublic || table.config.workspaces.length === 0) return undefined;
+  const workspace = callerKey === undefined ? undefined : table.workspace(callerKey);
+  if (workspace) return workspace;
+  throw refusal(401, `version ${table.config.version} does not know the key`);
+}
+
+function readWhole({ request }: CallerExchange, maxBytes: number): Promise<Buffer> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    request.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes <= maxBytes) chunks.push(chunk);
+      else reject(refusal(413, `the body is larger than ${maxBytes} bytes`));
+    });
+    request.once('end', () => resolve(Buffer.concat(chunks)));
+    request.once('close', () => {
+      if (!request.complete) reject(refusal(400, 'the caller left before its request was whole'));
+    });
+    request.once('error', () => reject(refusal(400, 'the request broke off')));
+  });
+}
+
+function refusal(status: number, message: string, retryAtMs?: number): RequestError {
+  return new RequestError(message, {
+    step: Step.Admit,
+    peer: 'caller',
+    status,
+    code: 'refused',
+    next: 'Correct the request, or send it again at the time given.',
+    outcome: Outcome.NotRun,
+    ...(retryAtMs === undefined ? {} : { retryAtMs }),
+  });
+}
--- /dev/null
+++ b/src/gateway/request-relay.ts
@@ -0,0 +1,305 @@
+import { WorkClass, type Clock } from '../core/index.js';
+import type { RetryBudget } from '../admission/retry-budget.js';
+import { EngineFailure } from '../engine/engine-error.js';
+import type {
+  EndpointRegistry,
+  EndpointView,
+  OwnRequest,
+  RegisteredEndpoints,
+  SilenceDetector,
+} from '../fleet/index.js';
+import { EventId, type EventLog } from '../telemetry/index.js';
+import { Attempt, AttemptEnd, AttemptObserver, type AttemptResult } from './attempt.js';
+import type { AdmittedRequest, CallerExchange } from './caller-exchange.js';
+import type { EndpointConnections } from './endpoint-connections.js';
+import type { AnswerDescription, RequestCodec } from './request-codec.js';
+import type { Placement } from './placement.js';
+import { RequestKind } from './traffic-config.js';
+
+/** Told about requests that began to run, for the usage of workspaces. */
+export abstract class UsageObserver {
+  abstract began(admitted: AdmittedRequest, atMs: number): void;
+}
+
+/** Options of {@link RequestRelay}. */
+export interface RequestRelayOptions {
+  readonly placement: Placement;
+  readonly endpoints: RegisteredEndpoints;
+  readonly registry: EndpointRegistry;
+  readonly connections: EndpointConnections;
+  readonly codec: RequestCodec;
+  readonly silence: SilenceDetector;
+  readonly retries: RetryBudget;
+  readonly usage: UsageObserver;
+  readonly clock: Clock;
+  readonly events: EventLog;
+}
+
+/** Statuses by which an answer promises that the request did not and will not run. */
+const promisingStatuses = new Set([408, 421, 429, 503]);
+
+/** Attempts that end before a byte was sent; they cost endpoints nothing, but time. */
+const maxUnsentAttempts = 4;
+
+/** Extra sends per request to a service; the store's bound is twice this for all daemons together. */
+const retryRatio = 0.1;
+
+/** When a caller that was refused for want of an endpoint should come back, in milliseconds. */
+const retryAfterMs = 600;
+
+/**
+ * Relays one admitted request: chooses an endpoint, sends the request, and sends it elsewhere when
+ * its kind allows it. Each request ends with exactly one answer, or with a cut connection when part
+ * of an answer is out that cannot be completed.
+ *
+ * @example
+ * ```ts
+ * await relay.relay(exchange, admitted);
+ * ```
+ */
+export class RequestRelay {
+  readonly #options: RequestRelayOptions;
+
+  constructor(options: RequestRelayOptions) {
+    this.#options = options;
+  }
+
+  relay(exchange: CallerExchange, admitted: AdmittedRequest): Promise<void> {
+    return new RelayedRequest(this.#options, exchange, admitted).run();
+  }
+}
+
+/** The state of one request on its way. */
+class RelayedRequest extends AttemptObserver {
+  readonly #options: RequestRelayOptions;
+  readonly #exchange: CallerExchange;
+  readonly #admitted: AdmittedRequest;
+  readonly #triedIds: string[] = [];
+  readonly #progress = { lastEventId: undefined as string | undefined, events: 0 };
+  #attempt: Attempt | undefined;
+  #sends = 0;
+  #unsentAttempts = 0;
+  /** Whether some send may have run the request. */
+  #mayHaveRun = false;
+  #hasBegun = false;
+  #isExpired = false;
+  #lastReason = 'no endpoint is available';
+
+  constructor(options: RequestRelayOptions, exchange: CallerExchange, admitted: AdmittedRequest) {
+    super();
+    this.#options = options;
+    this.#exchange = exchange;
+    this.#admitted = admitted;
+    this.#progress.lastEventId = admitted.description.lastEventId;
+  }
+
+  async run(): Promise<void> {
+    const { clock, retries } = this.#options;
+    const { route, service, deadlineAtMs } = this.#admitted;
+    retries.noteRequest(service.name, retryRatio);
+    const cancelDeadline = clock.schedule(deadlineAtMs, () => {
+      this.#onDeadline();
+    });
+    this.#exchange.onGone(() => {
+      // At-most-once work goes on: its outcome matters even when nobody waits for the answer.
+      if (route.kind !== RequestKind.AtMostOnce) this.#attempt?.abort('the caller left');
+    });
+    try {
+      while (await this.#tryOnce());
+    } finally {
+      cancelDeadline();
+    }
+  }
+
+  override answered(view: EndpointView, answer: AnswerDescription): void {
+    const { registry, clock } = this.#options;
+    const { load } = answer;
+    if (!load) return;
+    registry.recordLoad(view.id, {
+      runningRequests: load.runningRequests,
+      queuedRequests: load.queuedRequests,
+      // Answers do not tell it, and routing does not read it.
+      kvUsedRatio: 0,
+      observedAtMs: clock.nowMs(),
+    });
+  }
+
+  override began(): void {
+    if (this.#hasBegun) return;
+    this.#hasBegun = true;
+    this.#options.usage.began(this.#admitted, this.#options.clock.nowMs());
+  }
+
+  override progressed(view: EndpointView, events: number, elapsedMs: number): void {
+    this.#options.placement.noteProgress(view, events, elapsedMs);
+  }
+
+  /** One attempt. @returns whether another one should follow. */
+  async #tryOnce(): Promise<boolean> {
+    const { placement, registry, clock } = this.#options;
+    const view = placement.choose(this.#admitted, this.#triedIds);
+    if (!view) {
+      this.#giveUp();
+      return false;
+    }
+    const own = registry.beginRequest(view.id, WorkClass.Short, placement.pendingTokens(this.#admitted));
+    const startedAtMs = clock.nowMs();
+    const attempt = this.#begin(view);
+    this.#attempt = attempt;
+    const result = await attempt.result;
+    this.#attempt = undefined;
+    this.#settle(view, own, result);
+    if (result.end === AttemptEnd.Delivered) return false;
+    if (result.end !== AttemptEnd.Aborted) this.#logFailure(view, result, startedAtMs);
+    return this.#mayTryAgain(result) || this.#conclude(result);
+  }
+
+  #begin(view: EndpointView): Attempt {
+    const { connections, codec, silence, clock, endpoints, placement } = this.#options;
+    const { exchange, admitted } = { exchange: this.#exchange, admitted: this.#admitted };
+    const { request } = exchange;
+    placement.noteSent(view, admitted);
+    const isFreshNeeded = !this.#isRepeatable;
+    const headers = codec.forwardedHeaders(request.headers, {
+      workspaceName: admitted.workspace?.name,
+      instanceId: endpoints.instanceIdOf(view),
+      remainingMs: admitted.deadlineAtMs - clock.nowMs(),
+      priority: placement.priorityOf(admitted),
+      lastEventId: this.#progress.lastEventId,
+    });
+    return new Attempt({
+      exchange,
+      admitted,
+      view,
+      request: {
+        baseUrl: view.baseUrl,
+        method: request.method ?? 'GET',
+        path: request.url ?? '/',
+        headers: {
+          ...headers,
+          ...(hasBody(request.method, admitted.body) ? { 'content-length': admitted.body.length } : {}),
+        },
+        body: admitted.body,
+        mayReuseConnection: !isFreshNeeded,
+      },
+      progress: this.#progress,
+      connections,
+      codec,
+      silence,
+      observer: this,
+      clock,
+    });
+  }
+
+  #settle(view: EndpointView, own: OwnRequest, result: AttemptResult): void {
+    const { registry } = this.#options;
+    own.end();
+    this.#triedIds.push(view.id);
+    this.#lastReason = result.reason;
+    if (result.wasSent) this.#sends += 1;
+    else this.#unsentAttempts += 1;
+    if (result.wasSent && result.end !== AttemptEnd.NotRun) this.#mayHaveRun = true;
+    const isServerFailure = (result.answer?.status ?? 0) >= 500;
+    if (result.end === AttemptEnd.Delivered) registry.recordSuccess(view.id);
+    else if (result.end === AttemptEnd.Broken || isServerFailure) {
+      registry.recordFailure(view.id, EngineFailure.Broken);
+    } else if (result.end === AttemptEnd.NotRun && !result.wasSent) {
+      registry.recordFailure(view.id, EngineFailure.Refused);
+    }
+  }
+
+  /** Whether a request that may have run may be sent again. */
+  get #isRepeatable(): boolean {
+    const { route } = this.#admitted;
+    if (route.kind === RequestKind.Stream) return route.isResumable;
+    return route.kind === RequestKind.Idempotent;
+  }
+
+  #mayTryAgain(result: AttemptResult): boolean {
+    const { retries, clock } = this.#options;
+    const { route, service, deadlineAtMs } = this.#admitted;
+    if (result.end === AttemptEnd.Aborted || this.#exchange.isGone || this.#isExpired) return false;
+    if (result.answer && result.answer.status < 500) return false;
+    if (this.#mayHaveRun && !this.#isRepeatable) return false;
+    if (this.#exchange.hasAnswered && route.kind !== RequestKind.Stream) return false;
+    if (deadlineAtMs <= clock.nowMs()) return false;
+    if (!result.wasSent) return this.#unsentAttempts < maxUnsentAttempts;
+    return this.#sends < route.maxAttempts && retries.trySpend(service.name);
+  }
+
+  /** Answers after the last attempt. @returns false, as no attempt follows. */
+  #conclude(result: AttemptResult): false {
+    const { answer } = result;
+    if (answer && !this.#exchange.hasAnswered && !this.#isExpired) {
+      const { codec } = this.#options;
+      if (promisingStatuses.has(answer.status)) this.#fail(502, result.reason);
+      else {
+        this.#exchange.answer(answer.status, codec.answeredHeaders(answer.head.headers), answer.body);
+      }
+    } else this.#giveUp();
+    return false;
+  }
+
+  #onDeadline(): void {
+    this.#isExpired = true;
+    const attempt = this.#attempt;
+    if (attempt) this.#mayHaveRun = true;
+    if (this.#exchange.hasAnswered) this.#exchange.cut();
+    else this.#fail(504, 'the deadline passed');
+    attempt?.abort('the deadline passed');
+  }
+
+  #giveUp(): void {
+    if (this.#exchange.isGone) return;
+    if (this.#exchange.hasAnswered) {
+      if (!this.#isExpired) this.#log(EventId.RequestBroken, 'an answer could not be completed', 0);
+      this.#exchange.cut();
+    } else if (this.#mayHaveRun) this.#fail(502, this.#lastReason);
+    else this.#fail(503, this.#lastReason);
+  }
+
+  /** Answers for the daemon itself. 503 is a promise and only given when nothing can have run. */
+  #fail(status: number, reason: string): void {
+    const { codec } = this.#options;
+    const { requestId } = this.#admitted.description;
+    this.#lastReason = reason;
+    const isPromise = status === 503;
+    const event = isPromise ? EventId.RequestRefused : EventId.RequestBroken;
+    this.#log(event, 'a request ended without an answer of an endpoint', status);
+    const headers = codec.ownHeaders(requestId, isPromise ? retryAfterMs : undefined);
+    this.#exchange.answer(status, headers, Buffer.alloc(0));
+  }
+
+  #logFailure(view: EndpointView, result: AttemptResult, startedAtMs: number): void {
+    const { events, clock } = this.#options;
+    events.warn(EventId.AttemptFailed, 'an attempt at an endpoint failed', {
+      requestId: this.#admitted.description.requestId,
+      endpoint: view.id,
+      end: result.end,
+      reason: result.reason,
+      wasSent: result.wasSent,
+      events: this.#progress.events,
+      elapsedMs: Math.round(clock.nowMs() - startedAtMs),
+    });
+  }
+
+  #log(event: EventId, message: string, status: number): void {
+    const { events, clock } = this.#options;
+    const { description, route, service, receivedAtMs } = this.#admitted;
+    events.warn(event, message, {
+      requestId: description.requestId,
+      route: route.name,
+      service: service.name,
+      status,
+      reason: this.#lastReason,
+      sends: this.#sends,
+      mayHaveRun: this.#mayHaveRun,
+      elapsedMs: Math.round(clock.nowMs() - receivedAtMs),
+    });
+  }
+}
+
+/** GET requests without a body carry no length, so that endpoints see them as they were sent. */
+function hasBody(method: string | undefined, body: Buffer): boolean {
+  return body.length > 0 || (method !== 'GET' && method !== 'HEAD' && method !== 'DELETE');
+}
--- a/src/log/index.ts
+++ b/src/log/index.ts
@@ -13,3 +13,5 @@
 export * from './snapshot-codec.js';
 export * from './snapshotter.js';
 export * from './tailer.js';
+export * from './keyed-log.js';
+export * from './keyed-replica.js';
--- /dev/null
+++ b/src/log/keyed-log.ts
@@ -0,0 +1,89 @@
+import { OrioleError, Step } from '../core/index.js';
+import type { Offset } from './log-service.js';
+
+/** A record of a keyed topic; `value` is undefined when the key was removed. */
+export interface KeyedRecord {
+  readonly key: string;
+  readonly value: Uint8Array | undefined;
+  readonly offset: Offset;
+}
+
+/** Records together with the end of their topic. */
+export interface KeyedPage {
+  readonly records: readonly KeyedRecord[];
+  /** Offset that the next append will get. */
+  readonly endOffset: Offset;
+}
+
+/** Options of {@link KeyedLog.append}. */
+export interface KeyedAppendOptions {
+  /** The append takes effect only if the topic ends here. */
+  readonly expectedEndOffset?: Offset;
+  readonly signal?: AbortSignal;
+}
+
+/** The records asked for are no longer kept; read the newest ones instead. */
+export class HistoryTrimmedError extends OrioleError {
+  constructor(topic: string) {
+    super(`records of topic "${topic}" were trimmed; read its newest records`, {
+      step: Step.Log,
+      peer: 'store',
+    });
+  }
+}
+
+/** A conditional append did not take effect, since the topic ends elsewhere. */
+export class AppendConflictError extends OrioleError {
+  readonly endOffset: Offset;
+
+  constructor(topic: string, endOffset: Offset) {
+    super(`topic "${topic}" ends at ${endOffset}; read it before the next append`, {
+      step: Step.Log,
+      peer: 'store',
+    });
+    this.endOffset = endOffset;
+  }
+}
+
+/**
+ * A log that keeps the newest record of each key for good. The store is linearizable, so that a
+ * conditional append is an atomic compare-and-set of the whole topic.
+ *
+ * @example
+ * ```ts
+ * const { records, endOffset } = await log.newest('duties');
+ * await log.append('duties', 'lease', value, { expectedEndOffset: endOffset });
+ * ```
+ */
+export abstract class KeyedLog {
+  /** Newest record of each key. @throws LogUnavailableError when no answer came. */
+  abstract newest(topic: string, signal?: AbortSignal): Promise<KeyedPage>;
+
+  /**
+   * Records from an offset on; waits up to `waitMs` for one.
+   *
+   * @throws HistoryTrimmedError when they are no longer kept.
+   * @throws LogUnavailableError when no answer came.
+   */
+  abstract read(
+    topic: string,
+    fromOffset: Offset,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<KeyedPage>;
+
+  /**
+   * Appends one record.
+   *
+   * @returns the offset of the record.
+   * @throws AppendConflictError when the topic does not end at the expected offset.
+   * @throws LogRefusedError when the record is provably not stored.
+   * @throws LogUnavailableError when it may be stored, now or seconds later.
+   */
+  abstract append(
+    topic: string,
+    key: string,
+    value: Uint8Array,
+    options?: KeyedAppendOptions,
+  ): Promise<Offset>;
+}
--- /dev/null
+++ b/src/log/keyed-replica.ts
@@ -0,0 +1,180 @@
+import type { Clock, Random } from '../core/index.js';
+import { EventId, type EventLog } from '../telemetry/index.js';
+import { Backoff } from './backoff.js';
+import { HistoryTrimmedError, type KeyedLog, type KeyedRecord } from './keyed-log.js';
+import type { Offset } from './log-service.js';
+import { withTimeout } from './with-timeout.js';
+
+/** Options of {@link KeyedReplica}. */
+export interface KeyedReplicaOptions {
+  readonly log: KeyedLog;
+  readonly topic: string;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly events: EventLog;
+  /** How long the store may hold an empty answer. */
+  readonly waitMs: number;
+  /** Least time between two reads; bounds the reads of a topic that changes all the time. */
+  readonly minGapMs: number;
+}
+
+/** Called with each newer record of a key, and with a record without a value when the key went. */
+export type KeyedListener = (record: KeyedRecord) => void;
+
+/** Time beyond the wait of a read after which its connection counts as silent. */
+const answerTimeoutMs = 700;
+
+/** A daemon must be back soon after an outage, so that pauses between failed reads stay short. */
+const maxPauseMs = 800;
+
+/**
+ * Local copy of the newest records of a keyed topic. Never goes back to an older record of a key.
+ *
+ * @example
+ * ```ts
+ * const replica = new KeyedReplica({ log, topic: 'members', clock, random, events, waitMs, minGapMs });
+ * replica.onRecord((record) => apply(record));
+ * replica.start();
+ * ```
+ */
+export class KeyedReplica {
+  readonly #options: KeyedReplicaOptions;
+  readonly #backoff: Backoff;
+  readonly #abort = new AbortController();
+  readonly #records = new Map<string, KeyedRecord>();
+  readonly #listeners: KeyedListener[] = [];
+  #nextOffset: Offset | undefined;
+  #caughtUpAtMs: number | undefined;
+  #failingSinceMs: number | undefined;
+  #recoveredAtMs = -Infinity;
+
+  constructor(options: KeyedReplicaOptions) {
+    this.#options = options;
+    this.#backoff = new Backoff({ random: options.random, baseMs: 100, maxMs: maxPauseMs });
+  }
+
+  /** Offset after the last record applied; undefined before the first read. */
+  get endOffset(): Offset | undefined {
+    return this.#nextOffset;
+  }
+
+  /** Epoch milliseconds of the last successful read; undefined before the first. */
+  get caughtUpAtMs(): number | undefined {
+    return this.#caughtUpAtMs;
+  }
+
+  /** Whether the last read failed. */
+  get isFailing(): boolean {
+    return this.#failingSinceMs !== undefined;
+  }
+
+  /** Epoch milliseconds at which reads worked again after failures; -Infinity when they never failed. */
+  get recoveredAtMs(): number {
+    return this.#recoveredAtMs;
+  }
+
+  /** The newest value of a key. */
+  get(key: string): KeyedRecord | undefined {
+    return this.#records.get(key);
+  }
+
+  records(): IterableIterator<KeyedRecord> {
+    return this.#records.values();
+  }
+
+  onRecord(listener: KeyedListener): void {
+    this.#listeners.push(listener);
+  }
+
+  start(): void {
+    void this.#run();
+  }
+
+  stop(): void {
+    this.#abort.abort();
+  }
+
+  /** Reads the newest records once, outside the regular reads. @throws LogUnavailableError */
+  async refresh(): Promise<void> {
+    const { log, topic, clock } = this.#options;
+    const page = await withTimeout(clock, answerTimeoutMs, this.#abort.signal, (signal) =>
+      log.newest(topic, signal),
+    );
+    if (page.endOffset < (this.#nextOffset ?? 0)) return;
+    this.#dropMissing(page.records);
+    for (const record of page.records) this.#apply(record);
+    this.#nextOffset = page.endOffset;
+    this.#succeeded();
+  }
+
+  async #run(): Promise<void> {
+    const { clock, minGapMs } = this.#options;
+    const { signal } = this.#abort;
+    while (!signal.aborted) {
+      const startedAtMs = clock.nowMs();
+      try {
+        if (this.#nextOffset === undefined) await this.refresh();
+        else await this.#readNext(this.#nextOffset);
+        await clock.sleepUntil(startedAtMs + minGapMs, signal);
+      } catch (error) {
+        if (error instanceof HistoryTrimmedError) this.#nextOffset = undefined;
+        else await this.#pauseAfter(error);
+      }
+    }
+  }
+
+  async #readNext(fromOffset: Offset): Promise<void> {
+    const { log, topic, clock, waitMs } = this.#options;
+    const page = await withTimeout(clock, waitMs + answerTimeoutMs, this.#abort.signal, (signal) =>
+      log.read(topic, fromOffset, waitMs, signal),
+    );
+    // A refresh in the meantime may have gone further.
+    if (this.#nextOffset !== fromOffset) return;
+    for (const record of page.records) this.#apply(record);
+    this.#nextOffset = Math.max(fromOffset, (page.records.at(-1)?.offset ?? fromOffset - 1) + 1);
+    this.#succeeded();
+  }
+
+  #succeeded(): void {
+    const nowMs = this.#options.clock.nowMs();
+    this.#caughtUpAtMs = nowMs;
+    this.#backoff.reset();
+    if (this.#failingSinceMs === undefined) return;
+    this.#options.events.info(EventId.LogReadRecovered, 'log reads work again', {
+      stream: this.#options.topic,
+      failedForMs: Math.round(nowMs - this.#failingSinceMs),
+    });
+    this.#failingSinceMs = undefined;
+    this.#recoveredAtMs = nowMs;
+  }
+
+  async #pauseAfter(error: unknown): Promise<void> {
+    const { clock, events, topic } = this.#options;
+    if (this.#abort.signal.aborted) return;
+    if (this.#failingSinceMs === undefined) {
+      this.#failingSinceMs = clock.nowMs();
+      const reason = error instanceof Error ? error.message : String(error);
+      events.warn(EventId.LogReadFailing, 'log reads fail; serving what is in force', {
+        stream: topic,
+        reason,
+      });
+    }
+    await clock.sleepUntil(clock.nowMs() + this.#backoff.nextMs(), this.#abort.signal);
+  }
+
+  #apply(record: KeyedRecord): void {
+    const known = this.#records.get(record.key);
+    if (known && known.offset >= record.offset) return;
+    if (record.value) this.#records.set(record.key, record);
+    else this.#records.delete(record.key);
+    for (const listener of this.#listeners) listener(record);
+  }
+
+  /** Keys whose removal was trimmed before it was read. */
+  #dropMissing(newest: readonly KeyedRecord[]): void {
+    const keys = new Set(newest.map(({ key }) => key));
+    for (const { key, offset } of [...this.#records.values()]) {
+      if (!keys.has(key)) this.#apply({ key, value: undefined, offset: offset + 1 });
+    }
+  }
+}
--- /dev/null
+++ b/src/membership/daemon-samples.ts
@@ -0,0 +1,176 @@
+import { z } from 'zod';
+import type { Clock } from '../core/index.js';
+import { LogRefusedError, LogUnavailableError, type KeyedLog, type KeyedRecord } from '../log/index.js';
+import type { KeyedReplica } from '../log/keyed-replica.js';
+import { EventId, type EventLog } from '../telemetry/index.js';
+
+const countsSchema = z.record(z.string(), z.number().nonnegative());
+
+const sampleSchema = z.object({
+  daemon: z.string().min(1),
+  /** Tells runs of a daemon apart; the later run has the higher number. */
+  incarnation: z.number(),
+  /** Grows with each sample of a run. */
+  sequence: z.int().nonnegative(),
+  /** Time of the sample by the daemon's clock, in epoch milliseconds. */
+  sampledAtMs: z.number(),
+  /** Demand for each workspace per second, in its unit. */
+  demands: countsSchema,
+  /** Requests in flight by service. */
+  inFlight: countsSchema,
+  /** Requests begun by usage window and workspace. */
+  usage: z.array(z.tuple([z.int(), countsSchema])),
+  /** Whether the daemon is stopping. */
+  isLeaving: z.boolean(),
+});
+
+/** What a daemon tells the others about once a second. */
+export type DaemonSample = z.output<typeof sampleSchema>;
+
+/** The part of a sample that {@link DaemonSamples} does not fill in. */
+export type SampleContent = Pick<DaemonSample, 'demands' | 'inFlight' | 'usage'>;
+
+/** Options of {@link DaemonSamples}. */
+export interface DaemonSamplesOptions {
+  readonly log: KeyedLog;
+  readonly topic: string;
+  readonly replica: KeyedReplica;
+  readonly daemon: string;
+  readonly incarnation: number;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  readonly content: () => SampleContent;
+}
+
+interface Received {
+  readonly sample: DaemonSample;
+  readonly receivedAtMs: number;
+}
+
+/** Time between two samples of a daemon. */
+export const samplePeriodMs = 1_000;
+
+/** A daemon counts as live for this long after its last sample. */
+export const sampleLifeMs = 4_500;
+
+/**
+ * Samples of all daemons, exchanged through the store: who lives, the demand that each sees and the
+ * work that each began. While the store cannot be read, the last known samples stand.
+ *
+ * @example
+ * ```ts
+ * samples.start();
+ * samples.live().map(({ daemon }) => daemon);
+ * ```
+ */
+export class DaemonSamples {
+  readonly #options: DaemonSamplesOptions;
+  readonly #received = new Map<string, Received>();
+  #sequence = 0;
+  #publishedAtMs = -Infinity;
+  #isLeaving = false;
+  #isPublishing = false;
+  #cancel: (() => void) | undefined;
+
+  constructor(options: DaemonSamplesOptions) {
+    this.#options = options;
+    options.replica.onRecord((record) => {
+      this.#take(record);
+    });
+  }
+
+  /** Send time of the last sample that the store acknowledged, in epoch milliseconds. */
+  get publishedAtMs(): number {
+    return this.#publishedAtMs;
+  }
+
+  start(): void {
+    this.#cancel = this.#options.clock.every(samplePeriodMs, () => void this.publish());
+  }
+
+  /** Publishes a last sample that says that this daemon is leaving. */
+  async leave(): Promise<void> {
+    this.#cancel?.();
+    this.#isLeaving = true;
+    await this.publish();
+  }
+
+  /** Samples of the live daemons, this one left out. */
+  others(): DaemonSample[] {
+    const { replica, clock, daemon } = this.#options;
+    const asOfMs = replica.isFailing ? (replica.caughtUpAtMs ?? -Infinity) : clock.nowMs();
+    return [...this.#received.values()]
+      .filter(({ receivedAtMs }) => receivedAtMs + sampleLifeMs > asOfMs)
+      .map(({ sample }) => sample)
+      .filter((sample) => sample.daemon !== daemon && !sample.isLeaving);
+  }
+
+  /** The newest sample of each daemon that ever sent one, this run's own left out. */
+  all(): DaemonSample[] {
+    const { daemon, incarnation } = this.#options;
+    return [...this.#received.values()]
+      .map(({ sample }) => sample)
+      .filter((sample) => sample.daemon !== daemon || sample.incarnation !== incarnation);
+  }
+
+  /** When the newest sample of a daemon arrived here, in epoch milliseconds. */
+  receivedAtMs(daemon: string): number | undefined {
+    return this.#received.get(daemon)?.receivedAtMs;
+  }
+
+  /** Sends a sample now. A failure is logged; the next sample follows in its time. */
+  async publish(): Promise<void> {
+    if (this.#isPublishing) return;
+    this.#isPublishing = true;
+    const { log, topic, daemon, incarnation, clock, content, events } = this.#options;
+    const sentAtMs = clock.nowMs();
+    const sample: DaemonSample = {
+      daemon,
+      incarnation,
+      sequence: this.#sequence++,
+      sampledAtMs: sentAtMs,
+      ...content(),
+      isLeaving: this.#isLeaving,
+    };
+    try {
+      await log.append(topic, daemon, Buffer.from(JSON.stringify(sample)));
+      this.#publishedAtMs = sentAtMs;
+    } catch (error) {
+      if (!(error instanceof LogUnavailableError || error instanceof LogRefusedError)) throw error;
+      events.debug(EventId.AppendRetried, 'a sample was not stored; the next one replaces it', {
+        stream: topic,
+        reason: error.message,
+      });
+    } finally {
+      this.#isPublishing = false;
+    }
+  }
+
+  #take({ key, value }: KeyedRecord): void {
+    if (!value) {
+      this.#received.delete(key);
+      return;
+    }
+    const { clock, events } = this.#options;
+    const sample = parseSample(value);
+    if (!sample) {
+      events.warn(EventId.SampleUnreadable, 'a daemon sent an unreadable sample', { daemon: key });
+      return;
+    }
+    const known = this.#received.get(key)?.sample;
+    // A delayed append may arrive after newer ones.
+    const isOlder =
+      known &&
+      (sample.incarnation < known.incarnation ||
+        (sample.incarnation === known.incarnation && sample.sequence <= known.sequence));
+    if (!isOlder) this.#received.set(key, { sample, receivedAtMs: clock.nowMs() });
+  }
+}
+
+function parseSample(value: Uint8Array): DaemonSample | undefined {
+  try {
+    return sampleSchema.safeParse(JSON.parse(Buffer.from(value).toString())).data;
+  } catch {
+    return undefined; // Not JSON; the caller logs it.
+  }
+}
--- a/src/telemetry/event-log.ts
+++ b/src/telemetry/event-log.ts
@@ -83,3 +83,10 @@
     process.stderr.write(`${line}\n`);
   };
 }
+
+/** Sends the lines of every {@link RoarrEventLog} to standard output, where the platform collects them. */
+export function writeEventsToStdout(): void {
+  ROARR.write = (line) => {
+    process.stdout.write(`${line}\n`);
+  };
+}
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -8,9 +8,14 @@
   DaemonStopping = 102,
   DaemonStopped = 103,
   StopForced = 104,
+  DaemonStarted = 105,
+  ConfigInForce = 110,
+  ConfigUnreadable = 111,
   RequestServed = 201,
   RequestRefused = 202,
   RequestBroken = 203,
+  AttemptFailed = 204,
+  StreamContinued = 205,
 
   // 3xx log and state
   LogReadFailing = 301,
@@ -37,6 +42,8 @@
   EndpointSuspected = 412,
   EndpointRestored = 413,
   LeavingPullFailed = 414,
+  EndpointLapsed = 415,
+  RegistrationUnreadable = 416,
 
   // 5xx routing and admission
   RequestNotAdmitted = 501,
@@ -58,6 +65,12 @@
   OrderFailed = 614,
   ControlFollowed = 620,
   ModelLoadOrdered = 621,
+  UsageReported = 630,
+  UsageUnanswered = 631,
+  EndpointsOrdered = 632,
+  OrderUnanswered = 633,
+  DutyFenced = 634,
+  SampleUnreadable = 635,
 
   // 7xx claims and jobs
   CallOutcomeUnknown = 701,
