Share workspace quotas by what each daemon granted, and test the gateway's relay

Change: daemons publish what they granted; each spends at most its even part of the common balance until the others know. Not measured yet.

--- a/bench/histories/simulated-fleet.ts
+++ b/bench/histories/simulated-fleet.ts
@@ -1,6 +1,6 @@
 import { BackOff, HedgePolicy, RetryBudget, RetryPolicy } from '../../src/admission/index.js';
 import { WorkClass, type Random } from '../../src/core/index.js';
-import { EstimatedSpeeds } from '../../src/daemon/estimated-speeds.js';
+import { EstimatedSpeeds } from '../../src/fleet/estimated-speeds.js';
 import { PolicyRetries } from '../../src/daemon/policy-retries.js';
 import { RegionLinks } from '../../src/daemon/region-links.js';
 import { RoutedSelector } from '../../src/daemon/routed-selector.js';
--- a/src/admission/token-quota.ts
+++ b/src/admission/token-quota.ts
@@ -1,79 +1,115 @@
-import { TokenBucket } from './token-bucket.js';
-
 /** Rate and burst of a workspace over all daemons, in the workspace's unit. */
 export interface QuotaLimit {
   readonly ratePerS: number;
   readonly burst: number;
 }
 
-/** Part of the quota that is split evenly, so that callers who move find room at their new daemon. */
-const evenRatio = 0.3;
+/** How far all daemons together may exceed a limit within a window. */
+export interface QuotaTolerance {
+  readonly windowMs: number;
+  /** Excess relative to what the limit grants in a window. */
+  readonly overRatio: number;
+  /** Excess in the limit's unit, besides the ratio. */
+  readonly slack: number;
+}
+
+/** What is known of the other daemons. */
+export interface QuotaPeers {
+  /** Live daemons, this one included. */
+  readonly daemons: number;
+  /** Units that the others granted since the start, as far as they have told. */
+  readonly grantedByOthers: number;
+  /** False while nothing is heard from them. */
+  readonly isCurrent: boolean;
+}
+
+/** Part of the tolerance that is used; the rest covers what the others have not told yet. */
+const toleranceRatio = 0.6;
 
-/** Time constant of the demand estimate; also how fast shares follow callers between daemons. */
-const demandSmoothingMs = 4_000;
+/** Grants younger than this may be unknown to the other daemons. */
+const untoldMs = 1_500;
 
 /**
- * One daemon's share of a workspace's quota. The shares of daemons that know each other's demand sum
- * to 1, so that together they grant no more than the quota.
+ * One daemon's view of a workspace's quota. Daemons tell each other what they granted, so that each
+ * knows the balance that all share, up to a second ago. Of that balance a daemon grants at most its
+ * even part until the others know: idle daemons leave theirs to the busy ones within a second, and
+ * daemons that do not hear each other never grant more than the whole.
  *
  * @example
  * ```ts
- * const quota = new TokenQuota({ ratePerS: 1_000, burst: 1_000 }, 1 / 7, clock.nowMs());
- * const retryAtMs = quota.tryTake(300, clock.nowMs()); // undefined when granted
+ * const quota = new TokenQuota({ ratePerS: 1_000, burst: 1_000 }, tolerance, clock.nowMs());
+ * const retryAtMs = quota.tryTake(300, peers, clock.nowMs()); // undefined when granted
  * ```
  */
 export class TokenQuota {
+  readonly #tolerance: QuotaTolerance;
+  readonly #untold: { readonly amount: number; readonly atMs: number }[] = [];
   #limit: QuotaLimit;
-  #share: number;
-  #demandPerS = 0;
-  #demandAtMs: number;
-  readonly #bucket: TokenBucket;
+  #balance: number;
+  #granted = 0;
+  #untoldAmount = 0;
+  #knownByOthers: number | undefined;
+  #updatedAtMs: number;
 
-  /** @param share - of the quota, in (0, 1]. */
-  constructor(limit: QuotaLimit, share: number, nowMs: number) {
+  constructor(limit: QuotaLimit, tolerance: QuotaTolerance, nowMs: number) {
     this.#limit = limit;
-    this.#share = share;
-    this.#demandAtMs = nowMs;
-    this.#bucket = new TokenBucket(limit.ratePerS * share, limit.burst * share, nowMs);
+    this.#tolerance = tolerance;
+    this.#balance = limit.burst;
+    this.#updatedAtMs = nowMs;
   }
 
-  /** Takes over a changed limit. */
-  updateLimit(limit: QuotaLimit, nowMs: number): void {
-    if (limit.ratePerS === this.#limit.ratePerS && limit.burst === this.#limit.burst) return;
+  /** Units granted here since the start, for the other daemons. */
+  get granted(): number {
+    return this.#granted;
+  }
+
+  /** Takes over a changed limit; a balance above the new capacity is cut. */
+  updateLimit(limit: QuotaLimit): void {
     this.#limit = limit;
-    this.#resize(nowMs);
   }
 
-  /**
-   * Takes over what the other daemons say.
-   *
-   * @param daemons - live daemons, this one included.
-   * @param othersDemandPerS - their demand for the workspace.
-   */
-  updatePeers(daemons: number, othersDemandPerS: number, nowMs: number): void {
-    const own = this.demandPerS(nowMs);
-    const total = own + othersDemandPerS;
-    const demandShare = total > 0 ? own / total : 1 / daemons;
-    this.#share = evenRatio / daemons + (1 - evenRatio) * demandShare;
-    this.#resize(nowMs);
+  /** Takes an amount. @returns when to ask again, in epoch milliseconds, if refused. */
+  tryTake(amount: number, peers: QuotaPeers, nowMs: number): number | undefined {
+    this.#refill(peers, nowMs);
+    this.#forgetTold(nowMs);
+    const share = 1 / Math.max(1, peers.daemons);
+    const available = share * (this.#balance + this.#untoldAmount) - this.#untoldAmount;
+    // A request above the whole capacity passes when nothing else was granted for a while.
+    const needed = Math.min(amount, share * this.#capacity);
+    if (available < needed) return this.#retryAtMs((needed - available) / share, nowMs);
+    this.#balance -= amount;
+    this.#granted += amount;
+    this.#untoldAmount += amount;
+    this.#untold.push({ amount, atMs: nowMs });
+    return undefined;
   }
 
-  /** Smoothed demand per second, refused requests included. */
-  demandPerS(nowMs: number): number {
-    const idleMs = Math.max(0, nowMs - this.#demandAtMs);
-    return this.#demandPerS * Math.exp(-idleMs / demandSmoothingMs);
+  get #capacity(): number {
+    const { ratePerS, burst } = this.#limit;
+    const { windowMs, overRatio, slack } = this.#tolerance;
+    const excess = overRatio * ((ratePerS * windowMs) / 1_000 + burst) + slack;
+    return burst + toleranceRatio * excess;
   }
 
-  /** Takes an amount. @returns when it may be asked for again, in epoch milliseconds, if refused. */
-  tryTake(amount: number, nowMs: number): number | undefined {
-    this.#demandPerS = this.demandPerS(nowMs) + (amount * 1_000) / demandSmoothingMs;
-    this.#demandAtMs = nowMs;
-    if (this.#bucket.tryTake(amount, nowMs)) return undefined;
-    return this.#bucket.availableAtMs(amount, nowMs);
+  #refill({ daemons, grantedByOthers, isCurrent }: QuotaPeers, nowMs: number): void {
+    const elapsedS = Math.max(0, nowMs - this.#updatedAtMs) / 1_000;
+    this.#updatedAtMs = Math.max(this.#updatedAtMs, nowMs);
+    // Daemons that do not hear each other each take their even part of the rate only.
+    const ratePerS = isCurrent ? this.#limit.ratePerS : this.#limit.ratePerS / Math.max(1, daemons);
+    const spent = Math.max(0, grantedByOthers - (this.#knownByOthers ?? grantedByOthers));
+    this.#knownByOthers = grantedByOthers;
+    this.#balance = Math.min(this.#capacity, this.#balance + elapsedS * ratePerS - spent);
   }
 
-  #resize(nowMs: number): void {
-    const { ratePerS, burst } = this.#limit;
-    this.#bucket.resize(ratePerS * this.#share, burst * this.#share, nowMs);
+  #forgetTold(nowMs: number): void {
+    for (let first = this.#untold[0]; first && first.atMs + untoldMs <= nowMs;) {
+      this.#untoldAmount -= first.amount;
+      this.#untold.shift();
+      first = this.#untold[0];
+    }
+  }
+
+  #retryAtMs(missing: number, nowMs: number): number {
+    return nowMs + Math.min(untoldMs * 2, (missing * 1_000) / Math.max(1, this.#limit.ratePerS));
   }
 }
--- a/src/capacity/duty-lease.ts
+++ b/src/capacity/duty-lease.ts
@@ -190,7 +190,10 @@
       // Whether a lost answer hides a stored record shows when the topic is read; until then the
       // daemon does not act on it.
       const reason = error instanceof Error ? error.message : String(error);
-      events.info(EventId.AppendRetried, 'a duty record is not known to be stored', { key, reason });
+      events.info(EventId.AppendRetried, 'a duty record is not known to be stored', {
+        key,
+        reason,
+      });
       if (error instanceof AppendConflictError || error instanceof LogUnavailableError) {
         await replica.refresh().catch((refreshError: unknown) => {
           events.warn(EventId.LogReadFailing, 'the duties could not be read again', {
--- a/src/capacity/usage-reporter.ts
+++ b/src/capacity/usage-reporter.ts
@@ -62,9 +62,13 @@
       await this.#report();
     } catch (error) {
       if (error instanceof DutyFencedError) this.#options.lease.fenced();
-      this.#options.events.warn(EventId.UsageUnanswered, 'a usage report is not known to be taken', {
-        reason: error instanceof Error ? error.message : String(error),
-      });
+      this.#options.events.warn(
+        EventId.UsageUnanswered,
+        'a usage report is not known to be taken',
+        {
+          reason: error instanceof Error ? error.message : String(error),
+        },
+      );
     } finally {
       this.#isTicking = false;
     }
--- a/src/daemon/daemon-parts.ts
+++ b/src/daemon/daemon-parts.ts
@@ -37,7 +37,7 @@
 import { DemandSharing } from './demand-sharing.js';
 import { EndpointWatch } from './endpoint-watch.js';
 import { EnginePool } from './engine-pool.js';
-import { EstimatedSpeeds } from './estimated-speeds.js';
+import { EstimatedSpeeds } from '../fleet/estimated-speeds.js';
 import { HttpKvMover, RoutedChooser } from './job-desk.js';
 import { JobsService, kvBytesPerS } from './jobs-service.js';
 import { registerKnownOffset } from './known-offset.js';
--- a/src/daemon/estimated-speeds.ts
+++ b/src/fleet/estimated-speeds.ts
@@ -1,5 +1,6 @@
-import { SpeedProvider, type ObservedSpeed } from '../fleet/index.js';
-import type { SpeedEstimator } from '../fleet/speed-estimator.js';
+import type { ObservedSpeed } from './endpoint-view.js';
+import { SpeedProvider } from './endpoint-registry.js';
+import type { SpeedEstimator } from './speed-estimator.js';
 
 /** Puts the observed speeds into the endpoint views. */
 export class EstimatedSpeeds extends SpeedProvider {
--- a/src/fleet/registered-endpoints.ts
+++ b/src/fleet/registered-endpoints.ts
@@ -84,10 +84,14 @@
       return;
     }
     const { clock, events } = this.#options;
-    events.info(EventId.EndpointLapsed, 'registration may have lapsed with the store; kept a while', {
-      endpoint: instanceId,
-      graceMs: lapseGraceMs,
-    });
+    events.info(
+      EventId.EndpointLapsed,
+      'registration may have lapsed with the store; kept a while',
+      {
+        endpoint: instanceId,
+        graceMs: lapseGraceMs,
+      },
+    );
     const cancel = clock.schedule(clock.nowMs() + lapseGraceMs, () => {
       this.#cancelRemovals.delete(instanceId);
       this.#drop(instanceId);
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -128,7 +128,10 @@
     });
     const status = answer.statusCode ?? 0;
     const described = codec.describeAnswer(status, answer.headers);
-    if (described.requestId !== undefined && described.requestId !== admitted.description.requestId) {
+    if (
+      described.requestId !== undefined &&
+      described.requestId !== admitted.description.requestId
+    ) {
       this.#finish(AttemptEnd.Broken, 'the answer belongs to another request');
       return;
     }
--- a/src/gateway/endpoint-connections.ts
+++ b/src/gateway/endpoint-connections.ts
@@ -112,9 +112,8 @@
         this.#mayHaveRun = true;
         return;
       }
-      this.#cancelConnectTimer = this.#clock.schedule(
-        this.#clock.nowMs() + connectTimeoutMs,
-        () => outgoing.destroy(new Error('no connection in time')),
+      this.#cancelConnectTimer = this.#clock.schedule(this.#clock.nowMs() + connectTimeoutMs, () =>
+        outgoing.destroy(new Error('no connection in time')),
       );
       socket.once('connect', () => {
         this.#mayHaveRun = true;
--- a/src/gateway/gateway-listener.ts
+++ b/src/gateway/gateway-listener.ts
@@ -62,6 +62,12 @@
     });
   }
 
+  /** Port that is listened at; 0 before. */
+  get port(): number {
+    const address = this.#server.address();
+    return typeof address === 'object' && address ? address.port : 0;
+  }
+
   /** Requests that have no whole answer yet. */
   get inFlight(): number {
     return this.#inFlight;
@@ -140,7 +146,8 @@
       return;
     }
     const { retryAtMs } = refusal ?? {};
-    const retryAfterMs = retryAtMs === undefined ? undefined : Math.max(0, retryAtMs - clock.nowMs());
+    const retryAfterMs =
+      retryAtMs === undefined ? undefined : Math.max(0, retryAtMs - clock.nowMs());
     exchange.answer(status, codec.ownHeaders(requestId, retryAfterMs), Buffer.alloc(0));
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,12 +1,13 @@
 import { RetryBudget } from '../admission/retry-budget.js';
+import type { QuotaTolerance } from '../admission/token-quota.js';
 import type { DutyClient } from '../capacity/duty-client.js';
 import { DutyLease } from '../capacity/duty-lease.js';
 import { EndpointScaler, type ScaledService } from '../capacity/endpoint-scaler.js';
 import { UsageCounter } from '../capacity/usage-counter.js';
 import { UsageReporter } from '../capacity/usage-reporter.js';
 import { Random, type Clock } from '../core/index.js';
-import { EstimatedSpeeds } from '../daemon/estimated-speeds.js';
 import { CacheView } from '../fleet/cache-view.js';
+import { EstimatedSpeeds } from '../fleet/estimated-speeds.js';
 import {
   EndpointRegistry,
   LeavingMerge,
@@ -28,7 +29,7 @@
 import { RequestAdmission } from './request-admission.js';
 import type { RequestCodec } from './request-codec.js';
 import { RequestRelay, UsageObserver } from './request-relay.js';
-import { PeerDemand, WorkspaceQuotas } from './workspace-quotas.js';
+import { PeerGrants, WorkspaceQuotas } from './workspace-quotas.js';
 
 /** Topics of the store that the gateway reads and writes. */
 export interface GatewayTopics {
@@ -56,6 +57,7 @@
   readonly leaseMs: number;
   readonly usageWindowMs: number;
   readonly usageDueMs: number;
+  readonly quotaTolerance: QuotaTolerance;
   /** Sends beyond the first of each request that a service bears in a window, from all daemons. */
   readonly retrySlack: number;
 }
@@ -104,6 +106,7 @@
   readonly #counter: UsageCounter;
   readonly #quotas: WorkspaceQuotas;
   #isStopping = false;
+  #stopTicking: () => void = () => undefined;
 
   constructor(options: GatewayOptions) {
     this.#options = options;
@@ -149,7 +152,7 @@
       events,
       content: () => this.#sampleContent(),
     });
-    this.#quotas = new WorkspaceQuotas(new SampledDemand(this.#samples));
+    this.#quotas = new WorkspaceQuotas(new SampledGrants(this.#samples), options.quotaTolerance);
     this.#listener = this.#createListener(codec, speeds, caches);
     this.#lease = new DutyLease({
       log: options.store,
@@ -184,6 +187,11 @@
     });
   }
 
+  /** Port that callers connect to; useful when the system chose it. */
+  get port(): number {
+    return this.#listener.port;
+  }
+
   /** Whether the balancer may send new callers. */
   get isReady(): boolean {
     return !this.#isStopping && this.config.table !== undefined;
@@ -193,12 +201,9 @@
   async start(): Promise<void> {
     const { clock } = this.#options;
     await this.#listener.listen();
-    this.configReplica.start();
-    this.registrationReplica.start();
-    this.#samplesReplica.start();
-    this.#dutiesReplica.start();
+    for (const replica of this.#replicas()) replica.start();
     this.#samples.start();
-    clock.every(dutyPeriodMs, () => void this.#tickDuties());
+    this.#stopTicking = clock.every(dutyPeriodMs, () => void this.#tickDuties());
   }
 
   /** Stops without cutting off a request, as far as `deadlineAtMs` (epoch milliseconds) allows. */
@@ -213,6 +218,8 @@
     this.#listener.closeIdle();
     await this.#listener.idle(deadlineAtMs - stopMarginMs);
     await this.#samples.leave();
+    this.#stopTicking();
+    for (const replica of this.#replicas()) replica.stop();
     events.info(EventId.DaemonStopped, 'daemon has stopped', { open: this.#listener.inFlight });
     this.#listener.close();
     this.#connections.close();
@@ -277,6 +284,15 @@
     });
   }
 
+  #replicas(): KeyedReplica[] {
+    return [
+      this.configReplica,
+      this.registrationReplica,
+      this.#samplesReplica,
+      this.#dutiesReplica,
+    ];
+  }
+
   async #tickDuties(): Promise<void> {
     if (this.#isStopping) return;
     await this.#lease.tick();
@@ -291,7 +307,7 @@
   #healthPathOf(baseUrl: string): string {
     const view = this.#registry.all().find((candidate) => candidate.baseUrl === baseUrl);
     const service = this.config.table?.config.services.find(
-      ({ name }) => view && this.endpoints.serviceId(name) === view.serviceId,
+      ({ name }) => this.endpoints.serviceId(name) === view?.serviceId,
     );
     return service?.healthPath ?? '/health';
   }
@@ -302,16 +318,13 @@
       const own = Object.values(view.ownInFlight.requests).reduce((sum, count) => sum + count, 0);
       if (own > 0) inFlight[view.serviceId] = (inFlight[view.serviceId] ?? 0) + own;
     }
-    const demands = this.#quotas.demands(this.#options.clock.nowMs());
-    return { demands, inFlight, usage: this.#counter.windows() };
+    return { granted: this.#quotas.granted(), inFlight, usage: this.#counter.windows() };
   }
 
   #scaledServices(): ScaledService[] {
     const services = this.config.table?.config.services ?? [];
     return services.flatMap(({ name, scaling }) =>
-      scaling
-        ? [{ serviceName: name, target: 3 * scaling.priceByDomain.size, ...scaling }]
-        : [],
+      scaling ? [{ serviceName: name, target: 3 * scaling.priceByDomain.size, ...scaling }] : [],
     );
   }
 }
@@ -330,8 +343,8 @@
   }
 }
 
-/** {@link PeerDemand} from the samples of the other daemons. */
-class SampledDemand extends PeerDemand {
+/** {@link PeerGrants} from the samples of the other daemons. */
+class SampledGrants extends PeerGrants {
   readonly #samples: DaemonSamples;
 
   constructor(samples: DaemonSamples) {
@@ -343,9 +356,11 @@
     return this.#samples.others().length + 1;
   }
 
-  override othersDemandPerS(workspaceName: string): number {
-    return this.#samples
-      .others()
-      .reduce((sum, { demands }) => sum + (demands[workspaceName] ?? 0), 0);
+  override get isCurrent(): boolean {
+    return this.#samples.isCurrent;
+  }
+
+  override grantedByOthers(workspaceName: string): number {
+    return this.#samples.grantedByOthers(workspaceName);
   }
 }
--- a/src/gateway/request-admission.ts
+++ b/src/gateway/request-admission.ts
@@ -1,7 +1,11 @@
 import { Outcome, RequestError, Step, type Clock } from '../core/index.js';
 import type { CallerExchange, AdmittedRequest } from './caller-exchange.js';
 import type { ConfigHolder } from './config-holder.js';
-import { MissingRequestIdError, type RequestCodec, type RequestDescription } from './request-codec.js';
+import {
+  MissingRequestIdError,
+  type RequestCodec,
+  type RequestDescription,
+} from './request-codec.js';
 import type { RouteTable } from './route-table.js';
 import type { TrafficRoute, TrafficWorkspace } from './traffic-config.js';
 import type { WorkspaceQuotas } from './workspace-quotas.js';
@@ -35,7 +39,8 @@
     const workspace = workspaceOf(route, description, table);
     const serviceName = table.serviceOf(route, description.requestId);
     const service = serviceName === undefined ? undefined : table.service(serviceName);
-    if (!service) throw refusal(503, `route "${route.name}" has no service`, noConfigRetryMs + receivedAtMs);
+    if (!service)
+      throw refusal(503, `route "${route.name}" has no service`, noConfigRetryMs + receivedAtMs);
     const body = await readWhole(exchange, table.config.limits.maxBodyBytes);
     const nowMs = clock.nowMs();
     if (workspace) this.#charge(workspace, description, nowMs);
@@ -55,7 +60,11 @@
   #table(): RouteTable {
     const { table } = this.#options.config;
     if (table) return table;
-    throw refusal(503, 'no configuration is known yet', this.#options.clock.nowMs() + noConfigRetryMs);
+    throw refusal(
+      503,
+      'no configuration is known yet',
+      this.#options.clock.nowMs() + noConfigRetryMs,
+    );
   }
 
   #describe(exchange: CallerExchange): RequestDescription {
--- a/src/gateway/request-codec.ts
+++ b/src/gateway/request-codec.ts
@@ -67,7 +67,10 @@
   abstract describe(headers: IncomingHttpHeaders): RequestDescription;
 
   /** Headers for the endpoint: the caller's, without those that are the system's to set. */
-  abstract forwardedHeaders(headers: IncomingHttpHeaders, send: SendDescription): OutgoingHttpHeaders;
+  abstract forwardedHeaders(
+    headers: IncomingHttpHeaders,
+    send: SendDescription,
+  ): OutgoingHttpHeaders;
 
   abstract describeAnswer(status: number, headers: IncomingHttpHeaders): AnswerDescription;
 
--- a/src/gateway/request-relay.ts
+++ b/src/gateway/request-relay.ts
@@ -142,7 +142,11 @@
       this.#giveUp();
       return false;
     }
-    const own = registry.beginRequest(view.id, WorkClass.Short, placement.pendingTokens(this.#admitted));
+    const own = registry.beginRequest(
+      view.id,
+      WorkClass.Short,
+      placement.pendingTokens(this.#admitted),
+    );
     const startedAtMs = clock.nowMs();
     const attempt = this.#begin(view);
     this.#attempt = attempt;
@@ -177,7 +181,9 @@
         path: request.url ?? '/',
         headers: {
           ...headers,
-          ...(hasBody(request.method, admitted.body) ? { 'content-length': admitted.body.length } : {}),
+          ...(hasBody(request.method, admitted.body)
+            ? { 'content-length': admitted.body.length }
+            : {}),
         },
         body: admitted.body,
         mayReuseConnection: !isFreshNeeded,
@@ -234,7 +240,11 @@
       const { codec } = this.#options;
       if (promisingStatuses.has(answer.status)) this.#fail(502, result.reason);
       else {
-        this.#exchange.answer(answer.status, codec.answeredHeaders(answer.head.headers), answer.body);
+        this.#exchange.answer(
+          answer.status,
+          codec.answeredHeaders(answer.head.headers),
+          answer.body,
+        );
       }
     } else this.#giveUp();
     return false;
--- a/src/gateway/workspace-quotas.ts
+++ b/src/gateway/workspace-quotas.ts
@@ -1,26 +1,26 @@
-import { TokenQuota } from '../admission/token-quota.js';
+import { TokenQuota, type QuotaTolerance } from '../admission/token-quota.js';
 import type { RequestDescription } from './request-codec.js';
 import { QuotaUnit, type TrafficWorkspace } from './traffic-config.js';
 
-/** What other daemons say about the demand for workspaces. */
-export abstract class PeerDemand {
+/** What is known of the other daemons' grants. */
+export abstract class PeerGrants {
   /** Live daemons, this one included. */
   abstract get daemons(): number;
-  /** Demand of the other daemons for a workspace, per second in the workspace's unit. */
-  abstract othersDemandPerS(workspaceName: string): number;
+  /** False while nothing is heard from the others. */
+  abstract get isCurrent(): boolean;
+  /** Units of a workspace that the others granted since this daemon started; never falls. */
+  abstract grantedByOthers(workspaceName: string): number;
 }
 
-/** Shares drift slowly; resizing more often would only cost time. */
-const refreshMs = 250;
-
 /** The quotas of all workspaces at this daemon. */
 export class WorkspaceQuotas {
-  readonly #peers: PeerDemand;
+  readonly #peers: PeerGrants;
+  readonly #tolerance: QuotaTolerance;
   readonly #quotas = new Map<string, TokenQuota>();
-  readonly #refreshedAtMs = new Map<string, number>();
 
-  constructor(peers: PeerDemand) {
+  constructor(peers: PeerGrants, tolerance: QuotaTolerance) {
     this.#peers = peers;
+    this.#tolerance = tolerance;
   }
 
   /** Takes a request's place. @returns when to come back, in epoch milliseconds, if refused. */
@@ -29,30 +29,22 @@
     description: RequestDescription,
     nowMs: number,
   ): number | undefined {
-    if (workspace.ratePerS <= 0) return undefined;
-    return this.#quota(workspace, nowMs).tryTake(amountOf(workspace, description), nowMs);
-  }
-
-  /** Demand for each workspace with a limit, for the other daemons. */
-  demands(nowMs: number): Record<string, number> {
-    return Object.fromEntries(
-      [...this.#quotas].map(([name, quota]) => [name, Math.round(quota.demandPerS(nowMs))]),
-    );
-  }
-
-  #quota(workspace: TrafficWorkspace, nowMs: number): TokenQuota {
-    const { name } = workspace;
+    const { name, ratePerS } = workspace;
+    if (ratePerS <= 0) return undefined;
     let quota = this.#quotas.get(name);
     if (!quota) {
-      quota = new TokenQuota(workspace, 1 / this.#peers.daemons, nowMs);
+      quota = new TokenQuota(workspace, this.#tolerance, nowMs);
       this.#quotas.set(name, quota);
     }
-    quota.updateLimit(workspace, nowMs);
-    if (nowMs - (this.#refreshedAtMs.get(name) ?? -Infinity) >= refreshMs) {
-      this.#refreshedAtMs.set(name, nowMs);
-      quota.updatePeers(this.#peers.daemons, this.#peers.othersDemandPerS(name), nowMs);
-    }
-    return quota;
+    quota.updateLimit(workspace);
+    const { daemons, isCurrent } = this.#peers;
+    const peers = { daemons, isCurrent, grantedByOthers: this.#peers.grantedByOthers(name) };
+    return quota.tryTake(amountOf(workspace, description), peers, nowMs);
+  }
+
+  /** Units granted here since the start by workspace, for the other daemons. */
+  granted(): Record<string, number> {
+    return Object.fromEntries([...this.#quotas].map(([name, { granted }]) => [name, granted]));
   }
 }
 
--- a/src/membership/daemon-samples.ts
+++ b/src/membership/daemon-samples.ts
@@ -1,8 +1,14 @@
 import { z } from 'zod';
 import type { Clock } from '../core/index.js';
-import { LogRefusedError, LogUnavailableError, type KeyedLog, type KeyedRecord } from '../log/index.js';
+import {
+  LogRefusedError,
+  LogUnavailableError,
+  type KeyedLog,
+  type KeyedRecord,
+} from '../log/index.js';
 import type { KeyedReplica } from '../log/keyed-replica.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
+import { GrantTotals } from './grant-totals.js';
 
 const countsSchema = z.record(z.string(), z.number().nonnegative());
 
@@ -14,8 +20,8 @@
   sequence: z.int().nonnegative(),
   /** Time of the sample by the daemon's clock, in epoch milliseconds. */
   sampledAtMs: z.number(),
-  /** Demand for each workspace per second, in its unit. */
-  demands: countsSchema,
+  /** Units that the daemon granted since its start by workspace. */
+  granted: countsSchema,
   /** Requests in flight by service. */
   inFlight: countsSchema,
   /** Requests begun by usage window and workspace. */
@@ -28,7 +34,7 @@
 export type DaemonSample = z.output<typeof sampleSchema>;
 
 /** The part of a sample that {@link DaemonSamples} does not fill in. */
-export type SampleContent = Pick<DaemonSample, 'demands' | 'inFlight' | 'usage'>;
+export type SampleContent = Pick<DaemonSample, 'granted' | 'inFlight' | 'usage'>;
 
 /** Options of {@link DaemonSamples}. */
 export interface DaemonSamplesOptions {
@@ -50,12 +56,15 @@
 /** Time between two samples of a daemon. */
 export const samplePeriodMs = 1_000;
 
+/** Reads of samples that fail for longer than this are an outage. */
+const currentMs = 3_000;
+
 /** A daemon counts as live for this long after its last sample. */
 export const sampleLifeMs = 4_500;
 
 /**
- * Samples of all daemons, exchanged through the store: who lives, the demand that each sees and the
- * work that each began. While the store cannot be read, the last known samples stand.
+ * Samples of all daemons, exchanged through the store: who lives, what each granted of the
+ * quotas and the work that each began. While the store cannot be read, the last known samples stand.
  *
  * @example
  * ```ts
@@ -66,6 +75,7 @@
 export class DaemonSamples {
   readonly #options: DaemonSamplesOptions;
   readonly #received = new Map<string, Received>();
+  readonly #grants = new GrantTotals();
   #sequence = 0;
   #publishedAtMs = -Infinity;
   #isLeaving = false;
@@ -105,6 +115,17 @@
       .filter((sample) => sample.daemon !== daemon && !sample.isLeaving);
   }
 
+  /** Whether the other daemons' samples are heard as they should be. */
+  get isCurrent(): boolean {
+    const { replica, clock } = this.#options;
+    return (replica.caughtUpAtMs ?? -Infinity) + currentMs > clock.nowMs();
+  }
+
+  /** Units of a workspace that the other daemons granted since this one started; never falls. */
+  grantedByOthers(workspaceName: string): number {
+    return this.#grants.of(workspaceName);
+  }
+
   /** The newest sample of each daemon that ever sent one, this run's own left out. */
   all(): DaemonSample[] {
     const { daemon, incarnation } = this.#options;
@@ -163,7 +184,9 @@
       known &&
       (sample.incarnation < known.incarnation ||
         (sample.incarnation === known.incarnation && sample.sequence <= known.sequence));
-    if (!isOlder) this.#received.set(key, { sample, receivedAtMs: clock.nowMs() });
+    if (isOlder) return;
+    this.#received.set(key, { sample, receivedAtMs: clock.nowMs() });
+    if (sample.daemon !== this.#options.daemon) this.#grants.take(sample);
   }
 }
 
--- /dev/null
+++ b/src/standins/memory-keyed-log.ts
@@ -0,0 +1,87 @@
+import {
+  AppendConflictError,
+  HistoryTrimmedError,
+  KeyedLog,
+  type KeyedAppendOptions,
+  type KeyedPage,
+  type KeyedRecord,
+} from '../log/keyed-log.js';
+import { LogUnavailableError } from '../log/log-errors.js';
+
+/** What the stand-in does wrong. */
+export enum KeyedLogFault {
+  None = 'none',
+  /** No call has an effect or an answer. */
+  Down = 'down',
+  /** Appends are stored and not answered. */
+  AnswersLost = 'answers_lost',
+}
+
+/** {@link KeyedLog} in memory. Reads never wait; faults are switched on by the test. */
+export class MemoryKeyedLog extends KeyedLog {
+  fault = KeyedLogFault.None;
+  readonly #topics = new Map<string, KeyedRecord[]>();
+  readonly #firstOffsets = new Map<string, number>();
+
+  override async newest(topic: string): Promise<KeyedPage> {
+    this.#check();
+    const records = this.#records(topic);
+    const newest = new Map(records.map((record) => [record.key, record]));
+    return {
+      records: [...newest.values()].filter(({ value }) => value !== undefined),
+      endOffset: records.length,
+    };
+  }
+
+  override async read(topic: string, fromOffset: number): Promise<KeyedPage> {
+    this.#check();
+    if (fromOffset < (this.#firstOffsets.get(topic) ?? 0)) throw new HistoryTrimmedError(topic);
+    const records = this.#records(topic);
+    return { records: records.slice(fromOffset), endOffset: records.length };
+  }
+
+  override async append(
+    topic: string,
+    key: string,
+    value: Uint8Array,
+    { expectedEndOffset }: KeyedAppendOptions = {},
+  ): Promise<number> {
+    this.#check();
+    const offset = this.#records(topic).length;
+    if (expectedEndOffset !== undefined && expectedEndOffset !== offset) {
+      throw new AppendConflictError(topic, offset);
+    }
+    this.put(topic, key, value);
+    if (this.fault === KeyedLogFault.AnswersLost) throw unavailable(true);
+    return offset;
+  }
+
+  /** Adds a record as another writer would; undefined removes the key. */
+  put(topic: string, key: string, value: Uint8Array | string | undefined): void {
+    const records = this.#records(topic);
+    const bytes = typeof value === 'string' ? Buffer.from(value) : value;
+    records.push({ key, value: bytes, offset: records.length });
+  }
+
+  /** Forgets the history of a topic; the newest record of each key stays. */
+  trim(topic: string): void {
+    this.#firstOffsets.set(topic, this.#records(topic).length);
+  }
+
+  #check(): void {
+    if (this.fault === KeyedLogFault.Down) throw unavailable(false);
+  }
+
+  #records(topic: string): KeyedRecord[] {
+    let records = this.#topics.get(topic);
+    if (!records) {
+      records = [];
+      this.#topics.set(topic, records);
+    }
+    return records;
+  }
+}
+
+function unavailable(mayBeStored: boolean): LogUnavailableError {
+  return new LogUnavailableError('the store does not answer', 'memory', mayBeStored);
+}
--- /dev/null
+++ b/test/gateway/gateway-harness.ts
@@ -0,0 +1,195 @@
+import {
+  createServer,
+  request,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { DutyClient } from '../../src/capacity/duty-client.js';
+import { Random, SystemClock } from '../../src/core/index.js';
+import { EndpointProbe, type ProbeAnswer } from '../../src/fleet/index.js';
+import { Gateway } from '../../src/gateway/gateway.js';
+import type { TrafficConfig } from '../../src/gateway/traffic-config.js';
+import { MemoryKeyedLog } from '../../src/standins/memory-keyed-log.js';
+import { NullEventLog } from '../../src/telemetry/index.js';
+import { HeaderCodec } from '../../platform/header-codec.js';
+
+/** What an endpoint of the tests does with a request. */
+export type EndpointBehaviour = (request: IncomingMessage, response: ServerResponse) => void;
+
+/** An endpoint on loopback that records what it gets. */
+export class TestEndpoint {
+  readonly received: IncomingMessage[] = [];
+  readonly #server: Server;
+  behaviour: EndpointBehaviour;
+
+  constructor(behaviour: EndpointBehaviour) {
+    this.behaviour = behaviour;
+    this.#server = createServer((incoming, response) => {
+      this.received.push(incoming);
+      this.behaviour(incoming, response);
+    });
+  }
+
+  async start(): Promise<string> {
+    await new Promise<void>((resolve) => this.#server.listen(0, '127.0.0.1', resolve));
+    return `http://127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  stop(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+}
+
+/** Answers a request as an endpoint that ran it. */
+export function answerWhole(status: number, body: string): EndpointBehaviour {
+  return (incoming, response) => {
+    incoming.resume();
+    response.writeHead(status, sealed(incoming));
+    response.end(body);
+  };
+}
+
+/** Headers of an endpoint's own answer. */
+export function sealed(incoming: IncomingMessage): Record<string, string> {
+  return {
+    'oriolestack-request-id': String(incoming.headers['oriolestack-request-id']),
+    'oriolestack-server-seal': 'seal',
+  };
+}
+
+/** An answer as a caller sees it. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: string;
+  /** False when the connection was closed before the end. */
+  readonly isWhole: boolean;
+}
+
+class NullDuties extends DutyClient {
+  override async reportUsage(): Promise<void> {
+    // Intentionally empty.
+  }
+
+  override async orderEndpoints(): Promise<void> {
+    // Intentionally empty.
+  }
+}
+
+class LiveProbe extends EndpointProbe {
+  override async probe(): Promise<ProbeAnswer> {
+    return { startedAtMs: undefined, isDraining: false };
+  }
+}
+
+/** A gateway on loopback with its endpoints. */
+export class GatewayHarness {
+  readonly gateway: Gateway;
+  readonly endpoints: TestEndpoint[] = [];
+  #requests = 0;
+
+  constructor() {
+    const clock = new SystemClock();
+    this.gateway = new Gateway({
+      daemon: 'front-1',
+      region: 'here',
+      host: '127.0.0.1',
+      port: 0,
+      store: new MemoryKeyedLog(),
+      topics: { config: 'config', registrations: 'servers', daemons: 'daemons', duties: 'duties' },
+      codec: new HeaderCodec(),
+      duties: new NullDuties(),
+      probe: () => new LiveProbe(),
+      clock,
+      wallNowMs: () => clock.nowMs(),
+      random: new Random(1),
+      events: new NullEventLog(),
+      leaseMs: 3_000,
+      usageWindowMs: 5_000,
+      usageDueMs: 10_000,
+      quotaTolerance: { windowMs: 8_000, overRatio: 0.1, slack: 0 },
+      retrySlack: 100,
+    });
+  }
+
+  async start(config: TrafficConfig, ...behaviours: EndpointBehaviour[]): Promise<void> {
+    await this.gateway.start();
+    this.gateway.config.offer(config);
+    for (const behaviour of behaviours) await this.addEndpoint(behaviour);
+  }
+
+  async addEndpoint(behaviour: EndpointBehaviour): Promise<TestEndpoint> {
+    const endpoint = new TestEndpoint(behaviour);
+    this.endpoints.push(endpoint);
+    this.gateway.endpoints.register({
+      instanceId: `i-${this.endpoints.length}`,
+      serviceName: 'orders',
+      baseUrl: await endpoint.start(),
+      region: 'here',
+      failureDomain: 'here-a',
+      batchSlots: 8,
+      startedAtMs: 1,
+      isDraining: false,
+      leavesAtMs: undefined,
+      reclaimable: false,
+    });
+    return endpoint;
+  }
+
+  /** Sends a request as a caller; resolves with whatever came until the connection closed. */
+  call(
+    options: {
+      method?: string;
+      path?: string;
+      headers?: Record<string, string>;
+      body?: string;
+    } = {},
+  ): Promise<CallerAnswer> {
+    const { method = 'GET', path = '/x', headers = {}, body } = options;
+    return new Promise((resolve, reject) => {
+      const outgoing = request(
+        {
+          host: '127.0.0.1',
+          port: this.gateway.port,
+          agent: false,
+          method,
+          path,
+          headers: {
+            host: 'shop.example',
+            'oriolestack-request-id': `request-${this.#requests++}`,
+            'oriolestack-deadline-ms': '3000',
+            ...headers,
+          },
+        },
+        (answer) => {
+          const chunks: Buffer[] = [];
+          answer.on('data', (chunk: Buffer) => chunks.push(chunk));
+          answer.on('error', () => undefined);
+          answer.on('close', () => {
+            resolve({
+              status: answer.statusCode ?? 0,
+              headers: answer.headers,
+              body: Buffer.concat(chunks).toString(),
+              isWhole: answer.complete,
+            });
+          });
+        },
+      );
+      outgoing.on('error', reject);
+      outgoing.end(body);
+    });
+  }
+
+  /** Requests that reached endpoints. */
+  get arrivals(): number {
+    return this.endpoints.reduce((sum, { received }) => sum + received.length, 0);
+  }
+
+  async stop(): Promise<void> {
+    await this.gateway.stop(0);
+    for (const endpoint of this.endpoints) endpoint.stop();
+  }
+}
--- /dev/null
+++ b/test/gateway/request-relay_test.ts
@@ -0,0 +1,195 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { RequestKind, QuotaUnit } from '../../src/gateway/traffic-config.js';
+import { trafficConfig, trafficRoute } from './configs.js';
+import { GatewayHarness, answerWhole, sealed, type EndpointBehaviour } from './gateway-harness.js';
+
+const breakOff: EndpointBehaviour = (_request, response) => response.destroy();
+
+const refuse: EndpointBehaviour = (request, response) => {
+  request.resume();
+  response.writeHead(503, { 'oriolestack-not-executed': '1' });
+  response.end();
+};
+
+const streamRoute = trafficRoute({ kind: RequestKind.Stream, isResumable: true });
+
+/** Sends events `first` to `last`; breaks off in the middle of the next one if `isBroken`. */
+function events(first: number, last: number, isBroken: boolean): EndpointBehaviour {
+  return (request, response) => {
+    request.resume();
+    response.writeHead(200, { ...sealed(request), 'content-type': 'text/event-stream' });
+    for (let id = first; id <= last; id++) response.write(`id: ${id}\ndata: ${id}\n\n`);
+    if (!isBroken) response.end();
+    else response.write(`id: ${last + 1}\nda`, () => setImmediate(() => response.destroy()));
+  };
+}
+
+describe('RequestRelay', () => {
+  let harness: GatewayHarness;
+
+  beforeEach(() => {
+    harness = new GatewayHarness();
+  });
+
+  afterEach(async () => {
+    await harness.stop();
+  });
+
+  describe('idempotent requests', () => {
+    it('go to another endpoint when the first breaks off', async () => {
+      await harness.start(trafficConfig(), breakOff, breakOff, answerWhole(200, 'stock'));
+      harness.endpoints[1]!.behaviour = answerWhole(200, 'stock');
+      const answer = await harness.call();
+      expect(answer).toMatchObject({ status: 200, body: 'stock', isWhole: true });
+      expect(answer.headers['oriolestack-server-seal']).toBe('seal');
+    });
+
+    it('are sent to no more endpoints than the route allows', async () => {
+      await harness.start(trafficConfig(), breakOff, breakOff, breakOff);
+      expect((await harness.call()).status).toBe(502);
+      expect(harness.arrivals).toBe(2);
+    });
+
+    it('never get an answer that names another request', async () => {
+      await harness.start(trafficConfig(), (request, response) => {
+        request.resume();
+        response.writeHead(200, { ...sealed(request), 'oriolestack-request-id': 'other' });
+        response.end('crossed');
+      });
+      expect(await harness.call()).toMatchObject({ status: 502, body: '' });
+    });
+
+    it('never get a success without a signature', async () => {
+      await harness.start(trafficConfig(), (request, response) => response.end(request.url));
+      expect((await harness.call()).status).toBe(502);
+    });
+  });
+
+  describe('at-most-once requests', () => {
+    const config = trafficConfig({ routes: [trafficRoute({ kind: RequestKind.AtMostOnce })] });
+
+    it('are not sent again after a break, and the answer promises nothing', async () => {
+      await harness.start(config, breakOff, breakOff);
+      expect((await harness.call({ method: 'POST', body: 'order' })).status).toBe(502);
+      expect(harness.arrivals).toBe(1);
+    });
+
+    it('go elsewhere when the endpoint states that it did not run them', async () => {
+      await harness.start(config, refuse, refuse);
+      const refused = await harness.call({ method: 'POST', body: 'order' });
+      expect(refused.status).toBe(503);
+      expect(refused.headers['retry-after']).toBeDefined();
+      expect(harness.arrivals).toBe(2);
+    });
+
+    it('turn an endpoint that says 503 without that statement into 502', async () => {
+      await harness.start(config, answerWhole(503, 'busy?'));
+      const answer = await harness.call({ method: 'POST', body: 'order' });
+      expect(answer.status).toBe(502);
+      expect(answer.headers['oriolestack-server-seal']).toBeUndefined();
+    });
+
+    it('are refused as not run when no endpoint is known', async () => {
+      await harness.start(config);
+      expect((await harness.call({ method: 'POST', body: 'order' })).status).toBe(503);
+    });
+  });
+
+  describe('streams that may continue', () => {
+    it('go on elsewhere after the last whole event, with none missing or double', async () => {
+      await harness.start(trafficConfig({ routes: [streamRoute] }), events(1, 2, true));
+      const [first] = harness.endpoints;
+      const answering = harness.call({ method: 'POST', body: 'prompt' });
+      await harness.addEndpoint((request, response) => {
+        expect(request.headers['last-event-id']).toBe('2');
+        events(3, 4, false)(request, response);
+      });
+      const answer = await answering;
+      expect(first!.received).toHaveLength(1);
+      expect(answer.body).toBe([1, 2, 3, 4].map((id) => `id: ${id}\ndata: ${id}\n\n`).join(''));
+      expect(answer.isWhole).toBe(true);
+    });
+
+    it('never look complete when nobody can continue them', async () => {
+      await harness.start(trafficConfig({ routes: [streamRoute] }), events(1, 2, true));
+      const answer = await harness.call({ method: 'POST', body: 'prompt' });
+      expect(answer.isWhole).toBe(false);
+      expect(answer.body).toBe('id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n');
+    });
+  });
+
+  describe('streams that may not continue', () => {
+    it('are cut where their endpoint broke off', async () => {
+      const route = trafficRoute({ kind: RequestKind.Stream });
+      await harness.start(
+        trafficConfig({ routes: [route] }),
+        events(1, 1, true),
+        events(1, 9, false),
+      );
+      harness.endpoints[1]!.behaviour = events(1, 1, true);
+      expect((await harness.call({ method: 'POST', body: 'prompt' })).isWhole).toBe(false);
+      expect(harness.arrivals).toBe(1);
+    });
+  });
+
+  describe('the deadline', () => {
+    it('of the route ends a request at once with an answer that promises nothing', async () => {
+      const route = trafficRoute({ timeoutMs: 80 });
+      await harness.start(trafficConfig({ routes: [route] }), () => undefined);
+      expect((await harness.call()).status).toBe(504);
+    });
+  });
+
+  describe('headers', () => {
+    const workspaces = [
+      {
+        name: 'tenders',
+        callerKeys: ['secret'],
+        rank: undefined,
+        unit: QuotaUnit.Requests,
+        plainTokens: 0,
+        ratePerS: 0,
+        burst: 0,
+      },
+    ];
+
+    it('name the workspace of the key, never what the caller claims, and not the key', async () => {
+      await harness.start(trafficConfig({ workspaces }), answerWhole(200, 'ok'));
+      await harness.call({
+        headers: {
+          authorization: 'Bearer secret',
+          'oriolestack-tenant': 'forged',
+          'oriolestack-hold': 'forged',
+          'kv-from': 'forged',
+        },
+      });
+      const { headers } = harness.endpoints[0]!.received[0]!;
+      expect(headers['oriolestack-tenant']).toBe('tenders');
+      expect(headers['oriolestack-expect-instance']).toBe('i-1');
+      expect(headers.authorization).toBeUndefined();
+      expect(headers['oriolestack-hold']).toBeUndefined();
+      expect(headers['kv-from']).toBeUndefined();
+      expect(Number(headers['oriolestack-deadline-ms'])).toBeLessThanOrEqual(3_000);
+    });
+
+    it('without a known key are refused before anything is sent', async () => {
+      await harness.start(trafficConfig({ workspaces }), answerWhole(200, 'ok'));
+      const answer = await harness.call({ headers: { authorization: 'Bearer wrong' } });
+      expect(answer.status).toBe(401);
+      expect(harness.arrivals).toBe(0);
+    });
+  });
+
+  describe('the configuration', () => {
+    it('is waited for: before the first, requests are refused as not run', async () => {
+      await harness.gateway.start();
+      expect((await harness.call()).status).toBe(503);
+    });
+
+    it('never goes back to an older version', async () => {
+      await harness.start(trafficConfig({ version: 7 }), answerWhole(200, 'ok'));
+      harness.gateway.config.offer(trafficConfig({ version: 6, routes: [] }));
+      expect((await harness.call()).status).toBe(200);
+    });
+  });
+});
