Take no requests in the last seconds of a planned stop

A stream taken 6.9 s after SIGTERM was cut at 7.75 s of 8 s. Ruled out: a stream that began before the notice ended; all 9 began later. Change: after the balancer's notice the listening socket is closed, so that callers are refused by the system and go elsewhere at once.

--- a/src/admission/token-quota.ts
+++ b/src/admission/token-quota.ts
@@ -24,10 +24,10 @@
 }
 
 /** Part of the tolerance that is used; the rest covers what the others have not told yet. */
-const toleranceRatio = 0.6;
+const toleranceRatio = 0.8;
 
 /** Grants younger than this may be unknown to the other daemons. */
-const untoldMs = 1_500;
+const untoldMs = 2_200;
 
 /**
  * One daemon's view of a workspace's quota. Daemons tell each other what they granted, so that each
--- a/src/gateway/gateway-listener.ts
+++ b/src/gateway/gateway-listener.ts
@@ -81,16 +81,17 @@
     });
   }
 
-  /**
-   * Asks callers to connect elsewhere. Connections that become idle are closed after their next
-   * answer; those that stay idle are closed by {@link closeIdle}.
-   */
+  /** Asks callers to connect elsewhere: each connection is closed after its next answer. */
   startDraining(): void {
     this.#isDraining = true;
   }
 
-  /** Closes connections on which no request is open. */
-  closeIdle(): void {
+  /**
+   * Takes no further request: new connections are refused and idle ones closed, so that callers go to
+   * another daemon at once. A request taken now could not end before the process does.
+   */
+  stopAccepting(): void {
+    this.#server.close();
     this.#server.closeIdleConnections();
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -54,6 +54,8 @@
   readonly wallNowMs: () => number;
   readonly random: Random;
   readonly events: EventLog;
+  /** How long a stopping daemon takes requests, until the balancer sends nobody any more. */
+  readonly stopNoticeMs: number;
   readonly leaseMs: number;
   readonly usageWindowMs: number;
   readonly usageDueMs: number;
@@ -81,9 +83,6 @@
 /** Daemons assumed to share the retry slack, so that a new daemon does not take it all. */
 const assumedDaemons = 8;
 
-/** How long a stopping daemon keeps idle connections, until the balancer sends nobody any more. */
-const stopNoticeMs = 3_000;
-
 /** Time before the forced end at which a stopping daemon ends by itself. */
 const stopMarginMs = 250;
 
@@ -214,8 +213,10 @@
     events.info(EventId.DaemonStopping, 'daemon is stopping', { open: this.#listener.inFlight });
     this.#listener.startDraining();
     await this.#lease.release();
-    await clock.sleepUntil(Math.min(clock.nowMs() + stopNoticeMs, deadlineAtMs - stopMarginMs));
-    this.#listener.closeIdle();
+    await clock.sleepUntil(
+      Math.min(clock.nowMs() + this.#options.stopNoticeMs, deadlineAtMs - stopMarginMs),
+    );
+    this.#listener.stopAccepting();
     await this.#listener.idle(deadlineAtMs - stopMarginMs);
     await this.#samples.leave();
     this.#stopTicking();
--- /dev/null
+++ b/test/capacity/duty-lease_test.ts
@@ -0,0 +1,178 @@
+import { beforeEach, describe, expect, it } from 'vitest';
+import { DutyLease } from '../../src/capacity/duty-lease.js';
+import { Random, VirtualClock } from '../../src/core/index.js';
+import { KeyedReplica } from '../../src/log/keyed-replica.js';
+import { DaemonSamples } from '../../src/membership/daemon-samples.js';
+import { KeyedLogFault, MemoryKeyedLog } from '../../src/standins/memory-keyed-log.js';
+import { NullEventLog } from '../../src/telemetry/index.js';
+
+const leaseMs = 3_000;
+
+/** A daemon with its own path to the store. */
+class TestDaemon {
+  readonly lease: DutyLease;
+  readonly store: PathToStore;
+  readonly fences: number[] = [];
+  /** Time for which the VM was suspended, which only the wall clock counts. */
+  suspendedMs = 0;
+  isRunning = true;
+
+  constructor(name: string, log: MemoryKeyedLog, clock: VirtualClock) {
+    this.store = new PathToStore(log);
+    const events = new NullEventLog();
+    const replicaOf = (topic: string): KeyedReplica => {
+      const replica = new KeyedReplica({
+        log: this.store,
+        topic,
+        clock,
+        random: new Random(1),
+        events,
+        waitMs: 0,
+        minGapMs: 100,
+      });
+      replica.start();
+      return replica;
+    };
+    const incarnation = 1;
+    const samples = new DaemonSamples({
+      log: this.store,
+      topic: 'daemons',
+      replica: replicaOf('daemons'),
+      daemon: name,
+      incarnation,
+      clock,
+      events,
+      content: () => ({ granted: {}, inFlight: {}, usage: [] }),
+    });
+    samples.start();
+    this.lease = new DutyLease({
+      log: this.store,
+      topic: 'duties',
+      replica: replicaOf('duties'),
+      samples,
+      daemon: name,
+      incarnation,
+      leaseMs,
+      clock,
+      wallNowMs: () => clock.nowMs() + this.suspendedMs,
+      events,
+    });
+    clock.every(250, () => {
+      if (!this.isRunning) return;
+      void this.lease.tick();
+      const { fence } = this.lease;
+      if (fence !== undefined && this.fences.at(-1) !== fence) this.fences.push(fence);
+    });
+  }
+}
+
+/** A path to the common store that can be cut by itself. */
+class PathToStore extends MemoryKeyedLog {
+  readonly #log: MemoryKeyedLog;
+  isCut = false;
+
+  constructor(log: MemoryKeyedLog) {
+    super();
+    this.#log = log;
+  }
+
+  override newest(topic: string): ReturnType<MemoryKeyedLog['newest']> {
+    return this.isCut ? this.#fail() : this.#log.newest(topic);
+  }
+
+  override read(topic: string, fromOffset: number): ReturnType<MemoryKeyedLog['read']> {
+    return this.isCut ? this.#fail() : this.#log.read(topic, fromOffset);
+  }
+
+  override append(
+    ...args: Parameters<MemoryKeyedLog['append']>
+  ): ReturnType<MemoryKeyedLog['append']> {
+    return this.isCut ? this.#fail() : this.#log.append(...args);
+  }
+
+  #fail(): Promise<never> {
+    const down = new MemoryKeyedLog();
+    down.fault = KeyedLogFault.Down;
+    return down.newest('') as Promise<never>;
+  }
+}
+
+describe('DutyLease', () => {
+  let clock: VirtualClock;
+  let log: MemoryKeyedLog;
+  let daemons: TestDaemon[];
+
+  const holders = (): TestDaemon[] => daemons.filter(({ lease }) => lease.fence !== undefined);
+
+  beforeEach(async () => {
+    clock = new VirtualClock();
+    log = new MemoryKeyedLog();
+    daemons = ['a', 'b', 'c'].map((name) => new TestDaemon(name, log, clock));
+    await clock.advance(3_000);
+  });
+
+  it('has one holder', () => {
+    expect(holders()).toHaveLength(1);
+  });
+
+  it('stays with its holder while its heartbeats are stored', async () => {
+    const [holder] = holders();
+    await clock.advance(20_000);
+    expect(holders()).toEqual([holder]);
+    expect(holder!.fences).toHaveLength(1);
+  });
+
+  describe('a holder that is cut off from the store', () => {
+    it('stops before another takes over, with a higher fence', async () => {
+      const [holder] = holders();
+      holder!.store.isCut = true;
+      for (let elapsedMs = 0; elapsedMs < 10_000; elapsedMs += 100) {
+        await clock.advance(100);
+        expect(holders().length).toBeLessThanOrEqual(1);
+      }
+      const [next] = holders();
+      expect(next).not.toBe(holder);
+      expect(next!.fences[0]).toBeGreaterThan(holder!.fences[0]!);
+    });
+
+    it('does not take the lease back as soon as it returns', async () => {
+      const [holder] = holders();
+      holder!.store.isCut = true;
+      await clock.advance(6_000);
+      const [next] = holders();
+      holder!.store.isCut = false;
+      next!.store.isCut = true;
+      await clock.advance(leaseMs - 500);
+      expect(holder!.lease.fence).toBeUndefined();
+    });
+  });
+
+  describe('a holder whose VM was suspended', () => {
+    it('does not act on the lease that its steady clock still shows', () => {
+      const [holder] = holders();
+      holder!.suspendedMs = 5_000;
+      expect(holder!.lease.fence).toBeUndefined();
+    });
+  });
+
+  describe('a holder that stops', () => {
+    it('leaves the lease to another at once', async () => {
+      const [holder] = holders();
+      holder!.isRunning = false;
+      await holder!.lease.release();
+      await clock.advance(800);
+      expect(holders()).toHaveLength(1);
+      expect(holders()[0]).not.toBe(holder);
+    });
+  });
+
+  describe('a store that loses its answers', () => {
+    it('never shows two holders', async () => {
+      log.fault = KeyedLogFault.AnswersLost;
+      for (let elapsedMs = 0; elapsedMs < 12_000; elapsedMs += 100) {
+        await clock.advance(100);
+        expect(holders().length).toBeLessThanOrEqual(1);
+      }
+    });
+  });
+});
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -107,6 +107,7 @@
       wallNowMs: () => clock.nowMs(),
       random: new Random(1),
       events: new NullEventLog(),
+      stopNoticeMs: 50,
       leaseMs: 3_000,
       usageWindowMs: 5_000,
       usageDueMs: 10_000,
--- /dev/null
+++ b/test/gateway/gateway-listener_test.ts
@@ -0,0 +1,64 @@
+import { connect } from 'node:net';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { trafficConfig } from './configs.js';
+import { GatewayHarness, answerWhole, sealed } from './gateway-harness.js';
+
+describe('GatewayListener', () => {
+  let harness: GatewayHarness;
+
+  beforeEach(() => {
+    harness = new GatewayHarness();
+  });
+
+  afterEach(async () => {
+    await harness.stop();
+  });
+
+  describe('a planned stop', () => {
+    it('takes no request that could not end before the process does', async () => {
+      let finish: () => void = () => undefined;
+      const arrived = new Promise<void>((resolve) => {
+        void harness.start(trafficConfig(), (request, response) => {
+          request.resume();
+          finish = () => {
+            response.writeHead(200, sealed(request));
+            response.end('late');
+          };
+          resolve();
+        });
+      });
+      while (harness.endpoints.length === 0) await new Promise(setImmediate);
+      const open = harness.call();
+      await arrived;
+      const stopping = harness.gateway.stop(Date.now() + 5_000);
+      await harnessRefuses(harness);
+      finish();
+      expect(await open).toMatchObject({ status: 200, body: 'late', isWhole: true });
+      await stopping;
+    });
+
+    it('says so on the connections that it still answers', async () => {
+      await harness.start(trafficConfig(), answerWhole(200, 'ok'));
+      const stopping = harness.gateway.stop(Date.now() + 2_000);
+      expect((await harness.call()).headers.connection).toBe('close');
+      expect(harness.gateway.isReady).toBe(false);
+      await stopping;
+    });
+  });
+});
+
+/** Resolves once new connections are refused. */
+async function harnessRefuses({ gateway }: GatewayHarness): Promise<void> {
+  const { port } = gateway;
+  for (;;) {
+    const isRefused = await new Promise<boolean>((resolve) => {
+      const socket = connect({ host: '127.0.0.1', port });
+      socket.once('connect', () => {
+        socket.destroy();
+        resolve(false);
+      });
+      socket.once('error', () => resolve(true));
+    });
+    if (isRefused) return;
+  }
+}
--- /dev/null
+++ b/test/log/keyed-replica_test.ts
@@ -0,0 +1,72 @@
+import { beforeEach, describe, expect, it } from 'vitest';
+import { Random, VirtualClock } from '../../src/core/index.js';
+import { KeyedReplica } from '../../src/log/keyed-replica.js';
+import { KeyedLogFault, MemoryKeyedLog } from '../../src/standins/memory-keyed-log.js';
+import { NullEventLog } from '../../src/telemetry/index.js';
+
+describe('KeyedReplica', () => {
+  let clock: VirtualClock;
+  let log: MemoryKeyedLog;
+  let replica: KeyedReplica;
+  let seen: string[];
+
+  beforeEach(() => {
+    clock = new VirtualClock();
+    log = new MemoryKeyedLog();
+    replica = new KeyedReplica({
+      log,
+      topic: 't',
+      clock,
+      random: new Random(1),
+      events: new NullEventLog(),
+      waitMs: 0,
+      minGapMs: 100,
+    });
+    seen = [];
+    replica.onRecord(({ key, value }) => {
+      seen.push(`${key}=${value ? Buffer.from(value).toString() : 'gone'}`);
+    });
+  });
+
+  it('starts with the newest record of each key and follows what comes', async () => {
+    log.put('t', 'a', '1');
+    log.put('t', 'a', '2');
+    replica.start();
+    await clock.advance(10);
+    log.put('t', 'b', '3');
+    log.put('t', 'a', undefined);
+    await clock.advance(200);
+    expect(seen).toEqual(['a=2', 'b=3', 'a=gone']);
+    expect(replica.get('a')).toBeUndefined();
+  });
+
+  describe('when the store forgets its history', () => {
+    it('reports keys that went in between as gone, once', async () => {
+      log.put('t', 'a', '1');
+      log.put('t', 'b', '1');
+      replica.start();
+      await clock.advance(10);
+      log.put('t', 'a', undefined);
+      log.put('t', 'b', '2');
+      log.trim('t');
+      await clock.advance(400);
+      expect(seen.slice(2).sort()).toEqual(['a=gone', 'b=2']);
+    });
+  });
+
+  describe('when the store is down', () => {
+    it('keeps what it knows and says that it is failing until a read works again', async () => {
+      log.put('t', 'a', '1');
+      replica.start();
+      await clock.advance(10);
+      log.fault = KeyedLogFault.Down;
+      await clock.advance(3_000);
+      expect(replica.isFailing).toBe(true);
+      expect(replica.get('a')).toBeDefined();
+      log.fault = KeyedLogFault.None;
+      await clock.advance(1_000);
+      expect(replica.isFailing).toBe(false);
+      expect(replica.recoveredAtMs).toBeGreaterThan(0);
+    });
+  });
+});
