Place prompts by what endpoints still have to read, and buy reclaimable endpoints by load

Cause: on both sites streams come late because long prompts meet at one endpoint: the router's load estimate counts requests against batch slots, and an engine with 64 slots looks empty while three prompts of 12,000 tokens wait. Recomputed tokens weighed thirty times their value against a late answer. Change: a prefill backlog per endpoint, fed by own sends and by datagrams of the other daemons, with scorers for the wait and for the streams that a prompt disturbs; homes of shared prompts by rendezvous hashing; endpoints sized by prompt tokens a second, as reclaimable ones, on-demand ones only while those are not to be had.

--- a/src/capacity/domain-plan.ts
+++ b/src/capacity/domain-plan.ts
@@ -1,15 +1,22 @@
+/** Endpoints of a service in a failure domain that take new work. */
+export interface DomainState {
+  readonly failureDomain: string;
+  /** Price of an on-demand endpoint, in any one unit. */
+  readonly price: number;
+  /** Whether reclaimable endpoints are to be had now. */
+  readonly hasReclaimable: boolean;
+  readonly liveReclaimable: number;
+}
+
 /** What a plan for one service depends on. */
 export interface DomainPlanInput {
   /** Endpoints wanted in all failure domains together. */
   readonly target: number;
   readonly minPerDomain: number;
   readonly maxPerDomain: number;
-  /** Price of an on-demand endpoint by failure domain, in any one unit. */
-  readonly priceByDomain: ReadonlyMap<string, number>;
   /** Price of a reclaimable endpoint relative to an on-demand one. */
   readonly reclaimablePriceRatio: number;
-  /** Failure domains whose reclaimable endpoints are not to be had now. */
-  readonly withoutReclaimable: ReadonlySet<string>;
+  readonly domains: readonly DomainState[];
 }
 
 /** Endpoints of each kind wanted in a failure domain. */
@@ -19,39 +26,51 @@
   readonly reclaimable: number;
 }
 
-/** On-demand endpoints in each failure domain that serve on when all reclaimable ones go at once. */
-const onDemandFloor = 1;
+/** Part of the target that on-demand endpoints make up for while reclaimable ones are not to be had. */
+const assuredRatio = 0.6;
 
 /**
- * Spreads the endpoints of a service over failure domains, cheapest first and evenly, so that the
- * loss of one domain's reclaimable endpoints costs no more than its share. Pure.
+ * Spreads the endpoints of a service evenly over failure domains, cheapest first, as reclaimable ones
+ * where these are cheaper. On-demand endpoints step in only while too few are left and no
+ * reclaimable ones are to be had, since each costs as much as several of those. Pure.
  *
  * @example
  * ```ts
- * const counts = planDomains({ target: 9, minPerDomain: 1, maxPerDomain: 6, ...prices });
+ * const counts = planDomains({ target: 9, minPerDomain: 1, maxPerDomain: 6, ...rest });
  * ```
  */
 export function planDomains(input: DomainPlanInput): DomainCount[] {
-  const { target, minPerDomain, maxPerDomain, priceByDomain, withoutReclaimable } = input;
-  const domains = [...priceByDomain]
-    .sort(([a, priceA], [b, priceB]) => priceA - priceB || (a < b ? -1 : 1))
-    .map(([failureDomain]) => failureDomain);
-  const floor = Math.min(maxPerDomain, Math.max(minPerDomain, onDemandFloor));
-  const counts = new Map(domains.map((domain) => [domain, floor]));
-  let missing = target - floor * domains.length;
-  for (let level = floor; level < maxPerDomain && missing > 0; level++) {
-    for (const domain of domains) {
-      if (missing <= 0) break;
-      counts.set(domain, level + 1);
-      missing -= 1;
-    }
+  const { target, minPerDomain, maxPerDomain, reclaimablePriceRatio } = input;
+  const domains = [...input.domains].sort(
+    (a, b) => a.price - b.price || (a.failureDomain < b.failureDomain ? -1 : 1),
+  );
+  const totals = spread(target, minPerDomain, maxPerDomain, domains.length);
+  if (reclaimablePriceRatio >= 1) {
+    return domains.map(({ failureDomain }, index) => ({
+      failureDomain,
+      onDemand: totals[index] ?? 0,
+      reclaimable: 0,
+    }));
   }
-  return domains.map((failureDomain) => {
-    const total = counts.get(failureDomain) ?? floor;
-    const extra = total - onDemandFloor;
-    const isReclaimable = input.reclaimablePriceRatio < 1 && !withoutReclaimable.has(failureDomain);
-    return isReclaimable
-      ? { failureDomain, onDemand: onDemandFloor, reclaimable: extra }
-      : { failureDomain, onDemand: total, reclaimable: 0 };
+  const wanted = Math.min(target, maxPerDomain * domains.length);
+  const live = domains.reduce((sum, { liveReclaimable }) => sum + liveReclaimable, 0);
+  let missing = domains.every(({ hasReclaimable }) => hasReclaimable)
+    ? 0
+    : Math.max(0, Math.ceil(wanted * assuredRatio) - live);
+  return domains.map(({ failureDomain, hasReclaimable, liveReclaimable }, index) => {
+    const reclaimable = totals[index] ?? 0;
+    const room = hasReclaimable ? 0 : maxPerDomain - liveReclaimable;
+    const onDemand = Math.max(0, Math.min(missing, room));
+    missing -= onDemand;
+    return { failureDomain, onDemand, reclaimable: Math.min(reclaimable, maxPerDomain - onDemand) };
   });
 }
+
+/** Counts by rank of the failure domain, as even as the bounds allow. */
+function spread(target: number, min: number, max: number, domains: number): number[] {
+  const even = Math.floor(target / Math.max(1, domains));
+  const rest = target - even * domains;
+  return Array.from({ length: domains }, (_, index) =>
+    Math.min(max, Math.max(min, even + (index < rest ? 1 : 0))),
+  );
+}
--- a/src/capacity/endpoint-scaler.ts
+++ b/src/capacity/endpoint-scaler.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../core/index.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
-import { planDomains, type DomainPlanInput } from './domain-plan.js';
+import { planDomains } from './domain-plan.js';
 import {
   DutyFencedError,
   EndpointsUnavailableError,
@@ -10,8 +10,20 @@
 import type { DutyLease } from './duty-lease.js';
 
 /** A service whose number of endpoints is ours to choose. */
-export interface ScaledService extends Omit<DomainPlanInput, 'withoutReclaimable'> {
+export interface ScaledService {
   readonly serviceName: string;
+  /** Endpoints wanted in all failure domains together. */
+  readonly target: number;
+  readonly minPerDomain: number;
+  readonly maxPerDomain: number;
+  /** Price of a reclaimable endpoint relative to an on-demand one. */
+  readonly reclaimablePriceRatio: number;
+  /** Price of an on-demand endpoint by failure domain. */
+  readonly priceByDomain: ReadonlyMap<string, number>;
+  /** Time from an order to the first request, in milliseconds. */
+  readonly bootMs: number;
+  /** Endpoints of a kind in a failure domain that take new work. */
+  readonly live: (failureDomain: string, reclaimable: boolean) => number;
 }
 
 /** Options of {@link EndpointScaler}. */
@@ -24,14 +36,14 @@
   readonly events: EventLog;
 }
 
-/** Orders are sent again after this time, in case the platform lost one or its VMs. */
-const repeatMs = 15_000;
+/** Time beyond the start of an endpoint after which a missing one is ordered again. */
+const patienceMs = 2_000;
 
 /** A refused kind of endpoint is not asked for again before this time. */
-const unavailableMs = 4_000;
+const unavailableMs = 3_000;
 
-/** A lower count is ordered only when it has been wanted for this long. */
-const shrinkAfterMs = 8_000;
+/** A lower count is ordered only when it has been wanted for this long, as load comes in waves. */
+const shrinkAfterMs = 10_000;
 
 interface Ordered {
   readonly count: number;
@@ -60,39 +72,49 @@
       if (lease.fence !== this.#fence) this.#ordered.clear();
       this.#fence = lease.fence;
       for (const service of services()) {
-        for (const order of this.#orders(service)) await this.#send(order);
+        for (const order of this.#orders(service)) {
+          if (this.#isDue(order, service)) await this.#send(order);
+        }
       }
     } finally {
       this.#isTicking = false;
     }
   }
 
+  /** Reclaimable endpoints first: on-demand ones leave only when others have come for them. */
   #orders(service: ScaledService): EndpointOrder[] {
-    const { serviceName } = service;
+    const { serviceName, priceByDomain, live } = service;
     const nowMs = this.#options.clock.nowMs();
-    const withoutReclaimable = new Set(
-      [...service.priceByDomain.keys()].filter((failureDomain) => {
-        const key = keyOf({ serviceName, failureDomain, reclaimable: true, count: 0 });
-        return (this.#unavailableUntilMs.get(key) ?? 0) > nowMs;
-      }),
-    );
-    return planDomains({ ...service, withoutReclaimable }).flatMap(
-      ({ failureDomain, onDemand, reclaimable }) => [
-        { serviceName, failureDomain, reclaimable: false, count: onDemand },
-        { serviceName, failureDomain, reclaimable: true, count: reclaimable },
-      ],
-    );
+    const domains = [...priceByDomain].map(([failureDomain, price]) => {
+      const key = keyOf({ serviceName, failureDomain, reclaimable: true });
+      return {
+        failureDomain,
+        price,
+        hasReclaimable: (this.#unavailableUntilMs.get(key) ?? 0) <= nowMs,
+        liveReclaimable: live(failureDomain, true),
+      };
+    });
+    const plan = planDomains({ ...service, domains });
+    const orders = (reclaimable: boolean): EndpointOrder[] =>
+      plan.map((domain) => ({
+        serviceName,
+        failureDomain: domain.failureDomain,
+        reclaimable,
+        count: reclaimable ? domain.reclaimable : domain.onDemand,
+      }));
+    return [...orders(true), ...orders(false)];
   }
 
   async #send(order: EndpointOrder): Promise<void> {
     const { lease, duties, daemon, clock, events } = this.#options;
-    const key = keyOf(order);
     const { fence } = lease;
-    if (fence === undefined || !this.#isDue(key, order.count)) return;
+    if (fence === undefined) return;
+    const key = keyOf(order);
     const fields = { ...order, fence };
     try {
       await duties.orderEndpoints(order, { daemon, fence });
       this.#ordered.set(key, { count: order.count, atMs: clock.nowMs() });
+      this.#surplusSinceMs.delete(key);
       events.info(EventId.EndpointsOrdered, 'endpoints are ordered', fields);
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
@@ -104,17 +126,34 @@
     }
   }
 
-  #isDue(key: string, count: number): boolean {
+  #isDue(order: EndpointOrder, service: ScaledService): boolean {
+    const { count, failureDomain, reclaimable } = order;
+    const key = keyOf(order);
     const nowMs = this.#options.clock.nowMs();
-    const ordered = this.#ordered.get(key);
     if ((this.#unavailableUntilMs.get(key) ?? 0) > nowMs) return false;
-    if (!ordered || count > ordered.count) {
-      this.#surplusSinceMs.delete(key);
-      return !(count === 0 && !ordered);
-    }
-    if (count === ordered.count) {
-      this.#surplusSinceMs.delete(key);
-      return nowMs >= ordered.atMs + repeatMs;
+    const ordered = this.#ordered.get(key);
+    const live = service.live(failureDomain, reclaimable);
+    const known = ordered?.count ?? live;
+    if (count < known) return this.#isLastingSurplus(key, order, service, nowMs);
+    this.#surplusSinceMs.delete(key);
+    if (count > known) return true;
+    const dueAtMs = (ordered?.atMs ?? 0) + service.bootMs + patienceMs;
+    return live < count && nowMs >= dueAtMs;
+  }
+
+  #isLastingSurplus(
+    key: string,
+    { reclaimable, count }: EndpointOrder,
+    service: ScaledService,
+    nowMs: number,
+  ): boolean {
+    // On-demand endpoints are dear; they go as soon as enough reclaimable ones take work.
+    if (!reclaimable && count === 0) {
+      const live = [...service.priceByDomain.keys()].reduce(
+        (sum, failureDomain) => sum + service.live(failureDomain, true),
+        0,
+      );
+      return live >= service.target;
     }
     const sinceMs = this.#surplusSinceMs.get(key) ?? nowMs;
     this.#surplusSinceMs.set(key, sinceMs);
@@ -122,6 +161,7 @@
   }
 }
 
-function keyOf({ serviceName, failureDomain, reclaimable }: EndpointOrder): string {
+function keyOf(order: Omit<EndpointOrder, 'count'>): string {
+  const { serviceName, failureDomain, reclaimable } = order;
   return `${serviceName}/${failureDomain}/${reclaimable ? 'reclaimable' : 'on-demand'}`;
 }
--- /dev/null
+++ b/src/fleet/prefill-backlog.ts
@@ -0,0 +1,59 @@
+interface Backlog {
+  tokens: number;
+  updatedAtMs: number;
+}
+
+/** Prompt tokens that an engine reads per millisecond, until it has been observed. */
+const assumedTokensPerMs = 30;
+
+/**
+ * Prompt tokens that each endpoint still has to read, as a queue that drains at the endpoint's
+ * speed. Fed by the daemon's own sends and by what the other daemons tell of theirs: an engine reads
+ * prompts between the tokens of its streams, so that a long queue delays all of them.
+ *
+ * @example
+ * ```ts
+ * backlog.add('i-7', 12_000, clock.nowMs());
+ * backlog.waitMs('i-7', clock.nowMs());
+ * ```
+ */
+export class PrefillBacklog {
+  readonly #backlogs = new Map<string, Backlog>();
+  #tokensPerMs = assumedTokensPerMs;
+
+  /** Prompt tokens read per millisecond by a typical endpoint. */
+  get tokensPerMs(): number {
+    return this.#tokensPerMs;
+  }
+
+  /** Takes an observed speed. The queue makes it look lower than it is, so rises count more. */
+  observeSpeed(tokensPerMs: number): void {
+    const gain = tokensPerMs > this.#tokensPerMs ? 0.3 : 0.02;
+    this.#tokensPerMs += (tokensPerMs - this.#tokensPerMs) * gain;
+  }
+
+  /** Adds the uncached tokens of a prompt that was sent to an endpoint. */
+  add(endpointId: string, tokens: number, nowMs: number): void {
+    this.#backlogs.set(endpointId, {
+      tokens: this.#tokens(endpointId, nowMs) + tokens,
+      updatedAtMs: nowMs,
+    });
+  }
+
+  /** Time until the endpoint has read everything that is known to wait, in milliseconds. */
+  waitMs(endpointId: string, nowMs: number): number {
+    return this.#tokens(endpointId, nowMs) / this.#tokensPerMs;
+  }
+
+  /** Drops what is known of an endpoint, when its identity has left. */
+  forget(endpointId: string): void {
+    this.#backlogs.delete(endpointId);
+  }
+
+  #tokens(endpointId: string, nowMs: number): number {
+    const backlog = this.#backlogs.get(endpointId);
+    if (!backlog) return 0;
+    const readTokens = Math.max(0, nowMs - backlog.updatedAtMs) * this.#tokensPerMs;
+    return Math.max(0, backlog.tokens - readTokens);
+  }
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,6 +3,8 @@
 import type { DutyClient } from '../capacity/duty-client.js';
 import { DutyLease } from '../capacity/duty-lease.js';
 import { EndpointScaler, type ScaledService } from '../capacity/endpoint-scaler.js';
+import { endpointsFor } from '../capacity/engine-sizing.js';
+import { RateMeter } from '../capacity/rate-meter.js';
 import { UsageCounter } from '../capacity/usage-counter.js';
 import { UsageReporter } from '../capacity/usage-reporter.js';
 import { Random, type Clock } from '../core/index.js';
@@ -15,11 +17,19 @@
   SilenceDetector,
   type EndpointProbe,
 } from '../fleet/index.js';
+import { PrefillBacklog } from '../fleet/prefill-backlog.js';
 import { SpeedEstimator } from '../fleet/speed-estimator.js';
 import type { KeyedLog } from '../log/keyed-log.js';
 import { KeyedReplica } from '../log/keyed-replica.js';
 import { DaemonSamples, type SampleContent } from '../membership/daemon-samples.js';
-import { Router } from '../routing/index.js';
+import { PrefillNewsExchange, type PeerAddress } from '../membership/prefill-news.js';
+import {
+  DisturbanceScorer,
+  PrefillQueueScorer,
+  PromptHomeScorer,
+  Router,
+  standardScorers,
+} from '../routing/index.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
 import type { AdmittedRequest } from './caller-exchange.js';
 import { ConfigHolder } from './config-holder.js';
@@ -45,6 +55,8 @@
   readonly region: string;
   readonly host: string;
   readonly port: number;
+  /** Where this daemon takes news of its peers. */
+  readonly news: PeerAddress;
   readonly store: KeyedLog;
   readonly topics: GatewayTopics;
   readonly codec: RequestCodec;
@@ -74,6 +86,9 @@
 const registrationsGapMs = 400;
 const samplesGapMs = 900;
 
+/** Demand follows bursts within seconds and outlasts the pauses between them. */
+const demandSmoothingMs = 5_000;
+
 /** How often the duties are looked at. */
 const dutyPeriodMs = 500;
 
@@ -104,6 +119,11 @@
   readonly #scaler: EndpointScaler;
   readonly #counter: UsageCounter;
   readonly #quotas: WorkspaceQuotas;
+  readonly #backlog = new PrefillBacklog();
+  readonly #demand = new RateMeter(demandSmoothingMs);
+  readonly #news: PrefillNewsExchange;
+  /** Endpoints of each scaled service when it was first seen. */
+  readonly #firstCounts = new Map<string, number>();
   #isStopping = false;
   #stopTicking: () => void = () => undefined;
 
@@ -132,6 +152,7 @@
     this.#registry.onRetire((endpointId) => {
       speeds.remove(endpointId);
       caches.forget(endpointId);
+      this.#backlog.forget(endpointId);
     });
     this.endpoints = new RegisteredEndpoints({
       registry: this.#registry,
@@ -151,6 +172,12 @@
       events,
       content: () => this.#sampleContent(),
     });
+    this.#news = new PrefillNewsExchange({
+      own: options.news,
+      peers: () => this.#samples.others().map(({ newsAddress }) => newsAddress),
+      onNews: ({ endpointId, tokens }) => this.#backlog.add(endpointId, tokens, clock.nowMs()),
+      events,
+    });
     this.#quotas = new WorkspaceQuotas(new SampledGrants(this.#samples), options.quotaTolerance);
     this.#listener = this.#createListener(codec, speeds, caches);
     this.#lease = new DutyLease({
@@ -200,6 +227,7 @@
   async start(): Promise<void> {
     const { clock } = this.#options;
     await this.#listener.listen();
+    this.#news.listen();
     for (const replica of this.#replicas()) replica.start();
     this.#samples.start();
     this.#stopTicking = clock.every(dutyPeriodMs, () => void this.#tickDuties());
@@ -223,12 +251,25 @@
     for (const replica of this.#replicas()) replica.stop();
     events.info(EventId.DaemonStopped, 'daemon has stopped', { open: this.#listener.inFlight });
     this.#listener.close();
+    this.#news.close();
     this.#connections.close();
   }
 
   #createListener(codec: RequestCodec, speeds: SpeedEstimator, caches: CacheView): GatewayListener {
     const { clock, events, daemon, region, random, host, port, retrySlack } = this.#options;
-    const router = new Router({ daemonId: daemon, region, random: random.fork(), caches });
+    const homes = new PromptHomeScorer();
+    const router = new Router({
+      daemonId: daemon,
+      region,
+      random: random.fork(),
+      caches,
+      scorers: [
+        ...standardScorers(region),
+        new PrefillQueueScorer(this.#backlog, clock),
+        new DisturbanceScorer(this.#backlog),
+        homes,
+      ],
+    });
     const silence = new SilenceDetector({
       clock,
       registry: this.#registry,
@@ -242,6 +283,10 @@
         endpoints: this.endpoints,
         caches,
         speeds,
+        backlog: this.#backlog,
+        homes,
+        demand: this.#demand,
+        tellPeers: (news) => this.#news.tell(news),
         clock,
       }),
       endpoints: this.endpoints,
@@ -319,14 +364,50 @@
       const own = Object.values(view.ownInFlight.requests).reduce((sum, count) => sum + count, 0);
       if (own > 0) inFlight[view.serviceId] = (inFlight[view.serviceId] ?? 0) + own;
     }
-    return { granted: this.#quotas.granted(), inFlight, usage: this.#counter.windows() };
+    const { host, port } = this.#options.news;
+    return {
+      granted: this.#quotas.granted(),
+      inFlight,
+      prefillTokensPerS: this.#demand.all(this.#options.clock.nowMs()),
+      newsAddress: `${host}:${port}`,
+      usage: this.#counter.windows(),
+    };
   }
 
   #scaledServices(): ScaledService[] {
     const services = this.config.table?.config.services ?? [];
-    return services.flatMap(({ name, scaling }) =>
-      scaling ? [{ serviceName: name, target: 3 * scaling.priceByDomain.size, ...scaling }] : [],
-    );
+    return services.flatMap(({ name, scaling }) => {
+      if (!scaling) return [];
+      const ready = this.endpoints.of(name).filter(({ isDraining }) => !isDraining);
+      this.#firstCounts.set(name, this.#firstCounts.get(name) ?? ready.length);
+      return [
+        {
+          serviceName: name,
+          ...scaling,
+          target: this.#targetOf(name, ready[0]?.batchSlots ?? 1),
+          live: (failureDomain, reclaimable) =>
+            ready.filter(
+              (endpoint) =>
+                endpoint.failureDomain === failureDomain && endpoint.reclaimable === reclaimable,
+            ).length,
+        },
+      ];
+    });
+  }
+
+  /** Endpoints that the load of all daemons needs; before there is any, those found at the start. */
+  #targetOf(serviceName: string, batchSlots: number): number {
+    const serviceId = this.endpoints.serviceId(serviceName);
+    const samples = [this.#sampleContent(), ...this.#samples.others()];
+    const sum = (of: (sample: SampleContent) => Record<string, number>): number =>
+      samples.reduce((total, sample) => total + (of(sample)[serviceId] ?? 0), 0);
+    const needed = endpointsFor({
+      prefillTokensPerS: sum(({ prefillTokensPerS }) => prefillTokensPerS),
+      inFlight: sum(({ inFlight }) => inFlight),
+      batchSlots,
+      readTokensPerS: this.#backlog.tokensPerMs * 1_000,
+    });
+    return needed > 0 ? needed : (this.#firstCounts.get(serviceName) ?? 0);
   }
 }
 
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -1,9 +1,17 @@
+import type { RateMeter } from '../capacity/rate-meter.js';
 import { WorkClass, type Clock } from '../core/index.js';
 import type { CacheView } from '../fleet/cache-view.js';
-import type { EndpointRegistry, EndpointView, RegisteredEndpoints } from '../fleet/index.js';
+import {
+  EndpointState,
+  type EndpointRegistry,
+  type EndpointView,
+  type RegisteredEndpoints,
+} from '../fleet/index.js';
 import { promptPrefixOfParts, type PromptPrefix } from '../fleet/prompt-prefix.js';
+import type { PrefillBacklog } from '../fleet/prefill-backlog.js';
 import type { SpeedEstimator } from '../fleet/speed-estimator.js';
-import type { Router, RouteRequest } from '../routing/index.js';
+import type { PrefillNews } from '../membership/prefill-news.js';
+import type { PromptHomeScorer, Router, RouteRequest, SharedPrompt } from '../routing/index.js';
 import type { AdmittedRequest } from './caller-exchange.js';
 import { RequestKind } from './traffic-config.js';
 
@@ -14,11 +22,23 @@
   readonly endpoints: RegisteredEndpoints;
   readonly caches: CacheView;
   readonly speeds: SpeedEstimator;
+  readonly backlog: PrefillBacklog;
+  readonly homes: PromptHomeScorer;
+  /** Uncached prompt tokens sent, by service. */
+  readonly demand: RateMeter;
+  /** Told about long prompts that are sent. */
+  readonly tellPeers: (news: PrefillNews) => void;
   readonly clock: Clock;
 }
 
-/** Weights of a routing decision; the platform's configuration names none. */
-const weights = { weight_cost: 0, weight_wait: 1, weight_tail: 1, weight_recompute: 1 };
+/**
+ * Weights of a routing decision; the platform's configuration names none. A late answer loses most of
+ * its value, a token that is read again some ten-thousandth of it.
+ */
+const weights = { weight_cost: 0, weight_wait: 1, weight_tail: 1, weight_recompute: 0.03 };
+
+/** Prompts from this length on delay other requests enough to tell the other daemons. */
+const toldTokens = 2_048;
 
 /** Endpoints that a daemon considers; more than a deployment has in two years per service. */
 const subsetSize = 1_000;
@@ -38,7 +58,9 @@
   /** The endpoint for the next attempt; undefined when there is none. */
   choose(admitted: AdmittedRequest, triedIds: readonly string[]): EndpointView | undefined {
     const { router, registry, endpoints, clock } = this.#options;
-    const views = registry.views(endpoints.serviceId(admitted.service.name));
+    const serviceId = endpoints.serviceId(admitted.service.name);
+    const views = registry.views(serviceId);
+    if (admitted.route.hasPrompt) this.#options.homes.setMembers(serviceId, usableIds(views));
     return router.choose(this.#routeRequest(admitted, triedIds), views, clock.nowMs()).endpoint;
   }
 
@@ -54,10 +76,25 @@
   }
 
   noteSent(view: EndpointView, admitted: AdmittedRequest): void {
-    const { caches, speeds, clock } = this.#options;
+    const { caches, speeds, backlog, demand, tellPeers, clock } = this.#options;
     speeds.add(view.id, view.serviceId);
+    const { promptTokens = 0 } = admitted.description;
+    if (promptTokens === 0) return;
+    const nowMs = clock.nowMs();
     const prefix = this.#prefixOf(admitted);
-    if (prefix.length > 0) caches.noteSent(view.id, prefix, clock.nowMs());
+    const tokens = Math.max(0, promptTokens - caches.cachedTokens(view.id, prefix, nowMs));
+    backlog.add(view.id, tokens, nowMs);
+    demand.note(view.serviceId, tokens, nowMs);
+    if (tokens >= toldTokens) tellPeers({ endpointId: view.id, tokens });
+    if (prefix.length > 0) caches.noteSent(view.id, prefix, nowMs);
+  }
+
+  /** Takes the time from sending a prompt to its first event. */
+  noteFirstEvent(admitted: AdmittedRequest, elapsedMs: number): void {
+    const { promptTokens = 0 } = admitted.description;
+    const ownTokens = admitted.description.promptParts.at(-1)?.tokens ?? promptTokens;
+    // Short prompts measure the fixed cost of a step rather than the speed of reading.
+    if (ownTokens >= toldTokens) this.#options.backlog.observeSpeed(ownTokens / elapsedMs);
   }
 
   noteProgress(view: EndpointView, events: number, elapsedMs: number): void {
@@ -86,6 +123,7 @@
       repeatable: route.kind === RequestKind.Idempotent,
       requiresFence: false,
       excludedEndpoints: triedIds,
+      sharedPrompt: sharedPromptOf(admitted),
     };
   }
 
@@ -98,3 +136,15 @@
     return prefix;
   }
 }
+
+/** All parts but the last, which belongs to the request itself. */
+function sharedPromptOf({ description }: AdmittedRequest): SharedPrompt | undefined {
+  const shared = description.promptParts.slice(0, -1);
+  const last = shared.at(-1);
+  if (!last) return undefined;
+  return { key: last.id, tokens: shared.reduce((sum, { tokens }) => sum + tokens, 0) };
+}
+
+function usableIds(views: readonly EndpointView[]): string[] {
+  return views.filter(({ state }) => state === EndpointState.Live).map(({ id }) => id);
+}
--- a/src/gateway/request-relay.ts
+++ b/src/gateway/request-relay.ts
@@ -82,6 +82,8 @@
   /** Whether some send may have run the request. */
   #mayHaveRun = false;
   #hasBegun = false;
+  #isAwaitingEvent = true;
+  #sentAtMs = 0;
   #isExpired = false;
   #lastReason = 'no endpoint is available';
 
@@ -131,7 +133,11 @@
   }
 
   override progressed(view: EndpointView, events: number, elapsedMs: number): void {
-    this.#options.placement.noteProgress(view, events, elapsedMs);
+    const { placement, clock } = this.#options;
+    if (this.#isAwaitingEvent) {
+      this.#isAwaitingEvent = false;
+      placement.noteFirstEvent(this.#admitted, clock.nowMs() - this.#sentAtMs);
+    } else placement.noteProgress(view, events, elapsedMs);
   }
 
   /** One attempt. @returns whether another one should follow. */
@@ -147,14 +153,15 @@
       WorkClass.Short,
       placement.pendingTokens(this.#admitted),
     );
-    const startedAtMs = clock.nowMs();
+    this.#sentAtMs = clock.nowMs();
+    this.#isAwaitingEvent = true;
     const attempt = this.#begin(view);
     this.#attempt = attempt;
     const result = await attempt.result;
     this.#attempt = undefined;
     this.#settle(view, own, result);
     if (result.end === AttemptEnd.Delivered) return false;
-    if (result.end !== AttemptEnd.Aborted) this.#logFailure(view, result, startedAtMs);
+    if (result.end !== AttemptEnd.Aborted) this.#logFailure(view, result);
     return this.#mayTryAgain(result) || this.#conclude(result);
   }
 
@@ -280,7 +287,7 @@
     this.#exchange.answer(status, headers, Buffer.alloc(0));
   }
 
-  #logFailure(view: EndpointView, result: AttemptResult, startedAtMs: number): void {
+  #logFailure(view: EndpointView, result: AttemptResult): void {
     const { events, clock } = this.#options;
     events.warn(EventId.AttemptFailed, 'an attempt at an endpoint failed', {
       requestId: this.#admitted.description.requestId,
@@ -289,7 +296,7 @@
       reason: result.reason,
       wasSent: result.wasSent,
       events: this.#progress.events,
-      elapsedMs: Math.round(clock.nowMs() - startedAtMs),
+      elapsedMs: Math.round(clock.nowMs() - this.#sentAtMs),
     });
   }
 
--- a/src/membership/daemon-samples.ts
+++ b/src/membership/daemon-samples.ts
@@ -24,6 +24,10 @@
   granted: countsSchema,
   /** Requests in flight by service. */
   inFlight: countsSchema,
+  /** Prompt tokens sent to be read, per second, by service. */
+  prefillTokensPerS: countsSchema,
+  /** Where the daemon takes news of its peers, as host:port. */
+  newsAddress: z.string(),
   /** Requests begun by usage window and workspace. */
   usage: z.array(z.tuple([z.int(), countsSchema])),
   /** Whether the daemon is stopping. */
@@ -34,7 +38,10 @@
 export type DaemonSample = z.output<typeof sampleSchema>;
 
 /** The part of a sample that {@link DaemonSamples} does not fill in. */
-export type SampleContent = Pick<DaemonSample, 'granted' | 'inFlight' | 'usage'>;
+export type SampleContent = Pick<
+  DaemonSample,
+  'granted' | 'inFlight' | 'prefillTokensPerS' | 'newsAddress' | 'usage'
+>;
 
 /** Options of {@link DaemonSamples}. */
 export interface DaemonSamplesOptions {
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -2,6 +2,7 @@
 export * from './explain-store.js';
 export * from './explanation.js';
 export * from './load-estimate.js';
+export * from './prefill-scorers.js';
 export * from './route-filter.js';
 export * from './route-request.js';
 export * from './route-scorer.js';
--- a/src/routing/route-request.ts
+++ b/src/routing/route-request.ts
@@ -8,6 +8,13 @@
   'weight_cost' | 'weight_wait' | 'weight_tail' | 'weight_recompute'
 >;
 
+/** The beginning of a prompt that other requests have too. */
+export interface SharedPrompt {
+  /** Names the beginning; equal for equal ones. */
+  readonly key: string;
+  readonly tokens: number;
+}
+
 /** What the router needs to know of a request. */
 export interface RouteRequest {
   readonly requestId: string;
@@ -39,4 +46,6 @@
   readonly requiresFence: boolean;
   /** Endpoints that already failed this request or run its other copy. */
   readonly excludedEndpoints: readonly string[];
+  /** The part of the prompt that other requests share; undefined when it has none. */
+  readonly sharedPrompt?: SharedPrompt | undefined;
 }
--- a/test/capacity/duty-lease_test.ts
+++ b/test/capacity/duty-lease_test.ts
@@ -42,7 +42,13 @@
       incarnation,
       clock,
       events,
-      content: () => ({ granted: {}, inFlight: {}, usage: [] }),
+      content: () => ({
+        granted: {},
+        inFlight: {},
+        prefillTokensPerS: {},
+        newsAddress: '',
+        usage: [],
+      }),
     });
     samples.start();
     this.lease = new DutyLease({
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -98,6 +98,7 @@
       region: 'here',
       host: '127.0.0.1',
       port: 0,
+      news: { host: '127.0.0.1', port: 0 },
       store: new MemoryKeyedLog(),
       topics: { config: 'config', registrations: 'servers', daemons: 'daemons', duties: 'duties' },
       codec: new HeaderCodec(),
