Close connections whose answer began before a planned stop

Change: once the listener takes no more requests, each connection is closed after its answer. The test fails without the change.

--- a/src/gateway/gateway-listener.ts
+++ b/src/gateway/gateway-listener.ts
@@ -41,6 +41,7 @@
   readonly #idleListeners: (() => void)[] = [];
   #inFlight = 0;
   #isDraining = false;
+  #isAccepting = true;
 
   constructor(options: GatewayListenerOptions) {
     this.#options = options;
@@ -91,6 +92,7 @@
    * another daemon at once. A request taken now could not end before the process does.
    */
   stopAccepting(): void {
+    this.#isAccepting = false;
     this.#server.close();
     this.#server.closeIdleConnections();
   }
@@ -123,6 +125,10 @@
     response.once('close', () => {
       this.#ended();
     });
+    // The head of an answer that began before the stop did not ask the caller to leave.
+    response.once('finish', () => {
+      if (!this.#isAccepting) request.socket.end();
+    });
     try {
       await relay.relay(exchange, await admission.admit(exchange));
     } catch (error) {
--- a/test/gateway/gateway-listener_test.ts
+++ b/test/gateway/gateway-listener_test.ts
@@ -1,8 +1,12 @@
+import { Agent, get, type IncomingMessage } from 'node:http';
 import { connect } from 'node:net';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
-import { trafficConfig } from './configs.js';
+import { RequestKind } from '../../src/gateway/traffic-config.js';
+import { trafficConfig, trafficRoute } from './configs.js';
 import { GatewayHarness, answerWhole, sealed } from './gateway-harness.js';
 
+const streamRoute = trafficRoute({ kind: RequestKind.Stream });
+
 describe('GatewayListener', () => {
   let harness: GatewayHarness;
 
@@ -37,6 +41,43 @@
       await stopping;
     });
 
+    it('closes connections whose answer began before the stop, once it is whole', async () => {
+      const finishers: (() => void)[] = [];
+      await harness.start(trafficConfig({ routes: [streamRoute] }), (request, response) => {
+        request.resume();
+        response.writeHead(200, sealed(request));
+        response.write('id: 1\ndata: 1\n\n');
+        finishers.push(() => response.end('id: 2\ndata: 2\n\n'));
+      });
+      // Keeps the daemon from ending, which would close every connection.
+      const other = harness.call();
+      const agent = new Agent({ keepAlive: true });
+      const answer = await new Promise<IncomingMessage>((resolve) => {
+        get(
+          {
+            host: '127.0.0.1',
+            port: harness.gateway.port,
+            agent,
+            path: '/x',
+            headers: { host: 'shop.example', 'oriolestack-request-id': 'r' },
+          },
+          resolve,
+        );
+      });
+      const closed = new Promise((resolve) => answer.socket.once('close', resolve));
+      const stopping = harness.gateway.stop(Date.now() + 5_000);
+      await harnessRefuses(harness);
+      finishers.at(-1)?.();
+      answer.resume();
+      await closed;
+      finishers[0]?.();
+      expect((await other).isWhole).toBe(true);
+      expect(answer.headers.connection).toBe('keep-alive');
+      expect(answer.complete).toBe(true);
+      await stopping;
+      agent.destroy();
+    });
+
     it('says so on the connections that it still answers', async () => {
       await harness.start(trafficConfig(), answerWhole(200, 'ok'));
       const stopping = harness.gateway.stop(Date.now() + 2_000);
