Let the lease of a killed holder lapse when its daemon starts again

Ruled out: the outage of the store at 18 s; after it nobody tried either. Change: only samples of the holder's own run count as its heartbeats. The test fails without the change.

--- a/src/capacity/duty-lease.ts
+++ b/src/capacity/duty-lease.ts
@@ -142,8 +142,9 @@
     const isOwnReturn = record.previousHolder === daemon && record.holder !== daemon;
     if (isOwnReturn && nowMs < this.#lastRecordAtMs + idleMs) return false;
     if (record.holder === '') return true;
-    const heardAtMs = Math.max(this.#lastRecordAtMs, samples.receivedAtMs(record.holder) ?? 0);
-    return nowMs >= heardAtMs + idleMs;
+    const { holder, incarnation } = record;
+    const heardAtMs = samples.receivedAtMs(holder, incarnation) ?? 0;
+    return nowMs >= Math.max(this.#lastRecordAtMs, heardAtMs) + idleMs;
   }
 
   async #acquire(): Promise<void> {
--- a/src/membership/daemon-samples.ts
+++ b/src/membership/daemon-samples.ts
@@ -141,9 +141,13 @@
       .filter((sample) => sample.daemon !== daemon || sample.incarnation !== incarnation);
   }
 
-  /** When the newest sample of a daemon arrived here, in epoch milliseconds. */
-  receivedAtMs(daemon: string): number | undefined {
-    return this.#received.get(daemon)?.receivedAtMs;
+  /**
+   * When the newest sample of one run of a daemon arrived here, in epoch milliseconds; undefined when
+   * there is none, or a later run has followed.
+   */
+  receivedAtMs(daemon: string, incarnation: number): number | undefined {
+    const received = this.#received.get(daemon);
+    return received?.sample.incarnation === incarnation ? received.receivedAtMs : undefined;
   }
 
   /** Sends a sample now. A failure is logged; the next sample follows in its time. */
--- a/test/capacity/duty-lease_test.ts
+++ b/test/capacity/duty-lease_test.ts
@@ -17,7 +17,12 @@
   suspendedMs = 0;
   isRunning = true;
 
-  constructor(name: string, log: MemoryKeyedLog, clock: VirtualClock) {
+  constructor(
+    readonly name: string,
+    log: MemoryKeyedLog,
+    clock: VirtualClock,
+    incarnation = 1,
+  ) {
     this.store = new PathToStore(log);
     const events = new NullEventLog();
     const replicaOf = (topic: string): KeyedReplica => {
@@ -33,7 +38,6 @@
       replica.start();
       return replica;
     };
-    const incarnation = 1;
     const samples = new DaemonSamples({
       log: this.store,
       topic: 'daemons',
@@ -161,6 +165,18 @@
     });
   });
 
+  describe('a holder that starts again after a kill', () => {
+    it('does not keep the lease of its earlier run from everybody', async () => {
+      const [holder] = holders();
+      holder!.isRunning = false;
+      holder!.store.isCut = true;
+      const again = new TestDaemon(holder!.name, log, clock, 2);
+      daemons = [...daemons.filter((daemon) => daemon !== holder), again];
+      await clock.advance(6_000);
+      expect(holders()).toHaveLength(1);
+    });
+  });
+
   describe('a holder that stops', () => {
     it('leaves the lease to another at once', async () => {
       const [holder] = holders();
