Release on-demand endpoints in time and find quota for long prompts

Change: on-demand endpoints that exist count first and go at 0.6 of the target; the first count is the highest before load; a daemon may use half the balance less what the others are estimated to have granted; longer waits in reads.

--- a/src/admission/token-quota.ts
+++ b/src/admission/token-quota.ts
@@ -29,11 +29,20 @@
 /** Grants younger than this may be unknown to the other daemons. */
 const untoldMs = 2_200;
 
+/** How much faster the others may have become since they last told. */
+const growthRatio = 1.5;
+
+/** Part of the balance that one daemon grants at most before the others know. */
+const maxBalanceRatio = 0.5;
+
+/** Time constant of the others' rate. */
+const rateSmoothingMs = 4_000;
+
 /**
  * One daemon's view of a workspace's quota. Daemons tell each other what they granted, so that each
- * knows the balance that all share, up to a second ago. Of that balance a daemon grants at most its
- * even part until the others know: idle daemons leave theirs to the busy ones within a second, and
- * daemons that do not hear each other never grant more than the whole.
+ * knows the balance that all share, up to two seconds ago. What the others have granted since is
+ * estimated from their rate; the rest of the balance is there for whoever needs it, so that a long
+ * prompt finds room at any daemon. An even part of the balance is always a daemon's own.
  *
  * @example
  * ```ts
@@ -49,6 +58,7 @@
   #granted = 0;
   #untoldAmount = 0;
   #knownByOthers: number | undefined;
+  #othersPerS = 0;
   #updatedAtMs: number;
 
   constructor(limit: QuotaLimit, tolerance: QuotaTolerance, nowMs: number) {
@@ -72,11 +82,10 @@
   tryTake(amount: number, peers: QuotaPeers, nowMs: number): number | undefined {
     this.#refill(peers, nowMs);
     this.#forgetTold(nowMs);
-    const share = 1 / Math.max(1, peers.daemons);
-    const available = share * (this.#balance + this.#untoldAmount) - this.#untoldAmount;
+    const available = this.#available(peers);
     // A request above the whole capacity passes when nothing else was granted for a while.
-    const needed = Math.min(amount, share * this.#capacity);
-    if (available < needed) return this.#retryAtMs((needed - available) / share, nowMs);
+    const needed = Math.min(amount, this.#capacity * maxBalanceRatio);
+    if (available < needed) return this.#retryAtMs(needed - available, nowMs);
     this.#balance -= amount;
     this.#granted += amount;
     this.#untoldAmount += amount;
@@ -84,6 +93,15 @@
     return undefined;
   }
 
+  #available({ daemons, isCurrent }: QuotaPeers): number {
+    const whole = this.#balance + this.#untoldAmount;
+    const even = whole / Math.max(1, daemons) - this.#untoldAmount;
+    if (!isCurrent) return even;
+    const untoldByOthers = (this.#othersPerS * growthRatio * untoldMs) / 1_000;
+    const own = whole * maxBalanceRatio - this.#untoldAmount;
+    return Math.max(even, Math.min(own, this.#balance - untoldByOthers));
+  }
+
   get #capacity(): number {
     const { ratePerS, burst } = this.#limit;
     const { windowMs, overRatio, slack } = this.#tolerance;
@@ -98,6 +116,8 @@
     const ratePerS = isCurrent ? this.#limit.ratePerS : this.#limit.ratePerS / Math.max(1, daemons);
     const spent = Math.max(0, grantedByOthers - (this.#knownByOthers ?? grantedByOthers));
     this.#knownByOthers = grantedByOthers;
+    const kept = Math.exp((-elapsedS * 1_000) / rateSmoothingMs);
+    this.#othersPerS = this.#othersPerS * kept + (spent * 1_000) / rateSmoothingMs;
     this.#balance = Math.min(this.#capacity, this.#balance + elapsedS * ratePerS - spent);
   }
 
--- a/src/capacity/domain-plan.ts
+++ b/src/capacity/domain-plan.ts
@@ -6,6 +6,8 @@
   /** Whether reclaimable endpoints are to be had now. */
   readonly hasReclaimable: boolean;
   readonly liveReclaimable: number;
+  /** On-demand endpoints that are live or ordered. */
+  readonly onDemand: number;
 }
 
 /** What a plan for one service depends on. */
@@ -54,15 +56,30 @@
   }
   const wanted = Math.min(target, maxPerDomain * domains.length);
   const live = domains.reduce((sum, { liveReclaimable }) => sum + liveReclaimable, 0);
-  let missing = domains.every(({ hasReclaimable }) => hasReclaimable)
-    ? 0
-    : Math.max(0, Math.ceil(wanted * assuredRatio) - live);
-  return domains.map(({ failureDomain, hasReclaimable, liveReclaimable }, index) => {
-    const reclaimable = totals[index] ?? 0;
-    const room = hasReclaimable ? 0 : maxPerDomain - liveReclaimable;
-    const onDemand = Math.max(0, Math.min(missing, room));
-    missing -= onDemand;
-    return { failureDomain, onDemand, reclaimable: Math.min(reclaimable, maxPerDomain - onDemand) };
+  const isShort = domains.some(({ hasReclaimable }) => !hasReclaimable);
+  const missing = isShort ? Math.ceil(wanted * assuredRatio) - live : 0;
+  const onDemand = assured(domains, missing, maxPerDomain);
+  return domains.map(({ failureDomain }, index) => ({
+    failureDomain,
+    onDemand: onDemand[index] ?? 0,
+    reclaimable: Math.min(totals[index] ?? 0, maxPerDomain - (onDemand[index] ?? 0)),
+  }));
+}
+
+/** On-demand endpoints by domain; those that are there already are kept before new ones are taken. */
+function assured(domains: readonly DomainState[], missing: number, max: number): number[] {
+  let left = Math.max(0, missing);
+  const kept = domains.map(({ onDemand }) => {
+    const count = Math.min(left, onDemand);
+    left -= count;
+    return count;
+  });
+  return domains.map(({ hasReclaimable, liveReclaimable }, index) => {
+    const base = kept[index] ?? 0;
+    const room = hasReclaimable ? 0 : Math.max(0, max - liveReclaimable - base);
+    const added = Math.min(left, room);
+    left -= added;
+    return base + added;
   });
 }
 
--- a/src/capacity/endpoint-scaler.ts
+++ b/src/capacity/endpoint-scaler.ts
@@ -45,6 +45,9 @@
 /** A lower count is ordered only when it has been wanted for this long, as load comes in waves. */
 const shrinkAfterMs = 10_000;
 
+/** Part of the target that reclaimable endpoints must carry before the last on-demand ones go. */
+const releaseRatio = 0.6;
+
 interface Ordered {
   readonly count: number;
   readonly atMs: number;
@@ -92,6 +95,7 @@
         price,
         hasReclaimable: (this.#unavailableUntilMs.get(key) ?? 0) <= nowMs,
         liveReclaimable: live(failureDomain, true),
+        onDemand: this.#onDemand(service, failureDomain),
       };
     });
     const plan = planDomains({ ...service, domains });
@@ -105,6 +109,11 @@
     return [...orders(true), ...orders(false)];
   }
 
+  #onDemand({ serviceName, live }: ScaledService, failureDomain: string): number {
+    const key = keyOf({ serviceName, failureDomain, reclaimable: false });
+    return this.#ordered.get(key)?.count ?? live(failureDomain, false);
+  }
+
   async #send(order: EndpointOrder): Promise<void> {
     const { lease, duties, daemon, clock, events } = this.#options;
     const { fence } = lease;
@@ -148,12 +157,12 @@
     nowMs: number,
   ): boolean {
     // On-demand endpoints are dear; they go as soon as enough reclaimable ones take work.
-    if (!reclaimable && count === 0) {
+    if (!reclaimable) {
       const live = [...service.priceByDomain.keys()].reduce(
         (sum, failureDomain) => sum + service.live(failureDomain, true),
         0,
       );
-      return live >= service.target;
+      return live >= service.target * releaseRatio;
     }
     const sinceMs = this.#surplusSinceMs.get(key) ?? nowMs;
     this.#surplusSinceMs.set(key, sinceMs);
--- a/src/capacity/engine-sizing.ts
+++ b/src/capacity/engine-sizing.ts
@@ -12,10 +12,10 @@
 
 /**
  * Part of the time that an endpoint reads prompts. While it does, the streams that run there pause:
- * at a sixth of the time few prompts meet, and two thirds of the endpoints can carry the load when a
+ * at a fifth of the time few prompts meet, and two thirds of the endpoints can carry the load when a
  * failure domain is reclaimed.
  */
-const prefillRatio = 0.16;
+const prefillRatio = 0.2;
 
 /** Part of the batch slots in use; the rest is for bursts and for the loss of a failure domain. */
 const slotRatio = 0.4;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -77,9 +77,9 @@
 }
 
 /** How long reads of topics that change rarely are held open; bounds how long a silent connection hides. */
-const configWaitMs = 1_200;
+const configWaitMs = 2_500;
 const dutiesWaitMs = 4_000;
-const registrationsWaitMs = 1_200;
+const registrationsWaitMs = 2_500;
 
 /** Least time between two reads of a topic. */
 const configGapMs = 50;
@@ -122,8 +122,9 @@
   readonly #backlog = new PrefillBacklog();
   readonly #demand = new RateMeter(demandSmoothingMs);
   readonly #news: PrefillNewsExchange;
-  /** Endpoints of each scaled service when it was first seen. */
+  /** Most on-demand endpoints of each scaled service before there was load. */
   readonly #firstCounts = new Map<string, number>();
+  #loadedSinceMs: number | undefined;
   #isStopping = false;
   #stopTicking: () => void = () => undefined;
 
@@ -379,7 +380,8 @@
     return services.flatMap(({ name, scaling }) => {
       if (!scaling) return [];
       const ready = this.endpoints.of(name).filter(({ isDraining }) => !isDraining);
-      this.#firstCounts.set(name, this.#firstCounts.get(name) ?? ready.length);
+      const onDemand = ready.filter(({ reclaimable }) => !reclaimable).length;
+      this.#firstCounts.set(name, Math.max(this.#firstCounts.get(name) ?? 0, onDemand));
       return [
         {
           serviceName: name,
@@ -397,6 +399,7 @@
 
   /** Endpoints that the load of all daemons needs; before there is any, those found at the start. */
   #targetOf(serviceName: string, batchSlots: number): number {
+    const nowMs = this.#options.clock.nowMs();
     const serviceId = this.endpoints.serviceId(serviceName);
     const samples = [this.#sampleContent(), ...this.#samples.others()];
     const sum = (of: (sample: SampleContent) => Record<string, number>): number =>
@@ -407,7 +410,10 @@
       batchSlots,
       readTokensPerS: this.#backlog.tokensPerMs * 1_000,
     });
-    return needed > 0 ? needed : (this.#firstCounts.get(serviceName) ?? 0);
+    if (needed > 0) this.#loadedSinceMs ??= nowMs;
+    // The smoothed demand is too low at first, and what was there before was somebody's estimate.
+    const isNew = nowMs < (this.#loadedSinceMs ?? Infinity) + 3 * demandSmoothingMs;
+    return isNew ? Math.max(needed, this.#firstCounts.get(serviceName) ?? 0) : needed;
   }
 }
 
--- a/test/admission/token-quota_test.ts
+++ b/test/admission/token-quota_test.ts
@@ -18,6 +18,19 @@
     });
   });
 
+  describe("a prompt that is longer than a daemon's even part of the balance", () => {
+    it('is granted while the others use little', () => {
+      const quota = new TokenQuota(limit, tolerance, 0);
+      let grantedByOthers = 0;
+      for (let atMs = 0; atMs < 20_000; atMs += 500) {
+        quota.tryTake(1_000, { daemons: 7, grantedByOthers, isCurrent: true }, atMs);
+        grantedByOthers += 15_000;
+      }
+      const peers = { daemons: 7, grantedByOthers, isCurrent: true };
+      expect(quota.tryTake(65_000, peers, 20_000)).toBeUndefined();
+    });
+  });
+
   describe('a workspace that asks for many times its limit at all daemons', () => {
     it('gets no more in any window than the limit with its tolerance', () => {
       fc.assert(
