Bound the log without blocking, and test the platform's boundary and codecs

Cause: standard output of Node blocks on a pipe whose reader stops, and a flood of refusals would hide every other line. Change: lines wait in a bounded queue and are dropped and counted beyond it; each event has a number of lines a second. Not measured: the cost of a line.

--- a/src/gateway/request-relay.ts
+++ b/src/gateway/request-relay.ts
@@ -160,7 +160,10 @@
     const result = await attempt.result;
     this.#attempt = undefined;
     this.#settle(view, own, result);
-    if (result.end === AttemptEnd.Delivered) return false;
+    if (result.end === AttemptEnd.Delivered) {
+      this.#logServed(view);
+      return false;
+    }
     if (result.end !== AttemptEnd.Aborted) this.#logFailure(view, result);
     return this.#mayTryAgain(result) || this.#conclude(result);
   }
@@ -287,6 +290,20 @@
     this.#exchange.answer(status, headers, Buffer.alloc(0));
   }
 
+  #logServed(view: EndpointView): void {
+    const { events, clock } = this.#options;
+    const { description, route, receivedAtMs } = this.#admitted;
+    // Ordinary answers would drown the rest; what took a second send is told.
+    if (this.#sends <= 1 && this.#unsentAttempts === 0) return;
+    events.info(EventId.RequestRetried, 'a request was served after another attempt', {
+      requestId: description.requestId,
+      route: route.name,
+      endpoint: view.id,
+      sends: this.#sends,
+      elapsedMs: Math.round(clock.nowMs() - receivedAtMs),
+    });
+  }
+
   #logFailure(view: EndpointView, result: AttemptResult): void {
     const { events, clock } = this.#options;
     events.warn(EventId.AttemptFailed, 'an attempt at an endpoint failed', {
--- /dev/null
+++ b/src/telemetry/bounded-event-log.ts
@@ -0,0 +1,63 @@
+import type { Clock } from '../core/index.js';
+import { EventLog, Severity, type EventFields } from './event-log.js';
+import { EventId } from './events.js';
+
+/** Options of {@link BoundedEventLog}. */
+export interface BoundedEventLogOptions {
+  readonly log: EventLog;
+  readonly clock: Clock;
+  /** Lines of one event in a second; further ones are dropped and counted. */
+  readonly linesPerS: number;
+}
+
+interface Budget {
+  second: number;
+  lines: number;
+  dropped: number;
+}
+
+/**
+ * Bounds the volume of an {@link EventLog}: each event has a number of lines a second, so that a flood
+ * of one event hides no other. What was dropped is said with the event's next line.
+ *
+ * @example
+ * ```ts
+ * const events = new BoundedEventLog({ log: new RoarrEventLog({ daemon }), clock, linesPerS: 20 });
+ * ```
+ */
+export class BoundedEventLog extends EventLog {
+  readonly #options: BoundedEventLogOptions;
+  readonly #budgets = new Map<EventId, Budget>();
+
+  constructor(options: BoundedEventLogOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override write(severity: Severity, event: EventId, message: string, fields?: EventFields): void {
+    const { log, clock, linesPerS } = this.#options;
+    const second = Math.floor(clock.nowMs() / 1_000);
+    let budget = this.#budgets.get(event);
+    if (!budget) {
+      budget = { second, lines: 0, dropped: 0 };
+      this.#budgets.set(event, budget);
+    }
+    if (budget.second !== second) {
+      budget.second = second;
+      budget.lines = 0;
+    }
+    if (budget.lines >= linesPerS) {
+      budget.dropped += 1;
+      return;
+    }
+    budget.lines += 1;
+    const { dropped } = budget;
+    budget.dropped = 0;
+    log.write(
+      severity,
+      event,
+      message,
+      dropped > 0 ? { ...fields, droppedLines: dropped } : fields,
+    );
+  }
+}
--- a/src/telemetry/event-log.ts
+++ b/src/telemetry/event-log.ts
@@ -1,6 +1,7 @@
 import './enable-roarr.js';
 import { Roarr, ROARR, type Logger, type MessageContext } from 'roarr';
 import { EventId } from './events.js';
+import { LineWriter } from './line-writer.js';
 
 /** Severity of a log line; the numbers are those of roarr. */
 export enum Severity {
@@ -86,7 +87,10 @@
 
 /** Sends the lines of every {@link RoarrEventLog} to standard output, where the platform collects them. */
 export function writeEventsToStdout(): void {
+  const writer: LineWriter = new LineWriter({
+    onDropped: (lines) => writer.write(JSON.stringify({ droppedLines: lines })),
+  });
   ROARR.write = (line) => {
-    process.stdout.write(`${line}\n`);
+    writer.write(line);
   };
 }
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -15,7 +15,7 @@
   RequestRefused = 202,
   RequestBroken = 203,
   AttemptFailed = 204,
-  StreamContinued = 205,
+  RequestRetried = 205,
 
   // 3xx log and state
   LogReadFailing = 301,
@@ -69,8 +69,7 @@
   UsageUnanswered = 631,
   EndpointsOrdered = 632,
   OrderUnanswered = 633,
-  DutyFenced = 634,
-  SampleUnreadable = 635,
+  SampleUnreadable = 634,
 
   // 7xx claims and jobs
   CallOutcomeUnknown = 701,
--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -1,3 +1,5 @@
 export * from './event-log.js';
 export * from './events.js';
 export * from './metrics.js';
+export * from './bounded-event-log.js';
+export * from './line-writer.js';
--- /dev/null
+++ b/src/telemetry/line-writer.ts
@@ -0,0 +1,74 @@
+import { write } from 'node:fs';
+
+/** Writes bytes and calls back when they are taken, or could not be. */
+export type WriteBytes = (bytes: string, done: (error: Error | null) => void) => void;
+
+/** Options of {@link LineWriter}. */
+export interface LineWriterOptions {
+  /** Default: standard output. */
+  readonly write?: WriteBytes;
+  /** Lines that would make more than this wait are dropped. */
+  readonly maxQueuedBytes?: number;
+  /** Told how many lines were dropped, once some are taken again. */
+  readonly onDropped?: (lines: number) => void;
+}
+
+const standardOutput = 1;
+
+/**
+ * Writes lines without ever blocking: while a reader does not take them, lines wait up to a bound and
+ * are then dropped and counted.
+ *
+ * @example
+ * ```ts
+ * const writer = new LineWriter({ onDropped: (lines) => report(lines) });
+ * writer.write('{"event":101}');
+ * ```
+ */
+export class LineWriter {
+  readonly #write: WriteBytes;
+  readonly #maxQueuedBytes: number;
+  readonly #onDropped: (lines: number) => void;
+  #queued = '';
+  #isWriting = false;
+  #dropped = 0;
+
+  constructor(options: LineWriterOptions = {}) {
+    this.#write = options.write ?? writeStandardOutput;
+    this.#maxQueuedBytes = options.maxQueuedBytes ?? 262_144;
+    this.#onDropped = options.onDropped ?? (() => undefined);
+  }
+
+  write(line: string): void {
+    if (this.#queued.length + line.length > this.#maxQueuedBytes) {
+      this.#dropped += 1;
+      return;
+    }
+    this.#queued += `${line}\n`;
+    if (!this.#isWriting) this.#flush();
+  }
+
+  #flush(): void {
+    if (this.#queued === '') return;
+    const bytes = this.#queued;
+    this.#queued = '';
+    this.#isWriting = true;
+    this.#write(bytes, () => {
+      // A reader that is gone loses its lines; there is nowhere left to say so.
+      this.#isWriting = false;
+      this.#reportDropped();
+      this.#flush();
+    });
+  }
+
+  #reportDropped(): void {
+    if (this.#dropped === 0) return;
+    const dropped = this.#dropped;
+    this.#dropped = 0;
+    this.#onDropped(dropped);
+  }
+}
+
+function writeStandardOutput(bytes: string, done: (error: Error | null) => void): void {
+  write(standardOutput, bytes, done);
+}
--- /dev/null
+++ b/test/fleet/registered-endpoints_test.ts
@@ -0,0 +1,110 @@
+import { beforeEach, describe, expect, it } from 'vitest';
+import { VirtualClock } from '../../src/core/index.js';
+import {
+  EndpointRegistry,
+  EndpointState,
+  LeavingMerge,
+  RegisteredEndpoints,
+  type EndpointRegistration,
+} from '../../src/fleet/index.js';
+import { NullEventLog } from '../../src/telemetry/index.js';
+
+function registration(changes: Partial<EndpointRegistration> = {}): EndpointRegistration {
+  return {
+    instanceId: 'i-1',
+    serviceName: 'orders',
+    baseUrl: 'http://10.0.0.1:80',
+    region: 'here',
+    failureDomain: 'here-a',
+    batchSlots: 8,
+    startedAtMs: 100,
+    isDraining: false,
+    leavesAtMs: undefined,
+    reclaimable: false,
+    ...changes,
+  };
+}
+
+describe('RegisteredEndpoints', () => {
+  let clock: VirtualClock;
+  let registry: EndpointRegistry;
+  let endpoints: RegisteredEndpoints;
+  let isStoreRecovering: boolean;
+
+  const states = (): EndpointState[] =>
+    registry.views(endpoints.serviceId('orders')).map(({ state }) => state);
+
+  beforeEach(() => {
+    clock = new VirtualClock();
+    isStoreRecovering = false;
+    const events = new NullEventLog();
+    registry = new EndpointRegistry({ clock, leaving: new LeavingMerge(), events });
+    endpoints = new RegisteredEndpoints({
+      registry,
+      clock,
+      events,
+      isStoreRecovering: () => isStoreRecovering,
+    });
+  });
+
+  it('makes a registered endpoint live at once', () => {
+    endpoints.register(registration());
+    expect(states()).toEqual([EndpointState.Live]);
+  });
+
+  describe('an endpoint that is leaving', () => {
+    it('gets no new work from the registration that says so', () => {
+      endpoints.register(registration());
+      endpoints.register(registration({ isDraining: true, leavesAtMs: clock.nowMs() + 2_500 }));
+      expect(states()).toEqual([EndpointState.Leaving]);
+    });
+
+    it('gets no new work when its registration goes without a word', () => {
+      endpoints.register(registration());
+      endpoints.remove('i-1');
+      expect(states()).toEqual([]);
+    });
+  });
+
+  describe('a registration that lapses with the store', () => {
+    it('is kept until live endpoints have registered again', async () => {
+      endpoints.register(registration());
+      isStoreRecovering = true;
+      endpoints.remove('i-1');
+      await clock.advance(1_900);
+      expect(states()).toEqual([EndpointState.Live]);
+      endpoints.register(registration());
+      await clock.advance(5_000);
+      expect(states()).toEqual([EndpointState.Live]);
+    });
+
+    it('ends when the endpoint does not come back', async () => {
+      endpoints.register(registration());
+      isStoreRecovering = true;
+      endpoints.remove('i-1');
+      await clock.advance(2_100);
+      expect(states()).toEqual([]);
+    });
+  });
+
+  describe('an endpoint that starts again under its id', () => {
+    it('is a new one: what was known of the one before is forgotten', () => {
+      endpoints.register(registration());
+      endpoints.register(registration({ isDraining: true }));
+      endpoints.register(registration({ startedAtMs: 200 }));
+      expect(states()).toEqual([EndpointState.Live]);
+      const [view] = registry.views(endpoints.serviceId('orders'));
+      expect(endpoints.instanceIdOf(view!)).toBe('i-1');
+    });
+  });
+
+  describe('an address that a process of another service takes over', () => {
+    it('serves that service only', () => {
+      endpoints.register(registration());
+      endpoints.remove('i-1');
+      endpoints.register(registration({ instanceId: 'i-2', serviceName: 'other' }));
+      expect(states()).toEqual([]);
+      expect(registry.views(endpoints.serviceId('other'))).toHaveLength(1);
+    });
+  });
+});
--- /dev/null
+++ b/test/platform/codecs_test.ts
@@ -0,0 +1,179 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { RequestKind } from '../../src/gateway/traffic-config.js';
+import { decodeConfig } from '../../platform/config-codec.js';
+import { HeaderCodec } from '../../platform/header-codec.js';
+import { parseNodeSettings } from '../../platform/node-settings.js';
+import {
+  UnreadableRegistrationError,
+  decodeRegistration,
+} from '../../platform/registration-codec.js';
+import { decodeRecords, encodeRecord } from '../../platform/store-client.js';
+
+const regions = new Map([['here-a', 'here']]);
+
+const entry = {
+  service: 'orders',
+  address: '10.0.0.1:8080',
+  zone: 'here-a',
+  version: 'v1',
+  slots: 8,
+  state: 'ready',
+  cold_remaining_ms: 0,
+  sequence: 4,
+};
+
+function bytesOf(value: unknown): Buffer {
+  return Buffer.from(JSON.stringify(value));
+}
+
+describe('decodeRegistration', () => {
+  it('reads an entry and finds the region of its failure domain', () => {
+    expect(decodeRegistration('i-1', bytesOf(entry), regions, 0)).toMatchObject({
+      instanceId: 'i-1',
+      serviceName: 'orders',
+      baseUrl: 'http://10.0.0.1:8080',
+      region: 'here',
+      isDraining: false,
+      startedAtMs: 0,
+    });
+  });
+
+  describe('entries of other writers', () => {
+    it('are refused one by one, whatever they hold', () => {
+      const wrong = [
+        { ...entry, state: 'resting' },
+        { ...entry, slots: 'many' },
+        { ...entry, address: 'http://elsewhere' },
+        { ...entry, born: -1 },
+        [],
+        7,
+      ];
+      for (const value of wrong) {
+        expect(() => decodeRegistration('i-1', bytesOf(value), regions, 0)).toThrow(
+          UnreadableRegistrationError,
+        );
+      }
+      fc.assert(
+        fc.property(fc.uint8Array({ maxLength: 200 }), (bytes) => {
+          expect(() => decodeRegistration('i-1', bytes, regions, 0)).toThrow(
+            UnreadableRegistrationError,
+          );
+        }),
+      );
+    });
+  });
+});
+
+describe('decodeConfig', () => {
+  const route = {
+    name: 'r',
+    host: 'Shop.Example',
+    path_prefix: '/a/',
+    kind: 'unsafe',
+    timeout_ms: 1_500,
+    service: 'orders',
+  };
+
+  it('leaves out what it cannot read, reports it and keeps the rest', () => {
+    const unreadable: string[] = [];
+    const config = decodeConfig(
+      bytesOf({ version: 3, routes: [route, { ...route, kind: 'odd' }, 5], services: [{}] }),
+      (what) => unreadable.push(what),
+    );
+    expect(config.routes).toHaveLength(1);
+    expect(config.routes[0]).toMatchObject({ kind: RequestKind.AtMostOnce, host: 'shop.example' });
+    expect(unreadable).toEqual(['route 1', 'route 2', 'service 0']);
+  });
+
+  it('refuses a record without a version, so that the last one stands', () => {
+    expect(() => decodeConfig(bytesOf({ routes: [], services: [] }), () => undefined)).toThrow();
+    expect(() => decodeConfig(Buffer.from('{'), () => undefined)).toThrow();
+  });
+});
+
+describe('HeaderCodec', () => {
+  const codec = new HeaderCodec();
+
+  it('reads prompts, estimates and keys, and survives any text in their place', () => {
+    expect(
+      codec.describe({
+        'oriolestack-request-id': 'r',
+        'oriolestack-token-usage': '1460,80',
+        'oriolestack-prompt-prefix': '5c1e:800, 91bd:410,e440:250',
+        authorization: 'Bearer key',
+      }),
+    ).toMatchObject({
+      promptTokens: 1_460,
+      maxOutputTokens: 80,
+      callerKey: 'key',
+      promptParts: [
+        { id: '5c1e', tokens: 800 },
+        { id: '91bd', tokens: 410 },
+        { id: 'e440', tokens: 250 },
+      ],
+    });
+    fc.assert(
+      fc.property(fc.string(), (text) => {
+        const { promptTokens = 0, promptParts } = codec.describe({
+          'oriolestack-request-id': 'r',
+          'oriolestack-token-usage': text,
+          'oriolestack-prompt-prefix': text,
+        });
+        expect(promptTokens).toBeGreaterThanOrEqual(0);
+        for (const { tokens } of promptParts) expect(tokens).toBeGreaterThanOrEqual(0);
+      }),
+    );
+  });
+
+  it('drops headers that the connection line names', () => {
+    const forwarded = codec.forwardedHeaders(
+      { connection: 'close, x-hop', 'x-hop': '1', 'x-kept': '2' },
+      {
+        workspaceName: undefined,
+        instanceId: 'i-1',
+        remainingMs: 10,
+        priority: undefined,
+        lastEventId: undefined,
+      },
+    );
+    expect(forwarded).toEqual({
+      'x-kept': '2',
+      'oriolestack-deadline-ms': '10',
+      'oriolestack-expect-instance': 'i-1',
+    });
+  });
+});
+
+describe('records of the store', () => {
+  it('come back as they were written, also when the last one is cut off', () => {
+    fc.assert(
+      fc.property(
+        fc.array(fc.tuple(fc.string({ maxLength: 20 }), fc.uint8Array({ minLength: 1 }))),
+        fc.nat(20),
+        (pairs, cutBytes) => {
+          const bytes = Buffer.concat(pairs.map(([key, value]) => encodeRecord(key, value)));
+          const whole = decodeRecords(bytes, 7);
+          expect(whole.map(({ key, value }) => [key, [...value!]])).toEqual(
+            pairs.map(([key, value]) => [key, [...value]]),
+          );
+          expect(whole.map(({ offset }) => offset)).toEqual(pairs.map((_, index) => 7 + index));
+          const cut = decodeRecords(bytes.subarray(0, Math.max(0, bytes.length - cutBytes)), 7);
+          expect(cut).toEqual(whole.slice(0, cut.length));
+        },
+      ),
+    );
+  });
+
+  it('without a value stand for a removed key', () => {
+    expect(decodeRecords(encodeRecord('gone', Buffer.alloc(0)), 0)).toEqual([
+      { key: 'gone', value: undefined, offset: 0 },
+    ]);
+  });
+});
+
+describe('parseNodeSettings', () => {
+  it('says which line is missing', () => {
+    expect(() => parseNodeSettings('region=x\n')).toThrow(/node_name/);
+  });
+});
