Keep more of the quota's tolerance for what daemons have not told yet

Seven daemons each estimated the others' grants of the last two seconds too low while the workspace's demand grew. Ruled out: retries and continuations; each passes the quota or is the same request.

--- a/src/admission/token-quota.ts
+++ b/src/admission/token-quota.ts
@@ -24,13 +24,13 @@
 }
 
 /** Part of the tolerance that is used; the rest covers what the others have not told yet. */
-const toleranceRatio = 0.8;
+const toleranceRatio = 0.6;
 
 /** Grants younger than this may be unknown to the other daemons. */
 const untoldMs = 2_200;
 
 /** How much faster the others may have become since they last told. */
-const growthRatio = 1.5;
+const growthRatio = 1.75;
 
 /** Part of the balance that one daemon grants at most before the others know. */
 const maxBalanceRatio = 0.5;
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -90,11 +90,13 @@
   }
 
   /** Takes the time from sending a prompt to its first event. */
-  noteFirstEvent(admitted: AdmittedRequest, elapsedMs: number): void {
+  noteFirstEvent(view: EndpointView, admitted: AdmittedRequest, elapsedMs: number): void {
     const { promptTokens = 0 } = admitted.description;
     const ownTokens = admitted.description.promptParts.at(-1)?.tokens ?? promptTokens;
     // Short prompts measure the fixed cost of a step rather than the speed of reading.
-    if (ownTokens >= toldTokens) this.#options.backlog.observeSpeed(ownTokens / elapsedMs);
+    if (ownTokens < toldTokens) return;
+    this.#options.backlog.observeSpeed(ownTokens / elapsedMs);
+    this.#options.speeds.observeFirstToken(view.id, ownTokens, elapsedMs);
   }
 
   noteProgress(view: EndpointView, events: number, elapsedMs: number): void {
--- a/src/gateway/request-relay.ts
+++ b/src/gateway/request-relay.ts
@@ -136,7 +136,7 @@
     const { placement, clock } = this.#options;
     if (this.#isAwaitingEvent) {
       this.#isAwaitingEvent = false;
-      placement.noteFirstEvent(this.#admitted, clock.nowMs() - this.#sentAtMs);
+      placement.noteFirstEvent(view, this.#admitted, clock.nowMs() - this.#sentAtMs);
     } else placement.noteProgress(view, events, elapsedMs);
   }
 
