Find a holder again after an outage of the store, and leave cut-off daemons their quota

Change: a run may take its own lapsed lease again under a new fence; daemons that went without a word keep their even part of the quota for 30 s; on-demand endpoints go one by one as reclaimable ones take their work. The tests fail without the changes.

--- a/src/admission/token-quota.ts
+++ b/src/admission/token-quota.ts
@@ -17,6 +17,8 @@
 export interface QuotaPeers {
   /** Live daemons, this one included. */
   readonly daemons: number;
+  /** Daemons that went without a word; they may go on granting unheard. */
+  readonly silentDaemons: number;
   /** Units that the others granted since the start, as far as they have told. */
   readonly grantedByOthers: number;
   /** False while nothing is heard from them. */
@@ -84,7 +86,7 @@
     this.#forgetTold(nowMs);
     const available = this.#available(peers);
     // A request above the whole capacity passes when nothing else was granted for a while.
-    const needed = Math.min(amount, this.#capacity * maxBalanceRatio);
+    const needed = Math.min(amount, this.#capacity(peers) * maxBalanceRatio);
     if (available < needed) return this.#retryAtMs(needed - available, nowMs);
     this.#balance -= amount;
     this.#granted += amount;
@@ -94,31 +96,32 @@
   }
 
   #available({ daemons, isCurrent }: QuotaPeers): number {
+    if (!isCurrent) return this.#balance;
     const whole = this.#balance + this.#untoldAmount;
-    const even = whole / Math.max(1, daemons) - this.#untoldAmount;
-    if (!isCurrent) return even;
+    const even = whole / daemons - this.#untoldAmount;
     const untoldByOthers = (this.#othersPerS * growthRatio * untoldMs) / 1_000;
     const own = whole * maxBalanceRatio - this.#untoldAmount;
     return Math.max(even, Math.min(own, this.#balance - untoldByOthers));
   }
 
-  get #capacity(): number {
+  /** Most that the daemons which hear each other grant at once. */
+  #capacity(peers: QuotaPeers): number {
     const { ratePerS, burst } = this.#limit;
     const { windowMs, overRatio, slack } = this.#tolerance;
     const excess = overRatio * ((ratePerS * windowMs) / 1_000 + burst) + slack;
-    return burst + toleranceRatio * excess;
+    return (burst + toleranceRatio * excess) * heardRatio(peers);
   }
 
-  #refill({ daemons, grantedByOthers, isCurrent }: QuotaPeers, nowMs: number): void {
+  #refill(peers: QuotaPeers, nowMs: number): void {
+    const { grantedByOthers } = peers;
     const elapsedS = Math.max(0, nowMs - this.#updatedAtMs) / 1_000;
     this.#updatedAtMs = Math.max(this.#updatedAtMs, nowMs);
-    // Daemons that do not hear each other each take their even part of the rate only.
-    const ratePerS = isCurrent ? this.#limit.ratePerS : this.#limit.ratePerS / Math.max(1, daemons);
+    const ratePerS = this.#limit.ratePerS * heardRatio(peers);
     const spent = Math.max(0, grantedByOthers - (this.#knownByOthers ?? grantedByOthers));
     this.#knownByOthers = grantedByOthers;
     const kept = Math.exp((-elapsedS * 1_000) / rateSmoothingMs);
     this.#othersPerS = this.#othersPerS * kept + (spent * 1_000) / rateSmoothingMs;
-    this.#balance = Math.min(this.#capacity, this.#balance + elapsedS * ratePerS - spent);
+    this.#balance = Math.min(this.#capacity(peers), this.#balance + elapsedS * ratePerS - spent);
   }
 
   #forgetTold(nowMs: number): void {
@@ -133,3 +136,11 @@
     return nowMs + Math.min(untoldMs * 2, (missing * 1_000) / Math.max(1, this.#limit.ratePerS));
   }
 }
+
+/**
+ * Part of the quota for the daemons that hear each other: their even part among all that may be
+ * granting, since those that are cut off go on with theirs.
+ */
+function heardRatio({ daemons, silentDaemons, isCurrent }: QuotaPeers): number {
+  return (isCurrent ? daemons : 1) / (daemons + silentDaemons);
+}
--- a/src/capacity/domain-plan.ts
+++ b/src/capacity/domain-plan.ts
@@ -29,7 +29,7 @@
 }
 
 /** Part of the target that on-demand endpoints make up for while reclaimable ones are not to be had. */
-const assuredRatio = 0.6;
+const assuredRatio = 0.5;
 
 /**
  * Spreads the endpoints of a service evenly over failure domains, cheapest first, as reclaimable ones
@@ -56,8 +56,7 @@
   }
   const wanted = Math.min(target, maxPerDomain * domains.length);
   const live = domains.reduce((sum, { liveReclaimable }) => sum + liveReclaimable, 0);
-  const isShort = domains.some(({ hasReclaimable }) => !hasReclaimable);
-  const missing = isShort ? Math.ceil(wanted * assuredRatio) - live : 0;
+  const missing = Math.ceil(wanted * assuredRatio) - live;
   const onDemand = assured(domains, missing, maxPerDomain);
   return domains.map(({ failureDomain }, index) => ({
     failureDomain,
@@ -66,7 +65,10 @@
   }));
 }
 
-/** On-demand endpoints by domain; those that are there already are kept before new ones are taken. */
+/**
+ * On-demand endpoints by domain: those that are there are kept while too few reclaimable ones are
+ * live, new ones come only where no reclaimable ones are to be had.
+ */
 function assured(domains: readonly DomainState[], missing: number, max: number): number[] {
   let left = Math.max(0, missing);
   const kept = domains.map(({ onDemand }) => {
--- a/src/capacity/duty-lease.ts
+++ b/src/capacity/duty-lease.ts
@@ -137,6 +137,8 @@
     const { samples, leaseMs, daemon } = this.#options;
     const record = this.#record();
     if (!record) return true;
+    // Lost for want of heartbeats, and nobody has taken it since: others hear this run and wait.
+    if (this.#isOwn(record)) return true;
     const idleMs = leaseMs + takeoverMarginMs;
     // A holder that returns within the lease would make two changes of hands in one.
     const isOwnReturn = record.previousHolder === daemon && record.holder !== daemon;
--- a/src/capacity/endpoint-scaler.ts
+++ b/src/capacity/endpoint-scaler.ts
@@ -45,9 +45,6 @@
 /** A lower count is ordered only when it has been wanted for this long, as load comes in waves. */
 const shrinkAfterMs = 10_000;
 
-/** Part of the target that reclaimable endpoints must carry before the last on-demand ones go. */
-const releaseRatio = 0.6;
-
 interface Ordered {
   readonly count: number;
   readonly atMs: number;
@@ -143,27 +140,16 @@
     const ordered = this.#ordered.get(key);
     const live = service.live(failureDomain, reclaimable);
     const known = ordered?.count ?? live;
-    if (count < known) return this.#isLastingSurplus(key, order, service, nowMs);
+    if (count < known) return this.#isLastingSurplus(key, reclaimable, nowMs);
     this.#surplusSinceMs.delete(key);
     if (count > known) return true;
     const dueAtMs = (ordered?.atMs ?? 0) + service.bootMs + patienceMs;
     return live < count && nowMs >= dueAtMs;
   }
 
-  #isLastingSurplus(
-    key: string,
-    { reclaimable, count }: EndpointOrder,
-    service: ScaledService,
-    nowMs: number,
-  ): boolean {
-    // On-demand endpoints are dear; they go as soon as enough reclaimable ones take work.
-    if (!reclaimable) {
-      const live = [...service.priceByDomain.keys()].reduce(
-        (sum, failureDomain) => sum + service.live(failureDomain, true),
-        0,
-      );
-      return live >= service.target * releaseRatio;
-    }
+  #isLastingSurplus(key: string, reclaimable: boolean, nowMs: number): boolean {
+    // On-demand endpoints are dear, and the plan keeps them until others take their work.
+    if (!reclaimable) return true;
     const sinceMs = this.#surplusSinceMs.get(key) ?? nowMs;
     this.#surplusSinceMs.set(key, sinceMs);
     return nowMs >= sinceMs + shrinkAfterMs;
--- a/src/capacity/usage-reporter.ts
+++ b/src/capacity/usage-reporter.ts
@@ -32,7 +32,7 @@
 const settleMs = 1_800;
 
 /** A daemon that has gone silent is waited for until this part of the time has passed. */
-const patienceRatio = 0.7;
+const patienceRatio = 0.85;
 
 /** Windows before the present that a first holder reports. */
 const maxWindowsBack = 4;
@@ -111,7 +111,8 @@
     if (first >= current) return undefined;
     const endedAtMs = counter.endOfMs(first);
     if (nowMs < endedAtMs + settleMs) return undefined;
-    const isComplete = samples.others().every(({ sampledAtMs }) => sampledAtMs >= endedAtMs);
+    const expected = [...samples.others(), ...samples.silent()];
+    const isComplete = expected.every(({ sampledAtMs }) => sampledAtMs >= endedAtMs);
     return isComplete || nowMs >= endedAtMs + dueMs * patienceRatio ? first : undefined;
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -444,6 +444,10 @@
     return this.#samples.others().length + 1;
   }
 
+  override get silentDaemons(): number {
+    return this.#samples.silent().length;
+  }
+
   override get isCurrent(): boolean {
     return this.#samples.isCurrent;
   }
--- a/src/gateway/workspace-quotas.ts
+++ b/src/gateway/workspace-quotas.ts
@@ -6,6 +6,8 @@
 export abstract class PeerGrants {
   /** Live daemons, this one included. */
   abstract get daemons(): number;
+  /** Daemons that went without a word. */
+  abstract get silentDaemons(): number;
   /** False while nothing is heard from the others. */
   abstract get isCurrent(): boolean;
   /** Units of a workspace that the others granted since this daemon started; never falls. */
@@ -37,8 +39,9 @@
       this.#quotas.set(name, quota);
     }
     quota.updateLimit(workspace);
-    const { daemons, isCurrent } = this.#peers;
-    const peers = { daemons, isCurrent, grantedByOthers: this.#peers.grantedByOthers(name) };
+    const { daemons, silentDaemons, isCurrent } = this.#peers;
+    const grantedByOthers = this.#peers.grantedByOthers(name);
+    const peers = { daemons, silentDaemons, isCurrent, grantedByOthers };
     return quota.tryTake(amountOf(workspace, description), peers, nowMs);
   }
 
--- a/src/membership/daemon-samples.ts
+++ b/src/membership/daemon-samples.ts
@@ -63,6 +63,9 @@
 /** Time between two samples of a daemon. */
 export const samplePeriodMs = 1_000;
 
+/** A daemon that was silent for this long is gone. */
+const silentMs = 30_000;
+
 /** Reads of samples that fail for longer than this are an outage. */
 const currentMs = 3_000;
 
@@ -122,6 +125,17 @@
       .filter((sample) => sample.daemon !== daemon && !sample.isLeaving);
   }
 
+  /** Daemons that went without a word and may only be cut off from the store. */
+  silent(): DaemonSample[] {
+    const live = new Set(this.others().map(({ daemon }) => daemon));
+    const sinceMs = this.#options.clock.nowMs() - silentMs;
+    return [...this.#received.values()]
+      .filter(({ receivedAtMs }) => receivedAtMs > sinceMs)
+      .map(({ sample }) => sample)
+      .filter(({ daemon, isLeaving }) => !isLeaving && !live.has(daemon))
+      .filter(({ daemon }) => daemon !== this.#options.daemon);
+  }
+
   /** Whether the other daemons' samples are heard as they should be. */
   get isCurrent(): boolean {
     const { replica, clock } = this.#options;
--- a/test/capacity/duty-lease_test.ts
+++ b/test/capacity/duty-lease_test.ts
@@ -188,6 +188,17 @@
     });
   });
 
+  describe('a store that is down for longer than the lease', () => {
+    it('finds a holder again when it is back', async () => {
+      log.fault = KeyedLogFault.Down;
+      await clock.advance(5_000);
+      expect(holders()).toHaveLength(0);
+      log.fault = KeyedLogFault.None;
+      await clock.advance(8_000);
+      expect(holders()).toHaveLength(1);
+    });
+  });
+
   describe('a store that loses its answers', () => {
     it('never shows two holders', async () => {
       log.fault = KeyedLogFault.AnswersLost;
