Take an answer whose connection failed as broken, also without a length

Node finishes the parser when a socket fails, so that the body ends normally; only the request's error tells. Ruled out: an orderly close by the endpoint, which really ends such an answer. Change: an error after the head breaks the attempt. The test fails without it.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -101,6 +101,9 @@
       answered: (answer) => {
         this.#onAnswer(answer);
       },
+      broken: (reason) => {
+        this.#finish(AttemptEnd.Broken, reason);
+      },
       failed: (reason, mayHaveRun) => {
         this.#wasSent = mayHaveRun;
         this.#finish(mayHaveRun ? AttemptEnd.Broken : AttemptEnd.NotRun, reason);
--- a/src/gateway/endpoint-connections.ts
+++ b/src/gateway/endpoint-connections.ts
@@ -19,9 +19,14 @@
   readonly mayReuseConnection: boolean;
 }
 
-/** Told about the steps of one send. Exactly one of `failed` and `answered` is called. */
+/** Told about the steps of one send: `failed`, or `answered` and then perhaps `broken`. */
 export interface SendObserver {
   answered(answer: IncomingMessage): void;
+  /**
+   * The connection failed after the head of the answer. An answer without a length would otherwise
+   * look complete, as Node takes the end of a failed connection for the end of the body.
+   */
+  broken(reason: string): void;
   /** @param mayHaveRun - false when no byte of the request can have reached the endpoint. */
   failed(reason: string, mayHaveRun: boolean): void;
 }
@@ -95,6 +100,7 @@
   #cancelConnectTimer: () => void = () => undefined;
   #mayHaveRun = false;
   #isDone = false;
+  #hasAnswer = false;
 
   constructor(outgoing: ClientRequest, observer: SendObserver, clock: Clock) {
     this.#outgoing = outgoing;
@@ -123,10 +129,12 @@
     outgoing.on('response', (answer) => {
       if (this.#isDone) return;
       this.#isDone = true;
+      this.#hasAnswer = true;
       this.#observer.answered(answer);
     });
     outgoing.on('error', (error) => {
-      this.#fail(error.message);
+      if (this.#hasAnswer) this.#observer.broken(error.message);
+      else this.#fail(error.message);
     });
     outgoing.on('close', () => {
       this.#fail('the connection was closed without an answer');
--- a/test/gateway/request-relay_test.ts
+++ b/test/gateway/request-relay_test.ts
@@ -59,6 +59,19 @@
       expect(await harness.call()).toMatchObject({ status: 502, body: '' });
     });
 
+    it('never get a part of an answer without a length whose connection was reset', async () => {
+      await harness.start(trafficConfig(), (request, response) => {
+        const socket = response.socket!;
+        const head = Object.entries(sealed(request)).map(
+          ([name, value]) => `${name}: ${value}\r\n`,
+        );
+        socket.write(`HTTP/1.1 200 OK\r\n${head.join('')}connection: close\r\n\r\npart`, () => {
+          setTimeout(() => socket.resetAndDestroy(), 20);
+        });
+      });
+      expect(await harness.call()).toMatchObject({ status: 502, body: '' });
+    });
+
     it('never get a success without a signature', async () => {
       await harness.start(trafficConfig(), (request, response) => response.end(request.url));
       expect((await harness.call()).status).toBe(502);
