Count the square of long prompts, see load as it begins, and start with more endpoints

A prompt of 60,000 tokens reads for 2.5 s, not the 0.9 s that its length gives, and pauses every stream beside it.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -8,6 +8,7 @@
       'node_modules/**',
       'bench/out/**',
       'target/**',
+      'deploy/**',
       'scripts/**',
       'eslint.config.mjs',
       'vitest.config.ts',
--- a/src/capacity/domain-plan.ts
+++ b/src/capacity/domain-plan.ts
@@ -29,7 +29,7 @@
 }
 
 /** Part of the target that on-demand endpoints make up for while reclaimable ones are not to be had. */
-const assuredRatio = 0.5;
+const assuredRatio = 0.6;
 
 /**
  * Spreads the endpoints of a service evenly over failure domains, cheapest first, as reclaimable ones
--- a/src/capacity/rate-meter.ts
+++ b/src/capacity/rate-meter.ts
@@ -1,3 +1,6 @@
+/** Shortest time from which a rate is told; a single amount says nothing about one. */
+const minSeenMs = 1_000;
+
 /**
  * Smoothed rate of amounts by name.
  *
@@ -9,7 +12,7 @@
  */
 export class RateMeter {
   readonly #smoothingMs: number;
-  readonly #rates = new Map<string, { perS: number; atMs: number }>();
+  readonly #rates = new Map<string, { perS: number; atMs: number; sinceMs: number }>();
 
   /** @param smoothingMs - time constant of the smoothing. */
   constructor(smoothingMs: number) {
@@ -17,12 +20,21 @@
   }
 
   note(name: string, amount: number, nowMs: number): void {
-    const perS = this.perS(name, nowMs) + (amount * 1_000) / this.#smoothingMs;
-    this.#rates.set(name, { perS, atMs: nowMs });
+    const known = this.#rates.get(name);
+    const perS = this.#decayed(name, nowMs) + (amount * 1_000) / this.#smoothingMs;
+    this.#rates.set(name, { perS, atMs: nowMs, sinceMs: known?.sinceMs ?? nowMs });
   }
 
   /** Amount per second; 0 for a name that was never noted. */
   perS(name: string, nowMs: number): number {
+    const rate = this.#rates.get(name);
+    if (!rate) return 0;
+    // The average starts at nothing; without this a rise from none would take its time to show.
+    const seenMs = Math.max(minSeenMs, nowMs - rate.sinceMs);
+    return this.#decayed(name, nowMs) / (1 - Math.exp(-seenMs / this.#smoothingMs));
+  }
+
+  #decayed(name: string, nowMs: number): number {
     const rate = this.#rates.get(name);
     if (!rate) return 0;
     return rate.perS * Math.exp(-Math.max(0, nowMs - rate.atMs) / this.#smoothingMs);
--- a/src/fleet/prefill-backlog.ts
+++ b/src/fleet/prefill-backlog.ts
@@ -6,10 +6,19 @@
 /** Prompt tokens that an engine reads per millisecond, until it has been observed. */
 const assumedTokensPerMs = 30;
 
+/** Attention grows with the square of the prompt; at this length it doubles the time of reading. */
+const doubleCostTokens = 50_000;
+
+/** Tokens of a short prompt that take as long to read as `tokens` of a long one. */
+export function weightedTokens(tokens: number): number {
+  return tokens * (1 + tokens / doubleCostTokens);
+}
+
 /**
  * Prompt tokens that each endpoint still has to read, as a queue that drains at the endpoint's
  * speed. Fed by the daemon's own sends and by what the other daemons tell of theirs: an engine reads
- * prompts between the tokens of its streams, so that a long queue delays all of them.
+ * prompts between the tokens of its streams, so that a long queue delays all of them. Tokens are
+ * weighted, see {@link weightedTokens}.
  *
  * @example
  * ```ts
@@ -21,7 +30,7 @@
   readonly #backlogs = new Map<string, Backlog>();
   #tokensPerMs = assumedTokensPerMs;
 
-  /** Prompt tokens read per millisecond by a typical endpoint. */
+  /** Weighted prompt tokens read per millisecond by a typical endpoint. */
   get tokensPerMs(): number {
     return this.#tokensPerMs;
   }
@@ -32,7 +41,7 @@
     this.#tokensPerMs += (tokensPerMs - this.#tokensPerMs) * gain;
   }
 
-  /** Adds the uncached tokens of a prompt that was sent to an endpoint. */
+  /** Adds the weighted uncached tokens of a prompt that was sent to an endpoint. */
   add(endpointId: string, tokens: number, nowMs: number): void {
     this.#backlogs.set(endpointId, {
       tokens: this.#tokens(endpointId, nowMs) + tokens,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -89,6 +89,9 @@
 /** Demand follows bursts within seconds and outlasts the pauses between them. */
 const demandSmoothingMs = 5_000;
 
+/** Endpoints before the first load, relative to those found: more are dear for seconds only. */
+const firstCountRatio = 1.5;
+
 /** How often the duties are looked at. */
 const dutyPeriodMs = 500;
 
@@ -413,7 +416,8 @@
     if (needed > 0) this.#loadedSinceMs ??= nowMs;
     // The smoothed demand is too low at first, and what was there before was somebody's estimate.
     const isNew = nowMs < (this.#loadedSinceMs ?? Infinity) + 3 * demandSmoothingMs;
-    return isNew ? Math.max(needed, this.#firstCounts.get(serviceName) ?? 0) : needed;
+    const first = Math.ceil((this.#firstCounts.get(serviceName) ?? 0) * firstCountRatio);
+    return isNew ? Math.max(needed, first) : needed;
   }
 }
 
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -8,7 +8,7 @@
   type RegisteredEndpoints,
 } from '../fleet/index.js';
 import { promptPrefixOfParts, type PromptPrefix } from '../fleet/prompt-prefix.js';
-import type { PrefillBacklog } from '../fleet/prefill-backlog.js';
+import { weightedTokens, type PrefillBacklog } from '../fleet/prefill-backlog.js';
 import type { SpeedEstimator } from '../fleet/speed-estimator.js';
 import type { PrefillNews } from '../membership/prefill-news.js';
 import type { PromptHomeScorer, Router, RouteRequest, SharedPrompt } from '../routing/index.js';
@@ -82,7 +82,8 @@
     if (promptTokens === 0) return;
     const nowMs = clock.nowMs();
     const prefix = this.#prefixOf(admitted);
-    const tokens = Math.max(0, promptTokens - caches.cachedTokens(view.id, prefix, nowMs));
+    const uncachedTokens = promptTokens - caches.cachedTokens(view.id, prefix, nowMs);
+    const tokens = weightedTokens(Math.max(0, uncachedTokens));
     backlog.add(view.id, tokens, nowMs);
     demand.note(view.serviceId, tokens, nowMs);
     if (tokens >= toldTokens) tellPeers({ endpointId: view.id, tokens });
@@ -95,7 +96,7 @@
     const ownTokens = admitted.description.promptParts.at(-1)?.tokens ?? promptTokens;
     // Short prompts measure the fixed cost of a step rather than the speed of reading.
     if (ownTokens < toldTokens) return;
-    this.#options.backlog.observeSpeed(ownTokens / elapsedMs);
+    this.#options.backlog.observeSpeed(weightedTokens(ownTokens) / elapsedMs);
     this.#options.speeds.observeFirstToken(view.id, ownTokens, elapsedMs);
   }
 
--- a/src/routing/prefill-scorers.ts
+++ b/src/routing/prefill-scorers.ts
@@ -1,6 +1,6 @@
 import { rendezvousOrder, type Clock } from '../core/index.js';
 import type { EndpointView } from '../fleet/index.js';
-import type { PrefillBacklog } from '../fleet/prefill-backlog.js';
+import { weightedTokens, type PrefillBacklog } from '../fleet/prefill-backlog.js';
 import type { LoadEstimate } from './load-estimate.js';
 import type { RouteRequest } from './route-request.js';
 import { RouteScorer } from './route-scorer.js';
@@ -27,7 +27,7 @@
   override scoreUsd(view: EndpointView, request: RouteRequest, load: LoadEstimate): number {
     if (request.promptTokens === 0) return 0;
     const queueMs = this.#backlog.waitMs(view.id, this.#clock.nowMs());
-    const ownMs = load.uncachedTokens / this.#backlog.tokensPerMs;
+    const ownMs = weightedTokens(load.uncachedTokens) / this.#backlog.tokensPerMs;
     const first = (queueMs + ownMs) / request.objectiveFirstTokenMs;
     const pause = queueMs / request.objectiveBetweenTokensMs;
     const risk = Math.min(maxRisk, first * first) + Math.min(maxRisk, pause * pause);
@@ -50,7 +50,9 @@
 
   override scoreUsd(_view: EndpointView, request: RouteRequest, load: LoadEstimate): number {
     const pause =
-      load.uncachedTokens / this.#backlog.tokensPerMs / request.objectiveBetweenTokensMs;
+      weightedTokens(load.uncachedTokens) /
+      this.#backlog.tokensPerMs /
+      request.objectiveBetweenTokensMs;
     const risk = Math.min(1, pause * pause);
     return request.weights.weight_tail * risk * load.requests * defaultPrices.usdPerMiss;
   }
