--- /dev/null
+++ b/src/gateway/gateway-duties.ts
@@ -0,0 +1,133 @@
+import type { DutyClient } from '../capacity/duty-client.js';
+import { DutyLease } from '../capacity/duty-lease.js';
+import { EndpointScaler, type ScaledService } from '../capacity/endpoint-scaler.js';
+import { endpointsFor } from '../capacity/engine-sizing.js';
+import type { UsageCounter } from '../capacity/usage-counter.js';
+import { UsageReporter } from '../capacity/usage-reporter.js';
+import type { Clock } from '../core/index.js';
+import type { RegisteredEndpoints } from '../fleet/index.js';
+import type { PrefillBacklog } from '../fleet/prefill-backlog.js';
+import type { KeyedLog } from '../log/keyed-log.js';
+import type { KeyedReplica } from '../log/keyed-replica.js';
+import type { DaemonSamples, SampleContent } from '../membership/daemon-samples.js';
+import type { EventLog } from '../telemetry/index.js';
+import type { ConfigHolder } from './config-holder.js';
+import type { ScalingLimits } from './traffic-config.js';
+
+/** Options of {@link GatewayDuties}. */
+export interface GatewayDutiesOptions {
+  readonly daemon: string;
+  readonly incarnation: number;
+  readonly store: KeyedLog;
+  readonly topic: string;
+  readonly replica: KeyedReplica;
+  readonly samples: DaemonSamples;
+  readonly ownSample: () => SampleContent;
+  readonly counter: UsageCounter;
+  readonly endpoints: RegisteredEndpoints;
+  readonly backlog: PrefillBacklog;
+  readonly config: ConfigHolder;
+  readonly duties: DutyClient;
+  readonly leaseMs: number;
+  readonly usageDueMs: number;
+  readonly clock: Clock;
+  readonly wallNowMs: () => number;
+  readonly events: EventLog;
+}
+
+/** Endpoints before the first load, relative to those found: more are dear for seconds only. */
+const firstCountRatio = 1.5;
+
+/** For this long after the first load the smoothed demand may be below the real one. */
+const startMs = 15_000;
+
+/** What one daemon does for all while it holds the lease: usage reports and orders of endpoints. */
+export class GatewayDuties {
+  readonly #options: GatewayDutiesOptions;
+  readonly #lease: DutyLease;
+  readonly #usage: UsageReporter;
+  readonly #scaler: EndpointScaler;
+  /** Most on-demand endpoints of each scaled service before there was load. */
+  readonly #firstCounts = new Map<string, number>();
+  #loadedSinceMs: number | undefined;
+
+  constructor(options: GatewayDutiesOptions) {
+    this.#options = options;
+    const { daemon, replica, samples, clock, events, duties } = options;
+    this.#lease = new DutyLease({ ...options, log: options.store });
+    const lease = this.#lease;
+    this.#usage = new UsageReporter({
+      counter: options.counter,
+      samples,
+      lease,
+      replica,
+      duties,
+      daemon,
+      clock,
+      events,
+      dueMs: options.usageDueMs,
+    });
+    this.#scaler = new EndpointScaler({
+      lease,
+      duties,
+      daemon,
+      services: () => this.#scaledServices(),
+      clock,
+      events,
+    });
+  }
+
+  /** Takes the lease when it is free and does what is due while it is held. */
+  async tick(): Promise<void> {
+    await this.#lease.tick();
+    await Promise.all([this.#usage.tick(), this.#scaler.tick()]);
+  }
+
+  /** Leaves the duties to another daemon. */
+  async release(): Promise<void> {
+    await this.#lease.release();
+  }
+
+  #scaledServices(): ScaledService[] {
+    const services = this.#options.config.table?.config.services ?? [];
+    return services.flatMap(({ name, scaling }) => (scaling ? [this.#scaled(name, scaling)] : []));
+  }
+
+  #scaled(serviceName: string, scaling: ScalingLimits): ScaledService {
+    const { endpoints } = this.#options;
+    const ready = endpoints.of(serviceName).filter(({ isDraining }) => !isDraining);
+    const onDemand = ready.filter(({ reclaimable }) => !reclaimable).length;
+    const known = this.#firstCounts.get(serviceName) ?? 0;
+    this.#firstCounts.set(serviceName, Math.max(known, onDemand));
+    return {
+      serviceName,
+      ...scaling,
+      target: this.#targetOf(serviceName, ready[0]?.batchSlots ?? 1),
+      live: (failureDomain, reclaimable) =>
+        ready.filter(
+          (endpoint) =>
+            endpoint.failureDomain === failureDomain && endpoint.reclaimable === reclaimable,
+        ).length,
+    };
+  }
+
+  /** Endpoints that the load of all daemons needs; before there is any, those found at the start. */
+  #targetOf(serviceName: string, batchSlots: number): number {
+    const { clock, endpoints, samples, ownSample, backlog } = this.#options;
+    const nowMs = clock.nowMs();
+    const serviceId = endpoints.serviceId(serviceName);
+    const all = [ownSample(), ...samples.others()];
+    const sum = (of: (sample: SampleContent) => Record<string, number>): number =>
+      all.reduce((total, sample) => total + (of(sample)[serviceId] ?? 0), 0);
+    const needed = endpointsFor({
+      prefillTokensPerS: sum(({ prefillTokensPerS }) => prefillTokensPerS),
+      inFlight: sum(({ inFlight }) => inFlight),
+      batchSlots,
+      readTokensPerS: backlog.tokensPerMs * 1_000,
+    });
+    if (needed > 0) this.#loadedSinceMs ??= nowMs;
+    const first = Math.ceil((this.#firstCounts.get(serviceName) ?? 0) * firstCountRatio);
+    const isNew = nowMs < (this.#loadedSinceMs ?? Infinity) + startMs;
+    return isNew ? Math.max(needed, first) : needed;
+  }
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,12 +1,8 @@
 import { RetryBudget } from '../admission/retry-budget.js';
 import type { QuotaTolerance } from '../admission/token-quota.js';
 import type { DutyClient } from '../capacity/duty-client.js';
-import { DutyLease } from '../capacity/duty-lease.js';
-import { EndpointScaler, type ScaledService } from '../capacity/endpoint-scaler.js';
-import { endpointsFor } from '../capacity/engine-sizing.js';
 import { RateMeter } from '../capacity/rate-meter.js';
 import { UsageCounter } from '../capacity/usage-counter.js';
-import { UsageReporter } from '../capacity/usage-reporter.js';
 import { Random, type Clock } from '../core/index.js';
 import { CacheView } from '../fleet/cache-view.js';
 import { EstimatedSpeeds } from '../fleet/estimated-speeds.js';
@@ -34,6 +30,7 @@
 import type { AdmittedRequest } from './caller-exchange.js';
 import { ConfigHolder } from './config-holder.js';
 import { EndpointConnections } from './endpoint-connections.js';
+import { GatewayDuties } from './gateway-duties.js';
 import { GatewayListener } from './gateway-listener.js';
 import { Placement } from './placement.js';
 import { RequestAdmission } from './request-admission.js';
@@ -60,7 +57,8 @@
   readonly store: KeyedLog;
   readonly topics: GatewayTopics;
   readonly codec: RequestCodec;
-  readonly duties: DutyClient;
+  /** Undefined where the platform expects no duties. */
+  readonly duties: DutyClient | undefined;
   readonly probe: (healthPathOf: (baseUrl: string) => string) => EndpointProbe;
   readonly clock: Clock;
   readonly wallNowMs: () => number;
@@ -89,9 +87,6 @@
 /** Demand follows bursts within seconds and outlasts the pauses between them. */
 const demandSmoothingMs = 5_000;
 
-/** Endpoints before the first load, relative to those found: more are dear for seconds only. */
-const firstCountRatio = 1.5;
-
 /** How often the duties are looked at. */
 const dutyPeriodMs = 500;
 
@@ -117,17 +112,12 @@
   readonly #samples: DaemonSamples;
   readonly #samplesReplica: KeyedReplica;
   readonly #dutiesReplica: KeyedReplica;
-  readonly #lease: DutyLease;
-  readonly #usage: UsageReporter;
-  readonly #scaler: EndpointScaler;
+  readonly #duties: GatewayDuties | undefined;
   readonly #counter: UsageCounter;
   readonly #quotas: WorkspaceQuotas;
   readonly #backlog = new PrefillBacklog();
   readonly #demand = new RateMeter(demandSmoothingMs);
   readonly #news: PrefillNewsExchange;
-  /** Most on-demand endpoints of each scaled service before there was load. */
-  readonly #firstCounts = new Map<string, number>();
-  #loadedSinceMs: number | undefined;
   #isStopping = false;
   #stopTicking: () => void = () => undefined;
 
@@ -184,37 +174,21 @@
     });
     this.#quotas = new WorkspaceQuotas(new SampledGrants(this.#samples), options.quotaTolerance);
     this.#listener = this.#createListener(codec, speeds, caches);
-    this.#lease = new DutyLease({
-      log: options.store,
-      topic: topics.duties,
-      replica: this.#dutiesReplica,
-      samples: this.#samples,
-      daemon,
-      incarnation,
-      leaseMs: options.leaseMs,
-      clock,
-      wallNowMs: options.wallNowMs,
-      events,
-    });
-    this.#usage = new UsageReporter({
-      counter: this.#counter,
-      samples: this.#samples,
-      lease: this.#lease,
-      replica: this.#dutiesReplica,
-      duties: options.duties,
-      daemon,
-      clock,
-      events,
-      dueMs: options.usageDueMs,
-    });
-    this.#scaler = new EndpointScaler({
-      lease: this.#lease,
-      duties: options.duties,
-      daemon,
-      services: () => this.#scaledServices(),
-      clock,
-      events,
-    });
+    this.#duties =
+      options.duties &&
+      new GatewayDuties({
+        ...options,
+        duties: options.duties,
+        incarnation,
+        topic: topics.duties,
+        replica: this.#dutiesReplica,
+        samples: this.#samples,
+        ownSample: () => this.#sampleContent(),
+        counter: this.#counter,
+        endpoints: this.endpoints,
+        backlog: this.#backlog,
+        config: this.config,
+      });
   }
 
   /** Port that callers connect to; useful when the system chose it. */
@@ -244,7 +218,7 @@
     const { clock, events } = this.#options;
     events.info(EventId.DaemonStopping, 'daemon is stopping', { open: this.#listener.inFlight });
     this.#listener.startDraining();
-    await this.#lease.release();
+    await this.#duties?.release();
     await clock.sleepUntil(
       Math.min(clock.nowMs() + this.#options.stopNoticeMs, deadlineAtMs - stopMarginMs),
     );
@@ -344,9 +318,7 @@
   }
 
   async #tickDuties(): Promise<void> {
-    if (this.#isStopping) return;
-    await this.#lease.tick();
-    await Promise.all([this.#usage.tick(), this.#scaler.tick()]);
+    if (!this.#isStopping) await this.#duties?.tick();
   }
 
   #isStoreRecovering(): boolean {
@@ -377,48 +349,6 @@
       usage: this.#counter.windows(),
     };
   }
-
-  #scaledServices(): ScaledService[] {
-    const services = this.config.table?.config.services ?? [];
-    return services.flatMap(({ name, scaling }) => {
-      if (!scaling) return [];
-      const ready = this.endpoints.of(name).filter(({ isDraining }) => !isDraining);
-      const onDemand = ready.filter(({ reclaimable }) => !reclaimable).length;
-      this.#firstCounts.set(name, Math.max(this.#firstCounts.get(name) ?? 0, onDemand));
-      return [
-        {
-          serviceName: name,
-          ...scaling,
-          target: this.#targetOf(name, ready[0]?.batchSlots ?? 1),
-          live: (failureDomain, reclaimable) =>
-            ready.filter(
-              (endpoint) =>
-                endpoint.failureDomain === failureDomain && endpoint.reclaimable === reclaimable,
-            ).length,
-        },
-      ];
-    });
-  }
-
-  /** Endpoints that the load of all daemons needs; before there is any, those found at the start. */
-  #targetOf(serviceName: string, batchSlots: number): number {
-    const nowMs = this.#options.clock.nowMs();
-    const serviceId = this.endpoints.serviceId(serviceName);
-    const samples = [this.#sampleContent(), ...this.#samples.others()];
-    const sum = (of: (sample: SampleContent) => Record<string, number>): number =>
-      samples.reduce((total, sample) => total + (of(sample)[serviceId] ?? 0), 0);
-    const needed = endpointsFor({
-      prefillTokensPerS: sum(({ prefillTokensPerS }) => prefillTokensPerS),
-      inFlight: sum(({ inFlight }) => inFlight),
-      batchSlots,
-      readTokensPerS: this.#backlog.tokensPerMs * 1_000,
-    });
-    if (needed > 0) this.#loadedSinceMs ??= nowMs;
-    // The smoothed demand is too low at first, and what was there before was somebody's estimate.
-    const isNew = nowMs < (this.#loadedSinceMs ?? Infinity) + 3 * demandSmoothingMs;
-    const first = Math.ceil((this.#firstCounts.get(serviceName) ?? 0) * firstCountRatio);
-    return isNew ? Math.max(needed, first) : needed;
-  }
 }
 
 /** Counts begun requests of workspaces. */
