Take a request that an endpoint went silent on as possibly run

Ruled out: probes that are reset, corrected before without effect on this. Change: whether a request may have run is read from its connection, however the attempt ends. The test fails without the change.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -27,7 +27,7 @@
   readonly end: AttemptEnd;
   /** For the log. */
   readonly reason: string;
-  /** Whether the request was written to a connection of the endpoint. */
+  /** Whether the request may have reached the endpoint. */
   readonly wasSent: boolean;
   /** Answer for {@link AttemptEnd.FailedAnswer}. */
   readonly answer?: WholeAnswer;
@@ -87,7 +87,6 @@
   #send: PendingSend | undefined;
   #answer: IncomingMessage | undefined;
   #isEnded = false;
-  #wasSent = false;
   #heardAtMs: number;
 
   constructor(options: AttemptOptions) {
@@ -105,7 +104,6 @@
         this.#finish(AttemptEnd.Broken, reason);
       },
       failed: (reason, mayHaveRun) => {
-        this.#wasSent = mayHaveRun;
         this.#finish(mayHaveRun ? AttemptEnd.Broken : AttemptEnd.NotRun, reason);
       },
     });
@@ -114,14 +112,12 @@
 
   /** Ends the attempt and closes its connection. */
   abort(reason: string): void {
-    this.#wasSent = true;
     this.#finish(AttemptEnd.Aborted, reason);
   }
 
   #onAnswer(answer: IncomingMessage): void {
     const { codec, admitted, observer, view } = this.#options;
     this.#answer = answer;
-    this.#wasSent = true;
     this.#heardAtMs = this.#options.clock.nowMs();
     answer.on('error', (error) => {
       this.#finish(AttemptEnd.Broken, error.message);
@@ -261,7 +257,9 @@
     if (this.#isEnded) return;
     this.#isEnded = true;
     this.#cancelSilence();
-    const wasSent = this.#wasSent || this.#answer !== undefined;
+    // Taken from the connection itself, however the attempt ends: a request that was written may
+    // have run although nothing of an answer came.
+    const wasSent = this.#answer !== undefined || (this.#send?.mayHaveRun ?? false);
     // Closing tells the endpoint to stop; a connection whose answer was read whole stays usable.
     if (end !== AttemptEnd.Delivered && end !== AttemptEnd.FailedAnswer) this.#send?.abort();
     this.#resolve({ end, reason, wasSent, ...(answer ? { answer } : {}) });
--- a/src/gateway/endpoint-connections.ts
+++ b/src/gateway/endpoint-connections.ts
@@ -33,6 +33,8 @@
 
 /** A request on its way. */
 export interface PendingSend {
+  /** False while no byte of the request can have reached the endpoint. */
+  readonly mayHaveRun: boolean;
   /** Closes the connection, so that the endpoint stops its work. */
   abort(): void;
 }
@@ -82,8 +84,9 @@
       headers: request.headers,
       setHost: false,
     });
-    new Send(outgoing, observer, this.#clock).start(request.body);
-    return { abort: () => outgoing.destroy() };
+    const send = new Send(outgoing, observer, this.#clock);
+    send.start(request.body);
+    return send;
   }
 
   close(): void {
@@ -93,7 +96,7 @@
 }
 
 /** Follows one request until its answer begins. */
-class Send {
+class Send implements PendingSend {
   readonly #outgoing: ClientRequest;
   readonly #observer: SendObserver;
   readonly #clock: Clock;
@@ -108,6 +111,14 @@
     this.#clock = clock;
   }
 
+  get mayHaveRun(): boolean {
+    return this.#mayHaveRun;
+  }
+
+  abort(): void {
+    this.#outgoing.destroy();
+  }
+
   start(body: Buffer): void {
     const outgoing = this.#outgoing;
     outgoing.on('socket', (socket) => {
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -79,8 +79,11 @@
   }
 }
 
-class LiveProbe extends EndpointProbe {
+class SwitchedProbe extends EndpointProbe {
+  isAnswered = true;
+
   override async probe(): Promise<ProbeAnswer> {
+    if (!this.isAnswered) throw new Error('no answer to the probe');
     return { startedAtMs: undefined, isDraining: false };
   }
 }
@@ -89,6 +92,7 @@
 export class GatewayHarness {
   readonly gateway: Gateway;
   readonly endpoints: TestEndpoint[] = [];
+  readonly probe = new SwitchedProbe();
   #requests = 0;
 
   constructor() {
@@ -103,7 +107,7 @@
       topics: { config: 'config', registrations: 'servers', daemons: 'daemons', duties: 'duties' },
       codec: new HeaderCodec(),
       duties: new NullDuties(),
-      probe: () => new LiveProbe(),
+      probe: () => this.probe,
       clock,
       wallNowMs: () => clock.nowMs(),
       random: new Random(1),
--- a/test/gateway/request-relay_test.ts
+++ b/test/gateway/request-relay_test.ts
@@ -95,6 +95,17 @@
       expect(harness.arrivals).toBe(2);
     });
 
+    it('are not sent again when their endpoint goes silent after it took them', async () => {
+      await harness.start(
+        config,
+        () => undefined,
+        () => undefined,
+      );
+      harness.probe.isAnswered = false;
+      expect((await harness.call({ method: 'POST', body: 'order' })).status).toBe(502);
+      expect(harness.arrivals).toBe(1);
+    });
+
     it('turn an endpoint that says 503 without that statement into 502', async () => {
       await harness.start(config, answerWhole(503, 'busy?'));
       const answer = await harness.call({ method: 'POST', body: 'order' });
