End a planned stop in time, come back to the store at once, and name a useful Retry-After

Reads took up to 2.7 s longer than the outage to be known as working, and two stopping daemons waited for the silent store until they were killed. Ruled out: the quota (80 of the refusals) and the lease, which came back 0.5 s after the store. Change: without any endpoint Retry-After is up to 4 s or 0.3 of the time left; reads after a failure do not wait; a stop does not wait for the store. The tests fail without the changes.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -96,8 +96,11 @@
 /** Daemons assumed to share the retry slack, so that a new daemon does not take it all. */
 const assumedDaemons = 8;
 
-/** Time before the forced end at which a stopping daemon ends by itself. */
-const stopMarginMs = 250;
+/** Time before the forced end at which a stopping daemon cuts what is still open. */
+const stopMarginMs = 350;
+
+/** Time before the forced end until which the other daemons are told. */
+const leaveMarginMs = 100;
 
 /** One daemon of the gateway: everything between callers, endpoints and the store. */
 export class Gateway {
@@ -218,13 +221,18 @@
     const { clock, events } = this.#options;
     events.info(EventId.DaemonStopping, 'daemon is stopping', { open: this.#listener.inFlight });
     this.#listener.startDraining();
-    await this.#duties?.release();
+    // The store may be silent, which must not hold up the stop.
+    void this.#duties?.release();
     await clock.sleepUntil(
       Math.min(clock.nowMs() + this.#options.stopNoticeMs, deadlineAtMs - stopMarginMs),
     );
     this.#listener.stopAccepting();
     await this.#listener.idle(deadlineAtMs - stopMarginMs);
-    await this.#samples.leave();
+    const left = new AbortController();
+    void this.#samples.leave().finally(() => {
+      left.abort();
+    });
+    await clock.sleepUntil(deadlineAtMs - leaveMarginMs, left.signal);
     this.#stopTicking();
     for (const replica of this.#replicas()) replica.stop();
     events.info(EventId.DaemonStopped, 'daemon has stopped', { open: this.#listener.inFlight });
--- a/src/gateway/request-relay.ts
+++ b/src/gateway/request-relay.ts
@@ -41,12 +41,18 @@
 /** Attempts that end before a byte was sent; they cost endpoints nothing, but time. */
 const maxUnsentAttempts = 4;
 
-/** Extra sends per request to a service; the store's bound is twice this for all daemons together. */
-const retryRatio = 0.1;
+/** Extra sends that each request to a service earns; the bound for all daemons together is twice this. */
+const budgetRatio = 0.1;
 
-/** When a caller that was refused for want of an endpoint should come back, in milliseconds. */
+/** When a caller whose request found no room should come back, in milliseconds. */
 const retryAfterMs = 600;
 
+/** When callers should come back while there is no endpoint at all: the time that new ones need. */
+const noEndpointRetryMs = 4_000;
+
+/** Part of the time left after which a caller comes back at the latest; it still needs the rest. */
+const retryRatio = 0.3;
+
 /**
  * Relays one admitted request: chooses an endpoint, sends the request, and sends it elsewhere when
  * its kind allows it. Each request ends with exactly one answer, or with a cut connection when part
@@ -98,7 +104,7 @@
   async run(): Promise<void> {
     const { clock, retries } = this.#options;
     const { route, service, deadlineAtMs } = this.#admitted;
-    retries.noteRequest(service.name, retryRatio);
+    retries.noteRequest(service.name, budgetRatio);
     const cancelDeadline = clock.schedule(deadlineAtMs, () => {
       this.#onDeadline();
     });
@@ -286,10 +292,16 @@
     const isPromise = status === 503;
     const event = isPromise ? EventId.RequestRefused : EventId.RequestBroken;
     this.#log(event, 'a request ended without an answer of an endpoint', status);
-    const headers = codec.ownHeaders(requestId, isPromise ? retryAfterMs : undefined);
+    const headers = codec.ownHeaders(requestId, isPromise ? this.#retryAfterMs() : undefined);
     this.#exchange.answer(status, headers, Buffer.alloc(0));
   }
 
+  #retryAfterMs(): number {
+    if (this.#sends + this.#unsentAttempts > 0) return retryAfterMs;
+    const remainingMs = this.#admitted.deadlineAtMs - this.#options.clock.nowMs();
+    return Math.max(retryAfterMs, Math.min(noEndpointRetryMs, remainingMs * retryRatio));
+  }
+
   #logServed(view: EndpointView): void {
     const { events, clock } = this.#options;
     const { description, route, receivedAtMs } = this.#admitted;
--- a/src/log/keyed-replica.ts
+++ b/src/log/keyed-replica.ts
@@ -124,7 +124,9 @@
   }
 
   async #readNext(fromOffset: Offset): Promise<void> {
-    const { log, topic, clock, waitMs } = this.#options;
+    const { log, topic, clock } = this.#options;
+    // After a failure, an answer at once tells sooner that the store is back than a held one.
+    const waitMs = this.isFailing ? 0 : this.#options.waitMs;
     const page = await withTimeout(clock, waitMs + answerTimeoutMs, this.#abort.signal, (signal) =>
       log.read(topic, fromOffset, waitMs, signal),
     );
--- a/src/standins/memory-keyed-log.ts
+++ b/src/standins/memory-keyed-log.ts
@@ -15,16 +15,20 @@
   Down = 'down',
   /** Appends are stored and not answered. */
   AnswersLost = 'answers_lost',
+  /** Calls stay without an answer. */
+  Silent = 'silent',
 }
 
 /** {@link KeyedLog} in memory. Reads never wait; faults are switched on by the test. */
 export class MemoryKeyedLog extends KeyedLog {
   fault = KeyedLogFault.None;
+  /** How long each read was willing to wait, in milliseconds. */
+  readonly waitsMs: number[] = [];
   readonly #topics = new Map<string, KeyedRecord[]>();
   readonly #firstOffsets = new Map<string, number>();
 
   override async newest(topic: string): Promise<KeyedPage> {
-    this.#check();
+    await this.#check();
     const records = this.#records(topic);
     const newest = new Map(records.map((record) => [record.key, record]));
     return {
@@ -33,8 +37,9 @@
     };
   }
 
-  override async read(topic: string, fromOffset: number): Promise<KeyedPage> {
-    this.#check();
+  override async read(topic: string, fromOffset: number, waitMs = 0): Promise<KeyedPage> {
+    this.waitsMs.push(waitMs);
+    await this.#check();
     if (fromOffset < (this.#firstOffsets.get(topic) ?? 0)) throw new HistoryTrimmedError(topic);
     const records = this.#records(topic);
     return { records: records.slice(fromOffset), endOffset: records.length };
@@ -46,7 +51,7 @@
     value: Uint8Array,
     { expectedEndOffset }: KeyedAppendOptions = {},
   ): Promise<number> {
-    this.#check();
+    await this.#check();
     const offset = this.#records(topic).length;
     if (expectedEndOffset !== undefined && expectedEndOffset !== offset) {
       throw new AppendConflictError(topic, offset);
@@ -68,7 +73,8 @@
     this.#firstOffsets.set(topic, this.#records(topic).length);
   }
 
-  #check(): void {
+  async #check(): Promise<void> {
+    if (this.fault === KeyedLogFault.Silent) await new Promise(() => undefined);
     if (this.fault === KeyedLogFault.Down) throw unavailable(false);
   }
 
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -93,6 +93,7 @@
   readonly gateway: Gateway;
   readonly endpoints: TestEndpoint[] = [];
   readonly probe = new SwitchedProbe();
+  readonly store = new MemoryKeyedLog();
   #requests = 0;
 
   constructor() {
@@ -103,7 +104,7 @@
       host: '127.0.0.1',
       port: 0,
       news: { host: '127.0.0.1', port: 0 },
-      store: new MemoryKeyedLog(),
+      store: this.store,
       topics: { config: 'config', registrations: 'servers', daemons: 'daemons', duties: 'duties' },
       codec: new HeaderCodec(),
       duties: new NullDuties(),
--- a/test/gateway/gateway-listener_test.ts
+++ b/test/gateway/gateway-listener_test.ts
@@ -1,6 +1,7 @@
 import { Agent, get, type IncomingMessage } from 'node:http';
 import { connect } from 'node:net';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { KeyedLogFault } from '../../src/standins/memory-keyed-log.js';
 import { RequestKind } from '../../src/gateway/traffic-config.js';
 import { trafficConfig, trafficRoute } from './configs.js';
 import { GatewayHarness, answerWhole, sealed } from './gateway-harness.js';
@@ -78,6 +79,14 @@
       agent.destroy();
     });
 
+    it('ends in time although the store is silent', async () => {
+      await harness.start(trafficConfig(), answerWhole(200, 'ok'));
+      harness.store.fault = KeyedLogFault.Silent;
+      const deadlineAtMs = performance.timeOrigin + performance.now() + 600;
+      await harness.gateway.stop(deadlineAtMs);
+      expect(harness.gateway.port).toBe(0);
+    });
+
     it('says so on the connections that it still answers', async () => {
       await harness.start(trafficConfig(), answerWhole(200, 'ok'));
       const stopping = harness.gateway.stop(Date.now() + 2_000);
--- a/test/gateway/request-relay_test.ts
+++ b/test/gateway/request-relay_test.ts
@@ -115,7 +115,11 @@
 
     it('are refused as not run when no endpoint is known', async () => {
       await harness.start(config);
-      expect((await harness.call({ method: 'POST', body: 'order' })).status).toBe(503);
+      const refused = await harness.call({ method: 'POST', body: 'order' });
+      expect(refused.status).toBe(503);
+      // New endpoints take seconds; the caller keeps most of its time for the next attempt.
+      expect(Number(refused.headers['retry-after'])).toBeGreaterThan(0.6);
+      expect(Number(refused.headers['retry-after'])).toBeLessThan(1);
     });
   });
 
--- a/test/log/keyed-replica_test.ts
+++ b/test/log/keyed-replica_test.ts
@@ -19,7 +19,7 @@
       clock,
       random: new Random(1),
       events: new NullEventLog(),
-      waitMs: 0,
+      waitMs: 2_500,
       minGapMs: 100,
     });
     seen = [];
@@ -55,6 +55,17 @@
   });
 
   describe('when the store is down', () => {
+    it('asks for an answer at once until it is back, and then waits again', async () => {
+      replica.start();
+      await clock.advance(150);
+      log.fault = KeyedLogFault.Down;
+      await clock.advance(2_000);
+      expect(log.waitsMs.at(-1)).toBe(0);
+      log.fault = KeyedLogFault.None;
+      await clock.advance(1_500);
+      expect(log.waitsMs.at(-1)).toBe(2_500);
+    });
+
     it('keeps what it knows and says that it is failing until a read works again', async () => {
       log.put('t', 'a', '1');
       replica.start();
