--- a/bench/policy/run-pool.ts
+++ b/bench/policy/run-pool.ts
@@ -1,6 +1,6 @@
 import { Worker } from 'node:worker_threads';
 import type { RunSummary } from './run-summary.js';
-import type { RunOptions } from './simulation.js';
+import type { RunOptions } from './run-record.js';
 
 /** A run as it is sent to a worker thread. */
 export interface RunSpec extends Omit<RunOptions, 'shape'> {
--- a/bench/policy/run-summary.ts
+++ b/bench/policy/run-summary.ts
@@ -6,7 +6,7 @@
   type RequestRecord,
   type RunOptions,
   type RunResult,
-} from './simulation.js';
+} from './run-record.js';
 
 /** Outcome of the requests that arrived in one interval of a run. */
 export interface IntervalSummary {
--- a/bench/policy/simulation.ts
+++ b/bench/policy/simulation.ts
@@ -1,143 +1,27 @@
-import {
-  AdmissionController,
-  BackOff,
-  HedgePolicy,
-  LengthPredictor,
-  RetryBudget,
-  RetryPolicy,
-  type Ticket,
-} from '../../src/admission/index.js';
 import { Outcome, Random, VirtualClock, WorkClass } from '../../src/core/index.js';
-import { CacheView, type CacheEvent } from '../../src/fleet/cache-view.js';
-import {
-  EndpointState,
-  type EndpointView,
-  type ReceivedLoadReport,
-} from '../../src/fleet/index.js';
-import { SpeedEstimator } from '../../src/fleet/speed-estimator.js';
-import {
-  AttemptReports,
-  Router,
-  type Decision,
-  type RouteRequest,
-} from '../../src/routing/index.js';
+import type { CacheEvent } from '../../src/fleet/cache-view.js';
+import { EndpointState, type EndpointView } from '../../src/fleet/index.js';
+import { AttemptReports, type Decision, type RouteRequest } from '../../src/routing/index.js';
 import { limitsSchema } from '../../src/settings/index.js';
-import type { DeploymentShape, EndpointGroup } from './deployments.js';
+import type { EndpointGroup } from './deployments.js';
 import {
   defaultEngineModel,
   SimulatedEngine,
   type EngineModel,
   type EngineUsage,
 } from './engine.js';
+import { PolicyName, type Choice } from './policies.js';
 import {
-  BaselinePolicy,
-  PolicyName,
-  RouterPolicy,
-  type Choice,
-  type RoutingPolicy,
-} from './policies.js';
-import { serviceId, simulatedView } from './simulated-view.js';
-import { generateWorkload, type SimulatedRequest } from './workload.js';
-
-/** Faults and delays of a run; each can be set on its own. */
-export interface FaultKnobs {
-  readonly reportPeriodMs: number;
-  readonly reportLagMs: number;
-  readonly cacheEventLagMs: number;
-  /** Share of cache events that a daemon never receives. */
-  readonly cacheEventLossRatio: number;
-  /** Endpoints that are slow at any time, in episodes of 20 to 60 s. */
-  readonly slowEndpoints: number;
-  readonly slowFactor: number;
-  /** Time after the warm-up at which a whole failure domain is lost without notice. */
-  readonly domainLostAfterMs: number | undefined;
-  /** Time between reclaims of one endpoint each, with notice. */
-  readonly reclaimEveryMs: number | undefined;
-  readonly noticeMs: number;
-  /** Time from the loss of endpoints to their replacement. */
-  readonly replacedAfterMs: number;
-}
-
-export const noFaults: FaultKnobs = {
-  reportPeriodMs: 500,
-  reportLagMs: 500,
-  cacheEventLagMs: 1_000,
-  cacheEventLossRatio: 0.01,
-  slowEndpoints: 0,
-  slowFactor: 5,
-  domainLostAfterMs: undefined,
-  reclaimEveryMs: undefined,
-  noticeMs: 30_000,
-  replacedAfterMs: 60_000,
-};
-
-/** Options of {@link runSimulation}. */
-export interface RunOptions {
-  readonly shape: DeploymentShape;
-  readonly policy: PolicyName;
-  readonly seed: number;
-  readonly load: number;
-  readonly daemons?: number;
-  readonly warmUpMs?: number;
-  readonly measureMs?: number;
-  readonly knobs?: Partial<FaultKnobs>;
-  readonly model?: Partial<EngineModel>;
-  readonly longRatio?: number;
-  readonly longFactor?: number;
-  readonly bigWorkspacesFactor?: number;
-  /** Lets reclaimed endpoints break their streams, which then start again from the prompt. */
-  readonly restartsOnReclaim?: boolean;
-}
-
-/** How a request ended. */
-export enum RequestEnd {
-  Completed = 'completed',
-  /** Refused before it was sent. */
-  Refused = 'refused',
-  /** Broken after it was sent, without another attempt. */
-  Broken = 'broken',
-  /** Still running when the simulation ended. */
-  Open = 'open',
-}
-
-/** What became of a request. */
-export interface RequestRecord {
-  readonly request: SimulatedRequest;
-  readonly end: RequestEnd;
-  /** From arrival at the daemon to the first token there; undefined without one. */
-  readonly firstTokenMs: number | undefined;
-  /** Time in the daemon's queue. */
-  readonly queuedMs: number;
-  readonly endAtMs: number;
-  /** Mean time between tokens. */
-  readonly betweenTokensMs: number;
-  readonly attempts: number;
-  /** Attempts that an engine started. */
-  readonly startedAttempts: number;
-  readonly uncachedTokens: number;
-  /** Prompt tokens processed again although an earlier request had the same prefix. */
-  readonly recomputedTokens: number;
-  /** Tokens processed a second time because an attempt broke or was moved. */
-  readonly repeatedTokens: number;
-  readonly usd: number;
-}
-
-/** State sampled every 100 ms. */
-export interface LoadSamples {
-  /** Mean over time of the standard deviation of the load over its mean, across endpoints. */
-  readonly variation: number;
-  /** Share of samples with a queue at one endpoint while another had two free slots or more. */
-  readonly queuedBesideFree: number;
-  readonly utilisation: number;
-}
-
-/** Result of {@link runSimulation}. */
-export interface RunResult {
-  readonly records: readonly RequestRecord[];
-  readonly samples: LoadSamples;
-  readonly warmUpEndMs: number;
-  readonly measureEndMs: number;
-}
+  noFaults,
+  RequestEnd,
+  type FaultKnobs,
+  type RequestRecord,
+  type RunOptions,
+  type RunResult,
+} from './run-record.js';
+import { SimulatedDaemon, SimulatedEndpoint, Task, type Attempt } from './simulated-daemon.js';
+import { serviceId } from './simulated-view.js';
+import { generateWorkload } from './workload.js';
 
 const limits = limitsSchema.parse({ rate_per_s: '100000', burst_requests: '100000' });
 const settings = {
@@ -153,127 +37,6 @@
 const kvBytesPerMs = 125_000;
 const kvImportMs = 300;
 
-class SimulatedEndpoint {
-  readonly view: EndpointView;
-  readonly engine: SimulatedEngine;
-  readonly group: EndpointGroup;
-  report: ReceivedLoadReport | undefined;
-  leavingAtMs: number | undefined;
-  inTransit = 0;
-  cacheSequence = 0;
-
-  constructor(id: string, group: EndpointGroup, engine: SimulatedEngine) {
-    this.group = group;
-    this.engine = engine;
-    this.view = simulatedView(id, {
-      region: group.region,
-      failureDomain: group.failureDomain,
-      reclaimable: group.reclaimable,
-      priceUsdPerHour: group.priceUsdPerHour,
-      batchSlots: engine.model.batchSlots,
-    });
-  }
-}
-
-interface Attempt {
-  readonly id: number;
-  readonly endpoint: SimulatedEndpoint;
-  readonly reports: AttemptReports | undefined;
-  readonly sentAtMs: number;
-  readonly linkMs: number;
-  /** Whether it follows an attempt that broke or was moved; hedges do not. */
-  readonly isRepeat: boolean;
-  /** Output tokens that earlier attempts had delivered. */
-  readonly resumedTokens: number;
-  produced: number;
-  isOver: boolean;
-}
-
-class Task {
-  readonly request: SimulatedRequest;
-  workClass: WorkClass = WorkClass.Short;
-  expectedOutputTokens = 0;
-  ticket: Ticket | undefined;
-  readonly attempts: Attempt[] = [];
-  readonly tried: string[] = [];
-  attemptCount = 0;
-  startedAttempts = 0;
-  /** Whether an attempt broke or was moved. */
-  hasBroken = false;
-  delivered = 0;
-  firstTokenAtMs: number | undefined;
-  lastTokenAtMs = 0;
-  uncachedTokens = 0;
-  recomputedTokens = 0;
-  repeatedTokens = 0;
-  usd = 0;
-  end: RequestEnd = RequestEnd.Open;
-  endAtMs = Infinity;
-
-  constructor(request: SimulatedRequest) {
-    this.request = request;
-  }
-}
-
-/** Sees the true caches; for the oracle. */
-class TrueCacheView extends CacheView {
-  readonly #endpoints: ReadonlyMap<string, SimulatedEndpoint>;
-
-  constructor(endpoints: ReadonlyMap<string, SimulatedEndpoint>) {
-    super();
-    this.#endpoints = endpoints;
-  }
-
-  override cachedTokens(endpointId: string, prefix: readonly number[]): number {
-    return (this.#endpoints.get(endpointId)?.engine.cachedBlocks(prefix) ?? 0) * 64;
-  }
-}
-
-class SimulatedDaemon {
-  readonly region: string;
-  readonly caches = new CacheView();
-  readonly speeds = new SpeedEstimator();
-  readonly admission: AdmissionController;
-  readonly hedges = new HedgePolicy();
-  readonly lengths = new LengthPredictor();
-  readonly retryBudget = new RetryBudget();
-  readonly retries: RetryPolicy;
-  readonly policy: RoutingPolicy;
-  /** Own requests by endpoint and class. */
-  readonly own = new Map<string, Record<WorkClass, number>>();
-  /** Endpoints that this daemon knows to leave. */
-  readonly known = new Map<string, number>();
-  readonly open = new Set<Task>();
-
-  constructor(
-    id: string,
-    region: string,
-    options: RunOptions,
-    clock: VirtualClock,
-    random: Random,
-    endpoints: ReadonlyMap<string, SimulatedEndpoint>,
-  ) {
-    this.region = region;
-    this.admission = new AdmissionController({ clock, random: random.fork() });
-    this.retries = new RetryPolicy(this.retryBudget, new BackOff({ random: random.fork() }));
-    const common = { daemonId: id, region, random: random.fork() };
-    switch (options.policy) {
-      case PolicyName.Router:
-        this.policy = new RouterPolicy(
-          new Router({ ...common, caches: this.caches, speeds: this.speeds }),
-        );
-        break;
-      case PolicyName.Oracle:
-        this.policy = new RouterPolicy(
-          new Router({ ...common, caches: new TrueCacheView(endpoints), temperatureRatio: 0 }),
-        );
-        break;
-      default:
-        this.policy = new BaselinePolicy(options.policy, common.random);
-    }
-  }
-}
-
 class Simulation {
   readonly #options: RunOptions;
   readonly #knobs: FaultKnobs;
--- a/test/bench/policy/simulation_test.ts
+++ b/test/bench/policy/simulation_test.ts
@@ -3,7 +3,8 @@
 import { haneul, tejidos } from '../../../bench/policy/deployments.js';
 import { defaultEngineModel } from '../../../bench/policy/engine.js';
 import { PolicyName } from '../../../bench/policy/policies.js';
-import { RequestEnd, runSimulation, type RunOptions } from '../../../bench/policy/simulation.js';
+import { RequestEnd, type RunOptions } from '../../../bench/policy/run-record.js';
+import { runSimulation } from '../../../bench/policy/simulation.js';
 import { generateWorkload } from '../../../bench/policy/workload.js';
 
 const base: RunOptions = {
--- a/test/capacity/duty-lease_test.ts
+++ b/test/capacity/duty-lease_test.ts
@@ -1,12 +1,8 @@
 import { beforeEach, describe, expect, it } from 'vitest';
-import { DutyLease } from '../../src/capacity/duty-lease.js';
-import { Random, VirtualClock } from '../../src/core/index.js';
-import { KeyedReplica } from '../../src/log/keyed-replica.js';
-import { DaemonSamples } from '../../src/membership/daemon-samples.js';
+import type { DutyLease } from '../../src/capacity/duty-lease.js';
+import { VirtualClock } from '../../src/core/index.js';
 import { KeyedLogFault, MemoryKeyedLog } from '../../src/standins/memory-keyed-log.js';
-import { NullEventLog } from '../../src/telemetry/index.js';
-
-const leaseMs = 3_000;
+import { DutyParts, leaseMs } from './duty-parts.js';
 
 /** A daemon with its own path to the store. */
 class TestDaemon {
@@ -24,49 +20,9 @@
     incarnation = 1,
   ) {
     this.store = new PathToStore(log);
-    const events = new NullEventLog();
-    const replicaOf = (topic: string): KeyedReplica => {
-      const replica = new KeyedReplica({
-        log: this.store,
-        topic,
-        clock,
-        random: new Random(1),
-        events,
-        waitMs: 0,
-        minGapMs: 100,
-      });
-      replica.start();
-      return replica;
-    };
-    const samples = new DaemonSamples({
-      log: this.store,
-      topic: 'daemons',
-      replica: replicaOf('daemons'),
-      daemon: name,
-      incarnation,
-      clock,
-      events,
-      content: () => ({
-        granted: {},
-        inFlight: {},
-        prefillTokensPerS: {},
-        newsAddress: '',
-        usage: [],
-      }),
-    });
-    samples.start();
-    this.lease = new DutyLease({
-      log: this.store,
-      topic: 'duties',
-      replica: replicaOf('duties'),
-      samples,
-      daemon: name,
-      incarnation,
-      leaseMs,
-      clock,
-      wallNowMs: () => clock.nowMs() + this.suspendedMs,
-      events,
-    });
+    const { store } = this;
+    const suspendedMs = (): number => this.suspendedMs;
+    this.lease = new DutyParts({ daemon: name, incarnation, log: store, clock, suspendedMs }).lease;
     clock.every(250, () => {
       if (!this.isRunning) return;
       void this.lease.tick();
--- /dev/null
+++ b/test/capacity/duty-parts.ts
@@ -0,0 +1,85 @@
+import { DutyLease } from '../../src/capacity/duty-lease.js';
+import { UsageCounter } from '../../src/capacity/usage-counter.js';
+import { Random, type Clock } from '../../src/core/index.js';
+import type { KeyedLog } from '../../src/log/keyed-log.js';
+import { KeyedReplica } from '../../src/log/keyed-replica.js';
+import { DaemonSamples } from '../../src/membership/daemon-samples.js';
+import { NullEventLog } from '../../src/telemetry/index.js';
+
+export const leaseMs = 3_000;
+export const windowMs = 5_000;
+
+/** Options of {@link DutyParts}. */
+export interface DutyPartsOptions {
+  readonly daemon: string;
+  readonly incarnation: number;
+  readonly log: KeyedLog;
+  readonly clock: Clock;
+  /** Time for which the VM was suspended, which only the wall clock counts. */
+  readonly suspendedMs?: () => number;
+}
+
+/** What one daemon of the tests needs to hold duties, started. */
+export class DutyParts {
+  readonly counter = new UsageCounter(windowMs);
+  readonly samples: DaemonSamples;
+  readonly lease: DutyLease;
+  readonly replica: KeyedReplica;
+  readonly #samplesReplica: KeyedReplica;
+
+  constructor({ daemon, incarnation, log, clock, suspendedMs }: DutyPartsOptions) {
+    const events = new NullEventLog();
+    const replicaOf = (topic: string): KeyedReplica => {
+      const random = new Random(1);
+      const replica = new KeyedReplica({
+        log,
+        topic,
+        clock,
+        random,
+        events,
+        waitMs: 0,
+        minGapMs: 100,
+      });
+      replica.start();
+      return replica;
+    };
+    this.#samplesReplica = replicaOf('daemons');
+    this.replica = replicaOf('duties');
+    this.samples = new DaemonSamples({
+      log,
+      topic: 'daemons',
+      replica: this.#samplesReplica,
+      daemon,
+      incarnation,
+      clock,
+      events,
+      content: () => ({
+        granted: {},
+        inFlight: {},
+        prefillTokensPerS: {},
+        newsAddress: '',
+        usage: this.counter.windows(),
+      }),
+    });
+    this.samples.start();
+    this.lease = new DutyLease({
+      log,
+      topic: 'duties',
+      replica: this.replica,
+      samples: this.samples,
+      daemon,
+      incarnation,
+      leaseMs,
+      clock,
+      wallNowMs: () => clock.nowMs() + (suspendedMs?.() ?? 0),
+      events,
+    });
+  }
+
+  /** Ends as a daemon does that stops. */
+  stop(): void {
+    void this.samples.leave();
+    this.replica.stop();
+    this.#samplesReplica.stop();
+  }
+}
--- a/test/capacity/usage-reporter_test.ts
+++ b/test/capacity/usage-reporter_test.ts
@@ -4,16 +4,12 @@
   DutyUnansweredError,
   type UsageReport,
 } from '../../src/capacity/duty-client.js';
-import { DutyLease } from '../../src/capacity/duty-lease.js';
-import { UsageCounter } from '../../src/capacity/usage-counter.js';
+import type { UsageCounter } from '../../src/capacity/usage-counter.js';
 import { UsageReporter } from '../../src/capacity/usage-reporter.js';
-import { Random, VirtualClock } from '../../src/core/index.js';
-import { KeyedReplica } from '../../src/log/keyed-replica.js';
-import { DaemonSamples } from '../../src/membership/daemon-samples.js';
+import { VirtualClock } from '../../src/core/index.js';
 import { MemoryKeyedLog } from '../../src/standins/memory-keyed-log.js';
 import { NullEventLog } from '../../src/telemetry/index.js';
-
-const windowMs = 5_000;
+import { DutyParts, windowMs } from './duty-parts.js';
 
 /** Takes reports as the platform does; `isMute` takes them without an answer. */
 class RecordedDuties extends DutyClient {
@@ -32,7 +28,6 @@
 
 interface TestReporter {
   readonly counter: UsageCounter;
-  readonly lease: DutyLease;
   stop(): void;
 }
 
@@ -42,53 +37,17 @@
   let duties: RecordedDuties;
 
   function start(daemon: string): TestReporter {
-    const events = new NullEventLog();
-    const replicas = ['daemons', 'duties'].map(
-      (topic) =>
-        new KeyedReplica({
-          log,
-          topic,
-          clock,
-          random: new Random(1),
-          events,
-          waitMs: 0,
-          minGapMs: 100,
-        }),
-    );
-    for (const replica of replicas) replica.start();
-    const [daemonsReplica, dutiesReplica] = replicas as [KeyedReplica, KeyedReplica];
-    const counter = new UsageCounter(windowMs);
-    const samples = new DaemonSamples({
-      log,
-      topic: 'daemons',
-      replica: daemonsReplica,
-      daemon,
-      incarnation: 1,
-      clock,
-      events,
-      content: () => ({
-        granted: {},
-        inFlight: {},
-        prefillTokensPerS: {},
-        newsAddress: '',
-        usage: counter.windows(),
-      }),
-    });
-    samples.start();
-    const shared = { log, topic: 'duties', samples, daemon, clock, events };
-    const lease = new DutyLease({
-      ...shared,
-      replica: dutiesReplica,
-      incarnation: 1,
-      leaseMs: 3_000,
-      wallNowMs: () => clock.nowMs(),
-    });
+    const parts = new DutyParts({ daemon, incarnation: 1, log, clock });
+    const { counter, lease, samples, replica } = parts;
     const reporter = new UsageReporter({
-      ...shared,
       counter,
       lease,
-      replica: dutiesReplica,
+      samples,
+      replica,
       duties,
+      daemon,
+      clock,
+      events: new NullEventLog(),
       dueMs: 10_000,
     });
     const stopTicking = clock.every(500, () => {
@@ -96,11 +55,9 @@
     });
     return {
       counter,
-      lease,
       stop: () => {
         stopTicking();
-        void samples.leave();
-        for (const replica of replicas) replica.stop();
+        parts.stop();
       },
     };
   }
