Check the size of headers and drop fields that nothing reads

Cause: the configured limit on headers was only bounded by the server's own 64 KB; types carried connections, cache size and slowdown that no code used. Change: admission answers 431 beyond the limit; the fields are gone.

--- a/src/gateway/caller-exchange.ts
+++ b/src/gateway/caller-exchange.ts
@@ -14,8 +14,6 @@
   readonly receivedAtMs: number;
   /** Time by which the whole answer is due, in epoch milliseconds. */
   readonly deadlineAtMs: number;
-  /** Whether the deadline is the route's rather than the caller's. */
-  readonly isRouteTimeout: boolean;
 }
 
 /** The caller's side of one request: whether it is still there, and what it has been told. */
--- a/src/gateway/gateway-listener.ts
+++ b/src/gateway/gateway-listener.ts
@@ -20,7 +20,7 @@
   readonly events: EventLog;
 }
 
-/** Larger than any configured limit on headers, which is checked for each request. */
+/** Larger than any configured limit on headers, which admission checks for each request. */
 const maxHeaderBytes = 65_536;
 
 /** Limits until the first configuration is known. */
--- a/src/gateway/request-admission.ts
+++ b/src/gateway/request-admission.ts
@@ -34,6 +34,7 @@
     const { clock } = this.#options;
     const receivedAtMs = clock.nowMs();
     const table = this.#table();
+    checkHeaderSize(exchange, table.config.limits.maxHeaderBytes);
     const description = this.#describe(exchange);
     const route = routeOf(exchange, table);
     const workspace = workspaceOf(route, description, table);
@@ -53,7 +54,6 @@
       body,
       receivedAtMs,
       deadlineAtMs: receivedAtMs + Math.min(patienceMs, route.timeoutMs),
-      isRouteTimeout: route.timeoutMs <= patienceMs,
     };
   }
 
@@ -83,6 +83,12 @@
   }
 }
 
+/** Names and values count, as they were sent. */
+function checkHeaderSize({ request }: CallerExchange, maxBytes: number): void {
+  const bytes = request.rawHeaders.reduce((sum, text) => sum + text.length, 0);
+  if (bytes > maxBytes) throw refusal(431, `the headers are larger than ${maxBytes} bytes`);
+}
+
 function routeOf({ request }: CallerExchange, table: RouteTable): TrafficRoute {
   const path = (request.url ?? '/').split('?', 1)[0] ?? '/';
   const route = table.route(request.headers.host ?? '', path);
--- a/src/gateway/request-codec.ts
+++ b/src/gateway/request-codec.ts
@@ -35,9 +35,6 @@
 export interface AnsweredLoad {
   readonly runningRequests: number;
   readonly queuedRequests: number;
-  readonly batchSlots: number;
-  /** How much longer work takes on the VM than usual; 1 is usual. */
-  readonly slowdownRatio: number;
 }
 
 /** What the head of an endpoint's answer says. */
--- a/src/gateway/traffic-config.ts
+++ b/src/gateway/traffic-config.ts
@@ -58,10 +58,6 @@
 export interface TrafficService {
   readonly name: string;
   readonly healthPath: string;
-  /** Connections that one endpoint accepts from all daemons. */
-  readonly maxConnections: number;
-  /** Prompt and output tokens that an endpoint holds at once; undefined for plain services. */
-  readonly cacheTokens: number | undefined;
   /** Undefined when the number of endpoints is not ours to choose. */
   readonly scaling: ScalingLimits | undefined;
 }
--- a/test/gateway/configs.ts
+++ b/test/gateway/configs.ts
@@ -33,8 +33,6 @@
       {
         name: 'orders',
         healthPath: '/health',
-        maxConnections: 10,
-        cacheTokens: undefined,
         scaling: undefined,
       },
     ],
--- a/test/gateway/request-relay_test.ts
+++ b/test/gateway/request-relay_test.ts
@@ -200,6 +200,13 @@
       expect(Number(headers['oriolestack-deadline-ms'])).toBeLessThanOrEqual(3_000);
     });
 
+    it('beyond the configured size are refused before anything is sent', async () => {
+      await harness.start(trafficConfig(), answerWhole(200, 'ok'));
+      const answer = await harness.call({ headers: { 'x-long': 'x'.repeat(20_000) } });
+      expect(answer.status).toBe(431);
+      expect(harness.arrivals).toBe(0);
+    });
+
     it('without a known key are refused before anything is sent', async () => {
       await harness.start(trafficConfig({ workspaces }), answerWhole(200, 'ok'));
       const answer = await harness.call({ headers: { authorization: 'Bearer wrong' } });
