Keep the usage of a daemon's earlier run, and send nothing for callers that left

Change: the earlier run's usage is absorbed before the first sample; an attempt does not begin without a caller. Tests added; the one for usage fails without the change.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -168,6 +168,7 @@
       clock,
       events,
       content: () => this.#sampleContent(),
+      onEarlierRun: ({ usage }) => this.#counter.absorb(usage),
     });
     this.#news = new PrefillNewsExchange({
       own: options.news,
--- a/src/gateway/request-relay.ts
+++ b/src/gateway/request-relay.ts
@@ -9,7 +9,13 @@
   SilenceDetector,
 } from '../fleet/index.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
-import { Attempt, AttemptEnd, AttemptObserver, type AttemptResult } from './attempt.js';
+import {
+  Attempt,
+  AttemptEnd,
+  AttemptObserver,
+  type AttemptResult,
+  type StreamProgress,
+} from './attempt.js';
 import type { AdmittedRequest, CallerExchange } from './caller-exchange.js';
 import type { EndpointConnections } from './endpoint-connections.js';
 import type { AnswerDescription, RequestCodec } from './request-codec.js';
@@ -81,7 +87,7 @@
   readonly #exchange: CallerExchange;
   readonly #admitted: AdmittedRequest;
   readonly #triedIds: string[] = [];
-  readonly #progress = { lastEventId: undefined as string | undefined, events: 0 };
+  readonly #progress: StreamProgress;
   #attempt: Attempt | undefined;
   #sends = 0;
   #unsentAttempts = 0;
@@ -98,7 +104,7 @@
     this.#options = options;
     this.#exchange = exchange;
     this.#admitted = admitted;
-    this.#progress.lastEventId = admitted.description.lastEventId;
+    this.#progress = { lastEventId: admitted.description.lastEventId, events: 0 };
   }
 
   async run(): Promise<void> {
@@ -149,6 +155,8 @@
   /** One attempt. @returns whether another one should follow. */
   async #tryOnce(): Promise<boolean> {
     const { placement, registry, clock } = this.#options;
+    // Nobody waits for the answer, and nothing has to be brought to an end.
+    if (this.#exchange.isGone) return false;
     const view = placement.choose(this.#admitted, this.#triedIds);
     if (!view) {
       this.#giveUp();
@@ -176,10 +184,10 @@
 
   #begin(view: EndpointView): Attempt {
     const { connections, codec, silence, clock, endpoints, placement } = this.#options;
-    const { exchange, admitted } = { exchange: this.#exchange, admitted: this.#admitted };
+    const exchange = this.#exchange;
+    const admitted = this.#admitted;
     const { request } = exchange;
     placement.noteSent(view, admitted);
-    const isFreshNeeded = !this.#isRepeatable;
     const headers = codec.forwardedHeaders(request.headers, {
       workspaceName: admitted.workspace?.name,
       instanceId: endpoints.instanceIdOf(view),
@@ -202,7 +210,9 @@
             : {}),
         },
         body: admitted.body,
-        mayReuseConnection: !isFreshNeeded,
+        // A reused connection may have been closed by the endpoint, or bring an answer to an earlier
+        // request; what then became of this one could not be told.
+        mayReuseConnection: this.#isRepeatable,
       },
       progress: this.#progress,
       connections,
--- a/src/membership/daemon-samples.ts
+++ b/src/membership/daemon-samples.ts
@@ -53,6 +53,8 @@
   readonly clock: Clock;
   readonly events: EventLog;
   readonly content: () => SampleContent;
+  /** Told of the last sample that an earlier run of this daemon stored, before it is replaced. */
+  readonly onEarlierRun?: (sample: DaemonSample) => void;
 }
 
 interface Received {
@@ -147,12 +149,11 @@
     return this.#grants.of(workspaceName);
   }
 
-  /** The newest sample of each daemon that ever sent one, this run's own left out. */
+  /** The newest sample of each other daemon that ever sent one. */
   all(): DaemonSample[] {
-    const { daemon, incarnation } = this.#options;
     return [...this.#received.values()]
       .map(({ sample }) => sample)
-      .filter((sample) => sample.daemon !== daemon || sample.incarnation !== incarnation);
+      .filter((sample) => sample.daemon !== this.#options.daemon);
   }
 
   /**
@@ -166,9 +167,10 @@
 
   /** Sends a sample now. A failure is logged; the next sample follows in its time. */
   async publish(): Promise<void> {
-    if (this.#isPublishing) return;
+    const { log, topic, replica, daemon, incarnation, clock, content, events } = this.#options;
+    // Before the first read, a sample would replace that of an earlier run unseen.
+    if (this.#isPublishing || replica.endOffset === undefined) return;
     this.#isPublishing = true;
-    const { log, topic, daemon, incarnation, clock, content, events } = this.#options;
     const sentAtMs = clock.nowMs();
     const sample: DaemonSample = {
       daemon,
@@ -210,8 +212,11 @@
       (sample.incarnation < known.incarnation ||
         (sample.incarnation === known.incarnation && sample.sequence <= known.sequence));
     if (isOlder) return;
+    const { daemon, incarnation, onEarlierRun } = this.#options;
+    const isEarlierRun = sample.daemon === daemon && sample.incarnation !== incarnation;
+    if (isEarlierRun && !known) onEarlierRun?.(sample);
     this.#received.set(key, { sample, receivedAtMs: clock.nowMs() });
-    if (sample.daemon !== this.#options.daemon) this.#grants.take(sample);
+    if (sample.daemon !== daemon) this.#grants.take(sample);
   }
 }
 
--- a/test/capacity/duty-parts.ts
+++ b/test/capacity/duty-parts.ts
@@ -60,6 +60,7 @@
         newsAddress: '',
         usage: this.counter.windows(),
       }),
+      onEarlierRun: ({ usage }) => this.counter.absorb(usage),
     });
     this.samples.start();
     this.lease = new DutyLease({
--- a/test/capacity/usage-reporter_test.ts
+++ b/test/capacity/usage-reporter_test.ts
@@ -36,8 +36,8 @@
   let log: MemoryKeyedLog;
   let duties: RecordedDuties;
 
-  function start(daemon: string): TestReporter {
-    const parts = new DutyParts({ daemon, incarnation: 1, log, clock });
+  function start(daemon: string, incarnation = 1): TestReporter {
+    const parts = new DutyParts({ daemon, incarnation, log, clock });
     const { counter, lease, samples, replica } = parts;
     const reporter = new UsageReporter({
       counter,
@@ -83,6 +83,22 @@
     expect(countsOf(window)).toEqual([{ tenders: 2, terms: 1 }]);
   });
 
+  it('keeps what a daemon counted before it was killed and started again', async () => {
+    const a = start('a');
+    const b = start('b');
+    await clock.advance(2_000);
+    const window = a.counter.windowOf(clock.nowMs());
+    b.counter.count('tenders', clock.nowMs());
+    await clock.advance(1_500);
+    b.stop();
+    const again = start('b', 2);
+    await clock.advance(100);
+    again.counter.count('tenders', clock.nowMs());
+    await clock.advance(15_000);
+    expect(countsOf(window)).toEqual([{ tenders: 2 }]);
+    a.stop();
+  });
+
   it('never sends other counts for a window whose answer was lost, whoever holds the duties', async () => {
     const a = start('a');
     await clock.advance(2_000);
--- a/test/gateway/request-relay_test.ts
+++ b/test/gateway/request-relay_test.ts
@@ -1,3 +1,4 @@
+import { connect } from 'node:net';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { RequestKind, QuotaUnit } from '../../src/gateway/traffic-config.js';
 import { trafficConfig, trafficRoute } from './configs.js';
@@ -160,6 +161,37 @@
     });
   });
 
+  describe('a caller that leaves', () => {
+    it('before its request is whole has nothing sent for it', async () => {
+      await harness.start(trafficConfig(), answerWhole(200, 'ok'));
+      const socket = connect({ host: '127.0.0.1', port: harness.gateway.port });
+      await new Promise((resolve) => socket.once('connect', resolve));
+      socket.write(
+        'POST /x HTTP/1.1\r\nhost: shop.example\r\noriolestack-request-id: r\r\n' +
+          'content-length: 10\r\n\r\nhalf',
+      );
+      await new Promise<void>((resolve) => {
+        socket.end(resolve);
+      });
+      expect((await harness.call()).status).toBe(200);
+      expect(harness.arrivals).toBe(1);
+    });
+
+    it('has its repeatable request stopped at the endpoint', async () => {
+      let stopped: () => void = () => undefined;
+      const isStopped = new Promise<void>((resolve) => (stopped = resolve));
+      await harness.start(trafficConfig(), (request, response) => {
+        request.resume();
+        response.once('close', stopped);
+        caller.destroy();
+      });
+      const caller = connect({ host: '127.0.0.1', port: harness.gateway.port });
+      caller.write('GET /x HTTP/1.1\r\nhost: shop.example\r\noriolestack-request-id: r\r\n\r\n');
+      await isStopped;
+      expect(harness.arrivals).toBe(1);
+    });
+  });
+
   describe('the deadline', () => {
     it('of the route ends a request at once with an answer that promises nothing', async () => {
       const route = trafficRoute({ timeoutMs: 80 });
