Tell a reset from an orderly end of an answer without a length

Ruled out: chunked answers, a missing error handler, an orderly close. Change: an end without a peer breaks an answer that is not whole. The test with the reset sent at once fails without the change; framed answers stay whole.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -101,7 +101,8 @@
         this.#onAnswer(answer);
       },
       broken: (reason) => {
-        this.#finish(AttemptEnd.Broken, reason);
+        // An answer that was framed and read whole before the connection failed is whole.
+        if (!this.#answer?.complete) this.#finish(AttemptEnd.Broken, reason);
       },
       failed: (reason, mayHaveRun) => {
         this.#finish(mayHaveRun ? AttemptEnd.Broken : AttemptEnd.NotRun, reason);
--- a/src/gateway/endpoint-connections.ts
+++ b/src/gateway/endpoint-connections.ts
@@ -5,6 +5,7 @@
   type IncomingMessage,
   type OutgoingHttpHeaders,
 } from 'node:http';
+import type { Socket } from 'node:net';
 import type { Clock } from '../core/index.js';
 
 /** A request for one endpoint. */
@@ -125,6 +126,7 @@
       // The agent's timeout is for idle connections; a silent answer is the caller's to judge.
       socket.setTimeout(0);
       socket.setNoDelay(true);
+      this.#watchEnd(socket);
       if (!socket.connecting) {
         this.#mayHaveRun = true;
         return;
@@ -153,6 +155,21 @@
     outgoing.end(body);
   }
 
+  /**
+   * Tells a reset from an orderly end. When a reset arrives together with the last bytes, libuv
+   * reports the end of the stream and no error; but a connection that was reset has no peer any more.
+   */
+  #watchEnd(socket: Socket): void {
+    const onEnd = (): void => {
+      // Node keeps the address once it was asked for, so nothing may ask before this.
+      const isReset = socket.remoteAddress === undefined;
+      if (isReset && this.#hasAnswer) this.#observer.broken('the connection was reset');
+    };
+    // Before Node's own listener, which takes the end for the end of the answer.
+    socket.prependOnceListener('end', onEnd);
+    this.#outgoing.once('close', () => socket.off('end', onEnd));
+  }
+
   #fail(reason: string): void {
     this.#cancelConnectTimer();
     if (this.#isDone) return;
--- a/test/gateway/request-relay_test.ts
+++ b/test/gateway/request-relay_test.ts
@@ -60,17 +60,44 @@
       expect(await harness.call()).toMatchObject({ status: 502, body: '' });
     });
 
-    it('never get a part of an answer without a length whose connection was reset', async () => {
+    it.each([0, 20])(
+      'never get a part of an answer whose connection was reset after %i ms',
+      async (afterMs) => {
+        await harness.start(trafficConfig(), (request, response) => {
+          const socket = response.socket!;
+          const head = Object.entries(sealed(request)).map(
+            ([name, value]) => `${name}: ${value}\r\n`,
+          );
+          socket.write(`HTTP/1.1 200 OK\r\n${head.join('')}connection: close\r\n\r\npart`, () => {
+            if (afterMs === 0) socket.resetAndDestroy();
+            else setTimeout(() => socket.resetAndDestroy(), afterMs);
+          });
+        });
+        expect(await harness.call()).toMatchObject({ status: 502, body: '' });
+      },
+    );
+
+    it('get a framed answer that was whole before its connection was reset', async () => {
       await harness.start(trafficConfig(), (request, response) => {
         const socket = response.socket!;
         const head = Object.entries(sealed(request)).map(
           ([name, value]) => `${name}: ${value}\r\n`,
         );
-        socket.write(`HTTP/1.1 200 OK\r\n${head.join('')}connection: close\r\n\r\npart`, () => {
-          setTimeout(() => socket.resetAndDestroy(), 20);
+        socket.write(`HTTP/1.1 200 OK\r\n${head.join('')}content-length: 5\r\n\r\nwhole`, () => {
+          socket.resetAndDestroy();
         });
       });
-      expect(await harness.call()).toMatchObject({ status: 502, body: '' });
+      expect(await harness.call()).toMatchObject({ status: 200, body: 'whole', isWhole: true });
+    });
+
+    it('get an answer without a length that ends in order', async () => {
+      await harness.start(trafficConfig(), (request, response) => {
+        const head = Object.entries(sealed(request)).map(
+          ([name, value]) => `${name}: ${value}\r\n`,
+        );
+        response.socket!.end(`HTTP/1.1 200 OK\r\n${head.join('')}connection: close\r\n\r\nwhole`);
+      });
+      expect(await harness.call()).toMatchObject({ status: 200, body: 'whole', isWhole: true });
     });
 
     it('never get a success without a signature', async () => {
