--- a/src/daemon/listener.ts
+++ b/src/core/listener.ts
@@ -1,11 +1,20 @@
 import type { Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
-/** Starts to listen and resolves with the port. */
-export function listen(server: Server, host: string, port: number): Promise<number> {
+/**
+ * Starts to listen and resolves with the port.
+ *
+ * @param backlog - connections that may wait to be accepted; default: Node's.
+ */
+export function listen(
+  server: Server,
+  host: string,
+  port: number,
+  backlog?: number,
+): Promise<number> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
-    server.listen(port, host, () => {
+    server.listen({ port, host, backlog }, () => {
       server.off('error', reject);
       resolve((server.address() as AddressInfo).port);
     });
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -16,7 +16,7 @@
 import type { DaemonSettings } from './daemon-settings.js';
 import { gracefulStop } from './graceful-stop.js';
 import { askKnownOffset } from './known-offset.js';
-import { closeServer, listen } from './listener.js';
+import { closeServer, listen } from '../core/listener.js';
 
 /** Options of {@link Daemon}. */
 export interface DaemonOptions {
--- a/src/gateway/gateway-listener.ts
+++ b/src/gateway/gateway-listener.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { RequestError, type Clock } from '../core/index.js';
+import { listen } from '../core/listener.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
 import { CallerExchange } from './caller-exchange.js';
 import type { ConfigHolder } from './config-holder.js';
@@ -27,6 +28,9 @@
 const defaultHeaderTimeoutMs = 3_000;
 const defaultIdleTimeoutMs = 15_000;
 
+/** Connections of callers that wait to be accepted, for bursts after a restart. */
+const maxWaitingConnections = 1_024;
+
 /** How often connections are checked against the limit on headers. */
 const checkIntervalMs = 500;
 
@@ -74,12 +78,10 @@
     return this.#inFlight;
   }
 
-  listen(): Promise<void> {
+  /** @throws Error when the address cannot be listened at. */
+  async listen(): Promise<void> {
     const { host, port } = this.#options;
-    return new Promise((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen({ host, port, backlog: 1_024 }, resolve);
-    });
+    await listen(this.#server, host, port, maxWaitingConnections);
   }
 
   /** Asks callers to connect elsewhere: each connection is closed after its next answer. */
--- a/src/gateway/readiness-listener.ts
+++ b/src/gateway/readiness-listener.ts
@@ -1,4 +1,5 @@
 import { createServer, type Server } from 'node:http';
+import { closeServer, listen } from '../core/listener.js';
 
 /** Answers the balancer's question whether this daemon takes new connections. */
 export class ReadinessListener {
@@ -13,15 +14,12 @@
     });
   }
 
-  listen(host: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen({ host, port }, resolve);
-    });
+  /** @throws Error when the address cannot be listened at. */
+  async listen(host: string, port: number): Promise<void> {
+    await listen(this.#server, host, port);
   }
 
-  close(): void {
-    this.#server.close();
-    this.#server.closeAllConnections();
+  close(): Promise<void> {
+    return closeServer(this.#server);
   }
 }
--- a/src/membership/daemon-samples.ts
+++ b/src/membership/daemon-samples.ts
@@ -63,7 +63,7 @@
 }
 
 /** Time between two samples of a daemon. */
-export const samplePeriodMs = 1_000;
+const samplePeriodMs = 1_000;
 
 /** A daemon that was silent for this long is gone. */
 const silentMs = 30_000;
@@ -72,7 +72,7 @@
 const currentMs = 3_000;
 
 /** A daemon counts as live for this long after its last sample. */
-export const sampleLifeMs = 4_500;
+const sampleLifeMs = 4_500;
 
 /**
  * Samples of all daemons, exchanged through the store: who lives, what each granted of the
@@ -81,7 +81,7 @@
  * @example
  * ```ts
  * samples.start();
- * samples.live().map(({ daemon }) => daemon);
+ * samples.others().map(({ daemon }) => daemon);
  * ```
  */
 export class DaemonSamples {
@@ -134,8 +134,8 @@
     return [...this.#received.values()]
       .filter(({ receivedAtMs }) => receivedAtMs > sinceMs)
       .map(({ sample }) => sample)
-      .filter(({ daemon, isLeaving }) => !isLeaving && !live.has(daemon))
-      .filter(({ daemon }) => daemon !== this.#options.daemon);
+      .filter(({ daemon }) => daemon !== this.#options.daemon && !live.has(daemon))
+      .filter(({ isLeaving }) => !isLeaving);
   }
 
   /** Whether the other daemons' samples are heard as they should be. */
--- a/test/engine/service-client_test.ts
+++ b/test/engine/service-client_test.ts
@@ -2,7 +2,7 @@
 import { createServer, request as httpRequest, type IncomingMessage } from 'node:http';
 import type { Server } from 'node:http';
 import { afterEach, describe, expect, it } from 'vitest';
-import { closeServer, listen } from '../../src/daemon/listener.js';
+import { closeServer, listen } from '../../src/core/listener.js';
 import { ServiceClient } from '../../src/engine/index.js';
 
 describe('ServiceClient', () => {
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -94,10 +94,11 @@
   readonly endpoints: TestEndpoint[] = [];
   readonly probe = new SwitchedProbe();
   readonly store = new MemoryKeyedLog();
+  readonly clock = new SystemClock();
   #requests = 0;
 
   constructor() {
-    const clock = new SystemClock();
+    const { clock } = this;
     this.gateway = new Gateway({
       daemon: 'front-1',
       region: 'here',
--- a/test/gateway/gateway-listener_test.ts
+++ b/test/gateway/gateway-listener_test.ts
@@ -35,7 +35,7 @@
       while (harness.endpoints.length === 0) await new Promise(setImmediate);
       const open = harness.call();
       await arrived;
-      const stopping = harness.gateway.stop(Date.now() + 5_000);
+      const stopping = harness.gateway.stop(harness.clock.nowMs() + 5_000);
       await harnessRefuses(harness);
       finish();
       expect(await open).toMatchObject({ status: 200, body: 'late', isWhole: true });
@@ -66,7 +66,7 @@
         );
       });
       const closed = new Promise((resolve) => answer.socket.once('close', resolve));
-      const stopping = harness.gateway.stop(Date.now() + 5_000);
+      const stopping = harness.gateway.stop(harness.clock.nowMs() + 5_000);
       await harnessRefuses(harness);
       finishers.at(-1)?.();
       answer.resume();
@@ -82,14 +82,14 @@
     it('ends in time although the store is silent', async () => {
       await harness.start(trafficConfig(), answerWhole(200, 'ok'));
       harness.store.fault = KeyedLogFault.Silent;
-      const deadlineAtMs = performance.timeOrigin + performance.now() + 600;
+      const deadlineAtMs = harness.clock.nowMs() + 600;
       await harness.gateway.stop(deadlineAtMs);
       expect(harness.gateway.port).toBe(0);
     });
 
     it('says so on the connections that it still answers', async () => {
       await harness.start(trafficConfig(), answerWhole(200, 'ok'));
-      const stopping = harness.gateway.stop(Date.now() + 2_000);
+      const stopping = harness.gateway.stop(harness.clock.nowMs() + 2_000);
       expect((await harness.call()).headers.connection).toBe('close');
       expect(harness.gateway.isReady).toBe(false);
       await stopping;
--- a/test/pipeline/caller-server_test.ts
+++ b/test/pipeline/caller-server_test.ts
@@ -4,7 +4,7 @@
 import { afterAll, afterEach, beforeAll, describe, expect, it } from 'vitest';
 import { z } from 'zod';
 import { countingIds, SystemClock } from '../../src/core/index.js';
-import { listen } from '../../src/daemon/listener.js';
+import { listen } from '../../src/core/listener.js';
 import { DemoCluster } from '../../src/demo/demo-cluster.js';
 import { CallerServer, CallerServerObserver } from '../../src/pipeline/index.js';
 import { Deployment } from '../../src/settings/index.js';
--- a/test/pipeline/read-body_test.ts
+++ b/test/pipeline/read-body_test.ts
@@ -1,7 +1,7 @@
 import { createServer, request as httpRequest, type Server } from 'node:http';
 import { afterEach, describe, expect, it } from 'vitest';
 import { RequestError, VirtualClock } from '../../src/core/index.js';
-import { closeServer, listen } from '../../src/daemon/listener.js';
+import { closeServer, listen } from '../../src/core/listener.js';
 import { readBody } from '../../src/pipeline/read-body.js';
 
 describe('readBody', () => {
