Keep operators' drains in the configuration stream

The other sources of the leaving state, the cloud's notice and list and the endpoint's own answer, come again; an order of an operator does not, so replacing all daemons within seconds forgot it.

Ruled out: handing over at a stop (exists, does not help after crashes); a store of its own (a daemon already reads the configuration stream up to its end before it takes work, so drains there cost no further wait).

Change: DrainFold beside the settings, DrainRecorder writes a drain that the log does not hold yet and tells the leaving set what the log holds. One daemon writes for all.

--- a/bench/histories/chat-commands.ts
+++ b/bench/histories/chat-commands.ts
@@ -112,7 +112,7 @@
   }
 }
 
-async function runChat(world: World, tokens: number): Promise<void> {
+export async function runChat(world: World, tokens: number): Promise<void> {
   const { history, random } = world;
   const ready = world.daemons.filter(({ fleet, takesRequests }) => fleet?.isReady && takesRequests);
   if (ready.length === 0) return;
--- a/bench/histories/simulated-daemon.ts
+++ b/bench/histories/simulated-daemon.ts
@@ -125,7 +125,7 @@
     this.manager.start();
     const peers = listenInProcess(options.network, daemonUrl(name), process);
     const seedUrls = options.urls;
-    if (options.hasSettings) {
+    if (options.hasSettings || options.chatEndpoints) {
       this.settings = new SimulatedSettings({
         process,
         log: new ProcessLogService(options.log, process),
@@ -137,7 +137,7 @@
         history,
       });
     }
-    if (options.chatEndpoints) {
+    if (options.chatEndpoints && this.settings) {
       this.fleet = new SimulatedFleet({
         process,
         random: random.fork(),
@@ -147,6 +147,7 @@
         peers,
         seedUrls,
         endpoints: options.chatEndpoints,
+        settings: this.settings,
       });
     }
   }
--- a/bench/histories/simulated-fleet.ts
+++ b/bench/histories/simulated-fleet.ts
@@ -6,6 +6,7 @@
 import { RoutedSelector } from '../../src/daemon/routed-selector.js';
 import {
   EndpointRegistry,
+  DrainRecorder,
   LeavingGossip,
   LeavingMerge,
   LeavingSource,
@@ -20,6 +21,7 @@
 import type { ProcessPeers } from './process-peers.js';
 import type { SimulatedProcess } from './process.js';
 import type { EnginePlace, SimulatedEndpoints } from './simulated-endpoints.js';
+import type { SimulatedSettings } from './simulated-settings.js';
 
 const serviceId = 'tejidos/chat';
 const workspaceId = 'tejidos/quotes';
@@ -38,6 +40,7 @@
   readonly peers: ProcessPeers;
   readonly seedUrls: readonly string[];
   readonly endpoints: SimulatedEndpoints;
+  readonly settings: SimulatedSettings;
 }
 
 /** The parts of a daemon that follow endpoints and relay chats to them. */
@@ -174,7 +177,15 @@
   }
 
   async #start(): Promise<void> {
-    const { process, random } = this.#options;
+    const { process, random, settings } = this.#options;
+    const writer = await settings.ready;
+    new DrainRecorder({
+      leaving: this.#leaving,
+      fold: settings.fold.drains,
+      writer,
+      clock: process,
+      random: random.fork(),
+    });
     await this.membership.join();
     this.membership.start();
     await this.#gossip.pullBeforeReady();
--- a/bench/histories/simulated-settings.ts
+++ b/bench/histories/simulated-settings.ts
@@ -9,7 +9,12 @@
 } from '../../src/log/index.js';
 import { SigningKey } from '../../src/security/signing-key.js';
 import { SettingsPublisher } from '../../src/settings-publisher/index.js';
-import { ConfigFold, StreamReplica, type StreamReplicaOptions } from '../../src/state/index.js';
+import {
+  ConfigFold,
+  StreamReplica,
+  type EntryWriter,
+  type StreamReplicaOptions,
+} from '../../src/state/index.js';
 import { NullEventLog } from '../../src/telemetry/index.js';
 import { HistoryKind, type HistoryRecorder } from './history.js';
 import type { ProcessPeers } from './process-peers.js';
@@ -50,13 +55,15 @@
 /** The parts of a daemon that follow the configuration stream and write its snapshots. */
 export class SimulatedSettings {
   readonly fold = newFold();
+  /** Writer of the stream, once the daemon has read it up to its end. */
+  readonly ready: Promise<EntryWriter>;
   readonly #options: SimulatedSettingsOptions;
   readonly #recorded = new Map<string, number>();
   #replica: StreamReplica | undefined;
 
   constructor(options: SimulatedSettingsOptions) {
     this.#options = options;
-    void this.#start();
+    this.ready = this.#start();
   }
 
   /** Records what is in force, as a request that is served now would see it. */
@@ -73,7 +80,7 @@
     }
   }
 
-  async #start(): Promise<void> {
+  async #start(): Promise<EntryWriter> {
     const { process, random, run, daemon, peers, seedUrls } = this.#options;
     const others = seedUrls.filter((url) => url !== peers.url);
     const minReadyOffset = await askKnownOffset(peers.caller, others, process);
@@ -90,9 +97,10 @@
     void replica.ready.then(() => {
       this.observe();
     });
+    const writer = newAppender(this.#options, replica, daemon);
     const snapshotter = new Snapshotter({
       source: replica,
-      writer: newAppender(this.#options, replica, daemon),
+      writer,
       clock: process,
       random: random.fork(),
       newId: countingIds(`${run}.snapshot`),
@@ -103,6 +111,8 @@
       partLength: 2_000,
     });
     snapshotter.start();
+    await replica.ready;
+    return writer;
   }
 }
 
--- a/bench/histories/world.ts
+++ b/bench/histories/world.ts
@@ -13,7 +13,8 @@
 
 export const failureDomains = ['domain-a', 'domain-b', 'domain-c'] as const;
 export const operatorCount = 2;
-const warmUpMs = 4_000;
+const warmUpStepMs = 1_000;
+const warmUpLimitMs = 60_000;
 const observePeriodMs = 100;
 /** Longer than a read that stays silent, so that two in a row do not exceed the 20 s of P7. */
 const silenceGapMs = 40_000;
@@ -83,7 +84,10 @@
 
   /** Lets the daemons of chats meet, as faults come to a deployment that runs already. */
   async start(): Promise<void> {
-    if (this.#parts.chats) await this.clock.advance(warmUpMs);
+    const isReady = (): boolean => this.#daemons.every(({ fleet }) => fleet?.isReady !== false);
+    for (let waitedMs = 0; !isReady() && waitedMs < warmUpLimitMs; waitedMs += warmUpStepMs) {
+      await this.clock.advance(warmUpStepMs);
+    }
   }
 
   /** The tool that an operator runs now. */
--- a/src/daemon/daemon-parts.ts
+++ b/src/daemon/daemon-parts.ts
@@ -14,6 +14,7 @@
   EndpointRegistry,
   EndpointState,
   HttpEndpointProbe,
+  DrainRecorder,
   LeavingGossip,
   LeavingMerge,
   SilenceDetector,
@@ -162,6 +163,14 @@
       objectives: (serviceId) => objectivesOf(this.deployment, serviceId),
     });
     this.membership = this.#createMembership();
+    new DrainRecorder({
+      leaving: this.leaving,
+      fold: this.config.fold.drains,
+      writer: this.config.writer,
+      clock,
+      random: random.fork(),
+      events,
+    });
     this.gossip = new LeavingGossip({
       leaving: this.leaving,
       membership: this.membership,
--- /dev/null
+++ b/src/fleet/drain-recorder.ts
@@ -0,0 +1,104 @@
+import type { Clock, Random } from '../core/index.js';
+import {
+  AppendFailedError,
+  EntryKind,
+  EntryPriority,
+  type DrainFold,
+  type EntryWriter,
+} from '../state/index.js';
+import { EventId, NullEventLog, type EventLog } from '../telemetry/index.js';
+import { LeavingSource, type LeavingEntry, type LeavingMerge } from './leaving-merge.js';
+
+/** Options of {@link DrainRecorder}. */
+export interface DrainRecorderOptions {
+  readonly leaving: LeavingMerge;
+  readonly fold: DrainFold;
+  /** Writer of the stream that the fold follows. */
+  readonly writer: EntryWriter;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly events?: EventLog;
+}
+
+/** All daemons learn of a drain at once; the first to write it spares the others the append. */
+const writeJitterMs = 400;
+const appendTimeoutMs = 3_000;
+const retryMs = 500;
+
+/**
+ * Keeps operators' drains in the log. Gossip alone forgets them when all daemons are replaced; the
+ * other signals of a leaving endpoint come again from the cloud or from the endpoint.
+ *
+ * @example
+ * ```ts
+ * new DrainRecorder({ leaving, fold: config.fold.drains, writer: config.writer, clock, random });
+ * ```
+ */
+export class DrainRecorder {
+  readonly #options: DrainRecorderOptions;
+  readonly #events: EventLog;
+  readonly #writing = new Set<string>();
+
+  constructor(options: DrainRecorderOptions) {
+    this.#options = options;
+    this.#events = options.events ?? new NullEventLog();
+    const { fold, leaving } = options;
+    this.#signal(fold.drains());
+    fold.onNews((drains) => {
+      this.#signal(drains);
+    });
+    leaving.onNews((entries) => {
+      for (const entry of entries) {
+        if (entry.source === LeavingSource.Operator) void this.#record(entry);
+      }
+    });
+  }
+
+  #signal(drains: ReturnType<DrainFold['drains']>): void {
+    // As if told by a peer: each daemon reads the log itself, so none has to be told.
+    this.#options.leaving.mergeFromPeer(
+      drains.map((drain) => ({ ...drain, source: LeavingSource.Operator })),
+    );
+  }
+
+  /** Writes until the drain is read back, whoever wrote it. */
+  async #record(entry: LeavingEntry): Promise<void> {
+    const { clock, random, fold } = this.#options;
+    const { subject } = entry;
+    if (fold.covers(entry) || this.#writing.has(subject)) return;
+    this.#writing.add(subject);
+    await clock.sleepUntil(clock.nowMs() + random.float() * writeJitterMs);
+    for (;;) {
+      // A later drain of the same process may have come meanwhile.
+      const current = this.#options.leaving.covering(subject, entry.upToIncarnation);
+      if (current?.source !== LeavingSource.Operator || fold.covers(current)) break;
+      await this.#append(current);
+      await clock.sleepUntil(clock.nowMs() + retryMs);
+    }
+    this.#writing.delete(subject);
+  }
+
+  async #append({
+    subject,
+    upToIncarnation,
+    leavingAtMs,
+    signalledAtMs,
+  }: LeavingEntry): Promise<void> {
+    const { clock, writer } = this.#options;
+    const entry = { kind: EntryKind.Drain, subject, upToIncarnation, leavingAtMs, signalledAtMs };
+    const deadlineAtMs = clock.nowMs() + appendTimeoutMs;
+    try {
+      await writer.append(entry, { deadlineAtMs, priority: EntryPriority.High });
+    } catch (error) {
+      if (!(error instanceof AppendFailedError)) throw error;
+      this.#events.warn(
+        EventId.DrainNotKept,
+        'drain is not in the log yet, will be written again',
+        {
+          subject,
+          reason: error.message,
+        },
+      );
+    }
+  }
+}
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -1,5 +1,6 @@
 export * from './endpoint-registry.js';
 export * from './endpoint-view.js';
+export * from './drain-recorder.js';
 export * from './leaving-gossip.js';
 export * from './leaving-merge.js';
 export * from './http-endpoint-probe.js';
--- a/src/log/envelope.ts
+++ b/src/log/envelope.ts
@@ -14,6 +14,7 @@
   JobCancelled = 'job_cancelled',
   Lease = 'lease',
   ControllerState = 'controller_state',
+  Drain = 'drain',
   SnapshotBegin = 'snapshot_begin',
   SnapshotPart = 'snapshot_part',
   SnapshotEnd = 'snapshot_end',
--- a/src/state/config-fold.ts
+++ b/src/state/config-fold.ts
@@ -10,6 +10,7 @@
   keySchema,
   type SectionValues,
 } from '../settings/index.js';
+import { DrainFold } from './drain-fold.js';
 import { Fold, fenceOf, type Position } from './fold.js';
 import {
   decodeSettingsChange,
@@ -80,6 +81,8 @@
   paths: z.array(z.tuple([z.string(), z.array(historyItemSchema).min(1)])),
   verdicts: z.array(verdictSchema),
   unverified: z.array(verdictSchema),
+  /** Absent in snapshots of daemons that kept drains in memory only. */
+  drains: z.unknown().optional(),
 });
 
 /** Options of {@link ConfigFold}. */
@@ -110,6 +113,8 @@
  * ```
  */
 export class ConfigFold extends Fold {
+  /** Operators' drains, in the same stream since a daemon has read it before it takes work. */
+  readonly drains = new DrainFold();
   readonly #options: ConfigFoldOptions;
   readonly #versionsKept: number;
   readonly #verdictsKept: number;
@@ -177,6 +182,7 @@
     const fence = fenceOf(position);
     if (fence <= this.#lastFence) return;
     this.#lastFence = fence;
+    this.drains.apply(position, entry);
     const change = decodeSettingsChange(entry);
     if (!change || this.#verdicts.has(change.changeId)) return;
     // Parsed for its field order: equal states must give equal bytes in a snapshot.
@@ -199,6 +205,7 @@
       paths: [...this.#versions],
       verdicts: [...this.#verdicts.values()],
       unverified: [...this.#unverified.values()],
+      drains: this.drains.snapshot(),
     };
   }
 
@@ -213,6 +220,7 @@
       );
     }
     if (state.lastFence < this.#lastFence) return;
+    if (state.drains !== undefined) this.drains.restore(state.drains);
     const versions = new Map(state.paths);
     const deployment = deploymentOf(versions);
     this.#versions = versions;
--- /dev/null
+++ b/src/state/drain-fold.ts
@@ -0,0 +1,100 @@
+import { z } from 'zod';
+import { EntryKind } from './envelope.js';
+import { LogTime } from './log-time.js';
+import { OrderedFold } from './ordered-fold.js';
+
+/** Schema of a `drain` entry. */
+export const drainEntrySchema = z.object({
+  kind: z.literal(EntryKind.Drain),
+  /** A VM id, or the subject of one of its processes. */
+  subject: z.string().min(1).max(300),
+  /** Incarnations at or below this are drained; epoch milliseconds. */
+  upToIncarnation: z.number().nonnegative(),
+  /** Work still running then moves away; epoch milliseconds. */
+  leavingAtMs: z.number().nonnegative(),
+  /** Time of the operator's order, in epoch milliseconds. */
+  signalledAtMs: z.number().nonnegative(),
+});
+
+/** Entry by which an operator's drain outlives all daemons that were told of it. */
+export type DrainEntry = z.output<typeof drainEntrySchema>;
+
+const drainSchema = drainEntrySchema.omit({ kind: true });
+
+/** Drain of all incarnations of a subject up to one. */
+export type Drain = z.output<typeof drainSchema>;
+
+const snapshotSchema = z.object({ logTimeMs: z.number(), drains: z.array(drainSchema) });
+
+type DrainSnapshot = z.output<typeof snapshotSchema>;
+
+/** An endpoint's process that was drained is replaced long before. */
+const keptMs = 30 * 24 * 3_600_000;
+
+/**
+ * Operators' drains by subject. Of two drains of a subject, the one that covers more incarnations
+ * stands.
+ *
+ * @example
+ * ```ts
+ * fold.covers({ subject, upToIncarnation });
+ * ```
+ */
+export class DrainFold extends OrderedFold<DrainEntry, DrainSnapshot> {
+  /** In the order of acceptance, which is nearly the order of expiry. */
+  readonly #drains = new Map<string, Drain>();
+  readonly #listeners: ((drains: readonly Drain[]) => void)[] = [];
+  #time = new LogTime();
+
+  constructor() {
+    super(drainEntrySchema, snapshotSchema);
+  }
+
+  /** Whether a recorded drain says at least as much. */
+  covers({ subject, upToIncarnation }: Pick<Drain, 'subject' | 'upToIncarnation'>): boolean {
+    const known = this.#drains.get(subject);
+    return known !== undefined && known.upToIncarnation >= upToIncarnation;
+  }
+
+  /** All drains that are remembered. */
+  drains(): readonly Drain[] {
+    return [...this.#drains.values()];
+  }
+
+  /** Calls `listener` with each drain that was news, and with all of them after a restore. */
+  onNews(listener: (drains: readonly Drain[]) => void): void {
+    this.#listeners.push(listener);
+  }
+
+  protected override applyEntry(_position: number, entry: DrainEntry): void {
+    this.#time.observe(entry.signalledAtMs);
+    this.#expire();
+    if (this.covers(entry)) return;
+    const drain = drainSchema.parse(entry);
+    this.#drains.delete(drain.subject);
+    this.#drains.set(drain.subject, drain);
+    this.#tell([drain]);
+  }
+
+  protected override stateSnapshot(): DrainSnapshot {
+    return { logTimeMs: this.#time.nowMs, drains: [...this.#drains.values()] };
+  }
+
+  protected override restoreState(state: DrainSnapshot): void {
+    this.#time = new LogTime(state.logTimeMs);
+    this.#drains.clear();
+    for (const drain of state.drains) this.#drains.set(drain.subject, drain);
+    this.#tell(state.drains);
+  }
+
+  #expire(): void {
+    for (const [subject, { signalledAtMs }] of this.#drains) {
+      if (signalledAtMs + keptMs > this.#time.nowMs) break;
+      this.#drains.delete(subject);
+    }
+  }
+
+  #tell(drains: readonly Drain[]): void {
+    for (const listener of this.#listeners) listener(drains);
+  }
+}
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -8,3 +8,4 @@
 export * from './job-fold.js';
 export * from './lease-fold.js';
 export * from './control-fold.js';
+export * from './drain-fold.js';
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -44,6 +44,7 @@
   LeavingPullFailed = 414,
   EndpointLapsed = 415,
   RegistrationUnreadable = 416,
+  DrainNotKept = 417,
 
   // 5xx routing and admission
   RequestNotAdmitted = 501,
--- /dev/null
+++ b/test/fleet/drain-recorder_test.ts
@@ -0,0 +1,88 @@
+import { describe, expect, it } from 'vitest';
+import { Random, VirtualClock } from '../../src/core/index.js';
+import { DrainRecorder, LeavingMerge, LeavingSource } from '../../src/fleet/index.js';
+import {
+  AppendFailedError,
+  EntryWriter,
+  type Position,
+  type RawEntry,
+} from '../../src/log/index.js';
+import { DrainFold } from '../../src/state/index.js';
+
+/** A log that outlives the daemons; each fold is one daemon's copy. */
+class SharedLog extends EntryWriter {
+  readonly entries: RawEntry[] = [];
+  readonly #folds: DrainFold[] = [];
+  isDown = false;
+
+  follow(fold: DrainFold): void {
+    this.entries.forEach((entry, offset) => {
+      fold.apply({ offset, index: 0 }, entry);
+    });
+    this.#folds.push(fold);
+  }
+
+  override append(entry: RawEntry): Promise<Position> {
+    if (this.isDown) return Promise.reject(new AppendFailedError('down', 'test', false));
+    const position = { offset: this.entries.push(entry) - 1, index: 0 };
+    for (const fold of this.#folds) fold.apply(position, entry);
+    return Promise.resolve(position);
+  }
+}
+
+function setUp() {
+  const clock = new VirtualClock();
+  const log = new SharedLog();
+  const random = new Random(1);
+  const boot = (): LeavingMerge => {
+    const leaving = new LeavingMerge();
+    const fold = new DrainFold();
+    log.follow(fold);
+    new DrainRecorder({ leaving, fold, writer: log, clock, random: random.fork() });
+    return leaving;
+  };
+  return { clock, log, boot };
+}
+
+const entry = {
+  subject: 'vm-1:engine',
+  upToIncarnation: 7,
+  leavingAtMs: 20_000,
+  source: LeavingSource.Operator,
+  signalledAtMs: 0,
+};
+
+describe('DrainRecorder', () => {
+  it('tells a daemon that starts after all others are gone, against a forgotten drain', async () => {
+    const { clock, boot } = setUp();
+    boot().signal([entry]);
+    await clock.advance(1_000);
+    expect(boot().covering(entry.subject, 7)).toMatchObject({ source: LeavingSource.Operator });
+  });
+
+  it('writes once for all daemons that were told, against an append by each', async () => {
+    const { clock, log, boot } = setUp();
+    const daemons = Array.from({ length: 50 }, boot);
+    for (const leaving of daemons) leaving.mergeFromPeer([entry]);
+    await clock.advance(2_000);
+    expect(log.entries.length).toBe(1);
+  });
+
+  it('writes again after the log was down, against a drain that is only in memory', async () => {
+    const { clock, log, boot } = setUp();
+    log.isDown = true;
+    boot().signal([entry]);
+    await clock.advance(5_000);
+    expect(log.entries).toEqual([]);
+    log.isDown = false;
+    await clock.advance(1_000);
+    expect(log.entries.length).toBe(1);
+  });
+
+  it('leaves signals that come again by themselves out of the log', async () => {
+    const { clock, log, boot } = setUp();
+    boot().signal([{ ...entry, source: LeavingSource.Notice }]);
+    await clock.advance(2_000);
+    expect(log.entries).toEqual([]);
+  });
+});
