Tell grants directly and pace the exchange by the number of daemons

Cause: on a site of 73 daemons each stored a sample and read all others once a second and the registrations 2.5 times; a workspace's grants were known to the others 2.2 s late, so that with the allowance for what the others may have granted meanwhile nothing was left for a long prompt: 411 of 1,629 were refused. Two faults added to it: a rate of the others read after a long pause was taken as if all had come at once, and a quota made at the first request of a workspace began with a full balance, whatever the others had granted.

Ruled out: fewer samples alone (grants would be known later still); an aggregating daemon per failure domain (one more thing to fail; the news socket of the prompts reaches all daemons already).

Change: PeerNews tells grants and what was asked for, only what changed, at a period that follows the number of daemons (ExchangePace); samples and reads of the store slow down likewise, the holder of duties still shows itself every 0.9 s. TokenQuota reckons with the delay that holds now, and while more is asked for than there is each request takes its chance, so that daemons which see the same balance do not all spend it. Counters of a daemon are summed in any order (CountTotals). The retry slack is shared by the daemons there are, not by eight. A test of the relay relied on which of two endpoints the seed chose; it now waits for the first arrival.

--- a/src/admission/retry-budget.ts
+++ b/src/admission/retry-budget.ts
@@ -12,8 +12,8 @@
  * ```
  */
 export class RetryBudget {
-  readonly #maxTokens: number;
-  readonly #initialTokens: number;
+  #maxTokens: number;
+  #initialTokens: number;
   readonly #tokens: LRUCache<string, number>;
 
   /**
@@ -26,6 +26,12 @@
     this.#tokens = new LRUCache({ max: 10_000 });
   }
 
+  /** Changes the bounds; what is saved up beyond the new one is lost. */
+  resize(maxTokens: number, initialTokens: number): void {
+    this.#maxTokens = maxTokens;
+    this.#initialTokens = initialTokens;
+  }
+
   /** Earns for one new request. @param ratio - extra attempts allowed per request. */
   noteRequest(key: string, ratio: number): void {
     const tokens = this.#tokens.get(key) ?? this.#initialTokens;
@@ -34,7 +40,7 @@
 
   /** Takes one extra attempt; false when the budget is used up. */
   trySpend(key: string): boolean {
-    const tokens = this.#tokens.get(key) ?? this.#initialTokens;
+    const tokens = Math.min(this.#maxTokens, this.#tokens.get(key) ?? this.#initialTokens);
     if (tokens < 1) return false;
     this.#tokens.set(key, tokens - 1);
     return true;
--- a/src/admission/token-quota.ts
+++ b/src/admission/token-quota.ts
@@ -1,3 +1,6 @@
+import type { Random } from '../core/index.js';
+import { CounterRate } from './counter-rate.js';
+
 /** Rate and burst of a workspace over all daemons, in the workspace's unit. */
 export interface QuotaLimit {
   readonly ratePerS: number;
@@ -21,28 +24,32 @@
   readonly silentDaemons: number;
   /** Units that the others granted since the start, as far as they have told. */
   readonly grantedByOthers: number;
+  /** Units that the others were asked for since the start, as far as they have told. */
+  readonly askedOfOthers: number;
   /** False while nothing is heard from them. */
   readonly isCurrent: boolean;
+  /** Grants younger than this may be unknown to the other daemons, in milliseconds. */
+  readonly untoldMs: number;
 }
 
 /** Part of the tolerance that is used; the rest covers what the others have not told yet. */
 const toleranceRatio = 0.6;
 
-/** Grants younger than this may be unknown to the other daemons. */
-const untoldMs = 2_200;
-
 /** How much faster the others may have become since they last told. */
 const growthRatio = 1.75;
 
 /** Part of the balance that one daemon grants at most before the others know. */
 const maxBalanceRatio = 0.5;
 
-/** Time constant of the others' rate. */
-const rateSmoothingMs = 4_000;
+/** A refused caller is asked back within this time: the others' demand may end sooner than expected. */
+const maxRetryMs = 4_400;
+
+/** A workspace may suddenly ask for this many times its limit. */
+const jumpRatio = 8;
 
 /**
  * One daemon's view of a workspace's quota. Daemons tell each other what they granted, so that each
- * knows the balance that all share, up to two seconds ago. What the others have granted since is
+ * knows the balance that all share, up to a moment ago. What the others have granted since is
  * estimated from their rate; the rest of the balance is there for whoever needs it, so that a long
  * prompt finds room at any daemon. An even part of the balance is always a daemon's own.
  *
@@ -54,18 +61,21 @@
  */
 export class TokenQuota {
   readonly #tolerance: QuotaTolerance;
+  readonly #random: Random;
   readonly #untold: { readonly amount: number; readonly atMs: number }[] = [];
   #limit: QuotaLimit;
   #balance: number;
   #granted = 0;
+  #asked = 0;
   #untoldAmount = 0;
-  #knownByOthers: number | undefined;
-  #othersPerS = 0;
+  readonly #othersGranted = new CounterRate();
+  readonly #othersAsked = new CounterRate();
   #updatedAtMs: number;
 
-  constructor(limit: QuotaLimit, tolerance: QuotaTolerance, nowMs: number) {
+  constructor(limit: QuotaLimit, tolerance: QuotaTolerance, random: Random, nowMs: number) {
     this.#limit = limit;
     this.#tolerance = tolerance;
+    this.#random = random;
     this.#balance = limit.burst;
     this.#updatedAtMs = nowMs;
   }
@@ -75,6 +85,11 @@
     return this.#granted;
   }
 
+  /** Units asked for here since the start, for the other daemons. */
+  get asked(): number {
+    return this.#asked;
+  }
+
   /** Takes over a changed limit; a balance above the new capacity is cut. */
   updateLimit(limit: QuotaLimit): void {
     this.#limit = limit;
@@ -82,12 +97,19 @@
 
   /** Takes an amount. @returns when to ask again, in epoch milliseconds, if refused. */
   tryTake(amount: number, peers: QuotaPeers, nowMs: number): number | undefined {
+    this.#asked += amount;
     this.#refill(peers, nowMs);
-    this.#forgetTold(nowMs);
+    this.#forgetTold(nowMs - peers.untoldMs);
     const available = this.#available(peers);
     // A request above the whole capacity passes when nothing else was granted for a while.
-    const needed = Math.min(amount, this.#capacity(peers) * maxBalanceRatio);
-    if (available < needed) return this.#retryAtMs(needed - available, nowMs);
+    const needed = Math.min(
+      amount,
+      this.#capacity(peers) * maxBalanceRatio,
+      this.#mostUntold(peers),
+    );
+    if (available < needed || !this.#isDrawn(amount, peers)) {
+      return this.#retryAtMs(Math.max(0, needed - available), nowMs);
+    }
     this.#balance -= amount;
     this.#granted += amount;
     this.#untoldAmount += amount;
@@ -95,15 +117,47 @@
     return undefined;
   }
 
-  #available({ daemons, isCurrent }: QuotaPeers): number {
+  /** Reckons with what the others granted, also while nothing is asked for here. */
+  refresh(peers: QuotaPeers, nowMs: number): void {
+    this.#refill(peers, nowMs);
+  }
+
+  #available(peers: QuotaPeers): number {
+    const { daemons, isCurrent, untoldMs } = peers;
     if (!isCurrent) return this.#balance;
     const whole = this.#balance + this.#untoldAmount;
     const even = whole / daemons - this.#untoldAmount;
-    const untoldByOthers = (this.#othersPerS * growthRatio * untoldMs) / 1_000;
-    const own = whole * maxBalanceRatio - this.#untoldAmount;
+    const untoldByOthers = (this.#othersGranted.perS * growthRatio * untoldMs) / 1_000;
+    const own = Math.min(whole * maxBalanceRatio, this.#mostUntold(peers)) - this.#untoldAmount;
     return Math.max(even, Math.min(own, this.#balance - untoldByOthers));
   }
 
+  /**
+   * Whether a request takes its chance while more is asked for than there is: all daemons see the
+   * same balance at the same time, and before they know of each other's grants each passes only a
+   * part of what it is asked for, so that all together pass what there is. A request longer than a daemon may grant
+   * unheard takes its chance in proportion.
+   */
+  #isDrawn(amount: number, peers: QuotaPeers): boolean {
+    const { daemons, untoldMs, isCurrent } = peers;
+    if (!isCurrent || daemons === 1) return true;
+    const askedMeanwhile = (this.#othersAsked.perS * untoldMs) / 1_000;
+    const asked = this.#balance / Math.max(1, askedMeanwhile);
+    const length = this.#mostUntold(peers) / amount;
+    return this.#random.float() < Math.min(1, asked) * Math.min(1, length);
+  }
+
+  /**
+   * Most that this daemon grants before the others know. A workspace that suddenly asks at all
+   * daemons for many times its limit must not get more than a window bears.
+   */
+  #mostUntold(peers: QuotaPeers): number {
+    const { ratePerS } = this.#limit;
+    const bearable = this.#capacity(peers) + (ratePerS * this.#tolerance.windowMs) / 1_000;
+    const jump = (ratePerS * jumpRatio * peers.untoldMs) / 1_000;
+    return jump <= bearable ? Infinity : bearable / peers.daemons;
+  }
+
   /** Most that the daemons which hear each other grant at once. */
   #capacity(peers: QuotaPeers): number {
     const { ratePerS, burst } = this.#limit;
@@ -113,19 +167,17 @@
   }
 
   #refill(peers: QuotaPeers, nowMs: number): void {
-    const { grantedByOthers } = peers;
+    const { grantedByOthers, askedOfOthers } = peers;
     const elapsedS = Math.max(0, nowMs - this.#updatedAtMs) / 1_000;
     this.#updatedAtMs = Math.max(this.#updatedAtMs, nowMs);
     const ratePerS = this.#limit.ratePerS * heardRatio(peers);
-    const spent = Math.max(0, grantedByOthers - (this.#knownByOthers ?? grantedByOthers));
-    this.#knownByOthers = grantedByOthers;
-    const kept = Math.exp((-elapsedS * 1_000) / rateSmoothingMs);
-    this.#othersPerS = this.#othersPerS * kept + (spent * 1_000) / rateSmoothingMs;
+    const spent = this.#othersGranted.update(grantedByOthers, elapsedS);
+    this.#othersAsked.update(askedOfOthers, elapsedS);
     this.#balance = Math.min(this.#capacity(peers), this.#balance + elapsedS * ratePerS - spent);
   }
 
-  #forgetTold(nowMs: number): void {
-    for (let first = this.#untold[0]; first && first.atMs + untoldMs <= nowMs;) {
+  #forgetTold(untilMs: number): void {
+    for (let first = this.#untold[0]; first && first.atMs <= untilMs;) {
       this.#untoldAmount -= first.amount;
       this.#untold.shift();
       first = this.#untold[0];
@@ -133,7 +185,7 @@
   }
 
   #retryAtMs(missing: number, nowMs: number): number {
-    return nowMs + Math.min(untoldMs * 2, (missing * 1_000) / Math.max(1, this.#limit.ratePerS));
+    return nowMs + Math.min(maxRetryMs, (missing * 1_000) / Math.max(1, this.#limit.ratePerS));
   }
 }
 
--- a/src/capacity/duty-lease.ts
+++ b/src/capacity/duty-lease.ts
@@ -42,6 +42,9 @@
 /** The holder stops this long before its lease ends, for the time that its calls are under way. */
 const holderMarginMs = 400;
 
+/** The holder lets others see that it lives at least this often, in milliseconds. */
+const heartbeatMs = 900;
+
 /** Wall and steady clock may drift apart this far without a suspension. */
 const clockDriftMs = 250;
 
@@ -98,6 +101,9 @@
     const hasLapsed = samples.publishedAtMs + leaseMs <= nowMs || this.#wasSuspended();
     if (this.#held !== undefined && hasLapsed) this.#lose('its heartbeats were not acknowledged');
     this.#clockOffsetMs = this.#options.wallNowMs() - clock.nowMs();
+    if (this.#held !== undefined && samples.publishedAtMs + heartbeatMs <= nowMs) {
+      void samples.publish();
+    }
     if (this.#held !== undefined || hasLapsed || replica.isFailing) return;
     if (nowMs < this.#notBeforeMs || replica.endOffset === undefined) return;
     if (this.#isFree(nowMs)) await this.#acquire();
@@ -150,7 +156,7 @@
   }
 
   async #acquire(): Promise<void> {
-    const { daemon, incarnation, events, clock } = this.#options;
+    const { daemon, incarnation, events, clock, samples } = this.#options;
     const previous = this.#record();
     const fence = this.#endOffset + 1;
     const record: DutyLeaseRecord = {
@@ -163,6 +169,7 @@
     this.#held = fence;
     this.#clockOffsetMs = this.#options.wallNowMs() - clock.nowMs();
     events.info(EventId.ControlLeaseTaken, 'lease is held', { lease: 'duties', fence });
+    void samples.publish();
   }
 
   #lose(reason: string): void {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -18,7 +18,7 @@
 import type { KeyedLog } from '../log/keyed-log.js';
 import { KeyedReplica } from '../log/keyed-replica.js';
 import { DaemonSamples, type SampleContent } from '../membership/daemon-samples.js';
-import { PrefillNewsExchange, type PeerAddress } from '../membership/prefill-news.js';
+import type { PeerAddress } from '../membership/peer-news.js';
 import {
   DisturbanceScorer,
   PrefillQueueScorer,
@@ -32,11 +32,12 @@
 import { EndpointConnections } from './endpoint-connections.js';
 import { GatewayDuties } from './gateway-duties.js';
 import { GatewayListener } from './gateway-listener.js';
+import { PeerExchange } from './peer-exchange.js';
 import { Placement } from './placement.js';
 import { RequestAdmission } from './request-admission.js';
 import type { RequestCodec } from './request-codec.js';
 import { RequestRelay, UsageObserver } from './request-relay.js';
-import { PeerGrants, WorkspaceQuotas } from './workspace-quotas.js';
+import { WorkspaceQuotas } from './workspace-quotas.js';
 
 /** Topics of the store that the gateway reads and writes. */
 export interface GatewayTopics {
@@ -72,17 +73,19 @@
   readonly quotaTolerance: QuotaTolerance;
   /** Sends beyond the first of each request that a service bears in a window, from all daemons. */
   readonly retrySlack: number;
+  /** How late a change of a registration may be read at most. */
+  readonly maxRegistrationGapMs: number;
 }
 
 /** How long reads of topics that change rarely are held open; bounds how long a silent connection hides. */
 const configWaitMs = 2_500;
-const dutiesWaitMs = 4_000;
+const samplesWaitMs = 4_000;
+const dutiesWaitMs = 8_000;
 const registrationsWaitMs = 2_500;
 
 /** Least time between two reads of a topic. */
 const configGapMs = 50;
-const registrationsGapMs = 400;
-const samplesGapMs = 900;
+const dutiesGapMs = 900;
 
 /** Demand follows bursts within seconds and outlasts the pauses between them. */
 const demandSmoothingMs = 5_000;
@@ -96,6 +99,9 @@
 /** Daemons assumed to share the retry slack, so that a new daemon does not take it all. */
 const assumedDaemons = 8;
 
+/** Part of the retry slack that is used; the rest covers daemons that do not know of each other. */
+const usedSlackRatio = 0.5;
+
 /** Time before the forced end at which a stopping daemon cuts what is still open. */
 const stopMarginMs = 350;
 
@@ -120,7 +126,8 @@
   readonly #quotas: WorkspaceQuotas;
   readonly #backlog = new PrefillBacklog();
   readonly #demand = new RateMeter(demandSmoothingMs);
-  readonly #news: PrefillNewsExchange;
+  readonly #peers: PeerExchange;
+  readonly #retries: RetryBudget;
   #isStopping = false;
   #stopTicking: () => void = () => undefined;
 
@@ -129,14 +136,18 @@
     const { clock, events, codec, daemon, topics } = options;
     const incarnation = options.wallNowMs();
     this.config = new ConfigHolder(events);
-    this.configReplica = this.#replica(topics.config, configWaitMs, configGapMs);
+    this.configReplica = this.#replica(topics.config, configWaitMs, () => configGapMs);
     this.registrationReplica = this.#replica(
       topics.registrations,
       registrationsWaitMs,
-      registrationsGapMs,
+      () => this.#peers.pace.registrationReadGapMs,
+    );
+    this.#samplesReplica = this.#replica(
+      topics.daemons,
+      samplesWaitMs,
+      () => this.#peers.pace.sampleReadGapMs,
     );
-    this.#samplesReplica = this.#replica(topics.daemons, dutiesWaitMs, samplesGapMs);
-    this.#dutiesReplica = this.#replica(topics.duties, dutiesWaitMs, samplesGapMs);
+    this.#dutiesReplica = this.#replica(topics.duties, dutiesWaitMs, () => dutiesGapMs);
 
     const speeds = new SpeedEstimator();
     const caches = new CacheView();
@@ -168,15 +179,23 @@
       clock,
       events,
       content: () => this.#sampleContent(),
+      periodMs: () => this.#peers.pace.samplePeriodMs,
       onEarlierRun: ({ usage }) => this.#counter.absorb(usage),
     });
-    this.#news = new PrefillNewsExchange({
-      own: options.news,
-      peers: () => this.#samples.others().map(({ newsAddress }) => newsAddress),
-      onNews: ({ endpointId, tokens }) => this.#backlog.add(endpointId, tokens, clock.nowMs()),
+    this.#peers = new PeerExchange({
+      samples: this.#samples,
+      daemon,
+      incarnation,
+      address: options.news,
+      clock,
       events,
+      maxRegistrationGapMs: options.maxRegistrationGapMs,
+      counts: () => this.#quotaCounts(),
+      onPrefill: ({ endpointId, tokens }) => this.#backlog.add(endpointId, tokens, clock.nowMs()),
     });
-    this.#quotas = new WorkspaceQuotas(new SampledGrants(this.#samples), options.quotaTolerance);
+    this.#quotas = new WorkspaceQuotas(this.#peers, options.quotaTolerance, options.random.fork());
+    this.#retries = new RetryBudget();
+    this.#shareRetrySlack();
     this.#listener = this.#createListener(codec, speeds, caches);
     this.#duties =
       options.duties &&
@@ -209,7 +228,7 @@
   async start(): Promise<void> {
     const { clock } = this.#options;
     await this.#listener.listen();
-    this.#news.listen();
+    this.#peers.start();
     for (const replica of this.#replicas()) replica.start();
     this.#samples.start();
     this.#stopTicking = clock.every(dutyPeriodMs, () => void this.#tickDuties());
@@ -238,12 +257,12 @@
     for (const replica of this.#replicas()) replica.stop();
     events.info(EventId.DaemonStopped, 'daemon has stopped', { open: this.#listener.inFlight });
     this.#listener.close();
-    this.#news.close();
+    this.#peers.stop();
     this.#connections.close();
   }
 
   #createListener(codec: RequestCodec, speeds: SpeedEstimator, caches: CacheView): GatewayListener {
-    const { clock, events, daemon, region, random, host, port, retrySlack } = this.#options;
+    const { clock, events, daemon, region, random, host, port } = this.#options;
     const homes = new PromptHomeScorer();
     const router = new Router({
       daemonId: daemon,
@@ -262,7 +281,6 @@
       registry: this.#registry,
       probe: this.#options.probe((baseUrl) => this.#healthPathOf(baseUrl)),
     });
-    const slackShare = Math.max(1, Math.floor((retrySlack * 0.5) / assumedDaemons));
     const relay = new RequestRelay({
       placement: new Placement({
         router,
@@ -273,7 +291,7 @@
         backlog: this.#backlog,
         homes,
         demand: this.#demand,
-        tellPeers: (news) => this.#news.tell(news),
+        tellPeers: (news) => this.#peers.tellPrefill(news),
         clock,
       }),
       endpoints: this.endpoints,
@@ -281,7 +299,7 @@
       connections: this.#connections,
       codec,
       silence,
-      retries: new RetryBudget(slackShare, slackShare),
+      retries: this.#retries,
       usage: new CountedUsage(this.#counter),
       clock,
       events,
@@ -304,7 +322,7 @@
     });
   }
 
-  #replica(topic: string, waitMs: number, minGapMs: number): KeyedReplica {
+  #replica(topic: string, waitMs: number, minGapMs: () => number): KeyedReplica {
     const { store, clock, random, events } = this.#options;
     return new KeyedReplica({
       log: store,
@@ -327,9 +345,19 @@
   }
 
   async #tickDuties(): Promise<void> {
+    this.#shareRetrySlack();
+    this.#quotas.refresh(this.config.table?.config.workspaces ?? [], this.#options.clock.nowMs());
     if (!this.#isStopping) await this.#duties?.tick();
   }
 
+  /** Each daemon's part of the slack shrinks as daemons come; one that went is missed for a while. */
+  #shareRetrySlack(): void {
+    const { daemons: live, silentDaemons } = this.#peers;
+    const daemons = Math.max(assumedDaemons, live + silentDaemons);
+    const share = Math.max(1, Math.floor((this.#options.retrySlack * usedSlackRatio) / daemons));
+    this.#retries.resize(share, share);
+  }
+
   #isStoreRecovering(): boolean {
     const replica = this.registrationReplica;
     return replica.isFailing || this.#options.clock.nowMs() < replica.recoveredAtMs + recoveringMs;
@@ -343,6 +371,10 @@
     return service?.healthPath ?? '/health';
   }
 
+  #quotaCounts(): Pick<SampleContent, 'granted' | 'asked'> {
+    return { granted: this.#quotas.granted(), asked: this.#quotas.asked() };
+  }
+
   #sampleContent(): SampleContent {
     const inFlight: Record<string, number> = {};
     for (const view of this.#registry.all()) {
@@ -351,7 +383,7 @@
     }
     const { host, port } = this.#options.news;
     return {
-      granted: this.#quotas.granted(),
+      ...this.#quotaCounts(),
       inFlight,
       prefillTokensPerS: this.#demand.all(this.#options.clock.nowMs()),
       newsAddress: `${host}:${port}`,
@@ -373,29 +405,3 @@
     if (workspace) this.#counter.count(workspace.name, atMs);
   }
 }
-
-/** {@link PeerGrants} from the samples of the other daemons. */
-class SampledGrants extends PeerGrants {
-  readonly #samples: DaemonSamples;
-
-  constructor(samples: DaemonSamples) {
-    super();
-    this.#samples = samples;
-  }
-
-  override get daemons(): number {
-    return this.#samples.others().length + 1;
-  }
-
-  override get silentDaemons(): number {
-    return this.#samples.silent().length;
-  }
-
-  override get isCurrent(): boolean {
-    return this.#samples.isCurrent;
-  }
-
-  override grantedByOthers(workspaceName: string): number {
-    return this.#samples.grantedByOthers(workspaceName);
-  }
-}
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -10,7 +10,7 @@
 import { promptPrefixOfParts, type PromptPrefix } from '../fleet/prompt-prefix.js';
 import { weightedTokens, type PrefillBacklog } from '../fleet/prefill-backlog.js';
 import type { SpeedEstimator } from '../fleet/speed-estimator.js';
-import type { PrefillNews } from '../membership/prefill-news.js';
+import type { PrefillNews } from '../membership/peer-news.js';
 import type { PromptHomeScorer, Router, RouteRequest, SharedPrompt } from '../routing/index.js';
 import type { AdmittedRequest } from './caller-exchange.js';
 import { RequestKind } from './traffic-config.js';
--- a/src/gateway/workspace-quotas.ts
+++ b/src/gateway/workspace-quotas.ts
@@ -1,4 +1,5 @@
-import { TokenQuota, type QuotaTolerance } from '../admission/token-quota.js';
+import { TokenQuota, type QuotaPeers, type QuotaTolerance } from '../admission/token-quota.js';
+import type { Random } from '../core/index.js';
 import type { RequestDescription } from './request-codec.js';
 import { QuotaUnit, type TrafficWorkspace } from './traffic-config.js';
 
@@ -10,19 +11,25 @@
   abstract get silentDaemons(): number;
   /** False while nothing is heard from the others. */
   abstract get isCurrent(): boolean;
+  /** Grants younger than this may be unknown to the others, in milliseconds. */
+  abstract get untoldMs(): number;
   /** Units of a workspace that the others granted since this daemon started; never falls. */
   abstract grantedByOthers(workspaceName: string): number;
+  /** Units of a workspace that the others were asked for since this daemon started; never falls. */
+  abstract askedOfOthers(workspaceName: string): number;
 }
 
 /** The quotas of all workspaces at this daemon. */
 export class WorkspaceQuotas {
   readonly #peers: PeerGrants;
   readonly #tolerance: QuotaTolerance;
+  readonly #random: Random;
   readonly #quotas = new Map<string, TokenQuota>();
 
-  constructor(peers: PeerGrants, tolerance: QuotaTolerance) {
+  constructor(peers: PeerGrants, tolerance: QuotaTolerance, random: Random) {
     this.#peers = peers;
     this.#tolerance = tolerance;
+    this.#random = random;
   }
 
   /** Takes a request's place. @returns when to come back, in epoch milliseconds, if refused. */
@@ -31,23 +38,59 @@
     description: RequestDescription,
     nowMs: number,
   ): number | undefined {
+    const quota = this.#quotaOf(workspace, nowMs);
+    if (!quota) return undefined;
+    return quota.tryTake(amountOf(workspace, description), this.#peersOf(workspace.name), nowMs);
+  }
+
+  /**
+   * Reckons with what the other daemons granted since the last call, also for workspaces that no
+   * request came for: the first one must not find a balance that the others have spent.
+   */
+  refresh(workspaces: readonly TrafficWorkspace[], nowMs: number): void {
+    for (const workspace of workspaces) {
+      this.#quotaOf(workspace, nowMs)?.refresh(this.#peersOf(workspace.name), nowMs);
+    }
+  }
+
+  /** Units asked for here since the start by workspace, for the other daemons. */
+  asked(): Record<string, number> {
+    return this.#counts(({ asked }) => asked);
+  }
+
+  /** Units granted here since the start by workspace, for the other daemons. */
+  granted(): Record<string, number> {
+    return this.#counts(({ granted }) => granted);
+  }
+
+  /** Undefined for a workspace without a limit. */
+  #quotaOf(workspace: TrafficWorkspace, nowMs: number): TokenQuota | undefined {
     const { name, ratePerS } = workspace;
     if (ratePerS <= 0) return undefined;
     let quota = this.#quotas.get(name);
     if (!quota) {
-      quota = new TokenQuota(workspace, this.#tolerance, nowMs);
+      quota = new TokenQuota(workspace, this.#tolerance, this.#random.fork(), nowMs);
       this.#quotas.set(name, quota);
     }
     quota.updateLimit(workspace);
-    const { daemons, silentDaemons, isCurrent } = this.#peers;
-    const grantedByOthers = this.#peers.grantedByOthers(name);
-    const peers = { daemons, silentDaemons, isCurrent, grantedByOthers };
-    return quota.tryTake(amountOf(workspace, description), peers, nowMs);
+    return quota;
   }
 
-  /** Units granted here since the start by workspace, for the other daemons. */
-  granted(): Record<string, number> {
-    return Object.fromEntries([...this.#quotas].map(([name, { granted }]) => [name, granted]));
+  #counts(of: (quota: TokenQuota) => number): Record<string, number> {
+    const counts = [...this.#quotas].map(([name, quota]) => [name, of(quota)] as const);
+    return Object.fromEntries(counts.filter(([, count]) => count > 0));
+  }
+
+  #peersOf(name: string): QuotaPeers {
+    const { daemons, silentDaemons, isCurrent, untoldMs } = this.#peers;
+    return {
+      daemons,
+      silentDaemons,
+      isCurrent,
+      untoldMs,
+      grantedByOthers: this.#peers.grantedByOthers(name),
+      askedOfOthers: this.#peers.askedOfOthers(name),
+    };
   }
 }
 
--- a/src/log/keyed-replica.ts
+++ b/src/log/keyed-replica.ts
@@ -15,7 +15,7 @@
   /** How long the store may hold an empty answer. */
   readonly waitMs: number;
   /** Least time between two reads; bounds the reads of a topic that changes all the time. */
-  readonly minGapMs: number;
+  readonly minGapMs: () => number;
 }
 
 /** Called with each newer record of a key, and with a record without a value when the key went. */
@@ -53,6 +53,10 @@
     this.#backoff = new Backoff({ random: options.random, baseMs: 100, maxMs: maxPauseMs });
   }
 
+  get topic(): string {
+    return this.#options.topic;
+  }
+
   /** Offset after the last record applied; undefined before the first read. */
   get endOffset(): Offset | undefined {
     return this.#nextOffset;
@@ -115,7 +119,7 @@
       try {
         if (this.#nextOffset === undefined) await this.refresh();
         else await this.#readNext(this.#nextOffset);
-        await clock.sleepUntil(startedAtMs + minGapMs, signal);
+        await clock.sleepUntil(startedAtMs + minGapMs(), signal);
       } catch (error) {
         if (error instanceof HistoryTrimmedError) this.#nextOffset = undefined;
         else await this.#pauseAfter(error);
--- a/src/membership/daemon-samples.ts
+++ b/src/membership/daemon-samples.ts
@@ -8,7 +8,7 @@
 } from '../log/index.js';
 import type { KeyedReplica } from '../log/keyed-replica.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
-import { GrantTotals } from './grant-totals.js';
+import { CountTotals } from './count-totals.js';
 
 const countsSchema = z.record(z.string(), z.number().nonnegative());
 
@@ -22,6 +22,8 @@
   sampledAtMs: z.number(),
   /** Units that the daemon granted since its start by workspace. */
   granted: countsSchema,
+  /** Units that the daemon was asked for since its start by workspace. */
+  asked: countsSchema.default({}),
   /** Requests in flight by service. */
   inFlight: countsSchema,
   /** Prompt tokens sent to be read, per second, by service. */
@@ -37,10 +39,13 @@
 /** What a daemon tells the others about once a second. */
 export type DaemonSample = z.output<typeof sampleSchema>;
 
+/** What one run of a daemon granted and was asked for since its start. */
+export type GrantReport = Pick<DaemonSample, 'daemon' | 'incarnation' | 'granted' | 'asked'>;
+
 /** The part of a sample that {@link DaemonSamples} does not fill in. */
 export type SampleContent = Pick<
   DaemonSample,
-  'granted' | 'inFlight' | 'prefillTokensPerS' | 'newsAddress' | 'usage'
+  'granted' | 'asked' | 'inFlight' | 'prefillTokensPerS' | 'newsAddress' | 'usage'
 >;
 
 /** Options of {@link DaemonSamples}. */
@@ -53,6 +58,8 @@
   readonly clock: Clock;
   readonly events: EventLog;
   readonly content: () => SampleContent;
+  /** Time between two samples of this daemon. */
+  readonly periodMs: () => number;
   /** Told of the last sample that an earlier run of this daemon stored, before it is replaced. */
   readonly onEarlierRun?: (sample: DaemonSample) => void;
 }
@@ -62,17 +69,20 @@
   readonly receivedAtMs: number;
 }
 
-/** Time between two samples of a daemon. */
-const samplePeriodMs = 1_000;
-
 /** A daemon that was silent for this long is gone. */
 const silentMs = 30_000;
 
-/** Reads of samples that fail for longer than this are an outage. */
-const currentMs = 3_000;
+/** Reads of samples that fail for longer than this beyond the samples' period are an outage. */
+const currentMs = 2_000;
+
+/** A daemon counts as live while fewer samples in a row than this are missing. */
+const missingSamples = 3.5;
 
-/** A daemon counts as live for this long after its last sample. */
-const sampleLifeMs = 4_500;
+/** Time that a sample takes to the store and from it. */
+const sampleDelayMs = 1_000;
+
+/** How long the list of live daemons is used before it is looked through again. */
+const liveListMs = 50;
 
 /**
  * Samples of all daemons, exchanged through the store: who lives, what each granted of the
@@ -87,12 +97,15 @@
 export class DaemonSamples {
   readonly #options: DaemonSamplesOptions;
   readonly #received = new Map<string, Received>();
-  readonly #grants = new GrantTotals();
+  readonly #grants = new CountTotals();
+  readonly #asked = new CountTotals();
   #sequence = 0;
   #publishedAtMs = -Infinity;
   #isLeaving = false;
   #isPublishing = false;
   #cancel: (() => void) | undefined;
+  #live: { readonly samples: DaemonSample[]; readonly untilMs: number } | undefined;
+  readonly #directlyHeardAtMs = new Map<string, number>();
 
   constructor(options: DaemonSamplesOptions) {
     this.#options = options;
@@ -107,7 +120,11 @@
   }
 
   start(): void {
-    this.#cancel = this.#options.clock.every(samplePeriodMs, () => void this.publish());
+    const { clock, periodMs } = this.#options;
+    this.#cancel = clock.schedule(clock.nowMs() + periodMs(), () => {
+      this.start();
+      void this.publish();
+    });
   }
 
   /** Publishes a last sample that says that this daemon is leaving. */
@@ -119,12 +136,11 @@
 
   /** Samples of the live daemons, this one left out. */
   others(): DaemonSample[] {
-    const { replica, clock, daemon } = this.#options;
-    const asOfMs = replica.isFailing ? (replica.caughtUpAtMs ?? -Infinity) : clock.nowMs();
-    return [...this.#received.values()]
-      .filter(({ receivedAtMs }) => receivedAtMs + sampleLifeMs > asOfMs)
-      .map(({ sample }) => sample)
-      .filter((sample) => sample.daemon !== daemon && !sample.isLeaving);
+    const nowMs = this.#options.clock.nowMs();
+    if (this.#live === undefined || this.#live.untilMs <= nowMs) {
+      this.#live = { samples: this.#liveSamples(nowMs), untilMs: nowMs + liveListMs };
+    }
+    return this.#live.samples;
   }
 
   /** Daemons that went without a word and may only be cut off from the store. */
@@ -140,8 +156,25 @@
 
   /** Whether the other daemons' samples are heard as they should be. */
   get isCurrent(): boolean {
-    const { replica, clock } = this.#options;
-    return (replica.caughtUpAtMs ?? -Infinity) + currentMs > clock.nowMs();
+    const { replica, clock, periodMs } = this.#options;
+    return (replica.caughtUpAtMs ?? -Infinity) + periodMs() + currentMs > clock.nowMs();
+  }
+
+  /** Takes a report that a daemon sent directly, between two of its samples. */
+  heardDirectly(report: GrantReport): void {
+    const { daemon, clock } = this.#options;
+    if (report.daemon === daemon) return;
+    this.#takeCounts(report);
+    this.#directlyHeardAtMs.set(report.daemon, clock.nowMs());
+  }
+
+  /** Part of the live daemons that were heard directly since `sinceMs`, from 0 to 1. */
+  directlyHeardRatio(sinceMs: number): number {
+    const live = this.others();
+    const heard = live.filter(
+      ({ daemon }) => (this.#directlyHeardAtMs.get(daemon) ?? -Infinity) >= sinceMs,
+    );
+    return live.length === 0 ? 1 : heard.length / live.length;
   }
 
   /** Units of a workspace that the other daemons granted since this one started; never falls. */
@@ -149,6 +182,11 @@
     return this.#grants.of(workspaceName);
   }
 
+  /** Units of a workspace that the other daemons were asked for since this one started. */
+  askedOfOthers(workspaceName: string): number {
+    return this.#asked.of(workspaceName);
+  }
+
   /** The newest sample of each other daemon that ever sent one. */
   all(): DaemonSample[] {
     return [...this.#received.values()]
@@ -194,7 +232,23 @@
     }
   }
 
+  #takeCounts({ daemon, incarnation, granted, asked }: GrantReport): void {
+    this.#grants.take({ daemon, incarnation, counts: granted });
+    this.#asked.take({ daemon, incarnation, counts: asked });
+  }
+
+  #liveSamples(nowMs: number): DaemonSample[] {
+    const { replica, daemon, periodMs } = this.#options;
+    const asOfMs = replica.isFailing ? (replica.caughtUpAtMs ?? -Infinity) : nowMs;
+    const lifeMs = periodMs() * missingSamples + sampleDelayMs;
+    return [...this.#received.values()]
+      .filter(({ receivedAtMs }) => receivedAtMs + lifeMs > asOfMs)
+      .map(({ sample }) => sample)
+      .filter((sample) => sample.daemon !== daemon && !sample.isLeaving);
+  }
+
   #take({ key, value }: KeyedRecord): void {
+    this.#live = undefined;
     if (!value) {
       this.#received.delete(key);
       return;
@@ -216,7 +270,7 @@
     const isEarlierRun = sample.daemon === daemon && sample.incarnation !== incarnation;
     if (isEarlierRun && !known) onEarlierRun?.(sample);
     this.#received.set(key, { sample, receivedAtMs: clock.nowMs() });
-    if (sample.daemon !== daemon) this.#grants.take(sample);
+    if (sample.daemon !== daemon) this.#takeCounts(sample);
   }
 }
 
--- a/test/admission/token-quota_test.ts
+++ b/test/admission/token-quota_test.ts
@@ -1,15 +1,25 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
-import { TokenQuota } from '../../src/admission/token-quota.js';
+import { Random } from '../../src/core/index.js';
+import { TokenQuota, type QuotaPeers } from '../../src/admission/token-quota.js';
 
 const tolerance = { windowMs: 8_000, overRatio: 0.1, slack: 140_000 };
+const untoldMs = 2_200;
+const meanPromptTokens = 9_800;
 const limit = { ratePerS: 100_000, burst: 100_000 };
 
 describe('TokenQuota', () => {
   describe('long prompts that come together at one daemon', () => {
     it('are granted while the workspace as a whole is far below its limit', () => {
-      const quota = new TokenQuota(limit, tolerance, 0);
-      const peers = { daemons: 7, silentDaemons: 0, grantedByOthers: 0, isCurrent: true };
+      const quota = new TokenQuota(limit, tolerance, new Random(1), 0);
+      const peers = {
+        daemons: 7,
+        silentDaemons: 0,
+        grantedByOthers: 0,
+        askedOfOthers: 0,
+        isCurrent: true,
+        untoldMs,
+      };
       quota.tryTake(1, peers, 8_000);
       const granted = [1, 2, 3].filter(
         (index) => quota.tryTake(12_000, peers, 8_000 + index) === undefined,
@@ -20,17 +30,31 @@
 
   describe("a prompt that is longer than a daemon's even part of the balance", () => {
     it('is granted while the others use little', () => {
-      const quota = new TokenQuota(limit, tolerance, 0);
+      const quota = new TokenQuota(limit, tolerance, new Random(1), 0);
       let grantedByOthers = 0;
       for (let atMs = 0; atMs < 20_000; atMs += 500) {
         quota.tryTake(
           1_000,
-          { daemons: 7, silentDaemons: 0, grantedByOthers, isCurrent: true },
+          {
+            daemons: 7,
+            silentDaemons: 0,
+            grantedByOthers,
+            askedOfOthers: grantedByOthers,
+            isCurrent: true,
+            untoldMs,
+          },
           atMs,
         );
         grantedByOthers += 15_000;
       }
-      const peers = { daemons: 7, silentDaemons: 0, grantedByOthers, isCurrent: true };
+      const peers = {
+        daemons: 7,
+        silentDaemons: 0,
+        grantedByOthers,
+        askedOfOthers: grantedByOthers,
+        isCurrent: true,
+        untoldMs,
+      };
       expect(quota.tryTake(65_000, peers, 20_000)).toBeUndefined();
     });
   });
@@ -61,10 +85,38 @@
     });
   });
 
+  describe('long prompts of a large workspace at many daemons', () => {
+    const manyLimit = { ratePerS: 60_000, burst: 60_000 };
+
+    it('are granted at half of the limit when grants are told directly', () => {
+      const options = { daemons: 73, demandPerS: 30_000, limit: manyLimit };
+      const { asked, granted } = playPrompts({ ...options, untoldMs: 750, seed: 1 });
+      expect(granted / asked).toBeGreaterThan(0.9);
+    });
+
+    it.each([750, 2_200, 5_000])(
+      'stay within the limit with its tolerance when far more is asked, told after %i ms',
+      (toldMs) => {
+        const options = { daemons: 73, demandPerS: 240_000, limit: manyLimit };
+        for (let seed = 1; seed <= 10; seed++) {
+          const { grants } = playPrompts({ ...options, untoldMs: toldMs, seed });
+          expect(mostInWindow(grants)).toBeLessThanOrEqual(allowed(manyLimit));
+        }
+      },
+    );
+  });
+
   describe('a refusal', () => {
     it('names a time in the future to come back', () => {
-      const quota = new TokenQuota(limit, tolerance, 0);
-      const peers = { daemons: 1, silentDaemons: 0, grantedByOthers: 0, isCurrent: true };
+      const quota = new TokenQuota(limit, tolerance, new Random(1), 0);
+      const peers = {
+        daemons: 1,
+        silentDaemons: 0,
+        grantedByOthers: 0,
+        askedOfOthers: 0,
+        isCurrent: true,
+        untoldMs,
+      };
       let retryAtMs: number | undefined;
       while (retryAtMs === undefined) retryAtMs = quota.tryTake(20_000, peers, 10);
       expect(retryAtMs).toBeGreaterThan(10);
@@ -88,23 +140,31 @@
 
 /** Daemons that are all asked for far more than the limit, and tell each other late. */
 function play({ daemons, seed, toldAfterMs, isHeard, cut = 0 }: PlayOptions): Grant[] {
-  const quotas = Array.from({ length: daemons }, () => new TokenQuota(limit, tolerance, 0));
+  const quotas = Array.from(
+    { length: daemons },
+    () => new TokenQuota(limit, tolerance, new Random(1), 0),
+  );
   const grants: (Grant & { readonly daemon: number })[] = [];
+  const asked: typeof grants = [];
   for (let step = 0; step < 3_000; step++) {
     const atMs = step * 10;
     const daemon = Math.abs((step * 7 + seed) % daemons);
     const amount = 200 + ((step * 997) % 13_000);
-    const grantedByOthers = grants
-      .filter((grant) => grant.daemon !== daemon && grant.daemon >= cut && daemon >= cut)
-      .filter((grant) => grant.atMs + toldAfterMs <= atMs)
-      .reduce((sum, grant) => sum + grant.amount, 0);
+    const toldBy = (list: typeof grants): number =>
+      list
+        .filter((other) => other.daemon !== daemon && other.daemon >= cut && daemon >= cut)
+        .filter((other) => other.atMs + toldAfterMs <= atMs)
+        .reduce((sum, other) => sum + other.amount, 0);
     const isCut = daemon < cut;
     const peers = {
       daemons: isCut ? daemons : daemons - cut,
       silentDaemons: isCut ? 0 : cut,
-      grantedByOthers,
+      grantedByOthers: toldBy(grants),
+      askedOfOthers: toldBy(asked),
       isCurrent: isHeard && !isCut,
+      untoldMs,
     };
+    asked.push({ atMs, amount, daemon });
     if (quotas[daemon]!.tryTake(amount, peers, atMs) === undefined) {
       grants.push({ atMs, amount, daemon });
     }
@@ -112,6 +172,49 @@
   return grants;
 }
 
+/** Prompts of 3,000 to 30,000 tokens at random daemons, which know of each other's after a time. */
+function playPrompts(options: {
+  readonly daemons: number;
+  readonly demandPerS: number;
+  readonly limit: { readonly ratePerS: number; readonly burst: number };
+  readonly untoldMs: number;
+  readonly seed: number;
+}): { readonly asked: number; readonly granted: number; readonly grants: Grant[] } {
+  const { daemons, demandPerS, untoldMs } = options;
+  const random = new Random(options.seed);
+  const quotas = Array.from(
+    { length: daemons },
+    () => new TokenQuota(options.limit, tolerance, random.fork(), 0),
+  );
+  const grants: (Grant & { readonly daemon: number })[] = [];
+  const asked: typeof grants = [];
+  const gapMs = (meanPromptTokens * 1_000) / demandPerS;
+  const peersOf = (daemon: number, atMs: number): QuotaPeers => {
+    const toldBy = (list: typeof grants): number =>
+      list
+        .filter((other) => other.daemon !== daemon && other.atMs + untoldMs <= atMs)
+        .reduce((sum, other) => sum + other.amount, 0);
+    const counts = { grantedByOthers: toldBy(grants), askedOfOthers: toldBy(asked) };
+    return { daemons, silentDaemons: 0, ...counts, isCurrent: true, untoldMs };
+  };
+  let refreshAtMs = 0;
+  for (let atMs = 0; atMs < 30_000; atMs += gapMs * 2 * random.float()) {
+    if (atMs >= refreshAtMs) {
+      quotas.forEach((quota, daemon) => {
+        quota.refresh(peersOf(daemon, atMs), atMs);
+      });
+      refreshAtMs = atMs + 500;
+    }
+    const amount = random.float() < 0.6 ? 3_000 : random.int(10_000, 30_000);
+    const daemon = random.int(0, daemons - 1);
+    asked.push({ atMs, amount, daemon });
+    if (quotas[daemon]!.tryTake(amount, peersOf(daemon, atMs), atMs) === undefined) {
+      grants.push({ atMs, amount, daemon });
+    }
+  }
+  return { asked: asked.length, granted: grants.length, grants };
+}
+
 function mostInWindow(grants: readonly Grant[]): number {
   return Math.max(
     ...grants.map(({ atMs }) =>
@@ -122,7 +225,7 @@
   );
 }
 
-function allowed(): number {
+function allowed({ ratePerS, burst } = limit): number {
   const { windowMs, overRatio, slack } = tolerance;
-  return ((limit.ratePerS * windowMs) / 1_000 + limit.burst) * (1 + overRatio) + slack;
+  return ((ratePerS * windowMs) / 1_000 + burst) * (1 + overRatio) + slack;
 }
--- a/test/capacity/duty-lease_test.ts
+++ b/test/capacity/duty-lease_test.ts
@@ -18,11 +18,19 @@
     log: MemoryKeyedLog,
     clock: VirtualClock,
     incarnation = 1,
+    samplePeriodMs = 1_000,
   ) {
     this.store = new PathToStore(log);
     const { store } = this;
     const suspendedMs = (): number => this.suspendedMs;
-    this.lease = new DutyParts({ daemon: name, incarnation, log: store, clock, suspendedMs }).lease;
+    this.lease = new DutyParts({
+      daemon: name,
+      incarnation,
+      log: store,
+      clock,
+      suspendedMs,
+      samplePeriodMs,
+    }).lease;
     clock.every(250, () => {
       if (!this.isRunning) return;
       void this.lease.tick();
@@ -88,6 +96,23 @@
     expect(holder!.fences).toHaveLength(1);
   });
 
+  describe('a deployment of many daemons, whose samples are rare', () => {
+    it('keeps its holder, against a lease that lapses between two samples', async () => {
+      const log = new MemoryKeyedLog();
+      const clock = new VirtualClock();
+      const names = ['d1', 'd2', 'd3'];
+      const daemons = names.map((name) => new TestDaemon(name, log, clock, 1, 2_500));
+      await clock.advance(10_000);
+      const holders = daemons.filter(({ lease }) => lease.fence !== undefined);
+      expect(holders).toHaveLength(1);
+      for (let step = 0; step < 120; step++) {
+        await clock.advance(250);
+        expect(holders[0]!.lease.fence).toBeDefined();
+      }
+      expect(daemons.flatMap(({ fences }) => fences)).toHaveLength(1);
+    });
+  });
+
   describe('a holder that is cut off from the store', () => {
     it('stops before another takes over, with a higher fence', async () => {
       const [holder] = holders();
--- a/test/capacity/duty-parts.ts
+++ b/test/capacity/duty-parts.ts
@@ -17,6 +17,7 @@
   readonly clock: Clock;
   /** Time for which the VM was suspended, which only the wall clock counts. */
   readonly suspendedMs?: () => number;
+  readonly samplePeriodMs?: number;
 }
 
 /** What one daemon of the tests needs to hold duties, started. */
@@ -27,7 +28,8 @@
   readonly replica: KeyedReplica;
   readonly #samplesReplica: KeyedReplica;
 
-  constructor({ daemon, incarnation, log, clock, suspendedMs }: DutyPartsOptions) {
+  constructor(options: DutyPartsOptions) {
+    const { daemon, incarnation, log, clock, suspendedMs, samplePeriodMs = 1_000 } = options;
     const events = new NullEventLog();
     const replicaOf = (topic: string): KeyedReplica => {
       const random = new Random(1);
@@ -38,7 +40,7 @@
         random,
         events,
         waitMs: 0,
-        minGapMs: 100,
+        minGapMs: () => 100,
       });
       replica.start();
       return replica;
@@ -55,11 +57,13 @@
       events,
       content: () => ({
         granted: {},
+        asked: {},
         inFlight: {},
         prefillTokensPerS: {},
         newsAddress: '',
         usage: this.counter.windows(),
       }),
+      periodMs: () => samplePeriodMs,
       onEarlierRun: ({ usage }) => this.counter.absorb(usage),
     });
     this.samples.start();
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -34,6 +34,10 @@
 
   async start(): Promise<string> {
     await new Promise<void>((resolve) => this.#server.listen(0, '127.0.0.1', resolve));
+    return this.baseUrl;
+  }
+
+  get baseUrl(): string {
     return `http://127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
   }
 
@@ -120,6 +124,7 @@
       usageDueMs: 10_000,
       quotaTolerance: { windowMs: 8_000, overRatio: 0.1, slack: 0 },
       retrySlack: 100,
+      maxRegistrationGapMs: 800,
     });
   }
 
@@ -132,19 +137,28 @@
   async addEndpoint(behaviour: EndpointBehaviour): Promise<TestEndpoint> {
     const endpoint = new TestEndpoint(behaviour);
     this.endpoints.push(endpoint);
+    this.#register(this.endpoints.length, await endpoint.start(), false);
+    return endpoint;
+  }
+
+  /** Has an endpoint say that it is leaving. */
+  drainEndpoint(index: number): void {
+    this.#register(index + 1, this.endpoints[index]!.baseUrl, true);
+  }
+
+  #register(number: number, baseUrl: string, isDraining: boolean): void {
     this.gateway.endpoints.register({
-      instanceId: `i-${this.endpoints.length}`,
+      instanceId: `i-${number}`,
       serviceName: 'orders',
-      baseUrl: await endpoint.start(),
+      baseUrl,
       region: 'here',
       failureDomain: 'here-a',
       batchSlots: 8,
       startedAtMs: 1,
-      isDraining: false,
+      isDraining,
       leavesAtMs: undefined,
       reclaimable: false,
     });
-    return endpoint;
   }
 
   /** Sends a request as a caller; resolves with whatever came until the connection closed. */
--- a/test/gateway/request-relay_test.ts
+++ b/test/gateway/request-relay_test.ts
@@ -1,3 +1,4 @@
+import { EventEmitter, once } from 'node:events';
 import { connect } from 'node:net';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { RequestKind, QuotaUnit } from '../../src/gateway/traffic-config.js';
@@ -153,9 +154,15 @@
 
   describe('streams that may continue', () => {
     it('go on elsewhere after the last whole event, with none missing or double', async () => {
-      await harness.start(trafficConfig({ routes: [streamRoute] }), events(1, 2, true));
+      const arrivals = new EventEmitter();
+      const arrived = once(arrivals, 'first');
+      await harness.start(trafficConfig({ routes: [streamRoute] }), (request, response) => {
+        arrivals.emit('first');
+        events(1, 2, true)(request, response);
+      });
       const [first] = harness.endpoints;
       const answering = harness.call({ method: 'POST', body: 'prompt' });
+      await arrived;
       await harness.addEndpoint((request, response) => {
         expect(request.headers['last-event-id']).toBe('2');
         events(3, 4, false)(request, response);
--- /dev/null
+++ b/test/membership/count-totals_test.ts
@@ -0,0 +1,46 @@
+import fc from 'fast-check';
+import { describe, expect, it } from 'vitest';
+import { CountTotals } from '../../src/membership/count-totals.js';
+
+function report(daemon: string, incarnation: number, tokens: number) {
+  return { daemon, incarnation, counts: { tejidos: tokens } };
+}
+
+describe('CountTotals', () => {
+  it('counts from where a daemon is known', () => {
+    const totals = new CountTotals();
+    totals.take(report('a', 1, 500));
+    totals.take(report('a', 1, 700));
+    totals.take(report('b', 1, 90));
+    expect(totals.of('tejidos')).toBe(200);
+  });
+
+  it('counts a daemon that starts again from nothing, and never an older run', () => {
+    const totals = new CountTotals();
+    totals.take(report('a', 1, 500));
+    totals.take(report('a', 2, 40));
+    totals.take(report('a', 1, 900));
+    expect(totals.of('tejidos')).toBe(40);
+  });
+
+  it('comes to the same sum in any order and with repeats, as datagrams and samples cross', () => {
+    const amounts = fc.array(fc.integer({ min: 1, max: 1_000 }), { minLength: 1, maxLength: 20 });
+    fc.assert(
+      fc.property(
+        amounts.chain((list) =>
+          fc.tuple(
+            fc.constant(list),
+            fc.shuffledSubarray([...list, ...list], { minLength: list.length }),
+          ),
+        ),
+        ([list, shuffled]) => {
+          const totals = new CountTotals();
+          totals.take(report('a', 1, 0));
+          for (const amount of [...shuffled, ...list]) totals.take(report('a', 1, amount));
+          expect(totals.of('tejidos')).toBe(Math.max(...list));
+        },
+      ),
+      { seed: 1, numRuns: 200 },
+    );
+  });
+});
--- /dev/null
+++ b/test/membership/exchange-pace_test.ts
@@ -0,0 +1,32 @@
+import { describe, expect, it } from 'vitest';
+import { exchangePace } from '../../src/membership/exchange-pace.js';
+
+const drainMs = 4_000;
+const maxRegistrationGapMs = drainMs / 3;
+
+/** Calls of the store that all daemons make a second for samples and registrations. */
+function storeCallsPerS(daemons: number): number {
+  const pace = exchangePace(daemons, maxRegistrationGapMs);
+  const periodsMs = [pace.samplePeriodMs, pace.sampleReadGapMs, pace.registrationReadGapMs];
+  return daemons * periodsMs.reduce((sum, periodMs) => sum + 1_000 / periodMs, 0);
+}
+
+describe('exchangePace', () => {
+  it('keeps the calls of 73 daemons near those of 20, against calls that grow with the daemons', () => {
+    expect(storeCallsPerS(73)).toBeLessThan(storeCallsPerS(20) * 1.5);
+  });
+
+  it('reads a leaving endpoint in time at any number of daemons', () => {
+    for (const daemons of [1, 7, 73, 460, 5_000]) {
+      const { registrationReadGapMs } = exchangePace(daemons, maxRegistrationGapMs);
+      expect(registrationReadGapMs).toBeLessThanOrEqual(maxRegistrationGapMs);
+    }
+  });
+
+  it('tells grants sooner than the store would', () => {
+    for (const daemons of [1, 7, 73, 460]) {
+      const { newsPeriodMs, samplePeriodMs } = exchangePace(daemons, maxRegistrationGapMs);
+      expect(newsPeriodMs).toBeLessThanOrEqual(samplePeriodMs);
+    }
+  });
+});
--- /dev/null
+++ b/test/membership/peer-news_test.ts
@@ -0,0 +1,80 @@
+import { createSocket } from 'node:dgram';
+import { once } from 'node:events';
+import { afterEach, describe, expect, it } from 'vitest';
+import type { GrantReport } from '../../src/membership/daemon-samples.js';
+import { PeerNews, type PrefillNews } from '../../src/membership/peer-news.js';
+import { NullEventLog } from '../../src/telemetry/index.js';
+
+const host = '127.0.0.1';
+
+async function freePort(): Promise<number> {
+  const socket = createSocket('udp4').bind(0, host);
+  await once(socket, 'listening');
+  const { port } = socket.address();
+  socket.close();
+  return port;
+}
+
+describe('PeerNews', () => {
+  const open: PeerNews[] = [];
+  afterEach(() => {
+    for (const news of open.splice(0)) news.close();
+  });
+
+  async function start(peers: () => string[]) {
+    const port = await freePort();
+    const received: (PrefillNews | GrantReport)[] = [];
+    const waiters: (() => void)[] = [];
+    const take = (item: PrefillNews | GrantReport): void => {
+      received.push(item);
+      for (const wake of waiters.splice(0)) wake();
+    };
+    const events = new NullEventLog();
+    const news = new PeerNews({
+      own: { host, port },
+      peers,
+      onPrefill: take,
+      onGrants: take,
+      events,
+    });
+    news.listen();
+    open.push(news);
+    const next = (): Promise<void> => new Promise((resolve) => waiters.push(resolve));
+    return { port, news, received, next };
+  }
+
+  it('tells prompts and grants to each peer', async () => {
+    const receiver = await start(() => []);
+    const sender = await start(() => [`${host}:${receiver.port}`]);
+    const prompt = { endpointId: 'e-1', tokens: 12_000 };
+    const report = {
+      daemon: 'a',
+      incarnation: 7,
+      granted: { tejidos: 900 },
+      asked: { tejidos: 950 },
+    };
+    let heard = receiver.next();
+    sender.news.tellPrefill(prompt);
+    await heard;
+    heard = receiver.next();
+    sender.news.tellGrants(report);
+    await heard;
+    expect(receiver.received).toEqual([prompt, report]);
+  });
+
+  it('ignores datagrams that no daemon sent, against a crash by a stray packet', async () => {
+    const receiver = await start(() => []);
+    const sender = await start(() => [`${host}:${receiver.port}`]);
+    const stray = createSocket('udp4');
+    for (const text of ['', '{', '[]', '["grants","a",1,{"t":-5},{}]', '["prefill",7,7]']) {
+      await new Promise((resolve) => {
+        stray.send(text, receiver.port, host, resolve);
+      });
+    }
+    stray.close();
+    const heard = receiver.next();
+    sender.news.tellPrefill({ endpointId: 'e-1', tokens: 1 });
+    await heard;
+    expect(receiver.received).toEqual([{ endpointId: 'e-1', tokens: 1 }]);
+  });
+});
