Serve metrics as text and trace a request through the logs

Cause: on the platform, on-call engineers have standard output and a metrics address. The gateway had no metrics, and its lines had to be searched by hand.

Ruled out: StatsD, which nobody receives there; a cache of recent decisions in the daemon, which is gone with it.

Change: PrometheusMetrics (prom-client) behind the product's own Metrics, served at the address that deploy/system.toml names; RequestMetrics counts requests by end and attempts by result, GatewayGauges reads state off when asked. 'oriolectl trace' prints the lines that explain a request. A refused quota says what it was decided from. Tests bring about three kinds of failed request and find the cause from lines and metrics alone; one checks the metrics during an outage of the store.

--- a/src/admission/token-quota.ts
+++ b/src/admission/token-quota.ts
@@ -90,6 +90,11 @@
     return this.#asked;
   }
 
+  /** Units that may be granted now, before what is kept back for the others' unknown grants. */
+  get balance(): number {
+    return this.#balance;
+  }
+
   /** Takes over a changed limit; a balance above the new capacity is cut. */
   updateLimit(limit: QuotaLimit): void {
     this.#limit = limit;
--- a/src/ctl/commands/index.ts
+++ b/src/ctl/commands/index.ts
@@ -15,6 +15,7 @@
 import { settingsHistoryCommand } from './settings-history.js';
 import { settingsInForceCommand } from './settings-in-force.js';
 import { statusCommand } from './status.js';
+import { traceCommand } from './trace.js';
 
 /** All commands, in the order of the help. */
 export const allCommands: readonly CtlCommand[] = [
@@ -32,6 +33,7 @@
   jobsResolveCommand,
   jobsCancelCommand,
   explainCommand,
+  traceCommand,
   reportBurnCommand,
   keysCreateCommand,
 ];
--- a/src/gateway/caller-exchange.ts
+++ b/src/gateway/caller-exchange.ts
@@ -21,7 +21,9 @@
   readonly request: IncomingMessage;
   readonly #response: ServerResponse;
   readonly #goneListeners: (() => void)[] = [];
+  readonly #answeredListeners: (() => void)[] = [];
   #isGone = false;
+  #isCut = false;
 
   constructor(request: IncomingMessage, response: ServerResponse) {
     this.request = request;
@@ -48,17 +50,31 @@
     this.#goneListeners.push(listener);
   }
 
+  /** Calls `listener` when the head of the answer goes out. */
+  onAnswered(listener: () => void): void {
+    this.#answeredListeners.push(listener);
+  }
+
+  /** Calls `listener` once with the end: the status of a whole answer, `cut` or `caller_left`. */
+  onClosed(listener: (outcome: string) => void): void {
+    const response = this.#response;
+    response.once('close', () => {
+      if (response.writableFinished) listener(String(response.statusCode));
+      else listener(this.#isCut ? 'cut' : 'caller_left');
+    });
+  }
+
   /** Sends a whole answer. */
   answer(status: number, headers: OutgoingHttpHeaders, body: Buffer): void {
     if (this.#isGone || this.hasAnswered) return;
-    this.#response.writeHead(status, { ...headers, 'content-length': body.length });
+    this.#writeHead(status, { ...headers, 'content-length': body.length });
     this.#response.end(body);
   }
 
   /** Sends the head of an answer whose length is not known. */
   begin(status: number, headers: OutgoingHttpHeaders): void {
     if (this.#isGone || this.hasAnswered) return;
-    this.#response.writeHead(status, headers);
+    this.#writeHead(status, headers);
   }
 
   /** Sends a part of the body. @returns false when the caller reads too slowly; see {@link onDrain}. */
@@ -78,6 +94,12 @@
 
   /** Closes the connection, so that an answer that is not whole does not look complete. */
   cut(): void {
+    this.#isCut = true;
     this.#response.destroy();
   }
+
+  #writeHead(status: number, headers: OutgoingHttpHeaders): void {
+    this.#response.writeHead(status, headers);
+    for (const listener of this.#answeredListeners) listener();
+  }
 }
--- a/src/gateway/gateway-duties.ts
+++ b/src/gateway/gateway-duties.ts
@@ -77,6 +77,11 @@
     });
   }
 
+  /** Whether this daemon may act for all now. */
+  get isHolding(): boolean {
+    return this.#lease.fence !== undefined;
+  }
+
   /** Takes the lease when it is free and does what is due while it is held. */
   async tick(): Promise<void> {
     await this.#lease.tick();
--- /dev/null
+++ b/src/gateway/gateway-gauges.ts
@@ -0,0 +1,47 @@
+import { EndpointState, type EndpointRegistry, type RegisteredEndpoints } from '../fleet/index.js';
+import type { KeyedReplica } from '../log/keyed-replica.js';
+import type { Metrics } from '../telemetry/index.js';
+import type { ConfigHolder } from './config-holder.js';
+
+/** Options of {@link GatewayGauges}. */
+export interface GatewayGaugesOptions {
+  readonly metrics: Metrics;
+  readonly config: ConfigHolder;
+  readonly registry: EndpointRegistry;
+  readonly endpoints: RegisteredEndpoints;
+  readonly replicas: readonly KeyedReplica[];
+  readonly inFlight: () => number;
+  readonly liveDaemons: () => number;
+  readonly isHoldingDuties: () => boolean;
+}
+
+/** Metrics that follow from a daemon's state and are read off it when they are asked for. */
+export class GatewayGauges {
+  readonly #options: GatewayGaugesOptions;
+
+  constructor(options: GatewayGaugesOptions) {
+    this.#options = options;
+  }
+
+  measure(): void {
+    const { metrics, config, replicas, inFlight, liveDaemons, isHoldingDuties } = this.#options;
+    metrics.gauge('gateway_in_flight', inFlight());
+    metrics.gauge('gateway_config_version', config.table?.config.version ?? 0);
+    metrics.gauge('gateway_live_daemons', liveDaemons());
+    metrics.gauge('gateway_duties_held', Number(isHoldingDuties()));
+    for (const { topic, endOffset, isFailing } of replicas) {
+      const isRead = endOffset !== undefined && !isFailing;
+      metrics.gauge('gateway_store_readable', Number(isRead), { topic });
+    }
+    for (const { name } of config.table?.config.services ?? []) this.#measureEndpoints(name);
+  }
+
+  #measureEndpoints(service: string): void {
+    const { metrics, registry, endpoints } = this.#options;
+    const views = registry.views(endpoints.serviceId(service));
+    for (const state of Object.values(EndpointState)) {
+      const count = views.filter((view) => view.state === state).length;
+      metrics.gauge('gateway_endpoints', count, { service, state });
+    }
+  }
+}
--- a/src/gateway/gateway-listener.ts
+++ b/src/gateway/gateway-listener.ts
@@ -7,6 +7,7 @@
 import type { ConfigHolder } from './config-holder.js';
 import { MissingRequestIdError, type RequestCodec } from './request-codec.js';
 import type { RequestAdmission } from './request-admission.js';
+import type { RequestMetrics } from './request-metrics.js';
 import type { RequestRelay } from './request-relay.js';
 
 /** Options of {@link GatewayListener}. */
@@ -19,6 +20,7 @@
   readonly codec: RequestCodec;
   readonly clock: Clock;
   readonly events: EventLog;
+  readonly metrics: RequestMetrics;
 }
 
 /** Larger than any configured limit on headers, which admission checks for each request. */
@@ -120,8 +122,9 @@
   }
 
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { admission, relay } = this.#options;
+    const { admission, relay, metrics } = this.#options;
     const exchange = new CallerExchange(request, response);
+    const noteAdmitted = metrics.follow(exchange);
     if (this.#isDraining) response.setHeader('connection', 'close');
     this.#inFlight += 1;
     response.once('close', () => {
@@ -132,7 +135,9 @@
       if (!this.#isAccepting) request.socket.end();
     });
     try {
-      await relay.relay(exchange, await admission.admit(exchange));
+      const admitted = await admission.admit(exchange);
+      noteAdmitted(admitted);
+      await relay.relay(exchange, admitted);
     } catch (error) {
       this.#refuse(exchange, error);
     }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -26,16 +26,18 @@
   Router,
   standardScorers,
 } from '../routing/index.js';
-import { EventId, type EventLog } from '../telemetry/index.js';
+import { EventId, type EventLog, type Metrics } from '../telemetry/index.js';
 import type { AdmittedRequest } from './caller-exchange.js';
 import { ConfigHolder } from './config-holder.js';
 import { EndpointConnections } from './endpoint-connections.js';
 import { GatewayDuties } from './gateway-duties.js';
+import { GatewayGauges } from './gateway-gauges.js';
 import { GatewayListener } from './gateway-listener.js';
 import { PeerExchange } from './peer-exchange.js';
 import { Placement } from './placement.js';
 import { RequestAdmission } from './request-admission.js';
 import type { RequestCodec } from './request-codec.js';
+import { RequestMetrics } from './request-metrics.js';
 import { RequestRelay, UsageObserver } from './request-relay.js';
 import { WorkspaceQuotas } from './workspace-quotas.js';
 
@@ -65,6 +67,7 @@
   readonly wallNowMs: () => number;
   readonly random: Random;
   readonly events: EventLog;
+  readonly metrics: Metrics;
   /** How long a stopping daemon takes requests, until the balancer sends nobody any more. */
   readonly stopNoticeMs: number;
   readonly leaseMs: number;
@@ -124,6 +127,7 @@
   readonly #duties: GatewayDuties | undefined;
   readonly #counter: UsageCounter;
   readonly #quotas: WorkspaceQuotas;
+  readonly #gauges: GatewayGauges;
   readonly #backlog = new PrefillBacklog();
   readonly #demand = new RateMeter(demandSmoothingMs);
   readonly #peers: PeerExchange;
@@ -212,6 +216,16 @@
         backlog: this.#backlog,
         config: this.config,
       });
+    this.#gauges = new GatewayGauges({
+      metrics: options.metrics,
+      config: this.config,
+      registry: this.#registry,
+      endpoints: this.endpoints,
+      replicas: this.#replicas(),
+      inFlight: () => this.#listener.inFlight,
+      liveDaemons: () => this.#peers.daemons,
+      isHoldingDuties: () => this.#duties?.isHolding === true,
+    });
   }
 
   /** Port that callers connect to; useful when the system chose it. */
@@ -261,8 +275,14 @@
     this.#connections.close();
   }
 
+  /** Brings the metrics up to date that follow from the daemon's state. */
+  measure(): void {
+    this.#gauges.measure();
+  }
+
   #createListener(codec: RequestCodec, speeds: SpeedEstimator, caches: CacheView): GatewayListener {
     const { clock, events, daemon, region, random, host, port } = this.#options;
+    const metrics = new RequestMetrics(this.#options.metrics, clock);
     const homes = new PromptHomeScorer();
     const router = new Router({
       daemonId: daemon,
@@ -303,6 +323,7 @@
       usage: new CountedUsage(this.#counter),
       clock,
       events,
+      metrics,
     });
     const admission = new RequestAdmission({
       config: this.config,
@@ -319,6 +340,7 @@
       codec,
       clock,
       events,
+      metrics,
     });
   }
 
--- a/src/gateway/request-admission.ts
+++ b/src/gateway/request-admission.ts
@@ -77,9 +77,11 @@
   }
 
   #charge(workspace: TrafficWorkspace, description: RequestDescription, nowMs: number): void {
-    const retryAtMs = this.#options.quotas.tryTake(workspace, description, nowMs);
+    const { quotas } = this.#options;
+    const retryAtMs = quotas.tryTake(workspace, description, nowMs);
     if (retryAtMs === undefined) return;
-    throw refusal(429, `workspace "${workspace.name}" is over its quota`, retryAtMs);
+    const inputs = quotas.explain(workspace, description);
+    throw refusal(429, `workspace "${workspace.name}" is over its quota: ${inputs}`, retryAtMs);
   }
 }
 
--- /dev/null
+++ b/src/gateway/request-metrics.ts
@@ -0,0 +1,40 @@
+import type { Clock } from '../core/index.js';
+import type { Metrics } from '../telemetry/index.js';
+import type { AttemptEnd } from './attempt.js';
+import type { AdmittedRequest, CallerExchange } from './caller-exchange.js';
+
+/** Service of a request that was refused before its route was known. */
+const noService = 'none';
+
+/** Counts requests by their end and measures how long they took, by service. */
+export class RequestMetrics {
+  readonly #metrics: Metrics;
+  readonly #clock: Clock;
+
+  constructor(metrics: Metrics, clock: Clock) {
+    this.#metrics = metrics;
+    this.#clock = clock;
+  }
+
+  /** Follows a request to its end. @returns what to call once its service is known. */
+  follow(exchange: CallerExchange): (admitted: AdmittedRequest) => void {
+    const metrics = this.#metrics;
+    const receivedAtMs = this.#clock.nowMs();
+    let service = noService;
+    exchange.onAnswered(() => {
+      metrics.timing('gateway_first_byte_ms', this.#clock.nowMs() - receivedAtMs, { service });
+    });
+    exchange.onClosed((outcome) => {
+      metrics.count('gateway_requests', 1, { service, outcome });
+      metrics.timing('gateway_request_ms', this.#clock.nowMs() - receivedAtMs, { service });
+    });
+    return (admitted) => {
+      service = admitted.service.name;
+    };
+  }
+
+  /** Counts an attempt at an endpoint. */
+  attempted(service: string, end: AttemptEnd): void {
+    this.#metrics.count('gateway_attempts', 1, { service, end });
+  }
+}
--- a/src/gateway/request-relay.ts
+++ b/src/gateway/request-relay.ts
@@ -20,6 +20,7 @@
 import type { EndpointConnections } from './endpoint-connections.js';
 import type { AnswerDescription, RequestCodec } from './request-codec.js';
 import type { Placement } from './placement.js';
+import type { RequestMetrics } from './request-metrics.js';
 import { RequestKind } from './traffic-config.js';
 
 /** Told about requests that began to run, for the usage of workspaces. */
@@ -39,6 +40,7 @@
   readonly usage: UsageObserver;
   readonly clock: Clock;
   readonly events: EventLog;
+  readonly metrics: RequestMetrics;
 }
 
 /** Statuses by which an answer promises that the request did not and will not run. */
@@ -224,7 +226,8 @@
   }
 
   #settle(view: EndpointView, own: OwnRequest, result: AttemptResult): void {
-    const { registry } = this.#options;
+    const { registry, metrics } = this.#options;
+    metrics.attempted(this.#admitted.service.name, result.end);
     own.end();
     this.#triedIds.push(view.id);
     this.#lastReason = result.reason;
--- a/src/gateway/workspace-quotas.ts
+++ b/src/gateway/workspace-quotas.ts
@@ -43,6 +43,17 @@
     return quota.tryTake(amountOf(workspace, description), this.#peersOf(workspace.name), nowMs);
   }
 
+  /** What a decision about a workspace was made from, for the log. */
+  explain(workspace: TrafficWorkspace, description: RequestDescription): string {
+    const { daemons, silentDaemons, untoldMs } = this.#peers;
+    const balance = Math.round(this.#quotas.get(workspace.name)?.balance ?? 0);
+    const age = `as told up to ${Math.round(untoldMs)} ms ago`;
+    return (
+      `${amountOf(workspace, description)} asked for, ${balance} left at ${workspace.ratePerS} a second ` +
+      `for ${daemons} live and ${silentDaemons} silent daemons, ${age}`
+    );
+  }
+
   /**
    * Reckons with what the other daemons granted since the last call, also for workspaces that no
    * request came for: the first one must not find a balance that the others have spent.
--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -3,3 +3,5 @@
 export * from './metrics.js';
 export * from './bounded-event-log.js';
 export * from './line-writer.js';
+export * from './log-line.js';
+export * from './request-trace.js';
--- /dev/null
+++ b/test/gateway/complaints_test.ts
@@ -0,0 +1,116 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { RequestKind } from '../../src/gateway/traffic-config.js';
+import { KeyedLogFault } from '../../src/standins/memory-keyed-log.js';
+import { EventId, TraceRelation, traceRequest, type LogLine } from '../../src/telemetry/index.js';
+import { trafficConfig, trafficRoute } from './configs.js';
+import { GatewayHarness, answerWhole } from './gateway-harness.js';
+import { RecordedLines } from './recorded-lines.js';
+
+const id = 'complaint-1';
+const headers = { 'oriolestack-request-id': id };
+
+/** The steps of docs/OPERATIONS.md, each on a real failure, with nothing but logs and metrics. */
+describe('a complaint about a request', () => {
+  let recorded: RecordedLines;
+  let harness: GatewayHarness;
+
+  beforeEach(() => {
+    recorded = new RecordedLines();
+    harness = new GatewayHarness(recorded);
+  });
+
+  afterEach(async () => {
+    await harness.stop();
+  });
+
+  /** Numbers of the events of the request's trace with one relation. */
+  function traced(relation: TraceRelation): EventId[] {
+    return traceRequest(recorded.lines, id)
+      .filter((traced) => traced.relation === relation)
+      .map(({ line }) => line.event);
+  }
+
+  function ownFields(event: EventId): Readonly<Record<string, unknown>> | undefined {
+    return traceRequest(recorded.lines, id).find(({ line }) => line.event === event)?.line.fields;
+  }
+
+  async function metricLines(): Promise<string[]> {
+    harness.gateway.measure();
+    return (await harness.metrics.text()).split('\n');
+  }
+
+  it('that was refused: all endpoints of its service were leaving', async () => {
+    await harness.start(trafficConfig(), answerWhole(200, 'ok'));
+    harness.drainEndpoint(0);
+    const answer = await harness.call({ headers });
+    expect(answer.status).toBe(503);
+
+    expect(ownFields(EventId.RequestRefused)).toMatchObject({
+      service: 'orders',
+      reason: 'no endpoint is available',
+      sends: 0,
+      mayHaveRun: false,
+    });
+    expect(traced(TraceRelation.Daemon)).toContain(EventId.EndpointLeaving);
+    const metrics = await metricLines();
+    expect(metrics).toContain('oriolestack_gateway_endpoints{service="orders",state="leaving"} 1');
+    expect(metrics).toContain('oriolestack_gateway_endpoints{service="orders",state="live"} 0');
+    expect(metrics).toContain('oriolestack_gateway_requests{service="orders",outcome="503"} 1');
+  });
+
+  it('that was late: its first endpoint broke off', async () => {
+    const breakOff = (_: unknown, response: { destroy: () => void }): void => {
+      response.destroy();
+    };
+    await harness.start(trafficConfig(), breakOff, breakOff);
+    harness.endpoints[1]!.behaviour = answerWhole(200, 'ok');
+    let answer = await harness.call({ headers });
+    for (let attempt = 2; traced(TraceRelation.Request).length === 0; attempt++) {
+      // Whichever endpoint is chosen first; only a request that met the broken one complains.
+      expect(attempt).toBeLessThan(50);
+      answer = await harness.call({ headers });
+    }
+    expect(answer.status).toBe(200);
+
+    expect(traced(TraceRelation.Request)).toEqual([EventId.AttemptFailed, EventId.RequestRetried]);
+    const failed = ownFields(EventId.AttemptFailed);
+    expect(failed).toMatchObject({ end: 'broken', wasSent: true });
+    expect(String(failed?.endpoint)).toMatch(/^i-1:/);
+    expect(String(ownFields(EventId.RequestRetried)?.endpoint)).toMatch(/^i-2:/);
+    expect(await metricLines()).toContain(
+      'oriolestack_gateway_attempts{service="orders",end="broken"} 1',
+    );
+  });
+
+  it('of unknown outcome: its only endpoint took it and gave no answer', async () => {
+    const routes = [trafficRoute({ kind: RequestKind.AtMostOnce })];
+    await harness.start(trafficConfig({ routes }), (request) => request.socket.destroy());
+    const answer = await harness.call({ method: 'POST', body: 'order', headers });
+    expect(answer.status).toBe(502);
+
+    expect(ownFields(EventId.RequestBroken)).toMatchObject({
+      status: 502,
+      sends: 1,
+      mayHaveRun: true,
+    });
+    expect(String(ownFields(EventId.AttemptFailed)?.endpoint)).toMatch(/^i-1:/);
+    expect(await metricLines()).toContain(
+      'oriolestack_gateway_requests{service="orders",outcome="502"} 1',
+    );
+  });
+
+  it('during an outage of the store: metrics and logs name what cannot be read', async () => {
+    await harness.start(trafficConfig(), answerWhole(200, 'ok'));
+    harness.store.fault = KeyedLogFault.Down;
+    const unreadable = 'oriolestack_gateway_store_readable{topic="servers"} 0';
+    // Also while nothing was read yet; the line in the log tells an outage from a start.
+    const isFailing = ({ event, fields }: LogLine): boolean =>
+      event === EventId.LogReadFailing && fields.stream === 'servers';
+    while (!recorded.lines.some(isFailing)) {
+      await harness.clock.sleepUntil(harness.clock.nowMs() + 20);
+    }
+    expect(await metricLines()).toContain(unreadable);
+    expect((await harness.call({ headers })).status).toBe(200);
+    expect(await metricLines()).toContain('oriolestack_gateway_config_version 1');
+  });
+});
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -12,7 +12,8 @@
 import { Gateway } from '../../src/gateway/gateway.js';
 import type { TrafficConfig } from '../../src/gateway/traffic-config.js';
 import { MemoryKeyedLog } from '../../src/standins/memory-keyed-log.js';
-import { NullEventLog } from '../../src/telemetry/index.js';
+import { NullEventLog, type EventLog } from '../../src/telemetry/index.js';
+import { PrometheusMetrics } from '../../src/telemetry/prometheus-metrics.js';
 import { HeaderCodec } from '../../platform/header-codec.js';
 
 /** What an endpoint of the tests does with a request. */
@@ -99,9 +100,12 @@
   readonly probe = new SwitchedProbe();
   readonly store = new MemoryKeyedLog();
   readonly clock = new SystemClock();
+  readonly events: EventLog;
+  readonly metrics = new PrometheusMetrics();
   #requests = 0;
 
-  constructor() {
+  constructor(events: EventLog = new NullEventLog()) {
+    this.events = events;
     const { clock } = this;
     this.gateway = new Gateway({
       daemon: 'front-1',
@@ -117,7 +121,8 @@
       clock,
       wallNowMs: () => clock.nowMs(),
       random: new Random(1),
-      events: new NullEventLog(),
+      events: this.events,
+      metrics: this.metrics,
       stopNoticeMs: 50,
       leaseMs: 3_000,
       usageWindowMs: 5_000,
--- /dev/null
+++ b/test/platform/deploy_test.ts
@@ -0,0 +1,13 @@
+import { readFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { describe, expect, it } from 'vitest';
+import { metricsAddress } from '../../platform/names.js';
+
+describe('deploy/system.toml', () => {
+  const text = readFileSync(join(import.meta.dirname, '../../deploy/system.toml'), 'utf8');
+
+  it('names the metrics address that the program serves', () => {
+    const { port, path } = metricsAddress;
+    expect(text).toContain(`metrics = "${port}${path}"`);
+  });
+});
