Soak real gateways under faults from outside

Ruled out: faults inside the program, which would test the injection; the stand-ins of the product's own daemon, which speak another protocol.

A short run is in npm test; tests show that each check finds its fault.

--- /dev/null
+++ b/bench/soak/caller.ts
@@ -0,0 +1,123 @@
+import { Agent, request } from 'node:http';
+import { headers } from '../../platform/names.js';
+import type { Random } from '../../src/core/index.js';
+import { callerPort, type GatewayProcess } from './gateway-process.js';
+import { CallKind, type CallEnd, type Ledger } from './ledger.js';
+import { callerKey, host } from './traffic.js';
+
+const patienceMs = 4_000;
+const pauseMs = 25;
+
+/** Options of {@link Caller}. */
+export interface CallerOptions {
+  readonly name: string;
+  readonly random: Random;
+  readonly ledger: Ledger;
+  /** Gateways to which the balancer sends new connections. */
+  readonly ready: () => readonly GatewayProcess[];
+}
+
+/** Sends one request after another, on a connection that it keeps as long as the process is there. */
+export class Caller {
+  readonly #options: CallerOptions;
+  #agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  #gateway: GatewayProcess | undefined;
+  #count = 0;
+  #isStopped = false;
+
+  constructor(options: CallerOptions) {
+    this.#options = options;
+  }
+
+  /** Calls until {@link stop}. */
+  async run(): Promise<void> {
+    while (!this.#isStopped) {
+      await this.call(this.#options.random.pick(Object.values(CallKind)));
+      await new Promise((resolve) => setTimeout(resolve, pauseMs));
+    }
+    this.#agent.destroy();
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  /** Sends one request. @returns its end; undefined when there was nobody to send it to. */
+  async call(kind: CallKind): Promise<CallEnd | undefined> {
+    const gateway = this.#choose();
+    if (!gateway) return undefined;
+    const end = await this.#send(gateway, kind);
+    this.#options.ledger.ends.push(end);
+    // The balancer sends the next connection elsewhere once this one is closed.
+    if (end.status === undefined) this.#leave();
+    return end;
+  }
+
+  /** Stays with a gateway while its process runs, as an open connection does. */
+  #choose(): GatewayProcess | undefined {
+    const { ready, random } = this.#options;
+    if (this.#gateway?.isRunning) return this.#gateway;
+    this.#leave();
+    const gateways = ready();
+    this.#gateway = gateways.length > 0 ? random.pick(gateways) : undefined;
+    return this.#gateway;
+  }
+
+  #leave(): void {
+    this.#gateway = undefined;
+    this.#agent.destroy();
+    this.#agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  }
+
+  #send(gateway: GatewayProcess, kind: CallKind): Promise<CallEnd> {
+    const requestId = `${this.#options.name}-${++this.#count}`;
+    const sent = {
+      requestId,
+      kind,
+      gateway: gateway.options.name,
+      gatewayRun: gateway.run,
+      sentAtMs: Date.now(),
+    };
+    return new Promise((resolve) => {
+      const fail = (): void => {
+        const nothing = { status: undefined, answeredId: undefined, isSigned: false, body: '' };
+        resolve({ ...sent, ...nothing, isWhole: false, endedAtMs: Date.now() });
+      };
+      const outgoing = request(
+        {
+          agent: this.#agent,
+          host: gateway.options.host,
+          port: callerPort,
+          method: kind === CallKind.Once || kind === CallKind.Stream ? 'POST' : 'GET',
+          path: `/${kind}/x`,
+          timeout: patienceMs,
+          headers: {
+            host,
+            authorization: `Bearer ${callerKey}`,
+            [headers.requestId]: requestId,
+            [headers.deadlineMs]: String(patienceMs),
+          },
+        },
+        (answer) => {
+          const chunks: Buffer[] = [];
+          answer.on('data', (chunk: Buffer) => chunks.push(chunk));
+          answer.on('error', () => undefined); // The end tells that it is not whole.
+          answer.on('close', () => {
+            resolve({
+              ...sent,
+              status: answer.statusCode,
+              answeredId: answer.headers[headers.requestId]?.toString(),
+              isSigned: answer.headers[headers.seal] !== undefined,
+              body: Buffer.concat(chunks).toString(),
+              isWhole: answer.complete,
+              endedAtMs: Date.now(),
+            });
+          });
+        },
+      );
+      outgoing.on('timeout', () => outgoing.destroy());
+      outgoing.on('error', fail);
+      outgoing.end(kind === CallKind.Once || kind === CallKind.Stream ? 'body' : undefined);
+    });
+  }
+}
--- /dev/null
+++ b/bench/soak/fault-proxy.ts
@@ -0,0 +1,109 @@
+import { createServer, connect, type Server, type Socket } from 'node:net';
+import type { AddressInfo } from 'node:net';
+
+/** What a proxy does to the connections through it. */
+export enum LinkFault {
+  None = 'none',
+  /** Bytes wait on their way, in both directions. */
+  Delayed = 'delayed',
+  /** All connections are reset, new ones at once. */
+  Reset = 'reset',
+  /** Open connections carry nothing any more, for good; new ones work. */
+  Silenced = 'silenced',
+  /** Bytes towards the server are lost; answers still come. New connections get no answer. */
+  CutToServer = 'cut_to_server',
+  /** Answers are lost; the server still hears. */
+  CutToClient = 'cut_to_client',
+}
+
+interface Link {
+  readonly client: Socket;
+  readonly server: Socket;
+  isSilent: boolean;
+}
+
+const delayMs = 400;
+
+/** TCP proxy on loopback that harms the connections through it. */
+export class FaultProxy {
+  readonly #target: { readonly host: string; readonly port: number };
+  readonly #server: Server;
+  readonly #links = new Set<Link>();
+  #fault = LinkFault.None;
+
+  constructor(target: { readonly host: string; readonly port: number }) {
+    this.#target = target;
+    this.#server = createServer((client) => {
+      this.#accept(client);
+    });
+  }
+
+  get fault(): LinkFault {
+    return this.#fault;
+  }
+
+  listen(host: string): Promise<number> {
+    return new Promise((resolve) => {
+      this.#server.listen(0, host, () => {
+        resolve((this.#server.address() as AddressInfo).port);
+      });
+    });
+  }
+
+  setFault(fault: LinkFault): void {
+    this.#fault = fault;
+    for (const link of this.#links) {
+      if (fault === LinkFault.Reset) reset(link);
+      if (fault === LinkFault.Silenced) link.isSilent = true;
+    }
+  }
+
+  close(): Promise<void> {
+    for (const link of this.#links) reset(link);
+    return new Promise((resolve) => {
+      this.#server.close(() => {
+        resolve();
+      });
+    });
+  }
+
+  #accept(client: Socket): void {
+    if (this.#fault === LinkFault.Reset) {
+      client.resetAndDestroy();
+      return;
+    }
+    const server = connect({ ...this.#target, noDelay: true });
+    const link: Link = { client, server, isSilent: false };
+    this.#links.add(link);
+    this.#carry(link, client, server, LinkFault.CutToServer);
+    this.#carry(link, server, client, LinkFault.CutToClient);
+    for (const socket of [client, server]) {
+      socket.setNoDelay(true);
+      // Either side's failure is a fault under test; the other side learns of it below.
+      socket.on('error', () => undefined);
+      socket.on('close', () => {
+        this.#links.delete(link);
+        if (!link.isSilent) reset(link);
+      });
+    }
+  }
+
+  #carry(link: Link, from: Socket, to: Socket, cut: LinkFault): void {
+    const isLost = (): boolean => link.isSilent || this.#fault === cut;
+    const later = (action: () => void): void => {
+      if (this.#fault === LinkFault.Delayed) setTimeout(action, delayMs);
+      else action();
+    };
+    from.on('data', (bytes: Buffer) => {
+      if (!isLost()) later(() => to.write(bytes));
+    });
+    from.on('end', () => {
+      if (!isLost()) later(() => to.end());
+    });
+  }
+}
+
+function reset({ client, server }: Link): void {
+  client.resetAndDestroy();
+  server.resetAndDestroy();
+}
--- /dev/null
+++ b/bench/soak/fault-script.ts
@@ -0,0 +1,148 @@
+import { StoreFault } from '../../platform/standins/store-server.js';
+import type { Random } from '../../src/core/index.js';
+import { LinkFault, type FaultProxy } from './fault-proxy.js';
+import type { SoakWorld } from './soak-world.js';
+import { ordersService } from './traffic.js';
+
+type Fault = (world: SoakWorld, random: Random) => Promise<void>;
+
+const linkFaults = Object.values(LinkFault).filter((fault) => fault !== LinkFault.None);
+
+const kill: Fault = async (world, random) => {
+  const { process } = random.pick(world.gateways);
+  const end = world.ledger.fault(`${process.options.name} is killed`);
+  await process.kill();
+  await sleep(random.int(50, 1_500));
+  process.start(random.float() < 0.3);
+  end();
+};
+
+/** A planned stop is no fault: it must cut nothing. */
+const terminate: Fault = async (world, random) => {
+  const { process } = random.pick(world.gateways);
+  await process.terminate();
+  process.start();
+};
+
+const terminateTwice: Fault = async (world, random) => {
+  const { process } = random.pick(world.gateways);
+  void process.terminate();
+  await sleep(random.int(100, 2_000));
+  await process.terminate();
+  process.start();
+};
+
+const pause: Fault = async (world, random) => {
+  const { process } = random.pick(world.gateways);
+  const end = world.ledger.fault(`${process.options.name} is paused`);
+  process.signal('SIGSTOP');
+  await sleep(random.int(200, 5_000));
+  process.signal('SIGCONT');
+  end();
+};
+
+const harmStoreLink: Fault = (world, random) =>
+  harm(world, random, random.pick(world.gateways).store, 'the way to the store');
+
+const harmDutyLink: Fault = (world, random) =>
+  harm(world, random, random.pick(world.gateways).duties, 'the way to the duties');
+
+const harmEndpointLink: Fault = (world, random) =>
+  harm(world, random, random.pick(world.endpoints).proxy, 'the way to an endpoint');
+
+const harmStore: Fault = async (world, random) => {
+  const fault = random.pick([StoreFault.Unavailable, StoreFault.AnswersLost]);
+  const end = world.ledger.fault(`the store is ${fault}`);
+  world.store.fault = fault;
+  await sleep(random.int(300, 6_000));
+  world.store.fault = StoreFault.None;
+  end();
+};
+
+const forgetHistory: Fault = (world) => {
+  world.store.forgetHistory();
+  return Promise.resolve();
+};
+
+const reconfigure: Fault = async (world, random) => {
+  world.nextConfiguration();
+  // Less than half a turn of the services that tell versions apart comes at once.
+  if (random.float() < 0.3) {
+    await sleep(random.int(10, 200));
+    world.nextConfiguration();
+  }
+};
+
+const replaceEndpoint: Fault = async (world, random) => {
+  const endpoint = random.pick(
+    world.endpoints.filter(
+      ({ service, isRegistered }) => service === ordersService && isRegistered,
+    ),
+  );
+  await world.addEndpoint(ordersService);
+  const crashes = random.float() < 0.5;
+  const end = crashes ? world.ledger.fault(`${endpoint.id} crashes`) : () => undefined;
+  if (crashes) await Promise.all([endpoint.proxy.close(), endpoint.server.close()]);
+  else {
+    endpoint.isDraining = true;
+    world.register(endpoint);
+  }
+  await sleep(3_600);
+  endpoint.isRegistered = false;
+  world.register(endpoint);
+  end();
+};
+
+const faults: readonly Fault[] = [
+  kill,
+  terminate,
+  terminate,
+  terminateTwice,
+  pause,
+  harmStoreLink,
+  harmStoreLink,
+  harmDutyLink,
+  harmEndpointLink,
+  harmEndpointLink,
+  harmStore,
+  forgetHistory,
+  reconfigure,
+  reconfigure,
+  replaceEndpoint,
+];
+
+/** Brings about faults in series, some of them overlapping, until `endAtMs`; waits for their ends. */
+export async function playFaults(world: SoakWorld, random: Random, endAtMs: number): Promise<void> {
+  const open: Promise<void>[] = [];
+  while (Date.now() < endAtMs) {
+    const fault = random.pick(faults)(world, random.fork());
+    open.push(fault);
+    if (random.float() < 0.25) await fault;
+    await sleep(random.int(0, 900));
+    // Planned stops are judged after a calm time only.
+    if (random.float() < 0.05) {
+      await Promise.all(open.splice(0));
+      await sleep(4_500);
+      await terminate(world, random);
+    }
+  }
+  await Promise.all(open);
+}
+
+async function harm(
+  world: SoakWorld,
+  random: Random,
+  proxy: FaultProxy,
+  what: string,
+): Promise<void> {
+  const fault = random.pick(linkFaults);
+  const end = world.ledger.fault(`${what} is ${fault}`);
+  proxy.setFault(fault);
+  await sleep(random.int(200, 5_000));
+  proxy.setFault(LinkFault.None);
+  end();
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/bench/soak/ledger.ts
@@ -0,0 +1,66 @@
+import type { DutyCall } from '../../platform/standins/duty-server.js';
+import type { EndpointRun } from '../../platform/standins/endpoint-server.js';
+
+/** What a caller asks for. */
+export enum CallKind {
+  /** Runs at most once. */
+  Once = 'once',
+  Safe = 'safe',
+  /** May go on at another endpoint. */
+  Stream = 'stream',
+  /** Tells which version of the configuration handled it. */
+  Version = 'version',
+}
+
+/** A call as its caller saw it end. */
+export interface CallEnd {
+  readonly requestId: string;
+  readonly kind: CallKind;
+  readonly gateway: string;
+  /** Run of the gateway's process when the call was sent. */
+  readonly gatewayRun: number;
+  /** Undefined when the connection ended before an answer. */
+  readonly status: number | undefined;
+  readonly answeredId: string | undefined;
+  readonly isSigned: boolean;
+  readonly body: string;
+  /** Whether the answer came to its end. */
+  readonly isWhole: boolean;
+  /** Epoch milliseconds. */
+  readonly sentAtMs: number;
+  readonly endedAtMs: number;
+}
+
+/** A fault, from when to when. */
+export interface FaultSpan {
+  readonly what: string;
+  readonly fromMs: number;
+  /** Infinity while it lasts. */
+  untilMs: number;
+}
+
+/** Everything that callers, endpoints and the platform saw in a run. */
+export class Ledger {
+  readonly runs: EndpointRun[] = [];
+  readonly ends: CallEnd[] = [];
+  readonly faults: FaultSpan[] = [];
+  readonly dutyCalls: DutyCall[];
+
+  constructor(dutyCalls: DutyCall[]) {
+    this.dutyCalls = dutyCalls;
+  }
+
+  /** Notes a fault. @returns what ends it. */
+  fault(what: string): () => void {
+    const span: FaultSpan = { what, fromMs: Date.now(), untilMs: Infinity };
+    this.faults.push(span);
+    return () => {
+      span.untilMs = Date.now();
+    };
+  }
+
+  /** Whether nothing was wrong between two times, in epoch milliseconds. */
+  isCalm(fromMs: number, untilMs: number): boolean {
+    return !this.faults.some((fault) => fault.fromMs <= untilMs && fault.untilMs >= fromMs);
+  }
+}
--- /dev/null
+++ b/bench/soak/promises.ts
@@ -0,0 +1,133 @@
+import { paths } from '../../platform/names.js';
+import { streamEvents } from '../../platform/standins/endpoint-server.js';
+import { CallKind, type CallEnd, type Ledger } from './ledger.js';
+import { versionServices } from './traffic.js';
+
+/** Looks for broken promises; gives a line for each. */
+export type PromiseCheck = (ledger: Ledger) => string[];
+
+/** Answers that promise that the request has not run and never will. */
+const promisingStatuses = new Set([408, 421, 429, 503]);
+
+/** Faults that ended longer ago explain nothing. */
+const calmMs = 4_000;
+
+const runsAtMostOnce: PromiseCheck = ({ runs }) => {
+  const counts = new Map<string, number>();
+  for (const { requestId, path } of runs) {
+    if (path.startsWith(`/${CallKind.Once}/`)) {
+      counts.set(requestId, (counts.get(requestId) ?? 0) + 1);
+    }
+  }
+  return [...counts]
+    .filter(([, count]) => count > 1)
+    .map(([id, count]) => `${id} ran ${count} times`);
+};
+
+const refusalsAreTrue: PromiseCheck = ({ runs, ends }) => {
+  const ran = new Set(runs.map(({ requestId }) => requestId));
+  return ends
+    .filter(({ kind, status }) => kind === CallKind.Once && promisingStatuses.has(status ?? 0))
+    .filter(({ requestId }) => ran.has(requestId))
+    .map(({ requestId, status }) => `${requestId} was answered ${status} and ran`);
+};
+
+const answersBelongToRequests: PromiseCheck = ({ ends }) =>
+  ends
+    .filter(({ status, isWhole }) => status === 200 && isWhole)
+    .flatMap((end) => {
+      const { requestId, answeredId, isSigned, kind } = end;
+      if (answeredId !== requestId) return [`${requestId} got the answer of ${answeredId}`];
+      if (!isSigned) return [`${requestId} got a success that no endpoint signed`];
+      if (kind === CallKind.Stream) return [];
+      return bodyId(end) === requestId ? [] : [`${requestId} got the body "${end.body}"`];
+    });
+
+const streamsAreInOrder: PromiseCheck = ({ ends }) =>
+  ends
+    .filter(({ kind, status }) => kind === CallKind.Stream && status === 200)
+    .flatMap(({ requestId, body, isWhole }) => {
+      const whole = Array.from({ length: streamEvents }, (_, at) =>
+        eventText(requestId, at + 1),
+      ).join('');
+      if (isWhole ? body === whole : whole.startsWith(body)) return [];
+      return [`${requestId} got ${isWhole ? 'as whole' : 'a part with'} ${JSON.stringify(body)}`];
+    });
+
+const configurationNeverGoesBack: PromiseCheck = ({ ends }) => {
+  const newest = new Map<string, { at: number; seenAtMs: number }>();
+  const broken: string[] = [];
+  const answered = ends
+    .filter(({ kind, status, isWhole }) => kind === CallKind.Version && status === 200 && isWhole)
+    .toSorted((a, b) => a.endedAtMs - b.endedAtMs);
+  for (const end of answered) {
+    const run = `${end.gateway}.${end.gatewayRun}`;
+    const at = versionServices.indexOf(bodyService(end));
+    const known = newest.get(run);
+    // Versions follow each other slowly, so that less than half of the circle is never passed.
+    const isOlder = known && isBehind(at, known.at) && end.sentAtMs > known.seenAtMs;
+    if (isOlder) broken.push(`${run} handled ${end.requestId} by an older configuration`);
+    else if (known?.at !== at) newest.set(run, { at, seenAtMs: end.endedAtMs });
+  }
+  return broken;
+};
+
+const dutiesHaveOneHolder: PromiseCheck = ({ dutyCalls }) => {
+  const broken: string[] = [];
+  const reports = new Map<string, string>();
+  const holders = new Map<number, string>();
+  for (const { path, fence, holder, body, isTaken } of dutyCalls) {
+    const known = holders.get(fence);
+    if (known !== undefined && known !== holder)
+      broken.push(`${known} and ${holder} bear fence ${fence}`);
+    holders.set(fence, holder);
+    if (path !== paths.usage || !isTaken) continue;
+    const { window, counts } = JSON.parse(body) as { window: number; counts: object };
+    const text = JSON.stringify(Object.entries(counts).sort());
+    const before = reports.get(String(window));
+    if (before !== undefined && before !== text) {
+      broken.push(`window ${window} was reported as ${before} and as ${text}`);
+    }
+    reports.set(String(window), text);
+  }
+  return broken;
+};
+
+/** A request that a gateway has passed on is answered, also when the gateway is asked to stop. */
+const stopsCutNothing: PromiseCheck = (ledger) => {
+  const ran = new Set(ledger.runs.map(({ requestId }) => requestId));
+  return ledger.ends
+    .filter(({ status, kind }) => status === undefined && kind !== CallKind.Stream)
+    .filter(({ requestId, sentAtMs, endedAtMs }) => {
+      return ran.has(requestId) && ledger.isCalm(sentAtMs - calmMs, endedAtMs);
+    })
+    .map(({ requestId, gateway }) => `${requestId} was passed on by ${gateway} and not answered`);
+};
+
+/** All promises, by the name under which a broken one is reported. */
+export const promises: ReadonlyMap<string, PromiseCheck> = new Map([
+  ['runs at most once', runsAtMostOnce],
+  ['refusals are true', refusalsAreTrue],
+  ['answers belong to requests', answersBelongToRequests],
+  ['streams are in order', streamsAreInOrder],
+  ['the configuration never goes back', configurationNeverGoesBack],
+  ['duties have one holder', dutiesHaveOneHolder],
+  ['stops cut nothing', stopsCutNothing],
+]);
+
+function eventText(requestId: string, event: number): string {
+  return `id: ${event}\ndata: ${requestId} ${event}\n\n`;
+}
+
+function isBehind(at: number, known: number): boolean {
+  const steps = (known - at + versionServices.length) % versionServices.length;
+  return steps > 0 && steps < versionServices.length / 2;
+}
+
+function bodyId({ body }: CallEnd): string {
+  return (JSON.parse(body) as { requestId: string }).requestId;
+}
+
+function bodyService({ body }: CallEnd): string {
+  return (JSON.parse(body) as { service: string }).service;
+}
--- /dev/null
+++ b/bench/soak/run-soak.ts
@@ -0,0 +1,61 @@
+import { Random } from '../../src/core/index.js';
+import { playFaults } from './fault-script.js';
+import { CallKind } from './ledger.js';
+import { promises } from './promises.js';
+import { SoakWorld } from './soak-world.js';
+
+/** Result of {@link runSoak}. */
+export interface SoakResult {
+  readonly seed: number;
+  readonly broken: readonly string[];
+  /** Calls that ended, and those that were served. */
+  readonly calls: number;
+  readonly served: number;
+  readonly faults: readonly string[];
+  /** Where the logs and settings of the processes are. */
+  readonly directory: string;
+}
+
+/** After all faults, each kind of call must be served within this time. */
+const recoveryMs = 20_000;
+
+/** Plays the faults of a seed against real processes and checks the promises. */
+export async function runSoak(seed: number, lengthMs: number): Promise<SoakResult> {
+  const random = new Random(seed);
+  const world = new SoakWorld(random.fork());
+  const { ledger } = world;
+  try {
+    await world.start();
+    await playFaults(world, random.fork(), Date.now() + lengthMs);
+    const lost = await unservedKinds(world);
+    const broken = [...promises].flatMap(([name, check]) =>
+      check(ledger).map((line) => `${name}: ${line}`),
+    );
+    return {
+      seed,
+      broken: [...broken, ...lost.map((kind) => `recovery: no ${kind} call is served`)],
+      calls: ledger.ends.length,
+      served: ledger.ends.filter(({ status, isWhole }) => status === 200 && isWhole).length,
+      faults: ledger.faults.map(({ what }) => what),
+      directory: world.directory,
+    };
+  } finally {
+    await world.stop();
+  }
+}
+
+/** Waits until each kind of call is served again. @returns the kinds that are not. */
+async function unservedKinds({ ledger }: SoakWorld): Promise<CallKind[]> {
+  const sinceMs = Date.now();
+  const unserved = (): CallKind[] =>
+    Object.values(CallKind).filter(
+      (kind) =>
+        !ledger.ends.some(
+          (end) => end.kind === kind && end.sentAtMs > sinceMs && end.status === 200 && end.isWhole,
+        ),
+    );
+  while (unserved().length > 0 && Date.now() < sinceMs + recoveryMs) {
+    await new Promise((resolve) => setTimeout(resolve, 100));
+  }
+  return unserved();
+}
--- /dev/null
+++ b/bench/soak/soak-world.ts
@@ -0,0 +1,164 @@
+import { mkdtempSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { topics, configKey } from '../../platform/names.js';
+import { DutyServer } from '../../platform/standins/duty-server.js';
+import { EndpointServer } from '../../platform/standins/endpoint-server.js';
+import { StoreServer } from '../../platform/standins/store-server.js';
+import type { Random } from '../../src/core/index.js';
+import { Caller } from './caller.js';
+import { FaultProxy } from './fault-proxy.js';
+import { GatewayProcess } from './gateway-process.js';
+import { Ledger } from './ledger.js';
+import { configuration, ordersService, versionServices } from './traffic.js';
+
+const gatewayCount = 3;
+const ordersEndpoints = 5;
+const callerCount = 8;
+const readyPeriodMs = 300;
+const heartbeatMs = 1_200;
+const endpointSlots = 16;
+
+/** An endpoint with the proxy through which gateways reach it. */
+export interface SoakEndpoint {
+  readonly id: string;
+  readonly server: EndpointServer;
+  readonly proxy: FaultProxy;
+  readonly service: string;
+  readonly port: number;
+  /** Endpoints that crashed are not registered any more. */
+  isRegistered: boolean;
+  isDraining: boolean;
+}
+
+/** A gateway with the proxies through which it reaches the platform. */
+export interface SoakGateway {
+  readonly process: GatewayProcess;
+  readonly store: FaultProxy;
+  readonly duties: FaultProxy;
+}
+
+/** Gateways as real processes between stand-ins of everything around them. */
+export class SoakWorld {
+  readonly ledger: Ledger;
+  readonly store = new StoreServer();
+  readonly gateways: SoakGateway[] = [];
+  readonly endpoints: SoakEndpoint[] = [];
+  readonly directory = mkdtempSync(join(tmpdir(), 'oriole-soak-'));
+  readonly callers: Caller[] = [];
+  readonly #duties = new DutyServer();
+  readonly #random: Random;
+  readonly #timers: NodeJS.Timeout[] = [];
+  #ready: GatewayProcess[] = [];
+  #version = 0;
+  #endpointCount = 0;
+
+  constructor(random: Random) {
+    this.#random = random;
+    this.ledger = new Ledger(this.#duties.calls);
+  }
+
+  async start(): Promise<void> {
+    const subnet = `127.${1 + (process.pid % 250)}.${Math.floor(process.pid / 250) % 250}`;
+    const target = '127.0.0.1';
+    const storePort = await this.store.listen(target);
+    const dutyPort = await this.#duties.listen(target);
+    for (let at = 0; at < ordersEndpoints; at++) await this.addEndpoint(ordersService);
+    for (const service of versionServices) await this.addEndpoint(service);
+    this.nextConfiguration();
+    for (let at = 1; at <= gatewayCount; at++) {
+      const host = `${subnet}.${at}`;
+      const store = new FaultProxy({ host: target, port: storePort });
+      const duties = new FaultProxy({ host: target, port: dutyPort });
+      const process = new GatewayProcess({
+        name: `gateway-${at}`,
+        host,
+        storePort: await store.listen(host),
+        dutyPort: await duties.listen(host),
+        directory: this.directory,
+      });
+      this.gateways.push({ process, store, duties });
+      process.start();
+    }
+    this.#timers.push(setInterval(() => void this.#askReady(), readyPeriodMs));
+    this.#timers.push(setInterval(() => this.#heartbeat(), heartbeatMs));
+    await this.untilReady();
+    for (let at = 0; at < callerCount; at++) {
+      const caller = new Caller({
+        name: `caller-${at}`,
+        random: this.#random.fork(),
+        ledger: this.ledger,
+        ready: () => this.#ready,
+      });
+      this.callers.push(caller);
+      void caller.run();
+    }
+  }
+
+  /** Resolves once all gateways take new connections. */
+  async untilReady(): Promise<void> {
+    while (this.#ready.length < gatewayCount) {
+      await new Promise((resolve) => setTimeout(resolve, readyPeriodMs));
+    }
+  }
+
+  async addEndpoint(service: string): Promise<SoakEndpoint> {
+    const id = `i-${++this.#endpointCount}`;
+    const random = this.#random.fork();
+    const server = new EndpointServer({
+      instanceId: id,
+      service,
+      onRun: (run) => this.ledger.runs.push(run),
+      chance: () => random.float(),
+    });
+    const proxy = new FaultProxy({ host: '127.0.0.1', port: await server.listen('127.0.0.1') });
+    const port = await proxy.listen('127.0.0.1');
+    const endpoint = { id, server, proxy, service, port, isRegistered: true, isDraining: false };
+    this.endpoints.push(endpoint);
+    this.register(endpoint);
+    return endpoint;
+  }
+
+  /** Writes what an endpoint says of itself, or removes it. */
+  register({ id, service, port, isRegistered, isDraining }: SoakEndpoint): void {
+    const entry = {
+      service,
+      address: `127.0.0.1:${port}`,
+      zone: 'here-a',
+      slots: endpointSlots,
+      state: isDraining ? 'draining' : 'ready',
+      born: 1,
+    };
+    this.store.put(topics.servers, id, isRegistered ? entry : undefined);
+  }
+
+  /** Puts the next version of the configuration in force. */
+  nextConfiguration(): void {
+    this.#version += 1;
+    this.store.put(topics.operator, configKey, configuration(this.#version));
+  }
+
+  async stop(): Promise<void> {
+    for (const caller of this.callers) caller.stop();
+    for (const timer of this.#timers) clearInterval(timer);
+    await Promise.all(this.gateways.map(({ process }) => process.kill()));
+    await Promise.all(
+      [
+        ...this.gateways.flatMap(({ store, duties }) => [store, duties]),
+        ...this.endpoints.flatMap(({ server, proxy }) => [proxy, server]),
+        this.store,
+        this.#duties,
+      ].map((part) => part.close()),
+    );
+  }
+
+  async #askReady(): Promise<void> {
+    const processes = this.gateways.map(({ process }) => process);
+    const answers = await Promise.all(processes.map((process) => process.isReady()));
+    this.#ready = processes.filter((_, at) => answers[at]);
+  }
+
+  #heartbeat(): void {
+    for (const endpoint of this.endpoints) if (endpoint.isRegistered) this.register(endpoint);
+  }
+}
--- /dev/null
+++ b/bench/soak/traffic.ts
@@ -0,0 +1,38 @@
+import { CallKind } from './ledger.js';
+
+export const host = 'soak.example';
+export const callerKey = 'soak-key';
+export const ordersService = 'orders';
+
+/** Services that take turns in handling one route, so that an answer tells the configuration's version. */
+export const versionServices = Array.from({ length: 8 }, (_, at) => `version-${at}`);
+
+/** Service that handles the route of versions under a configuration. */
+export function serviceOfVersion(version: number): string {
+  return versionServices[version % versionServices.length]!;
+}
+
+/** A configuration as the platform's operator writes it. */
+export function configuration(version: number): object {
+  const route = (kind: CallKind, changes: object): object => ({
+    name: kind,
+    host,
+    path_prefix: `/${kind}/`,
+    kind: 'safe',
+    timeout_ms: 3_000,
+    max_attempts: 3,
+    service: ordersService,
+    ...changes,
+  });
+  return {
+    version,
+    routes: [
+      route(CallKind.Once, { kind: 'unsafe', max_attempts: 2 }),
+      route(CallKind.Safe, {}),
+      route(CallKind.Stream, { kind: 'stream', resumable: true }),
+      route(CallKind.Version, { service: serviceOfVersion(version) }),
+    ],
+    services: [ordersService, ...versionServices].map((name) => ({ name })),
+    tenants: [{ name: 'soak', api_keys: [callerKey] }],
+  };
+}
--- /dev/null
+++ b/test/soak/promises_test.ts
@@ -0,0 +1,133 @@
+import { describe, expect, it } from 'vitest';
+import { CallKind, Ledger, type CallEnd } from '../../bench/soak/ledger.js';
+import { promises } from '../../bench/soak/promises.js';
+import { versionServices } from '../../bench/soak/traffic.js';
+
+function end(changes: Partial<CallEnd> = {}): CallEnd {
+  const requestId = changes.requestId ?? 'c-1';
+  return {
+    requestId,
+    kind: CallKind.Safe,
+    gateway: 'gateway-1',
+    gatewayRun: 1,
+    status: 200,
+    answeredId: requestId,
+    isSigned: true,
+    body: JSON.stringify({ requestId, service: 'orders' }),
+    isWhole: true,
+    sentAtMs: 100_000,
+    endedAtMs: 100_050,
+    ...changes,
+  };
+}
+
+function ran(requestId: string, kind: CallKind) {
+  return { requestId, path: `/${kind}/x`, instanceId: 'i-1', atMs: 100_010 };
+}
+
+/** What the check of a promise says of a ledger, to show that it can find what it is for. */
+function found(name: string, fill: (ledger: Ledger) => void): number {
+  const ledger = new Ledger([]);
+  fill(ledger);
+  return promises.get(name)!(ledger).length;
+}
+
+describe('checks of the soak', () => {
+  it('find a request that ran twice', () => {
+    const name = 'runs at most once';
+    expect(
+      found(name, ({ runs }) => runs.push(ran('a', CallKind.Once), ran('b', CallKind.Once))),
+    ).toBe(0);
+    expect(
+      found(name, ({ runs }) => runs.push(ran('a', CallKind.Once), ran('a', CallKind.Once))),
+    ).toBe(1);
+  });
+
+  it('find a refusal of a request that ran', () => {
+    const refused = end({ kind: CallKind.Once, status: 503 });
+    expect(found('refusals are true', ({ ends }) => ends.push(refused))).toBe(0);
+    const fill = ({ ends, runs }: Ledger): void => {
+      ends.push(refused);
+      runs.push(ran('c-1', CallKind.Once));
+    };
+    expect(found('refusals are true', fill)).toBe(1);
+  });
+
+  it('find answers of other requests and of nobody', () => {
+    const name = 'answers belong to requests';
+    expect(found(name, ({ ends }) => ends.push(end()))).toBe(0);
+    for (const change of [
+      { answeredId: 'c-2' },
+      { isSigned: false },
+      { body: JSON.stringify({ requestId: 'c-2' }) },
+    ]) {
+      expect(found(name, ({ ends }) => ends.push(end(change)))).toBe(1);
+    }
+  });
+
+  it('find streams with a missing or double event', () => {
+    const name = 'streams are in order';
+    const event = (id: number): string => `id: ${id}\ndata: c-1 ${id}\n\n`;
+    const stream = (ids: number[], isWhole: boolean): CallEnd =>
+      end({ kind: CallKind.Stream, body: ids.map(event).join(''), isWhole });
+    expect(found(name, ({ ends }) => ends.push(stream([1, 2], false)))).toBe(0);
+    for (const bad of [stream([1, 3], false), stream([1, 1], false), stream([1, 2], true)]) {
+      expect(found(name, ({ ends }) => ends.push(bad))).toBe(1);
+    }
+  });
+
+  it('find a configuration that goes back, and not one that goes round', () => {
+    const name = 'the configuration never goes back';
+    const handled =
+      (...versions: number[]) =>
+      (ledger: Ledger): void => {
+        versions.forEach((version, at) => {
+          const service = versionServices[version % versionServices.length];
+          const times = { sentAtMs: at * 100, endedAtMs: at * 100 + 50 };
+          ledger.ends.push(
+            end({ kind: CallKind.Version, body: JSON.stringify({ service }), ...times }),
+          );
+        });
+      };
+    expect(found(name, handled(1, 2, 3, 5, 7, 8, 9))).toBe(0);
+    expect(found(name, handled(1, 2, 1))).toBe(1);
+  });
+
+  it('find two holders of a duty and a report that changed', () => {
+    const call = { path: '/usage', holder: 'a', fence: 1, isTaken: true };
+    const body = (count: number): string => JSON.stringify({ window: 1, counts: { t: count } });
+    const check = promises.get('duties have one holder')!;
+    expect(
+      check(
+        new Ledger([
+          { ...call, body: body(1) },
+          { ...call, body: body(1) },
+        ]),
+      ),
+    ).toEqual([]);
+    expect(
+      check(
+        new Ledger([
+          { ...call, body: body(1) },
+          { ...call, body: body(2) },
+        ]),
+      ),
+    ).toHaveLength(1);
+    const other = { ...call, holder: 'b', body: body(1) };
+    expect(check(new Ledger([{ ...call, body: body(1) }, other]))).toHaveLength(1);
+  });
+
+  it('find a request that a calm stop cut off, and not one that a fault did', () => {
+    const name = 'stops cut nothing';
+    const fill = (ledger: Ledger): void => {
+      ledger.ends.push(end({ status: undefined }));
+      ledger.runs.push(ran('c-1', CallKind.Safe));
+    };
+    expect(found(name, fill)).toBe(1);
+    const withFault = (ledger: Ledger): void => {
+      fill(ledger);
+      ledger.faults.push({ what: 'x', fromMs: 97_000, untilMs: 98_000 });
+    };
+    expect(found(name, withFault)).toBe(0);
+  });
+});
--- /dev/null
+++ b/test/soak/soak_test.ts
@@ -0,0 +1,16 @@
+import { describe, expect, it } from 'vitest';
+import { runSoak } from '../../bench/soak/run-soak.js';
+
+/** Seeds that once broke a promise, with the fault that each guards against. */
+const seeds = [[1, 'a short run of all kinds of faults']] as const;
+
+const lengthMs = 12_000;
+
+describe('real processes under faults from outside', () => {
+  it.each(seeds)('keep their promises with seed %i: %s', { timeout: 120_000 }, async (seed) => {
+    const { broken, served, calls } = await runSoak(seed, lengthMs);
+    expect(broken).toEqual([]);
+    // Guards against a run that passes because nothing was served.
+    expect(served).toBeGreaterThan(calls / 4);
+  });
+});
