Find the built program in the soak from wherever it is run

The short run of npm test looked for the program beside the sources, waited for gateways that never started and timed out after 120 s. The world now gives up after 30 s and says where the logs are.

--- a/bench/soak/gateway-process.ts
+++ b/bench/soak/gateway-process.ts
@@ -21,7 +21,8 @@
 /** How far the time of day jumps in runs with a wrong clock. */
 const clockJumpMs = 4_000;
 
-const program = join(import.meta.dirname, '../../platform/main.js');
+/** As built by `npm run build`, from wherever this module is run. */
+const program = join(process.cwd(), 'dist/platform/main.js');
 
 /** The real program of the gateway as a process that is stopped, paused, killed and restarted. */
 export class GatewayProcess {
--- a/bench/soak/soak-world.ts
+++ b/bench/soak/soak-world.ts
@@ -17,6 +17,7 @@
 const callerCount = 8;
 const readyPeriodMs = 300;
 const heartbeatMs = 1_200;
+const startPatienceMs = 30_000;
 const endpointSlots = 16;
 
 /** An endpoint with the proxy through which gateways reach it. */
@@ -97,7 +98,11 @@
 
   /** Resolves once all gateways take new connections. */
   async untilReady(): Promise<void> {
+    const giveUpAtMs = Date.now() + startPatienceMs;
     while (this.#ready.length < gatewayCount) {
+      if (Date.now() > giveUpAtMs) {
+        throw new Error(`the gateways do not start; see their logs in ${this.directory}`);
+      }
       await new Promise((resolve) => setTimeout(resolve, readyPeriodMs));
     }
   }
