Read JSON of keyed records in one place, and survive what is not JSON

Cause: DutyLease, UsageReporter and DaemonSamples each decoded JSON; only the last survived a record that is none. One such record in the topic of the duties ended every duty tick of every daemon with an error that nothing caught, so that no daemon took the lease.

Change: decodeKeyedJson and encodeKeyedJson beside the replica.

--- a/src/capacity/duty-lease.ts
+++ b/src/capacity/duty-lease.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod';
 import type { Clock } from '../core/index.js';
 import { AppendConflictError, LogUnavailableError, type KeyedLog } from '../log/index.js';
+import { decodeKeyedJson, encodeKeyedJson } from '../log/keyed-json.js';
 import type { KeyedReplica } from '../log/keyed-replica.js';
 import type { DaemonSamples } from '../membership/daemon-samples.js';
 import type { Fence } from '../state/index.js';
@@ -191,7 +192,7 @@
     const { log, topic, replica, events } = this.#options;
     const expectedEndOffset = this.#endOffset;
     try {
-      const offset = await log.append(topic, key, Buffer.from(JSON.stringify(value)), {
+      const offset = await log.append(topic, key, encodeKeyedJson(value), {
         expectedEndOffset,
       });
       this.#ownEndOffset = offset + 1;
@@ -217,8 +218,7 @@
   }
 
   #record(): DutyLeaseRecord | undefined {
-    const value = this.#options.replica.get(leaseKey)?.value;
-    return value && leaseSchema.safeParse(JSON.parse(Buffer.from(value).toString())).data;
+    return decodeKeyedJson(this.#options.replica.get(leaseKey)?.value, leaseSchema);
   }
 
   #isOwn(record: DutyLeaseRecord | undefined): boolean {
--- a/src/capacity/usage-reporter.ts
+++ b/src/capacity/usage-reporter.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod';
 import type { Clock } from '../core/index.js';
+import { decodeKeyedJson } from '../log/keyed-json.js';
 import type { KeyedReplica } from '../log/keyed-replica.js';
 import type { DaemonSamples } from '../membership/daemon-samples.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
@@ -125,8 +126,7 @@
   }
 
   #stored(): UsageReport | undefined {
-    const value = this.#options.replica.get(intentKey)?.value;
-    const read = value && intentSchema.safeParse(JSON.parse(Buffer.from(value).toString())).data;
+    const read = decodeKeyedJson(this.#options.replica.get(intentKey)?.value, intentSchema);
     const own = this.#ownStored;
     return own && own.window >= (read?.window ?? -Infinity) ? own : read;
   }
--- a/src/membership/daemon-samples.ts
+++ b/src/membership/daemon-samples.ts
@@ -6,6 +6,7 @@
   type KeyedLog,
   type KeyedRecord,
 } from '../log/index.js';
+import { decodeKeyedJson, encodeKeyedJson } from '../log/keyed-json.js';
 import type { KeyedReplica } from '../log/keyed-replica.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
 import { CountTotals } from './count-totals.js';
@@ -219,7 +220,7 @@
       isLeaving: this.#isLeaving,
     };
     try {
-      await log.append(topic, daemon, Buffer.from(JSON.stringify(sample)));
+      await log.append(topic, daemon, encodeKeyedJson(sample));
       this.#publishedAtMs = sentAtMs;
     } catch (error) {
       if (!(error instanceof LogUnavailableError || error instanceof LogRefusedError)) throw error;
@@ -254,7 +255,7 @@
       return;
     }
     const { clock, events } = this.#options;
-    const sample = parseSample(value);
+    const sample = decodeKeyedJson(value, sampleSchema);
     if (!sample) {
       events.warn(EventId.SampleUnreadable, 'a daemon sent an unreadable sample', { daemon: key });
       return;
@@ -273,11 +274,3 @@
     if (sample.daemon !== daemon) this.#takeCounts(sample);
   }
 }
-
-function parseSample(value: Uint8Array): DaemonSample | undefined {
-  try {
-    return sampleSchema.safeParse(JSON.parse(Buffer.from(value).toString())).data;
-  } catch {
-    return undefined; // Not JSON; the caller logs it.
-  }
-}
--- a/test/capacity/duty-lease_test.ts
+++ b/test/capacity/duty-lease_test.ts
@@ -113,6 +113,18 @@
     });
   });
 
+  describe('records that are not JSON', () => {
+    it('count as none, against a daemon whose duties end with an error', async () => {
+      const log = new MemoryKeyedLog();
+      const clock = new VirtualClock();
+      for (const key of ['lease', 'usage']) log.put('duties', key, Buffer.from('{ not JSON'));
+      log.put('daemons', 'd9', Buffer.from('{ not JSON'));
+      const daemon = new TestDaemon('d1', log, clock);
+      await clock.advance(10_000);
+      expect(daemon.lease.fence).toBeDefined();
+    });
+  });
+
   describe('a holder that is cut off from the store', () => {
     it('stops before another takes over, with a higher fence', async () => {
       const [holder] = holders();
