Name the log's retry delay apart from the back-off of requests

Backoff in log and BackOff in admission differed by one capital. RetryDelay is the delay between the attempts of something that goes on until it works; BackOff stays for requests that are given up at their deadline.

--- a/src/log/append-barrier.ts
+++ b/src/log/append-barrier.ts
@@ -1,5 +1,5 @@
 import type { Clock, IdSource, Random } from '../core/index.js';
-import { Backoff } from './backoff.js';
+import { RetryDelay } from './retry-delay.js';
 import { encodeEnvelope } from './envelope.js';
 import type { LogService, Offset } from './log-service.js';
 import { withTimeout } from './with-timeout.js';
@@ -30,7 +30,7 @@
  */
 export async function appendBarrier(options: AppendBarrierOptions): Promise<Offset | undefined> {
   const { log, stream, writer, clock, random, newId, signal } = options;
-  const backoff = new Backoff({ random });
+  const retryDelay = new RetryDelay({ random });
   const data = encodeEnvelope(writer, []);
   while (!signal.aborted) {
     try {
@@ -40,7 +40,7 @@
       return offset + 1;
     } catch {
       // A second barrier is as good as the first, so an append without an answer is repeated.
-      await clock.sleepUntil(clock.nowMs() + backoff.nextMs(), signal);
+      await clock.sleepUntil(clock.nowMs() + retryDelay.nextMs(), signal);
     }
   }
   return undefined;
--- a/src/log/appender.ts
+++ b/src/log/appender.ts
@@ -1,7 +1,7 @@
 import type { Clock, IdSource, Random } from '../core/index.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
 import type { AppendBudget } from './append-budget.js';
-import { Backoff } from './backoff.js';
+import { RetryDelay } from './retry-delay.js';
 import { CircuitState, type CircuitBreaker } from './circuit-breaker.js';
 import {
   AppendFailedError,
@@ -81,7 +81,7 @@
   readonly #maxDelayMs: number;
   readonly #maxQueuedBytes: number;
   readonly #queues: readonly Pending[][] = [[], [], []];
-  readonly #backoff: Backoff;
+  readonly #retryDelay: RetryDelay;
   readonly #abort = new AbortController();
   readonly #unsubscribe: () => void;
   #queuedBytes = 0;
@@ -97,7 +97,7 @@
     this.#maxBatchBytes = options.maxBatchBytes ?? 65_536;
     this.#maxDelayMs = options.maxDelayMs ?? 20;
     this.#maxQueuedBytes = options.maxQueuedBytes ?? 8 * 1_048_576;
-    this.#backoff = new Backoff({ random: options.random });
+    this.#retryDelay = new RetryDelay({ random: options.random });
     this.#unsubscribe = options.feed.onRecord((record) => this.#onRecord(record));
   }
 
@@ -207,7 +207,7 @@
         log.append(stream, { id: batch.id, data: batch.data }, signal),
       );
       breaker.succeeded();
-      this.#backoff.reset();
+      this.#retryDelay.reset();
       return true;
     } catch (error) {
       if (batch.isReadBack) {
@@ -220,7 +220,7 @@
         (error instanceof LogUnavailableError && !error.mayBeStored);
       if (isUnsent && !batch.mayBeStored) {
         this.#requeue(batch);
-        await clock.sleepUntil(clock.nowMs() + this.#backoff.nextMs(), this.#abort.signal);
+        await clock.sleepUntil(clock.nowMs() + this.#retryDelay.nextMs(), this.#abort.signal);
         return true;
       }
       batch.mayBeStored = true;
@@ -235,7 +235,7 @@
   async #waitForRetry(batch: Batch): Promise<void> {
     const { clock, budget } = this.#options;
     const { signal } = batch.settled;
-    await clock.sleepUntil(clock.nowMs() + this.#backoff.nextMs(), signal);
+    await clock.sleepUntil(clock.nowMs() + this.#retryDelay.nextMs(), signal);
     await this.#waitForCircuit(signal);
     await budget.acquire(() => priorityOf(batch.items), signal);
   }
--- a/src/log/circuit-breaker.ts
+++ b/src/log/circuit-breaker.ts
@@ -1,5 +1,5 @@
 import type { Clock, Random } from '../core/index.js';
-import { Backoff } from './backoff.js';
+import { RetryDelay } from './retry-delay.js';
 
 /** State of a {@link CircuitBreaker}. */
 export enum CircuitState {
@@ -35,7 +35,7 @@
 export class CircuitBreaker {
   readonly #clock: Clock;
   readonly #failureThreshold: number;
-  readonly #backoff: Backoff;
+  readonly #retryDelay: RetryDelay;
   readonly #onChange: (state: CircuitState) => void;
   #state = CircuitState.Closed;
   #failures = 0;
@@ -44,7 +44,7 @@
   constructor(options: CircuitBreakerOptions) {
     this.#clock = options.clock;
     this.#failureThreshold = options.failureThreshold ?? 5;
-    this.#backoff = new Backoff({
+    this.#retryDelay = new RetryDelay({
       random: options.random,
       baseMs: options.baseOpenMs ?? 500,
       maxMs: options.maxOpenMs ?? 10_000,
@@ -73,7 +73,7 @@
 
   succeeded(): void {
     this.#failures = 0;
-    this.#backoff.reset();
+    this.#retryDelay.reset();
     this.#change(CircuitState.Closed);
   }
 
@@ -81,7 +81,7 @@
     this.#failures += 1;
     if (this.#state === CircuitState.Open) return;
     if (this.#state === CircuitState.HalfOpen || this.#failures >= this.#failureThreshold) {
-      this.#retryAtMs = this.#clock.nowMs() + this.#backoff.nextMs();
+      this.#retryAtMs = this.#clock.nowMs() + this.#retryDelay.nextMs();
       this.#change(CircuitState.Open);
     }
   }
--- a/src/log/keyed-replica.ts
+++ b/src/log/keyed-replica.ts
@@ -1,6 +1,6 @@
 import type { Clock, Random } from '../core/index.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
-import { Backoff } from './backoff.js';
+import { RetryDelay } from './retry-delay.js';
 import { HistoryTrimmedError, type KeyedLog, type KeyedRecord } from './keyed-log.js';
 import type { Offset } from './log-service.js';
 import { withTimeout } from './with-timeout.js';
@@ -39,7 +39,7 @@
  */
 export class KeyedReplica {
   readonly #options: KeyedReplicaOptions;
-  readonly #backoff: Backoff;
+  readonly #retryDelay: RetryDelay;
   readonly #abort = new AbortController();
   readonly #records = new Map<string, KeyedRecord>();
   readonly #listeners: KeyedListener[] = [];
@@ -50,7 +50,7 @@
 
   constructor(options: KeyedReplicaOptions) {
     this.#options = options;
-    this.#backoff = new Backoff({ random: options.random, baseMs: 100, maxMs: maxPauseMs });
+    this.#retryDelay = new RetryDelay({ random: options.random, baseMs: 100, maxMs: maxPauseMs });
   }
 
   get topic(): string {
@@ -144,7 +144,7 @@
   #succeeded(): void {
     const nowMs = this.#options.clock.nowMs();
     this.#caughtUpAtMs = nowMs;
-    this.#backoff.reset();
+    this.#retryDelay.reset();
     if (this.#failingSinceMs === undefined) return;
     this.#options.events.info(EventId.LogReadRecovered, 'log reads work again', {
       stream: this.#options.topic,
@@ -165,7 +165,7 @@
         reason,
       });
     }
-    await clock.sleepUntil(clock.nowMs() + this.#backoff.nextMs(), this.#abort.signal);
+    await clock.sleepUntil(clock.nowMs() + this.#retryDelay.nextMs(), this.#abort.signal);
   }
 
   #apply(record: KeyedRecord): void {
--- a/src/log/backoff.ts
+++ b/src/log/retry-delay.ts
@@ -1,29 +1,30 @@
 import type { Random } from '../core/index.js';
 
-/** Options of {@link Backoff}. */
-export interface BackoffOptions {
+/** Options of {@link RetryDelay}. */
+export interface RetryDelayOptions {
   readonly random: Random;
   readonly baseMs?: number;
   readonly maxMs?: number;
 }
 
 /**
- * Jittered exponential back-off. Half of each delay is random, so that the daemons that failed
- * together do not return together.
+ * Delays between the attempts of something that goes on until it works: exponential, half of each
+ * random, so that the daemons that failed together do not return together. For a request that is
+ * given up at its deadline, see `BackOff` in `admission`.
  *
  * @example
  * ```ts
- * const backoff = new Backoff({ random, baseMs: 100, maxMs: 5_000 });
- * await clock.sleepUntil(clock.nowMs() + backoff.nextMs());
+ * const retryDelay = new RetryDelay({ random, baseMs: 100, maxMs: 5_000 });
+ * await clock.sleepUntil(clock.nowMs() + retryDelay.nextMs());
  * ```
  */
-export class Backoff {
+export class RetryDelay {
   readonly #random: Random;
   readonly #baseMs: number;
   readonly #maxMs: number;
   #failures = 0;
 
-  constructor(options: BackoffOptions) {
+  constructor(options: RetryDelayOptions) {
     this.#random = options.random;
     this.#baseMs = options.baseMs ?? 100;
     this.#maxMs = options.maxMs ?? 5_000;
--- a/src/log/tailer.ts
+++ b/src/log/tailer.ts
@@ -1,6 +1,6 @@
 import type { Clock, Random } from '../core/index.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
-import { Backoff } from './backoff.js';
+import { RetryDelay } from './retry-delay.js';
 import type { LogService, Offset, ReadPage } from './log-service.js';
 import { withTimeout } from './with-timeout.js';
 
@@ -46,7 +46,7 @@
  */
 export class Tailer {
   readonly #options: TailerOptions;
-  readonly #backoff: Backoff;
+  readonly #retryDelay: RetryDelay;
   readonly #abort = new AbortController();
   #nextOffset: Offset;
   #lastReadAtMs: number | undefined;
@@ -56,7 +56,7 @@
   constructor(options: TailerOptions) {
     this.#options = options;
     this.#nextOffset = options.fromOffset ?? 0;
-    this.#backoff = new Backoff({ random: options.random, maxMs: maxPauseMs });
+    this.#retryDelay = new RetryDelay({ random: options.random, maxMs: maxPauseMs });
   }
 
   /** Offset of the next record to read. */
@@ -118,7 +118,7 @@
       );
     }
     this.#lastReadAtMs = clock.nowMs();
-    this.#backoff.reset();
+    this.#retryDelay.reset();
     if (this.#isFailing) events.info(EventId.LogReadRecovered, 'log reads work again', { stream });
     this.#isFailing = false;
     this.#nextOffset = first + page.records.length;
@@ -136,7 +136,7 @@
     }
     this.#isFailing = true;
     // A read that was silent has waited long enough itself.
-    const untilMs = Math.max(clock.nowMs(), readAtMs + this.#backoff.nextMs());
+    const untilMs = Math.max(clock.nowMs(), readAtMs + this.#retryDelay.nextMs());
     await clock.sleepUntil(untilMs, this.#abort.signal);
   }
 
