Ask a caller that a chance refused back once the others have told

A refusal by chance while more is asked for than there is named the present as the time to come back, so that callers drew again at once. It now names the time by which the daemons know of each other's grants.

--- a/src/admission/token-quota.ts
+++ b/src/admission/token-quota.ts
@@ -63,13 +63,13 @@
   readonly #tolerance: QuotaTolerance;
   readonly #random: Random;
   readonly #untold: { readonly amount: number; readonly atMs: number }[] = [];
+  readonly #othersGranted = new CounterRate();
+  readonly #othersAsked = new CounterRate();
   #limit: QuotaLimit;
   #balance: number;
   #granted = 0;
   #asked = 0;
   #untoldAmount = 0;
-  readonly #othersGranted = new CounterRate();
-  readonly #othersAsked = new CounterRate();
   #updatedAtMs: number;
 
   constructor(limit: QuotaLimit, tolerance: QuotaTolerance, random: Random, nowMs: number) {
@@ -112,9 +112,9 @@
       this.#capacity(peers) * maxBalanceRatio,
       this.#mostUntold(peers),
     );
-    if (available < needed || !this.#isDrawn(amount, peers)) {
-      return this.#retryAtMs(Math.max(0, needed - available), nowMs);
-    }
+    if (available < needed) return this.#retryAtMs(needed - available, nowMs);
+    // Once the others' grants are known here, there is room or a reason to wait longer.
+    if (!this.#isDrawn(amount, peers)) return nowMs + peers.untoldMs;
     this.#balance -= amount;
     this.#granted += amount;
     this.#untoldAmount += amount;
--- a/test/admission/token-quota_test.ts
+++ b/test/admission/token-quota_test.ts
@@ -106,6 +106,20 @@
     );
   });
 
+  describe('a refusal by chance', () => {
+    it('asks back after the others have told, against callers that draw again at once', () => {
+      const quota = new TokenQuota(limit, tolerance, new Random(1), 0);
+      const peers = { daemons: 7, silentDaemons: 0, isCurrent: true, untoldMs: 400 };
+      const counts = { grantedByOthers: 0, askedOfOthers: 0 };
+      quota.refresh({ ...peers, ...counts }, 0);
+      const crowd = { ...peers, grantedByOthers: 0, askedOfOthers: 50_000_000 };
+      const answers = Array.from({ length: 20 }, () => quota.tryTake(10, crowd, 4_000));
+      const refusals = answers.filter((retryAtMs) => retryAtMs !== undefined);
+      expect(refusals.length).toBeGreaterThan(0);
+      expect(Math.min(...refusals)).toBeGreaterThanOrEqual(4_400);
+    });
+  });
+
   describe('a refusal', () => {
     it('names a time in the future to come back', () => {
       const quota = new TokenQuota(limit, tolerance, new Random(1), 0);
