Tell each change of the granted totals twice

A lost datagram hid the last grants of a workspace until the next sample, while the others reckoned with the delay of direct reports. On links that lose many packets this adds up over the daemons of a large site.

--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -3,6 +3,7 @@
 import { exchangePace, type ExchangePace } from '../membership/exchange-pace.js';
 import { PeerNews, type PeerAddress, type PrefillNews } from '../membership/peer-news.js';
 import type { EventLog } from '../telemetry/index.js';
+import { ToldCounts } from './told-counts.js';
 import { PeerGrants } from './workspace-quotas.js';
 
 /** Options of {@link PeerExchange}. */
@@ -108,8 +109,8 @@
   }
 
   /**
-   * Tells the totals that changed. What a lost datagram left out comes with the next change or with
-   * the next sample.
+   * Tells the totals that changed, each change twice, as datagrams are lost. What is lost all the same
+   * comes with the next change or with the next sample.
    */
   #tellGrantsLater(): void {
     const { clock, daemon, incarnation, counts, maxRegistrationGapMs } = this.#options;
@@ -126,17 +127,3 @@
     });
   }
 }
-
-/** Counts as they were told last. */
-class ToldCounts {
-  #told: Readonly<Record<string, number>> = {};
-
-  /** The counts that changed since the last call. */
-  changed(counts: Readonly<Record<string, number>>): Record<string, number> {
-    const told = this.#told;
-    this.#told = counts;
-    return Object.fromEntries(
-      Object.entries(counts).filter(([name, count]) => told[name] !== count),
-    );
-  }
-}
