Hear daemons directly that only the store has lost

Ruled out: the size of the exchange, since the reports were 0.4 s old; the hot workspace alone, which stayed refused at a third of its limit.

Change: PeerExchange counts a silent daemon that reports directly as live and tells it, too; a daemon that cannot read samples is not deaf while it hears all others directly. Two of the new tests failed before.

--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../core/index.js';
-import type { DaemonSamples, GrantReport } from '../membership/daemon-samples.js';
+import type { DaemonSample, DaemonSamples, GrantReport } from '../membership/daemon-samples.js';
 import { exchangePace, type ExchangePace } from '../membership/exchange-pace.js';
 import { PeerNews, type PeerAddress, type PrefillNews } from '../membership/peer-news.js';
 import type { EventLog } from '../telemetry/index.js';
@@ -50,7 +50,8 @@
     this.#pace = exchangePace(1, maxRegistrationGapMs);
     this.#news = new PeerNews({
       own: address,
-      peers: () => samples.others().map(({ newsAddress }) => newsAddress),
+      // One that is cut off from the store only can be told directly.
+      peers: () => this.#known().map(({ newsAddress }) => newsAddress),
       onPrefill,
       onGrants: (report) => {
         samples.heardDirectly(report);
@@ -64,23 +65,24 @@
     return this.#pace;
   }
 
+  /** Daemons that are heard through the store or, also without the store, directly. */
   override get daemons(): number {
-    return this.#options.samples.others().length + 1;
+    return this.#known().length - this.silentDaemons + 1;
   }
 
   override get silentDaemons(): number {
-    return this.#options.samples.silent().length;
+    return this.#options.samples.silent().length - this.#directSilent().length;
   }
 
   override get isCurrent(): boolean {
-    return this.#options.samples.isCurrent;
+    const hasPeers = this.#known().length > 0;
+    return this.#options.samples.isCurrent || (hasPeers && this.#directRatio() === 1);
   }
 
   /** Between the delay of direct reports and that of the store, as many daemons as each reaches. */
   override get untoldMs(): number {
-    const { samples, clock } = this.#options;
     const { newsPeriodMs, samplePeriodMs, sampleReadGapMs } = this.#pace;
-    const direct = samples.directlyHeardRatio(clock.nowMs() - newsPeriodMs * missingNews);
+    const direct = this.#directRatio();
     const storedMs = samplePeriodMs + sampleReadGapMs + sampleDelayMs;
     return direct * (newsPeriodMs + newsDelayMs) + (1 - direct) * storedMs;
   }
@@ -108,6 +110,29 @@
     this.#news.tellPrefill(news);
   }
 
+  /** Daemons that live, or may only be cut off from the store. */
+  #known(): DaemonSample[] {
+    const { samples } = this.#options;
+    return [...samples.others(), ...samples.silent()];
+  }
+
+  #isDirect({ daemon }: DaemonSample): boolean {
+    const { samples, clock } = this.#options;
+    const sinceMs = clock.nowMs() - this.#pace.newsPeriodMs * missingNews;
+    return samples.isDirectlyHeard(daemon, sinceMs);
+  }
+
+  /** Part of the daemons that count as heard which were heard directly, from 0 to 1. */
+  #directRatio(): number {
+    const heard = [...this.#options.samples.others(), ...this.#directSilent()];
+    const direct = heard.filter((sample) => this.#isDirect(sample));
+    return heard.length === 0 ? 1 : direct.length / heard.length;
+  }
+
+  #directSilent(): DaemonSample[] {
+    return this.#options.samples.silent().filter((sample) => this.#isDirect(sample));
+  }
+
   /**
    * Tells the totals that changed, each change twice, as datagrams are lost. What is lost all the same
    * comes with the next change or with the next sample.
--- a/src/membership/daemon-samples.ts
+++ b/src/membership/daemon-samples.ts
@@ -169,13 +169,9 @@
     this.#directlyHeardAtMs.set(report.daemon, clock.nowMs());
   }
 
-  /** Part of the live daemons that were heard directly since `sinceMs`, from 0 to 1. */
-  directlyHeardRatio(sinceMs: number): number {
-    const live = this.others();
-    const heard = live.filter(
-      ({ daemon }) => (this.#directlyHeardAtMs.get(daemon) ?? -Infinity) >= sinceMs,
-    );
-    return live.length === 0 ? 1 : heard.length / live.length;
+  /** Whether a daemon reported directly since a time in epoch milliseconds. */
+  isDirectlyHeard(daemon: string, sinceMs: number): boolean {
+    return (this.#directlyHeardAtMs.get(daemon) ?? -Infinity) >= sinceMs;
   }
 
   /** Units of a workspace that the other daemons granted since this one started; never falls. */
--- /dev/null
+++ b/test/gateway/peer-exchange_test.ts
@@ -0,0 +1,105 @@
+import { beforeEach, describe, expect, it } from 'vitest';
+import { Random, VirtualClock } from '../../src/core/index.js';
+import { PeerExchange } from '../../src/gateway/peer-exchange.js';
+import { KeyedReplica } from '../../src/log/keyed-replica.js';
+import { DaemonSamples } from '../../src/membership/daemon-samples.js';
+import { KeyedLogFault, MemoryKeyedLog } from '../../src/standins/memory-keyed-log.js';
+import { NullEventLog } from '../../src/telemetry/index.js';
+
+const topic = 'daemons';
+
+/** One daemon with its own path to the store that all daemons write to. */
+function startDaemon(daemon: string, log: MemoryKeyedLog, clock: VirtualClock) {
+  const events = new NullEventLog();
+  const random = new Random(1);
+  const minGapMs = (): number => 500;
+  const replica = new KeyedReplica({ log, topic, clock, random, events, waitMs: 0, minGapMs });
+  replica.start();
+  const counts = { granted: {}, asked: {} };
+  const content = { inFlight: {}, prefillTokensPerS: {}, newsAddress: '', usage: [], ...counts };
+  const samples = new DaemonSamples({
+    log,
+    topic,
+    replica,
+    daemon,
+    incarnation: 1,
+    clock,
+    events,
+    content: () => content,
+    periodMs: () => 1_000,
+  });
+  samples.start();
+  const exchange = new PeerExchange({
+    samples,
+    daemon,
+    incarnation: 1,
+    address: { host: '127.0.0.1', port: 0 },
+    clock,
+    events,
+    maxRegistrationGapMs: 1_000,
+    counts: () => counts,
+    onPrefill: () => undefined,
+  });
+  return { samples, exchange };
+}
+
+describe('PeerExchange', () => {
+  let clock: VirtualClock;
+  let log: MemoryKeyedLog;
+  let own: ReturnType<typeof startDaemon>;
+
+  beforeEach(async () => {
+    clock = new VirtualClock();
+    log = new MemoryKeyedLog();
+    own = startDaemon('d1', log, clock);
+    startDaemon('d2', log, clock);
+    await clock.advance(3_000);
+  });
+
+  /** Has the other daemon report directly, or not, while the store is away. */
+  async function cutFromStore(isHeardDirectly: boolean): Promise<void> {
+    log.fault = KeyedLogFault.Down;
+    for (let step = 0; step < 50; step++) {
+      await clock.advance(200);
+      const report = { daemon: 'd2', incarnation: 1, granted: {}, asked: {} };
+      if (isHeardDirectly) own.samples.heardDirectly(report);
+    }
+  }
+
+  it('hears the others through the store', () => {
+    expect(own.exchange).toMatchObject({ daemons: 2, silentDaemons: 0, isCurrent: true });
+  });
+
+  it('goes on hearing them directly without the store, against a quota cut to an even part', async () => {
+    await cutFromStore(true);
+    expect(own.exchange).toMatchObject({ daemons: 2, silentDaemons: 0, isCurrent: true });
+    expect(own.exchange.untoldMs).toBeLessThan(1_000);
+  });
+
+  it('is deaf without both, against a quota that two daemons grant whole', async () => {
+    await cutFromStore(false);
+    expect(own.exchange.isCurrent).toBe(false);
+  });
+
+  it.each([
+    [true, 0],
+    [false, 1],
+  ])('counts one that only the store has lost as live: heard %s', async (isHeard, silent) => {
+    const counts = { granted: {}, asked: {} };
+    const sample = { daemon: 'd3', incarnation: 1, sequence: 0, sampledAtMs: 0, ...counts };
+    const rest = { inFlight: {}, prefillTokensPerS: {}, newsAddress: '', usage: [] };
+    const record = { ...sample, ...rest, isLeaving: false };
+    log.put(topic, 'd3', Buffer.from(JSON.stringify(record)));
+    for (let step = 0; step < 50; step++) {
+      await clock.advance(200);
+      for (const daemon of isHeard ? ['d2', 'd3'] : ['d2']) {
+        own.samples.heardDirectly({ daemon, incarnation: 1, ...counts });
+      }
+    }
+    expect(own.exchange).toMatchObject({ daemons: 3 - silent, silentDaemons: silent });
+  });
+
+  it('reckons with the delay of the store when it hears nothing directly', () => {
+    expect(own.exchange.untoldMs).toBeGreaterThan(1_000);
+  });
+});
