--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -372,7 +372,7 @@
     if (!this.#isStopping) await this.#duties?.tick();
   }
 
-  /** Each daemon's part of the slack shrinks as daemons come; one that went is missed for a while. */
+  /** Divides the slack by the daemons that there are, those that went silent lately included. */
   #shareRetrySlack(): void {
     const { daemons: live, silentDaemons } = this.#peers;
     const daemons = Math.max(assumedDaemons, live + silentDaemons);
