Work out once how the daemons hear each other, and reuse what exists

No behaviour changes. Found in a read of the whole change:

- Each request and each workspace in a refresh asked PeerExchange four times for what it worked out from the lists of daemons each time. hearing() gives it once, WorkspaceQuotas.counts() both counters.
FaultProxy uses listen() of core, the soak the timer of Node in place of five of its own.
- KeyedReplica.records() and FaultProxy.fault had no caller.

--- a/bench/soak/caller.ts
+++ b/bench/soak/caller.ts
@@ -1,4 +1,5 @@
 import { Agent, request } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { headers } from '../../platform/names.js';
 import type { Random } from '../../src/core/index.js';
 import { callerPort, type GatewayProcess } from './gateway-process.js';
@@ -33,7 +34,7 @@
   async run(): Promise<void> {
     while (!this.#isStopped) {
       await this.call(this.#options.random.pick(Object.values(CallKind)));
-      await new Promise((resolve) => setTimeout(resolve, pauseMs));
+      await sleep(pauseMs);
     }
     this.#agent.destroy();
   }
--- a/bench/soak/fault-proxy.ts
+++ b/bench/soak/fault-proxy.ts
@@ -1,5 +1,5 @@
 import { createServer, connect, type Server, type Socket } from 'node:net';
-import type { AddressInfo } from 'node:net';
+import { listen } from '../../src/core/listener.js';
 
 /** What a proxy does to the connections through it. */
 export enum LinkFault {
@@ -38,16 +38,8 @@
     });
   }
 
-  get fault(): LinkFault {
-    return this.#fault;
-  }
-
   listen(host: string): Promise<number> {
-    return new Promise((resolve) => {
-      this.#server.listen(0, host, () => {
-        resolve((this.#server.address() as AddressInfo).port);
-      });
-    });
+    return listen(this.#server, host, 0);
   }
 
   setFault(fault: LinkFault): void {
--- a/bench/soak/fault-script.ts
+++ b/bench/soak/fault-script.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { StoreFault } from '../../platform/standins/store-server.js';
 import type { Random } from '../../src/core/index.js';
 import { LinkFault, type FaultProxy } from './fault-proxy.js';
@@ -141,7 +142,3 @@
   proxy.setFault(LinkFault.None);
   end();
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/bench/soak/run-soak.ts
+++ b/bench/soak/run-soak.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { Random } from '../../src/core/index.js';
 import { playFaults } from './fault-script.js';
 import { CallKind } from './ledger.js';
@@ -55,7 +56,7 @@
         ),
     );
   while (unserved().length > 0 && Date.now() < sinceMs + recoveryMs) {
-    await new Promise((resolve) => setTimeout(resolve, 100));
+    await sleep(100);
   }
   return unserved();
 }
--- a/bench/soak/soak-world.ts
+++ b/bench/soak/soak-world.ts
@@ -1,6 +1,7 @@
 import { mkdtempSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { topics, configKey } from '../../platform/names.js';
 import { DutyServer } from '../../platform/standins/duty-server.js';
 import { EndpointServer } from '../../platform/standins/endpoint-server.js';
@@ -62,15 +63,15 @@
   async start(): Promise<void> {
     const subnet = `127.${1 + (process.pid % 250)}.${Math.floor(process.pid / 250) % 250}`;
     const target = '127.0.0.1';
-    const storePort = await this.store.listen(target);
-    const dutyPort = await this.#duties.listen(target);
+    await this.store.listen();
+    await this.#duties.listen();
     for (let at = 0; at < ordersEndpoints; at++) await this.addEndpoint(ordersService);
     for (const service of versionServices) await this.addEndpoint(service);
     this.nextConfiguration();
     for (let at = 1; at <= gatewayCount; at++) {
       const host = `${subnet}.${at}`;
-      const store = new FaultProxy({ host: target, port: storePort });
-      const duties = new FaultProxy({ host: target, port: dutyPort });
+      const store = new FaultProxy({ host: target, port: this.store.port });
+      const duties = new FaultProxy({ host: target, port: this.#duties.port });
       const process = new GatewayProcess({
         name: `gateway-${at}`,
         host,
@@ -103,7 +104,7 @@
       if (Date.now() > giveUpAtMs) {
         throw new Error(`the gateways do not start; see their logs in ${this.directory}`);
       }
-      await new Promise((resolve) => setTimeout(resolve, readyPeriodMs));
+      await sleep(readyPeriodMs);
     }
   }
 
@@ -116,7 +117,8 @@
       onRun: (run) => this.ledger.runs.push(run),
       chance: () => random.float(),
     });
-    const proxy = new FaultProxy({ host: '127.0.0.1', port: await server.listen('127.0.0.1') });
+    await server.listen();
+    const proxy = new FaultProxy({ host: '127.0.0.1', port: server.port });
     const port = await proxy.listen('127.0.0.1');
     const endpoint = { id, server, proxy, service, port, isRegistered: true, isDraining: false };
     this.endpoints.push(endpoint);
--- a/bench/soak/traffic.ts
+++ b/bench/soak/traffic.ts
@@ -11,7 +11,7 @@
 export const versionServices = Array.from({ length: 64 }, (_, at) => `version-${at}`);
 
 /** Service that handles the route of versions under a configuration. */
-export function serviceOfVersion(version: number): string {
+function serviceOfVersion(version: number): string {
   return versionServices[version % versionServices.length]!;
 }
 
--- a/src/admission/token-quota.ts
+++ b/src/admission/token-quota.ts
@@ -16,22 +16,26 @@
   readonly slack: number;
 }
 
-/** What is known of the other daemons. */
-export interface QuotaPeers {
+/** How the other daemons are heard. */
+export interface QuotaHearing {
   /** Live daemons, this one included. */
   readonly daemons: number;
   /** Daemons that went without a word; they may go on granting unheard. */
   readonly silentDaemons: number;
-  /** Units that the others granted since the start, as far as they have told. */
-  readonly grantedByOthers: number;
-  /** Units that the others were asked for since the start, as far as they have told. */
-  readonly askedOfOthers: number;
   /** False while nothing is heard from them. */
   readonly isCurrent: boolean;
   /** Grants younger than this may be unknown to the other daemons, in milliseconds. */
   readonly untoldMs: number;
 }
 
+/** What is known of the other daemons about one workspace. */
+export interface QuotaPeers extends QuotaHearing {
+  /** Units that the others granted since the start, as far as they have told. */
+  readonly grantedByOthers: number;
+  /** Units that the others were asked for since the start, as far as they have told. */
+  readonly askedOfOthers: number;
+}
+
 /** Part of the tolerance that is used; the rest covers what the others have not told yet. */
 const toleranceRatio = 0.6;
 
@@ -140,8 +144,8 @@
   /**
    * Whether a request takes its chance while more is asked for than there is: all daemons see the
    * same balance at the same time, and before they know of each other's grants each passes only a
-   * part of what it is asked for, so that all together pass what there is. A request longer than a daemon may grant
-   * unheard takes its chance in proportion.
+   * part of what it is asked for, so that all together pass what there is. A request longer than a
+   * daemon may grant unheard takes its chance in proportion.
    */
   #isDrawn(amount: number, peers: QuotaPeers): boolean {
     const { daemons, untoldMs, isCurrent } = peers;
--- a/src/core/listener.ts
+++ b/src/core/listener.ts
@@ -1,5 +1,5 @@
 import type { Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Server as SocketServer } from 'node:net';
 
 /**
  * Starts to listen and resolves with the port.
@@ -7,7 +7,7 @@
  * @param backlog - connections that may wait to be accepted; default: Node's.
  */
 export function listen(
-  server: Server,
+  server: SocketServer,
   host: string,
   port: number,
   backlog?: number,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -194,7 +194,7 @@
       clock,
       events,
       maxRegistrationGapMs: options.maxRegistrationGapMs,
-      counts: () => this.#quotaCounts(),
+      counts: () => this.#quotas.counts(),
       onPrefill: ({ endpointId, tokens }) => this.#backlog.add(endpointId, tokens, clock.nowMs()),
     });
     this.#quotas = new WorkspaceQuotas(this.#peers, options.quotaTolerance, options.random.fork());
@@ -223,7 +223,7 @@
       endpoints: this.endpoints,
       replicas: this.#replicas(),
       inFlight: () => this.#listener.inFlight,
-      liveDaemons: () => this.#peers.daemons,
+      liveDaemons: () => this.#peers.hearing().daemons,
       isHoldingDuties: () => this.#duties?.isHolding === true,
     });
   }
@@ -374,7 +374,7 @@
 
   /** Divides the slack by the daemons that there are, those that went silent lately included. */
   #shareRetrySlack(): void {
-    const { daemons: live, silentDaemons } = this.#peers;
+    const { daemons: live, silentDaemons } = this.#peers.hearing();
     const daemons = Math.max(assumedDaemons, live + silentDaemons);
     const share = Math.max(1, Math.floor((this.#options.retrySlack * usedSlackRatio) / daemons));
     this.#retries.resize(share, share);
@@ -393,10 +393,6 @@
     return service?.healthPath ?? '/health';
   }
 
-  #quotaCounts(): Pick<SampleContent, 'granted' | 'asked'> {
-    return { granted: this.#quotas.granted(), asked: this.#quotas.asked() };
-  }
-
   #sampleContent(): SampleContent {
     const inFlight: Record<string, number> = {};
     for (const view of this.#registry.all()) {
@@ -405,7 +401,7 @@
     }
     const { host, port } = this.#options.news;
     return {
-      ...this.#quotaCounts(),
+      ...this.#quotas.counts(),
       inFlight,
       prefillTokensPerS: this.#demand.all(this.#options.clock.nowMs()),
       newsAddress: `${host}:${port}`,
--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -1,10 +1,11 @@
+import type { QuotaHearing } from '../admission/token-quota.js';
 import type { Clock } from '../core/index.js';
-import type { DaemonSample, DaemonSamples, GrantReport } from '../membership/daemon-samples.js';
+import type { DaemonSample, DaemonSamples } from '../membership/daemon-samples.js';
 import { exchangePace, type ExchangePace } from '../membership/exchange-pace.js';
 import { PeerNews, type PeerAddress, type PrefillNews } from '../membership/peer-news.js';
 import type { EventLog } from '../telemetry/index.js';
 import { ToldCounts } from './told-counts.js';
-import { PeerGrants } from './workspace-quotas.js';
+import { PeerGrants, type WorkspaceCounts } from './workspace-quotas.js';
 
 /** Options of {@link PeerExchange}. */
 export interface PeerExchangeOptions {
@@ -18,7 +19,7 @@
   /** How late a change of a registration may be read at most. */
   readonly maxRegistrationGapMs: number;
   /** Units granted and asked for here since the start by workspace. */
-  readonly counts: () => Pick<GrantReport, 'granted' | 'asked'>;
+  readonly counts: () => WorkspaceCounts;
   readonly onPrefill: (news: PrefillNews) => void;
 }
 
@@ -51,7 +52,7 @@
     this.#news = new PeerNews({
       own: address,
       // One that is cut off from the store only can be told directly.
-      peers: () => this.#known().map(({ newsAddress }) => newsAddress),
+      peers: () => [...samples.others(), ...samples.silent()].map(({ newsAddress }) => newsAddress),
       onPrefill,
       onGrants: (report) => {
         samples.heardDirectly(report);
@@ -65,26 +66,27 @@
     return this.#pace;
   }
 
-  /** Daemons that are heard through the store or, also without the store, directly. */
-  override get daemons(): number {
-    return this.#known().length - this.silentDaemons + 1;
-  }
-
-  override get silentDaemons(): number {
-    return this.#options.samples.silent().length - this.#directSilent().length;
-  }
-
-  override get isCurrent(): boolean {
-    const hasPeers = this.#known().length > 0;
-    return this.#options.samples.isCurrent || (hasPeers && this.#directRatio() === 1);
-  }
-
-  /** Between the delay of direct reports and that of the store, as many daemons as each reaches. */
-  override get untoldMs(): number {
+  override hearing(): QuotaHearing {
+    const { samples, clock } = this.#options;
     const { newsPeriodMs, samplePeriodMs, sampleReadGapMs } = this.#pace;
-    const direct = this.#directRatio();
+    const sinceMs = clock.nowMs() - newsPeriodMs * missingNews;
+    const isDirect = ({ daemon }: DaemonSample): boolean =>
+      samples.isDirectlyHeard(daemon, sinceMs);
+    const live = samples.others();
+    const silent = samples.silent();
+    // One that only the store has lost is heard directly and counts as live.
+    const directSilent = silent.filter(isDirect).length;
+    const heard = live.length + directSilent;
+    const directRatio = heard === 0 ? 1 : (live.filter(isDirect).length + directSilent) / heard;
+    const hasPeers = live.length + silent.length > 0;
     const storedMs = samplePeriodMs + sampleReadGapMs + sampleDelayMs;
-    return direct * (newsPeriodMs + newsDelayMs) + (1 - direct) * storedMs;
+    return {
+      daemons: heard + 1,
+      silentDaemons: silent.length - directSilent,
+      isCurrent: samples.isCurrent || (hasPeers && directRatio === 1),
+      // Between the delay of direct reports and that of the store, as many daemons as each reaches.
+      untoldMs: directRatio * (newsPeriodMs + newsDelayMs) + (1 - directRatio) * storedMs,
+    };
   }
 
   override grantedByOthers(workspaceName: string): number {
@@ -110,29 +112,6 @@
     this.#news.tellPrefill(news);
   }
 
-  /** Daemons that live, or may only be cut off from the store. */
-  #known(): DaemonSample[] {
-    const { samples } = this.#options;
-    return [...samples.others(), ...samples.silent()];
-  }
-
-  #isDirect({ daemon }: DaemonSample): boolean {
-    const { samples, clock } = this.#options;
-    const sinceMs = clock.nowMs() - this.#pace.newsPeriodMs * missingNews;
-    return samples.isDirectlyHeard(daemon, sinceMs);
-  }
-
-  /** Part of the daemons that count as heard which were heard directly, from 0 to 1. */
-  #directRatio(): number {
-    const heard = [...this.#options.samples.others(), ...this.#directSilent()];
-    const direct = heard.filter((sample) => this.#isDirect(sample));
-    return heard.length === 0 ? 1 : direct.length / heard.length;
-  }
-
-  #directSilent(): DaemonSample[] {
-    return this.#options.samples.silent().filter((sample) => this.#isDirect(sample));
-  }
-
   /**
    * Tells the totals that changed, each change twice, as datagrams are lost. What is lost all the same
    * comes with the next change or with the next sample.
@@ -140,7 +119,7 @@
   #tellGrantsLater(): void {
     const { clock, daemon, incarnation, counts, maxRegistrationGapMs } = this.#options;
     this.#stopTelling = clock.schedule(clock.nowMs() + this.#pace.newsPeriodMs, () => {
-      this.#pace = exchangePace(this.daemons, maxRegistrationGapMs);
+      this.#pace = exchangePace(this.hearing().daemons, maxRegistrationGapMs);
       const { granted, asked } = counts();
       this.#news.tellGrants({
         daemon,
--- a/src/gateway/workspace-quotas.ts
+++ b/src/gateway/workspace-quotas.ts
@@ -1,24 +1,29 @@
-import { TokenQuota, type QuotaPeers, type QuotaTolerance } from '../admission/token-quota.js';
+import {
+  TokenQuota,
+  type QuotaHearing,
+  type QuotaPeers,
+  type QuotaTolerance,
+} from '../admission/token-quota.js';
 import type { Random } from '../core/index.js';
 import type { RequestDescription } from './request-codec.js';
 import { QuotaUnit, type TrafficWorkspace } from './traffic-config.js';
 
 /** What is known of the other daemons' grants. */
 export abstract class PeerGrants {
-  /** Live daemons, this one included. */
-  abstract get daemons(): number;
-  /** Daemons that went without a word. */
-  abstract get silentDaemons(): number;
-  /** False while nothing is heard from the others. */
-  abstract get isCurrent(): boolean;
-  /** Grants younger than this may be unknown to the others, in milliseconds. */
-  abstract get untoldMs(): number;
+  /** How they are heard now. */
+  abstract hearing(): QuotaHearing;
   /** Units of a workspace that the others granted since this daemon started; never falls. */
   abstract grantedByOthers(workspaceName: string): number;
   /** Units of a workspace that the others were asked for since this daemon started; never falls. */
   abstract askedOfOthers(workspaceName: string): number;
 }
 
+/** Units by workspace. */
+export interface WorkspaceCounts {
+  readonly granted: Record<string, number>;
+  readonly asked: Record<string, number>;
+}
+
 /** The quotas of all workspaces at this daemon. */
 export class WorkspaceQuotas {
   readonly #peers: PeerGrants;
@@ -40,12 +45,16 @@
   ): number | undefined {
     const quota = this.#quotaOf(workspace, nowMs);
     if (!quota) return undefined;
-    return quota.tryTake(amountOf(workspace, description), this.#peersOf(workspace.name), nowMs);
+    return quota.tryTake(
+      amountOf(workspace, description),
+      this.#peersOf(workspace.name, this.#peers.hearing()),
+      nowMs,
+    );
   }
 
   /** What a decision about a workspace was made from, for the log. */
   explain(workspace: TrafficWorkspace, description: RequestDescription): string {
-    const { daemons, silentDaemons, untoldMs } = this.#peers;
+    const { daemons, silentDaemons, untoldMs } = this.#peers.hearing();
     const balance = Math.round(this.#quotas.get(workspace.name)?.balance ?? 0);
     const age = `as told up to ${Math.round(untoldMs)} ms ago`;
     return (
@@ -59,19 +68,18 @@
    * request came for: the first one must not find a balance that the others have spent.
    */
   refresh(workspaces: readonly TrafficWorkspace[], nowMs: number): void {
+    const hearing = this.#peers.hearing();
     for (const workspace of workspaces) {
-      this.#quotaOf(workspace, nowMs)?.refresh(this.#peersOf(workspace.name), nowMs);
+      this.#quotaOf(workspace, nowMs)?.refresh(this.#peersOf(workspace.name, hearing), nowMs);
     }
   }
 
-  /** Units asked for here since the start by workspace, for the other daemons. */
-  asked(): Record<string, number> {
-    return this.#counts(({ asked }) => asked);
-  }
-
-  /** Units granted here since the start by workspace, for the other daemons. */
-  granted(): Record<string, number> {
-    return this.#counts(({ granted }) => granted);
+  /** Units granted and asked for here since the start by workspace, for the other daemons. */
+  counts(): WorkspaceCounts {
+    return {
+      granted: this.#countsOf(({ granted }) => granted),
+      asked: this.#countsOf(({ asked }) => asked),
+    };
   }
 
   /** Undefined for a workspace without a limit. */
@@ -87,18 +95,14 @@
     return quota;
   }
 
-  #counts(of: (quota: TokenQuota) => number): Record<string, number> {
+  #countsOf(of: (quota: TokenQuota) => number): Record<string, number> {
     const counts = [...this.#quotas].map(([name, quota]) => [name, of(quota)] as const);
     return Object.fromEntries(counts.filter(([, count]) => count > 0));
   }
 
-  #peersOf(name: string): QuotaPeers {
-    const { daemons, silentDaemons, isCurrent, untoldMs } = this.#peers;
+  #peersOf(name: string, hearing: QuotaHearing): QuotaPeers {
     return {
-      daemons,
-      silentDaemons,
-      isCurrent,
-      untoldMs,
+      ...hearing,
       grantedByOthers: this.#peers.grantedByOthers(name),
       askedOfOthers: this.#peers.askedOfOthers(name),
     };
--- a/src/log/keyed-replica.ts
+++ b/src/log/keyed-replica.ts
@@ -82,10 +82,6 @@
     return this.#records.get(key);
   }
 
-  records(): IterableIterator<KeyedRecord> {
-    return this.#records.values();
-  }
-
   onRecord(listener: KeyedListener): void {
     this.#listeners.push(listener);
   }
--- a/src/standins/listening-server.ts
+++ b/src/standins/listening-server.ts
@@ -24,7 +24,11 @@
 
   /** Base URL, such as `http://127.0.0.1:4000`. */
   get baseUrl(): string {
-    return `http://127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+    return `http://127.0.0.1:${this.port}`;
+  }
+
+  get port(): number {
+    return (this.#server.address() as AddressInfo).port;
   }
 
   /** Stops at once; open connections are destroyed. */
--- a/test/gateway/peer-exchange_test.ts
+++ b/test/gateway/peer-exchange_test.ts
@@ -67,18 +67,18 @@
   }
 
   it('hears the others through the store', () => {
-    expect(own.exchange).toMatchObject({ daemons: 2, silentDaemons: 0, isCurrent: true });
+    expect(own.exchange.hearing()).toMatchObject({ daemons: 2, silentDaemons: 0, isCurrent: true });
   });
 
   it('goes on hearing them directly without the store, against a quota cut to an even part', async () => {
     await cutFromStore(true);
-    expect(own.exchange).toMatchObject({ daemons: 2, silentDaemons: 0, isCurrent: true });
-    expect(own.exchange.untoldMs).toBeLessThan(1_000);
+    expect(own.exchange.hearing()).toMatchObject({ daemons: 2, silentDaemons: 0, isCurrent: true });
+    expect(own.exchange.hearing().untoldMs).toBeLessThan(1_000);
   });
 
   it('is deaf without both, against a quota that two daemons grant whole', async () => {
     await cutFromStore(false);
-    expect(own.exchange.isCurrent).toBe(false);
+    expect(own.exchange.hearing().isCurrent).toBe(false);
   });
 
   it.each([
@@ -96,10 +96,10 @@
         own.samples.heardDirectly({ daemon, incarnation: 1, ...counts });
       }
     }
-    expect(own.exchange).toMatchObject({ daemons: 3 - silent, silentDaemons: silent });
+    expect(own.exchange.hearing()).toMatchObject({ daemons: 3 - silent, silentDaemons: silent });
   });
 
   it('reckons with the delay of the store when it hears nothing directly', () => {
-    expect(own.exchange.untoldMs).toBeGreaterThan(1_000);
+    expect(own.exchange.hearing().untoldMs).toBeGreaterThan(1_000);
   });
 });
