Apply one registration at a cost that does not grow with the others

Each new, changed or ended registration rebuilt the whole deployment and searched the views once for each endpoint, and each of these steps dropped cached views: the cost of a page of k registrations among n was k * n^2.

Change: the registry adds, changes and removes one created endpoint by itself. An endpoint that is suspect is no longer restored by the registration of another one.

--- a/src/fleet/endpoint-registry.ts
+++ b/src/fleet/endpoint-registry.ts
@@ -124,7 +124,7 @@
   #configuredSubjects = new Set<string>();
   #deployment: Deployment | undefined;
   /** Configured and created endpoints by name. */
-  #sections: ReadonlyMap<string, Section<EndpointSettings>> = new Map();
+  #sections = new Map<string, Section<EndpointSettings>>();
 
   constructor(options: EndpointRegistryOptions) {
     this.#clock = options.clock;
@@ -170,6 +170,32 @@
     }
   }
 
+  /**
+   * Adds or changes one created endpoint, at a cost that does not depend on the number of others.
+   */
+  applyCreated(section: Section<EndpointSettings>): void {
+    const { id, values } = section;
+    this.#sections.set(id, section);
+    this.#configuredSubjects.add(values.vm_id);
+    this.#configuredSubjects.add(processSubject(values.vm_id, id));
+    this.#upsert(section);
+  }
+
+  /** Removes one created endpoint. */
+  removeCreated(name: string): void {
+    const section = this.#sections.get(name);
+    if (!section) return;
+    this.#sections.delete(name);
+    const { vm_id: vmId } = section.values;
+    const subject = processSubject(vmId, name);
+    this.#configuredSubjects.delete(vmId);
+    this.#configuredSubjects.delete(subject);
+    this.#processStarts.delete(subject);
+    this.#vmStarts.delete(vmId);
+    const endpoint = this.#byName.get(name);
+    if (endpoint) this.#retire(endpoint);
+  }
+
   /**
    * Applies the start time of the process behind a section, from its health answer. A later start
    * than the known one makes a new endpoint.
@@ -219,6 +245,12 @@
     return endpoint && this.#viewOf(endpoint);
   }
 
+  /** View of the current endpoint of a section; undefined when there is none. */
+  viewByName(name: string): EndpointView | undefined {
+    const endpoint = this.#byName.get(name);
+    return endpoint && this.#viewOf(endpoint);
+  }
+
   /** Views of all endpoints. */
   all(): EndpointView[] {
     return [...this.#byName.values()].map((endpoint) => this.#viewOf(endpoint));
@@ -371,6 +403,11 @@
     this.#views.clear();
   }
 
+  #invalidateService(serviceId: string): void {
+    this.#byService.delete(serviceId);
+    this.#views.delete(serviceId);
+  }
+
   #upsert(section: Section<EndpointSettings>): void {
     const vmId = section.values.vm_id;
     const subject = processSubject(vmId, section.id);
@@ -389,6 +426,7 @@
     };
     const previous = this.#byName.get(section.id);
     if (previous?.id === id && previous.section.values.base_url === section.values.base_url) {
+      if (previous.serviceId !== serviceId) this.#invalidateCaches();
       Object.assign(previous, configured);
       previous.view = undefined;
       return;
@@ -412,7 +450,7 @@
     };
     this.#byName.set(section.id, endpoint);
     this.#byId.set(id, endpoint);
-    this.#invalidateCaches();
+    this.#invalidateService(serviceId);
     this.#events.info(EventId.EndpointAdded, 'endpoint added', {
       endpoint: id,
       name: section.id,
@@ -424,7 +462,7 @@
       this.#byName.delete(endpoint.section.id);
     }
     if (this.#byId.get(endpoint.id) === endpoint) this.#byId.delete(endpoint.id);
-    this.#invalidateCaches();
+    this.#invalidateService(endpoint.serviceId);
     for (const listener of this.#retireListeners) listener(endpoint.id);
   }
 
--- a/src/fleet/registered-endpoints.ts
+++ b/src/fleet/registered-endpoints.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../core/index.js';
-import { Deployment, EngineRole, SettingsPath } from '../settings/index.js';
+import { EngineRole, SettingsPath } from '../settings/index.js';
 import type { EndpointSettings, Section } from '../settings/index.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
 import type { EndpointRegistry } from './endpoint-registry.js';
@@ -64,12 +64,15 @@
   register(registration: EndpointRegistration): void {
     const { instanceId } = registration;
     this.#cancelRemoval(instanceId);
+    const { registry } = this.#options;
+    const name = nameOf(instanceId);
     const known = this.#registrations.get(instanceId);
     this.#registrations.set(instanceId, registration);
-    if (!known || !isSameConfig(known, registration)) this.#applyRegistrations();
-    const view = this.#viewOf(instanceId);
+    if (!known || !isSameConfig(known, registration))
+      registry.applyCreated(sectionOf(registration));
+    registry.observeProcessStart(name, registration.startedAtMs);
+    const view = registry.viewByName(name);
     if (!view) return;
-    const { registry } = this.#options;
     registry.restore(view.id);
     if (!registration.isDraining) return;
     if (registration.leavingAtMs === undefined) registry.recordDraining(view.id);
@@ -118,32 +121,18 @@
 
   #unregister(instanceId: string): void {
     this.#registrations.delete(instanceId);
-    this.#applyRegistrations();
+    this.#options.registry.removeCreated(nameOf(instanceId));
   }
 
   #cancelRemoval(instanceId: string): void {
     this.#cancelRemovals.get(instanceId)?.();
     this.#cancelRemovals.delete(instanceId);
   }
+}
 
-  #applyRegistrations(): void {
-    const { registry } = this.#options;
-    const registrations = [...this.#registrations.values()];
-    registry.applyDeployment(Deployment.from(new Map()), registrations.map(sectionOf));
-    for (const { instanceId, startedAtMs } of registrations) {
-      registry.observeProcessStart(`${registeredTeam}/${instanceId}`, startedAtMs);
-      const view = this.#viewOf(instanceId);
-      if (view) registry.restore(view.id);
-    }
-  }
-
-  #viewOf(instanceId: string): EndpointView | undefined {
-    const registration = this.#registrations.get(instanceId);
-    if (!registration) return undefined;
-    return this.#options.registry
-      .views(this.serviceId(registration.serviceName))
-      .find((view) => this.instanceIdOf(view) === instanceId);
-  }
+/** Name of the section of an endpoint. */
+function nameOf(instanceId: string): string {
+  return `${registeredTeam}/${instanceId}`;
 }
 
 function isSameConfig(a: EndpointRegistration, b: EndpointRegistration): boolean {
@@ -158,7 +147,7 @@
 function sectionOf(registration: EndpointRegistration): Section<EndpointSettings> {
   const { instanceId, serviceName, baseUrl, region, failureDomain } = registration;
   return {
-    id: `${registeredTeam}/${instanceId}`,
+    id: nameOf(instanceId),
     path: registeredPath,
     values: {
       service: serviceName,
--- a/test/fleet/registered-endpoints_test.ts
+++ b/test/fleet/registered-endpoints_test.ts
@@ -5,8 +5,11 @@
   EndpointState,
   LeavingSet,
   RegisteredEndpoints,
+  UnknownSpeeds,
   type EndpointRegistration,
+  type ObservedSpeed,
 } from '../../src/fleet/index.js';
+import { EngineFailure } from '../../src/engine/engine-error.js';
 import { NullEventLog } from '../../src/telemetry/index.js';
 
 function registration(changes: Partial<EndpointRegistration> = {}): EndpointRegistration {
@@ -66,6 +69,48 @@
     });
   });
 
+  describe('a page of many registrations', () => {
+    class CountingSpeeds extends UnknownSpeeds {
+      calls = 0;
+
+      override speedOf(): ObservedSpeed {
+        this.calls += 1;
+        return super.speedOf();
+      }
+    }
+
+    /** Views computed while all endpoints restart at once, as after a crash of a failure domain. */
+    function viewsOfRestart(count: number): number {
+      const speeds = new CountingSpeeds();
+      const events = new NullEventLog();
+      registry = new EndpointRegistry({ clock, leaving: new LeavingSet(), speeds, events });
+      const options = { registry, clock, events, isStoreRecovering: () => false };
+      endpoints = new RegisteredEndpoints(options);
+      const registerAll = (startedAtMs: number): void => {
+        for (let number = 0; number < count; number++) {
+          endpoints.register(registration({ instanceId: `i-${number}`, startedAtMs }));
+        }
+      };
+      registerAll(100);
+      speeds.calls = 0;
+      registerAll(200);
+      expect(states()).toHaveLength(count);
+      return speeds.calls;
+    }
+
+    it('costs in proportion to their number, so that requests are not held up behind it', () => {
+      expect(viewsOfRestart(400)).toBeLessThanOrEqual(4 * viewsOfRestart(100));
+    });
+  });
+
+  it('leaves an endpoint suspect when another one registers, so that no work goes to a dead one', () => {
+    endpoints.register(registration());
+    const [view] = registry.views(endpoints.serviceId('orders'));
+    registry.recordFailure(view!.id, EngineFailure.ConnectionFailed);
+    endpoints.register(registration({ instanceId: 'i-2', baseUrl: 'http://10.0.0.2:80' }));
+    expect(states()).toEqual([EndpointState.Suspect, EndpointState.Live]);
+  });
+
   describe('a registration that expires in a store outage', () => {
     it('is kept until live endpoints have registered again', async () => {
       endpoints.register(registration());
