--- a/src/capacity/duty-lease.ts
+++ b/src/capacity/duty-lease.ts
@@ -111,7 +111,7 @@
       this.#markLost('heartbeats were not acknowledged in time, or the VM was suspended');
     this.#clockOffsetMs = this.#options.wallNowMs() - clock.nowMs();
     if (this.#heldFence !== undefined && samples.publishedAtMs + heartbeatIntervalMs <= nowMs) {
-      void samples.publish();
+      void samples.publishAtOnce();
     }
     if (this.#heldFence !== undefined || hasExpired || replica.isFailing) return;
     if (nowMs < this.#acquireAfterMs || replica.endOffset === undefined) return;
@@ -181,7 +181,7 @@
     this.#heldFence = fence;
     this.#clockOffsetMs = this.#options.wallNowMs() - clock.nowMs();
     events.info(EventId.ControlLeaseTaken, 'lease acquired', { lease: 'duties', fence });
-    void samples.publish();
+    void samples.publishAtOnce();
   }
 
   #markLost(reason: string): void {
--- /dev/null
+++ b/src/core/http-connection.ts
@@ -0,0 +1,104 @@
+import { Agent, request as httpRequest, type IncomingMessage } from 'node:http';
+
+/** An IP address with a port. */
+export interface SocketAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** A call over an {@link HttpConnection}. */
+export interface HttpCall {
+  readonly method: 'GET' | 'POST';
+  /** Path and query. */
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: Buffer;
+  /** Time after which the connection is closed if the response is not complete, in milliseconds. */
+  readonly timeoutMs: number;
+  readonly signal?: AbortSignal | undefined;
+}
+
+/** A complete response. */
+export interface HttpResponse {
+  readonly status: number;
+  readonly body: Buffer;
+}
+
+const maxIdleConnections = 8;
+
+/** A server that sends more than this, or a head above Node's limit, is treated as broken. */
+const maxResponseBytes = 16 * 1_048_576;
+
+/**
+ * Keep-alive connections to one server. Never retries on its own. The time and the size of a
+ * response are bounded, so that a server that sends without end costs neither memory nor a slot.
+ *
+ * @example
+ * ```ts
+ * const connection = new HttpConnection({ host: '10.0.0.4', port: 8225 });
+ * const { status, body } = await connection.call({ method: 'GET', path: '/x', timeoutMs: 500 });
+ * ```
+ */
+export class HttpConnection {
+  readonly #address: SocketAddress;
+  readonly #agent = new Agent({ keepAlive: true, maxFreeSockets: maxIdleConnections });
+
+  constructor(address: SocketAddress) {
+    this.#address = address;
+  }
+
+  /**
+   * Makes a call.
+   *
+   * @throws Error when no complete response was received; the call may have been carried out.
+   */
+  call({ method, path, headers, body, timeoutMs, signal }: HttpCall): Promise<HttpResponse> {
+    return new Promise((resolve, reject) => {
+      const fail = (error: Error): void => {
+        clearTimeout(timer);
+        reject(error);
+      };
+      const outgoing = httpRequest(
+        {
+          agent: this.#agent,
+          ...this.#address,
+          method,
+          path,
+          ...(signal ? { signal } : {}),
+          headers: { ...headers, ...(body ? { 'content-length': body.length } : {}) },
+        },
+        (incoming) => {
+          readBounded(incoming, (error) => outgoing.destroy(error)).then((received) => {
+            clearTimeout(timer);
+            resolve({ status: incoming.statusCode ?? 0, body: received });
+          }, fail);
+        },
+      );
+      const timer = setTimeout(() => outgoing.destroy(new Error('response timeout')), timeoutMs);
+      outgoing.on('error', fail);
+      outgoing.end(body);
+    });
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    this.#agent.destroy();
+  }
+}
+
+/** Reads a body up to {@link maxResponseBytes}; calls `abort` when it is larger. */
+function readBounded(incoming: IncomingMessage, abort: (error: Error) => void): Promise<Buffer> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    incoming.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes <= maxResponseBytes) chunks.push(chunk);
+      else abort(new Error(`the response is larger than ${maxResponseBytes} bytes`));
+    });
+    incoming.on('error', reject);
+    incoming.on('end', () => {
+      resolve(Buffer.concat(chunks));
+    });
+  });
+}
--- /dev/null
+++ b/src/distribution/distributed-log.ts
@@ -0,0 +1,145 @@
+import type { Clock, Random } from '../core/index.js';
+import {
+  HistoryTrimmedError,
+  KeyedLog,
+  type KeyedAppendOptions,
+  type KeyedEntry,
+  type KeyedPage,
+} from '../log/keyed-log.js';
+import type { Offset } from '../log/log-service.js';
+import { EventId, type EventLog } from '../telemetry/index.js';
+import type { DistributorCandidate } from './distributor-ranking.js';
+import type { ReplicaClient } from './replica-client.js';
+
+/** Options of {@link DistributedLog}. */
+export interface DistributedLogOptions {
+  readonly store: KeyedLog;
+  readonly client: ReplicaClient;
+  readonly daemon: string;
+  /** Daemons that share a distributor with this one, by rank; this one included. */
+  readonly ranking: () => readonly DistributorCandidate[];
+  /** Topics whose appends may wait to be combined with those of other daemons. */
+  readonly batchedTopics: ReadonlySet<string>;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly events: EventLog;
+}
+
+/** Distributors that a read asks before it goes to the store. */
+const maxDistributorsAsked = 2;
+
+/** Longest time for which a distributor may hold a read: it must notice its own loss sooner. */
+const maxDistributorWaitMs = 800;
+
+/** Times for which a distributor that failed is not asked; spread, so that not all return at once. */
+const minSuspensionMs = 1_500;
+const maxSuspensionMs = 4_000;
+
+/**
+ * A log of which one daemon of a failure domain or small region, the distributor, reads the store,
+ * and the others read its copies. Calls to the store then grow with the number of failure domains
+ * and not of daemons. Every daemon falls back to the next in rank and to the store itself when a
+ * distributor is dead, silent, stale or cut off. Conditional appends and reads of all newest
+ * records always go to the store.
+ *
+ * @example
+ * ```ts
+ * const log = new DistributedLog({ store, client, daemon, ranking, ...rest });
+ * const { records, copyAgeMs } = await log.read('config', 12, 2_500);
+ * ```
+ */
+export class DistributedLog extends KeyedLog {
+  readonly #options: DistributedLogOptions;
+  readonly #suspendedUntilMs = new Map<string, number>();
+
+  constructor(options: DistributedLogOptions) {
+    super();
+    this.#options = options;
+  }
+
+  /** The daemon that this one reads from at present; undefined when it reads the store itself. */
+  get distributor(): DistributorCandidate | undefined {
+    return this.#distributors()[0];
+  }
+
+  override newest(topic: string, signal?: AbortSignal): Promise<KeyedPage> {
+    return this.#options.store.newest(topic, signal);
+  }
+
+  override async read(
+    topic: string,
+    fromOffset: Offset,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<KeyedPage> {
+    const { client, store, clock } = this.#options;
+    const waitUntilMs = clock.nowMs() + Math.min(waitMs, maxDistributorWaitMs);
+    const distributors = this.#distributors();
+    for (const distributor of distributors) {
+      const distributorWaitMs = waitUntilMs - clock.nowMs();
+      // One that did not respond has used up the time: the rest of it is for the store.
+      if (distributorWaitMs < 0) break;
+      try {
+        const { address } = distributor;
+        return await client.read(address, topic, fromOffset, distributorWaitMs, signal);
+      } catch (error) {
+        // It is sound, only its copy does not reach back far enough.
+        if (error instanceof HistoryTrimmedError) break;
+        this.#suspend(distributor, topic, error);
+        if (signal?.aborted) throw error;
+      }
+    }
+    const storeWaitMs = distributors.length > 0 ? 0 : waitMs;
+    return store.read(topic, fromOffset, storeWaitMs, signal);
+  }
+
+  override async appendAll(
+    topic: string,
+    entries: readonly KeyedEntry[],
+    options: KeyedAppendOptions = {},
+  ): Promise<Offset> {
+    return this.#options.store.appendAll(topic, entries, options);
+  }
+
+  override async publish(topic: string, entry: KeyedEntry): Promise<void> {
+    const { client, store, batchedTopics } = this.#options;
+    const distributor = batchedTopics.has(topic) ? this.distributor : undefined;
+    if (distributor) {
+      try {
+        await client.append(distributor.address, topic, entry);
+        return;
+      } catch (error) {
+        this.#suspend(distributor, topic, error);
+      }
+    }
+    await store.appendAll(topic, [entry]);
+  }
+
+  /** Daemons ranked above this one that have not failed lately, best first. */
+  #distributors(): DistributorCandidate[] {
+    const { ranking, daemon, clock } = this.#options;
+    const nowMs = clock.nowMs();
+    const found: DistributorCandidate[] = [];
+    for (const candidate of ranking()) {
+      if (candidate.daemon === daemon || found.length === maxDistributorsAsked) break;
+      if ((this.#suspendedUntilMs.get(candidate.daemon) ?? 0) <= nowMs) found.push(candidate);
+    }
+    return found;
+  }
+
+  #suspend({ daemon }: DistributorCandidate, topic: string, error: unknown): void {
+    const { clock, random, events } = this.#options;
+    const suspensionMs = minSuspensionMs + (maxSuspensionMs - minSuspensionMs) * random.float();
+    const nowMs = clock.nowMs();
+    for (const [name, untilMs] of this.#suspendedUntilMs) {
+      if (untilMs <= nowMs) this.#suspendedUntilMs.delete(name);
+    }
+    this.#suspendedUntilMs.set(daemon, nowMs + suspensionMs);
+    events.info(EventId.DistributorSuspended, 'distributor is not asked for a while', {
+      distributor: daemon,
+      topic,
+      suspensionMs: Math.round(suspensionMs),
+      reason: error instanceof Error ? error.message : String(error),
+    });
+  }
+}
--- /dev/null
+++ b/src/distribution/replica-client.ts
@@ -0,0 +1,111 @@
+import { LRUCache } from 'lru-cache';
+import { HttpConnection, type HttpCall, type HttpResponse } from '../core/http-connection.js';
+import { HistoryTrimmedError, type KeyedEntry, type KeyedPage } from '../log/keyed-log.js';
+import { LogUnavailableError } from '../log/log-errors.js';
+import type { Offset } from '../log/log-service.js';
+import { decodePage, encodeEntries } from './page-codec.js';
+import { replicaPaths } from './replica-server.js';
+
+/** Calls to the copies of another daemon. */
+export abstract class ReplicaClient {
+  /**
+   * Reads records from an offset on; waits up to `waitMs` for the first one.
+   *
+   * @throws HistoryTrimmedError when the daemon does not know all changes since this offset.
+   * @throws LogUnavailableError when the daemon does not serve the topic or did not respond.
+   */
+  abstract read(
+    address: string,
+    topic: string,
+    fromOffset: Offset,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<KeyedPage>;
+
+  /**
+   * Appends an entry through the daemon, together with those of others.
+   *
+   * @throws LogUnavailableError when the entry is not known to be stored.
+   */
+  abstract append(address: string, topic: string, entry: KeyedEntry): Promise<void>;
+
+  abstract close(): void;
+}
+
+/** Response timeout, in addition to the time for which the daemon may hold a read. */
+const answerTimeoutMs = 400;
+
+/** Covers the wait for a batch and the append to the store. */
+const appendTimeoutMs = 2_000;
+
+/** Daemons to which connections are kept. */
+const maxConnections = 8;
+
+/** {@link ReplicaClient} over HTTP, for {@link ReplicaServer}. */
+export class HttpReplicaClient extends ReplicaClient {
+  readonly #connections = new LRUCache<string, HttpConnection>({
+    max: maxConnections,
+    dispose: (connection) => {
+      connection.close();
+    },
+  });
+
+  override async read(
+    address: string,
+    topic: string,
+    fromOffset: Offset,
+    waitMs: number,
+    signal?: AbortSignal,
+  ): Promise<KeyedPage> {
+    const query = new URLSearchParams({
+      topic,
+      from: String(fromOffset),
+      wait_ms: String(waitMs),
+    });
+    const path = `${replicaPaths.read}?${query.toString()}`;
+    const timeoutMs = waitMs + answerTimeoutMs;
+    const call: HttpCall = { method: 'GET', path, timeoutMs, signal };
+    const { status, body } = await this.#call(address, call);
+    if (status === 410) throw new HistoryTrimmedError(topic);
+    return decodePage(expectOk(address, status, body));
+  }
+
+  override async append(address: string, topic: string, entry: KeyedEntry): Promise<void> {
+    const path = `${replicaPaths.append}?${new URLSearchParams({ topic }).toString()}`;
+    const body = encodeEntries([entry]);
+    const call: HttpCall = { method: 'POST', path, body, timeoutMs: appendTimeoutMs };
+    const response = await this.#call(address, call);
+    expectOk(address, response.status, response.body);
+  }
+
+  override close(): void {
+    this.#connections.clear();
+  }
+
+  async #call(address: string, call: HttpCall): Promise<HttpResponse> {
+    try {
+      return await this.#connectionTo(address).call(call);
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      throw new LogUnavailableError(`the daemon did not respond: ${reason}`, address, true, error);
+    }
+  }
+
+  #connectionTo(address: string): HttpConnection {
+    let connection = this.#connections.get(address);
+    if (!connection) {
+      const at = address.lastIndexOf(':');
+      connection = new HttpConnection({
+        host: address.slice(0, at),
+        port: Number(address.slice(at + 1)),
+      });
+      this.#connections.set(address, connection);
+    }
+    return connection;
+  }
+}
+
+function expectOk(address: string, status: number, body: Buffer): Buffer {
+  if (status === 200) return body;
+  throw new LogUnavailableError(`the daemon responded with status ${status}`, address, true);
+}
--- /dev/null
+++ b/src/distribution/replica-reader.ts
@@ -0,0 +1,88 @@
+import { OrioleError, Step, type Clock } from '../core/index.js';
+import { HistoryTrimmedError, type KeyedPage } from '../log/keyed-log.js';
+import type { KeyedReplica } from '../log/keyed-replica.js';
+import type { Offset } from '../log/log-service.js';
+
+/** A copy is not passed on: it was read from another daemon, its reads fail or it is too old. */
+export class ReadRefusedError extends OrioleError {
+  constructor(topic: string) {
+    super(`the copy of topic "${topic}" is not current; read it elsewhere`, {
+      step: Step.Log,
+      peer: 'distributor',
+    });
+  }
+}
+
+/** Reads that may wait at the same time; further ones are answered at once. */
+const maxWaitingReads = 4_096;
+
+/**
+ * Reads of this daemon's copies on behalf of other daemons. Only copies that are read from the
+ * store itself and are no older than one read of the store takes are passed on. A daemon is thus
+ * never served from a copy of a copy.
+ */
+export class ReplicaReader {
+  readonly #clock: Clock;
+  #waitingReads = 0;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** Whether a copy may be passed on. */
+  isCurrent(replica: KeyedReplica): boolean {
+    const ageMs = this.#clock.nowMs() - (replica.caughtUpAtMs ?? -Infinity);
+    return replica.isDirect && !replica.isFailing && ageMs <= replica.maxAgeMs;
+  }
+
+  /**
+   * Reads records from an offset on; waits until `deadlineAtMs` for the first one.
+   *
+   * @param signal - aborted when the reader is gone.
+   * @throws ReadRefusedError when the copy may not be passed on, also if that happens meanwhile.
+   * @throws HistoryTrimmedError when the copy does not know all changes since this offset.
+   */
+  async read(
+    replica: KeyedReplica,
+    fromOffset: Offset,
+    deadlineAtMs: number,
+    signal?: AbortSignal,
+  ): Promise<KeyedPage> {
+    if (this.#waitingReads < maxWaitingReads) {
+      this.#waitingReads += 1;
+      await this.#waitForChange(replica, fromOffset, deadlineAtMs, signal);
+      this.#waitingReads -= 1;
+    }
+    if (!this.isCurrent(replica)) throw new ReadRefusedError(replica.topic);
+    const records = replica.changesSince(fromOffset);
+    if (!records) throw new HistoryTrimmedError(replica.topic);
+    const copyAgeMs = this.#clock.nowMs() - (replica.caughtUpAtMs ?? 0);
+    return { records, endOffset: replica.endOffset ?? 0, copyAgeMs };
+  }
+
+  /** Waits for a record, a failed read, the age limit of the copy, the deadline or the reader. */
+  async #waitForChange(
+    replica: KeyedReplica,
+    fromOffset: Offset,
+    deadlineAtMs: number,
+    signal: AbortSignal | undefined,
+  ): Promise<void> {
+    const woken = new AbortController();
+    const wake = (): void => {
+      woken.abort();
+    };
+    const cancel = replica.onChange(wake);
+    signal?.addEventListener('abort', wake);
+    while (
+      (replica.endOffset ?? 0) <= fromOffset &&
+      !woken.signal.aborted &&
+      this.#clock.nowMs() < deadlineAtMs &&
+      this.isCurrent(replica)
+    ) {
+      const staleAtMs = (replica.caughtUpAtMs ?? 0) + replica.maxAgeMs + 1;
+      await this.#clock.sleepUntil(Math.min(deadlineAtMs, staleAtMs), woken.signal);
+    }
+    signal?.removeEventListener('abort', wake);
+    cancel();
+  }
+}
--- /dev/null
+++ b/src/distribution/replica-server.ts
@@ -0,0 +1,131 @@
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import type { Clock } from '../core/index.js';
+import { closeServer, listen } from '../core/listener.js';
+import { HistoryTrimmedError } from '../log/keyed-log.js';
+import type { KeyedReplica } from '../log/keyed-replica.js';
+import { EventId, type EventLog } from '../telemetry/index.js';
+import type { AppendBatcher } from './append-batcher.js';
+import { decodeEntries, encodePage } from './page-codec.js';
+import { ReplicaReader } from './replica-reader.js';
+
+/** Paths of a {@link ReplicaServer}. */
+export const replicaPaths = { read: '/replica/read', append: '/replica/append' } as const;
+
+/** Options of {@link ReplicaServer}. */
+export interface ReplicaServerOptions {
+  readonly replicas: readonly KeyedReplica[];
+  /** Batchers of the topics to which other daemons append, by topic. */
+  readonly batchers: ReadonlyMap<string, AppendBatcher>;
+  readonly clock: Clock;
+  readonly events: EventLog;
+}
+
+/** Longest wait of a read, whatever the reader asks for. */
+const maxWaitMs = 5_000;
+
+/** Largest body of an append. */
+const maxAppendBytes = 262_144;
+
+/** Longer than the time between two calls of a daemon, so that none meets a closing connection. */
+const keepAliveTimeoutMs = 60_000;
+
+const maxConnections = 2_048;
+
+/**
+ * Serves this daemon's copies of the store's topics to the daemons whose distributor it is, by
+ * {@link ReplicaReader}, and appends for them.
+ */
+export class ReplicaServer {
+  readonly #options: ReplicaServerOptions;
+  readonly #server = createServer((request, response) => void this.#handle(request, response));
+  readonly #reader: ReplicaReader;
+
+  constructor(options: ReplicaServerOptions) {
+    this.#options = options;
+    this.#reader = new ReplicaReader(options.clock);
+    this.#server.keepAliveTimeout = keepAliveTimeoutMs;
+    this.#server.maxConnections = maxConnections;
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @returns the port.
+   * @throws Error when the server cannot listen on the address.
+   */
+  listen(host: string, port: number): Promise<number> {
+    return listen(this.#server, host, port);
+  }
+
+  close(): Promise<void> {
+    return closeServer(this.#server);
+  }
+
+  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    try {
+      const url = new URL(request.url ?? '/', 'http://daemon');
+      const topic = url.searchParams.get('topic') ?? '';
+      const { pathname } = url;
+      if (pathname === replicaPaths.read) await this.#read(topic, url.searchParams, response);
+      else if (pathname === replicaPaths.append) await this.#append(topic, request, response);
+      else respond(response, 404);
+    } catch (error) {
+      const status = error instanceof HistoryTrimmedError ? 410 : 503;
+      this.#options.events.debug(EventId.DistributionFailed, 'call of another daemon failed', {
+        reason: error instanceof Error ? error.message : String(error),
+      });
+      respond(response, status);
+    }
+  }
+
+  async #read(topic: string, query: URLSearchParams, response: ServerResponse): Promise<void> {
+    const replica = this.#replicaOf(topic);
+    const fromOffset = Number(query.get('from'));
+    const waitMs = Math.min(maxWaitMs, Number(query.get('wait_ms')));
+    if (!replica || !Number.isSafeInteger(fromOffset) || !(waitMs >= 0)) {
+      respond(response, 400);
+      return;
+    }
+    const gone = new AbortController();
+    response.once('close', () => {
+      gone.abort();
+    });
+    const deadlineAtMs = this.#options.clock.nowMs() + waitMs;
+    const page = await this.#reader.read(replica, fromOffset, deadlineAtMs, gone.signal);
+    respond(response, 200, encodePage(page));
+  }
+
+  async #append(topic: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const batcher = this.#options.batchers.get(topic);
+    const replica = this.#replicaOf(topic);
+    if (!batcher || !replica || !this.#reader.isCurrent(replica)) {
+      request.resume();
+      respond(response, 503);
+      return;
+    }
+    const entries = decodeEntries(await readBody(request));
+    await Promise.all(entries.map((entry) => batcher.append(entry)));
+    respond(response, 200);
+  }
+
+  #replicaOf(topic: string): KeyedReplica | undefined {
+    return this.#options.replicas.find((candidate) => candidate.topic === topic);
+  }
+}
+
+async function readBody(request: IncomingMessage): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of request as AsyncIterable<Buffer>) {
+    bytes += chunk.length;
+    if (bytes > maxAppendBytes) throw new Error(`more than ${maxAppendBytes} bytes to append`);
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks);
+}
+
+function respond(response: ServerResponse, status: number, body: Buffer = Buffer.alloc(0)): void {
+  if (response.headersSent || response.destroyed) return;
+  response.writeHead(status, { 'content-length': body.length });
+  response.end(body);
+}
--- a/src/gateway/gateway-gauges.ts
+++ b/src/gateway/gateway-gauges.ts
@@ -1,3 +1,4 @@
+import type { Clock } from '../core/index.js';
 import { EndpointState, type EndpointRegistry, type RegisteredEndpoints } from '../fleet/index.js';
 import type { KeyedReplica } from '../log/keyed-replica.js';
 import type { Metrics } from '../telemetry/index.js';
@@ -6,6 +7,7 @@
 /** Options of {@link GatewayGauges}. */
 export interface GatewayGaugesOptions {
   readonly metrics: Metrics;
+  readonly clock: Clock;
   readonly config: ConfigHolder;
   readonly registry: EndpointRegistry;
   readonly endpoints: RegisteredEndpoints;
@@ -13,6 +15,8 @@
   readonly inFlight: () => number;
   readonly liveDaemons: () => number;
   readonly isDutyHolder: () => boolean;
+  /** Whether this daemon reads the store itself. */
+  readonly isDistributor: () => boolean;
 }
 
 /** Gauges that are computed from the daemon's current state when metrics are collected. */
@@ -25,14 +29,18 @@
 
   /** Updates all gauges. */
   measure(): void {
-    const { metrics, config, replicas, inFlight, liveDaemons, isDutyHolder } = this.#options;
+    const { metrics, config, replicas, inFlight, liveDaemons } = this.#options;
+    const { isDutyHolder, isDistributor, clock } = this.#options;
     metrics.gauge('gateway_in_flight', inFlight());
     metrics.gauge('gateway_config_version', config.table?.config.version ?? 0);
     metrics.gauge('gateway_live_daemons', liveDaemons());
     metrics.gauge('gateway_duties_held', Number(isDutyHolder()));
-    for (const { topic, endOffset, isFailing } of replicas) {
+    metrics.gauge('gateway_reads_store_itself', Number(isDistributor()));
+    for (const { topic, endOffset, isFailing, caughtUpAtMs } of replicas) {
       const isReadable = endOffset !== undefined && !isFailing;
       metrics.gauge('gateway_store_readable', Number(isReadable), { topic });
+      if (caughtUpAtMs === undefined) continue;
+      metrics.gauge('gateway_store_copy_age_ms', clock.nowMs() - caughtUpAtMs, { topic });
     }
     for (const { name } of config.table?.config.services ?? []) this.#measureEndpoints(name);
   }
--- /dev/null
+++ b/src/gateway/gateway-replicas.ts
@@ -0,0 +1,142 @@
+import type { Clock, Random } from '../core/index.js';
+import type { SocketAddress } from '../core/http-connection.js';
+import {
+  AppendBatcher,
+  DistributedLog,
+  HttpReplicaClient,
+  ReplicaServer,
+  type DistributorCandidate,
+} from '../distribution/index.js';
+import type { KeyedLog } from '../log/keyed-log.js';
+import { KeyedReplica } from '../log/keyed-replica.js';
+import type { ExchangeIntervals } from '../membership/exchange-intervals.js';
+import type { EventLog } from '../telemetry/index.js';
+
+/** Names of the store topics that the gateway reads and writes. */
+export interface GatewayTopics {
+  readonly config: string;
+  readonly registrations: string;
+  readonly daemons: string;
+  readonly duties: string;
+}
+
+/** Options of {@link GatewayReplicas}. */
+export interface GatewayReplicasOptions {
+  readonly store: KeyedLog;
+  readonly topics: GatewayTopics;
+  readonly daemon: string;
+  /** Address at which the other daemons read this one's copies. */
+  readonly listenAddress: SocketAddress;
+  /** Daemons that share a distributor with this one, by rank; this one included. */
+  readonly ranking: () => readonly DistributorCandidate[];
+  readonly intervals: () => ExchangeIntervals;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly events: EventLog;
+}
+
+/**
+ * How long the store holds reads open when a topic has no new record. Bounds the time until a dead
+ * connection is noticed: short for what must be in force within seconds.
+ */
+const configWaitMs = 1_000;
+const registrationsWaitMs = 1_000;
+const samplesWaitMs = 4_000;
+const dutiesWaitMs = 8_000;
+
+/** Shortest time between two reads of a topic. */
+const configReadIntervalMs = 50;
+const dutiesReadIntervalMs = 2_000;
+
+/** Time for which samples wait to be stored together, by one call of the distributor. */
+const sampleBatchDelayMs = 1_000;
+
+/**
+ * This daemon's copies of the store's topics: read from its distributor or from the store
+ * itself, and served to the daemons whose distributor it is.
+ */
+export class GatewayReplicas {
+  readonly config: KeyedReplica;
+  readonly registrations: KeyedReplica;
+  readonly samples: KeyedReplica;
+  readonly duties: KeyedReplica;
+  readonly #options: GatewayReplicasOptions;
+  readonly #client = new HttpReplicaClient();
+  readonly #log: DistributedLog;
+  readonly #server: ReplicaServer;
+
+  constructor(options: GatewayReplicasOptions) {
+    this.#options = options;
+    const { store, topics, clock, random, events, intervals } = options;
+    this.#log = new DistributedLog({
+      ...options,
+      random: random.fork(),
+      client: this.#client,
+      batchedTopics: new Set([topics.daemons]),
+    });
+    this.config = this.#replica(topics.config, configWaitMs, () => configReadIntervalMs);
+    this.registrations = this.#replica(
+      topics.registrations,
+      registrationsWaitMs,
+      () => intervals().registrationReadIntervalMs,
+    );
+    this.samples = this.#replica(
+      topics.daemons,
+      samplesWaitMs,
+      () => intervals().sampleReadIntervalMs,
+    );
+    this.duties = this.#replica(topics.duties, dutiesWaitMs, () => dutiesReadIntervalMs);
+    const batcher = new AppendBatcher({
+      log: store,
+      topic: topics.daemons,
+      clock,
+      maxDelayMs: sampleBatchDelayMs,
+    });
+    this.#server = new ReplicaServer({
+      replicas: this.all(),
+      batchers: new Map([[topics.daemons, batcher]]),
+      clock,
+      events,
+    });
+  }
+
+  /** Log through which the daemon reads and writes. */
+  get log(): KeyedLog {
+    return this.#log;
+  }
+
+  /** The daemon from which this one reads; undefined when it reads the store itself. */
+  get distributor(): DistributorCandidate | undefined {
+    return this.#log.distributor;
+  }
+
+  all(): KeyedReplica[] {
+    return [this.config, this.registrations, this.samples, this.duties];
+  }
+
+  /** @throws Error when the server cannot listen on the address. */
+  async start(): Promise<void> {
+    const { host, port } = this.#options.listenAddress;
+    await this.#server.listen(host, port);
+    for (const replica of this.all()) replica.start();
+  }
+
+  stop(): void {
+    for (const replica of this.all()) replica.stop();
+    this.#client.close();
+    void this.#server.close();
+  }
+
+  #replica(topic: string, waitMs: number, minReadIntervalMs: () => number): KeyedReplica {
+    const { clock, random, events } = this.#options;
+    return new KeyedReplica({
+      log: this.#log,
+      topic,
+      clock,
+      random: random.fork(),
+      events,
+      waitMs,
+      minReadIntervalMs,
+    });
+  }
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -16,7 +16,6 @@
 import { PrefillBacklog } from '../fleet/prefill-backlog.js';
 import { SpeedEstimator } from '../fleet/speed-estimator.js';
 import type { KeyedLog } from '../log/keyed-log.js';
-import { KeyedReplica } from '../log/keyed-replica.js';
 import { DaemonSamples, type SampleContent } from '../membership/daemon-samples.js';
 import type { PeerAddress } from '../membership/peer-broadcaster.js';
 import {
@@ -33,6 +32,7 @@
 import { GatewayDuties } from './gateway-duties.js';
 import { GatewayGauges } from './gateway-gauges.js';
 import { GatewayListener } from './gateway-listener.js';
+import { GatewayReplicas, type GatewayTopics } from './gateway-replicas.js';
 import { PeerExchange } from './peer-exchange.js';
 import { Placement } from './placement.js';
 import { RequestAdmission } from './request-admission.js';
@@ -41,21 +41,16 @@
 import { RequestRelay, UsageObserver } from './request-relay.js';
 import { WorkspaceQuotas } from './workspace-quotas.js';
 
-/** Names of the store topics that the gateway reads and writes. */
-export interface GatewayTopics {
-  readonly config: string;
-  readonly registrations: string;
-  readonly daemons: string;
-  readonly duties: string;
-}
-
 /** Options of {@link Gateway}. */
 export interface GatewayOptions {
   readonly daemon: string;
   readonly region: string;
+  readonly failureDomain: string;
+  /** Processor capacity of the VM, in cores. */
+  readonly capacityCores: number;
   readonly host: string;
   readonly port: number;
-  /** Address at which this daemon receives datagrams from its peers. */
+  /** Address at which this daemon receives datagrams and calls from its peers. */
   readonly peerAddress: PeerAddress;
   readonly store: KeyedLog;
   readonly topics: GatewayTopics;
@@ -81,19 +76,6 @@
   readonly maxRegistrationReadIntervalMs: number;
 }
 
-/**
- * How long the store holds reads open when a topic has no new record. Bounds the time until a dead
- * connection is noticed.
- */
-const configWaitMs = 2_500;
-const samplesWaitMs = 4_000;
-const dutiesWaitMs = 8_000;
-const registrationsWaitMs = 2_500;
-
-/** Shortest time between two reads of a topic. */
-const configReadIntervalMs = 50;
-const dutiesReadIntervalMs = 900;
-
 /**
  * Long enough to bridge the pauses between bursts, short enough to follow a burst within seconds.
  */
@@ -123,15 +105,12 @@
 export class Gateway {
   readonly config: ConfigHolder;
   readonly endpoints: RegisteredEndpoints;
-  readonly configReplica: KeyedReplica;
-  readonly registrationReplica: KeyedReplica;
+  readonly replicas: GatewayReplicas;
   readonly #options: GatewayOptions;
   readonly #registry: EndpointRegistry;
   readonly #connections: EndpointConnections;
   readonly #listener: GatewayListener;
   readonly #samples: DaemonSamples;
-  readonly #samplesReplica: KeyedReplica;
-  readonly #dutiesReplica: KeyedReplica;
   readonly #duties: GatewayDuties | undefined;
   readonly #counter: UsageCounter;
   readonly #quotas: WorkspaceQuotas;
@@ -148,18 +127,12 @@
     const { clock, events, codec, daemon, topics } = options;
     const incarnation = options.wallNowMs();
     this.config = new ConfigHolder(events);
-    this.configReplica = this.#replica(topics.config, configWaitMs, () => configReadIntervalMs);
-    this.registrationReplica = this.#replica(
-      topics.registrations,
-      registrationsWaitMs,
-      () => this.#peers.intervals.registrationReadIntervalMs,
-    );
-    this.#samplesReplica = this.#replica(
-      topics.daemons,
-      samplesWaitMs,
-      () => this.#peers.intervals.sampleReadIntervalMs,
-    );
-    this.#dutiesReplica = this.#replica(topics.duties, dutiesWaitMs, () => dutiesReadIntervalMs);
+    this.replicas = new GatewayReplicas({
+      ...options,
+      listenAddress: options.peerAddress,
+      ranking: () => this.#peers.ranking(),
+      intervals: () => this.#peers.intervals,
+    });
 
     const speeds = new SpeedEstimator();
     const caches = new PrefixCacheIndex();
@@ -183,9 +156,9 @@
     this.#connections = new EndpointConnections(clock);
     this.#counter = new UsageCounter(options.usageWindowMs);
     this.#samples = new DaemonSamples({
-      log: options.store,
+      log: this.replicas.log,
       topic: topics.daemons,
-      replica: this.#samplesReplica,
+      replica: this.replicas.samples,
       daemon,
       incarnation,
       clock,
@@ -199,6 +172,9 @@
       daemon,
       incarnation,
       address: options.peerAddress,
+      region: options.region,
+      failureDomain: options.failureDomain,
+      capacityCores: options.capacityCores,
       clock,
       events,
       maxRegistrationReadIntervalMs: options.maxRegistrationReadIntervalMs,
@@ -213,10 +189,11 @@
       options.duties &&
       new GatewayDuties({
         ...options,
+        store: this.replicas.log,
         duties: options.duties,
         incarnation,
         topic: topics.duties,
-        replica: this.#dutiesReplica,
+        replica: this.replicas.duties,
         samples: this.#samples,
         ownSample: () => this.#sampleContent(),
         counter: this.#counter,
@@ -226,10 +203,12 @@
       });
     this.#gauges = new GatewayGauges({
       metrics: options.metrics,
+      clock,
       config: this.config,
       registry: this.#registry,
       endpoints: this.endpoints,
-      replicas: this.#replicas(),
+      replicas: this.replicas.all(),
+      isDistributor: () => this.replicas.distributor === undefined,
       inFlight: () => this.#listener.inFlight,
       liveDaemons: () => this.#peers.peerStatus().daemons,
       isDutyHolder: () => this.#duties?.isHolder === true,
@@ -255,7 +234,7 @@
     const { clock } = this.#options;
     await this.#listener.listen();
     this.#peers.start();
-    for (const replica of this.#replicas()) replica.start();
+    await this.replicas.start();
     this.#samples.start();
     this.#stopTicking = clock.every(tickPeriodMs, () => void this.#tick());
   }
@@ -282,7 +261,7 @@
     });
     await clock.sleepUntil(deadlineAtMs - leaveMarginMs, left.signal);
     this.#stopTicking();
-    for (const replica of this.#replicas()) replica.stop();
+    this.replicas.stop();
     events.info(EventId.DaemonStopped, 'daemon has stopped', { open: this.#listener.inFlight });
     this.#listener.close();
     this.#peers.stop();
@@ -362,28 +341,6 @@
     });
   }
 
-  #replica(topic: string, waitMs: number, minReadIntervalMs: () => number): KeyedReplica {
-    const { store, clock, random, events } = this.#options;
-    return new KeyedReplica({
-      log: store,
-      topic,
-      clock,
-      random: random.fork(),
-      events,
-      waitMs,
-      minReadIntervalMs,
-    });
-  }
-
-  #replicas(): KeyedReplica[] {
-    return [
-      this.configReplica,
-      this.registrationReplica,
-      this.#samplesReplica,
-      this.#dutiesReplica,
-    ];
-  }
-
   async #tick(): Promise<void> {
     this.#updateRetryBudget();
     this.#quotas.refresh(this.config.table?.config.workspaces ?? [], this.#options.clock.nowMs());
@@ -399,7 +356,7 @@
   }
 
   #isStoreRecovering(): boolean {
-    const replica = this.registrationReplica;
+    const replica = this.replicas.registrations;
     return replica.isFailing || this.#options.clock.nowMs() < replica.recoveredAtMs + recoveryMs;
   }
 
@@ -417,12 +374,16 @@
       const own = Object.values(view.ownInFlight.requests).reduce((sum, count) => sum + count, 0);
       if (own > 0) inFlight[view.serviceId] = (inFlight[view.serviceId] ?? 0) + own;
     }
-    const { host, port } = this.#options.peerAddress;
+    const { peerAddress, region, failureDomain, capacityCores } = this.#options;
+    const { host, port } = peerAddress;
     return {
       ...this.#quotas.counts(),
       inFlight,
       prefillTokensPerS: this.#demand.ratesPerS(this.#options.clock.nowMs()),
       newsAddress: `${host}:${port}`,
+      region,
+      failureDomain,
+      capacityCores,
       usage: this.#counter.windows(),
     };
   }
--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -1,5 +1,6 @@
 import type { QuotaPeerStatus } from '../admission/token-quota.js';
 import type { Clock } from '../core/index.js';
+import { rankDistributors, type DistributorCandidate } from '../distribution/index.js';
 import type { DaemonSample, DaemonSamples } from '../membership/daemon-samples.js';
 import { exchangeIntervals, type ExchangeIntervals } from '../membership/exchange-intervals.js';
 import {
@@ -18,6 +19,10 @@
   readonly incarnation: number;
   /** Address at which this daemon receives datagrams from its peers. */
   readonly address: PeerAddress;
+  readonly region: string;
+  readonly failureDomain: string;
+  /** Processor capacity of this daemon's VM, in cores. */
+  readonly capacityCores: number;
   readonly clock: Clock;
   readonly events: EventLog;
   /** Longest time between two reads of the registrations, in milliseconds. */
@@ -52,8 +57,8 @@
   constructor(options: PeerExchangeOptions) {
     super();
     this.#options = options;
-    const { samples, address, events, maxRegistrationReadIntervalMs, onPrefill } = options;
-    this.#intervals = exchangeIntervals(1, maxRegistrationReadIntervalMs);
+    const { samples, address, events, onPrefill } = options;
+    this.#intervals = this.#intervalsFor(1, 1);
     this.#broadcaster = new PeerBroadcaster({
       listenAddress: address,
       // A peer that is cut off from the store only can still receive datagrams.
@@ -74,6 +79,14 @@
     return this.#intervals;
   }
 
+  /** Daemons that share a distributor with this one, by rank; this one included. */
+  ranking(): DistributorCandidate[] {
+    const { samples, address } = this.#options;
+    const { host, port } = address;
+    const peers = samples.livePeers().map((sample) => ({ ...sample, address: sample.newsAddress }));
+    return rankDistributors({ ...this.#options, address: `${host}:${port}` }, peers);
+  }
+
   override peerStatus(): QuotaPeerStatus {
     const { samples, clock } = this.#options;
     const { grantReportPeriodMs, samplePeriodMs, sampleReadIntervalMs } = this.#intervals;
@@ -129,14 +142,11 @@
    * or the next sample.
    */
   #scheduleGrantReport(): void {
-    const { clock, daemon, incarnation, counts, maxRegistrationReadIntervalMs } = this.#options;
+    const { clock, daemon, incarnation, counts } = this.#options;
     this.#stopReporting = clock.schedule(
       clock.nowMs() + this.#intervals.grantReportPeriodMs,
       () => {
-        this.#intervals = exchangeIntervals(
-          this.peerStatus().daemons,
-          maxRegistrationReadIntervalMs,
-        );
+        this.#intervals = this.#intervalsFor(this.peerStatus().daemons, this.ranking().length);
         const { granted, asked } = counts();
         this.#broadcaster.broadcastGrants({
           daemon,
@@ -148,4 +158,9 @@
       },
     );
   }
+
+  #intervalsFor(daemons: number, domainDaemons: number): ExchangeIntervals {
+    const { maxRegistrationReadIntervalMs } = this.#options;
+    return exchangeIntervals({ daemons, domainDaemons, maxRegistrationReadIntervalMs });
+  }
 }
--- a/src/log/keyed-log.ts
+++ b/src/log/keyed-log.ts
@@ -13,8 +13,16 @@
   readonly records: readonly KeyedRecord[];
   /** Offset that the next append will get. */
   readonly endOffset: Offset;
+  /**
+   * For pages of another daemon's copy: time since that daemon read the store, in milliseconds.
+   * Undefined for pages of the store itself.
+   */
+  readonly copyAgeMs?: number;
 }
 
+/** A record to append. */
+export type KeyedEntry = Pick<KeyedRecord, 'key' | 'value'>;
+
 /** Options of {@link KeyedLog.append}. */
 export interface KeyedAppendOptions {
   /** The append takes effect only if this is the topic's end offset. */
@@ -80,10 +88,34 @@
    * @throws LogRefusedError when the record is provably not stored.
    * @throws LogUnavailableError when the record may be stored, now or some seconds later.
    */
-  abstract append(
+  append(
     topic: string,
     key: string,
     value: Uint8Array,
     options?: KeyedAppendOptions,
+  ): Promise<Offset> {
+    return this.appendAll(topic, [{ key, value }], options);
+  }
+
+  /**
+   * Stores an entry that need not be stored at once: it may wait to be combined with others, and
+   * may be stored twice.
+   *
+   * @throws LogUnavailableError, LogRefusedError as {@link append} does.
+   */
+  async publish(topic: string, entry: KeyedEntry): Promise<void> {
+    await this.appendAll(topic, [entry]);
+  }
+
+  /**
+   * Appends records, all or none of them, in one call.
+   *
+   * @returns the offset of the first record.
+   * @throws the errors of {@link append}.
+   */
+  abstract appendAll(
+    topic: string,
+    entries: readonly KeyedEntry[],
+    options?: KeyedAppendOptions,
   ): Promise<Offset>;
 }
--- a/src/log/keyed-replica.ts
+++ b/src/log/keyed-replica.ts
@@ -1,7 +1,12 @@
 import type { Clock, Random } from '../core/index.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
 import { RetryDelay } from './retry-delay.js';
-import { HistoryTrimmedError, type KeyedLog, type KeyedRecord } from './keyed-log.js';
+import {
+  HistoryTrimmedError,
+  type KeyedLog,
+  type KeyedPage,
+  type KeyedRecord,
+} from './keyed-log.js';
 import type { Offset } from './log-service.js';
 import { withTimeout } from './with-timeout.js';
 
@@ -27,6 +32,9 @@
 /** Longest delay between failed reads; short, since a daemon must recover soon after an outage. */
 const maxRetryDelayMs = 800;
 
+/** Removals kept for readers of this copy; a reader that is further behind reads the store. */
+const maxKeptRemovals = 1_024;
+
 /**
  * Local copy of the newest records of a keyed topic. Never replaces a record by an older one of the
  * same key.
@@ -44,6 +52,12 @@
   readonly #abort = new AbortController();
   readonly #records = new Map<string, KeyedRecord>();
   readonly #listeners: KeyedRecordListener[] = [];
+  /** Latest removal of each key that has no record, oldest first. */
+  readonly #removals = new Map<string, KeyedRecord>();
+  /** Readers below this offset may have missed a removal that is no longer kept. */
+  #completeFromOffset = 0;
+  readonly #changeListeners = new Set<() => void>();
+  #isDirect = false;
   #nextOffset: Offset | undefined;
   #caughtUpAtMs: number | undefined;
   #failingSinceMs: number | undefined;
@@ -67,11 +81,25 @@
     return this.#nextOffset;
   }
 
-  /** Epoch milliseconds of the last successful read; undefined before the first. */
+  /**
+   * Epoch milliseconds as of which this copy reflects the store: the last successful read, less the
+   * age of what was read from another daemon. Undefined before the first read.
+   */
   get caughtUpAtMs(): number | undefined {
     return this.#caughtUpAtMs;
   }
 
+  /** Whether the last read was from the store itself and not from another daemon's copy. */
+  get isDirect(): boolean {
+    return this.#isDirect;
+  }
+
+  /** Age that this copy reaches between two successful reads of the store, in milliseconds. */
+  get maxAgeMs(): number {
+    const { waitMs, minReadIntervalMs } = this.#options;
+    return waitMs + minReadIntervalMs() + answerTimeoutMs;
+  }
+
   /** True when the last read failed. */
   get isFailing(): boolean {
     return this.#failingSinceMs !== undefined;
@@ -91,6 +119,24 @@
     this.#listeners.push(listener);
   }
 
+  /** Calls `listener` after each read that brought records or failed. @returns a cancel function. */
+  onChange(listener: () => void): () => void {
+    this.#changeListeners.add(listener);
+    return () => this.#changeListeners.delete(listener);
+  }
+
+  /**
+   * The newest record or removal of each key that changed at or after an offset, in the order of
+   * their offsets; undefined when removals since then are no longer kept.
+   */
+  changesSince(fromOffset: Offset): readonly KeyedRecord[] | undefined {
+    if (this.#nextOffset === undefined || fromOffset < this.#completeFromOffset) return undefined;
+    if (fromOffset >= this.#nextOffset) return [];
+    return [...this.#records.values(), ...this.#removals.values()]
+      .filter(({ offset }) => offset >= fromOffset)
+      .sort((one, other) => one.offset - other.offset);
+  }
+
   start(): void {
     void this.#run();
   }
@@ -112,8 +158,10 @@
     if (page.endOffset < (this.#nextOffset ?? 0)) return;
     this.#removeMissing(page.records);
     for (const record of page.records) this.#apply(record);
+    // Removals between the last read and this one are not part of the page.
+    if (this.#nextOffset !== page.endOffset) this.#completeFromOffset = page.endOffset;
     this.#nextOffset = page.endOffset;
-    this.#recordSuccess();
+    this.#recordSuccess(page);
   }
 
   async #run(): Promise<void> {
@@ -143,13 +191,15 @@
     if (this.#nextOffset !== fromOffset) return;
     for (const record of page.records) this.#apply(record);
     this.#nextOffset = Math.max(fromOffset, (page.records.at(-1)?.offset ?? fromOffset - 1) + 1);
-    this.#recordSuccess();
+    this.#recordSuccess(page);
   }
 
-  #recordSuccess(): void {
+  #recordSuccess({ records, copyAgeMs }: KeyedPage): void {
     const nowMs = this.#options.clock.nowMs();
-    this.#caughtUpAtMs = nowMs;
+    this.#isDirect = copyAgeMs === undefined;
+    this.#caughtUpAtMs = Math.max(this.#caughtUpAtMs ?? -Infinity, nowMs - (copyAgeMs ?? 0));
     this.#retryDelay.reset();
+    if (records.length > 0) this.#notifyChange();
     if (this.#failingSinceMs === undefined) return;
     this.#options.events.info(EventId.LogReadRecovered, 'log reads recovered', {
       stream: this.#options.topic,
@@ -164,6 +214,7 @@
     if (this.#abort.signal.aborted) return;
     if (this.#failingSinceMs === undefined) {
       this.#failingSinceMs = clock.nowMs();
+      this.#notifyChange();
       const reason = error instanceof Error ? error.message : String(error);
       events.warn(EventId.LogReadFailing, 'log reads fail; serving the last state read', {
         stream: topic,
@@ -176,11 +227,30 @@
   #apply(record: KeyedRecord): void {
     const known = this.#records.get(record.key);
     if (known && known.offset >= record.offset) return;
-    if (record.value) this.#records.set(record.key, record);
-    else this.#records.delete(record.key);
+    if (record.value) {
+      this.#records.set(record.key, record);
+      this.#removals.delete(record.key);
+    } else {
+      this.#records.delete(record.key);
+      this.#keepRemoval(record);
+    }
     for (const listener of this.#listeners) listener(record);
   }
 
+  #keepRemoval(record: KeyedRecord): void {
+    this.#removals.delete(record.key);
+    this.#removals.set(record.key, record);
+    if (this.#removals.size <= maxKeptRemovals) return;
+    const oldest = this.#removals.values().next().value;
+    if (!oldest) return;
+    this.#removals.delete(oldest.key);
+    this.#completeFromOffset = Math.max(this.#completeFromOffset, oldest.offset + 1);
+  }
+
+  #notifyChange(): void {
+    for (const listener of [...this.#changeListeners]) listener();
+  }
+
   /** Removes keys whose removal record was trimmed before it was read. */
   #removeMissing(newest: readonly KeyedRecord[]): void {
     const keys = new Set(newest.map(({ key }) => key));
--- a/src/membership/daemon-samples.ts
+++ b/src/membership/daemon-samples.ts
@@ -3,6 +3,7 @@
 import {
   LogRefusedError,
   LogUnavailableError,
+  type KeyedEntry,
   type KeyedLog,
   type KeyedRecord,
 } from '../log/index.js';
@@ -29,8 +30,13 @@
   inFlight: countsSchema,
   /** Prompt tokens sent for prefill per second, by service. */
   prefillTokensPerS: countsSchema,
-  /** Address at which the daemon receives broadcasts of its peers, as host:port. */
+  /** Address at which the daemon receives datagrams and calls of its peers, as host:port. */
   newsAddress: z.string(),
+  /** Empty for daemons that do not distribute. */
+  region: z.string().default(''),
+  failureDomain: z.string().default(''),
+  /** Processor capacity of the daemon's VM, in cores. */
+  capacityCores: z.number().nonnegative().default(0),
   /** Requests started, by usage window and workspace. */
   usage: z.array(z.tuple([z.int(), countsSchema])),
   /** Whether the daemon is stopping. */
@@ -46,7 +52,15 @@
 /** Part of a sample that the user of {@link DaemonSamples} provides. */
 export type SampleContent = Pick<
   DaemonSample,
-  'granted' | 'asked' | 'inFlight' | 'prefillTokensPerS' | 'newsAddress' | 'usage'
+  | 'granted'
+  | 'asked'
+  | 'inFlight'
+  | 'prefillTokensPerS'
+  | 'newsAddress'
+  | 'region'
+  | 'failureDomain'
+  | 'capacityCores'
+  | 'usage'
 >;
 
 /** Options of {@link DaemonSamples}. */
@@ -79,8 +93,8 @@
 /** A daemon counts as live while it has missed fewer consecutive samples than this. */
 const maxMissedSamples = 3.5;
 
-/** Longest time for a sample to reach the store and to be read from it. */
-const maxStoreTransitMs = 1_000;
+/** Longest time for a sample to reach the other daemons: two batches or reads on its way. */
+const maxStoreTransitMs = 3_000;
 
 /** Time for which the list of live daemons is reused before it is computed again. */
 const liveCacheTtlMs = 50;
@@ -105,6 +119,7 @@
   #publishedAtMs = -Infinity;
   #isLeaving = false;
   #isPublishing = false;
+  #isPublishingAtOnce = false;
   #cancel: (() => void) | undefined;
   #liveCache: { readonly samples: DaemonSample[]; readonly untilMs: number } | undefined;
   readonly #directReportAtMs = new Map<string, number>();
@@ -133,7 +148,7 @@
   async leave(): Promise<void> {
     this.#cancel?.();
     this.#isLeaving = true;
-    await this.publish();
+    await this.publishAtOnce();
   }
 
   /** Samples of the live daemons, without this one. */
@@ -204,12 +219,28 @@
     return received?.sample.incarnation === incarnation ? received.receivedAtMs : undefined;
   }
 
-  /** Publishes a sample now. A failure is logged; the next periodic sample replaces it. */
+  /** Publishes a sample. A failure is logged; the next periodic sample replaces it. */
   async publish(): Promise<void> {
-    const { log, topic, replica, daemon, incarnation, clock, content, events } = this.#options;
-    // Before the first read, this would overwrite the sample of an earlier run unread.
-    if (this.#isPublishing || replica.endOffset === undefined) return;
+    if (this.#isPublishing) return;
     this.#isPublishing = true;
+    const { log, topic } = this.#options;
+    await this.#store((entry) => log.publish(topic, entry));
+    this.#isPublishing = false;
+  }
+
+  /** Publishes a sample straight to the store, also while another one is on its way there. */
+  async publishAtOnce(): Promise<void> {
+    if (this.#isPublishingAtOnce) return;
+    this.#isPublishingAtOnce = true;
+    const { log, topic } = this.#options;
+    await this.#store((entry) => log.appendAll(topic, [entry]));
+    this.#isPublishingAtOnce = false;
+  }
+
+  async #store(append: (entry: KeyedEntry) => Promise<unknown>): Promise<void> {
+    const { topic, replica, daemon, incarnation, clock, content, events } = this.#options;
+    // Before the first read, this would overwrite the sample of an earlier run unread.
+    if (replica.endOffset === undefined) return;
     const sentAtMs = clock.nowMs();
     const sample: DaemonSample = {
       daemon,
@@ -220,16 +251,14 @@
       isLeaving: this.#isLeaving,
     };
     try {
-      await log.append(topic, daemon, encodeKeyedJson(sample));
-      this.#publishedAtMs = sentAtMs;
+      await append({ key: daemon, value: encodeKeyedJson(sample) });
+      this.#publishedAtMs = Math.max(this.#publishedAtMs, sentAtMs);
     } catch (error) {
       if (!(error instanceof LogUnavailableError || error instanceof LogRefusedError)) throw error;
       events.debug(EventId.AppendRetried, 'daemon sample not stored; the next one replaces it', {
         stream: topic,
         reason: error.message,
       });
-    } finally {
-      this.#isPublishing = false;
     }
   }
 
--- a/src/membership/exchange-intervals.ts
+++ b/src/membership/exchange-intervals.ts
@@ -1,6 +1,6 @@
 /**
  * Intervals at which the daemons exchange their state. They grow with the number of daemons, so
- * that the total load on the store and the network stays that of a small deployment; with more
+ * that the load on each daemon and on the store stays that of a small deployment; with more
  * daemons, the state of a single one also matters less to the others.
  */
 export interface ExchangeIntervals {
@@ -14,34 +14,41 @@
   readonly grantReportPeriodMs: number;
 }
 
-/** Samples that all daemons together may store per second. */
+/** Numbers on which the intervals depend. */
+export interface ExchangeSize {
+  /** Live daemons, including this one. */
+  readonly daemons: number;
+  /** Live daemons of this daemon's failure domain, which may read from the same distributor. */
+  readonly domainDaemons: number;
+  /** Longest delay before a changed registration is read, in milliseconds. */
+  readonly maxRegistrationReadIntervalMs: number;
+}
+
+/** Samples that all daemons together may publish per second. */
 const maxSamplesPerS = 26;
 
-/** Reads of the registrations that all daemons together may make per second. */
-const maxRegistrationReadsPerS = 42;
+/** Reads per second that one distributor serves for each topic. */
+const maxServedReadsPerS = 42;
 
-/** Grant reports that each daemon may send and receive per second. */
+/** Grant reports that each daemon may receive per second. */
 const maxGrantReportsPerS = 125;
 
 /** A duty holder must be seen as live within its lease, and usage must be reported in time. */
 const maxSamplePeriodMs = 2_800;
 const minSamplePeriodMs = 1_000;
-const minRegistrationReadIntervalMs = 400;
+const minReadIntervalMs = 400;
+const maxSampleReadIntervalMs = 1_000;
 const minGrantReportPeriodMs = 250;
 
 /** Reads are slightly more frequent than samples, so that each sample is read. */
 const readIntervalRatio = 0.9;
 
-/**
- * Returns the intervals for a number of daemons.
- *
- * @param daemons - number of live daemons, including this one.
- * @param maxRegistrationReadIntervalMs - longest delay before a changed registration is read.
- */
-export function exchangeIntervals(
-  daemons: number,
-  maxRegistrationReadIntervalMs: number,
-): ExchangeIntervals {
+/** A registration passes two readers, the distributor and its reader. */
+const readers = 2;
+
+/** Returns the intervals for a deployment of this size. */
+export function exchangeIntervals(size: ExchangeSize): ExchangeIntervals {
+  const { daemons, domainDaemons, maxRegistrationReadIntervalMs } = size;
   const samplePeriodMs = clamp(
     minSamplePeriodMs,
     (daemons * 1_000) / maxSamplesPerS,
@@ -49,11 +56,15 @@
   );
   return {
     samplePeriodMs,
-    sampleReadIntervalMs: samplePeriodMs * readIntervalRatio,
+    sampleReadIntervalMs: clamp(
+      minReadIntervalMs,
+      (domainDaemons * 1_000) / maxServedReadsPerS,
+      Math.min(maxSampleReadIntervalMs, samplePeriodMs * readIntervalRatio),
+    ),
     registrationReadIntervalMs: clamp(
-      minRegistrationReadIntervalMs,
-      (daemons * 1_000) / maxRegistrationReadsPerS,
-      maxRegistrationReadIntervalMs,
+      minReadIntervalMs,
+      (domainDaemons * 1_000) / maxServedReadsPerS,
+      maxRegistrationReadIntervalMs / readers,
     ),
     // Reports that are less frequent than the samples add nothing to them.
     grantReportPeriodMs: clamp(
--- a/src/standins/memory-keyed-log.ts
+++ b/src/standins/memory-keyed-log.ts
@@ -3,6 +3,7 @@
   HistoryTrimmedError,
   KeyedLog,
   type KeyedAppendOptions,
+  type KeyedEntry,
   type KeyedPage,
   type KeyedRecord,
 } from '../log/keyed-log.js';
@@ -24,6 +25,8 @@
   fault = KeyedLogFault.None;
   /** How long each read was willing to wait, in milliseconds. */
   readonly waitsMs: number[] = [];
+  /** Appends that took effect. */
+  appendCalls = 0;
   readonly #topics = new Map<string, KeyedRecord[]>();
   readonly #firstOffsets = new Map<string, number>();
 
@@ -45,10 +48,9 @@
     return { records: records.slice(fromOffset), endOffset: records.length };
   }
 
-  override async append(
+  override async appendAll(
     topic: string,
-    key: string,
-    value: Uint8Array,
+    entries: readonly KeyedEntry[],
     { expectedEndOffset }: KeyedAppendOptions = {},
   ): Promise<number> {
     await this.#check();
@@ -56,7 +58,8 @@
     if (expectedEndOffset !== undefined && expectedEndOffset !== offset) {
       throw new AppendConflictError(topic, offset);
     }
-    this.put(topic, key, value);
+    for (const { key, value } of entries) this.put(topic, key, value);
+    this.appendCalls += 1;
     if (this.fault === KeyedLogFault.AnswersLost) throw unavailable(true);
     return offset;
   }
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -31,6 +31,8 @@
   ListenerFailed = 311,
   SettingsAccepted = 312,
   SettingsRejected = 313,
+  DistributorSuspended = 314,
+  DistributionFailed = 315,
 
   // 4xx membership and fleet
   MemberJoined = 401,
--- a/test/capacity/duty-lease_test.ts
+++ b/test/capacity/duty-lease_test.ts
@@ -58,10 +58,10 @@
     return this.isDisconnected ? this.#fail() : this.#log.read(topic, fromOffset);
   }
 
-  override append(
-    ...args: Parameters<MemoryKeyedLog['append']>
-  ): ReturnType<MemoryKeyedLog['append']> {
-    return this.isDisconnected ? this.#fail() : this.#log.append(...args);
+  override appendAll(
+    ...args: Parameters<MemoryKeyedLog['appendAll']>
+  ): ReturnType<MemoryKeyedLog['appendAll']> {
+    return this.isDisconnected ? this.#fail() : this.#log.appendAll(...args);
   }
 
   #fail(): Promise<never> {
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -110,6 +110,8 @@
     this.gateway = new Gateway({
       daemon: 'front-1',
       region: 'here',
+      failureDomain: 'here-a',
+      capacityCores: 1,
       host: '127.0.0.1',
       port: 0,
       peerAddress: { host: '127.0.0.1', port: 0 },
--- a/test/gateway/peer-exchange_test.ts
+++ b/test/gateway/peer-exchange_test.ts
@@ -24,7 +24,15 @@
   });
   replica.start();
   const counts = { granted: {}, asked: {} };
-  const content = { inFlight: {}, prefillTokensPerS: {}, newsAddress: '', usage: [], ...counts };
+  const place = { region: 'here', failureDomain: 'here-a', capacityCores: 1 };
+  const content = {
+    inFlight: {},
+    prefillTokensPerS: {},
+    newsAddress: '',
+    usage: [],
+    ...place,
+    ...counts,
+  };
   const samples = new DaemonSamples({
     log,
     topic,
@@ -42,6 +50,7 @@
     daemon,
     incarnation: 1,
     address: { host: '127.0.0.1', port: 0 },
+    ...place,
     clock,
     events,
     maxRegistrationReadIntervalMs: 1_000,
