Send broadcasts by distributors and let only them acquire the duties

At a start every daemon tried to acquire the lease, two calls to the store each for nothing.

Change: BroadcastRelay decides, without a network, to whom a message goes: up to 15 peers get it directly; else it goes to the distributor of the group, which batches for its members and for the other distributors. A member sends one datagram for a message. Only daemons that read the store themselves acquire the lease, 2.5 s after their start. A distributor's own samples go with the batch. Calls to the store are counted by topic (gateway_store_calls).

--- a/src/capacity/duty-lease.ts
+++ b/src/capacity/duty-lease.ts
@@ -33,6 +33,11 @@
    * holder stops acting a margin earlier.
    */
   readonly leaseMs: number;
+  /**
+   * Whether this daemon may acquire the lease. Where many daemons could, a few are enough, and each
+   * attempt is a call to the store.
+   */
+  readonly isEligible: () => boolean;
   readonly clock: Clock;
   /** Wall clock in epoch milliseconds, which advances while the VM is suspended. */
   readonly wallNowMs: () => number;
@@ -115,7 +120,7 @@
     }
     if (this.#heldFence !== undefined || hasExpired || replica.isFailing) return;
     if (nowMs < this.#acquireAfterMs || replica.endOffset === undefined) return;
-    if (this.#isFree(nowMs)) await this.#acquire();
+    if (this.#options.isEligible() && this.#isFree(nowMs)) await this.#acquire();
   }
 
   /** Drops the lease because the platform has seen a higher fence. */
--- a/src/distribution/distributed-log.ts
+++ b/src/distribution/distributed-log.ts
@@ -8,6 +8,7 @@
 } from '../log/keyed-log.js';
 import type { Offset } from '../log/log-service.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
+import type { AppendBatcher } from './append-batcher.js';
 import type { DistributorCandidate } from './distributor-ranking.js';
 import type { ReplicaClient } from './replica-client.js';
 
@@ -18,8 +19,8 @@
   readonly daemon: string;
   /** Daemons that share a distributor with this one, by rank; this one included. */
   readonly ranking: () => readonly DistributorCandidate[];
-  /** Topics whose appends may wait to be combined with those of other daemons. */
-  readonly batchedTopics: ReadonlySet<string>;
+  /** Combines entries that may wait for others, by topic. */
+  readonly batchers: ReadonlyMap<string, AppendBatcher>;
   readonly clock: Clock;
   readonly random: Random;
   readonly events: EventLog;
@@ -102,9 +103,14 @@
   }
 
   override async publish(topic: string, entry: KeyedEntry): Promise<void> {
-    const { client, store, batchedTopics } = this.#options;
-    const distributor = batchedTopics.has(topic) ? this.distributor : undefined;
-    if (distributor) {
+    const { client, store, batchers } = this.#options;
+    const { distributor } = this;
+    const batcher = batchers.get(topic);
+    if (batcher && !distributor) {
+      await batcher.append(entry);
+      return;
+    }
+    if (batcher && distributor) {
       try {
         await client.append(distributor.address, topic, entry);
         return;
--- a/src/distribution/distributor-ranking.ts
+++ b/src/distribution/distributor-ranking.ts
@@ -11,6 +11,9 @@
   readonly address: string;
 }
 
+/** Daemons that share a distributor, by their rank as distributor. */
+export type DistributionGroup = readonly DistributorCandidate[];
+
 /**
  * Largest region that shares one distributor. With more daemons, each failure domain has its own:
  * that costs more calls to the store, but less traffic between failure domains and less load on
@@ -19,25 +22,29 @@
 const maxRegionDaemons = 40;
 
 /**
- * Orders the daemons that share a distributor with `own` by their rank as distributor: the VMs with
- * most capacity first, the others by rendezvous hashing. All daemons that know the same candidates
- * get the same order without an exchange. While their lists differ, a daemon asks one that reads
+ * Divides daemons into the groups that each share a distributor, and ranks them: the VMs with most
+ * capacity first, the others by rendezvous hashing. All daemons that know the same candidates get
+ * the same groups without an exchange. While their lists differ, a daemon asks one that reads
  * elsewhere itself, is refused, and asks the next.
  *
- * @param own - this daemon.
- * @param peers - the other live daemons.
+ * @param candidates - all live daemons; those without an address are left out.
  */
-export function rankDistributors(
-  own: DistributorCandidate,
-  peers: readonly DistributorCandidate[],
-): DistributorCandidate[] {
-  const sameRegion = [own, ...peers].filter(({ region }) => region === own.region);
-  const isShared = sameRegion.length <= maxRegionDaemons;
-  const group = isShared
-    ? sameRegion
-    : sameRegion.filter(({ failureDomain }) => failureDomain === own.failureDomain);
-  const task = isShared ? own.region : own.failureDomain;
-  return group
+export function distributionGroups(
+  candidates: readonly DistributorCandidate[],
+): DistributionGroup[] {
+  const groups: DistributionGroup[] = [];
+  for (const [region, daemons] of groupBy(candidates, (candidate) => candidate.region)) {
+    if (daemons.length <= maxRegionDaemons) groups.push(ranked(region, daemons));
+    else {
+      const domains = groupBy(daemons, ({ failureDomain }) => failureDomain);
+      for (const [domain, members] of domains) groups.push(ranked(domain, members));
+    }
+  }
+  return groups;
+}
+
+function ranked(task: string, daemons: readonly DistributorCandidate[]): DistributionGroup {
+  return daemons
     .filter(({ address }) => address !== '')
     .map((candidate) => ({ candidate, hash: hash64(`${task} ${candidate.daemon}`) }))
     .sort(
@@ -47,3 +54,17 @@
     )
     .map(({ candidate }) => candidate);
 }
+
+function groupBy(
+  candidates: readonly DistributorCandidate[],
+  keyOf: (candidate: DistributorCandidate) => string,
+): Map<string, DistributorCandidate[]> {
+  const groups = new Map<string, DistributorCandidate[]>();
+  for (const candidate of candidates) {
+    const key = keyOf(candidate);
+    const group = groups.get(key);
+    if (group) group.push(candidate);
+    else groups.set(key, [candidate]);
+  }
+  return groups;
+}
--- a/src/gateway/gateway-duties.ts
+++ b/src/gateway/gateway-duties.ts
@@ -32,6 +32,8 @@
   readonly leaseMs: number;
   /** A usage report is due this long after the end of its window, in milliseconds. */
   readonly usageDueMs: number;
+  /** Whether this daemon reads the store itself, and not another daemon's copies. */
+  readonly readsStore: () => boolean;
   readonly clock: Clock;
   readonly wallNowMs: () => number;
   readonly events: EventLog;
@@ -46,6 +48,9 @@
 /** Time after the first load during which the smoothed demand may be below the actual demand. */
 const warmUpMs = 15_000;
 
+/** Time after a start until the daemons know which of them read the store. */
+const settlingMs = 2_500;
+
 /**
  * Duties that one daemon performs on behalf of all while it holds a lease: it reports usage and
  * scales endpoints.
@@ -62,7 +67,9 @@
   constructor(options: GatewayDutiesOptions) {
     this.#options = options;
     const { daemon, replica, samples, clock, events, duties } = options;
-    this.#lease = new DutyLease({ ...options, log: options.store });
+    const eligibleAtMs = clock.nowMs() + settlingMs;
+    const isEligible = (): boolean => clock.nowMs() >= eligibleAtMs && options.readsStore();
+    this.#lease = new DutyLease({ ...options, log: options.store, isEligible });
     const lease = this.#lease;
     this.#usage = new UsageReporter({
       counter: options.counter,
--- a/src/gateway/gateway-replicas.ts
+++ b/src/gateway/gateway-replicas.ts
@@ -68,11 +68,18 @@
   constructor(options: GatewayReplicasOptions) {
     this.#options = options;
     const { store, topics, clock, random, events, intervals } = options;
+    const batcher = new AppendBatcher({
+      log: store,
+      topic: topics.daemons,
+      clock,
+      maxDelayMs: sampleBatchDelayMs,
+    });
+    const batchers = new Map([[topics.daemons, batcher]]);
     this.#log = new DistributedLog({
       ...options,
       random: random.fork(),
       client: this.#client,
-      batchedTopics: new Set([topics.daemons]),
+      batchers,
     });
     this.config = this.#replica(topics.config, configWaitMs, () => configReadIntervalMs);
     this.registrations = this.#replica(
@@ -86,15 +93,9 @@
       () => intervals().sampleReadIntervalMs,
     );
     this.duties = this.#replica(topics.duties, dutiesWaitMs, () => dutiesReadIntervalMs);
-    const batcher = new AppendBatcher({
-      log: store,
-      topic: topics.daemons,
-      clock,
-      maxDelayMs: sampleBatchDelayMs,
-    });
     this.#server = new ReplicaServer({
       replicas: this.all(),
-      batchers: new Map([[topics.daemons, batcher]]),
+      batchers,
       clock,
       events,
     });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,6 +4,7 @@
 import { RateMeter } from '../capacity/rate-meter.js';
 import { UsageCounter } from '../capacity/usage-counter.js';
 import { Random, type Clock } from '../core/index.js';
+import { MeteredLog } from '../distribution/index.js';
 import { PrefixCacheIndex } from '../fleet/prefix-cache-index.js';
 import { EstimatedSpeeds } from '../fleet/estimated-speeds.js';
 import {
@@ -129,6 +130,7 @@
     this.config = new ConfigHolder(events);
     this.replicas = new GatewayReplicas({
       ...options,
+      store: new MeteredLog(options.store, options.metrics),
       listenAddress: options.peerAddress,
       ranking: () => this.#peers.ranking(),
       intervals: () => this.#peers.intervals,
@@ -179,6 +181,7 @@
       events,
       maxRegistrationReadIntervalMs: options.maxRegistrationReadIntervalMs,
       counts: () => this.#quotas.counts(),
+      distributor: () => this.replicas.distributor,
       onPrefill: ({ endpointId, tokens }) => this.#backlog.add(endpointId, tokens, clock.nowMs()),
     });
     this.#quotas = new WorkspaceQuotas(this.#peers, options.quotaTolerance, options.random.fork());
@@ -190,6 +193,7 @@
       new GatewayDuties({
         ...options,
         store: this.replicas.log,
+        readsStore: () => this.replicas.distributor === undefined,
         duties: options.duties,
         incarnation,
         topic: topics.duties,
--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -1,13 +1,15 @@
 import type { QuotaPeerStatus } from '../admission/token-quota.js';
 import type { Clock } from '../core/index.js';
-import { rankDistributors, type DistributorCandidate } from '../distribution/index.js';
+import {
+  distributionGroups,
+  type DistributionGroup,
+  type DistributorCandidate,
+} from '../distribution/index.js';
 import type { DaemonSample, DaemonSamples } from '../membership/daemon-samples.js';
 import { exchangeIntervals, type ExchangeIntervals } from '../membership/exchange-intervals.js';
-import {
-  PeerBroadcaster,
-  type PeerAddress,
-  type PrefillReport,
-} from '../membership/peer-broadcaster.js';
+import type { PrefillReport } from '../membership/broadcast-message.js';
+import type { BroadcastRoutes } from '../membership/broadcast-relay.js';
+import { PeerBroadcaster, type PeerAddress } from '../membership/peer-broadcaster.js';
 import type { EventLog } from '../telemetry/index.js';
 import { ChangeFilter } from './change-filter.js';
 import { PeerGrants, type WorkspaceCounts } from './workspace-quotas.js';
@@ -30,10 +32,18 @@
   /** Units granted and requested at this daemon since its start, by workspace. */
   readonly counts: () => WorkspaceCounts;
   readonly onPrefill: (report: PrefillReport) => void;
+  /** The daemon from which this one reads the store; undefined when it reads the store itself. */
+  readonly distributor: () => DistributorCandidate | undefined;
 }
 
-/** Transit time of a direct grant report. */
-const directDelayMs = 150;
+/** Transit time of a grant report by datagram, passed on by up to two distributors. */
+const directDelayMs = 250;
+
+/** Daemons that send datagrams to each of their peers; more send them by distributors. */
+const maxDirectPeers = 15;
+
+/** Time for which the groups are reused before they are computed again. */
+const groupsTtlMs = 500;
 
 /** Transit time of a sample through the store, in addition to the write and read intervals. */
 const storeTransitMs = 300;
@@ -51,25 +61,27 @@
   readonly #broadcaster: PeerBroadcaster;
   readonly #grantedFilter = new ChangeFilter();
   readonly #askedFilter = new ChangeFilter();
+  #groups: { readonly groups: readonly DistributionGroup[]; readonly untilMs: number } = {
+    groups: [],
+    untilMs: 0,
+  };
   #intervals: ExchangeIntervals;
   #stopReporting: () => void = () => undefined;
 
   constructor(options: PeerExchangeOptions) {
     super();
     this.#options = options;
-    const { samples, address, events, onPrefill } = options;
+    const { samples, daemon, address, clock, events, onPrefill } = options;
     this.#intervals = this.#intervalsFor(1, 1);
     this.#broadcaster = new PeerBroadcaster({
+      daemon,
       listenAddress: address,
-      // A peer that is cut off from the store only can still receive datagrams.
-      peers: () =>
-        [...samples.livePeers(), ...samples.unreachablePeers()].map(
-          ({ newsAddress }) => newsAddress,
-        ),
+      routes: () => this.#routes(),
       onPrefill,
       onGrants: (report) => {
         samples.applyDirectReport(report);
       },
+      clock,
       events,
     });
   }
@@ -80,11 +92,10 @@
   }
 
   /** Daemons that share a distributor with this one, by rank; this one included. */
-  ranking(): DistributorCandidate[] {
-    const { samples, address } = this.#options;
-    const { host, port } = address;
-    const peers = samples.livePeers().map((sample) => ({ ...sample, address: sample.newsAddress }));
-    return rankDistributors({ ...this.#options, address: `${host}:${port}` }, peers);
+  ranking(): DistributionGroup {
+    const { daemon } = this.#options;
+    const isOwn = (candidate: DistributorCandidate): boolean => candidate.daemon === daemon;
+    return this.#distributionGroups().find((group) => group.some(isOwn)) ?? [];
   }
 
   override peerStatus(): QuotaPeerStatus {
@@ -163,4 +174,39 @@
     const { maxRegistrationReadIntervalMs } = this.#options;
     return exchangeIntervals({ daemons, domainDaemons, maxRegistrationReadIntervalMs });
   }
+
+  #distributionGroups(): readonly DistributionGroup[] {
+    const { samples, address, clock } = this.#options;
+    const nowMs = clock.nowMs();
+    if (this.#groups.untilMs <= nowMs) {
+      const { host, port } = address;
+      const own = { ...this.#options, address: `${host}:${port}` };
+      const peers = samples.livePeers().map((sample) => ({
+        ...sample,
+        address: sample.newsAddress,
+      }));
+      const groups = distributionGroups([own, ...peers]);
+      this.#groups = { groups, untilMs: nowMs + groupsTtlMs };
+    }
+    return this.#groups.groups;
+  }
+
+  #routes(): BroadcastRoutes {
+    const { samples, daemon, distributor } = this.#options;
+    // A peer that is cut off from the store only can still receive datagrams.
+    const peers = [...samples.livePeers(), ...samples.unreachablePeers()];
+    if (peers.length <= maxDirectPeers) {
+      const addresses = peers.map(({ newsAddress }) => newsAddress);
+      return { peers: addresses, distributor: undefined, members: [], otherGroups: [] };
+    }
+    const ranking = this.ranking();
+    return {
+      peers: undefined,
+      distributor: distributor()?.address,
+      members: ranking.filter((member) => member.daemon !== daemon).map(({ address }) => address),
+      otherGroups: this.#distributionGroups()
+        .filter((group) => group !== ranking)
+        .map((group) => group.map(({ address }) => address)),
+    };
+  }
 }
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -10,7 +10,7 @@
 import { promptPrefixOfParts, type PromptPrefix } from '../fleet/prompt-prefix.js';
 import { weightedTokens, type PrefillBacklog } from '../fleet/prefill-backlog.js';
 import type { SpeedEstimator } from '../fleet/speed-estimator.js';
-import type { PrefillReport } from '../membership/peer-broadcaster.js';
+import type { PrefillReport } from '../membership/broadcast-message.js';
 import type { PromptAffinityScorer, Router, RouteRequest, SharedPrompt } from '../routing/index.js';
 import type { AdmittedRequest } from './caller-exchange.js';
 import { RequestKind } from './traffic-config.js';
--- a/src/membership/exchange-intervals.ts
+++ b/src/membership/exchange-intervals.ts
@@ -56,10 +56,9 @@
   );
   return {
     samplePeriodMs,
-    sampleReadIntervalMs: clamp(
-      minReadIntervalMs,
-      (domainDaemons * 1_000) / maxServedReadsPerS,
+    sampleReadIntervalMs: Math.max(
       Math.min(maxSampleReadIntervalMs, samplePeriodMs * readIntervalRatio),
+      (domainDaemons * 1_000) / maxServedReadsPerS,
     ),
     registrationReadIntervalMs: clamp(
       minReadIntervalMs,
--- a/src/membership/peer-broadcaster.ts
+++ b/src/membership/peer-broadcaster.ts
@@ -1,32 +1,19 @@
 import { createSocket, type Socket } from 'node:dgram';
-import { z } from 'zod';
+import type { Clock } from '../core/index.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
+import {
+  BroadcastKind,
+  decodeBatch,
+  encodeBatch,
+  grantMessage,
+  prefillMessage,
+  type BroadcastBatch,
+  type BroadcastMessage,
+  type PrefillReport,
+} from './broadcast-message.js';
+import { BroadcastRelay, type BroadcastRoutes } from './broadcast-relay.js';
 import type { GrantReport } from './daemon-samples.js';
 
-/** A long prompt that a daemon has sent to an endpoint. */
-export interface PrefillReport {
-  readonly endpointId: string;
-  readonly tokens: number;
-}
-
-enum BroadcastKind {
-  Prefill = 'prefill',
-  Grants = 'grants',
-}
-
-const broadcastSchema = z.union([
-  z.tuple([z.literal(BroadcastKind.Prefill), z.string(), z.number().nonnegative()]),
-  z.tuple([
-    z.literal(BroadcastKind.Grants),
-    z.string().min(1),
-    z.number(),
-    z.record(z.string(), z.number().nonnegative()),
-    z.record(z.string(), z.number().nonnegative()),
-  ]),
-]);
-
-type BroadcastMessage = z.output<typeof broadcastSchema>;
-
 /** Address of a daemon's broadcast socket. */
 export interface PeerAddress {
   readonly host: string;
@@ -35,27 +22,46 @@
 
 /** Options of {@link PeerBroadcaster}. */
 export interface PeerBroadcasterOptions {
+  readonly daemon: string;
   readonly listenAddress: PeerAddress;
-  /** Addresses of the daemons to send to, as host:port. */
-  readonly peers: () => readonly string[];
+  readonly routes: () => BroadcastRoutes;
   readonly onPrefill: (report: PrefillReport) => void;
   readonly onGrants: (report: GrantReport) => void;
+  readonly clock: Clock;
   readonly events: EventLog;
 }
 
 /**
- * Sends the other daemons directly what the store would deliver too late: long prompts as they are
- * sent to endpoints, and the grants of the quotas. Datagrams may be lost: a lost prompt costs one
- * worse placement, and lost grants are contained in the next report.
+ * Sends the other daemons by datagram what the store would deliver too late: long prompts as they
+ * are sent to endpoints, and the grants of the quotas. {@link BroadcastRelay} decides by which way.
+ * Datagrams may be lost: a lost prompt costs one worse placement, and lost grants are contained in
+ * the next report.
  */
 export class PeerBroadcaster {
   readonly #options: PeerBroadcasterOptions;
   readonly #socket: Socket = createSocket('udp4');
+  readonly #relay: BroadcastRelay;
+  /** The batch that was encoded last, as the same one goes to many addresses. */
+  #encoded: { readonly batch: BroadcastBatch; readonly bytes: Buffer } | undefined;
 
   constructor(options: PeerBroadcasterOptions) {
     this.#options = options;
+    const { daemon, listenAddress, routes, clock } = options;
+    this.#relay = new BroadcastRelay({
+      daemon,
+      address: `${listenAddress.host}:${listenAddress.port}`,
+      routes,
+      send: (address, batch) => {
+        this.#send(address, batch);
+      },
+      deliver: (message) => {
+        this.#deliver(message);
+      },
+      clock,
+    });
     this.#socket.on('message', (bytes) => {
-      this.#receive(bytes);
+      const batch = decodeBatch(bytes);
+      if (batch) this.#relay.receive(batch);
     });
     this.#socket.on('error', (error) => {
       options.events.warn(
@@ -75,42 +81,35 @@
   }
 
   /** Sends all peers a prompt that this daemon has sent to an endpoint. */
-  broadcastPrefill({ endpointId, tokens }: PrefillReport): void {
-    this.#broadcast([BroadcastKind.Prefill, endpointId, Math.round(tokens)]);
+  broadcastPrefill(report: PrefillReport): void {
+    this.#relay.publish(prefillMessage(this.#options.daemon, report));
   }
 
   /** Sends all peers the units granted by and requested from this daemon since it started. */
-  broadcastGrants({ daemon, incarnation, granted, asked }: GrantReport): void {
-    this.#broadcast([BroadcastKind.Grants, daemon, incarnation, granted, asked]);
+  broadcastGrants(report: GrantReport): void {
+    this.#relay.publish(grantMessage(report));
   }
 
   close(): void {
+    this.#relay.stop();
     this.#socket.close();
   }
 
-  #broadcast(message: BroadcastMessage): void {
-    const bytes = Buffer.from(JSON.stringify(message));
-    for (const peer of this.#options.peers()) {
-      const [host, port] = peer.split(':');
-      this.#socket.send(bytes, Number(port), host);
-    }
+  #send(address: string, batch: BroadcastBatch): void {
+    if (this.#encoded?.batch !== batch) this.#encoded = { batch, bytes: encodeBatch(batch) };
+    const at = address.lastIndexOf(':');
+    const port = Number(address.slice(at + 1));
+    if (port > 0) this.#socket.send(this.#encoded.bytes, port, address.slice(0, at));
   }
 
-  #receive(bytes: Buffer): void {
-    const message = parseMessage(bytes);
-    if (message?.[0] === BroadcastKind.Prefill) {
-      this.#options.onPrefill({ endpointId: message[1], tokens: message[2] });
-    } else if (message) {
-      const [, daemon, incarnation, granted, asked] = message;
-      this.#options.onGrants({ daemon, incarnation, granted, asked });
+  #deliver(message: BroadcastMessage): void {
+    const { daemon, onPrefill, onGrants } = this.#options;
+    if (message[0] === BroadcastKind.Grants) {
+      const [, sender, incarnation, granted, asked] = message;
+      if (sender !== daemon) onGrants({ daemon: sender, incarnation, granted, asked });
+    } else {
+      const [, endpointId, tokens, sender] = message;
+      if (sender !== daemon) onPrefill({ endpointId, tokens });
     }
   }
 }
-
-function parseMessage(bytes: Buffer): BroadcastMessage | undefined {
-  try {
-    return broadcastSchema.safeParse(JSON.parse(bytes.toString())).data;
-  } catch {
-    return undefined; // Not from a daemon: any datagram can arrive at a UDP port.
-  }
-}
--- a/test/capacity/duty-fixture.ts
+++ b/test/capacity/duty-fixture.ts
@@ -18,6 +18,7 @@
   /** Time for which the VM was suspended, in milliseconds; only the wall clock advances by it. */
   readonly suspendedMs?: () => number;
   readonly samplePeriodMs?: number;
+  readonly isEligible?: () => boolean;
 }
 
 /** The started components with which one daemon of a test can hold the duties. */
@@ -30,6 +31,7 @@
 
   constructor(options: DutyFixtureOptions) {
     const { daemon, incarnation, log, clock, suspendedMs, samplePeriodMs = 1_000 } = options;
+    const { isEligible = () => true } = options;
     const events = new NullEventLog();
     const replicaOf = (topic: string): KeyedReplica => {
       const random = new Random(1);
@@ -78,6 +80,7 @@
       daemon,
       incarnation,
       leaseMs,
+      isEligible,
       clock,
       wallNowMs: () => clock.nowMs() + (suspendedMs?.() ?? 0),
       events,
--- a/test/capacity/duty-lease_test.ts
+++ b/test/capacity/duty-lease_test.ts
@@ -12,6 +12,7 @@
   /** Time for which the VM was suspended; only the wall clock advances by it. */
   suspendedMs = 0;
   isRunning = true;
+  isEligible = true;
 
   constructor(
     readonly name: string,
@@ -30,6 +31,7 @@
       clock,
       suspendedMs,
       samplePeriodMs,
+      isEligible: () => this.isEligible,
     }).lease;
     clock.every(250, () => {
       if (!this.isRunning) return;
@@ -113,6 +115,33 @@
     });
   });
 
+  describe('a daemon that is not eligible', () => {
+    it('makes no attempt, so that hundreds of daemons do not call the store for one lease', async () => {
+      const log = new MemoryKeyedLog();
+      const clock = new VirtualClock();
+      const daemons = ['d1', 'd2', 'd3'].map((name) => new TestDaemon(name, log, clock));
+      for (const daemon of daemons.slice(1)) daemon.isEligible = false;
+      await clock.advance(5_000);
+      expect(daemons.map(({ lease }) => lease.fence !== undefined)).toEqual([true, false, false]);
+      expect((await log.read('duties', 0)).records).toHaveLength(1);
+    });
+
+    it('takes over once it is, when the holder is gone', async () => {
+      const log = new MemoryKeyedLog();
+      const clock = new VirtualClock();
+      const [holder, other] = ['d1', 'd2'].map((name) => new TestDaemon(name, log, clock));
+      other!.isEligible = false;
+      await clock.advance(5_000);
+      holder!.isRunning = false;
+      holder!.connection.isDisconnected = true;
+      await clock.advance(10_000);
+      expect(other!.lease.fence).toBeUndefined();
+      other!.isEligible = true;
+      await clock.advance(1_000);
+      expect(other!.lease.fence).toBeDefined();
+    });
+  });
+
   describe('when records are not valid JSON', () => {
     it('ignores them, so that the duties do not fail with an error', async () => {
       const log = new MemoryKeyedLog();
