Bound what an endpoint can send, and end streams that send bytes but no events

Looked for on behalf of the users' list of what went wrong elsewhere, by tests that write raw bytes to the real relay over real sockets: - bytes without end: an event without end filled the memory, in quadratic time, and interim responses came on until the route's timeout (both failed first); header lines, chunk extensions and bodies were bounded already (tests stay); - a stream that sends a byte or a comment now and then lived until the route's timeout (failed first). Progress is now a complete event with content; bytes without one for as long as callers wait anyway end the attempt. A slow but sound stream stays (test); - a second copy of an answer on a kept connection: with its id it was recognised already; a response without an id on a connection that served another request is now no answer.

Response headers and bodies that were accepted before on a fresh connection still are.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -4,7 +4,7 @@
 import { StallCause } from '../fleet/index.js';
 import type { AdmittedRequest, CallerExchange } from './caller-exchange.js';
 import type { EndpointConnections, EndpointRequest, PendingSend } from './endpoint-connections.js';
-import { EventSplitter } from './event-splitter.js';
+import { EventSplitter, EventTooLongError, type CompleteEvents } from './event-splitter.js';
 import type { ResponseDescription, RequestCodec } from './request-codec.js';
 import { RequestKind } from './traffic-config.js';
 
@@ -83,9 +83,21 @@
  */
 const maxBufferedBytes = 1_048_576;
 
-/** Time without received data after which the endpoint is probed on a new connection. */
+/** Time without progress after which the endpoint is probed on a new connection. */
 const idleBeforeProbeMs = 1_200;
 
+/** Shortest time between two checks for progress. */
+const minCheckIntervalMs = 200;
+
+/**
+ * Callers leave a stream after a gap of two seconds, four times the objective for the first event
+ * or eight times that between events, whichever is longest. A stream that sends bytes but no event
+ * for that long serves nobody.
+ */
+const minStallTimeoutMs = 2_000;
+const stallObjectiveRatio = 4;
+const stallGapRatio = 8;
+
 /** Sends a request to one endpoint once and forwards the response to the caller. */
 export class Attempt {
   readonly #options: AttemptOptions;
@@ -96,14 +108,17 @@
   #send: PendingSend | undefined;
   #response: IncomingMessage | undefined;
   #isEnded = false;
-  #lastReceivedAtMs: number;
+  /** Time of the last complete event, or of the last data of other responses. */
+  #lastProgressAtMs: number;
+  /** Whether a stream has sent bytes since its last complete event. */
+  #hasPartialEvent = false;
 
   constructor(options: AttemptOptions) {
     this.#options = options;
     let resolveResult: (result: AttemptResult) => void = () => undefined;
     this.result = new Promise((resolve) => (resolveResult = resolve));
     this.#resolve = resolveResult;
-    this.#lastReceivedAtMs = options.clock.nowMs();
+    this.#lastProgressAtMs = options.clock.nowMs();
     this.#cancelIdleCheck = this.#watchIdle();
     this.#send = options.connections.send(options.request, {
       responded: (response) => {
@@ -128,7 +143,7 @@
   #onResponse(response: IncomingMessage): void {
     const { codec, admitted, observer, view } = this.#options;
     this.#response = response;
-    this.#lastReceivedAtMs = this.#options.clock.nowMs();
+    this.#lastProgressAtMs = this.#options.clock.nowMs();
     response.on('error', (error) => {
       this.#finish(AttemptEnd.Broken, error.message);
     });
@@ -138,10 +153,10 @@
     const status = response.statusCode ?? 0;
     const described = codec.describeResponse(status, response.headers);
     if (
-      described.requestId !== undefined &&
-      described.requestId !== admitted.description.requestId
+      described.requestId !== admitted.description.requestId &&
+      (described.requestId !== undefined || this.#send?.isOnReusedConnection)
     ) {
-      this.#finish(AttemptEnd.Broken, 'response carries the id of another request');
+      this.#finish(AttemptEnd.Broken, 'response does not carry the id of the request');
       return;
     }
     observer.responded(view, described);
@@ -161,15 +176,17 @@
     const { exchange, codec, progress, observer, view, clock } = this.#options;
     const splitter = new EventSplitter();
     response.on('data', (chunk: Buffer) => {
-      const nowMs = clock.nowMs();
-      const elapsedMs = nowMs - this.#lastReceivedAtMs;
-      this.#lastReceivedAtMs = nowMs;
-      const events = splitter.push(chunk);
+      const events = this.#split(splitter, chunk);
       if (!events || this.#isEnded) return;
-      if (progress.events === 0) observer.began();
-      progress.events += events.count;
-      progress.lastEventId = events.lastEventId ?? progress.lastEventId;
-      observer.progressed(view, events.count, elapsedMs);
+      const elapsedMs = clock.nowMs() - this.#lastProgressAtMs;
+      if (events.count > 0) {
+        this.#lastProgressAtMs += elapsedMs;
+        this.#hasPartialEvent = splitter.pendingBytes > 0;
+        if (progress.events === 0) observer.began();
+        progress.events += events.count;
+        progress.lastEventId = events.lastEventId ?? progress.lastEventId;
+        observer.progressed(view, events.count, elapsedMs);
+      }
       exchange.writeHead(200, codec.responseHeaders(response.headers));
       if (exchange.write(events.bytes)) return;
       response.pause();
@@ -187,12 +204,23 @@
     });
   }
 
+  #split(splitter: EventSplitter, chunk: Buffer): CompleteEvents | undefined {
+    this.#hasPartialEvent = true;
+    try {
+      return splitter.push(chunk);
+    } catch (error) {
+      if (!(error instanceof EventTooLongError)) throw error;
+      this.#finish(AttemptEnd.Broken, error.message);
+      return undefined;
+    }
+  }
+
   #bufferResponse(response: IncomingMessage, status: number): void {
     const chunks: Buffer[] = [];
     let bytes = 0;
     let isForwarding = false;
     response.on('data', (chunk: Buffer) => {
-      this.#lastReceivedAtMs = this.#options.clock.nowMs();
+      this.#lastProgressAtMs = this.#options.clock.nowMs();
       if (isForwarding) {
         this.#forward(response, chunk);
         return;
@@ -240,25 +268,31 @@
   }
 
   /**
-   * Probes an endpoint that sends no data on a new connection. Ends the attempt only when the
-   * endpoint does not respond there either.
+   * Ends an attempt that makes no progress. Silence alone is no failure: an endpoint that responds
+   * to a probe on a new connection is busy, and one that does not is unreachable. Bytes that never
+   * become an event are one.
    */
   #watchIdle(): () => void {
     const { clock, stallDetector, view } = this.#options;
     let cancel: () => void = () => undefined;
+    const idleMs = (): number => clock.nowMs() - this.#lastProgressAtMs;
     const check = async (): Promise<void> => {
       if (this.#isEnded) return;
-      const isIdle = clock.nowMs() - this.#lastReceivedAtMs >= idleBeforeProbeMs;
+      if (this.#hasPartialEvent && idleMs() >= this.#stallTimeoutMs) {
+        this.#finish(AttemptEnd.Broken, 'endpoint sent bytes but no complete event');
+        return;
+      }
+      const isIdle = idleMs() >= idleBeforeProbeMs;
       if (isIdle && (await stallDetector.diagnose(view.id)) === StallCause.Unreachable) {
-        const isStillIdle = clock.nowMs() - this.#lastReceivedAtMs >= idleBeforeProbeMs;
-        if (isStillIdle)
+        if (idleMs() >= idleBeforeProbeMs)
           this.#finish(AttemptEnd.Broken, 'endpoint sent no data and did not respond to a probe');
       }
       arm();
     };
     const arm = (): void => {
       if (this.#isEnded) return;
-      const dueAtMs = Math.max(clock.nowMs() + 200, this.#lastReceivedAtMs + idleBeforeProbeMs);
+      const probeAtMs = this.#lastProgressAtMs + idleBeforeProbeMs;
+      const dueAtMs = Math.max(clock.nowMs() + minCheckIntervalMs, probeAtMs);
       cancel = clock.schedule(dueAtMs, () => void check());
     };
     arm();
@@ -267,6 +301,15 @@
     };
   }
 
+  get #stallTimeoutMs(): number {
+    const { objectiveMs, objectiveBetweenEventsMs } = this.#options.admitted.route;
+    return Math.max(
+      minStallTimeoutMs,
+      stallObjectiveRatio * objectiveMs,
+      stallGapRatio * objectiveBetweenEventsMs,
+    );
+  }
+
   #finish(end: AttemptEnd, reason: string, response?: BufferedResponse): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
--- a/src/gateway/endpoint-connections.ts
+++ b/src/gateway/endpoint-connections.ts
@@ -43,6 +43,8 @@
 export interface PendingSend {
   /** False while no byte of the request can have reached the endpoint. */
   readonly mayHaveRun: boolean;
+  /** Whether the connection served another request before, whose response may come once more. */
+  readonly isOnReusedConnection: boolean;
   /** Closes the connection, so that the endpoint stops its work. */
   abort(): void;
 }
@@ -61,6 +63,9 @@
 
 const maxIdleConnections = 24;
 
+/** Interim responses (1xx) of one request; an endpoint that sends more sends them without end. */
+const maxInterimResponses = 16;
+
 /**
  * Sends requests to endpoints over keep-alive connections, one request at a time on each. Never
  * retries on its own.
@@ -126,6 +131,10 @@
     return this.#mayHaveRun;
   }
 
+  get isOnReusedConnection(): boolean {
+    return this.#outgoing.reusedSocket;
+  }
+
   abort(): void {
     this.#outgoing.destroy();
   }
@@ -149,6 +158,12 @@
         this.#cancelConnectTimer();
       });
     });
+    let interimResponses = 0;
+    outgoing.on('information', () => {
+      interimResponses += 1;
+      if (interimResponses > maxInterimResponses)
+        outgoing.destroy(new Error('endpoint sends interim responses without end'));
+    });
     outgoing.on('response', (response) => {
       if (this.#isDone) return;
       this.#isDone = true;
--- a/src/gateway/event-splitter.ts
+++ b/src/gateway/event-splitter.ts
@@ -1,15 +1,30 @@
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
+const colon = ':';
+
+/** Longest event of a sound endpoint; one that is longer would fill the memory. */
+const maxEventBytes = 262_144;
+
+/** Bytes at the end of the pending ones that may be the first half of a blank line. */
+const blankLineOverlapBytes = 3;
 
 /** Consecutive complete events of a stream. */
 export interface CompleteEvents {
   /** Bytes of the events as received, including the blank lines between them. */
   readonly bytes: Buffer;
+  /** Number of events with content; comments alone are no progress of a stream. */
   readonly count: number;
   /** Id of the last of these events that has one. */
   readonly lastEventId: string | undefined;
 }
 
+/** An event is longer than any that a sound endpoint sends. */
+export class EventTooLongError extends Error {
+  constructor() {
+    super(`an event is longer than ${maxEventBytes} bytes`);
+  }
+}
+
 /**
  * Splits a `text/event-stream` at event boundaries without changing a byte, so that a stream that
  * breaks in the middle of an event can resume at another endpoint after the last complete one.
@@ -34,23 +49,25 @@
    * Appends a chunk of the stream.
    *
    * @returns the events that are complete now; undefined when there are none.
+   * @throws EventTooLongError when the event at the end exceeds the limit.
    */
   push(chunk: Buffer): CompleteEvents | undefined {
+    const searchedBytes = Math.max(0, this.#pending.length - blankLineOverlapBytes);
     const all = this.#pending.length === 0 ? chunk : Buffer.concat([this.#pending, chunk]);
     let end = 0;
-    let count = 0;
-    for (let next = endOfEvent(all, 0); next !== undefined; next = endOfEvent(all, end)) {
+    for (let next = endOfEvent(all, searchedBytes); next !== undefined;) {
       end = next;
-      count += 1;
+      next = endOfEvent(all, end);
     }
     this.#pending = all.subarray(end);
-    if (count === 0) return undefined;
+    if (this.#pending.length > maxEventBytes) throw new EventTooLongError();
+    if (end === 0) return undefined;
     const bytes = all.subarray(0, end);
-    return { bytes, count, lastEventId: lastEventIdOf(bytes) };
+    return { bytes, ...describe(bytes) };
   }
 }
 
-/** Index after the blank line that ends the event at `start`; undefined while it is incomplete. */
+/** Index after the first blank line from `start` on; undefined when there is none. */
 function endOfEvent(bytes: Buffer, start: number): number | undefined {
   for (let at = bytes.indexOf(lineFeed, start); at >= 0; at = bytes.indexOf(lineFeed, at + 1)) {
     const isAfterReturn = bytes[at + 1] === carriageReturn;
@@ -60,11 +77,18 @@
   return undefined;
 }
 
-function lastEventIdOf(bytes: Buffer): string | undefined {
-  const lines = bytes.toString('latin1').split('\n');
-  for (let index = lines.length - 1; index >= 0; index--) {
-    const line = lines[index] ?? '';
-    if (line.startsWith('id:')) return line.slice(3).trim();
+function describe(bytes: Buffer): Omit<CompleteEvents, 'bytes'> {
+  let count = 0;
+  let lastEventId: string | undefined;
+  let hasContent = false;
+  for (const line of bytes.toString('latin1').split(/\r?\n/)) {
+    if (line !== '') {
+      hasContent ||= !line.startsWith(colon);
+      if (line.startsWith('id:')) lastEventId = line.slice(3).trim();
+    } else if (hasContent) {
+      count += 1;
+      hasContent = false;
+    }
   }
-  return undefined;
+  return { count, lastEventId };
 }
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -154,8 +154,13 @@
   }
 
   #register(number: number, baseUrl: string, isDraining: boolean): void {
+    this.registerEndpoint(`i-${number}`, baseUrl, isDraining);
+  }
+
+  /** Registers an endpoint that the harness does not run. */
+  registerEndpoint(instanceId: string, baseUrl: string, isDraining = false): void {
     this.gateway.endpoints.register({
-      instanceId: `i-${number}`,
+      instanceId,
       serviceName: 'orders',
       baseUrl,
       region: 'here',
--- /dev/null
+++ b/test/gateway/misbehaving-endpoint_test.ts
@@ -0,0 +1,206 @@
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { RequestKind } from '../../src/gateway/traffic-config.js';
+import { trafficConfig, trafficRoute } from './configs.js';
+import { GatewayHarness } from './gateway-harness.js';
+
+const streamRoute = trafficRoute({
+  kind: RequestKind.Stream,
+  isResumable: true,
+  timeoutMs: 8_000,
+  objectiveBetweenEventsMs: 100,
+});
+const streams = trafficConfig({ routes: [streamRoute] });
+
+/** How a raw endpoint handles the head of a request; `requestId` is that of the request. */
+type RawBehaviour = (socket: Socket, requestId: string) => void;
+
+/** Head of a signed response. */
+function head(requestId: string, ...lines: string[]): string {
+  return [
+    'HTTP/1.1 200 OK',
+    `oriolestack-request-id: ${requestId}`,
+    'oriolestack-server-seal: seal',
+    ...lines,
+    '\r\n',
+  ].join('\r\n');
+}
+
+/** Writes for as long as the receiver takes it. */
+function writeForever(socket: Socket, piece: string): void {
+  const fill = (): void => {
+    while (!socket.destroyed && socket.write(piece));
+  };
+  socket.on('drain', fill);
+  fill();
+}
+
+function every(socket: Socket, intervalMs: number, piece: (count: number) => string): void {
+  let count = 0;
+  const timer = setInterval(() => socket.write(piece(++count)), intervalMs);
+  socket.once('close', () => {
+    clearInterval(timer);
+  });
+}
+
+describe('an endpoint that misbehaves', () => {
+  let harness: GatewayHarness;
+  const servers: Server[] = [];
+  const sockets = new Set<Socket>();
+
+  /** Adds an endpoint that writes raw bytes. */
+  async function addRawEndpoint(behaviour: RawBehaviour): Promise<void> {
+    const server = createServer((socket) => {
+      sockets.add(socket);
+      socket.on('error', () => undefined);
+      let received = '';
+      socket.on('data', (bytes: Buffer) => {
+        received += bytes.toString();
+        if (!received.includes('\r\n\r\n')) return;
+        const [, requestId = ''] = /oriolestack-request-id: (\S+)/.exec(received) ?? [];
+        received = '';
+        behaviour(socket, requestId);
+      });
+    });
+    servers.push(server);
+    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+    const { port } = server.address() as AddressInfo;
+    harness.registerEndpoint('raw', `http://127.0.0.1:${port}`);
+  }
+
+  beforeEach(() => {
+    harness = new GatewayHarness();
+  });
+
+  afterEach(async () => {
+    await harness.stop();
+    for (const socket of sockets) socket.destroy();
+    for (const server of servers.splice(0)) server.close();
+  });
+
+  const callStream = (): ReturnType<GatewayHarness['call']> =>
+    harness.call({
+      method: 'POST',
+      body: 'prompt',
+      headers: { 'oriolestack-deadline-ms': '8000' },
+    });
+
+  describe('sends bytes without end', () => {
+    it.each<[string, RawBehaviour]>([
+      [
+        'an event',
+        (socket, id) => {
+          socket.write(head(id, 'content-type: text/event-stream') + 'data: ');
+          writeForever(socket, 'x'.repeat(65_536));
+        },
+      ],
+      [
+        'header lines',
+        (socket) => {
+          socket.write('HTTP/1.1 200 OK\r\n');
+          writeForever(socket, `a: ${'x'.repeat(1_000)}\r\n`);
+        },
+      ],
+      [
+        'interim responses',
+        (socket) => {
+          writeForever(socket, 'HTTP/1.1 103 Early Hints\r\n\r\n');
+        },
+      ],
+      [
+        'a chunk extension',
+        (socket, id) => {
+          socket.write(head(id, 'transfer-encoding: chunked') + '5;');
+          writeForever(socket, 'x'.repeat(65_536));
+        },
+      ],
+    ])(
+      'its request fails within a second and memory stays flat: %s',
+      async (_kind, behaviour) => {
+        await harness.start(streams);
+        await addRawEndpoint(behaviour);
+        const beforeBytes = process.memoryUsage().rss;
+        const startedAtMs = Date.now();
+        const response = await callStream();
+        expect(Date.now() - startedAtMs).toBeLessThan(1_000);
+        expect(response.status).toBe(502);
+        expect(process.memoryUsage().rss - beforeBytes).toBeLessThan(150 * 1_048_576);
+      },
+      10_000,
+    );
+
+    it('a body is passed on no faster than its caller reads, so that memory stays flat', async () => {
+      await harness.start(trafficConfig());
+      await addRawEndpoint((socket, id) => {
+        socket.write(head(id));
+        writeForever(socket, 'x'.repeat(65_536));
+      });
+      const beforeBytes = process.memoryUsage().rss;
+      const caller = connect({ host: '127.0.0.1', port: harness.gateway.port });
+      caller.write('GET /x HTTP/1.1\r\nhost: shop.example\r\noriolestack-request-id: r\r\n\r\n');
+      await new Promise((resolve) => setTimeout(resolve, 1_000));
+      expect(process.memoryUsage().rss - beforeBytes).toBeLessThan(150 * 1_048_576);
+      caller.destroy();
+    });
+  });
+
+  describe('stalls a stream', () => {
+    const firstEvent = 'id: 1\ndata: 1\n\n';
+
+    it.each([
+      ['a byte now and then', () => 'x'],
+      ['comments', () => ': wait\n\n'],
+    ])(
+      'its stream ends soon after callers would leave: %s',
+      async (_kind, piece) => {
+        await harness.start(streams);
+        await addRawEndpoint((socket, id) => {
+          socket.write(head(id, 'content-type: text/event-stream') + firstEvent);
+          every(socket, 100, piece);
+        });
+        const startedAtMs = Date.now();
+        const response = await callStream();
+        expect(response.isComplete).toBe(false);
+        expect(Date.now() - startedAtMs).toBeLessThan(4_000);
+      },
+      10_000,
+    );
+
+    it('a slow but sound stream is never cut', async () => {
+      await harness.start(streams);
+      await addRawEndpoint((socket, id) => {
+        socket.write(head(id, 'content-type: text/event-stream', 'connection: close') + firstEvent);
+        every(socket, 1_400, (count) => `id: ${count + 1}\ndata: x\n\n`);
+        setTimeout(() => socket.end(), 6_000);
+      });
+      const response = await callStream();
+      expect(response.isComplete).toBe(true);
+      expect(response.body).toContain('id: 5\n');
+    }, 10_000);
+  });
+
+  describe('sends a second copy of an answer on a kept connection', () => {
+    const answerTo = (id: string, body: string): string =>
+      `${head(id, `content-length: ${body.length}`)}${body}`;
+
+    it.each<[string, (id: string) => string]>([
+      ['with its id', (id) => answerTo(id, `for ${id}`)],
+      [
+        'without an id',
+        (id) => answerTo(id, `for ${id}`).replace(/oriolestack-request-id.*\r\n/, ''),
+      ],
+    ])('the next caller does not get it: %s', async (_kind, copyOf) => {
+      await harness.start(trafficConfig());
+      await addRawEndpoint((socket, id) => {
+        // The copy comes while the connection is idle, or while the next request waits.
+        setTimeout(() => socket.write(answerTo(id, `for ${id}`)), 40);
+        setTimeout(() => socket.write(copyOf(id)), 60);
+      });
+      for (let number = 0; number < 8; number++) {
+        const response = await harness.call();
+        if (response.status === 200) expect(response.body).toBe(`for request-${number}`);
+        await new Promise((resolve) => setTimeout(resolve, number % 2 === 0 ? 0 : 60));
+      }
+    });
+  });
+});
