--- a/src/ctl/commands/trace.ts
+++ b/src/ctl/commands/trace.ts
@@ -1,4 +1,9 @@
-import { parseLogLine, traceRequest, type TracedLine } from '../../telemetry/index.js';
+import {
+  essentialTrace,
+  parseLogLine,
+  traceRequest,
+  type TracedLine,
+} from '../../telemetry/index.js';
 import { ctlCommand, jsonArg } from '../ctl-command.js';
 import { CtlError } from '../ctl-error.js';
 import { ExitCode } from '../exit-code.js';
@@ -20,6 +25,11 @@
       description: 'log file, or - for standard input',
       required: true,
     },
+    around: {
+      type: 'boolean',
+      description: 'also show what else happened to its daemons and duties at that time',
+      default: false,
+    },
     ...jsonArg,
   },
   async run(context, args) {
@@ -29,7 +39,8 @@
       .flatMap((content) => Buffer.from(content).toString().split('\n'))
       .map(parseLogLine)
       .filter((line) => line !== undefined);
-    const trace = traceRequest(lines, args.id);
+    const whole = traceRequest(lines, args.id);
+    const trace = args.around ? whole : essentialTrace(whole);
     if (trace.length === 0) {
       throw new CtlError(
         ExitCode.NotFound,
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -135,6 +135,11 @@
     if (this.#isEnded) this.#send.abort();
   }
 
+  /** Whether the endpoint may have run the request. */
+  get mayHaveRun(): boolean {
+    return this.#response !== undefined || (this.#send?.mayHaveRun ?? false);
+  }
+
   /** Ends the attempt and closes its connection. */
   abort(reason: string): void {
     this.#finish(AttemptEnd.Aborted, reason);
@@ -316,7 +321,7 @@
     this.#cancelIdleCheck();
     // Read from the connection itself, however the attempt ends: a request that was written may
     // have run although no response was received.
-    const wasSent = this.#response !== undefined || (this.#send?.mayHaveRun ?? false);
+    const wasSent = this.mayHaveRun;
     // Closing the connection makes the endpoint stop its work. After a complete response it stays
     // open for reuse.
     if (end !== AttemptEnd.Delivered && end !== AttemptEnd.FailedAnswer) this.#send?.abort();
--- a/src/gateway/caller-exchange.ts
+++ b/src/gateway/caller-exchange.ts
@@ -40,6 +40,11 @@
     return this.#isDisconnected;
   }
 
+  /** Whether the gateway itself closed the connection, by {@link abort}. */
+  get isAborted(): boolean {
+    return this.#isAborted;
+  }
+
   /** Whether the response head was sent, so that the response can no longer be replaced. */
   get hasSentHead(): boolean {
     return this.#response.headersSent;
--- /dev/null
+++ b/src/gateway/request-log.ts
@@ -0,0 +1,94 @@
+import type { Clock } from '../core/index.js';
+import type { EndpointView } from '../fleet/index.js';
+import { EventId, type EventLog } from '../telemetry/index.js';
+import type { AttemptResult } from './attempt.js';
+import type { AdmittedRequest } from './caller-exchange.js';
+
+/** Options of {@link RequestLog}. */
+export interface RequestLogOptions {
+  readonly clock: Clock;
+  readonly events: EventLog;
+}
+
+/** How a request ended without its complete response. */
+export interface RequestEnd {
+  /** Status sent to the caller; 0 when none was sent. */
+  readonly status: number;
+  readonly reason: string;
+  readonly sends: number;
+  readonly mayHaveRun: boolean;
+}
+
+/** Log lines of one request, and what it has reached so far as they report it. */
+export class RequestLog {
+  readonly #options: RequestLogOptions;
+  readonly #admitted: AdmittedRequest;
+  #endpointId = '';
+  #events = 0;
+  #firstEventAtMs: number | undefined;
+  #progressAtMs: number;
+
+  constructor(options: RequestLogOptions, admitted: AdmittedRequest) {
+    this.#options = options;
+    this.#admitted = admitted;
+    this.#progressAtMs = admitted.receivedAtMs;
+  }
+
+  /** The request is sent to an endpoint. */
+  sentTo(view: EndpointView): void {
+    this.#endpointId = view.id;
+  }
+
+  /** More events of its stream were received. */
+  progressed(events: number): void {
+    this.#events += events;
+    this.#progressAtMs = this.#options.clock.nowMs();
+    this.#firstEventAtMs ??= this.#progressAtMs;
+  }
+
+  /** The request was served after more than one attempt. */
+  retried(sends: number): void {
+    this.#options.events.info(EventId.RequestRetried, 'request served after a retry', {
+      requestId: this.#admitted.description.requestId,
+      route: this.#admitted.route.name,
+      endpoint: this.#endpointId,
+      sends,
+      elapsedMs: this.#elapsedMs(this.#admitted.receivedAtMs),
+    });
+  }
+
+  attemptFailed({ end, reason, wasSent }: AttemptResult, sentAtMs: number): void {
+    this.#options.events.warn(EventId.AttemptFailed, 'attempt at an endpoint failed', {
+      requestId: this.#admitted.description.requestId,
+      endpoint: this.#endpointId,
+      end,
+      reason,
+      wasSent,
+      events: this.#events,
+      elapsedMs: this.#elapsedMs(sentAtMs),
+    });
+  }
+
+  /** The request ended without its complete response. */
+  ended(event: EventId, message: string, end: RequestEnd): void {
+    const { description, route, service, receivedAtMs, deadlineAtMs } = this.#admitted;
+    this.#options.events.warn(event, message, {
+      requestId: description.requestId,
+      route: route.name,
+      service: service.name,
+      ...end,
+      endpoint: this.#endpointId,
+      events: this.#events,
+      ...(this.#firstEventAtMs === undefined
+        ? {}
+        : { firstEventMs: Math.round(this.#firstEventAtMs - receivedAtMs) }),
+      sinceProgressMs: this.#elapsedMs(this.#progressAtMs),
+      remainingMs: -this.#elapsedMs(deadlineAtMs),
+      elapsedMs: this.#elapsedMs(receivedAtMs),
+    });
+  }
+
+  #elapsedMs(sinceMs: number): number {
+    return Math.round(this.#options.clock.nowMs() - sinceMs);
+  }
+}
--- a/src/gateway/request-relay.ts
+++ b/src/gateway/request-relay.ts
@@ -20,6 +20,7 @@
 import type { EndpointConnections } from './endpoint-connections.js';
 import type { ResponseDescription, RequestCodec } from './request-codec.js';
 import type { Placement } from './placement.js';
+import { RequestLog } from './request-log.js';
 import type { RequestMetrics } from './request-metrics.js';
 import { RequestKind } from './traffic-config.js';
 
@@ -100,6 +101,7 @@
   readonly #admitted: AdmittedRequest;
   readonly #triedIds: string[] = [];
   readonly #progress: StreamProgress;
+  readonly #requestLog: RequestLog;
   #attempt: Attempt | undefined;
   #sends = 0;
   #unsentAttempts = 0;
@@ -117,6 +119,7 @@
     this.#exchange = exchange;
     this.#admitted = admitted;
     this.#progress = { lastEventId: admitted.description.lastEventId, events: 0 };
+    this.#requestLog = new RequestLog(options, admitted);
   }
 
   async run(): Promise<void> {
@@ -127,6 +130,8 @@
       this.#onDeadline();
     });
     this.#exchange.onDisconnect(() => {
+      if (!this.#exchange.isAborted)
+        this.#log(EventId.CallerLeft, 'caller disconnected before its response was complete', 0);
       // At-most-once requests continue: their outcome matters even without the caller.
       if (route.kind !== RequestKind.AtMostOnce) this.#attempt?.abort('the caller disconnected');
     });
@@ -158,6 +163,7 @@
 
   override progressed(view: EndpointView, events: number, elapsedMs: number): void {
     const { placement, clock } = this.#options;
+    this.#requestLog.progressed(events);
     if (this.#isAwaitingFirstEvent) {
       this.#isAwaitingFirstEvent = false;
       placement.recordFirstEvent(view, this.#admitted, clock.nowMs() - this.#sentAtMs);
@@ -184,6 +190,7 @@
       placement.pendingTokens(this.#admitted),
     );
     this.#sentAtMs = clock.nowMs();
+    this.#requestLog.sentTo(view);
     this.#isAwaitingFirstEvent = true;
     const attempt = this.#startAttempt(view);
     this.#attempt = attempt;
@@ -191,10 +198,11 @@
     this.#attempt = undefined;
     this.#recordResult(view, inFlightRequest, result);
     if (result.end === AttemptEnd.Delivered) {
-      this.#logServed(view);
+      // Only requests that needed a retry are logged; a line for each request would hide them.
+      if (this.#sends + this.#unsentAttempts > 1) this.#requestLog.retried(this.#sends);
       return false;
     }
-    if (result.end !== AttemptEnd.Aborted) this.#logFailure(view, result);
+    if (result.end !== AttemptEnd.Aborted) this.#requestLog.attemptFailed(result, this.#sentAtMs);
     return this.#canRetry(result) || this.#conclude(result);
   }
 
@@ -302,8 +310,11 @@
     this.#isExpired = true;
     const attempt = this.#attempt;
     if (attempt) this.#mayHaveRun = true;
-    if (this.#exchange.hasSentHead) this.#exchange.abort();
-    else this.#fail(504, 'the deadline passed');
+    this.#lastReason = 'the deadline passed';
+    if (this.#exchange.hasSentHead) {
+      this.#log(EventId.RequestBroken, 'response was not complete in time; closing', 0);
+      this.#exchange.abort();
+    } else this.#fail(504, this.#lastReason);
     attempt?.abort('the deadline passed');
   }
 
@@ -345,45 +356,13 @@
     return Math.max(retryAfterMs, Math.min(noEndpointRetryMs, remainingMs * maxRetryAfterRatio));
   }
 
-  #logServed(view: EndpointView): void {
-    const { events, clock } = this.#options;
-    const { description, route, receivedAtMs } = this.#admitted;
-    // Only requests that needed a retry are logged; a line for each request would hide them.
-    if (this.#sends <= 1 && this.#unsentAttempts === 0) return;
-    events.info(EventId.RequestRetried, 'request served after a retry', {
-      requestId: description.requestId,
-      route: route.name,
-      endpoint: view.id,
-      sends: this.#sends,
-      elapsedMs: Math.round(clock.nowMs() - receivedAtMs),
-    });
-  }
-
-  #logFailure(view: EndpointView, result: AttemptResult): void {
-    const { events, clock } = this.#options;
-    events.warn(EventId.AttemptFailed, 'attempt at an endpoint failed', {
-      requestId: this.#admitted.description.requestId,
-      endpoint: view.id,
-      end: result.end,
-      reason: result.reason,
-      wasSent: result.wasSent,
-      events: this.#progress.events,
-      elapsedMs: Math.round(clock.nowMs() - this.#sentAtMs),
-    });
-  }
-
   #log(event: EventId, message: string, status: number): void {
-    const { events, clock } = this.#options;
-    const { description, route, service, receivedAtMs } = this.#admitted;
-    events.warn(event, message, {
-      requestId: description.requestId,
-      route: route.name,
-      service: service.name,
+    const attempt = this.#attempt;
+    this.#requestLog.ended(event, message, {
       status,
       reason: this.#lastReason,
-      sends: this.#sends,
-      mayHaveRun: this.#mayHaveRun,
-      elapsedMs: Math.round(clock.nowMs() - receivedAtMs),
+      sends: this.#sends + Number(attempt !== undefined),
+      mayHaveRun: this.#mayHaveRun || attempt?.mayHaveRun === true,
     });
   }
 }
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -16,6 +16,7 @@
   RequestBroken = 203,
   AttemptFailed = 204,
   RequestRetried = 205,
+  CallerLeft = 206,
 
   // 3xx log and state
   LogReadFailing = 301,
--- a/src/telemetry/request-trace.ts
+++ b/src/telemetry/request-trace.ts
@@ -83,6 +83,20 @@
     .reduce<TracedLine[]>(collapse, []);
 }
 
+/**
+ * The part of a trace that names the cause in most cases: the request's own lines, then those of
+ * its endpoints. State changes of daemons and duties are kept only for a request that was sent to
+ * no endpoint, as they then say why there was none.
+ */
+export function essentialTrace(trace: readonly TracedLine[]): TracedLine[] {
+  const having = (...relations: TraceRelation[]): TracedLine[] =>
+    trace.filter(({ relation }) => relations.includes(relation));
+  const own = having(TraceRelation.Request);
+  const wasSent = own.some(({ line }) => instanceIdOf(line) !== undefined);
+  const rest = wasSent ? [] : having(TraceRelation.Daemon, TraceRelation.Duties);
+  return [...own, ...having(TraceRelation.Endpoint), ...rest];
+}
+
 /** Merges a line into an earlier one of the same daemon, event and relation within a second. */
 function collapse(trace: TracedLine[], next: TracedLine): TracedLine[] {
   const matchIndex = trace.findIndex(
@@ -104,5 +118,6 @@
 
 /** An endpoint id starts with the instance id, followed by where and when the instance started. */
 function instanceIdOf({ fields }: LogLine): string | undefined {
-  return typeof fields.endpoint === 'string' ? fields.endpoint.split(':', 1)[0] : undefined;
+  const { endpoint } = fields;
+  return typeof endpoint === 'string' && endpoint !== '' ? endpoint.split(':', 1)[0] : undefined;
 }
--- a/test/gateway/request-diagnosis_test.ts
+++ b/test/gateway/request-diagnosis_test.ts
@@ -1,9 +1,15 @@
+import { connect } from 'node:net';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { RequestKind } from '../../src/gateway/traffic-config.js';
 import { KeyedLogFault } from '../../src/standins/memory-keyed-log.js';
 import { EventId, TraceRelation, traceRequest, type LogLine } from '../../src/telemetry/index.js';
 import { trafficConfig, trafficRoute } from './configs.js';
-import { GatewayHarness, respondWith } from './gateway-harness.js';
+import {
+  GatewayHarness,
+  respondWith,
+  signedHeaders,
+  type EndpointBehaviour,
+} from './gateway-harness.js';
 import { RecordingEventLog } from './recording-event-log.js';
 
 const id = 'complaint-1';
@@ -99,6 +105,62 @@
     );
   });
 
+  describe('that its caller gave up', () => {
+    const streamRoute = trafficRoute({ kind: RequestKind.Stream, isResumable: true });
+    const streams = trafficConfig({ routes: [streamRoute] });
+
+    /** Sends two events, and then nothing. */
+    const stall: EndpointBehaviour = (incoming, response) => {
+      incoming.resume();
+      response.writeHead(200, { ...signedHeaders(incoming), 'content-type': 'text/event-stream' });
+      response.write('id: 1\ndata: a\n\nid: 2\ndata: b\n\n');
+    };
+
+    /** Sends the request and disconnects after some time. */
+    async function callAndLeave(afterMs: number): Promise<void> {
+      const socket = connect({ host: '127.0.0.1', port: harness.gateway.port });
+      const head = `POST /x HTTP/1.1\r\nhost: shop.example\r\noriolestack-request-id: ${id}\r\n`;
+      socket.write(`${head}content-length: 0\r\n\r\n`);
+      await harness.clock.sleepUntil(harness.clock.nowMs() + afterMs);
+      socket.destroy();
+      while (!ownFields(EventId.CallerLeft)) {
+        await harness.clock.sleepUntil(harness.clock.nowMs() + 10);
+      }
+    }
+
+    it('in the middle of a stream: how far it came, where, and since when nothing had come', async () => {
+      await harness.start(streams, stall);
+      await callAndLeave(300);
+      const fields = ownFields(EventId.CallerLeft);
+      expect(fields).toMatchObject({ sends: 1, events: 2, mayHaveRun: true });
+      expect(String(fields?.endpoint)).toMatch(/^i-1:/);
+      expect(Number(fields?.firstEventMs)).toBeLessThan(250);
+      expect(Number(fields?.sinceProgressMs)).toBeGreaterThan(150);
+    });
+
+    it('before the first event: it was sent and not answered', async () => {
+      await harness.start(streams, (incoming) => incoming.resume());
+      await callAndLeave(200);
+      expect(ownFields(EventId.CallerLeft)).toMatchObject({ sends: 1, events: 0 });
+    });
+  });
+
+  it('that was cut at its deadline in the middle of a stream', async () => {
+    const route = trafficRoute({ kind: RequestKind.Stream, isResumable: true, timeoutMs: 400 });
+    await harness.start(trafficConfig({ routes: [route] }), (incoming, response) => {
+      incoming.resume();
+      response.writeHead(200, signedHeaders(incoming));
+      response.write('id: 1\ndata: a\n\n');
+    });
+    const response = await harness.call({ method: 'POST', headers });
+    expect(response.isComplete).toBe(false);
+    expect(ownFields(EventId.RequestBroken)).toMatchObject({
+      reason: 'the deadline passed',
+      events: 1,
+      sends: 1,
+    });
+  });
+
   it('during an outage of the store: metrics and logs name what cannot be read', async () => {
     await harness.start(trafficConfig(), respondWith(200, 'ok'));
     harness.store.fault = KeyedLogFault.Down;
--- a/test/telemetry/request-trace_test.ts
+++ b/test/telemetry/request-trace_test.ts
@@ -1,5 +1,11 @@
 import { describe, expect, it } from 'vitest';
-import { EventId, TraceRelation, parseLogLine, traceRequest } from '../../src/telemetry/index.js';
+import {
+  EventId,
+  TraceRelation,
+  essentialTrace,
+  parseLogLine,
+  traceRequest,
+} from '../../src/telemetry/index.js';
 
 function line(atMs: number, daemon: string, event: EventId, fields: Record<string, unknown> = {}) {
   const context = { ...fields, daemon, event, eventName: EventId[event], logLevel: 30 };
@@ -49,6 +55,23 @@
     expect(trace.map(({ count }) => count)).toEqual([2, 1, 1, 1]);
   });
 
+  describe('its essential part', () => {
+    it('is the request and its endpoints, so that the cause is not lost among other events', () => {
+      expect(essentialTrace(trace).map(({ relation }) => relation)).toEqual([
+        TraceRelation.Request,
+        TraceRelation.Endpoint,
+      ]);
+    });
+
+    it('says why no endpoint was there for a request that was sent to none', () => {
+      const refused = line(at, 'front-1', EventId.RequestRefused, { requestId: 'n', endpoint: '' });
+      const withRefused = [...lines, refused].map((text) => parseLogLine(text)!);
+      expect(
+        essentialTrace(traceRequest(withRefused, 'n')).map(({ relation }) => relation),
+      ).toEqual([TraceRelation.Request, TraceRelation.Daemon, TraceRelation.Duties]);
+    });
+  });
+
   it('is empty for a request id that no line contains', () => {
     expect(traceRequest([], 'r')).toEqual([]);
   });
