Count as heartbeats of the duty holder only samples that it stores itself as holder

Change: a sample says the fence that its daemon holds; a holder's samples go straight to the store; only these are heartbeats, and only those acknowledged renew the lease. Others judge silence as of the time to which they know the samples, so that a late read is no silence. The test fails without the change.

--- a/src/capacity/duty-lease.ts
+++ b/src/capacity/duty-lease.ts
@@ -81,6 +81,7 @@
   /** Wall clock minus steady clock; a jump means that the VM was suspended or the clock was set. */
   #clockOffsetMs: number;
   #acquireAfterMs = 0;
+  #acquiredAtMs = -Infinity;
 
   constructor(options: DutyLeaseOptions) {
     this.#options = options;
@@ -99,9 +100,9 @@
   /** Fence with which this daemon may act now; undefined when it may not act. */
   get fence(): Fence | undefined {
     if (this.#heldFence === undefined) return undefined;
-    const { samples, clock, leaseMs } = this.#options;
+    const { clock, leaseMs } = this.#options;
     if (this.#wasSuspended()) return undefined;
-    const untilMs = samples.publishedAtMs + leaseMs - holderMarginMs;
+    const untilMs = this.#renewedAtMs + leaseMs - holderMarginMs;
     return clock.nowMs() < untilMs ? this.#heldFence : undefined;
   }
 
@@ -111,14 +112,14 @@
   async tick(): Promise<void> {
     const { samples, clock, leaseMs, replica } = this.#options;
     const nowMs = clock.nowMs();
-    const hasExpired = samples.publishedAtMs + leaseMs <= nowMs || this.#wasSuspended();
+    const hasExpired = this.#renewedAtMs + leaseMs <= nowMs || this.#wasSuspended();
     if (this.#heldFence !== undefined && hasExpired)
       this.#markLost('heartbeats were not acknowledged in time, or the VM was suspended');
     this.#clockOffsetMs = this.#options.wallNowMs() - clock.nowMs();
-    if (this.#heldFence !== undefined && samples.publishedAtMs + heartbeatIntervalMs <= nowMs) {
+    if (this.#heldFence !== undefined && this.#renewedAtMs + heartbeatIntervalMs <= nowMs) {
       void samples.publishAtOnce();
     }
-    if (this.#heldFence !== undefined || hasExpired || replica.isFailing) return;
+    if (this.#heldFence !== undefined || replica.isFailing) return;
     if (nowMs < this.#acquireAfterMs || replica.endOffset === undefined) return;
     if (this.#options.isEligible() && this.#isFree(nowMs)) await this.#acquire();
   }
@@ -149,6 +150,11 @@
     await this.#append(leaseKey, { holder: '', incarnation, fence, previousHolder: daemon });
   }
 
+  /** Send time of the append or heartbeat by which this daemon last acquired or renewed the lease. */
+  get #renewedAtMs(): number {
+    return Math.max(this.#acquiredAtMs, this.#options.samples.heartbeatAtMs);
+  }
+
   #wasSuspended(): boolean {
     const { clock, wallNowMs } = this.#options;
     return Math.abs(wallNowMs() - clock.nowMs() - this.#clockOffsetMs) > maxClockDriftMs;
@@ -168,8 +174,10 @@
     if (isReturningHolder && nowMs < this.#lastRecordAtMs + idleMs) return false;
     if (record.holder === '') return true;
     const { holder, incarnation } = record;
-    const lastSampleAtMs = samples.receivedAtMs(holder, incarnation) ?? 0;
-    return nowMs >= Math.max(this.#lastRecordAtMs, lastSampleAtMs) + idleMs;
+    const heartbeatAtMs = samples.heartbeatReceivedAtMs(holder, incarnation) ?? 0;
+    // A heartbeat may be in the store that this daemon has not read yet.
+    const knownAsOfMs = Math.min(nowMs, samples.knownAsOfMs);
+    return knownAsOfMs >= Math.max(this.#lastRecordAtMs, heartbeatAtMs) + idleMs;
   }
 
   async #acquire(): Promise<void> {
@@ -182,8 +190,11 @@
       fence,
       previousHolder: previous ? previous.holder || previous.previousHolder : '',
     };
+    const sentAtMs = clock.nowMs();
     if (!(await this.#append(leaseKey, record))) return;
     this.#heldFence = fence;
+    this.#acquiredAtMs = sentAtMs;
+    samples.setDutyFence(fence);
     this.#clockOffsetMs = this.#options.wallNowMs() - clock.nowMs();
     events.info(EventId.ControlLeaseTaken, 'lease acquired', { lease: 'duties', fence });
     void samples.publishAtOnce();
@@ -193,6 +204,7 @@
     const fence = this.#heldFence;
     if (fence === undefined) return;
     this.#heldFence = undefined;
+    this.#options.samples.setDutyFence(0);
     this.#options.events.info(EventId.ControlLeaseLost, 'lease lost', {
       lease: 'duties',
       fence,
--- a/src/membership/daemon-samples.ts
+++ b/src/membership/daemon-samples.ts
@@ -41,6 +41,8 @@
   usage: z.array(z.tuple([z.int(), countsSchema])),
   /** Whether the daemon is stopping. */
   isLeaving: z.boolean(),
+  /** Fence of the lease on the duties that the daemon holds; 0 when it holds none. */
+  dutyFence: z.int().nonnegative().default(0),
 });
 
 /** State that a daemon publishes to the others every one to three seconds. */
@@ -82,6 +84,8 @@
 interface ReceivedSample {
   readonly sample: DaemonSample;
   readonly receivedAtMs: number;
+  /** Arrival of the newest sample of this run that was sent while it held the duties. */
+  readonly heartbeatAtMs: number;
 }
 
 /** A daemon without a sample for this long counts as stopped rather than unreachable. */
@@ -116,7 +120,8 @@
   readonly #grants = new CounterTotals();
   readonly #asked = new CounterTotals();
   #sequence = 0;
-  #publishedAtMs = -Infinity;
+  #heartbeatAtMs = -Infinity;
+  #dutyFence = 0;
   #isLeaving = false;
   #isPublishing = false;
   #isPublishingAtOnce = false;
@@ -131,9 +136,14 @@
     });
   }
 
-  /** Send time of the last sample that the store acknowledged, in epoch milliseconds. */
-  get publishedAtMs(): number {
-    return this.#publishedAtMs;
+  /** Send time of the last heartbeat that the store acknowledged, in epoch milliseconds. */
+  get heartbeatAtMs(): number {
+    return this.#heartbeatAtMs;
+  }
+
+  /** Epoch milliseconds as of which the samples of the other daemons are known. */
+  get knownAsOfMs(): number {
+    return this.#options.replica.caughtUpAtMs ?? -Infinity;
   }
 
   start(): void {
@@ -211,16 +221,29 @@
   }
 
   /**
-   * Arrival time of the newest sample of one run of a daemon, in epoch milliseconds; undefined when
-   * there is none or a later run has replaced it.
+   * Arrival time of the newest heartbeat of one run of a daemon, in epoch milliseconds; undefined
+   * when there is none or a later run has replaced it.
    */
-  receivedAtMs(daemon: string, incarnation: number): number | undefined {
+  heartbeatReceivedAtMs(daemon: string, incarnation: number): number | undefined {
     const received = this.#received.get(daemon);
-    return received?.sample.incarnation === incarnation ? received.receivedAtMs : undefined;
+    return received?.sample.incarnation === incarnation ? received.heartbeatAtMs : undefined;
+  }
+
+  /**
+   * Sets the fence of the lease on the duties that this daemon holds; 0 when it holds none. While it
+   * holds one, its samples are heartbeats and go straight to the store: a heartbeat that another
+   * daemon stores would prove nothing about the holder's own way to the store.
+   */
+  setDutyFence(fence: number): void {
+    this.#dutyFence = fence;
   }
 
   /** Publishes a sample. A failure is logged; the next periodic sample replaces it. */
   async publish(): Promise<void> {
+    if (this.#dutyFence > 0) {
+      await this.publishAtOnce();
+      return;
+    }
     if (this.#isPublishing) return;
     this.#isPublishing = true;
     const { log, topic } = this.#options;
@@ -232,15 +255,18 @@
   async publishAtOnce(): Promise<void> {
     if (this.#isPublishingAtOnce) return;
     this.#isPublishingAtOnce = true;
-    const { log, topic } = this.#options;
-    await this.#store((entry) => log.appendAll(topic, [entry]));
+    const { log, topic, clock } = this.#options;
+    const sentAtMs = clock.nowMs();
+    const isStored = await this.#store((entry) => log.appendAll(topic, [entry]));
+    if (isStored) this.#heartbeatAtMs = Math.max(this.#heartbeatAtMs, sentAtMs);
     this.#isPublishingAtOnce = false;
   }
 
-  async #store(append: (entry: KeyedEntry) => Promise<unknown>): Promise<void> {
+  /** @returns whether the sample is known to be stored. */
+  async #store(append: (entry: KeyedEntry) => Promise<unknown>): Promise<boolean> {
     const { topic, replica, daemon, incarnation, clock, content, events } = this.#options;
     // Before the first read, this would overwrite the sample of an earlier run unread.
-    if (replica.endOffset === undefined) return;
+    if (replica.endOffset === undefined) return false;
     const sentAtMs = clock.nowMs();
     const sample: DaemonSample = {
       daemon,
@@ -249,16 +275,18 @@
       sampledAtMs: sentAtMs,
       ...content(),
       isLeaving: this.#isLeaving,
+      dutyFence: this.#dutyFence,
     };
     try {
       await append({ key: daemon, value: encodeKeyedJson(sample) });
-      this.#publishedAtMs = Math.max(this.#publishedAtMs, sentAtMs);
+      return true;
     } catch (error) {
       if (!(error instanceof LogUnavailableError || error instanceof LogRefusedError)) throw error;
       events.debug(EventId.AppendRetried, 'daemon sample not stored; the next one replaces it', {
         stream: topic,
         reason: error.message,
       });
+      return false;
     }
   }
 
@@ -299,7 +327,11 @@
     const { daemon, incarnation, onEarlierRun } = this.#options;
     const isEarlierRun = sample.daemon === daemon && sample.incarnation !== incarnation;
     if (isEarlierRun && !known) onEarlierRun?.(sample);
-    this.#received.set(key, { sample, receivedAtMs: clock.nowMs() });
+    const receivedAtMs = clock.nowMs();
+    const isSameRun = known?.incarnation === sample.incarnation;
+    const earlierHeartbeatAtMs = isSameRun ? this.#received.get(key)?.heartbeatAtMs : undefined;
+    const heartbeatAtMs = sample.dutyFence > 0 ? receivedAtMs : (earlierHeartbeatAtMs ?? -Infinity);
+    this.#received.set(key, { sample, receivedAtMs, heartbeatAtMs });
     if (sample.daemon !== daemon) this.#mergeCounts(sample);
   }
 }
--- a/test/capacity/duty-lease_test.ts
+++ b/test/capacity/duty-lease_test.ts
@@ -1,13 +1,13 @@
 import { beforeEach, describe, expect, it } from 'vitest';
 import type { DutyLease } from '../../src/capacity/duty-lease.js';
 import { VirtualClock } from '../../src/core/index.js';
+import type { KeyedEntry } from '../../src/log/keyed-log.js';
 import { KeyedLogFault, MemoryKeyedLog } from '../../src/standins/memory-keyed-log.js';
 import { DutyFixture, leaseMs } from './duty-fixture.js';
 
 /** A daemon with its own connection to the common log. */
 class TestDaemon {
   readonly lease: DutyLease;
-  readonly connection: DisconnectableLog;
   readonly fences: number[] = [];
   /** Time for which the VM was suspended; only the wall clock advances by it. */
   suspendedMs = 0;
@@ -20,9 +20,8 @@
     clock: VirtualClock,
     incarnation = 1,
     samplePeriodMs = 1_000,
+    readonly connection = new DisconnectableLog(log),
   ) {
-    this.connection = new DisconnectableLog(log);
-    const { connection } = this;
     const suspendedMs = (): number => this.suspendedMs;
     this.lease = new DutyFixture({
       daemon: name,
@@ -44,26 +43,24 @@
 
 /** Connection of one daemon to the common log that can be disconnected separately. */
 class DisconnectableLog extends MemoryKeyedLog {
-  readonly #log: MemoryKeyedLog;
   isDisconnected = false;
 
-  constructor(log: MemoryKeyedLog) {
+  constructor(readonly log: MemoryKeyedLog) {
     super();
-    this.#log = log;
   }
 
   override newest(topic: string): ReturnType<MemoryKeyedLog['newest']> {
-    return this.isDisconnected ? this.#fail() : this.#log.newest(topic);
+    return this.isDisconnected ? this.#fail() : this.log.newest(topic);
   }
 
   override read(topic: string, fromOffset: number): ReturnType<MemoryKeyedLog['read']> {
-    return this.isDisconnected ? this.#fail() : this.#log.read(topic, fromOffset);
+    return this.isDisconnected ? this.#fail() : this.log.read(topic, fromOffset);
   }
 
   override appendAll(
     ...args: Parameters<MemoryKeyedLog['appendAll']>
   ): ReturnType<MemoryKeyedLog['appendAll']> {
-    return this.isDisconnected ? this.#fail() : this.#log.appendAll(...args);
+    return this.isDisconnected ? this.#fail() : this.log.appendAll(...args);
   }
 
   #fail(): Promise<never> {
@@ -154,6 +151,36 @@
     });
   });
 
+  describe('a holder that the store refuses while other daemons still store its samples', () => {
+    /** Appends of this daemon fail, but its samples reach the store by its distributor. */
+    class RefusedLog extends DisconnectableLog {
+      override read(topic: string, from: number): ReturnType<MemoryKeyedLog['read']> {
+        return this.log.read(topic, from);
+      }
+
+      override async publish(topic: string, entry: KeyedEntry): Promise<void> {
+        await this.log.publish(topic, entry);
+      }
+    }
+
+    it('is replaced, so that the duties are not left undone', async () => {
+      const log = new MemoryKeyedLog();
+      const clock = new VirtualClock();
+      const connection = new RefusedLog(log);
+      const holder = new TestDaemon('d1', log, clock, 1, 1_000, connection);
+      await clock.advance(3_000);
+      expect(holder.lease.fence).toBeDefined();
+      const other = new TestDaemon('d2', log, clock);
+      await clock.advance(3_000);
+      connection.isDisconnected = true;
+      for (let elapsedMs = 0; elapsedMs < 2 * leaseMs + 2_000; elapsedMs += 100) {
+        await clock.advance(100);
+        expect([holder, other].filter(({ lease }) => lease.fence).length).toBeLessThanOrEqual(1);
+      }
+      expect(other.lease.fence).toBeDefined();
+    });
+  });
+
   describe('a holder that is disconnected from the log', () => {
     it('stops acting before another daemon takes over with a higher fence', async () => {
       const [holder] = holders();
