--- a/src/fleet/endpoint-registry.ts
+++ b/src/fleet/endpoint-registry.ts
@@ -4,11 +4,13 @@
 import type { Deployment, EndpointSettings, Section } from '../settings/index.js';
 import { EventId, NullEventLog, type EventLog } from '../telemetry/index.js';
 import {
-  EndpointState,
-  type EndpointView,
-  type ObservedSpeed,
-  type ReceivedLoadReport,
-} from './endpoint-view.js';
+  endpointIdentity,
+  newRecord,
+  viewOfRecord,
+  type EndpointRecord,
+} from './endpoint-record.js';
+import type { EndpointView } from './endpoint-view.js';
+import { UnknownSpeeds, type SpeedProvider } from './speed-provider.js';
 import {
   LeavingSource,
   processSubject,
@@ -17,32 +19,6 @@
   type ListedVm,
 } from './leaving-set.js';
 
-/**
- * Source of the observed speeds of endpoints.
- *
- * @example
- * ```ts
- * const { slowdownRatio } = speeds.speedOf(view.id);
- * ```
- */
-export abstract class SpeedProvider {
-  /** Returns the same object as long as nothing changed. */
-  abstract speedOf(endpointId: string): ObservedSpeed;
-}
-
-const unknownSpeed: ObservedSpeed = {
-  tokenGapMs: undefined,
-  prefillTokensPerS: undefined,
-  slowdownRatio: 1,
-};
-
-/** {@link SpeedProvider} without observations. */
-export class UnknownSpeeds extends SpeedProvider {
-  override speedOf(): ObservedSpeed {
-    return unknownSpeed;
-  }
-}
-
 /** One of the daemon's own requests at an endpoint. */
 export interface RoutedRequest {
   /** Sets the prompt and expected output tokens still to be processed. */
@@ -65,38 +41,6 @@
 const circuitBaseBackoffMs = 1_000;
 const circuitMaxBackoffMs = 30_000;
 
-interface Endpoint {
-  readonly id: string;
-  readonly vmId: string;
-  /** Subject of leaving entries for this process alone. */
-  readonly subject: string;
-  readonly incarnation: number;
-  section: Section<EndpointSettings>;
-  serviceId: string;
-  configuredModels: readonly string[];
-  configuredVersion: string;
-  loaded: { readonly models: readonly string[]; readonly version: string } | undefined;
-  isObserved: boolean;
-  isSuspect: boolean;
-  failures: number;
-  circuitOpenUntilMs: number;
-  report: ReceivedLoadReport | undefined;
-  readonly requests: Record<WorkClass, number>;
-  pendingTokens: number;
-  view: EndpointView | undefined;
-}
-
-/**
- * Identity of an endpoint: VM, process and incarnation, never the address.
- *
- * @param name - `team/name` of the settings section, as several processes may run on one VM.
- * @param incarnation - later of the start times of the VM and the process; 0 while both are
- * unknown.
- */
-export function endpointIdentity(vmId: string, name: string, incarnation: number): string {
-  return `${processSubject(vmId, name)}#${incarnation}`;
-}
-
 /**
  * The endpoints known to this daemon, by identity, with the observed state of each.
  *
@@ -111,12 +55,12 @@
   readonly #leaving: LeavingSet;
   readonly #speeds: SpeedProvider;
   readonly #events: EventLog;
-  readonly #byId = new Map<string, Endpoint>();
+  readonly #byId = new Map<string, EndpointRecord>();
   /** Current endpoint of each section, by name. */
-  readonly #byName = new Map<string, Endpoint>();
+  readonly #byName = new Map<string, EndpointRecord>();
   readonly #processStarts = new Map<string, number>();
   readonly #vmStarts = new Map<string, number>();
-  readonly #byService = new Map<string, readonly Endpoint[]>();
+  readonly #byService = new Map<string, readonly EndpointRecord[]>();
   readonly #views = new Map<string, readonly EndpointView[]>();
   readonly #retireListeners: ((endpointId: string) => void)[] = [];
   readonly #suspectListeners: ((view: EndpointView) => void)[] = [];
@@ -387,7 +331,7 @@
   }
 
   /** Endpoints of a service by name; cached, as own requests change views many times a second. */
-  #endpointsOf(serviceId: string): readonly Endpoint[] {
+  #endpointsOf(serviceId: string): readonly EndpointRecord[] {
     let endpoints = this.#byService.get(serviceId);
     if (!endpoints) {
       endpoints = [...this.#byName.values()]
@@ -432,22 +376,7 @@
       return;
     }
     if (previous) this.#retire(previous);
-    const endpoint: Endpoint = {
-      id,
-      vmId,
-      subject,
-      incarnation,
-      ...configured,
-      loaded: undefined,
-      isObserved: false,
-      isSuspect: false,
-      failures: 0,
-      circuitOpenUntilMs: 0,
-      report: undefined,
-      requests: { [WorkClass.Short]: 0, [WorkClass.Medium]: 0, [WorkClass.Long]: 0 },
-      pendingTokens: 0,
-      view: undefined,
-    };
+    const endpoint = newRecord({ id, vmId, subject, incarnation, ...configured });
     this.#byName.set(section.id, endpoint);
     this.#byId.set(id, endpoint);
     this.#invalidateService(serviceId);
@@ -457,7 +386,7 @@
     });
   }
 
-  #retire(endpoint: Endpoint): void {
+  #retire(endpoint: EndpointRecord): void {
     if (this.#byName.get(endpoint.section.id) === endpoint) {
       this.#byName.delete(endpoint.section.id);
     }
@@ -480,7 +409,7 @@
     }
   }
 
-  #markSuspect(endpoint: Endpoint, failure: EngineFailure): void {
+  #markSuspect(endpoint: EndpointRecord, failure: EngineFailure): void {
     if (endpoint.isSuspect) return;
     endpoint.isSuspect = true;
     endpoint.view = undefined;
@@ -496,7 +425,7 @@
     for (const listener of this.#suspectListeners) listener(view);
   }
 
-  #update(endpointId: string, change: (endpoint: Endpoint) => void): void {
+  #update(endpointId: string, change: (endpoint: EndpointRecord) => void): void {
     const endpoint = this.#byId.get(endpointId);
     if (!endpoint) return;
     change(endpoint);
@@ -508,41 +437,13 @@
     return endpoint?.view === view && this.#speeds.speedOf(view.id) === view.speed;
   }
 
-  #viewOf(endpoint: Endpoint): EndpointView {
+  #viewOf(endpoint: EndpointRecord): EndpointView {
     if (endpoint.view && this.#isCurrent(endpoint.view)) return endpoint.view;
-    const { values } = endpoint.section;
     const entry =
       this.#leaving.findEntry(endpoint.vmId, endpoint.incarnation) ??
       this.#leaving.findEntry(endpoint.subject, endpoint.incarnation);
-    const view: EndpointView = {
-      id: endpoint.id,
-      name: endpoint.section.id,
-      serviceId: endpoint.serviceId,
-      baseUrl: values.base_url,
-      region: values.region,
-      failureDomain: values.failure_domain,
-      vmClass: values.vm_class,
-      reclaimable: values.reclaimable,
-      priceUsdPerHour: values.price_usd_per_hour,
-      batchSlots: values.batch_slots,
-      checksFence: values.checks_fence,
-      role: values.role,
-      state: stateOf(endpoint, entry !== undefined),
-      leavingAtMs: entry?.leavingAtMs,
-      loadedModels: endpoint.loaded?.models ?? endpoint.configuredModels,
-      version: endpoint.loaded?.version ?? endpoint.configuredVersion,
-      circuitOpenUntilMs: endpoint.circuitOpenUntilMs,
-      ownInFlight: { requests: { ...endpoint.requests }, pendingTokens: endpoint.pendingTokens },
-      report: endpoint.report,
-      speed: this.#speeds.speedOf(endpoint.id),
-    };
+    const view = viewOfRecord(endpoint, entry, this.#speeds.speedOf(endpoint.id));
     endpoint.view = view;
     return view;
   }
 }
-
-function stateOf(endpoint: Endpoint, isLeaving: boolean): EndpointState {
-  if (isLeaving) return EndpointState.Leaving;
-  if (endpoint.isSuspect) return EndpointState.Suspect;
-  return endpoint.isObserved ? EndpointState.Live : EndpointState.Starting;
-}
--- a/src/fleet/estimated-speeds.ts
+++ b/src/fleet/estimated-speeds.ts
@@ -1,5 +1,5 @@
 import type { ObservedSpeed } from './endpoint-view.js';
-import { SpeedProvider } from './endpoint-registry.js';
+import { SpeedProvider } from './speed-provider.js';
 import type { SpeedEstimator } from './speed-estimator.js';
 
 /** {@link SpeedProvider} with the speeds of a {@link SpeedEstimator}. */
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -6,3 +6,5 @@
 export * from './http-endpoint-probe.js';
 export * from './stall-detector.js';
 export * from './registered-endpoints.js';
+export * from './speed-provider.js';
+export { endpointIdentity } from './endpoint-record.js';
