Keep a process that serves through errors that no code has handled

An error in a timer, a promise or a listener of records ended the whole process. It is now logged (106), counted and survived once the process serves; before, it ends the start. A listener that fails on one record leaves the others to the reader of the topic (316).

--- a/src/log/keyed-replica.ts
+++ b/src/log/keyed-replica.ts
@@ -234,7 +234,22 @@
       this.#records.delete(record.key);
       this.#keepRemoval(record);
     }
-    for (const listener of this.#listeners) listener(record);
+    for (const listener of this.#listeners) this.#notify(listener, record);
+  }
+
+  /** A record that one listener cannot apply must not keep the topic from being read further. */
+  #notify(listener: KeyedRecordListener, record: KeyedRecord): void {
+    try {
+      listener(record);
+    } catch (error) {
+      const { events, topic } = this.#options;
+      events.error(EventId.RecordNotApplied, 'record could not be applied and is left out', {
+        stream: topic,
+        key: record.key,
+        offset: record.offset,
+        reason: error instanceof Error ? error.message : String(error),
+      });
+    }
   }
 
   #keepRemoval(record: KeyedRecord): void {
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -9,6 +9,7 @@
   DaemonStopped = 103,
   StopForced = 104,
   DaemonStarted = 105,
+  UnexpectedError = 106,
   ConfigInForce = 110,
   ConfigUnreadable = 111,
   RequestServed = 201,
@@ -34,6 +35,7 @@
   SettingsRejected = 313,
   DistributorSuspended = 314,
   DistributionFailed = 315,
+  RecordNotApplied = 316,
 
   // 4xx membership and fleet
   MemberJoined = 401,
--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -5,3 +5,4 @@
 export * from './line-writer.js';
 export * from './log-line.js';
 export * from './request-trace.js';
+export * from './unexpected-errors.js';
--- a/test/log/keyed-replica_test.ts
+++ b/test/log/keyed-replica_test.ts
@@ -40,6 +40,20 @@
     expect(replica.get('a')).toBeUndefined();
   });
 
+  it('goes on after a record that a listener fails on, so that one bad record does not end a topic', async () => {
+    replica.onRecord(({ key }) => {
+      if (key === 'bad') throw new TypeError('cannot apply');
+    });
+    replica.start();
+    await clock.advance(10);
+    log.put('t', 'bad', 'x');
+    log.put('t', 'good', 'y');
+    await clock.advance(200);
+    expect(seen).toEqual(['bad=x', 'good=y']);
+    expect(replica.isFailing).toBe(false);
+    expect(replica.endOffset).toBe(2);
+  });
+
   describe('when the store has trimmed its history', () => {
     it('reports keys that were removed in between once', async () => {
       log.put('t', 'a', '1');
