Avoid endpoints that several other daemons could not reach

Cause: when endpoints go dark, every daemon loses a request of its own to each of them, for a connect timeout of 600 ms: at 195 daemons and two requests a second each, hundreds of requests.

Unknown kinds of messages in a batch no longer void the others of it, for rolling restarts.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -14,20 +14,22 @@
   StallDetector,
   type EndpointProbe,
 } from '../fleet/index.js';
+import { PeerSuspicions } from '../fleet/peer-suspicions.js';
 import { PrefillBacklog } from '../fleet/prefill-backlog.js';
 import { SpeedEstimator } from '../fleet/speed-estimator.js';
 import type { KeyedLog } from '../log/keyed-log.js';
 import { DaemonSamples, type SampleContent } from '../membership/daemon-samples.js';
 import type { PeerAddress } from '../membership/peer-broadcaster.js';
 import {
+  PeerSuspicionFilter,
   PrefillInterferenceScorer,
   PrefillQueueScorer,
   PromptAffinityScorer,
   Router,
+  standardFilters,
   standardScorers,
 } from '../routing/index.js';
 import { EventId, type EventLog, type Metrics } from '../telemetry/index.js';
-import type { AdmittedRequest } from './caller-exchange.js';
 import { ConfigHolder } from './config-holder.js';
 import { EndpointConnections } from './endpoint-connections.js';
 import { GatewayDuties } from './gateway-duties.js';
@@ -39,7 +41,8 @@
 import { RequestAdmission } from './request-admission.js';
 import type { RequestCodec } from './request-codec.js';
 import { RequestMetrics } from './request-metrics.js';
-import { RequestRelay, UsageObserver } from './request-relay.js';
+import { RequestRelay } from './request-relay.js';
+import { UsageCountingObserver } from './usage-counting-observer.js';
 import { WorkspaceQuotas } from './workspace-quotas.js';
 
 /** Options of {@link Gateway}. */
@@ -113,6 +116,7 @@
   readonly #quotas: WorkspaceQuotas;
   readonly #gauges: GatewayGauges;
   readonly #backlog = new PrefillBacklog();
+  readonly #suspicions = new PeerSuspicions();
   readonly #demand = new RateMeter(demandSmoothingMs);
   readonly #peers: PeerExchange;
   readonly #retries: SharedRetryBudget;
@@ -144,6 +148,10 @@
       speeds.remove(endpointId);
       caches.remove(endpointId);
       this.#backlog.remove(endpointId);
+      this.#suspicions.remove(endpointId);
+    });
+    this.#registry.onSuspect(({ id }) => {
+      this.#peers.broadcastSuspicion(id);
     });
     this.endpoints = new RegisteredEndpoints({
       registry: this.#registry,
@@ -178,6 +186,8 @@
       maxRegistrationReadIntervalMs: options.maxRegistrationReadIntervalMs,
       counts: () => this.#quotas.counts(),
       distributor: () => this.replicas.distributor,
+      onSuspicion: (endpointId, reporter) =>
+        this.#suspicions.report(endpointId, reporter, clock.nowMs()),
       onPrefill: ({ endpointId, tokens }) => this.#backlog.add(endpointId, tokens, clock.nowMs()),
     });
     this.#quotas = new WorkspaceQuotas(this.#peers, options.quotaTolerance, options.random.fork());
@@ -285,6 +295,7 @@
       region,
       random: random.fork(),
       caches,
+      filters: [...standardFilters(region), new PeerSuspicionFilter(this.#suspicions)],
       scorers: [
         ...standardScorers(region),
         new PrefillQueueScorer(this.#backlog, clock),
@@ -380,17 +391,3 @@
     };
   }
 }
-
-/** Counts the started requests of each workspace. */
-class UsageCountingObserver extends UsageObserver {
-  readonly #counter: UsageCounter;
-
-  constructor(counter: UsageCounter) {
-    super();
-    this.#counter = counter;
-  }
-
-  override began({ workspace }: AdmittedRequest, atMs: number): void {
-    if (workspace) this.#counter.count(workspace.name, atMs);
-  }
-}
--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -32,6 +32,8 @@
   /** Units granted and requested at this daemon since its start, by workspace. */
   readonly counts: () => WorkspaceCounts;
   readonly onPrefill: (report: PrefillReport) => void;
+  /** Called when another daemon could not reach an endpoint. */
+  readonly onSuspicion: (endpointId: string, daemon: string) => void;
   /** The daemon from which this one reads the store; undefined when it reads the store itself. */
   readonly distributor: () => DistributorCandidate | undefined;
 }
@@ -71,13 +73,14 @@
   constructor(options: PeerExchangeOptions) {
     super();
     this.#options = options;
-    const { samples, daemon, address, clock, events, onPrefill } = options;
+    const { samples, daemon, address, clock, events, onPrefill, onSuspicion } = options;
     this.#intervals = this.#intervalsFor(1, 1);
     this.#broadcaster = new PeerBroadcaster({
       daemon,
       listenAddress: address,
       routes: () => this.#routes(),
       onPrefill,
+      onSuspicion,
       onGrants: (report) => {
         samples.applyDirectReport(report);
       },
@@ -147,6 +150,11 @@
     this.#broadcaster.broadcastPrefill(report);
   }
 
+  /** Tells all other daemons that this one could not reach an endpoint. */
+  broadcastSuspicion(endpointId: string): void {
+    this.#broadcaster.broadcastSuspicion(endpointId);
+  }
+
   /**
    * Reports the totals that changed at the end of each interval. Each change is sent twice, as
    * datagrams can be lost. A change that is lost both times reaches the peers with the next change
--- a/src/membership/broadcast-message.ts
+++ b/src/membership/broadcast-message.ts
@@ -11,6 +11,7 @@
 export enum BroadcastKind {
   Prefill = 'prefill',
   Grants = 'grants',
+  Suspicion = 'suspicion',
 }
 
 /** Who is to receive the messages of a {@link BroadcastBatch}, besides its receiver. */
@@ -25,6 +26,7 @@
 
 const messageSchema = z.union([
   z.tuple([z.literal(BroadcastKind.Prefill), z.string(), z.number().nonnegative(), z.string()]),
+  z.tuple([z.literal(BroadcastKind.Suspicion), z.string().min(1), z.string()]),
   z.tuple([
     z.literal(BroadcastKind.Grants),
     z.string().min(1),
@@ -34,7 +36,7 @@
   ]),
 ]);
 
-/** Kind and content; the daemon that it comes from is the last item of a prompt's. */
+/** Kind and content; the daemon that it comes from is the last item of all but the grants. */
 export type BroadcastMessage = z.output<typeof messageSchema>;
 
 const batchSchema = z.object({
@@ -42,27 +44,47 @@
   /** Daemon that sent the batch on, and the address at which it receives. */
   sender: z.string(),
   senderAddress: z.string(),
-  messages: z.array(messageSchema),
+  messages: z.array(z.unknown()),
 });
 
 /** Messages of one datagram. */
-export type BroadcastBatch = z.output<typeof batchSchema>;
+export interface BroadcastBatch extends z.output<typeof batchSchema> {
+  readonly messages: BroadcastMessage[];
+}
 
 /** Message about a prompt that `daemon` has sent. */
 export function prefillMessage(daemon: string, report: PrefillReport): BroadcastMessage {
   return [BroadcastKind.Prefill, report.endpointId, Math.round(report.tokens), daemon];
 }
 
+/** Message that `daemon` could not reach an endpoint. */
+export function suspicionMessage(daemon: string, endpointId: string): BroadcastMessage {
+  return [BroadcastKind.Suspicion, endpointId, daemon];
+}
+
 /** Message about the units granted by and requested from a daemon since it started. */
 export function grantMessage(report: GrantReport): BroadcastMessage {
   const { daemon, incarnation, granted, asked } = report;
   return [BroadcastKind.Grants, daemon, incarnation, granted, asked];
 }
 
-/** The batch in a datagram; undefined when it holds none, as anybody can send to a UDP port. */
+/**
+ * The batch in a datagram; undefined when it holds none, as anybody can send to a UDP port. Messages
+ * of kinds that only later builds know are left out.
+ */
 export function decodeBatch(bytes: Buffer): BroadcastBatch | undefined {
+  const batch = batchSchema.safeParse(parseJson(bytes)).data;
+  if (!batch) return undefined;
+  const messages = batch.messages.flatMap((message) => {
+    const { data } = messageSchema.safeParse(message);
+    return data ? [data] : [];
+  });
+  return { ...batch, messages };
+}
+
+function parseJson(bytes: Buffer): unknown {
   try {
-    return batchSchema.safeParse(JSON.parse(bytes.toString())).data;
+    return JSON.parse(bytes.toString());
   } catch {
     return undefined;
   }
--- a/src/membership/peer-broadcaster.ts
+++ b/src/membership/peer-broadcaster.ts
@@ -7,6 +7,7 @@
   encodeBatch,
   grantMessage,
   prefillMessage,
+  suspicionMessage,
   type BroadcastBatch,
   type BroadcastMessage,
   type PrefillReport,
@@ -27,6 +28,8 @@
   readonly routes: () => BroadcastRoutes;
   readonly onPrefill: (report: PrefillReport) => void;
   readonly onGrants: (report: GrantReport) => void;
+  /** Called when another daemon could not reach an endpoint. */
+  readonly onSuspicion: (endpointId: string, daemon: string) => void;
   readonly clock: Clock;
   readonly events: EventLog;
 }
@@ -85,6 +88,11 @@
     this.#relay.publish(prefillMessage(this.#options.daemon, report));
   }
 
+  /** Tells all peers that this daemon could not reach an endpoint. */
+  broadcastSuspicion(endpointId: string): void {
+    this.#relay.publish(suspicionMessage(this.#options.daemon, endpointId));
+  }
+
   /** Sends all peers the units granted by and requested from this daemon since it started. */
   broadcastGrants(report: GrantReport): void {
     this.#relay.publish(grantMessage(report));
@@ -103,13 +111,23 @@
   }
 
   #deliver(message: BroadcastMessage): void {
-    const { daemon, onPrefill, onGrants } = this.#options;
-    if (message[0] === BroadcastKind.Grants) {
-      const [, sender, incarnation, granted, asked] = message;
-      if (sender !== daemon) onGrants({ daemon: sender, incarnation, granted, asked });
-    } else {
-      const [, endpointId, tokens, sender] = message;
-      if (sender !== daemon) onPrefill({ endpointId, tokens });
+    const { daemon, onPrefill, onGrants, onSuspicion } = this.#options;
+    switch (message[0]) {
+      case BroadcastKind.Grants: {
+        const [, sender, incarnation, granted, asked] = message;
+        if (sender !== daemon) onGrants({ daemon: sender, incarnation, granted, asked });
+        break;
+      }
+      case BroadcastKind.Prefill: {
+        const [, endpointId, tokens, sender] = message;
+        if (sender !== daemon) onPrefill({ endpointId, tokens });
+        break;
+      }
+      case BroadcastKind.Suspicion: {
+        const [, endpointId, sender] = message;
+        if (sender !== daemon) onSuspicion(endpointId, sender);
+        break;
+      }
     }
   }
 }
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -10,3 +10,4 @@
 export * from './standard-filters.js';
 export * from './standard-scorers.js';
 export * from './subset-selector.js';
+export * from './peer-suspicion-filter.js';
--- a/test/gateway/peer-exchange_test.ts
+++ b/test/gateway/peer-exchange_test.ts
@@ -56,6 +56,7 @@
     maxRegistrationReadIntervalMs: 1_000,
     counts: () => counts,
     onPrefill: () => undefined,
+    onSuspicion: () => undefined,
     distributor: () => undefined,
   });
   return { samples, exchange };
--- a/test/membership/peer-broadcaster_test.ts
+++ b/test/membership/peer-broadcaster_test.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events';
 import { afterEach, describe, expect, it } from 'vitest';
 import { SystemClock } from '../../src/core/index.js';
-import type { PrefillReport } from '../../src/membership/broadcast-message.js';
+import { decodeBatch, type PrefillReport } from '../../src/membership/broadcast-message.js';
 import type { GrantReport } from '../../src/membership/daemon-samples.js';
 import { PeerBroadcaster } from '../../src/membership/peer-broadcaster.js';
 import { NullEventLog } from '../../src/telemetry/index.js';
@@ -39,6 +39,7 @@
       routes: () => ({ peers: peers(), distributor: undefined, members: [], otherGroups: [] }),
       onPrefill: onReport,
       onGrants: onReport,
+      onSuspicion: () => undefined,
       events,
     });
     broadcaster.listen();
@@ -66,6 +67,14 @@
     expect(receiver.received).toEqual([prompt, report]);
   });
 
+  it('takes the known messages of a batch of a later build, as both run during a rolling restart', () => {
+    const known = ['prefill', 'e-1', 5, 'a'];
+    const batch = { scope: 'receiver', sender: 'a', senderAddress: 'b' };
+    const messages = [['from the future', 1], known];
+    const bytes = Buffer.from(JSON.stringify({ ...batch, messages }));
+    expect(decodeBatch(bytes)?.messages).toEqual([known]);
+  });
+
   it('ignores invalid datagrams, so that a stray packet does not crash the daemon', async () => {
     const receiver = await start(() => []);
     const sender = await start(() => [`${host}:${receiver.port}`]);
