Test a planned stop under load on new and on kept connections

20 callers send one request after another while the gateway stops; every request that reached an endpoint is answered whole.

--- a/test/gateway/gateway-listener_test.ts
+++ b/test/gateway/gateway-listener_test.ts
@@ -79,6 +79,26 @@
       agent.destroy();
     });
 
+    it('under load answers every request that it has passed on, on new and on kept connections', async () => {
+      await harness.start(trafficConfig(), (request, response) => {
+        setTimeout(() => {
+          respondWith(200, 'ok')(request, response);
+        }, 20);
+      });
+      const answered = new Set<string>();
+      const callers = Array.from({ length: 20 }, (_, caller) =>
+        callUntilRefused(harness, `c${caller}`, caller % 2 === 0, answered),
+      );
+      await harness.clock.sleepUntil(harness.clock.nowMs() + 300);
+      await harness.gateway.stop(harness.clock.nowMs() + 4_000);
+      await Promise.all(callers);
+      const passedOn = harness.endpoints[0]!.received.map(({ headers }) =>
+        String(headers['oriolestack-request-id']),
+      );
+      expect(answered.size).toBeGreaterThan(100);
+      expect(passedOn.filter((id) => !answered.has(id))).toEqual([]);
+    });
+
     it('ends in time although the store does not respond', async () => {
       await harness.start(trafficConfig(), respondWith(200, 'ok'));
       harness.store.fault = KeyedLogFault.Silent;
@@ -112,3 +132,33 @@
     if (isRefused) return;
   }
 }
+
+/** Sends one request after another until the gateway refuses connections. */
+async function callUntilRefused(
+  { gateway }: GatewayHarness,
+  name: string,
+  keepAlive: boolean,
+  answered: Set<string>,
+): Promise<void> {
+  const { port } = gateway;
+  const agent = new Agent({ keepAlive, maxSockets: 1 });
+  const state = { isRefused: false };
+  for (let number = 0; !state.isRefused; number++) {
+    const id = `${name}-${number}`;
+    const headers = { host: 'shop.example', 'oriolestack-request-id': id };
+    await new Promise<void>((resolve) => {
+      const outgoing = get({ host: '127.0.0.1', port, agent, path: '/x', headers }, (response) => {
+        response.resume();
+        response.once('close', () => {
+          if (response.complete) answered.add(id);
+          resolve();
+        });
+      });
+      outgoing.once('error', (error: NodeJS.ErrnoException) => {
+        state.isRefused = error.code === 'ECONNREFUSED';
+        resolve();
+      });
+    });
+  }
+  agent.destroy();
+}
