--- a/src/gateway/gateway-replicas.ts
+++ b/src/gateway/gateway-replicas.ts
@@ -52,7 +52,15 @@
  * Time after a start until daemons that started together know of each other. The first read of a
  * topic is not followed by another before: hundreds of daemons would all read the store.
  */
-const settlingMs = 1_300;
+const settlingMs = 1_800;
+
+/** Longest delay of the topics of the exchange after those that the daemon needs to serve. */
+const maxExchangeDelayMs = 2_000;
+
+const startCheckIntervalMs = 20;
+
+/** Spreads the reads of the samples by daemons that start together. */
+const exchangeJitterMs = 500;
 
 /** Time for which samples wait to be stored together, by one call of the distributor. */
 const sampleBatchDelayMs = 1_000;
@@ -68,12 +76,15 @@
   readonly duties: KeyedReplica;
   readonly #options: GatewayReplicasOptions;
   readonly #client = new HttpReplicaClient();
+  readonly #random: Random;
+  #isStopped = false;
   readonly #log: DistributedLog;
   readonly #server: ReplicaServer;
 
   constructor(options: GatewayReplicasOptions) {
     this.#options = options;
     const { store, topics, clock, random, events, intervals } = options;
+    this.#random = random.fork();
     const batcher = new AppendBatcher({
       log: store,
       topic: topics.daemons,
@@ -136,10 +147,32 @@
   async start(): Promise<void> {
     const { host, port } = this.#options.listenAddress;
     await this.#server.listen(host, port);
-    for (const replica of this.all()) replica.start();
+    this.config.start();
+    this.registrations.start();
+    void this.#startExchange();
+  }
+
+  /**
+   * Starts the topics by which daemons exchange their state once the daemon can serve, or after a
+   * while. Hundreds of daemons that start together would else wait for each other's samples on the
+   * link to the store before they know a configuration.
+   */
+  async #startExchange(): Promise<void> {
+    const { clock } = this.#options;
+    const latestAtMs = clock.nowMs() + maxExchangeDelayMs;
+    const canServe = (): boolean =>
+      this.config.endOffset !== undefined && this.registrations.endOffset !== undefined;
+    while (!canServe() && clock.nowMs() < latestAtMs) {
+      await clock.sleepUntil(clock.nowMs() + startCheckIntervalMs);
+    }
+    await clock.sleepUntil(clock.nowMs() + this.#random.float() * exchangeJitterMs);
+    if (this.#isStopped) return;
+    this.samples.start();
+    this.duties.start();
   }
 
   stop(): void {
+    this.#isStopped = true;
     for (const replica of this.all()) replica.stop();
     this.#client.close();
     void this.#server.close();
--- a/src/log/keyed-replica.ts
+++ b/src/log/keyed-replica.ts
@@ -29,6 +29,13 @@
 /** Time beyond the long-poll wait after which a read times out. */
 const answerTimeoutMs = 700;
 
+/**
+ * Timeouts of a read of all newest records: short at first, to notice a connection that is dead, and
+ * doubled with each failure, as hundreds of daemons may read over one link at the same time.
+ */
+const minNewestTimeoutMs = 1_500;
+const maxNewestTimeoutMs = 6_000;
+
 /** Longest delay between failed reads; short, since a daemon must recover soon after an outage. */
 const maxRetryDelayMs = 800;
 
@@ -58,6 +65,7 @@
   #completeFromOffset = 0;
   readonly #changeListeners = new Set<() => void>();
   #isDirect = false;
+  #newestTimeoutMs = minNewestTimeoutMs;
   #nextOffset: Offset | undefined;
   #caughtUpAtMs: number | undefined;
   #failingSinceMs: number | undefined;
@@ -152,9 +160,12 @@
    */
   async refresh(): Promise<void> {
     const { log, topic, clock } = this.#options;
-    const page = await withTimeout(clock, answerTimeoutMs, this.#abort.signal, (signal) =>
+    const timeoutMs = this.#newestTimeoutMs;
+    this.#newestTimeoutMs = Math.min(maxNewestTimeoutMs, 2 * timeoutMs);
+    const page = await withTimeout(clock, timeoutMs, this.#abort.signal, (signal) =>
       log.newest(topic, signal),
     );
+    this.#newestTimeoutMs = minNewestTimeoutMs;
     if (page.endOffset < (this.#nextOffset ?? 0)) return;
     this.#removeMissing(page.records);
     for (const record of page.records) this.#apply(record);
--- a/test/log/keyed-replica_test.ts
+++ b/test/log/keyed-replica_test.ts
@@ -68,6 +68,32 @@
     });
   });
 
+  describe('when the newest records come slowly, as many daemons read them over one link', () => {
+    class SlowLog extends MemoryKeyedLog {
+      override async newest(topic: string): ReturnType<MemoryKeyedLog['newest']> {
+        await clock.sleepUntil(clock.nowMs() + 3_500);
+        return super.newest(topic);
+      }
+    }
+
+    it('gives them more time with each try, so that the daemons do not read in vain for ever', async () => {
+      const slowLog = new SlowLog();
+      slowLog.put('t', 'a', '1');
+      const slow = new KeyedReplica({
+        log: slowLog,
+        topic: 't',
+        clock,
+        random: new Random(1),
+        events: new NullEventLog(),
+        waitMs: 2_500,
+        minReadIntervalMs: () => 100,
+      });
+      slow.start();
+      await clock.advance(12_000);
+      expect(slow.get('a')).toBeDefined();
+    });
+  });
+
   describe('when the store is down', () => {
     it('reads without a wait until the store recovers, and then waits again', async () => {
       replica.start();
