--- a/src/gateway/gateway-replicas.ts
+++ b/src/gateway/gateway-replicas.ts
@@ -77,9 +77,9 @@
   readonly #options: GatewayReplicasOptions;
   readonly #client = new HttpReplicaClient();
   readonly #random: Random;
-  #isStopped = false;
   readonly #log: DistributedLog;
   readonly #server: ReplicaServer;
+  #isStopped = false;
 
   constructor(options: GatewayReplicasOptions) {
     this.#options = options;
