Refuse requests that come while a stopping daemon takes its leave

Cause: a connection accepted before the stop may bring its first request after the last open one has ended, while the daemon publishes that it leaves. The request was passed on, and the exit cut it.

Ruled out: kept connections whose response began before the stop (they end after their response).

Change: once the daemon has stopped waiting for open requests, each further one is refused with 503, not run.

--- a/src/gateway/gateway-listener.ts
+++ b/src/gateway/gateway-listener.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { RequestError, type Clock } from '../core/index.js';
+import { Outcome, RequestError, Step, type Clock } from '../core/index.js';
 import { listen } from '../core/listener.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
 import { CallerExchange } from './caller-exchange.js';
@@ -35,6 +35,9 @@
 /** Connections that may wait to be accepted; sized for bursts of reconnects after a restart. */
 const acceptBacklog = 1_024;
 
+/** `retry-after` of a stopping daemon: another one takes new connections at once. */
+const stoppingRetryMs = 100;
+
 /** How often the header timeout of open connections is checked. */
 const checkIntervalMs = 500;
 
@@ -51,6 +54,7 @@
   #inFlight = 0;
   #isDraining = false;
   #isAccepting = true;
+  #isRefusing = false;
 
   constructor(options: GatewayListenerOptions) {
     this.#options = options;
@@ -111,6 +115,14 @@
     this.#server.closeIdleConnections();
   }
 
+  /**
+   * Refuses each further request as not run. A connection that was accepted before the stop may bring
+   * its first request only now, and the process does not wait for its response any more.
+   */
+  refuseRequests(): void {
+    this.#isRefusing = true;
+  }
+
   /** Resolves once no request is in flight, or at `deadlineAtMs` (epoch milliseconds). */
   async waitUntilIdle(deadlineAtMs: number): Promise<void> {
     if (this.#inFlight === 0) return;
@@ -146,6 +158,7 @@
       if (!this.#isAccepting) request.socket.end();
     });
     try {
+      if (this.#isRefusing) throw stoppingRefusal(this.#options.clock.nowMs());
       const admitted = await admission.admit(exchange);
       onAdmitted(admitted);
       await relay.relay(exchange, admitted);
@@ -191,3 +204,15 @@
     for (const listener of this.#idleListeners.splice(0)) listener();
   }
 }
+
+function stoppingRefusal(nowMs: number): RequestError {
+  return new RequestError('the daemon is stopping', {
+    step: Step.Admit,
+    peer: 'caller',
+    status: 503,
+    code: 'refused',
+    next: 'Send the request again; another daemon takes it.',
+    outcome: Outcome.NotRun,
+    retryAtMs: nowMs + stoppingRetryMs,
+  });
+}
