--- a/src/distribution/append-batcher.ts
+++ b/src/distribution/append-batcher.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../core/index.js';
 import type { KeyedEntry, KeyedLog } from '../log/keyed-log.js';
+import { LogRefusedError } from '../log/log-errors.js';
 
 /** Options of {@link AppendBatcher}. */
 export interface AppendBatcherOptions {
@@ -20,9 +21,9 @@
 }
 
 /** Thrown when too many entries wait for the store. */
-export class BatchFullError extends Error {
+export class BatchFullError extends LogRefusedError {
   constructor() {
-    super(`more than ${maxPendingEntries} entries wait for the store`);
+    super(`more than ${maxPendingEntries} entries wait for the store`, 'store');
   }
 }
 
--- a/src/membership/daemon-samples.ts
+++ b/src/membership/daemon-samples.ts
@@ -262,8 +262,11 @@
     if (this.#isPublishing) return;
     this.#isPublishing = true;
     const { log, topic } = this.#options;
-    await this.#store((entry) => log.publish(topic, entry));
-    this.#isPublishing = false;
+    try {
+      await this.#store((entry) => log.publish(topic, entry));
+    } finally {
+      this.#isPublishing = false;
+    }
   }
 
   /** Publishes a sample straight to the store, also while another one is on its way there. */
@@ -272,9 +275,13 @@
     this.#isPublishingAtOnce = true;
     const { log, topic, clock } = this.#options;
     const sentAtMs = clock.nowMs();
-    const isStored = await this.#store((entry) => log.appendAll(topic, [entry]));
-    if (isStored) this.#heartbeatAtMs = Math.max(this.#heartbeatAtMs, sentAtMs);
-    this.#isPublishingAtOnce = false;
+    const isHeartbeat = this.#dutyFence > 0;
+    try {
+      const isStored = await this.#store((entry) => log.appendAll(topic, [entry]));
+      if (isStored && isHeartbeat) this.#heartbeatAtMs = Math.max(this.#heartbeatAtMs, sentAtMs);
+    } finally {
+      this.#isPublishingAtOnce = false;
+    }
   }
 
   /** @returns whether the sample is known to be stored. */
