Reckon a sample's way by the distributor in the delay that quotas assume

Without direct reports a grant is known after the sample period, the wait for a batch and two reads; the delay counted one read and no batch, so that daemons could grant too much before they knew of each other. The test demands the whole way and fails without the change.

--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -47,8 +47,11 @@
 /** Time for which the groups are reused before they are computed again. */
 const groupsTtlMs = 500;
 
-/** Transit time of a sample through the store, in addition to the write and read intervals. */
-const storeTransitMs = 300;
+/** Transit time of a sample through the store, with the wait for a batch, besides the intervals. */
+const storeTransitMs = 1_300;
+
+/** A sample passes two readers: the distributor and the daemon that reads from it. */
+const readers = 2;
 
 /** Missed direct reports in a row after which a daemon counts as reachable by the store only. */
 const maxMissedReports = 4;
@@ -115,7 +118,7 @@
     const directRatio =
       reachable === 0 ? 1 : (live.filter(isDirect).length + directlyReachable) / reachable;
     const hasPeers = live.length + unreachable.length > 0;
-    const storeDelayMs = samplePeriodMs + sampleReadIntervalMs + storeTransitMs;
+    const storeDelayMs = samplePeriodMs + readers * sampleReadIntervalMs + storeTransitMs;
     return {
       daemons: reachable + 1,
       unreachableDaemons: unreachable.length - directlyReachable,
--- a/test/gateway/peer-exchange_test.ts
+++ b/test/gateway/peer-exchange_test.ts
@@ -133,6 +133,9 @@
   );
 
   it('assumes the delay of the store without direct reports', () => {
-    expect(own.exchange.peerStatus().propagationDelayMs).toBeGreaterThan(1_000);
+    const { samplePeriodMs, sampleReadIntervalMs } = own.exchange.intervals;
+    // A sample waits for a batch of a second, is read by the distributor, and then from it.
+    const leastMs = samplePeriodMs + 1_000 + 2 * sampleReadIntervalMs;
+    expect(own.exchange.peerStatus().propagationDelayMs).toBeGreaterThan(leastMs);
   });
 });
