Bound the suspicions of endpoints and correct what the lease's comments say

Found by reading the diff again: reports of endpoints that nobody knows were kept for ever (the test fails without the bound), and two comments described heartbeats as they were before samples bore the fence.

--- a/src/capacity/duty-lease.ts
+++ b/src/capacity/duty-lease.ts
@@ -60,10 +60,10 @@
 
 /**
  * Lease on the duties, the calls to the platform that one daemon makes on behalf of all. A daemon
- * acquires the lease by a conditional append, whose offset determines the new fence. The samples
- * that each daemon publishes anyway serve as heartbeats. The holder acts only while its last
- * acknowledged sample is younger than the lease. Other daemons take over only after they have
- * received no sample from it for longer than that, so that two daemons never act at the same time.
+ * acquires the lease by a conditional append, whose offset determines the new fence. While it holds
+ * the lease, its samples bear the fence and serve as heartbeats. The holder acts only while its last
+ * acknowledged heartbeat is younger than the lease. Other daemons take over only once they know the
+ * samples of a longer time without one, so that two daemons never act at the same time.
  *
  * @example
  * ```ts
@@ -164,8 +164,8 @@
     const { samples, leaseMs, daemon } = this.#options;
     const record = this.#record();
     if (!record) return true;
-    // The lease expired for lack of acknowledged heartbeats and nobody has taken it since. The
-    // other daemons wait, because they receive samples of this run again.
+    // The lease expired for lack of acknowledged heartbeats and nobody has taken it since. If another
+    // daemon does so now, the conditional append of one of the two fails.
     if (this.#isOwn(record)) return true;
     const idleMs = leaseMs + takeoverMarginMs;
     // A previous holder that took the lease back at once would change the holder twice within one
--- a/src/fleet/peer-suspicions.ts
+++ b/src/fleet/peer-suspicions.ts
@@ -1,3 +1,11 @@
+import { LRUCache } from 'lru-cache';
+
+/** Endpoints of which reports are kept; bounds the memory, as anybody can send datagrams. */
+const maxEndpoints = 8_192;
+
+/** Reports kept of one endpoint. */
+const maxReporters = 16;
+
 /** Daemons whose reports within {@link reportWindowMs} make an endpoint suspected. */
 const minReporters = 2;
 
@@ -23,13 +31,13 @@
  * ```
  */
 export class PeerSuspicions {
-  readonly #reports = new Map<string, Reports>();
-  readonly #avoidedUntilMs = new Map<string, number>();
+  readonly #reports = new LRUCache<string, Reports>({ max: maxEndpoints });
+  readonly #avoidedUntilMs = new LRUCache<string, number>({ max: maxEndpoints });
 
   /** Records that a daemon could not reach an endpoint. */
   report(endpointId: string, daemon: string, nowMs: number): void {
     const reports = this.#reports.get(endpointId) ?? new Map<string, number>();
-    reports.set(daemon, nowMs);
+    if (reports.size < maxReporters) reports.set(daemon, nowMs);
     for (const [reporter, atMs] of reports) {
       if (atMs + reportWindowMs < nowMs) reports.delete(reporter);
     }
--- a/test/fleet/peer-suspicions_test.ts
+++ b/test/fleet/peer-suspicions_test.ts
@@ -39,6 +39,16 @@
     expect(suspicions.isSuspected('i-1', 1_000)).toBe(false);
   });
 
+  it('keeps a bounded number of endpoints, so that a flood of datagrams does not fill the memory', () => {
+    const suspicions = new PeerSuspicions();
+    for (let number = 0; number < 20_000; number++) {
+      suspicions.report(`i-${number}`, 'd1', 0);
+      suspicions.report(`i-${number}`, 'd2', 0);
+    }
+    expect(suspicions.isSuspected('i-0', 1)).toBe(false);
+    expect(suspicions.isSuspected('i-19999', 1)).toBe(true);
+  });
+
   it('ends by itself, so that an endpoint that recovered is used again', () => {
     const suspicions = new PeerSuspicions();
     suspicions.report('i-1', 'd1', 0);
