--- a/src/gateway/gateway-listener.ts
+++ b/src/gateway/gateway-listener.ts
@@ -116,21 +116,20 @@
   }
 
   /**
-   * Refuses each further request as not run. A connection that was accepted before the stop may bring
-   * its first request only now, and the process does not wait for its response any more.
+   * Resolves once no request is in flight, or at `deadlineAtMs` (epoch milliseconds). From that very
+   * moment each further request is refused as not run: a connection that was accepted before the stop
+   * may bring its first request only now, and the process does not wait for its response any more.
    */
-  refuseRequests(): void {
-    this.#isRefusing = true;
-  }
-
-  /** Resolves once no request is in flight, or at `deadlineAtMs` (epoch milliseconds). */
   async waitUntilIdle(deadlineAtMs: number): Promise<void> {
-    if (this.#inFlight === 0) return;
-    const idleController = new AbortController();
-    this.#idleListeners.push(() => {
-      idleController.abort();
-    });
-    await this.#options.clock.sleepUntil(deadlineAtMs, idleController.signal);
+    if (this.#inFlight > 0) {
+      const idleController = new AbortController();
+      this.#idleListeners.push(() => {
+        this.#isRefusing = true;
+        idleController.abort();
+      });
+      await this.#options.clock.sleepUntil(deadlineAtMs, idleController.signal);
+    }
+    this.#isRefusing = true;
   }
 
   /** Closes the server and all connections. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -264,7 +264,6 @@
     );
     this.#listener.stopAccepting();
     await this.#listener.waitUntilIdle(deadlineAtMs - stopMarginMs);
-    this.#listener.refuseRequests();
     const left = new AbortController();
     void this.#samples.leave().finally(() => {
       left.abort();
