Log stalls of the event loop, and what a daemon knew when a registration ended

The hypotheses on GONE and DRAIN could not be told apart by logs or metrics: nothing said when a daemon stood still, nor how old its copy of the registrations was, nor for how long it kept an endpoint whose registration had ended. Events 107 and 418, gauge gateway_event_loop_stall_ms.

--- a/src/fleet/registered-endpoints.ts
+++ b/src/fleet/registered-endpoints.ts
@@ -27,6 +27,8 @@
   readonly registry: EndpointRegistry;
   readonly clock: Clock;
   readonly events: EventLog;
+  /** Epoch milliseconds as of which the registrations are known. */
+  readonly knownAsOfMs: () => number;
   /** Whether removals may be due to an outage of the store rather than to the endpoints. */
   readonly isStoreRecovering: () => boolean;
 }
@@ -83,10 +85,11 @@
   remove(instanceId: string): void {
     if (!this.#registrations.has(instanceId) || this.#cancelRemovals.has(instanceId)) return;
     if (!this.#options.isStoreRecovering()) {
-      this.#unregister(instanceId);
+      this.#unregister(instanceId, this.#options.clock.nowMs());
       return;
     }
     const { clock, events } = this.#options;
+    const endedAtMs = clock.nowMs();
     events.info(
       EventId.EndpointLapsed,
       'registration may have expired in a store outage; endpoint kept for now',
@@ -95,9 +98,9 @@
         graceMs: lapseGraceMs,
       },
     );
-    const cancel = clock.schedule(clock.nowMs() + lapseGraceMs, () => {
+    const cancel = clock.schedule(endedAtMs + lapseGraceMs, () => {
       this.#cancelRemovals.delete(instanceId);
-      this.#unregister(instanceId);
+      this.#unregister(instanceId, endedAtMs);
     });
     this.#cancelRemovals.set(instanceId, cancel);
   }
@@ -119,7 +122,14 @@
     return view.name.slice(registeredTeam.length + 1);
   }
 
-  #unregister(instanceId: string): void {
+  #unregister(instanceId: string, endedAtMs: number): void {
+    const { clock, events, knownAsOfMs } = this.#options;
+    const nowMs = clock.nowMs();
+    events.info(EventId.RegistrationEnded, 'registration ended; endpoint gets no new work', {
+      endpoint: instanceId,
+      copyAgeMs: Math.round(nowMs - knownAsOfMs()),
+      keptMs: Math.round(nowMs - endedAtMs),
+    });
     this.#registrations.delete(instanceId);
     this.#options.registry.removeCreated(nameOf(instanceId));
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -29,7 +29,7 @@
   standardFilters,
   standardScorers,
 } from '../routing/index.js';
-import { EventId, type EventLog, type Metrics } from '../telemetry/index.js';
+import { EventId, EventLoopMonitor, type EventLog, type Metrics } from '../telemetry/index.js';
 import { ConfigHolder } from './config-holder.js';
 import { EndpointConnections } from './endpoint-connections.js';
 import { GatewayDuties } from './gateway-duties.js';
@@ -120,6 +120,7 @@
   readonly #demand = new RateMeter(demandSmoothingMs);
   readonly #peers: PeerExchange;
   readonly #retries: SharedRetryBudget;
+  readonly #loopMonitor: EventLoopMonitor;
   #isStopping = false;
   #stopTicking: () => void = () => undefined;
 
@@ -127,6 +128,7 @@
     this.#options = options;
     const { clock, events, codec, daemon, topics } = options;
     const incarnation = options.wallNowMs();
+    this.#loopMonitor = new EventLoopMonitor(options);
     this.config = new ConfigHolder(events);
     this.replicas = new GatewayReplicas({
       ...options,
@@ -157,6 +159,7 @@
       registry: this.#registry,
       clock,
       events,
+      knownAsOfMs: () => this.replicas.registrations.caughtUpAtMs ?? clock.nowMs(),
       isStoreRecovering: () => this.#isStoreRecovering(),
     });
     this.#connections = new EndpointConnections(clock);
@@ -241,6 +244,7 @@
    */
   async start(): Promise<void> {
     const { clock } = this.#options;
+    this.#loopMonitor.start();
     await this.#listener.listen();
     this.#peers.start();
     await this.replicas.start();
@@ -270,6 +274,7 @@
     });
     await clock.sleepUntil(deadlineAtMs - leaveMarginMs, left.signal);
     this.#stopTicking();
+    this.#loopMonitor.stop();
     this.replicas.stop();
     events.info(EventId.DaemonStopped, 'daemon has stopped', { open: this.#listener.inFlight });
     this.#listener.close();
@@ -280,6 +285,7 @@
   /** Updates the gauges that are computed from the daemon's state. */
   measure(): void {
     this.#gauges.measure();
+    this.#loopMonitor.measure();
   }
 
   #createListener(
@@ -352,6 +358,7 @@
   }
 
   async #tick(): Promise<void> {
+    this.#loopMonitor.check();
     const { daemons, unreachableDaemons } = this.#peers.peerStatus();
     this.#retries.setDaemons(daemons + unreachableDaemons);
     this.#quotas.refresh(this.config.table?.config.workspaces ?? [], this.#options.clock.nowMs());
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -10,6 +10,7 @@
   StopForced = 104,
   DaemonStarted = 105,
   UnexpectedError = 106,
+  EventLoopStalled = 107,
   ConfigInForce = 110,
   ConfigUnreadable = 111,
   RequestServed = 201,
@@ -50,6 +51,7 @@
   EndpointLapsed = 415,
   RegistrationUnreadable = 416,
   DrainNotKept = 417,
+  RegistrationEnded = 418,
 
   // 5xx routing and admission
   RequestNotAdmitted = 501,
--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -1,4 +1,5 @@
 export * from './event-log.js';
+export * from './event-loop-monitor.js';
 export * from './events.js';
 export * from './metrics.js';
 export * from './rate-limited-event-log.js';
--- a/test/fleet/registered-endpoints_test.ts
+++ b/test/fleet/registered-endpoints_test.ts
@@ -46,6 +46,7 @@
       registry,
       clock,
       events,
+      knownAsOfMs: () => clock.nowMs(),
       isStoreRecovering: () => isStoreRecovering,
     });
   });
@@ -84,8 +85,13 @@
       const speeds = new CountingSpeeds();
       const events = new NullEventLog();
       registry = new EndpointRegistry({ clock, leaving: new LeavingSet(), speeds, events });
-      const options = { registry, clock, events, isStoreRecovering: () => false };
-      endpoints = new RegisteredEndpoints(options);
+      endpoints = new RegisteredEndpoints({
+        registry,
+        clock,
+        events,
+        knownAsOfMs: () => clock.nowMs(),
+        isStoreRecovering: () => false,
+      });
       const registerAll = (startedAtMs: number): void => {
         for (let number = 0; number < count; number++) {
           endpoints.register(registration({ instanceId: `i-${number}`, startedAtMs }));
