--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -24,6 +24,8 @@
   readonly received: IncomingMessage[] = [];
   readonly #server: Server;
   behaviour: EndpointBehaviour;
+  /** Called with each connection that is accepted. */
+  onConnection: () => void = () => undefined;
 
   constructor(behaviour: EndpointBehaviour) {
     this.behaviour = behaviour;
@@ -31,6 +33,9 @@
       this.received.push(incoming);
       this.behaviour(incoming, response);
     });
+    this.#server.on('connection', () => {
+      this.onConnection();
+    });
   }
 
   async start(): Promise<string> {
--- a/test/gateway/gateway-listener_test.ts
+++ b/test/gateway/gateway-listener_test.ts
@@ -79,6 +79,34 @@
       agent.destroy();
     });
 
+    it('passes on no request from a kept connection that it is closing, which could get no answer', async () => {
+      const finishers = new Map<string, () => void>();
+      await harness.start(trafficConfig(), (request, response) => {
+        request.resume();
+        finishers.set(String(request.headers['oriolestack-request-id']), () => {
+          respondWith(200, 'ok')(request, response);
+        });
+      });
+      // An open request keeps the daemon running; its exit would close every connection.
+      const other = harness.call({ headers: { 'oriolestack-request-id': 'other' } });
+      const requestText = (id: string): string =>
+        `GET /x HTTP/1.1\r\nhost: shop.example\r\noriolestack-request-id: ${id}\r\n\r\n`;
+      const caller = connect({ host: '127.0.0.1', port: harness.gateway.port });
+      caller.on('error', () => undefined);
+      caller.write(requestText('first'));
+      while (finishers.size < 2) await new Promise(setImmediate);
+      const stopping = harness.gateway.stop(harness.clock.nowMs() + 5_000);
+      await untilRefusing(harness);
+      caller.once('data', () => caller.write(requestText('second')));
+      finishers.get('first')?.();
+      await new Promise((resolve) => caller.once('close', resolve));
+      await harness.clock.sleepUntil(harness.clock.nowMs() + 100);
+      expect([...finishers.keys()].sort()).toEqual(['first', 'other']);
+      finishers.get('other')?.();
+      expect((await other).isComplete).toBe(true);
+      await stopping;
+    });
+
     it('under load answers every request that it has passed on, on new and on kept connections', async () => {
       await harness.start(trafficConfig(), (request, response) => {
         setTimeout(() => {
--- a/test/gateway/request-relay_test.ts
+++ b/test/gateway/request-relay_test.ts
@@ -5,6 +5,7 @@
 import { trafficConfig, trafficRoute } from './configs.js';
 import {
   GatewayHarness,
+  TestEndpoint,
   respondWith,
   signedHeaders,
   type EndpointBehaviour,
@@ -298,4 +299,21 @@
       expect((await harness.call()).status).toBe(200);
     });
   });
+
+  describe('an endpoint that begins to leave while the connection to it opens', () => {
+    it('does not get the request, which goes to another one', async () => {
+      const route = trafficRoute({ kind: RequestKind.AtMostOnce });
+      await harness.start(trafficConfig({ routes: [route] }), respondWith(200, 'leaving'));
+      harness.endpoints[0]!.onConnection = () => {
+        harness.drainEndpoint(0);
+        harness.registerEndpoint('i-2', other.baseUrl);
+      };
+      const other = new TestEndpoint(respondWith(200, 'staying'));
+      await other.start();
+      const response = await harness.call();
+      other.stop();
+      expect(harness.arrivals).toBe(0);
+      expect(response).toMatchObject({ status: 200, body: 'staying' });
+    });
+  });
 });
--- a/test/telemetry/event-loop-monitor_test.ts
+++ b/test/telemetry/event-loop-monitor_test.ts
@@ -42,7 +42,7 @@
     monitor.check();
     await turn();
     monitor.measure();
-    const line = (await metrics.text()).match(/^oriolestack_gateway_event_loop_stall_ms (\d+)/m);
+    const line = /^oriolestack_gateway_event_loop_stall_ms (\d+)/m.exec(await metrics.text());
     expect(Number(line?.[1])).toBeGreaterThanOrEqual(400);
   });
 });
