Handle the requests of a connection one after the other, and tell each that its caller left

Callers saw: a request behind another one on its connection was worked on to its end after its caller had left, and a planned stop waited its full time for it. Cause: the caller's leaving was learned from 'close' of the ServerResponse, which Node emits only for the response whose turn it is on the socket. Class: an event of the connection taken from an object that is not always attached to it; the same event counted the open requests. Change: CallerConnection hears the end of the socket itself, tells each open request of it, and lets one request at a time be handled, so that nothing is passed on behind a response that ends the connection. The tests of requests that are read late now send over kept connections too, where the earlier event alone does not help.

--- /dev/null
+++ b/src/gateway/caller-connection.ts
@@ -0,0 +1,57 @@
+import type { Socket } from 'node:net';
+
+/**
+ * A caller's connection. Knows whether the caller has left, and lets the requests on it be handled
+ * one after the other: what comes after a response that ends the connection is never passed on.
+ *
+ * @example
+ * ```ts
+ * const stopListening = connection.onLeft(() => abort());
+ * if (await connection.enter(ended)) relay();
+ * ```
+ */
+export class CallerConnection {
+  readonly #leaveListeners = new Set<() => void>();
+  #hasLeft = false;
+  /** End of the latest request that has entered. */
+  #latestEnded: Promise<void> = Promise.resolve();
+
+  constructor(socket: Socket) {
+    const onLeft = (): void => {
+      this.#leave();
+    };
+    // A caller that ends its side waits for no response: the server closes the connection then.
+    socket.once('end', onLeft);
+    socket.once('close', onLeft);
+  }
+
+  /**
+   * Calls `listener` when the caller has left. Unlike `close` of a `ServerResponse`, this also
+   * reaches requests whose turn on the connection has not come.
+   *
+   * @returns a function that removes the listener.
+   */
+  onLeft(listener: () => void): () => void {
+    this.#leaveListeners.add(listener);
+    return () => this.#leaveListeners.delete(listener);
+  }
+
+  /**
+   * Waits until all earlier requests on the connection have ended.
+   *
+   * @param ended - resolves when the entering request has ended.
+   * @returns false if the caller has left meanwhile.
+   */
+  async enter(ended: Promise<void>): Promise<boolean> {
+    const earlierEnded = this.#latestEnded;
+    this.#latestEnded = ended;
+    await earlierEnded;
+    return !this.#hasLeft;
+  }
+
+  #leave(): void {
+    if (this.#hasLeft) return;
+    this.#hasLeft = true;
+    for (const listener of [...this.#leaveListeners]) listener();
+  }
+}
--- a/src/gateway/caller-exchange.ts
+++ b/src/gateway/caller-exchange.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from 'node:http';
+import type { CallerConnection } from './caller-connection.js';
 import type { RequestDescription } from './request-codec.js';
 import type { TrafficRoute, TrafficService, TrafficWorkspace } from './traffic-config.js';
 
@@ -22,17 +23,20 @@
   readonly #response: ServerResponse;
   readonly #disconnectListeners: (() => void)[] = [];
   readonly #headSentListeners: (() => void)[] = [];
+  readonly #closedListeners: ((outcome: string) => void)[] = [];
   #isDisconnected = false;
   #isAborted = false;
+  #isClosed = false;
 
-  constructor(request: IncomingMessage, response: ServerResponse) {
+  constructor(request: IncomingMessage, response: ServerResponse, connection: CallerConnection) {
     this.request = request;
     this.#response = response;
-    response.once('close', () => {
-      if (response.writableFinished) return;
-      this.#isDisconnected = true;
-      for (const listener of this.#disconnectListeners) listener();
-    });
+    const close = (): void => {
+      stopListening();
+      this.#close();
+    };
+    const stopListening = connection.onLeft(close);
+    response.once('close', close);
   }
 
   /** Whether the connection was closed before the response was complete. */
@@ -65,11 +69,7 @@
    * response, `cut` after {@link abort}, or `caller_left`.
    */
   onClosed(listener: (outcome: string) => void): void {
-    const response = this.#response;
-    response.once('close', () => {
-      if (response.writableFinished) listener(String(response.statusCode));
-      else listener(this.#isAborted ? 'cut' : 'caller_left');
-    });
+    this.#closedListeners.push(listener);
   }
 
   /** Sends a complete response. No effect once a head was sent or the caller disconnected. */
@@ -111,6 +111,20 @@
     this.#response.destroy();
   }
 
+  #close(): void {
+    if (this.#isClosed) return;
+    this.#isClosed = true;
+    const response = this.#response;
+    const isComplete = response.writableFinished;
+    if (!isComplete) {
+      this.#isDisconnected = true;
+      for (const listener of this.#disconnectListeners) listener();
+    }
+    const failure = this.#isAborted ? 'cut' : 'caller_left';
+    const outcome = isComplete ? String(response.statusCode) : failure;
+    for (const listener of this.#closedListeners) listener(outcome);
+  }
+
   #writeHead(status: number, headers: OutgoingHttpHeaders): void {
     this.#response.writeHead(status, headers);
     for (const listener of this.#headSentListeners) listener();
--- a/src/gateway/gateway-listener.ts
+++ b/src/gateway/gateway-listener.ts
@@ -3,6 +3,7 @@
 import { Outcome, RequestError, Step, type Clock } from '../core/index.js';
 import { listen } from '../core/listener.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
+import { CallerConnection } from './caller-connection.js';
 import { CallerExchange } from './caller-exchange.js';
 import type { ConfigHolder } from './config-holder.js';
 import { MissingRequestIdError, type RequestCodec } from './request-codec.js';
@@ -49,7 +50,7 @@
 export class GatewayListener {
   readonly #options: GatewayListenerOptions;
   readonly #server: Server;
-  readonly #sockets = new Set<Socket>();
+  readonly #connections = new Map<Socket, CallerConnection>();
   readonly #idleListeners: (() => void)[] = [];
   #inFlight = 0;
   #isDraining = false;
@@ -67,8 +68,8 @@
     // No limit: a large body may take until the caller's deadline.
     this.#server.requestTimeout = 0;
     this.#server.on('connection', (socket) => {
-      this.#sockets.add(socket);
-      socket.once('close', () => this.#sockets.delete(socket));
+      this.#connections.set(socket, new CallerConnection(socket));
+      socket.once('close', () => this.#connections.delete(socket));
     });
     this.#server.on('request', (request, response) => void this.#handle(request, response));
     options.config.onChange(({ config }) => {
@@ -135,7 +136,7 @@
   /** Closes the server and all connections. */
   close(): void {
     this.#server.close();
-    for (const socket of this.#sockets) socket.destroy();
+    for (const socket of this.#connections.keys()) socket.destroy();
   }
 
   #applyLimits(headerTimeoutMs: number, idleTimeoutMs: number): void {
@@ -145,13 +146,20 @@
 
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { admission, relay, metrics } = this.#options;
-    const exchange = new CallerExchange(request, response);
+    const connection = this.#connections.get(request.socket);
+    // Closed before its request is handled.
+    if (!connection) return;
+    const exchange = new CallerExchange(request, response, connection);
     const onAdmitted = metrics.track(exchange);
-    if (this.#isDraining) response.setHeader('connection', 'close');
     this.#inFlight += 1;
-    response.once('close', () => {
-      this.#onRequestEnd();
+    const ended = new Promise<void>((resolve) => {
+      exchange.onClosed(() => {
+        resolve();
+        this.#onRequestEnd();
+      });
     });
+    if (!(await connection.enter(ended))) return;
+    if (this.#isDraining) response.setHeader('connection', 'close');
     // A response head that was sent before the stop carries no `connection: close`.
     response.once('finish', () => {
       if (!this.#isAccepting) request.socket.end();
--- a/test/gateway/caller-leaves_test.ts
+++ b/test/gateway/caller-leaves_test.ts
@@ -10,6 +10,13 @@
 /** Reads a request and never answers it. */
 const neverAnswer: EndpointBehaviour = (request) => request.resume();
 
+/** Answers requests whose id begins with "kept", so that their connections are kept. */
+const answerKept: EndpointBehaviour = (request, response) => {
+  const id = String(request.headers['oriolestack-request-id']);
+  if (id.startsWith('kept')) respondWith(200, 'id: 1\ndata: 1\n\n')(request, response);
+  else neverAnswer(request, response);
+};
+
 function requestText(id: string): string {
   return `GET /x HTTP/1.1\r\nhost: shop.example\r\noriolestack-request-id: ${id}\r\n\r\n`;
 }
@@ -44,8 +51,12 @@
     it.each([RequestKind.Idempotent, RequestKind.Stream, RequestKind.AtMostOnce])(
       'causes no work, as after a stall of the event loop: %s',
       async (kind) => {
-        await harness.start(trafficConfig({ routes: [trafficRoute({ kind })] }), neverAnswer);
+        await harness.start(
+          trafficConfig({ routes: [trafficRoute({ kind, isResumable: true })] }),
+          answerKept,
+        );
         for (let number = 0; number < 10; number++) {
+          await harness.call({ headers: { 'oriolestack-request-id': `kept${number}` } });
           const socket = await openConnection();
           await wait(5);
           // Both are in the kernel before the daemon's next turn.
@@ -53,7 +64,7 @@
           socket.destroy();
         }
         await wait(goneBoundMs);
-        expect(harness.arrivals).toBe(0);
+        expect(harness.arrivals).toBe(10);
       },
     );
   });
