Look at caller and endpoint again when the connection stands, before the first byte is written

Callers' view: requests reached endpoints after their callers had left; operators saw a leaving endpoint get requests that were chosen before it left. Cause: the decision to send was taken when the request was read, the send came up to 600 ms later; and after a stall a request is handled before the end of its connection is read, although both had arrived. Class: a decision on state that was read earlier than the act that depends on it. Change: EndpointConnections writes nothing until its connection stands and the event loop has read all that its sockets had received; then the attempt says whether caller and endpoint are still there. At-most-once requests of callers that left are ended too while nothing was written. A kept connection that the endpoint closes meanwhile is noticed before the request is written: the request goes out on another one, the endpoint is not taken for unreachable. A kept connection closed in the turn of the request: 502 before, 200 now, 10 times of 10.

--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -1,5 +1,6 @@
 export * from './clock.js';
 export * from './errors.js';
+export * from './event-loop.js';
 export * from './hash.js';
 export * from './ids.js';
 export * from './outcome.js';
--- a/src/fleet/endpoint-view.ts
+++ b/src/fleet/endpoint-view.ts
@@ -73,3 +73,8 @@
   readonly report: ReceivedLoadReport | undefined;
   readonly speed: ObservedSpeed;
 }
+
+/** Whether an endpoint was announced or observed to leave, so that it gets no new work. */
+export function isLeaving(view: EndpointView): boolean {
+  return view.state === EndpointState.Leaving || view.leavingAtMs !== undefined;
+}
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -20,6 +20,8 @@
   Broken = 'broken',
   /** Ended by the gateway: the caller disconnected, or the deadline passed. */
   Aborted = 'aborted',
+  /** Not sent, as the endpoint began to leave while the connection to it was opened. */
+  EndpointLeft = 'endpoint_left',
 }
 
 /** Result of an attempt. */
@@ -29,6 +31,8 @@
   readonly reason: string;
   /** Whether the request may have reached the endpoint. */
   readonly wasSent: boolean;
+  /** Whether a connection to the endpoint stood. */
+  readonly hasConnected: boolean;
   /** Set for {@link AttemptEnd.FailedAnswer} only. */
   readonly response?: BufferedResponse;
 }
@@ -74,6 +78,8 @@
   readonly codec: RequestCodec;
   readonly stallDetector: StallDetector;
   readonly observer: AttemptObserver;
+  /** Whether the endpoint still takes new requests. */
+  readonly isEndpointTaking: () => boolean;
   readonly clock: Clock;
 }
 
@@ -121,6 +127,7 @@
     this.#lastProgressAtMs = options.clock.nowMs();
     this.#cancelIdleCheck = this.#watchIdle();
     this.#send = options.connections.send(options.request, {
+      mayWrite: () => this.#mayWrite(),
       responded: (response) => {
         this.#onResponse(response);
       },
@@ -145,6 +152,13 @@
     this.#finish(AttemptEnd.Aborted, reason);
   }
 
+  #mayWrite(): boolean {
+    const { exchange, isEndpointTaking } = this.#options;
+    if (exchange.isDisconnected) this.#finish(AttemptEnd.Aborted, 'the caller disconnected');
+    else if (!isEndpointTaking()) this.#finish(AttemptEnd.EndpointLeft, 'the endpoint is leaving');
+    return !this.#isEnded;
+  }
+
   #onResponse(response: IncomingMessage): void {
     const { codec, admitted, observer, view } = this.#options;
     this.#response = response;
@@ -325,6 +339,7 @@
     // Closing the connection makes the endpoint stop its work. After a complete response it stays
     // open for reuse.
     if (end !== AttemptEnd.Delivered && end !== AttemptEnd.FailedAnswer) this.#send?.abort();
-    this.#resolve({ end, reason, wasSent, ...(response ? { response } : {}) });
+    const hasConnected = this.#send?.hasConnected ?? false;
+    this.#resolve({ end, reason, wasSent, hasConnected, ...(response ? { response } : {}) });
   }
 }
--- a/src/gateway/endpoint-connections.ts
+++ b/src/gateway/endpoint-connections.ts
@@ -6,7 +6,7 @@
   type OutgoingHttpHeaders,
 } from 'node:http';
 import type { Socket } from 'node:net';
-import type { Clock } from '../core/index.js';
+import { allSocketsRead, type Clock } from '../core/index.js';
 
 /** A request for one endpoint. */
 export interface EndpointRequest {
@@ -21,9 +21,17 @@
 }
 
 /**
- * Receives the events of one send: either `failed`, or `responded` and possibly `broken` after it.
+ * Receives the events of one send: `mayWrite` first; then either `failed`, or `responded` and
+ * possibly `broken` after it.
  */
 export interface SendObserver {
+  /**
+   * Called once the connection stands, right before the first byte is written: the caller or the
+   * endpoint may have left while it was opened.
+   *
+   * @returns whether to write the request; otherwise the send is over and nothing was written.
+   */
+  mayWrite(): boolean;
   /** The response head was received. */
   responded(response: IncomingMessage): void;
   /**
@@ -41,6 +49,8 @@
 
 /** A request in flight. */
 export interface PendingSend {
+  /** Whether its connection stood at some time: opened for it, or kept from another request. */
+  readonly hasConnected: boolean;
   /** False while no byte of the request can have reached the endpoint. */
   readonly mayHaveRun: boolean;
   /** Whether the connection served another request before, whose response may come once more. */
@@ -117,6 +127,7 @@
   readonly #observer: SendObserver;
   readonly #clock: Clock;
   #cancelConnectTimer: () => void = () => undefined;
+  #hasConnected = false;
   #mayHaveRun = false;
   #isDone = false;
   #hasResponse = false;
@@ -127,6 +138,10 @@
     this.#clock = clock;
   }
 
+  get hasConnected(): boolean {
+    return this.#hasConnected;
+  }
+
   get mayHaveRun(): boolean {
     return this.#mayHaveRun;
   }
@@ -147,15 +162,15 @@
       socket.setNoDelay(true);
       this.#detectReset(socket);
       if (!socket.connecting) {
-        this.#mayHaveRun = true;
+        void this.#write(body);
         return;
       }
       this.#cancelConnectTimer = this.#clock.schedule(this.#clock.nowMs() + connectTimeoutMs, () =>
         outgoing.destroy(new Error('no connection within the connect timeout')),
       );
       socket.once('connect', () => {
-        this.#mayHaveRun = true;
         this.#cancelConnectTimer();
+        void this.#write(body);
       });
     });
     let interimResponses = 0;
@@ -177,7 +192,19 @@
     outgoing.on('close', () => {
       this.#fail('connection closed before a response');
     });
-    outgoing.end(body);
+  }
+
+  async #write(body: Buffer): Promise<void> {
+    this.#hasConnected = true;
+    await allSocketsRead();
+    if (this.#isDone || this.#outgoing.destroyed) return;
+    if (this.#observer.mayWrite()) {
+      this.#mayHaveRun = true;
+      this.#outgoing.end(body);
+      return;
+    }
+    this.#isDone = true;
+    this.abort();
   }
 
   /**
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -3,6 +3,7 @@
 import type { PrefixCacheIndex } from '../fleet/prefix-cache-index.js';
 import {
   EndpointState,
+  isLeaving,
   type EndpointRegistry,
   type EndpointView,
   type RegisteredEndpoints,
@@ -69,6 +70,12 @@
     return router.choose(this.#routeRequest(admitted, triedIds), views, clock.nowMs()).endpoint;
   }
 
+  /** Whether an endpoint that was chosen still takes new requests. */
+  mayTake(endpointId: string): boolean {
+    const view = this.#options.registry.view(endpointId);
+    return view !== undefined && !isLeaving(view);
+  }
+
   /** Prompt tokens that the endpoint has to process. */
   pendingTokens(admitted: AdmittedRequest): number {
     return admitted.description.promptTokens ?? 0;
--- a/src/gateway/request-relay.ts
+++ b/src/gateway/request-relay.ts
@@ -127,8 +127,10 @@
     this.#exchange.onDisconnect(() => {
       if (!this.#exchange.isAborted)
         this.#log(EventId.CallerLeft, 'caller disconnected before its response was complete', 0);
-      // At-most-once requests continue: their outcome matters even without the caller.
-      if (route.kind !== RequestKind.AtMostOnce) this.#attempt?.abort('the caller disconnected');
+      const attempt = this.#attempt;
+      // An at-most-once request that may run continues: its outcome matters without the caller too.
+      if (route.kind === RequestKind.AtMostOnce && attempt?.mayHaveRun) return;
+      attempt?.abort('the caller disconnected');
     });
     try {
       while (await this.#tryOnce());
@@ -238,6 +240,7 @@
       codec,
       stallDetector,
       observer: this,
+      isEndpointTaking: () => placement.mayTake(view.id),
       clock,
     });
   }
@@ -246,7 +249,7 @@
     const { registry, metrics } = this.#options;
     metrics.countAttempt(this.#admitted.service.name, result.end);
     inFlightRequest.end();
-    this.#triedIds.push(view.id);
+    if (!isKeptConnectionLost(result)) this.#triedIds.push(view.id);
     this.#lastReason = result.reason;
     if (result.wasSent) this.#sends += 1;
     else this.#unsentAttempts += 1;
@@ -255,7 +258,7 @@
     if (result.end === AttemptEnd.Delivered) registry.recordSuccess(view.id);
     else if (result.end === AttemptEnd.Broken || isServerFailure) {
       registry.recordFailure(view.id, EngineFailure.Broken);
-    } else if (result.end === AttemptEnd.NotRun && !result.wasSent) {
+    } else if (result.end === AttemptEnd.NotRun && !result.hasConnected) {
       registry.recordFailure(view.id, EngineFailure.ConnectionFailed);
     }
   }
@@ -362,6 +365,14 @@
   }
 }
 
+/**
+ * Whether the endpoint closed a kept connection before the request was written to it: the endpoint
+ * may take the request on another connection.
+ */
+function isKeptConnectionLost({ end, hasConnected, wasSent }: AttemptResult): boolean {
+  return end === AttemptEnd.NotRun && hasConnected && !wasSent;
+}
+
 /** GET requests without a body get no `content-length`, so that endpoints see them as sent. */
 function hasBody(method: string | undefined, body: Buffer): boolean {
   return body.length > 0 || (method !== 'GET' && method !== 'HEAD' && method !== 'DELETE');
--- a/src/routing/standard-filters.ts
+++ b/src/routing/standard-filters.ts
@@ -1,5 +1,5 @@
 import { WorkClass } from '../core/index.js';
-import { EndpointState, type EndpointView } from '../fleet/index.js';
+import { EndpointState, isLeaving, type EndpointView } from '../fleet/index.js';
 import type { LoadEstimate } from './load-estimate.js';
 import { RouteFilter } from './route-filter.js';
 import type { RouteRequest } from './route-request.js';
@@ -27,7 +27,7 @@
   override readonly reason = 'leaving';
 
   override admits(view: EndpointView): boolean {
-    return view.state !== EndpointState.Leaving && view.leavingAtMs === undefined;
+    return !isLeaving(view);
   }
 }
 
--- a/test/gateway/request-relay_test.ts
+++ b/test/gateway/request-relay_test.ts
@@ -1,4 +1,5 @@
 import { EventEmitter, once } from 'node:events';
+import { Agent, get } from 'node:http';
 import { connect } from 'node:net';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { RequestKind, QuotaUnit } from '../../src/gateway/traffic-config.js';
@@ -316,4 +317,30 @@
       expect(response).toMatchObject({ status: 200, body: 'staying' });
     });
   });
+
+  describe('an endpoint that closes a kept connection', () => {
+    it('gets the request that is about to use it on another connection, so that none is lost', async () => {
+      await harness.start(trafficConfig(), respondWith(200, 'ok'));
+      const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+      const call = (number: number): Promise<number> =>
+        new Promise((resolve) => {
+          const { port } = harness.gateway;
+          const headers = { host: 'shop.example', 'oriolestack-request-id': `r${number}` };
+          get({ host: '127.0.0.1', port, agent, path: '/x', headers }, (response) => {
+            response.resume().once('end', () => resolve(response.statusCode ?? 0));
+          });
+        });
+      await call(0);
+      const statuses: number[] = [];
+      for (let number = 1; number <= 10; number++) {
+        await new Promise((resolve) => setTimeout(resolve, 5));
+        const answered = call(number);
+        // The request of the caller and the end of the connection are read in the same turn.
+        process.nextTick(() => harness.endpoints[0]!.received.at(-1)!.socket.destroy());
+        statuses.push(await answered);
+      }
+      agent.destroy();
+      expect(new Set(statuses)).toEqual(new Set([200]));
+    });
+  });
 });
