Take only outages of the store, and only from their end, for the reason of an ended registration

Operators saw: requests reached endpoints 2.5 s after the store had acknowledged that they leave. Cause: for 3 s after any read of its own that failed, a daemon kept an endpoint whose registration ended, for 2 s counted from when it read the end. One lost read was taken for an outage of the store, and the time for live endpoints to come back began with each removal instead of with the return of the store. Class: a client's own failure taken for a failure of what it calls; a time counted from its observation. Change: OutageDetector wants two failed reads in a row and a heartbeat interval of endpoints without a successful one; a shorter outage lets no registration expire. An endpoint is kept until the registrations are known as of 2 s after the end of the outage, and not at all when they are already. EndpointLapsed says how long ago the outage ended. Unit test: an end read 1.5 s after the outage kept the endpoint until 3.5 s before, until 2.0 s now. Tests of KeyedReplica.recoveredAtMs ask for the end of the outage.

--- a/src/fleet/registered-endpoints.ts
+++ b/src/fleet/registered-endpoints.ts
@@ -29,8 +29,8 @@
   readonly events: EventLog;
   /** Epoch milliseconds as of which the registrations are known. */
   readonly knownAsOfMs: () => number;
-  /** Whether removals may be due to an outage of the store rather than to the endpoints. */
-  readonly isStoreRecovering: () => boolean;
+  /** End of the last outage of the store in epoch milliseconds; -Infinity before the first. */
+  readonly outageEndedAtMs: () => number;
 }
 
 /** Team of the registered endpoints, which sets them apart from those of the settings. */
@@ -39,13 +39,16 @@
 /** Only the team is used, since instance ids need not be valid names of sections. */
 const registeredPath = SettingsPath.parse(`platform/${registeredTeam}/endpoints/any`);
 
-/** Endpoints whose registration expired in a store outage register again within this time. */
-const lapseGraceMs = 2_000;
+/** Endpoints whose registration expired in a store outage register again this soon after its end. */
+const reregistrationMs = 2_000;
+
+/** How often it is checked whether the registrations are known as of that time. */
+const recheckMs = 100;
 
 /**
  * Feeds the {@link EndpointRegistry} from registrations. An endpoint whose registration ends gets
- * no new work, unless the registration may have expired because the store was unavailable: then the
- * endpoint is kept for as long as live ones need to register again.
+ * no new work, unless the registration may have expired in an outage of the store: then the endpoint
+ * is kept for as long as live ones need to register again, counted from the end of the outage.
  *
  * @example
  * ```ts
@@ -84,25 +87,18 @@
   /** Applies the end of a registration. */
   remove(instanceId: string): void {
     if (!this.#registrations.has(instanceId) || this.#cancelRemovals.has(instanceId)) return;
-    if (!this.#options.isStoreRecovering()) {
-      this.#unregister(instanceId, this.#options.clock.nowMs());
+    const { clock, events, outageEndedAtMs } = this.#options;
+    const endedAtMs = clock.nowMs();
+    if (this.#isKnownAfterOutage()) {
+      this.#unregister(instanceId, endedAtMs);
       return;
     }
-    const { clock, events } = this.#options;
-    const endedAtMs = clock.nowMs();
     events.info(
       EventId.EndpointLapsed,
       'registration may have expired in a store outage; endpoint kept for now',
-      {
-        endpoint: instanceId,
-        graceMs: lapseGraceMs,
-      },
+      { endpoint: instanceId, sinceOutageMs: Math.round(endedAtMs - outageEndedAtMs()) },
     );
-    const cancel = clock.schedule(endedAtMs + lapseGraceMs, () => {
-      this.#cancelRemovals.delete(instanceId);
-      this.#unregister(instanceId, endedAtMs);
-    });
-    this.#cancelRemovals.set(instanceId, cancel);
+    this.#recheck(instanceId, endedAtMs);
   }
 
   /** Registrations of a service, draining ones included. */
@@ -122,6 +118,27 @@
     return view.name.slice(registeredTeam.length + 1);
   }
 
+  /**
+   * Whether the registrations are known as of a time at which each live endpoint has registered
+   * again after the last outage. What is missing then is gone.
+   */
+  #isKnownAfterOutage(): boolean {
+    const { knownAsOfMs, outageEndedAtMs } = this.#options;
+    return knownAsOfMs() >= outageEndedAtMs() + reregistrationMs;
+  }
+
+  /** Removes an endpoint that does not register again after the outage. */
+  #recheck(instanceId: string, endedAtMs: number): void {
+    const { clock, outageEndedAtMs } = this.#options;
+    const atMs = Math.max(outageEndedAtMs() + reregistrationMs, clock.nowMs() + recheckMs);
+    const cancel = clock.schedule(atMs, () => {
+      this.#cancelRemovals.delete(instanceId);
+      if (this.#isKnownAfterOutage()) this.#unregister(instanceId, endedAtMs);
+      else this.#recheck(instanceId, endedAtMs);
+    });
+    this.#cancelRemovals.set(instanceId, cancel);
+  }
+
   #unregister(instanceId: string, endedAtMs: number): void {
     const { clock, events, knownAsOfMs } = this.#options;
     const nowMs = clock.nowMs();
--- a/src/gateway/gateway-replicas.ts
+++ b/src/gateway/gateway-replicas.ts
@@ -30,6 +30,8 @@
   /** Daemons that share a distributor with this one, by rank; this one included. */
   readonly ranking: () => readonly DistributorCandidate[];
   readonly intervals: () => ExchangeIntervals;
+  /** Interval at which endpoints renew their registrations, in milliseconds. */
+  readonly registrationHeartbeatMs: number;
   readonly clock: Clock;
   readonly random: Random;
   readonly events: EventLog;
@@ -179,7 +181,7 @@
   }
 
   #replica(topic: string, waitMs: number, minReadIntervalMs: () => number): KeyedReplica {
-    const { clock, random, events } = this.#options;
+    const { clock, random, events, registrationHeartbeatMs } = this.#options;
     return new KeyedReplica({
       log: this.#log,
       topic,
@@ -188,6 +190,8 @@
       events,
       waitMs,
       minReadIntervalMs,
+      // A shorter one loses one heartbeat of an endpoint at most, and lets no registration expire.
+      minOutageMs: registrationHeartbeatMs,
     });
   }
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -77,6 +77,8 @@
   readonly retryTolerance: RetryTolerance;
   /** Longest time between two reads of the registrations, in milliseconds. */
   readonly maxRegistrationReadIntervalMs: number;
+  /** Interval at which endpoints renew their registrations, in milliseconds. */
+  readonly registrationHeartbeatMs: number;
 }
 
 /**
@@ -87,9 +89,6 @@
 /** Interval of the periodic work: retry budget, quotas and duties. */
 const tickPeriodMs = 500;
 
-/** Removals of endpoints within this time after a store outage may be caused by the outage. */
-const recoveryMs = 3_000;
-
 /**
  * Time before the forced end at which a stopping daemon stops waiting for open requests. A small VM
  * under load needs most of it for its leave record and to exit.
@@ -160,7 +159,7 @@
       clock,
       events,
       knownAsOfMs: () => this.replicas.registrations.caughtUpAtMs ?? clock.nowMs(),
-      isStoreRecovering: () => this.#isStoreRecovering(),
+      outageEndedAtMs: () => this.replicas.registrations.outageEndedAtMs,
     });
     this.#connections = new EndpointConnections(clock);
     this.#counter = new UsageCounter(options.usageWindowMs);
@@ -365,11 +364,6 @@
     if (!this.#isStopping) await this.#duties?.tick();
   }
 
-  #isStoreRecovering(): boolean {
-    const replica = this.replicas.registrations;
-    return replica.isFailing || this.#options.clock.nowMs() < replica.recoveredAtMs + recoveryMs;
-  }
-
   #healthPathOf(baseUrl: string): string {
     const view = this.#registry.all().find((candidate) => candidate.baseUrl === baseUrl);
     const service = this.config.table?.config.services.find(
--- a/src/log/keyed-replica.ts
+++ b/src/log/keyed-replica.ts
@@ -8,6 +8,7 @@
   type KeyedRecord,
 } from './keyed-log.js';
 import type { Offset } from './log-service.js';
+import { OutageDetector } from './outage-detector.js';
 import { withTimeout } from './with-timeout.js';
 
 /** Options of {@link KeyedReplica}. */
@@ -21,6 +22,8 @@
   readonly waitMs: number;
   /** Minimum time between the starts of two reads; limits the read rate of a busy topic. */
   readonly minReadIntervalMs: () => number;
+  /** Shortest time without a successful read that counts as an outage, in milliseconds. */
+  readonly minOutageMs: number;
 }
 
 /** Called with each newer record of a key; its `value` is undefined when the key was removed. */
@@ -69,10 +72,11 @@
   #nextOffset: Offset | undefined;
   #caughtUpAtMs: number | undefined;
   #failingSinceMs: number | undefined;
-  #recoveredAtMs = -Infinity;
+  readonly #outages: OutageDetector;
 
   constructor(options: KeyedReplicaOptions) {
     this.#options = options;
+    this.#outages = new OutageDetector(options);
     this.#retryDelay = new RetryDelay({
       random: options.random,
       baseMs: 100,
@@ -113,9 +117,12 @@
     return this.#failingSinceMs !== undefined;
   }
 
-  /** Epoch milliseconds of the last recovery from failed reads; -Infinity before the first. */
-  get recoveredAtMs(): number {
-    return this.#recoveredAtMs;
+  /**
+   * Epoch milliseconds at which reads succeeded again after the last outage of the store;
+   * -Infinity before the first. A single failed read is no outage.
+   */
+  get outageEndedAtMs(): number {
+    return this.#outages.endedAtMs;
   }
 
   /** The newest record of a key; undefined when the key has none or was removed. */
@@ -167,12 +174,13 @@
     );
     this.#newestTimeoutMs = minNewestTimeoutMs;
     if (page.endOffset < (this.#nextOffset ?? 0)) return;
+    this.#recordSuccess(page);
     this.#removeMissing(page.records);
     for (const record of page.records) this.#apply(record);
     // Removals between the last read and this one are not part of the page.
     if (this.#nextOffset !== page.endOffset) this.#completeFromOffset = page.endOffset;
     this.#nextOffset = page.endOffset;
-    this.#recordSuccess(page);
+    if (page.records.length > 0) this.#notifyChange();
   }
 
   async #run(): Promise<void> {
@@ -186,7 +194,7 @@
         await clock.sleepUntil(startedAtMs + minReadIntervalMs(), signal);
       } catch (error) {
         if (error instanceof HistoryTrimmedError) this.#nextOffset = undefined;
-        else await this.#backOffAfter(error);
+        else await this.#backOffAfter(error, startedAtMs);
       }
     }
   }
@@ -200,29 +208,31 @@
     );
     // A concurrent refresh may have advanced the offset.
     if (this.#nextOffset !== fromOffset) return;
+    this.#recordSuccess(page);
     for (const record of page.records) this.#apply(record);
     this.#nextOffset = Math.max(fromOffset, (page.records.at(-1)?.offset ?? fromOffset - 1) + 1);
-    this.#recordSuccess(page);
+    if (page.records.length > 0) this.#notifyChange();
   }
 
-  #recordSuccess({ records, copyAgeMs }: KeyedPage): void {
+  /** Comes before the records are applied: their listeners ask how current the copy is. */
+  #recordSuccess({ copyAgeMs }: KeyedPage): void {
     const nowMs = this.#options.clock.nowMs();
+    this.#outages.recordSuccess(nowMs);
     this.#isDirect = copyAgeMs === undefined;
     this.#caughtUpAtMs = Math.max(this.#caughtUpAtMs ?? -Infinity, nowMs - (copyAgeMs ?? 0));
     this.#retryDelay.reset();
-    if (records.length > 0) this.#notifyChange();
     if (this.#failingSinceMs === undefined) return;
     this.#options.events.info(EventId.LogReadRecovered, 'log reads recovered', {
       stream: this.#options.topic,
       failedForMs: Math.round(nowMs - this.#failingSinceMs),
     });
     this.#failingSinceMs = undefined;
-    this.#recoveredAtMs = nowMs;
   }
 
-  async #backOffAfter(error: unknown): Promise<void> {
+  async #backOffAfter(error: unknown, startedAtMs: number): Promise<void> {
     const { clock, events, topic } = this.#options;
     if (this.#abort.signal.aborted) return;
+    this.#outages.recordFailure(startedAtMs);
     if (this.#failingSinceMs === undefined) {
       this.#failingSinceMs = clock.nowMs();
       this.#notifyChange();
--- a/test/capacity/duty-fixture.ts
+++ b/test/capacity/duty-fixture.ts
@@ -43,6 +43,7 @@
         events,
         waitMs: 0,
         minReadIntervalMs: () => 100,
+        minOutageMs: 1_200,
       });
       replica.start();
       return replica;
--- a/test/distribution/distribution-harness.ts
+++ b/test/distribution/distribution-harness.ts
@@ -89,6 +89,7 @@
       events,
       waitMs: 1_000,
       minReadIntervalMs: () => 100,
+      minOutageMs: 1_200,
     });
     this.reader = new ReplicaReader(clock);
   }
--- a/test/distribution/replica-server_test.ts
+++ b/test/distribution/replica-server_test.ts
@@ -30,6 +30,7 @@
       events,
       waitMs: 100,
       minReadIntervalMs: () => 20,
+      minOutageMs: 1_200,
     });
     replica.start();
     const batcher = new AppendBatcher({ log: store, topic: 't', clock, maxDelayMs: 10 });
--- a/test/fleet/registered-endpoints_test.ts
+++ b/test/fleet/registered-endpoints_test.ts
@@ -32,22 +32,24 @@
   let clock: VirtualClock;
   let registry: EndpointRegistry;
   let endpoints: RegisteredEndpoints;
-  let isStoreRecovering: boolean;
+  let outageEndedAtMs: number;
+  let knownAsOfMs: () => number;
 
   const states = (): EndpointState[] =>
     registry.views(endpoints.serviceId('orders')).map(({ state }) => state);
 
   beforeEach(() => {
     clock = new VirtualClock();
-    isStoreRecovering = false;
+    outageEndedAtMs = -Infinity;
+    knownAsOfMs = () => clock.nowMs();
     const events = new NullEventLog();
     registry = new EndpointRegistry({ clock, leaving: new LeavingSet(), events });
     endpoints = new RegisteredEndpoints({
       registry,
       clock,
       events,
-      knownAsOfMs: () => clock.nowMs(),
-      isStoreRecovering: () => isStoreRecovering,
+      knownAsOfMs: () => knownAsOfMs(),
+      outageEndedAtMs: () => outageEndedAtMs,
     });
   });
 
@@ -90,7 +92,7 @@
         clock,
         events,
         knownAsOfMs: () => clock.nowMs(),
-        isStoreRecovering: () => false,
+        outageEndedAtMs: () => -Infinity,
       });
       const registerAll = (startedAtMs: number): void => {
         for (let number = 0; number < count; number++) {
@@ -118,9 +120,12 @@
   });
 
   describe('a registration that expires in a store outage', () => {
-    it('is kept until live endpoints have registered again', async () => {
+    beforeEach(() => {
       endpoints.register(registration());
-      isStoreRecovering = true;
+      outageEndedAtMs = clock.nowMs();
+    });
+
+    it('is kept until live endpoints have registered again', async () => {
       endpoints.remove('i-1');
       await clock.advance(1_900);
       expect(states()).toEqual([EndpointState.Live]);
@@ -130,12 +135,42 @@
     });
 
     it('is removed when the endpoint does not register again', async () => {
-      endpoints.register(registration());
-      isStoreRecovering = true;
       endpoints.remove('i-1');
       await clock.advance(2_100);
       expect(states()).toEqual([]);
     });
+
+    it('is kept for two seconds from the end of the outage, whenever its end was read', async () => {
+      await clock.advance(1_500);
+      endpoints.remove('i-1');
+      await clock.advance(600);
+      expect(states()).toEqual([]);
+    });
+
+    it('is removed at once when its end was read later than that', async () => {
+      await clock.advance(2_000);
+      endpoints.remove('i-1');
+      expect(states()).toEqual([]);
+    });
+
+    it('is kept while the copy is older than that time, as a live endpoint may be back by then', async () => {
+      endpoints.remove('i-1');
+      const asOfMs = clock.nowMs() + 1_200;
+      knownAsOfMs = () => asOfMs;
+      await clock.advance(2_500);
+      expect(states()).toEqual([EndpointState.Live]);
+      knownAsOfMs = () => clock.nowMs();
+      await clock.advance(200);
+      expect(states()).toEqual([]);
+    });
+
+    it('is kept when another outage follows', async () => {
+      endpoints.remove('i-1');
+      await clock.advance(1_900);
+      outageEndedAtMs = clock.nowMs();
+      await clock.advance(1_900);
+      expect(states()).toEqual([EndpointState.Live]);
+    });
   });
 
   describe('an endpoint that restarts under its id', () => {
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -137,6 +137,7 @@
       quotaTolerance: { windowMs: 8_000, excessRatio: 0.1, slack: 0 },
       retryTolerance: { windowMs: 10_000, ratio: 0.2, slack: 100 },
       maxRegistrationReadIntervalMs: 800,
+      registrationHeartbeatMs: 1_200,
     });
   }
 
--- a/test/log/keyed-replica_test.ts
+++ b/test/log/keyed-replica_test.ts
@@ -21,6 +21,7 @@
       events: new NullEventLog(),
       waitMs: 2_500,
       minReadIntervalMs: () => 100,
+      minOutageMs: 1_200,
     });
     seen = [];
     replica.onRecord(({ key, value }) => {
@@ -87,6 +88,7 @@
         events: new NullEventLog(),
         waitMs: 2_500,
         minReadIntervalMs: () => 100,
+        minOutageMs: 1_200,
       });
       slow.start();
       await clock.advance(12_000);
@@ -117,7 +119,32 @@
       log.fault = KeyedLogFault.None;
       await clock.advance(1_000);
       expect(replica.isFailing).toBe(false);
-      expect(replica.recoveredAtMs).toBeGreaterThan(0);
+      expect(replica.outageEndedAtMs).toBeGreaterThan(0);
+    });
+
+    it('counts one lost read as no outage, so that ended registrations are not kept for it', async () => {
+      replica.start();
+      await clock.advance(150);
+      log.fault = KeyedLogFault.Down;
+      await clock.advance(100);
+      log.fault = KeyedLogFault.None;
+      await clock.advance(1_000);
+      expect(replica.isFailing).toBe(false);
+      expect(replica.outageEndedAtMs).toBe(-Infinity);
+    });
+
+    it('tells the listeners of the first records after an outage that it has ended', async () => {
+      log.put('t', 'a', '1');
+      replica.start();
+      await clock.advance(10);
+      log.fault = KeyedLogFault.Down;
+      await clock.advance(3_000);
+      log.put('t', 'a', undefined);
+      log.fault = KeyedLogFault.None;
+      let outageEndedAtMs = -Infinity;
+      replica.onRecord(() => (outageEndedAtMs = replica.outageEndedAtMs));
+      await clock.advance(1_000);
+      expect(outageEndedAtMs).toBeGreaterThan(0);
     });
   });
 });
