--- a/test/gateway/peer-exchange_test.ts
+++ b/test/gateway/peer-exchange_test.ts
@@ -21,6 +21,7 @@
     events,
     waitMs: 0,
     minReadIntervalMs,
+    minOutageMs: 1_200,
   });
   replica.start();
   const counts = { granted: {}, asked: {} };
