Run a late timer after what the sockets received during the stall

Cause: Node runs due timers before it reads its sockets. Same class as requests read together with the end of their connection: the order in which a daemon handles events is not that of their arrival.

--- a/src/core/http-connection.ts
+++ b/src/core/http-connection.ts
@@ -1,4 +1,5 @@
 import { Agent, request as httpRequest, type IncomingMessage } from 'node:http';
+import { scheduleTimer } from './event-loop.js';
 
 /** An IP address with a port. */
 export interface SocketAddress {
@@ -55,7 +56,7 @@
   call({ method, path, headers, body, timeoutMs, signal }: HttpCall): Promise<HttpResponse> {
     return new Promise((resolve, reject) => {
       const fail = (error: Error): void => {
-        clearTimeout(timer);
+        cancelTimeout();
         reject(error);
       };
       const outgoing = httpRequest(
@@ -69,12 +70,14 @@
         },
         (incoming) => {
           readBounded(incoming, (error) => outgoing.destroy(error)).then((received) => {
-            clearTimeout(timer);
+            cancelTimeout();
             resolve({ status: incoming.statusCode ?? 0, body: received });
           }, fail);
         },
       );
-      const timer = setTimeout(() => outgoing.destroy(new Error('response timeout')), timeoutMs);
+      const cancelTimeout = scheduleTimer(timeoutMs, () =>
+        outgoing.destroy(new Error('response timeout')),
+      );
       outgoing.on('error', fail);
       outgoing.end(body);
     });
--- a/src/core/system-clock.ts
+++ b/src/core/system-clock.ts
@@ -1,4 +1,5 @@
 import { Clock } from './clock.js';
+import { scheduleTimer } from './event-loop.js';
 
 /** Longest delay that Node's timers accept; a longer one would fire immediately. */
 const maxTimerDelayMs = 2_147_483_647;
@@ -23,9 +24,6 @@
 
   override schedule(atMs: number, action: () => void): () => void {
     const delayMs = Math.min(Math.max(0, Math.ceil(atMs - this.nowMs())), maxTimerDelayMs);
-    const timer = setTimeout(action, delayMs);
-    return () => {
-      clearTimeout(timer);
-    };
+    return scheduleTimer(delayMs, action);
   }
 }
--- a/src/rpc/rpc-client.ts
+++ b/src/rpc/rpc-client.ts
@@ -6,7 +6,7 @@
 } from 'json-rpc-2.0';
 import { Agent, request } from 'undici';
 import type { ConnectionOptions } from 'node:tls';
-import type { Clock } from '../core/index.js';
+import { scheduleTimer, type Clock } from '../core/index.js';
 import { PeerCaller, type PeerCallOptions } from './peer-caller.js';
 import { RpcError } from './rpc-error.js';
 import { rpcPath } from './rpc-server.js';
@@ -99,9 +99,9 @@
     remainingMs: number,
   ): Promise<{ status: number; text: string }> {
     const timeout = new AbortController();
-    const timer = setTimeout(() => {
+    const cancelTimeout = scheduleTimer(remainingMs, () => {
       timeout.abort();
-    }, remainingMs);
+    });
     try {
       // Aborting destroys the socket; with `pipelining: 1` no other call shares it.
       const response = await request(`${peerUrl}${rpcPath}`, {
@@ -121,7 +121,7 @@
         error,
       );
     } finally {
-      clearTimeout(timer);
+      cancelTimeout();
     }
   }
 }
