Count no failed reads before the first successful one as an outage of the store

A first read may take several tries where hundreds of daemons start at once. The unit test fails without the change.

--- a/src/log/outage-detector.ts
+++ b/src/log/outage-detector.ts
@@ -8,7 +8,8 @@
 const minFailedCalls = 2;
 
 /**
- * Tells outages of a service from single calls that failed, by the calls of one client.
+ * Tells outages of a service from single calls that failed, by the calls of one client. A client
+ * that has just started knows of no outage: its first calls may fail for reasons of its own.
  *
  * @example
  * ```ts
@@ -19,6 +20,7 @@
  */
 export class OutageDetector {
   readonly #minOutageMs: number;
+  #hasSucceeded = false;
   #failedCalls = 0;
   #firstFailedStartedAtMs = 0;
   #endedAtMs = -Infinity;
@@ -45,9 +47,11 @@
   /** Records a call that succeeded at `nowMs` (epoch milliseconds). */
   recordSuccess(nowMs: number): void {
     const isOutage =
+      this.#hasSucceeded &&
       this.#failedCalls >= minFailedCalls &&
       nowMs - this.#firstFailedStartedAtMs >= this.#minOutageMs;
     if (isOutage) this.#endedAtMs = nowMs;
+    this.#hasSucceeded = true;
     this.#failedCalls = 0;
   }
 }
--- a/test/log/outage-detector_test.ts
+++ b/test/log/outage-detector_test.ts
@@ -32,6 +32,14 @@
     expect(detector.endedAtMs).toBe(1_300);
   });
 
+  it('takes calls that fail right after a start for no outage, so that ended registrations are not kept', () => {
+    const started = new OutageDetector({ minOutageMs: 1_200 });
+    started.recordFailure(0);
+    started.recordFailure(1_600);
+    started.recordSuccess(4_700);
+    expect(started.endedAtMs).toBe(-Infinity);
+  });
+
   it('counts each outage from its own first failed call', () => {
     detector.recordFailure(100);
     detector.recordSuccess(200);
