End a request with too many interim responses once, not for each that was read with them

An endpoint that sends 1xx responses without end held up the daemon's event loop: all that one read brings, about 2,300, are parsed before the connection closes, and each destroyed the request again with a new error. Evidence: 2,000 interim responses at once ended the request 1,985 times before, twice at most now.

--- a/src/gateway/endpoint-connections.ts
+++ b/src/gateway/endpoint-connections.ts
@@ -173,12 +173,7 @@
         void this.#write(body);
       });
     });
-    let interimResponses = 0;
-    outgoing.on('information', () => {
-      interimResponses += 1;
-      if (interimResponses > maxInterimResponses)
-        outgoing.destroy(new Error('endpoint sends interim responses without end'));
-    });
+    this.#limitInterimResponses();
     outgoing.on('response', (response) => {
       if (this.#isDone) return;
       this.#isDone = true;
@@ -207,6 +202,19 @@
     this.abort();
   }
 
+  #limitInterimResponses(): void {
+    const outgoing = this.#outgoing;
+    let count = 0;
+    const onInterim = (): void => {
+      count += 1;
+      if (count <= maxInterimResponses) return;
+      // Node parses the rest of what it has read, thousands of them, before it closes.
+      outgoing.off('information', onInterim);
+      outgoing.destroy(new Error('endpoint sends interim responses without end'));
+    };
+    outgoing.on('information', onInterim);
+  }
+
   /**
    * Distinguishes a reset from an orderly end. When a reset arrives together with the last bytes,
    * libuv reports the end of the stream and no error. A reset connection has no remote address.
--- a/test/gateway/misbehaving-endpoint_test.ts
+++ b/test/gateway/misbehaving-endpoint_test.ts
@@ -1,5 +1,6 @@
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
-import { afterEach, beforeEach, describe, expect, it } from 'vitest';
+import { ClientRequest } from 'node:http';
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 import { RequestKind } from '../../src/gateway/traffic-config.js';
 import { trafficConfig, trafficRoute } from './configs.js';
 import { GatewayHarness } from './gateway-harness.js';
@@ -129,6 +130,18 @@
       10_000,
     );
 
+    it('interim responses that were read together end the request once, so that they hold up no others', async () => {
+      await harness.start(streams);
+      await addRawEndpoint((socket) => {
+        socket.write('HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(2_000));
+      });
+      const destroy = vi.spyOn(ClientRequest.prototype, 'destroy');
+      expect((await callStream()).status).toBe(502);
+      // Once for the limit, once by the attempt that ends.
+      expect(destroy.mock.calls.length).toBeLessThanOrEqual(2);
+      destroy.mockRestore();
+    });
+
     it('a body is passed on no faster than its caller reads, so that memory stays flat', async () => {
       await harness.start(trafficConfig());
       await addRawEndpoint((socket, id) => {
