Handle the requests of a connection one after the other in the product's own daemon too

The same cause as in the gateway, found by looking at every listener on a response's close: the second of two requests on one connection stayed counted, and kept what admission had given it, after its caller had left. CallerConnection moves to core and serves both listeners. Evidence: the test left one request counted before, none now.

--- a/src/gateway/caller-connection.ts
+++ b/src/core/caller-connection.ts
@@ -12,17 +12,21 @@
  */
 export class CallerConnection {
   readonly #leaveListeners = new Set<() => void>();
+  readonly #left: Promise<void>;
   #hasLeft = false;
   /** End of the latest request that has entered. */
   #latestEnded: Promise<void> = Promise.resolve();
 
   constructor(socket: Socket) {
-    const onLeft = (): void => {
-      this.#leave();
-    };
-    // A caller that ends its side waits for no response: the server closes the connection then.
-    socket.once('end', onLeft);
-    socket.once('close', onLeft);
+    this.#left = new Promise((resolve) => {
+      const onLeft = (): void => {
+        this.#leave();
+        resolve();
+      };
+      // A caller that ends its side waits for no response: the server closes the connection then.
+      socket.once('end', onLeft);
+      socket.once('close', onLeft);
+    });
   }
 
   /**
@@ -45,7 +49,7 @@
   async enter(ended: Promise<void>): Promise<boolean> {
     const earlierEnded = this.#latestEnded;
     this.#latestEnded = ended;
-    await earlierEnded;
+    await Promise.race([earlierEnded, this.#left]);
     return !this.#hasLeft;
   }
 
@@ -55,3 +59,18 @@
     for (const listener of [...this.#leaveListeners]) listener();
   }
 }
+
+/** The connections of a server's callers, from their first request on. */
+export class CallerConnections {
+  readonly #bySocket = new WeakMap<Socket, CallerConnection>();
+
+  /** The connection on a socket. */
+  of(socket: Socket): CallerConnection {
+    let connection = this.#bySocket.get(socket);
+    if (!connection) {
+      connection = new CallerConnection(socket);
+      this.#bySocket.set(socket, connection);
+    }
+    return connection;
+  }
+}
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -1,3 +1,4 @@
+export * from './caller-connection.js';
 export * from './clock.js';
 export * from './errors.js';
 export * from './event-loop.js';
--- a/src/gateway/caller-exchange.ts
+++ b/src/gateway/caller-exchange.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from 'node:http';
-import type { CallerConnection } from './caller-connection.js';
+import type { CallerConnection } from '../core/index.js';
 import type { RequestDescription } from './request-codec.js';
 import type { TrafficRoute, TrafficService, TrafficWorkspace } from './traffic-config.js';
 
--- a/src/gateway/gateway-listener.ts
+++ b/src/gateway/gateway-listener.ts
@@ -1,9 +1,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { Outcome, RequestError, Step, type Clock } from '../core/index.js';
+import { CallerConnections, Outcome, RequestError, Step, type Clock } from '../core/index.js';
 import { listen } from '../core/listener.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
-import { CallerConnection } from './caller-connection.js';
 import { CallerExchange } from './caller-exchange.js';
 import type { ConfigHolder } from './config-holder.js';
 import { MissingRequestIdError, type RequestCodec } from './request-codec.js';
@@ -50,7 +49,8 @@
 export class GatewayListener {
   readonly #options: GatewayListenerOptions;
   readonly #server: Server;
-  readonly #connections = new Map<Socket, CallerConnection>();
+  readonly #sockets = new Set<Socket>();
+  readonly #connections = new CallerConnections();
   readonly #idleListeners: (() => void)[] = [];
   #inFlight = 0;
   #isDraining = false;
@@ -68,8 +68,8 @@
     // No limit: a large body may take until the caller's deadline.
     this.#server.requestTimeout = 0;
     this.#server.on('connection', (socket) => {
-      this.#connections.set(socket, new CallerConnection(socket));
-      socket.once('close', () => this.#connections.delete(socket));
+      this.#sockets.add(socket);
+      socket.once('close', () => this.#sockets.delete(socket));
     });
     this.#server.on('request', (request, response) => void this.#handle(request, response));
     options.config.onChange(({ config }) => {
@@ -136,7 +136,7 @@
   /** Closes the server and all connections. */
   close(): void {
     this.#server.close();
-    for (const socket of this.#connections.keys()) socket.destroy();
+    for (const socket of this.#sockets) socket.destroy();
   }
 
   #applyLimits(headerTimeoutMs: number, idleTimeoutMs: number): void {
@@ -146,9 +146,7 @@
 
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { admission, relay, metrics } = this.#options;
-    const connection = this.#connections.get(request.socket);
-    // Closed before its request is handled.
-    if (!connection) return;
+    const connection = this.#connections.of(request.socket);
     const exchange = new CallerExchange(request, response, connection);
     const onAdmitted = metrics.track(exchange);
     this.#inFlight += 1;
--- a/src/pipeline/caller-server.ts
+++ b/src/pipeline/caller-server.ts
@@ -1,5 +1,12 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { Outcome, RequestError, Step, type Clock, type IdSource } from '../core/index.js';
+import {
+  CallerConnections,
+  Outcome,
+  RequestError,
+  Step,
+  type Clock,
+  type IdSource,
+} from '../core/index.js';
 import type { Deployment } from '../settings/index.js';
 import { sendError, toRequestError } from './error-response.js';
 
@@ -58,6 +65,7 @@
   readonly #options: CallerServerOptions;
   readonly #inFlight = new Map<string, CallerRequest>();
   readonly #idleListeners = new Set<() => void>();
+  readonly #connections = new CallerConnections();
   #isDraining = false;
 
   constructor(options: CallerServerOptions) {
@@ -100,6 +108,9 @@
   }
 
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const ended = new Promise<void>((resolve) => response.once('close', resolve));
+    // Only the response whose turn it is on the connection is told that the caller has left.
+    if (!(await this.#connections.of(request.socket).enter(ended))) return;
     const { clock, newId, deployment } = this.#options;
     const incoming: CallerRequest = {
       requestId: newId(),
--- a/test/pipeline/caller-server_test.ts
+++ b/test/pipeline/caller-server_test.ts
@@ -6,7 +6,7 @@
 import { countingIds, SystemClock } from '../../src/core/index.js';
 import { listen } from '../../src/core/listener.js';
 import { DemoCluster } from '../../src/demo/demo-cluster.js';
-import { CallerServer, CallerServerObserver } from '../../src/pipeline/index.js';
+import { CallerRoute, CallerServer, CallerServerObserver } from '../../src/pipeline/index.js';
 import { Deployment } from '../../src/settings/index.js';
 import { wholeAnswer } from '../../src/standins/index.js';
 
@@ -220,4 +220,33 @@
     expect(rawResponse).toContain('oriolestack-outcome: not_run');
     expect(callerServer.inFlightIds).toEqual([]);
   });
+
+  it('forgets two requests on one connection when their caller leaves, so that a stop does not wait', async () => {
+    class SilentRoute extends CallerRoute {
+      override matches(): boolean {
+        return true;
+      }
+
+      override async handle(): Promise<void> {
+        await new Promise(() => undefined);
+      }
+    }
+    server = createServer();
+    const callerServer = new CallerServer({
+      routes: [new SilentRoute()],
+      deployment: () => new Deployment(),
+      observer: new IgnoringObserver(),
+      clock: new SystemClock(),
+      newId: countingIds('r'),
+    });
+    callerServer.serve(server);
+    const port = await listen(server, '127.0.0.1', 0);
+    const socket = connect(port, '127.0.0.1');
+    socket.write('GET /v1/models HTTP/1.1\r\nhost: x\r\n\r\n'.repeat(2));
+    await until(() => callerServer.inFlightIds.length > 0);
+    await sleep(50);
+    socket.destroy();
+    await sleep(200);
+    expect(callerServer.inFlightIds).toEqual([]);
+  });
 });
