Count a caller's time from the receipt of its request, also behind another one on its connection

Since requests of a connection are handled one after the other, the second one's time began when its turn came: the endpoint was given more time than the caller had. The time now begins at the receipt, and a request whose deadline has passed by its turn, or while its body came, is refused as not run. The test failed before (2 requests reached the endpoint) and passes now (1).

--- a/src/gateway/caller-exchange.ts
+++ b/src/gateway/caller-exchange.ts
@@ -17,9 +17,20 @@
   readonly deadlineAtMs: number;
 }
 
+/** Options of {@link CallerExchange}. */
+export interface CallerExchangeOptions {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly connection: CallerConnection;
+  /** Epoch milliseconds. */
+  readonly receivedAtMs: number;
+}
+
 /** The caller's side of one request: its connection state and the response sent so far. */
 export class CallerExchange {
   readonly request: IncomingMessage;
+  /** Epoch milliseconds. The caller's time runs from here, also while earlier requests are served. */
+  readonly receivedAtMs: number;
   readonly #response: ServerResponse;
   readonly #disconnectListeners: (() => void)[] = [];
   readonly #headSentListeners: (() => void)[] = [];
@@ -28,8 +39,9 @@
   #isAborted = false;
   #isClosed = false;
 
-  constructor(request: IncomingMessage, response: ServerResponse, connection: CallerConnection) {
+  constructor({ request, response, connection, receivedAtMs }: CallerExchangeOptions) {
     this.request = request;
+    this.receivedAtMs = receivedAtMs;
     this.#response = response;
     const close = (): void => {
       stopListening();
--- a/src/gateway/gateway-listener.ts
+++ b/src/gateway/gateway-listener.ts
@@ -145,9 +145,10 @@
   }
 
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { admission, relay, metrics } = this.#options;
+    const { admission, relay, metrics, clock } = this.#options;
     const connection = this.#connections.of(request.socket);
-    const exchange = new CallerExchange(request, response, connection);
+    const receivedAtMs = clock.nowMs();
+    const exchange = new CallerExchange({ request, response, connection, receivedAtMs });
     const onAdmitted = metrics.track(exchange);
     this.#inFlight += 1;
     const ended = new Promise<void>((resolve) => {
@@ -164,7 +165,7 @@
       if (!this.#isAccepting) request.socket.destroySoon();
     });
     try {
-      if (this.#isRefusing) throw stoppingRefusal(this.#options.clock.nowMs());
+      if (this.#isRefusing) throw stoppingRefusal(clock.nowMs());
       const admitted = await admission.admit(exchange);
       onAdmitted(admitted);
       await relay.relay(exchange, admitted);
--- a/src/gateway/request-admission.ts
+++ b/src/gateway/request-admission.ts
@@ -32,7 +32,7 @@
   /** @throws RequestError when the request is refused; nothing of it has run in that case. */
   async admit(exchange: CallerExchange): Promise<AdmittedRequest> {
     const { clock } = this.#options;
-    const receivedAtMs = clock.nowMs();
+    const { receivedAtMs } = exchange;
     const table = this.#table();
     checkHeaderSize(exchange, table.config.limits.maxHeaderBytes);
     const description = this.#describe(exchange);
@@ -41,11 +41,14 @@
     const serviceName = table.serviceOf(route, description.requestId);
     const service = serviceName === undefined ? undefined : table.service(serviceName);
     if (!service)
-      throw refusal(503, `route "${route.name}" has no service`, noConfigRetryMs + receivedAtMs);
+      throw refusal(503, `route "${route.name}" has no service`, noConfigRetryMs + clock.nowMs());
     const body = await readBody(exchange, table.config.limits.maxBodyBytes);
     const nowMs = clock.nowMs();
-    if (workspace) this.#charge(workspace, description, nowMs);
     const callerTimeoutMs = description.callerTimeoutMs ?? Infinity;
+    const deadlineAtMs = receivedAtMs + Math.min(callerTimeoutMs, route.timeoutMs);
+    if (deadlineAtMs <= nowMs)
+      throw refusal(503, 'the deadline passed before the request could be handled');
+    if (workspace) this.#charge(workspace, description, nowMs);
     return {
       description,
       route,
@@ -53,7 +56,7 @@
       workspace,
       body,
       receivedAtMs,
-      deadlineAtMs: receivedAtMs + Math.min(callerTimeoutMs, route.timeoutMs),
+      deadlineAtMs,
     };
   }
 
--- a/src/gateway/request-metrics.ts
+++ b/src/gateway/request-metrics.ts
@@ -23,7 +23,7 @@
    */
   track(exchange: CallerExchange): (admitted: AdmittedRequest) => void {
     const metrics = this.#metrics;
-    const receivedAtMs = this.#clock.nowMs();
+    const { receivedAtMs } = exchange;
     let service = noService;
     exchange.onHeadSent(() => {
       metrics.timing('gateway_first_byte_ms', this.#clock.nowMs() - receivedAtMs, { service });
--- a/test/gateway/caller-leaves_test.ts
+++ b/test/gateway/caller-leaves_test.ts
@@ -110,4 +110,22 @@
     expect(text.match(/answer to \w+;/g)).toEqual(['answer to first;', 'answer to second;']);
     socket.destroy();
   });
+
+  it('has its time counted from the receipt of its request, also behind another one', async () => {
+    await harness.start(trafficConfig(), (request, response) => {
+      setTimeout(() => respondWith(200, 'ok')(request, response), 300);
+    });
+    const socket = await openConnection();
+    const chunks: Buffer[] = [];
+    socket.on('data', (chunk: Buffer) => chunks.push(chunk));
+    const second = requestText('second').replace(
+      '\r\n\r\n',
+      '\r\noriolestack-deadline-ms: 100\r\n\r\n',
+    );
+    socket.write(requestText('first') + second);
+    await wait(500);
+    expect(harness.arrivals).toBe(1);
+    expect(Buffer.concat(chunks).toString()).toContain('HTTP/1.1 503');
+    socket.destroy();
+  });
 });
