--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -6,6 +6,7 @@
   NullMetrics,
   RoarrEventLog,
   StatsdMetrics,
+  handleUnexpectedErrors,
   writeEventsToStderr,
   type Metrics,
 } from '../telemetry/index.js';
@@ -30,13 +31,13 @@
 
 async function serve(settings: DaemonSettings): Promise<void> {
   writeEventsToStderr();
-  const daemon = new Daemon({
-    settings,
-    clock: new SystemClock(),
-    events: new RoarrEventLog({ daemon: settings.daemon.name }),
-    metrics: createMetrics(settings),
-  });
+  const events = new RoarrEventLog({ daemon: settings.daemon.name });
+  const metrics = createMetrics(settings);
+  let hasStarted = false;
+  handleUnexpectedErrors({ events, metrics, hasStarted: () => hasStarted });
+  const daemon = new Daemon({ settings, clock: new SystemClock(), events, metrics });
   await daemon.start();
+  hasStarted = true;
   let isStopping = false;
   const stop = (): void => {
     if (isStopping) {
--- a/src/telemetry/unexpected-errors.ts
+++ b/src/telemetry/unexpected-errors.ts
@@ -38,3 +38,13 @@
     if (!hasStarted()) exit(1);
   };
 }
+
+/** Handles the unexpected errors of this process by {@link reportUnexpectedErrors}. */
+export function handleUnexpectedErrors(options: Omit<UnexpectedErrorsOptions, 'exit'>): void {
+  const onError = reportUnexpectedErrors({ ...options, exit: (code) => process.exit(code) });
+  for (const kind of Object.values(UnexpectedErrorKind)) {
+    process.on(kind, (error: unknown) => {
+      onError(kind, error);
+    });
+  }
+}
--- a/test/processes/daemon-process.ts
+++ b/test/processes/daemon-process.ts
@@ -28,11 +28,11 @@
   #errorText = '';
   #end: ProcessEnd | undefined;
 
-  private constructor(name: string, configFile: string) {
+  private constructor(name: string, configFile: string, nodeOptions: readonly string[]) {
     this.name = name;
     this.#child = spawn(
       process.execPath,
-      [join(root, 'dist', 'src', 'daemon', 'main.js'), '--config', configFile],
+      [...nodeOptions, join(root, 'dist', 'src', 'daemon', 'main.js'), '--config', configFile],
       { stdio: ['ignore', 'ignore', 'pipe'] },
     );
     this.ended = new Promise((resolve) => {
@@ -49,11 +49,20 @@
     });
   }
 
-  /** Writes the settings file and starts the daemon; does not wait until it is ready. */
-  static async start(name: string, directory: string, iniText: string): Promise<DaemonProcess> {
+  /**
+   * Writes the settings file and starts the daemon; does not wait until it is ready.
+   *
+   * @param nodeOptions - options of Node itself, such as a module to load first.
+   */
+  static async start(
+    name: string,
+    directory: string,
+    iniText: string,
+    nodeOptions: readonly string[] = [],
+  ): Promise<DaemonProcess> {
     const file = join(directory, `${name}.ini`);
     await writeFile(file, iniText);
-    return new DaemonProcess(name, file);
+    return new DaemonProcess(name, file, nodeOptions);
   }
 
   /** Resolves with the listeners' base URLs once the daemon is ready. */
--- a/test/processes/process-cluster.ts
+++ b/test/processes/process-cluster.ts
@@ -63,6 +63,8 @@
   readonly engines: EngineServer[] = [];
   readonly plain = new PlainServer({ name: 'orders-1', vmId: 'vm-orders-1' });
   readonly daemons: DaemonProcess[] = [];
+  /** Options of Node for the daemons that are started from now on. */
+  nodeOptions: readonly string[] = [];
   readonly #callerKey = createBearerKey('tejidos/tenders-key');
   readonly #operatorKey = createBearerKey('tejidos/ops');
   readonly #rootKey = createBearerKey('root');
@@ -134,7 +136,8 @@
   }
 
   async #startDaemon(name: string, seeds: string): ReturnType<DaemonProcess['ready']> {
-    const daemon = await DaemonProcess.start(name, this.#directory, this.#daemonIni(name, seeds));
+    const iniText = this.#daemonIni(name, seeds);
+    const daemon = await DaemonProcess.start(name, this.#directory, iniText, this.nodeOptions);
     this.daemons.push(daemon);
     return daemon.ready();
   }
