--- a/test/gateway/caller-leaves_test.ts
+++ b/test/gateway/caller-leaves_test.ts
@@ -32,8 +32,6 @@
     await harness.stop();
   });
 
-  const wait = (ms: number): Promise<void> => harness.clock.sleepUntil(harness.clock.nowMs() + ms);
-
   async function openConnection(): Promise<Socket> {
     const socket = connect({ host: '127.0.0.1', port: harness.gateway.port });
     await new Promise((resolve) => socket.once('connect', resolve));
@@ -58,12 +56,12 @@
         for (let number = 0; number < 10; number++) {
           await harness.call({ headers: { 'oriolestack-request-id': `kept${number}` } });
           const socket = await openConnection();
-          await wait(5);
+          await harness.wait(5);
           // Both are in the kernel before the daemon's next turn.
           socket.write(requestText(`r${number}`));
           socket.destroy();
         }
-        await wait(goneBoundMs);
+        await harness.wait(goneBoundMs);
         expect(harness.arrivals).toBe(10);
       },
     );
@@ -74,10 +72,10 @@
       await harness.start(trafficConfig(), neverAnswer);
       const socket = await openConnection();
       socket.write(requestText('first') + requestText('second'));
-      while (harness.arrivals === 0) await wait(5);
-      await wait(50);
+      while (harness.arrivals === 0) await harness.wait(5);
+      await harness.wait(50);
       socket.destroy();
-      await wait(goneBoundMs);
+      await harness.wait(goneBoundMs);
     }
 
     it('leaves no work behind for either', async () => {
@@ -105,7 +103,7 @@
     const chunks: Buffer[] = [];
     socket.on('data', (chunk: Buffer) => chunks.push(chunk));
     socket.write(requestText('first') + requestText('second'));
-    await wait(400);
+    await harness.wait(400);
     const text = Buffer.concat(chunks).toString();
     expect(text.match(/answer to \w+;/g)).toEqual(['answer to first;', 'answer to second;']);
     socket.destroy();
@@ -123,7 +121,7 @@
       '\r\noriolestack-deadline-ms: 100\r\n\r\n',
     );
     socket.write(requestText('first') + second);
-    await wait(500);
+    await harness.wait(500);
     expect(harness.arrivals).toBe(1);
     expect(Buffer.concat(chunks).toString()).toContain('HTTP/1.1 503');
     socket.destroy();
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -223,6 +223,11 @@
     });
   }
 
+  /** Waits on the clock of the gateway. */
+  async wait(ms: number): Promise<void> {
+    await this.clock.sleepUntil(this.clock.nowMs() + ms);
+  }
+
   /** Number of requests that reached endpoints. */
   get arrivals(): number {
     return this.endpoints.reduce((sum, { received }) => sum + received.length, 0);
--- a/test/gateway/gateway-listener_test.ts
+++ b/test/gateway/gateway-listener_test.ts
@@ -100,7 +100,7 @@
       caller.once('data', () => caller.write(requestText('second')));
       finishers.get('first')?.();
       await new Promise((resolve) => caller.once('close', resolve));
-      await harness.clock.sleepUntil(harness.clock.nowMs() + 100);
+      await harness.wait(100);
       expect([...finishers.keys()].sort()).toEqual(['first', 'other']);
       finishers.get('other')?.();
       expect((await other).isComplete).toBe(true);
@@ -121,7 +121,7 @@
           callUntilRefused(harness, `c${caller}`, caller % 2 === 0, answered),
         );
         // The stop comes under full load, however fast the machine is.
-        while (answered.size <= 100) await harness.clock.sleepUntil(harness.clock.nowMs() + 10);
+        while (answered.size <= 100) await harness.wait(10);
         await harness.gateway.stop(harness.clock.nowMs() + 4_000);
         await Promise.all(callers);
         const passedOn = harness.endpoints[0]!.received.map(({ headers }) =>
--- a/test/gateway/store-outage_test.ts
+++ b/test/gateway/store-outage_test.ts
@@ -14,15 +14,13 @@
     await harness.stop();
   });
 
-  const wait = (ms: number): Promise<void> => harness.clock.sleepUntil(harness.clock.nowMs() + ms);
-
   it('gets no more requests after a lost read, which no registration can have expired in', async () => {
     await harness.start(trafficConfig(), respondWith(200, 'ok'));
-    await wait(2_500);
+    await harness.wait(2_500);
     harness.store.fault = KeyedLogFault.Down;
-    await wait(500);
+    await harness.wait(500);
     harness.store.fault = KeyedLogFault.None;
-    await wait(1_000);
+    await harness.wait(1_000);
     harness.gateway.endpoints.remove('i-1');
     expect((await harness.call()).status).toBe(503);
   });
--- a/test/pipeline/caller-server_test.ts
+++ b/test/pipeline/caller-server_test.ts
@@ -201,18 +201,23 @@
     server?.closeAllConnections();
   });
 
-  it('responds with 408 and closes the connection when the headers time out', async () => {
-    server = createServer({ headersTimeout: 100, connectionsCheckingInterval: 20 });
+  /** Serves callers by some routes, and connects to the server. */
+  async function connectTo(httpServer: Server, routes: readonly CallerRoute[]) {
     const callerServer = new CallerServer({
-      routes: [],
+      routes,
       deployment: () => new Deployment(),
       observer: new IgnoringObserver(),
       clock: new SystemClock(),
       newId: countingIds('r'),
     });
-    callerServer.serve(server);
-    const port = await listen(server, '127.0.0.1', 0);
-    const socket = connect(port, '127.0.0.1');
+    callerServer.serve(httpServer);
+    const port = await listen(httpServer, '127.0.0.1', 0);
+    return { callerServer, socket: connect(port, '127.0.0.1') };
+  }
+
+  it('responds with 408 and closes the connection when the headers time out', async () => {
+    server = createServer({ headersTimeout: 100, connectionsCheckingInterval: 20 });
+    const { callerServer, socket } = await connectTo(server, []);
     socket.write('GET /v1/models HTTP/1.1\r\nhost: x\r\n');
     let rawResponse = '';
     for await (const chunk of socket) rawResponse += String(chunk);
@@ -232,16 +237,7 @@
       }
     }
     server = createServer();
-    const callerServer = new CallerServer({
-      routes: [new SilentRoute()],
-      deployment: () => new Deployment(),
-      observer: new IgnoringObserver(),
-      clock: new SystemClock(),
-      newId: countingIds('r'),
-    });
-    callerServer.serve(server);
-    const port = await listen(server, '127.0.0.1', 0);
-    const socket = connect(port, '127.0.0.1');
+    const { callerServer, socket } = await connectTo(server, [new SilentRoute()]);
     socket.write('GET /v1/models HTTP/1.1\r\nhost: x\r\n\r\n'.repeat(2));
     await until(() => callerServer.inFlightIds.length > 0);
     await sleep(50);
