Let the soak check that work ends with its caller and that leaving endpoints get nothing

Callers of the soak never left early and nothing judged what reached an endpoint after it had said that it leaves: the two faults of the incident could not be seen by it. A fifth of the calls is now given up within 400 ms; two promises are checked, with tests that they find what they are for.

--- a/bench/soak/caller.ts
+++ b/bench/soak/caller.ts
@@ -9,6 +9,10 @@
 const patienceMs = 4_000;
 const pauseMs = 25;
 
+/** Part of the calls that their caller gives up, and within which time. */
+const leaveRatio = 0.2;
+const maxStayMs = 400;
+
 /** Options of {@link Caller}. */
 export interface CallerOptions {
   readonly name: string;
@@ -80,9 +84,14 @@
       sentAtMs: Date.now(),
     };
     return new Promise((resolve) => {
+      let leftAtMs: number | undefined;
+      const end = (): Pick<CallEnd, 'hasLeft' | 'endedAtMs'> => ({
+        hasLeft: leftAtMs !== undefined,
+        endedAtMs: leftAtMs ?? Date.now(),
+      });
       const fail = (): void => {
         const nothing = { status: undefined, answeredId: undefined, isSigned: false, body: '' };
-        resolve({ ...sent, ...nothing, isWhole: false, endedAtMs: Date.now() });
+        resolve({ ...sent, ...nothing, isWhole: false, ...end() });
       };
       const outgoing = request(
         {
@@ -111,11 +120,18 @@
               isSigned: answer.headers[headers.seal] !== undefined,
               body: Buffer.concat(chunks).toString(),
               isWhole: answer.complete,
-              endedAtMs: Date.now(),
+              ...end(),
             });
           });
         },
       );
+      const leave = (): void => {
+        if (outgoing.destroyed) return;
+        leftAtMs = Date.now();
+        outgoing.destroy();
+      };
+      const { random } = this.#options;
+      if (random.float() < leaveRatio) setTimeout(leave, random.int(0, maxStayMs));
       outgoing.on('timeout', () => outgoing.destroy());
       outgoing.on('error', fail);
       outgoing.end(kind === CallKind.Once || kind === CallKind.Stream ? 'body' : undefined);
--- a/bench/soak/fault-script.ts
+++ b/bench/soak/fault-script.ts
@@ -3,7 +3,7 @@
 import type { Random } from '../../src/core/index.js';
 import { LinkFault, type FaultProxy } from './fault-proxy.js';
 import type { SoakWorld } from './soak-world.js';
-import { ordersService } from './traffic.js';
+import { endpointLinkFault, ordersService } from './traffic.js';
 
 type Fault = (world: SoakWorld, random: Random) => Promise<void>;
 
@@ -49,7 +49,7 @@
   harm(world, random, random.pick(world.gateways).duties, 'the way to the duties');
 
 const harmEndpointLink: Fault = (world, random) =>
-  harm(world, random, random.pick(world.endpoints).proxy, 'the way to an endpoint');
+  harm(world, random, random.pick(world.endpoints).proxy, endpointLinkFault);
 
 const harmStore: Fault = async (world, random) => {
   const fault = random.pick([StoreFault.Unavailable, StoreFault.AnswersLost]);
--- a/bench/soak/ledger.ts
+++ b/bench/soak/ledger.ts
@@ -26,6 +26,8 @@
   readonly body: string;
   /** Whether the answer came to its end. */
   readonly isWhole: boolean;
+  /** Whether the caller closed its connection before the answer was whole. */
+  readonly hasLeft: boolean;
   /** Epoch milliseconds. */
   readonly sentAtMs: number;
   readonly endedAtMs: number;
@@ -39,10 +41,18 @@
   untilMs: number;
 }
 
+/** An endpoint said that it leaves. */
+export interface EndpointLeave {
+  readonly instanceId: string;
+  /** Epoch milliseconds. */
+  readonly atMs: number;
+}
+
 /** Everything that callers, endpoints and the platform saw in a run. */
 export class Ledger {
   readonly runs: EndpointRun[] = [];
   readonly ends: CallEnd[] = [];
+  readonly leaves: EndpointLeave[] = [];
   readonly faults: FaultSpan[] = [];
   readonly dutyCalls: DutyCall[];
 
@@ -59,8 +69,14 @@
     };
   }
 
-  /** Whether nothing was wrong between two times, in epoch milliseconds. */
-  isCalm(fromMs: number, untilMs: number): boolean {
-    return !this.faults.some((fault) => fault.fromMs <= untilMs && fault.untilMs >= fromMs);
+  /**
+   * Whether nothing was wrong between two times, in epoch milliseconds.
+   *
+   * @param counts - leaves out faults that do not matter, by what they are.
+   */
+  isCalm(fromMs: number, untilMs: number, counts: (what: string) => boolean = () => true): boolean {
+    return !this.faults.some(
+      (fault) => fault.fromMs <= untilMs && fault.untilMs >= fromMs && counts(fault.what),
+    );
   }
 }
--- a/bench/soak/promises.ts
+++ b/bench/soak/promises.ts
@@ -1,7 +1,7 @@
 import { paths } from '../../platform/names.js';
 import { streamEvents } from '../../platform/standins/endpoint-server.js';
 import { CallKind, type CallEnd, type Ledger } from './ledger.js';
-import { versionServices } from './traffic.js';
+import { endpointLinkFault, versionServices } from './traffic.js';
 
 /** Looks for broken promises; gives a line for each. */
 export type PromiseCheck = (ledger: Ledger) => string[];
@@ -12,6 +12,12 @@
 /** Faults that ended longer ago explain nothing. */
 const calmMs = 4_000;
 
+/** A request may reach an endpoint for this long after its caller has left. */
+const workAfterLeaveMs = 500;
+
+/** A leaving endpoint serves for this long. */
+const drainMs = 2_500;
+
 const runsAtMostOnce: PromiseCheck = ({ runs }) => {
   const counts = new Map<string, number>();
   for (const { requestId, path } of runs) {
@@ -92,10 +98,39 @@
   return broken;
 };
 
+/**
+ * Nothing reaches an endpoint for a caller that has left. A gateway that was paused reads what
+ * arrived meanwhile, so that pauses are no excuse; bytes may be held up on the way to an endpoint.
+ */
+const workEndsWithItsCaller: PromiseCheck = (ledger) => {
+  const leftAtMs = new Map(
+    ledger.ends
+      .filter(({ hasLeft, kind }) => hasLeft && kind !== CallKind.Once)
+      .map(({ requestId, endedAtMs }) => [requestId, endedAtMs]),
+  );
+  return ledger.runs.flatMap(({ requestId, instanceId, atMs }) => {
+    const leftMs = leftAtMs.get(requestId) ?? Infinity;
+    if (atMs - leftMs <= workAfterLeaveMs) return [];
+    if (!ledger.isCalm(leftMs, atMs, (what) => what.startsWith(endpointLinkFault))) return [];
+    return [`${requestId} reached ${instanceId} ${atMs - leftMs} ms after its caller had left`];
+  });
+};
+
+const leavingEndpointsGetNothing: PromiseCheck = (ledger) =>
+  ledger.leaves.flatMap(({ instanceId, atMs: leaveAtMs }) =>
+    ledger.runs
+      .filter((run) => run.instanceId === instanceId && run.atMs > leaveAtMs + drainMs)
+      .filter(({ atMs }) => ledger.isCalm(leaveAtMs - calmMs, atMs))
+      .map(
+        ({ requestId, atMs }) => `${requestId} reached ${instanceId} ${atMs - leaveAtMs} ms late`,
+      ),
+  );
+
 /** A request that a gateway has passed on is answered, also when the gateway is asked to stop. */
 const stopsCutNothing: PromiseCheck = (ledger) => {
   const ran = new Set(ledger.runs.map(({ requestId }) => requestId));
   return ledger.ends
+    .filter(({ hasLeft }) => !hasLeft)
     .filter(({ status, kind }) => status === undefined && kind !== CallKind.Stream)
     .filter(({ requestId, sentAtMs, endedAtMs }) => {
       return ran.has(requestId) && ledger.isCalm(sentAtMs - calmMs, endedAtMs);
@@ -112,6 +147,8 @@
   ['the configuration never goes back', configurationNeverGoesBack],
   ['duties have one holder', dutiesHaveOneHolder],
   ['stops cut nothing', stopsCutNothing],
+  ['work ends with its caller', workEndsWithItsCaller],
+  ['leaving endpoints get nothing', leavingEndpointsGetNothing],
 ]);
 
 function eventText(requestId: string, event: number): string {
--- a/bench/soak/soak-world.ts
+++ b/bench/soak/soak-world.ts
@@ -128,6 +128,11 @@
 
   /** Writes what an endpoint says of itself, or removes it. */
   register({ id, service, port, isRegistered, isDraining }: SoakEndpoint): void {
+    const { leaves } = this.ledger;
+    const isLeaving = isDraining || !isRegistered;
+    if (isLeaving && !leaves.some(({ instanceId }) => instanceId === id)) {
+      leaves.push({ instanceId: id, atMs: Date.now() });
+    }
     const entry = {
       service,
       address: `127.0.0.1:${port}`,
--- a/bench/soak/traffic.ts
+++ b/bench/soak/traffic.ts
@@ -4,6 +4,9 @@
 export const callerKey = 'soak-key';
 export const ordersService = 'orders';
 
+/** Beginning of the names of faults on the way from gateways to an endpoint. */
+export const endpointLinkFault = 'the way to an endpoint';
+
 /**
  * Services that take turns in handling one route, so that an answer tells the configuration's version;
  * more than twice as many as a run has versions, which a gateway may all miss in an outage.
--- a/test/soak/promises_test.ts
+++ b/test/soak/promises_test.ts
@@ -15,6 +15,7 @@
     isSigned: true,
     body: JSON.stringify({ requestId, service: 'orders' }),
     isWhole: true,
+    hasLeft: false,
     sentAtMs: 100_000,
     endedAtMs: 100_050,
     ...changes,
@@ -130,4 +131,41 @@
     };
     expect(found(name, withFault)).toBe(0);
   });
+
+  it('find a request that reached an endpoint long after its caller had left', () => {
+    const name = 'work ends with its caller';
+    const fill =
+      (lateMs: number) =>
+      (ledger: Ledger): void => {
+        ledger.ends.push(end({ status: undefined, hasLeft: true, endedAtMs: 100_010 - lateMs }));
+        ledger.runs.push(ran('c-1', CallKind.Safe));
+      };
+    expect(found(name, fill(400))).toBe(0);
+    expect(found(name, fill(600))).toBe(1);
+    const withFault =
+      (what: string) =>
+      (ledger: Ledger): void => {
+        fill(600)(ledger);
+        ledger.faults.push({ what, fromMs: 99_000, untilMs: 100_000 });
+      };
+    expect(found(name, withFault('gateway-1 is paused'))).toBe(1);
+    expect(found(name, withFault('the way to an endpoint is silent'))).toBe(0);
+  });
+
+  it('find a request at an endpoint that left long before, and not one after a fault', () => {
+    const name = 'leaving endpoints get nothing';
+    const fill =
+      (lateMs: number) =>
+      (ledger: Ledger): void => {
+        ledger.leaves.push({ instanceId: 'i-1', atMs: 100_010 - lateMs });
+        ledger.runs.push(ran('c-1', CallKind.Safe));
+      };
+    expect(found(name, fill(2_400))).toBe(0);
+    expect(found(name, fill(2_600))).toBe(1);
+    const withFault = (ledger: Ledger): void => {
+      fill(2_600)(ledger);
+      ledger.faults.push({ what: 'x', fromMs: 95_000, untilMs: 96_000 });
+    };
+    expect(found(name, withFault)).toBe(0);
+  });
 });
