--- a/src/core/caller-connection.ts
+++ b/src/core/caller-connection.ts
@@ -12,21 +12,17 @@
  */
 export class CallerConnection {
   readonly #leaveListeners = new Set<() => void>();
-  readonly #left: Promise<void>;
   #hasLeft = false;
   /** End of the latest request that has entered. */
   #latestEnded: Promise<void> = Promise.resolve();
 
   constructor(socket: Socket) {
-    this.#left = new Promise((resolve) => {
-      const onLeft = (): void => {
-        this.#leave();
-        resolve();
-      };
-      // A caller that ends its side waits for no response: the server closes the connection then.
-      socket.once('end', onLeft);
-      socket.once('close', onLeft);
-    });
+    const onLeft = (): void => {
+      this.#leave();
+    };
+    // A caller that ends its side waits for no response: the server closes the connection then.
+    socket.once('end', onLeft);
+    socket.once('close', onLeft);
   }
 
   /**
@@ -49,10 +45,23 @@
   async enter(ended: Promise<void>): Promise<boolean> {
     const earlierEnded = this.#latestEnded;
     this.#latestEnded = ended;
-    await Promise.race([earlierEnded, this.#left]);
+    await this.#untilEndedOrLeft(earlierEnded);
     return !this.#hasLeft;
   }
 
+  /** Unlike a race of promises, leaves nothing behind on a connection that stays. */
+  #untilEndedOrLeft(ended: Promise<void>): Promise<void> {
+    if (this.#hasLeft) return Promise.resolve();
+    return new Promise((resolve) => {
+      const finish = (): void => {
+        stopListening();
+        resolve();
+      };
+      const stopListening = this.onLeft(finish);
+      void ended.then(finish);
+    });
+  }
+
   #leave(): void {
     if (this.#hasLeft) return;
     this.#hasLeft = true;
