--- a/test/core/caller-connection_test.ts
+++ b/test/core/caller-connection_test.ts
@@ -1,5 +1,4 @@
-import { EventEmitter } from 'node:events';
-import type { Socket } from 'node:net';
+import { Socket } from 'node:net';
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
 import { beforeEach, describe, expect, it } from 'vitest';
@@ -9,12 +8,12 @@
 const collectGarbage = runInNewContext('gc') as () => void;
 
 describe('CallerConnection', () => {
-  let socket: EventEmitter;
+  let socket: Socket;
   let connection: CallerConnection;
 
   beforeEach(() => {
-    socket = new EventEmitter();
-    connection = new CallerConnection(socket as Socket);
+    socket = new Socket();
+    connection = new CallerConnection(socket);
   });
 
   it('lets a request enter once the one before has ended', async () => {
