--- a/src/core/caller-connection.ts
+++ b/src/core/caller-connection.ts
@@ -12,11 +12,12 @@
  */
 export class CallerConnection {
   readonly #leaveListeners = new Set<() => void>();
-  #hasLeft = false;
+  #hasLeft: boolean;
   /** End of the latest request that has entered. */
   #latestEnded: Promise<void> = Promise.resolve();
 
   constructor(socket: Socket) {
+    this.#hasLeft = socket.destroyed;
     const onLeft = (): void => {
       this.#leave();
     };
