Forgive an endpoint only the loss of a kept connection, not that of a new one

Found by reading the diff: an endpoint that closes each new connection at once, as one above its limit of connections does, would have been tried four times and not taken for unreachable.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -31,8 +31,11 @@
   readonly reason: string;
   /** Whether the request may have reached the endpoint. */
   readonly wasSent: boolean;
-  /** Whether a connection to the endpoint stood. */
-  readonly hasConnected: boolean;
+  /**
+   * Whether the endpoint closed a kept connection before the request was written to it, which says
+   * nothing about the endpoint.
+   */
+  readonly hasLostKeptConnection: boolean;
   /** Set for {@link AttemptEnd.FailedAnswer} only. */
   readonly response?: BufferedResponse;
 }
@@ -78,8 +81,8 @@
   readonly codec: RequestCodec;
   readonly stallDetector: StallDetector;
   readonly observer: AttemptObserver;
-  /** Whether the endpoint still takes new requests. */
-  readonly isEndpointTaking: () => boolean;
+  /** Whether the endpoint still takes the request; asked when the connection to it stands. */
+  readonly mayTake: () => boolean;
   readonly clock: Clock;
 }
 
@@ -153,9 +156,9 @@
   }
 
   #mayWrite(): boolean {
-    const { exchange, isEndpointTaking } = this.#options;
+    const { exchange, mayTake } = this.#options;
     if (exchange.isDisconnected) this.#finish(AttemptEnd.Aborted, 'the caller disconnected');
-    else if (!isEndpointTaking()) this.#finish(AttemptEnd.EndpointLeft, 'the endpoint is leaving');
+    else if (!mayTake()) this.#finish(AttemptEnd.EndpointLeft, 'the endpoint is leaving');
     return !this.#isEnded;
   }
 
@@ -339,7 +342,14 @@
     // Closing the connection makes the endpoint stop its work. After a complete response it stays
     // open for reuse.
     if (end !== AttemptEnd.Delivered && end !== AttemptEnd.FailedAnswer) this.#send?.abort();
-    const hasConnected = this.#send?.hasConnected ?? false;
-    this.#resolve({ end, reason, wasSent, hasConnected, ...(response ? { response } : {}) });
+    const isOnKeptConnection = this.#send?.isOnReusedConnection ?? false;
+    const hasLostKeptConnection = end === AttemptEnd.NotRun && !wasSent && isOnKeptConnection;
+    this.#resolve({
+      end,
+      reason,
+      wasSent,
+      hasLostKeptConnection,
+      ...(response ? { response } : {}),
+    });
   }
 }
--- a/src/gateway/endpoint-connections.ts
+++ b/src/gateway/endpoint-connections.ts
@@ -49,8 +49,6 @@
 
 /** A request in flight. */
 export interface PendingSend {
-  /** Whether its connection stood at some time: opened for it, or kept from another request. */
-  readonly hasConnected: boolean;
   /** False while no byte of the request can have reached the endpoint. */
   readonly mayHaveRun: boolean;
   /** Whether the connection served another request before, whose response may come once more. */
@@ -127,7 +125,6 @@
   readonly #observer: SendObserver;
   readonly #clock: Clock;
   #cancelConnectTimer: () => void = () => undefined;
-  #hasConnected = false;
   #mayHaveRun = false;
   #isDone = false;
   #hasResponse = false;
@@ -138,10 +135,6 @@
     this.#clock = clock;
   }
 
-  get hasConnected(): boolean {
-    return this.#hasConnected;
-  }
-
   get mayHaveRun(): boolean {
     return this.#mayHaveRun;
   }
@@ -190,7 +183,6 @@
   }
 
   async #write(body: Buffer): Promise<void> {
-    this.#hasConnected = true;
     await allSocketsRead();
     if (this.#isDone || this.#outgoing.destroyed) return;
     if (this.#observer.mayWrite()) {
--- a/src/gateway/request-relay.ts
+++ b/src/gateway/request-relay.ts
@@ -240,7 +240,7 @@
       codec,
       stallDetector,
       observer: this,
-      isEndpointTaking: () => placement.mayTake(view.id),
+      mayTake: () => placement.mayTake(view.id),
       clock,
     });
   }
@@ -249,7 +249,8 @@
     const { registry, metrics } = this.#options;
     metrics.countAttempt(this.#admitted.service.name, result.end);
     inFlightRequest.end();
-    if (!isKeptConnectionLost(result)) this.#triedIds.push(view.id);
+    // The endpoint may take the request on another connection.
+    if (!result.hasLostKeptConnection) this.#triedIds.push(view.id);
     this.#lastReason = result.reason;
     if (result.wasSent) this.#sends += 1;
     else this.#unsentAttempts += 1;
@@ -258,7 +259,11 @@
     if (result.end === AttemptEnd.Delivered) registry.recordSuccess(view.id);
     else if (result.end === AttemptEnd.Broken || isServerFailure) {
       registry.recordFailure(view.id, EngineFailure.Broken);
-    } else if (result.end === AttemptEnd.NotRun && !result.hasConnected) {
+    } else if (
+      result.end === AttemptEnd.NotRun &&
+      !result.wasSent &&
+      !result.hasLostKeptConnection
+    ) {
       registry.recordFailure(view.id, EngineFailure.ConnectionFailed);
     }
   }
@@ -365,14 +370,6 @@
   }
 }
 
-/**
- * Whether the endpoint closed a kept connection before the request was written to it: the endpoint
- * may take the request on another connection.
- */
-function isKeptConnectionLost({ end, hasConnected, wasSent }: AttemptResult): boolean {
-  return end === AttemptEnd.NotRun && hasConnected && !wasSent;
-}
-
 /** GET requests without a body get no `content-length`, so that endpoints see them as sent. */
 function hasBody(method: string | undefined, body: Buffer): boolean {
   return body.length > 0 || (method !== 'GET' && method !== 'HEAD' && method !== 'DELETE');
