--- a/src/gateway/gateway-replicas.ts
+++ b/src/gateway/gateway-replicas.ts
@@ -39,8 +39,8 @@
 
 /**
  * How long the store holds reads open when a topic has no new record. Bounds the time until a dead
- * connection is noticed: short for what must be in force within seconds, shorter still for
- * registrations, which change all the time, so that hardly any read waits.
+ * connection is noticed: short for what must be in force within seconds, shortest for registrations,
+ * as leaving endpoints serve for little more than two seconds.
  */
 /** @internal Exported for the test of the age of changes. */
 export const configWaitMs = 800;
