Go on with a planned stop when it is asked for again

Callers saw: requests that a stopping daemon had passed on were cut off. Trace: gateway-1 logs that it is stopping and starts again 1.2 s later without DaemonStopped; the script had asked it to stop twice. Cause: a second call of Gateway.stop returned at once, and the program exits when a call returns, so that the second SIGTERM ended the process amid the first stop. Class: a repeated call taken for done. Change: all calls wait for the same stop. The test fails before (the stop was over before the endpoint had responded).

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -120,7 +120,8 @@
   readonly #peers: PeerExchange;
   readonly #retries: SharedRetryBudget;
   readonly #loopMonitor: EventLoopMonitor;
-  #isStopping = false;
+  /** Resolves when the daemon has stopped; undefined until it is asked to. */
+  #stopped: Promise<void> | undefined;
   #stopTicking: () => void = () => undefined;
 
   constructor(options: GatewayOptions) {
@@ -233,7 +234,7 @@
 
   /** Whether the load balancer may send new connections. */
   get isReady(): boolean {
-    return !this.#isStopping && this.config.table !== undefined;
+    return this.#stopped === undefined && this.config.table !== undefined;
   }
 
   /**
@@ -253,10 +254,20 @@
 
   /**
    * Stops after open requests have completed, at the latest at `deadlineAtMs` (epoch milliseconds).
+   * Further calls wait for the same stop.
    */
-  async stop(deadlineAtMs: number): Promise<void> {
-    if (this.#isStopping) return;
-    this.#isStopping = true;
+  stop(deadlineAtMs: number): Promise<void> {
+    this.#stopped ??= this.#stop(deadlineAtMs);
+    return this.#stopped;
+  }
+
+  /** Updates the gauges that are computed from the daemon's state. */
+  measure(): void {
+    this.#gauges.measure();
+    this.#loopMonitor.measure();
+  }
+
+  async #stop(deadlineAtMs: number): Promise<void> {
     const { clock, events } = this.#options;
     events.info(EventId.DaemonStopping, 'daemon is stopping', { open: this.#listener.inFlight });
     this.#listener.startDraining();
@@ -281,12 +292,6 @@
     this.#connections.close();
   }
 
-  /** Updates the gauges that are computed from the daemon's state. */
-  measure(): void {
-    this.#gauges.measure();
-    this.#loopMonitor.measure();
-  }
-
   #createListener(
     codec: RequestCodec,
     speeds: SpeedEstimator,
@@ -361,7 +366,7 @@
     const { daemons, unreachableDaemons } = this.#peers.peerStatus();
     this.#retries.setDaemons(daemons + unreachableDaemons);
     this.#quotas.refresh(this.config.table?.config.workspaces ?? [], this.#options.clock.nowMs());
-    if (!this.#isStopping) await this.#duties?.tick();
+    if (!this.#stopped) await this.#duties?.tick();
   }
 
   #healthPathOf(baseUrl: string): string {
--- a/test/gateway/gateway-listener_test.ts
+++ b/test/gateway/gateway-listener_test.ts
@@ -140,6 +140,23 @@
       expect(harness.gateway.port).toBe(0);
     });
 
+    it('goes on when it is asked for again, so that a second signal cuts no open request', async () => {
+      let hasResponded = false;
+      await harness.start(trafficConfig(), (request, response) => {
+        setTimeout(() => {
+          hasResponded = true;
+          respondWith(200, 'ok')(request, response);
+        }, 400);
+      });
+      const open = harness.call();
+      while (harness.arrivals === 0) await harness.wait(5);
+      const deadlineAtMs = harness.clock.nowMs() + 5_000;
+      // The process exits when the first of them is done.
+      await Promise.race([harness.gateway.stop(deadlineAtMs), harness.gateway.stop(deadlineAtMs)]);
+      expect(hasResponded).toBe(true);
+      expect((await open).isComplete).toBe(true);
+    });
+
     it('asks callers to reconnect in the responses that it still sends', async () => {
       await harness.start(trafficConfig(), respondWith(200, 'ok'));
       const stopping = harness.gateway.stop(harness.clock.nowMs() + 2_000);
--- a/test/soak/soak_test.ts
+++ b/test/soak/soak_test.ts
@@ -2,7 +2,10 @@
 import { runSoak } from '../../bench/soak/run-soak.js';
 
 /** Seeds that once broke a promise, with the fault that each guards against. */
-const seeds = [[1, 'a short run of all kinds of faults']] as const;
+const seeds = [
+  [1, 'a short run of all kinds of faults'],
+  [4119, 'a second signal during a planned stop, which ended the process at once'],
+] as const;
 
 const lengthMs = 12_000;
 
