--- a/test/distribution/change-age_test.ts
+++ b/test/distribution/change-age_test.ts
@@ -32,6 +32,13 @@
     'suspended, or cut off from its readers',
     (distributor) => (distributor.fault = DaemonFault.Silent),
   ],
+  [
+    'slow to read the store and to answer',
+    (distributor) => {
+      distributor.fault = DaemonFault.Slow;
+      distributor.store.answerDelayMs = 600;
+    },
+  ],
   ['refused by the store', (distributor) => (distributor.store.isCutOff = true)],
   ['cut off from the store', (distributor) => (distributor.store.isSilent = true)],
   [
--- a/test/distribution/distribution-harness.ts
+++ b/test/distribution/distribution-harness.ts
@@ -20,11 +20,16 @@
   Dead = 'dead',
   /** Connections stay open without an answer. */
   Silent = 'silent',
+  /** Answers come just before its readers give up. */
+  Slow = 'slow',
 }
 
 /** How often a waiting read looks for a record. */
 const storePollMs = 5;
 
+/** Delay of the answers of a slow daemon or store, less than its callers wait for them. */
+const slowAnswerMs = 350;
+
 /** A store that counts calls and can be cut off for some daemons. */
 class StoreView extends MemoryKeyedLog {
   reads = 0;
@@ -32,6 +37,8 @@
   isCutOff = false;
   /** Calls get no answer any more, neither those that wait nor further ones. */
   isSilent = false;
+  /** Delay of each answer, in milliseconds. */
+  answerDelayMs = 0;
   /** Reads that get no answer from now on, before the others do again. */
   lostReads = 0;
   /** Whether reads wait for a record, as those of the platform's store do. */
@@ -61,6 +68,8 @@
     for (;;) {
       if (this.isSilent) await new Promise(() => undefined);
       const page = await this.#store.read(topic, from, waitMs);
+      if (this.answerDelayMs > 0)
+        await this.#clock.sleepUntil(this.#clock.nowMs() + this.answerDelayMs);
       if (!this.doesWait || page.records.length > 0 || this.#clock.nowMs() >= deadlineAtMs)
         return page;
       await this.#clock.sleepUntil(this.#clock.nowMs() + storePollMs);
@@ -141,7 +150,9 @@
     const daemon = await this.#reach(address, waitMs + 400);
     const { clock } = this.#domain;
     try {
-      return await daemon.reader.read(daemon.replica, fromOffset, clock.nowMs() + waitMs);
+      const page = await daemon.reader.read(daemon.replica, fromOffset, clock.nowMs() + waitMs);
+      if (daemon.fault === DaemonFault.Slow) await clock.sleepUntil(clock.nowMs() + slowAnswerMs);
+      return page;
     } catch (error) {
       if (error instanceof HistoryTrimmedError) throw error;
       if (!(error instanceof ReadRefusedError)) throw error;
@@ -164,7 +175,7 @@
       const { clock } = this.#domain;
       await clock.sleepUntil(clock.nowMs() + timeoutMs);
     }
-    if (daemon?.fault === DaemonFault.None) return daemon;
+    if (daemon?.fault === DaemonFault.None || daemon?.fault === DaemonFault.Slow) return daemon;
     throw new LogUnavailableError('no answer', address, true);
   }
 }
