Count a copy as of the deadline of its read at the latest

Found by reading the diff: since late timers let the sockets be read first, an answer that waited while the process stood still is taken, and was counted as of the time at which it was read. Its copy was taken for newer than it is by the length of the stall, and an endpoint whose registration is missing for gone. The test fails before (as of 10,100 ms, where 1,100 ms are right).

--- a/src/log/keyed-replica.ts
+++ b/src/log/keyed-replica.ts
@@ -168,13 +168,14 @@
   async refresh(): Promise<void> {
     const { log, topic, clock } = this.#options;
     const timeoutMs = this.#newestTimeoutMs;
+    const deadlineAtMs = clock.nowMs() + timeoutMs;
     this.#newestTimeoutMs = Math.min(maxNewestTimeoutMs, 2 * timeoutMs);
     const page = await withTimeout(clock, timeoutMs, this.#abort.signal, (signal) =>
       log.newest(topic, signal),
     );
     this.#newestTimeoutMs = minNewestTimeoutMs;
     if (page.endOffset < (this.#nextOffset ?? 0)) return;
-    this.#recordSuccess(page);
+    this.#recordSuccess(page, deadlineAtMs);
     this.#removeMissing(page.records);
     for (const record of page.records) this.#apply(record);
     // Removals between the last read and this one are not part of the page.
@@ -203,23 +204,28 @@
     const { log, topic, clock } = this.#options;
     // After a failure the read does not wait, so that a recovered store is detected sooner.
     const waitMs = this.isFailing ? 0 : this.#options.waitMs;
+    const deadlineAtMs = clock.nowMs() + waitMs + answerTimeoutMs;
     const page = await withTimeout(clock, waitMs + answerTimeoutMs, this.#abort.signal, (signal) =>
       log.read(topic, fromOffset, waitMs, signal),
     );
     // A concurrent refresh may have advanced the offset.
     if (this.#nextOffset !== fromOffset) return;
-    this.#recordSuccess(page);
+    this.#recordSuccess(page, deadlineAtMs);
     for (const record of page.records) this.#apply(record);
     this.#nextOffset = Math.max(fromOffset, (page.records.at(-1)?.offset ?? fromOffset - 1) + 1);
     if (page.records.length > 0) this.#notifyChange();
   }
 
-  /** Comes before the records are applied: their listeners ask how current the copy is. */
-  #recordSuccess({ copyAgeMs }: KeyedPage): void {
+  /**
+   * Comes before the records are applied: their listeners ask how current the copy is. A page that
+   * is read after the deadline of its call came before it, and waited for this process.
+   */
+  #recordSuccess({ copyAgeMs }: KeyedPage, deadlineAtMs: number): void {
     const nowMs = this.#options.clock.nowMs();
     this.#outages.recordSuccess(nowMs);
     this.#isDirect = copyAgeMs === undefined;
-    this.#caughtUpAtMs = Math.max(this.#caughtUpAtMs ?? -Infinity, nowMs - (copyAgeMs ?? 0));
+    const asOfMs = Math.min(nowMs, deadlineAtMs) - (copyAgeMs ?? 0);
+    this.#caughtUpAtMs = Math.max(this.#caughtUpAtMs ?? -Infinity, asOfMs);
     this.#retryDelay.reset();
     if (this.#failingSinceMs === undefined) return;
     this.#options.events.info(EventId.LogReadRecovered, 'log reads recovered', {
--- a/test/log/keyed-replica_test.ts
+++ b/test/log/keyed-replica_test.ts
@@ -55,6 +55,48 @@
     expect(replica.endOffset).toBe(2);
   });
 
+  describe('when the process stands still while an answer waits to be read', () => {
+    class StallingClock extends VirtualClock {
+      stalledMs = 0;
+
+      override nowMs(): number {
+        return super.nowMs() + this.stalledMs;
+      }
+    }
+
+    it('counts the copy as old as the answer may be, so that its age is not hidden', async () => {
+      const stallingClock = new StallingClock();
+      const waitMs = 300;
+      const readTimeoutMs = waitMs + 700;
+      const readAtMs: number[] = [];
+      const knownAsOfMs: (number | undefined)[] = [];
+      class StallingLog extends MemoryKeyedLog {
+        override async read(...args: Parameters<MemoryKeyedLog['read']>) {
+          readAtMs.push(stallingClock.nowMs());
+          knownAsOfMs.push(stalled.caughtUpAtMs);
+          const page = await super.read(...args);
+          stallingClock.stalledMs = 10_000;
+          return page;
+        }
+      }
+      const stalled = new KeyedReplica({
+        log: new StallingLog(),
+        topic: 't',
+        clock: stallingClock,
+        random: new Random(1),
+        events: new NullEventLog(),
+        waitMs,
+        minReadIntervalMs: () => 100,
+        minOutageMs: 1_200,
+      });
+      stalled.start();
+      await stallingClock.advance(200);
+      stalled.stop();
+      // What the second read finds known was brought by the first, amid which the process stood still.
+      expect(knownAsOfMs[1]).toBeLessThanOrEqual(readAtMs[0]! + readTimeoutMs);
+    });
+  });
+
   describe('when the store has trimmed its history', () => {
     it('reports keys that were removed in between once', async () => {
       log.put('t', 'a', '1');
