--- a/src/gateway/gateway-replicas.ts
+++ b/src/gateway/gateway-replicas.ts
@@ -58,8 +58,11 @@
  */
 const otherRegistrationStepsMs = 2_200;
 
-/** Shortest time between two reads of a topic. */
-/** @internal */
+/**
+ * Shortest time between two reads of a topic.
+ *
+ * @internal
+ */
 export const configReadIntervalMs = 50;
 const dutiesReadIntervalMs = 2_000;
 
--- a/test/distribution/change-age_test.ts
+++ b/test/distribution/change-age_test.ts
@@ -20,9 +20,14 @@
   { daemons: 33, drainMs: 4_000 },
 ];
 
-const phaseStepMs = 131;
-const phases = 12;
+/** The change comes at these times after the daemons have settled, to meet all phases of reads. */
+const phases = 24;
+const phaseStepMs = 83;
+
+/** How exactly an age is measured. */
 const stepMs = 20;
+
+/** Time between two records of other endpoints. */
 const heartbeatMs = 110;
 
 type Fault = (distributor: DistributionDaemon, domain: DistributionDomain) => void;
