Take no response for a request's that came before the request was written

Found by reading the diff: since a request waits for its connection and the sockets, an endpoint's bytes may come first. Without an id they were taken for the response on a new connection (200 in the test before, 503 now: the request was not sent).

--- a/src/gateway/endpoint-connections.ts
+++ b/src/gateway/endpoint-connections.ts
@@ -169,6 +169,10 @@
     this.#limitInterimResponses();
     outgoing.on('response', (response) => {
       if (this.#isDone) return;
+      if (!this.#mayHaveRun) {
+        outgoing.destroy(new Error('response came before the request was written'));
+        return;
+      }
       this.#isDone = true;
       this.#hasResponse = true;
       this.#observer.responded(response);
--- a/test/gateway/misbehaving-endpoint_test.ts
+++ b/test/gateway/misbehaving-endpoint_test.ts
@@ -1,6 +1,7 @@
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { ClientRequest } from 'node:http';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+import { listen } from '../../src/core/listener.js';
 import { RequestKind } from '../../src/gateway/traffic-config.js';
 import { trafficConfig, trafficRoute } from './configs.js';
 import { GatewayHarness } from './gateway-harness.js';
@@ -192,6 +193,21 @@
     }, 10_000);
   });
 
+  it('sends an answer before it was asked: no caller gets it', async () => {
+    await harness.start(trafficConfig());
+    const server = createServer((socket) => {
+      socket.on('error', () => undefined);
+      socket.write(head('nobody', 'content-length: 2').replace(/oriolestack-request-id.*\r\n/, ''));
+      socket.write('ok');
+    });
+    servers.push(server);
+    const port = await listen(server, '127.0.0.1', 0);
+    harness.registerEndpoint('i-1', `http://127.0.0.1:${port}`);
+    for (let number = 0; number < 5; number++) {
+      expect((await harness.call()).status).toBe(503);
+    }
+  });
+
   describe('sends a second copy of an answer on a kept connection', () => {
     const answerTo = (id: string, body: string): string =>
       `${head(id, `content-length: ${body.length}`)}${body}`;
