Log what the prompt of a failed attempt shared with others, and whether a response had begun

AttemptFailed (204) now names all parts but the last, and says whether a response head was received.

--- a/src/fleet/prompt-prefix.ts
+++ b/src/fleet/prompt-prefix.ts
@@ -40,6 +40,14 @@
   readonly tokens: number;
 }
 
+/**
+ * All parts but the last, which is specific to the request or its session: only these occur in
+ * several requests.
+ */
+export function sharedPartsOf(parts: readonly PromptPart[]): readonly PromptPart[] {
+  return parts.slice(0, -1);
+}
+
 /** Odd, so that the blocks of a part stay distinct; the golden ratio spreads them evenly. */
 const blockStride = 0x9e3779b1;
 
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -31,6 +31,8 @@
   readonly reason: string;
   /** Whether the request may have reached the endpoint. */
   readonly wasSent: boolean;
+  /** Whether the head of a response was received. */
+  readonly hasResponse: boolean;
   /**
    * Whether the endpoint closed a kept connection before the request was written to it, which says
    * nothing about the endpoint.
@@ -348,6 +350,7 @@
       end,
       reason,
       wasSent,
+      hasResponse: this.#response !== undefined,
       hasLostKeptConnection,
       ...(response ? { response } : {}),
     });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -224,7 +224,7 @@
       replicas: this.replicas.all(),
       isDistributor: () => this.replicas.distributor === undefined,
       inFlight: () => this.#listener.inFlight,
-      liveDaemons: () => this.#peers.peerStatus().daemons,
+      liveDaemons: () => this.liveDaemons,
       isDutyHolder: () => this.#duties?.isHolder === true,
     });
   }
@@ -234,6 +234,11 @@
     return this.#listener.port;
   }
 
+  /** Live daemons as this one sees them, itself included. */
+  get liveDaemons(): number {
+    return this.#peers.peerStatus().daemons;
+  }
+
   /** Whether the load balancer may send new connections. */
   get isReady(): boolean {
     return this.#stopped === undefined && this.config.table !== undefined;
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -8,7 +8,7 @@
   type EndpointView,
   type RegisteredEndpoints,
 } from '../fleet/index.js';
-import { promptPrefixOfParts, type PromptPrefix } from '../fleet/prompt-prefix.js';
+import { promptPrefixOfParts, sharedPartsOf, type PromptPrefix } from '../fleet/prompt-prefix.js';
 import { weightedTokens, type PrefillBacklog } from '../fleet/prefill-backlog.js';
 import type { SpeedEstimator } from '../fleet/speed-estimator.js';
 import type { PrefillReport } from '../membership/broadcast-message.js';
@@ -157,9 +157,8 @@
   }
 }
 
-/** All parts but the last, which is specific to the request. */
 function sharedPromptOf({ description }: AdmittedRequest): SharedPrompt | undefined {
-  const shared = description.promptParts.slice(0, -1);
+  const shared = sharedPartsOf(description.promptParts);
   const last = shared.at(-1);
   if (!last) return undefined;
   return { key: last.id, tokens: shared.reduce((sum, { tokens }) => sum + tokens, 0) };
--- a/src/gateway/request-log.ts
+++ b/src/gateway/request-log.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../core/index.js';
 import type { EndpointView } from '../fleet/index.js';
+import { sharedPartsOf } from '../fleet/prompt-prefix.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
 import type { AttemptResult } from './attempt.js';
 import type { AdmittedRequest } from './caller-exchange.js';
@@ -57,13 +58,19 @@
     });
   }
 
-  attemptFailed({ end, reason, wasSent }: AttemptResult, sentAtMs: number): void {
+  attemptFailed(result: AttemptResult, sentAtMs: number): void {
+    const { end, reason, wasSent, hasResponse } = result;
+    const { promptParts } = this.#admitted.description;
     this.#options.events.warn(EventId.AttemptFailed, 'attempt at an endpoint failed', {
       requestId: this.#admitted.description.requestId,
       endpoint: this.#endpointId,
       end,
       reason,
       wasSent,
+      hasResponse,
+      ...(promptParts.length > 1
+        ? { sharedParts: sharedPartsOf(promptParts).map(({ id }) => id) }
+        : {}),
       events: this.#events,
       elapsedMs: this.#elapsedMs(sentAtMs),
     });
--- a/test/gateway/request-diagnosis_test.ts
+++ b/test/gateway/request-diagnosis_test.ts
@@ -88,6 +88,24 @@
     );
   });
 
+  it('that ended with its endpoint: what its prompt shared with other requests', async () => {
+    const routes = [trafficRoute({ kind: RequestKind.Stream, hasPrompt: true })];
+    await harness.start(trafficConfig({ routes }), (request, response) => {
+      request.resume();
+      response.writeHead(200, { ...signedHeaders(request), 'content-type': 'text/event-stream' });
+      response.write(':', () => request.socket.destroy());
+    });
+    await harness.call({
+      headers: { ...headers, 'oriolestack-prompt-prefix': 'aa:800,bb:60,own:20' },
+    });
+
+    expect(ownFields(EventId.AttemptFailed)).toMatchObject({
+      end: 'broken',
+      hasResponse: true,
+      sharedParts: ['aa', 'bb'],
+    });
+  });
+
   it('of unknown outcome: its only endpoint received it and sent no response', async () => {
     const routes = [trafficRoute({ kind: RequestKind.AtMostOnce })];
     await harness.start(trafficConfig({ routes }), (request) => request.socket.destroy());
