Add a test that fails: requests with a deadly part end one endpoint after the other

Four gateways before 14 endpoints that end as they begin to answer on one part, four such requests a second beside sound ones. One idempotent request ends five endpoints by itself where its route allows five attempts.

--- /dev/null
+++ b/test/gateway/deadly-prompts_test.ts
@@ -0,0 +1,93 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { afterEach, describe, expect, it } from 'vitest';
+import { RequestKind } from '../../src/gateway/traffic-config.js';
+import { trafficConfig, trafficRoute } from './configs.js';
+import { GatewayFleet, type GatewayFleetOptions } from './gateway-fleet.js';
+import type { CallerResponse, GatewayHarness } from './gateway-harness.js';
+
+const deadlyPart = 'dead0001';
+const sharedPart = '5a4ed001';
+
+/** Requests that may still reach endpoints, and from when on that is counted. */
+const allowedArrivals = 3;
+const stabilityWindowMs = 4_000;
+const countedEnd = 5;
+
+const requestPeriodMs = 250;
+const runMs = 8_000;
+
+let requests = 0;
+
+/** A request that shares its first part, and with `part` its second, with others. */
+function call(gateway: GatewayHarness, part: string): Promise<CallerResponse> {
+  const ownPart = (++requests).toString(16).padStart(8, '0');
+  const prompt = `${sharedPart}:100,${part}:60,${ownPart}:40`;
+  return gateway.call({
+    method: 'POST',
+    body: 'prompt',
+    headers: { 'oriolestack-prompt-prefix': prompt, 'oriolestack-token-usage': '200,20' },
+  });
+}
+
+describe('requests with a part under which endpoints end', () => {
+  let fleet: GatewayFleet;
+
+  afterEach(async () => {
+    await fleet.stop();
+  });
+
+  async function start(changes: Partial<GatewayFleetOptions> = {}): Promise<void> {
+    const route = trafficRoute({ kind: RequestKind.Stream, isResumable: true, hasPrompt: true });
+    fleet = new GatewayFleet({
+      config: trafficConfig({ routes: [{ ...route, maxAttempts: 3 }] }),
+      gateways: 4,
+      endpoints: 14,
+      deadlyPart,
+      deadlyEvents: 0,
+      ...changes,
+    });
+    await fleet.start();
+  }
+
+  /** Sends deadly requests and sound ones, which share the first part, to all gateways in turn. */
+  async function play(): Promise<{ sound: CallerResponse[]; deadly: CallerResponse[] }> {
+    const open: { sound: Promise<CallerResponse>[]; deadly: Promise<CallerResponse>[] } = {
+      sound: [],
+      deadly: [],
+    };
+    const endAtMs = Date.now() + runMs;
+    for (let round = 0; Date.now() < endAtMs; round++) {
+      const gateway = fleet.gateways[round % fleet.gateways.length]!;
+      const other = fleet.gateways[(round + 1) % fleet.gateways.length]!;
+      open.deadly.push(call(gateway, deadlyPart));
+      open.sound.push(call(other, `beef${String(round).padStart(4, '0')}`));
+      await sleep(requestPeriodMs);
+    }
+    return { sound: await Promise.all(open.sound), deadly: await Promise.all(open.deadly) };
+  }
+
+  it('end two endpoints at most by themselves, where the route allows more attempts', async () => {
+    const route = trafficRoute({ maxAttempts: 5, hasPrompt: true });
+    await start({ config: trafficConfig({ routes: [route] }), gateways: 1, endpoints: 6 });
+    const { status } = await call(fleet.gateways[0]!, deadlyPart);
+    expect(status).toBe(502);
+    expect(fleet.endsAtMs.length).toBeLessThanOrEqual(2);
+  });
+
+  // 24 endpoints ended under one part of a prompt, 17 requests with it came after the fifth.
+  it.each([
+    ['before their first event', 0],
+    ['after their first event', 1],
+  ])(
+    'stop reaching endpoints on all daemons, which would end one after the other: %s',
+    async (_, deadlyEvents) => {
+      await start({ deadlyEvents });
+      const { sound } = await play();
+      const late = fleet.deadlyArrivalsAfterEnd(countedEnd, stabilityWindowMs);
+      expect(late.length).toBeLessThanOrEqual(allowedArrivals);
+      // Sound requests with the same first part go on; half of them is the least that users accept.
+      const lastSound = sound.slice(-10);
+      expect(lastSound.filter(({ isComplete }) => isComplete).length).toBeGreaterThanOrEqual(5);
+    },
+  );
+});
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -11,10 +11,12 @@
 import { EndpointProbe, type ProbeResponse } from '../../src/fleet/index.js';
 import { Gateway } from '../../src/gateway/gateway.js';
 import type { TrafficConfig } from '../../src/gateway/traffic-config.js';
+import type { PeerAddress } from '../../src/membership/peer-broadcaster.js';
 import { MemoryKeyedLog } from '../../src/standins/memory-keyed-log.js';
 import { NullEventLog, type EventLog } from '../../src/telemetry/index.js';
 import { PrometheusMetrics } from '../../src/telemetry/prometheus-metrics.js';
 import { HeaderCodec } from '../../platform/header-codec.js';
+import { HealthProbe } from '../../platform/health-probe.js';
 
 /** How a test endpoint handles a request. */
 export type EndpointBehaviour = (request: IncomingMessage, response: ServerResponse) => void;
@@ -98,33 +100,47 @@
   }
 }
 
+/** What sets one of several gateways apart, and what they share. */
+export interface GatewayHarnessOptions {
+  readonly daemon?: string;
+  /** Where the other gateways send datagrams and read copies; by default nowhere. */
+  readonly peerAddress?: PeerAddress;
+  readonly store?: MemoryKeyedLog;
+  /** Whether endpoints are asked for their health; by default they always count as healthy. */
+  readonly asksEndpoints?: boolean;
+}
+
 /** A gateway on loopback with its endpoints. */
 export class GatewayHarness {
   readonly gateway: Gateway;
   readonly endpoints: TestEndpoint[] = [];
   readonly probe = new SwitchableProbe();
-  readonly store = new MemoryKeyedLog();
+  readonly store: MemoryKeyedLog;
   readonly clock = new SystemClock();
   readonly events: EventLog;
   readonly metrics = new PrometheusMetrics();
+  readonly #daemon: string;
   #requests = 0;
 
-  constructor(events: EventLog = new NullEventLog()) {
+  constructor(events: EventLog = new NullEventLog(), options: GatewayHarnessOptions = {}) {
     this.events = events;
+    this.store = options.store ?? new MemoryKeyedLog();
+    this.#daemon = options.daemon ?? 'front-1';
     const { clock } = this;
     this.gateway = new Gateway({
-      daemon: 'front-1',
+      daemon: this.#daemon,
       region: 'here',
       failureDomain: 'here-a',
       capacityCores: 1,
       host: '127.0.0.1',
       port: 0,
-      peerAddress: { host: '127.0.0.1', port: 0 },
+      peerAddress: options.peerAddress ?? { host: '127.0.0.1', port: 0 },
       store: this.store,
       topics: { config: 'config', registrations: 'servers', daemons: 'daemons', duties: 'duties' },
       codec: new HeaderCodec(),
       duties: new NullDutyClient(),
-      probe: () => this.probe,
+      probe: (healthPathOf) =>
+        options.asksEndpoints ? new HealthProbe(clock, healthPathOf) : this.probe,
       clock,
       wallNowMs: () => clock.nowMs(),
       random: new Random(1),
@@ -200,7 +216,7 @@
           path,
           headers: {
             host: 'shop.example',
-            'oriolestack-request-id': `request-${this.#requests++}`,
+            'oriolestack-request-id': `${this.#daemon}-request-${this.#requests++}`,
             'oriolestack-deadline-ms': '3000',
             ...headers,
           },
