--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -33,6 +33,8 @@
   readonly wasSent: boolean;
   /** Whether the head of a response was received. */
   readonly hasResponse: boolean;
+  /** Whether the response told its own end, by a length or by chunks. */
+  readonly isFramed: boolean;
   /**
    * Whether the endpoint closed a kept connection before the request was written to it, which says
    * nothing about the endpoint.
@@ -351,8 +353,15 @@
       reason,
       wasSent,
       hasResponse: this.#response !== undefined,
+      isFramed: isFramed(this.#response),
       hasLostKeptConnection,
       ...(response ? { response } : {}),
     });
   }
 }
+
+/** Whether a response tells its own end; one that does not ends with its connection. */
+function isFramed(response: IncomingMessage | undefined): boolean {
+  const { 'content-length': length, 'transfer-encoding': encoding } = response?.headers ?? {};
+  return length !== undefined || encoding !== undefined;
+}
--- a/src/gateway/gateway-gauges.ts
+++ b/src/gateway/gateway-gauges.ts
@@ -15,6 +15,8 @@
   readonly inFlight: () => number;
   readonly liveDaemons: () => number;
   readonly isDutyHolder: () => boolean;
+  /** Quarantines of parts of prompts that are in force. */
+  readonly quarantines: () => number;
   /** Whether this daemon reads the store itself. */
   readonly isDistributor: () => boolean;
 }
@@ -35,6 +37,7 @@
     metrics.gauge('gateway_config_version', config.table?.config.version ?? 0);
     metrics.gauge('gateway_live_daemons', liveDaemons());
     metrics.gauge('gateway_duties_held', Number(isDutyHolder()));
+    metrics.gauge('gateway_quarantined_prompts', this.#options.quarantines());
     metrics.gauge('gateway_reads_store_itself', Number(isDistributor()));
     for (const { topic, endOffset, isFailing, caughtUpAtMs } of replicas) {
       const isReadable = endOffset !== undefined && !isFailing;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,6 +5,7 @@
 import { UsageCounter } from '../capacity/usage-counter.js';
 import { Random, type Clock } from '../core/index.js';
 import { MeteredLog } from '../distribution/index.js';
+import { EngineFailure } from '../engine/engine-error.js';
 import { PrefixCacheIndex } from '../fleet/prefix-cache-index.js';
 import { EstimatedSpeeds } from '../fleet/estimated-speeds.js';
 import {
@@ -29,6 +30,8 @@
   standardFilters,
   standardScorers,
 } from '../routing/index.js';
+import { TcpListenCheck } from '../quarantine/crash-detector.js';
+import { PromptGuard } from '../quarantine/prompt-guard.js';
 import { EventId, EventLoopMonitor, type EventLog, type Metrics } from '../telemetry/index.js';
 import { ConfigHolder } from './config-holder.js';
 import { EndpointConnections } from './endpoint-connections.js';
@@ -120,6 +123,7 @@
   readonly #suspicions = new PeerSuspicions();
   readonly #demand = new RateMeter(demandSmoothingMs);
   readonly #peers: PeerExchange;
+  readonly #guard: PromptGuard;
   readonly #retries: SharedRetryBudget;
   readonly #loopMonitor: EventLoopMonitor;
   /** Resolves when the daemon has stopped; undefined until it is asked to. */
@@ -177,6 +181,9 @@
       content: () => this.#sampleContent(),
       periodMs: () => this.#peers.intervals.samplePeriodMs,
       onEarlierRun: ({ usage }) => this.#counter.merge(usage),
+      onCrashes: (reports) => {
+        this.#guard.receiveReports(reports);
+      },
     });
     this.#peers = new PeerExchange({
       samples: this.#samples,
@@ -193,10 +200,14 @@
       distributor: () => this.replicas.distributor,
       onSuspicion: (endpointId, reporter) =>
         this.#suspicions.report(endpointId, reporter, clock.nowMs()),
+      onQuarantine: (message) => {
+        this.#guard.receive(message);
+      },
       onPrefill: ({ endpointId, tokens }) => this.#backlog.add(endpointId, tokens, clock.nowMs()),
     });
     this.#quotas = new WorkspaceQuotas(this.#peers, options.quotaTolerance, options.random.fork());
     this.#retries = new SharedRetryBudget(options.retryTolerance);
+    this.#guard = this.#createGuard();
     this.#listener = this.#createListener(codec, speeds, caches);
     this.#duties =
       options.duties &&
@@ -226,6 +237,7 @@
       inFlight: () => this.#listener.inFlight,
       liveDaemons: () => this.liveDaemons,
       isDutyHolder: () => this.#duties?.isHolder === true,
+      quarantines: () => this.#guard.activeEntries,
     });
   }
 
@@ -291,6 +303,7 @@
     });
     await clock.sleepUntil(deadlineAtMs - leaveMarginMs, left.signal);
     this.#stopTicking();
+    this.#guard.stop();
     this.#loopMonitor.stop();
     this.replicas.stop();
     events.info(EventId.DaemonStopped, 'daemon has stopped', { open: this.#listener.inFlight });
@@ -299,6 +312,30 @@
     this.#connections.close();
   }
 
+  #createGuard(): PromptGuard {
+    const { clock, events, metrics, topics } = this.#options;
+    const guard = new PromptGuard({
+      check: new TcpListenCheck(clock),
+      log: this.replicas.log,
+      topic: topics.duties,
+      replica: this.replicas.duties,
+      publish: (message) => {
+        this.#peers.broadcastQuarantine(message);
+      },
+      isDutyHolder: () => this.#duties?.isHolder === true,
+      onEndpointEnded: (endpointId) => {
+        this.#registry.recordFailure(endpointId, EngineFailure.ConnectionFailed);
+      },
+      clock,
+      events,
+      metrics,
+    });
+    this.#registry.onRetire((endpointId) => {
+      guard.endpointEnded(endpointId);
+    });
+    return guard;
+  }
+
   #createListener(
     codec: RequestCodec,
     speeds: SpeedEstimator,
@@ -344,6 +381,7 @@
       codec,
       stallDetector,
       retries: this.#retries,
+      guard: this.#guard,
       usage: new UsageCountingObserver(this.#counter),
       clock,
       events,
@@ -353,6 +391,7 @@
       config: this.config,
       codec,
       quotas: this.#quotas,
+      guard: this.#guard,
       clock,
     });
     return new GatewayListener({
@@ -373,7 +412,9 @@
     const { daemons, unreachableDaemons } = this.#peers.peerStatus();
     this.#retries.setDaemons(daemons + unreachableDaemons);
     this.#quotas.refresh(this.config.table?.config.workspaces ?? [], this.#options.clock.nowMs());
-    if (!this.#stopped) await this.#duties?.tick();
+    if (this.#stopped) return;
+    await this.#duties?.tick();
+    await this.#guard.tick();
   }
 
   #healthPathOf(baseUrl: string): string {
@@ -401,6 +442,7 @@
       failureDomain,
       capacityCores,
       usage: this.#counter.windows(),
+      crashes: this.#guard.recentReports(),
     };
   }
 }
--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -10,6 +10,7 @@
 import type { PrefillReport } from '../membership/broadcast-message.js';
 import type { BroadcastRoutes } from '../membership/broadcast-relay.js';
 import { PeerBroadcaster, type PeerAddress } from '../membership/peer-broadcaster.js';
+import type { QuarantineMessage } from '../quarantine/quarantine-message.js';
 import type { EventLog } from '../telemetry/index.js';
 import { ChangeFilter } from './change-filter.js';
 import { PeerGrants, type WorkspaceCounts } from './workspace-quotas.js';
@@ -34,6 +35,8 @@
   readonly onPrefill: (report: PrefillReport) => void;
   /** Called when another daemon could not reach an endpoint. */
   readonly onSuspicion: (endpointId: string, daemon: string) => void;
+  /** Called when another daemon reports endpoints that ended, or what they ended under. */
+  readonly onQuarantine: (message: QuarantineMessage) => void;
   /** The daemon from which this one reads the store; undefined when it reads the store itself. */
   readonly distributor: () => DistributorCandidate | undefined;
 }
@@ -76,7 +79,8 @@
   constructor(options: PeerExchangeOptions) {
     super();
     this.#options = options;
-    const { samples, daemon, address, clock, events, onPrefill, onSuspicion } = options;
+    const { samples, daemon, address, clock, events } = options;
+    const { onPrefill, onSuspicion, onQuarantine } = options;
     this.#intervals = this.#intervalsFor(1, 1);
     this.#broadcaster = new PeerBroadcaster({
       daemon,
@@ -84,6 +88,7 @@
       routes: () => this.#routes(),
       onPrefill,
       onSuspicion,
+      onQuarantine,
       onGrants: (report) => {
         samples.applyDirectReport(report);
       },
@@ -158,6 +163,11 @@
     this.#broadcaster.broadcastSuspicion(endpointId);
   }
 
+  /** Tells all other daemons of endpoints that ended, or of what they ended under. */
+  broadcastQuarantine(message: QuarantineMessage): void {
+    this.#broadcaster.broadcastQuarantine(message);
+  }
+
   /**
    * Reports the totals that changed at the end of each interval. Each change is sent twice, as
    * datagrams can be lost. A change that is lost both times reaches the peers with the next change
--- a/src/gateway/request-admission.ts
+++ b/src/gateway/request-admission.ts
@@ -1,4 +1,6 @@
 import { Outcome, RequestError, Step, type Clock } from '../core/index.js';
+import { sharedPartsOf } from '../fleet/prompt-prefix.js';
+import type { PromptGuard } from '../quarantine/prompt-guard.js';
 import type { CallerExchange, AdmittedRequest } from './caller-exchange.js';
 import type { ConfigHolder } from './config-holder.js';
 import {
@@ -15,6 +17,7 @@
   readonly config: ConfigHolder;
   readonly codec: RequestCodec;
   readonly quotas: WorkspaceQuotas;
+  readonly guard: PromptGuard;
   readonly clock: Clock;
 }
 
@@ -48,6 +51,7 @@
     const deadlineAtMs = receivedAtMs + Math.min(callerTimeoutMs, route.timeoutMs);
     if (deadlineAtMs <= nowMs)
       throw refusal(503, 'the deadline passed before the request could be handled');
+    this.#checkPrompt(description);
     if (workspace) this.#charge(workspace, description, nowMs);
     return {
       description,
@@ -79,6 +83,14 @@
     }
   }
 
+  /** Before the quota is charged, which a request that is not served must not use up. */
+  #checkPrompt({ promptParts }: RequestDescription): void {
+    const entry = this.#options.guard.find(sharedPartsOf(promptParts).map(({ id }) => id));
+    if (!entry) return;
+    const message = `endpoints end under parts of its prompt: ${entry.partIds.join(', ')}`;
+    throw refusal(503, message, entry.nextTrialAtMs);
+  }
+
   #charge(workspace: TrafficWorkspace, description: RequestDescription, nowMs: number): void {
     const { quotas } = this.#options;
     const retryAtMs = quotas.tryTake(workspace, description, nowMs);
--- a/src/gateway/request-relay.ts
+++ b/src/gateway/request-relay.ts
@@ -8,6 +8,10 @@
   RegisteredEndpoints,
   StallDetector,
 } from '../fleet/index.js';
+import { sharedPartsOf } from '../fleet/prompt-prefix.js';
+import type { BrokenRequest } from '../quarantine/crash-detector.js';
+import type { PromptGuard } from '../quarantine/prompt-guard.js';
+import type { QuarantineEntry } from '../quarantine/quarantine-entry.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
 import {
   Attempt,
@@ -38,6 +42,7 @@
   readonly codec: RequestCodec;
   readonly stallDetector: StallDetector;
   readonly retries: SharedRetryBudget;
+  readonly guard: PromptGuard;
   readonly usage: UsageObserver;
   readonly clock: Clock;
   readonly events: EventLog;
@@ -55,6 +60,9 @@
  */
 const maxUnsentAttempts = 4;
 
+/** Endpoints that may end under a request before it is not sent to another one. */
+const maxEndedEndpoints = 2;
+
 /** `retry-after` of a request that no endpoint accepted, in milliseconds. */
 const retryAfterMs = 600;
 
@@ -97,14 +105,20 @@
   readonly #triedIds: string[] = [];
   readonly #progress: StreamProgress;
   readonly #requestLog: RequestLog;
+  readonly #partIds: readonly string[];
   #attempt: Attempt | undefined;
   #sends = 0;
   #unsentAttempts = 0;
   /** Whether an endpoint may have run the request. */
   #mayHaveRun = false;
   #hasBegun = false;
-  #isAwaitingFirstEvent = true;
+  /** First event of the attempt in flight; undefined before. */
+  #firstEventAtMs: number | undefined;
   #sentAtMs = 0;
+  /** Endpoints that ended, possibly under this request. */
+  #endedEndpoints = 0;
+  /** Time until which its prompt is kept from endpoints; undefined if it is not. */
+  #heldBackUntilMs: number | undefined;
   #isExpired = false;
   #lastReason = 'no endpoint is available';
 
@@ -115,6 +129,7 @@
     this.#admitted = admitted;
     this.#progress = { lastEventId: admitted.description.lastEventId, events: 0 };
     this.#requestLog = new RequestLog(options, admitted);
+    this.#partIds = sharedPartsOf(admitted.description.promptParts).map(({ id }) => id);
   }
 
   async run(): Promise<void> {
@@ -161,9 +176,9 @@
   override progressed(view: EndpointView, events: number, elapsedMs: number): void {
     const { placement, clock } = this.#options;
     this.#requestLog.progressed(events);
-    if (this.#isAwaitingFirstEvent) {
-      this.#isAwaitingFirstEvent = false;
-      placement.recordFirstEvent(view, this.#admitted, clock.nowMs() - this.#sentAtMs);
+    if (this.#firstEventAtMs === undefined) {
+      this.#firstEventAtMs = clock.nowMs();
+      placement.recordFirstEvent(view, this.#admitted, this.#firstEventAtMs - this.#sentAtMs);
     } else placement.recordProgress(view, events, elapsedMs);
   }
 
@@ -173,9 +188,14 @@
    * @returns whether another attempt should follow.
    */
   async #tryOnce(): Promise<boolean> {
-    const { placement, registry, clock } = this.#options;
+    const { placement, registry, clock, guard } = this.#options;
     // No caller is waiting for a response, and no attempt is in flight.
     if (this.#exchange.isDisconnected) return false;
+    const entry = guard.admit(this.#partIds);
+    if (entry) {
+      this.#holdBack(entry);
+      return false;
+    }
     const view = placement.choose(this.#admitted, this.#triedIds);
     if (!view) {
       this.#giveUp();
@@ -188,19 +208,53 @@
     );
     this.#sentAtMs = clock.nowMs();
     this.#requestLog.sentTo(view);
-    this.#isAwaitingFirstEvent = true;
+    this.#firstEventAtMs = undefined;
     const attempt = this.#startAttempt(view);
     this.#attempt = attempt;
     const result = await attempt.result;
     this.#attempt = undefined;
     this.#recordResult(view, inFlightRequest, result);
+    const endedUnderIt = this.#observeEnd(view, result);
     if (result.end === AttemptEnd.Delivered) {
       // Only requests that needed a retry are logged; a line for each request would hide them.
       if (this.#sends + this.#unsentAttempts > 1) this.#requestLog.retried(this.#sends);
       return false;
     }
     if (result.end !== AttemptEnd.Aborted) this.#requestLog.attemptFailed(result, this.#sentAtMs);
-    return this.#canRetry(result) || this.#conclude(result);
+    if (!this.#mayRetry(result)) return this.#conclude(result);
+    if (await endedUnderIt) this.#endedEndpoints += 1;
+    // Meanwhile the caller may have left, or its time may be over; both were dealt with then.
+    if (this.#isOver) return false;
+    return (
+      (this.#endedEndpoints < maxEndedEndpoints && this.#spendRetry(result)) ||
+      this.#conclude(result)
+    );
+  }
+
+  /**
+   * Tells the guard of prompts how an attempt ended.
+   *
+   * @returns whether its endpoint has ended, possibly under this request.
+   */
+  #observeEnd(view: EndpointView, result: AttemptResult): Promise<boolean> {
+    const { guard, placement } = this.#options;
+    const request: BrokenRequest = {
+      endpointId: view.id,
+      baseUrl: view.baseUrl,
+      requestId: this.#admitted.description.requestId,
+      partIds: this.#partIds,
+      sentAtMs: this.#sentAtMs,
+      firstEventAtMs: this.#firstEventAtMs,
+    };
+    // The end of a process that is leaving has nothing to do with its requests.
+    const isStaying = placement.mayTake(view.id);
+    if (result.end === AttemptEnd.Delivered) {
+      if (result.isFramed) guard.answered(this.#partIds);
+      else if (isStaying) guard.answerMayBeCut(request);
+    }
+    if (result.end !== AttemptEnd.Broken || !result.wasSent || !isStaying)
+      return Promise.resolve(false);
+    return guard.requestBroke(request);
   }
 
   #startAttempt(view: EndpointView): Attempt {
@@ -275,17 +329,35 @@
     return route.kind === RequestKind.Idempotent;
   }
 
-  #canRetry(result: AttemptResult): boolean {
-    const { retries, clock } = this.#options;
-    const { route, service, deadlineAtMs } = this.#admitted;
-    if (result.end === AttemptEnd.Aborted || this.#exchange.isDisconnected || this.#isExpired)
-      return false;
+  /** Whether nobody waits for a response any more. */
+  get #isOver(): boolean {
+    return this.#exchange.isDisconnected || this.#isExpired;
+  }
+
+  /** Whether what is known of the request allows another attempt. */
+  #mayRetry(result: AttemptResult): boolean {
+    const { clock } = this.#options;
+    const { route, deadlineAtMs } = this.#admitted;
+    if (result.end === AttemptEnd.Aborted || this.#isOver) return false;
     if (result.response && result.response.status < 500) return false;
     if (this.#mayHaveRun && !this.#isRepeatable) return false;
     if (this.#exchange.hasSentHead && route.kind !== RequestKind.Stream) return false;
     if (deadlineAtMs <= clock.nowMs()) return false;
     if (!result.wasSent) return this.#unsentAttempts < maxUnsentAttempts;
-    return this.#sends < route.maxAttempts && retries.trySpend(service.name, clock.nowMs());
+    return this.#sends < route.maxAttempts;
+  }
+
+  /** Takes another send off the budget that all daemons share. @returns whether there was one. */
+  #spendRetry({ wasSent }: AttemptResult): boolean {
+    const { retries, clock } = this.#options;
+    return !wasSent || retries.trySpend(this.#admitted.service.name, clock.nowMs());
+  }
+
+  /** Ends a request whose prompt has parts under which endpoints end. */
+  #holdBack({ partIds, nextTrialAtMs }: QuarantineEntry): void {
+    this.#lastReason = `endpoints end under parts of its prompt: ${partIds.join(', ')}`;
+    this.#heldBackUntilMs = nextTrialAtMs;
+    this.#giveUp();
   }
 
   /**
@@ -354,6 +426,8 @@
   }
 
   #retryAfterMs(): number {
+    if (this.#heldBackUntilMs !== undefined)
+      return Math.max(retryAfterMs, this.#heldBackUntilMs - this.#options.clock.nowMs());
     if (this.#sends + this.#unsentAttempts > 0) return retryAfterMs;
     const remainingMs = this.#admitted.deadlineAtMs - this.#options.clock.nowMs();
     return Math.max(retryAfterMs, Math.min(noEndpointRetryMs, remainingMs * maxRetryAfterRatio));
--- a/src/membership/broadcast-message.ts
+++ b/src/membership/broadcast-message.ts
@@ -1,4 +1,8 @@
 import { z } from 'zod';
+import {
+  quarantineMessageSchema,
+  type QuarantineMessage,
+} from '../quarantine/quarantine-message.js';
 import type { GrantReport } from './daemon-samples.js';
 
 /** A long prompt that a daemon has sent to an endpoint. */
@@ -12,6 +16,7 @@
   Prefill = 'prefill',
   Grants = 'grants',
   Suspicion = 'suspicion',
+  Quarantine = 'quarantine',
 }
 
 /** Who is to receive the messages of a {@link BroadcastBatch}, besides its receiver. */
@@ -27,6 +32,7 @@
 const messageSchema = z.union([
   z.tuple([z.literal(BroadcastKind.Prefill), z.string(), z.number().nonnegative(), z.string()]),
   z.tuple([z.literal(BroadcastKind.Suspicion), z.string().min(1), z.string()]),
+  z.tuple([z.literal(BroadcastKind.Quarantine), quarantineMessageSchema, z.string()]),
   z.tuple([
     z.literal(BroadcastKind.Grants),
     z.string().min(1),
@@ -62,6 +68,11 @@
   return [BroadcastKind.Suspicion, endpointId, daemon];
 }
 
+/** Message of `daemon` about endpoints that ended, and the prompts that they ended under. */
+export function quarantineBroadcast(daemon: string, content: QuarantineMessage): BroadcastMessage {
+  return [BroadcastKind.Quarantine, content, daemon];
+}
+
 /** Message about the units granted by and requested from a daemon since it started. */
 export function grantMessage(report: GrantReport): BroadcastMessage {
   const { daemon, incarnation, granted, asked } = report;
--- a/src/membership/daemon-samples.ts
+++ b/src/membership/daemon-samples.ts
@@ -9,6 +9,7 @@
 } from '../log/index.js';
 import { decodeKeyedJson, encodeKeyedJson } from '../log/keyed-json.js';
 import type { KeyedReplica } from '../log/keyed-replica.js';
+import { crashMessageSchema, type CrashMessage } from '../quarantine/quarantine-message.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
 import { CounterTotals } from './counter-totals.js';
 
@@ -39,6 +40,8 @@
   capacityCores: z.number().nonnegative().default(0),
   /** Requests started, by usage window and workspace. */
   usage: z.array(z.tuple([z.int(), countsSchema])),
+  /** Its latest reports of endpoints that ended. */
+  crashes: z.array(crashMessageSchema).catch([]),
   /** Whether the daemon is stopping. */
   isLeaving: z.boolean(),
   /** Fence of the lease on the duties that the daemon holds; 0 when it holds none. */
@@ -63,6 +66,7 @@
   | 'failureDomain'
   | 'capacityCores'
   | 'usage'
+  | 'crashes'
 >;
 
 /** Options of {@link DaemonSamples}. */
@@ -79,6 +83,8 @@
   readonly periodMs: () => number;
   /** Called with the last sample of an earlier run of this daemon, before it is replaced. */
   readonly onEarlierRun?: (sample: DaemonSample) => void;
+  /** Called with the crash reports of another daemon's new sample. */
+  readonly onCrashes?: (reports: readonly CrashMessage[]) => void;
 }
 
 interface ReceivedSample {
@@ -354,6 +360,8 @@
     const earlierHeartbeatAtMs = isSameRun ? this.#received.get(key)?.heartbeatAtMs : undefined;
     const heartbeatAtMs = sample.dutyFence > 0 ? receivedAtMs : (earlierHeartbeatAtMs ?? -Infinity);
     this.#received.set(key, { sample, receivedAtMs, heartbeatAtMs });
-    if (sample.daemon !== daemon) this.#mergeCounts(sample);
+    if (sample.daemon === daemon) return;
+    this.#mergeCounts(sample);
+    if (sample.crashes.length > 0) this.#options.onCrashes?.(sample.crashes);
   }
 }
--- a/src/membership/peer-broadcaster.ts
+++ b/src/membership/peer-broadcaster.ts
@@ -1,5 +1,6 @@
 import { createSocket, type Socket } from 'node:dgram';
 import type { Clock } from '../core/index.js';
+import type { QuarantineMessage } from '../quarantine/quarantine-message.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
 import {
   BroadcastKind,
@@ -7,6 +8,7 @@
   encodeBatch,
   grantMessage,
   prefillMessage,
+  quarantineBroadcast,
   suspicionMessage,
   type BroadcastBatch,
   type BroadcastMessage,
@@ -30,6 +32,8 @@
   readonly onGrants: (report: GrantReport) => void;
   /** Called when another daemon could not reach an endpoint. */
   readonly onSuspicion: (endpointId: string, daemon: string) => void;
+  /** Called when another daemon reports endpoints that ended, or what they ended under. */
+  readonly onQuarantine: (message: QuarantineMessage) => void;
   readonly clock: Clock;
   readonly events: EventLog;
 }
@@ -47,6 +51,8 @@
   /** The batch that was encoded last, as the same one goes to many addresses. */
   #encoded: { readonly batch: BroadcastBatch; readonly bytes: Buffer } | undefined;
 
+  #isClosed = false;
+
   constructor(options: PeerBroadcasterOptions) {
     this.#options = options;
     const { daemon, listenAddress, routes, clock } = options;
@@ -93,17 +99,25 @@
     this.#relay.publish(suspicionMessage(this.#options.daemon, endpointId));
   }
 
+  /** Tells all peers of endpoints that ended, or of what they ended under. */
+  broadcastQuarantine(message: QuarantineMessage): void {
+    this.#relay.publish(quarantineBroadcast(this.#options.daemon, message));
+  }
+
   /** Sends all peers the units granted by and requested from this daemon since it started. */
   broadcastGrants(report: GrantReport): void {
     this.#relay.publish(grantMessage(report));
   }
 
   close(): void {
+    this.#isClosed = true;
     this.#relay.stop();
     this.#socket.close();
   }
 
   #send(address: string, batch: BroadcastBatch): void {
+    // What is published while the daemon ends is lost, as any datagram may be.
+    if (this.#isClosed) return;
     if (this.#encoded?.batch !== batch) this.#encoded = { batch, bytes: encodeBatch(batch) };
     const at = address.lastIndexOf(':');
     const port = Number(address.slice(at + 1));
@@ -111,7 +125,7 @@
   }
 
   #deliver(message: BroadcastMessage): void {
-    const { daemon, onPrefill, onGrants, onSuspicion } = this.#options;
+    const { daemon, onPrefill, onGrants, onSuspicion, onQuarantine } = this.#options;
     switch (message[0]) {
       case BroadcastKind.Grants: {
         const [, sender, incarnation, granted, asked] = message;
@@ -128,6 +142,11 @@
         if (sender !== daemon) onSuspicion(endpointId, sender);
         break;
       }
+      case BroadcastKind.Quarantine: {
+        const [, content, sender] = message;
+        if (sender !== daemon) onQuarantine(content);
+        break;
+      }
     }
   }
 }
--- /dev/null
+++ b/src/quarantine/crash-detector.ts
@@ -0,0 +1,162 @@
+import { connect } from 'node:net';
+import type { Clock } from '../core/index.js';
+import type { CrashReport } from './crash-report.js';
+
+/** Asks whether the process behind an address still listens. */
+export abstract class ListenCheck {
+  /**
+   * @returns false only when the connection was refused; an address that does not answer by
+   *   `deadlineAtMs` (epoch milliseconds) may still be in use.
+   */
+  abstract isListening(baseUrl: string, deadlineAtMs: number): Promise<boolean>;
+}
+
+/** {@link ListenCheck} by a connection that is closed at once. */
+export class TcpListenCheck extends ListenCheck {
+  readonly #clock: Clock;
+
+  constructor(clock: Clock) {
+    super();
+    this.#clock = clock;
+  }
+
+  override isListening(baseUrl: string, deadlineAtMs: number): Promise<boolean> {
+    const { hostname, port } = new URL(baseUrl);
+    return new Promise((resolve) => {
+      const socket = connect({ host: hostname, port: Number(port || 80) });
+      const end = (isListening: boolean): void => {
+        cancel();
+        socket.destroy();
+        resolve(isListening);
+      };
+      const cancel = this.#clock.schedule(deadlineAtMs, () => {
+        end(true);
+      });
+      socket.once('connect', () => {
+        end(true);
+      });
+      socket.on('error', (error: NodeJS.ErrnoException) => {
+        end(error.code !== 'ECONNREFUSED');
+      });
+    });
+  }
+}
+
+/** A request whose connection to an endpoint ended before its answer was whole. */
+export interface BrokenRequest {
+  readonly endpointId: string;
+  readonly baseUrl: string;
+  readonly requestId: string;
+  readonly partIds: readonly string[];
+  /** Epoch milliseconds. */
+  readonly sentAtMs: number;
+  /** First event of its answer, in epoch milliseconds; undefined when none was received. */
+  readonly firstEventAtMs: number | undefined;
+}
+
+/** Options of {@link CrashDetector}. */
+export interface CrashDetectorOptions {
+  readonly check: ListenCheck;
+  readonly clock: Clock;
+  /** Called when an endpoint has ended, with the requests that may be the cause. */
+  readonly onCrash: (endpointId: string, reports: readonly CrashReport[]) => void;
+}
+
+/** Endpoints end as they begin to write; one that has written for longer ended for another cause. */
+const maxWritingMs = 1_000;
+
+/** Time for a new connection; a refusal comes within a round trip. */
+const checkTimeoutMs = 200;
+
+/** An endpoint that proves to have ended within this time after a connection broke ended then. */
+const confirmationMs = 10_000;
+
+/** Requests that are reported of one end, and ends that wait for their confirmation. */
+const maxReports = 16;
+const maxPendingEnds = 512;
+
+/** Broken requests of one endpoint that have no proof of its end yet. */
+interface PendingEnd {
+  readonly brokenAtMs: number;
+  readonly reports: CrashReport[];
+}
+
+/**
+ * Tells the end of an endpoint's process from the loss of a connection to it: a broken connection is
+ * the end only if the address then refuses new ones, or if the endpoint's registration ends soon.
+ */
+export class CrashDetector {
+  readonly #options: CrashDetectorOptions;
+  readonly #pending = new Map<string, PendingEnd>();
+  readonly #checks = new Map<string, Promise<boolean>>();
+
+  constructor(options: CrashDetectorOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Notes a broken request and asks the endpoint.
+   *
+   * @returns whether the endpoint has ended and may have done so under this request.
+   */
+  async diagnose(request: BrokenRequest): Promise<boolean> {
+    const mayBeCause = this.note(request);
+    const { endpointId, baseUrl } = request;
+    let check = this.#checks.get(endpointId);
+    if (!check) {
+      check = this.#check(endpointId, baseUrl);
+      this.#checks.set(endpointId, check);
+    }
+    return (await check) && mayBeCause;
+  }
+
+  /**
+   * Notes a request that broke, if at all, without asking the endpoint.
+   *
+   * @returns whether the endpoint may have ended under it, if it has ended.
+   */
+  note(request: BrokenRequest): boolean {
+    const { endpointId, requestId, partIds, sentAtMs, firstEventAtMs } = request;
+    const nowMs = this.#options.clock.nowMs();
+    this.#forgetBefore(nowMs - confirmationMs);
+    const pending = this.#pending.get(endpointId) ?? { brokenAtMs: nowMs, reports: [] };
+    if (this.#pending.size < maxPendingEnds) this.#pending.set(endpointId, pending);
+    const hasWrittenLong = nowMs - (firstEventAtMs ?? nowMs) > maxWritingMs;
+    if (!hasWrittenLong && partIds.length > 0 && pending.reports.length < maxReports) {
+      pending.reports.push({
+        endpointId,
+        requestId,
+        partIds,
+        sentAtMs,
+        endedAtMs: pending.brokenAtMs,
+      });
+    }
+    return !hasWrittenLong;
+  }
+
+  /** The endpoint has proved to have ended: it refuses connections, or its registration ended. */
+  confirm(endpointId: string): void {
+    const pending = this.#pending.get(endpointId);
+    if (!pending) return;
+    this.#pending.delete(endpointId);
+    if (pending.brokenAtMs + confirmationMs < this.#options.clock.nowMs()) return;
+    this.#options.onCrash(endpointId, pending.reports);
+  }
+
+  async #check(endpointId: string, baseUrl: string): Promise<boolean> {
+    const { check, clock } = this.#options;
+    try {
+      const isListening = await check.isListening(baseUrl, clock.nowMs() + checkTimeoutMs);
+      if (!isListening) this.confirm(endpointId);
+      return !isListening;
+    } finally {
+      this.#checks.delete(endpointId);
+    }
+  }
+
+  #forgetBefore(sinceMs: number): void {
+    for (const [endpointId, { brokenAtMs }] of this.#pending) {
+      if (brokenAtMs < sinceMs) this.#pending.delete(endpointId);
+    }
+  }
+}
--- /dev/null
+++ b/src/quarantine/prompt-guard.ts
@@ -0,0 +1,340 @@
+import { LRUCache } from 'lru-cache';
+import type { Clock } from '../core/index.js';
+import type { KeyedLog } from '../log/index.js';
+import type { KeyedReplica } from '../log/keyed-replica.js';
+import { EventId, type EventLog, type Metrics } from '../telemetry/index.js';
+import { CrashDetector, type BrokenRequest, type ListenCheck } from './crash-detector.js';
+import { CrashEvidence } from './crash-evidence.js';
+import type { CrashReport } from './crash-report.js';
+import { PromptQuarantine } from './prompt-quarantine.js';
+import { quarantineKey, type QuarantineEntry } from './quarantine-entry.js';
+import type { CrashMessage, QuarantineMessage } from './quarantine-message.js';
+import { QuarantineRecords } from './quarantine-records.js';
+
+/** Options of {@link PromptGuard}. */
+export interface PromptGuardOptions {
+  readonly check: ListenCheck;
+  readonly log: KeyedLog;
+  /** Topic of the quarantines' records, and this daemon's copy of it. */
+  readonly topic: string;
+  readonly replica: KeyedReplica;
+  /** Sends a message to all other daemons; it may be lost. */
+  readonly publish: (message: QuarantineMessage) => void;
+  /** Whether this daemon alone may act for all. */
+  readonly isDutyHolder: () => boolean;
+  /** Called when an endpoint has ended. */
+  readonly onEndpointEnded: (endpointId: string) => void;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  readonly metrics: Metrics;
+}
+
+/** Time for the reports and answers of the other daemons to arrive before a cause is named. */
+const ownDecisionDelayMs = 150;
+
+/** A daemon without a report of its own leaves the decision to those that have one, at first. */
+const otherDecisionDelayMs = 600;
+
+/** Messages are sent twice, as datagrams may be lost. */
+const repeatDelayMs = 300;
+
+/** A part on which an answer came whole this short a time ago was not held back for good reason. */
+const contradictionMs = 1_000;
+
+/** Shortest time between two messages about whole answers with the same part. */
+const answerPeriodMs = 1_000;
+
+/** Own reports of this time go into the daemon's samples, in case both datagrams were lost. */
+const sampledReportsMs = 12_000;
+const maxSampledReports = 16;
+
+const maxToldParts = 2_048;
+
+/** Who an entry came from, for the log. */
+enum EntrySource {
+  Evidence = 'evidence',
+  Answer = 'answer',
+  Peer = 'peer',
+  Store = 'store',
+  Trial = 'trial',
+}
+
+/**
+ * Keeps prompts with a part under which endpoints end, one after the other, from endpoints. All
+ * daemons exchange which requests were in progress when an endpoint ended and on which parts
+ * answers came whole; each names the cause by the same evidence, and the store keeps it for
+ * daemons that start. A quarantine ends when an answer comes whole after all, by a trial of the
+ * daemon that holds the duties, or by an operator.
+ *
+ * @example
+ * ```ts
+ * if (guard.admit(partIds)) refuse();
+ * else if (isBroken && (await guard.requestBroke(request))) countEnd();
+ * ```
+ */
+export class PromptGuard {
+  readonly #options: PromptGuardOptions;
+  readonly #quarantine = new PromptQuarantine();
+  readonly #evidence = new CrashEvidence();
+  readonly #detector: CrashDetector;
+  readonly #records: QuarantineRecords;
+  readonly #answerToldAtMs = new LRUCache<string, number>({ max: maxToldParts });
+  #ownReports: readonly CrashReport[] = [];
+  /** Entries that this daemon changed, and is to store. */
+  readonly #ownKeys = new Set<string>();
+  /** Key of the entry that lets the next request at this daemon through. */
+  #trialKey: string | undefined;
+  #isStopped = false;
+  #decisionAtMs = Infinity;
+  #cancelDecision: () => void = () => undefined;
+
+  constructor(options: PromptGuardOptions) {
+    this.#options = options;
+    const { clock, events, metrics, check } = options;
+    this.#detector = new CrashDetector({
+      check,
+      clock,
+      onCrash: (endpointId, reports) => {
+        events.warn(EventId.EndpointCrashed, 'endpoint ended while it had requests', {
+          endpoint: endpointId,
+          requestIds: reports.map(({ requestId }) => requestId),
+        });
+        metrics.count('gateway_endpoint_crashes', 1);
+        options.onEndpointEnded(endpointId);
+        for (const report of reports) this.#reportCrash(report);
+      },
+    });
+    this.#records = new QuarantineRecords({
+      ...options,
+      onEntry: (entry) => {
+        this.#merge(entry, EntrySource.Store);
+      },
+    });
+  }
+
+  /** Whether the stored quarantines were read, which a starting daemon waits for. */
+  get isRead(): boolean {
+    return this.#records.isRead;
+  }
+
+  /** Number of quarantines in force. */
+  get activeEntries(): number {
+    return this.#quarantine.active.length;
+  }
+
+  /** The quarantine that holds a request back now; undefined when none does. */
+  find(partIds: readonly string[]): QuarantineEntry | undefined {
+    const entry = this.#quarantine.match(partIds);
+    if (!entry || this.#isTrial(entry)) return undefined;
+    this.#options.metrics.count('gateway_quarantine_refusals', 1);
+    return entry;
+  }
+
+  /** Like {@link find}, for a request that is about to be sent; a trial is used up by it. */
+  admit(partIds: readonly string[]): QuarantineEntry | undefined {
+    const entry = this.find(partIds);
+    if (!entry && this.#quarantine.match(partIds)) this.#trialKey = undefined;
+    return entry;
+  }
+
+  /**
+   * A connection broke before its answer was whole.
+   *
+   * @returns whether its endpoint has ended and may have done so under this request.
+   */
+  requestBroke(request: BrokenRequest): Promise<boolean> {
+    return this.#detector.diagnose(request);
+  }
+
+  /** An answer ended in a way that an ending process can cause too. */
+  answerMayBeCut(request: BrokenRequest): void {
+    this.#detector.note(request);
+  }
+
+  /** An endpoint refused a connection, or its registration ended. */
+  endpointEnded(endpointId: string): void {
+    this.#detector.confirm(endpointId);
+  }
+
+  /** An answer came whole. */
+  answered(partIds: readonly string[]): void {
+    if (partIds.length === 0) return;
+    this.#recordAnswer(partIds, this.#options.clock.nowMs(), true);
+  }
+
+  /** Applies a message of another daemon. */
+  receive({ crash, answer, entry }: QuarantineMessage): void {
+    const nowMs = this.#options.clock.nowMs();
+    if (crash) this.#receiveCrash(crashReport(crash, nowMs));
+    if (answer) this.#recordAnswer(answer.partIds, nowMs - answer.ageMs, false);
+    if (entry) this.#receiveEntry(entry, nowMs);
+  }
+
+  /** This daemon's latest reports, for daemons that received no datagram. */
+  recentReports(): CrashMessage[] {
+    const nowMs = this.#options.clock.nowMs();
+    return this.#ownReports
+      .filter(({ endedAtMs }) => endedAtMs > nowMs - sampledReportsMs)
+      .map((report) => crashMessage(report, nowMs));
+  }
+
+  /** Applies the reports of another daemon's sample. */
+  receiveReports(reports: readonly CrashMessage[]): void {
+    for (const crash of reports) this.receive({ crash });
+  }
+
+  /** Stores what the store does not hold yet, and starts trials that are due. */
+  async tick(): Promise<void> {
+    const { isDutyHolder, clock } = this.#options;
+    const isHolder = isDutyHolder();
+    const entries = this.#quarantine.entries.filter(
+      ({ partIds }) => isHolder || this.#ownKeys.has(quarantineKey(partIds)),
+    );
+    await this.#records.storeMissing(entries);
+    if (!isHolder) this.#trialKey = undefined;
+    if (!isHolder || this.#trialKey !== undefined) return;
+    for (const entry of this.#quarantine.active) {
+      const trial = this.#quarantine.nextTrial(entry, clock.nowMs());
+      if (trial) await this.#startTrial(trial);
+    }
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+    this.#cancelDecision();
+  }
+
+  #isTrial(entry: QuarantineEntry): boolean {
+    return this.#trialKey === quarantineKey(entry.partIds) && this.#options.isDutyHolder();
+  }
+
+  /** The trial is counted in the store before it is made, so that no daemon makes it again. */
+  async #startTrial(trial: QuarantineEntry): Promise<void> {
+    if (!(await this.#records.store(trial))) return;
+    this.#merge(trial, EntrySource.Trial);
+    this.#trialKey = quarantineKey(trial.partIds);
+    this.#options.events.info(EventId.QuarantineTrial, 'the next request is let through', {
+      partIds: trial.partIds,
+      trials: trial.trials,
+    });
+  }
+
+  #reportCrash(report: CrashReport): void {
+    this.#ownReports = [...this.#ownReports, report].slice(-maxSampledReports);
+    this.#publishTwice((nowMs) => ({ crash: crashMessage(report, nowMs) }));
+    this.#addEvidence(report);
+    this.#scheduleDecision(ownDecisionDelayMs);
+  }
+
+  #receiveCrash(report: CrashReport): void {
+    const answered = this.#evidence.answeredSince(report.partIds, report.endedAtMs);
+    if (answered) this.#tellAnswers(answered.partIds, answered.atMs);
+    this.#addEvidence(report);
+    this.#scheduleDecision(otherDecisionDelayMs);
+  }
+
+  /** The sender may not have heard of an answer that came whole here. */
+  #receiveEntry(entry: QuarantineEntry, nowMs: number): void {
+    if (!this.#merge(entry, EntrySource.Peer) || entry.isReleased) return;
+    const answered = this.#evidence.answeredSince(entry.partIds, nowMs - contradictionMs);
+    if (answered) this.#narrow(answered.partIds);
+  }
+
+  #addEvidence(report: CrashReport): void {
+    if (this.#quarantine.match(report.partIds)) this.#evidence.explain(report.endpointId);
+    else this.#evidence.add(report);
+  }
+
+  #scheduleDecision(delayMs: number): void {
+    const { clock } = this.#options;
+    const atMs = clock.nowMs() + delayMs;
+    if (this.#decisionAtMs <= atMs) return;
+    this.#cancelDecision();
+    this.#decisionAtMs = atMs;
+    this.#cancelDecision = clock.schedule(atMs, () => {
+      this.#decisionAtMs = Infinity;
+      this.#decide();
+    });
+  }
+
+  #decide(): void {
+    const nowMs = this.#options.clock.nowMs();
+    for (const { partIds, ends } of this.#evidence.causes(nowMs)) {
+      const entry = this.#quarantine.begin(partIds, ends, nowMs);
+      if (entry) this.#change(entry, EntrySource.Evidence);
+    }
+  }
+
+  #recordAnswer(partIds: readonly string[], answeredAtMs: number, isOwn: boolean): void {
+    const suspected = this.#evidence.recordAnswer(partIds, answeredAtMs);
+    // What another daemon's answer changes is told by that daemon.
+    if (!isOwn) return;
+    const isHeldBack = this.#narrow(partIds);
+    if (suspected.length > 0 || isHeldBack) this.#tellAnswers(partIds, answeredAtMs);
+  }
+
+  /** Takes parts off the quarantines that they are innocent of. @returns whether there are any. */
+  #narrow(partIds: readonly string[]): boolean {
+    const wrong = this.#quarantine.active.filter((entry) =>
+      entry.partIds.some((partId) => partIds.includes(partId)),
+    );
+    for (const entry of wrong) {
+      this.#change(this.#quarantine.release(entry), EntrySource.Answer);
+      const rest = entry.partIds.filter((partId) => !partIds.includes(partId));
+      if (rest.length === 0) continue;
+      const nowMs = this.#options.clock.nowMs();
+      const narrower = this.#quarantine.begin(rest, entry.ends, nowMs);
+      if (narrower) this.#change(narrower, EntrySource.Answer);
+    }
+    return wrong.length > 0;
+  }
+
+  #tellAnswers(partIds: readonly string[], answeredAtMs: number): void {
+    const nowMs = this.#options.clock.nowMs();
+    const untold = partIds.filter((partId) => {
+      return (this.#answerToldAtMs.get(partId) ?? -Infinity) + answerPeriodMs <= nowMs;
+    });
+    if (untold.length === 0) return;
+    for (const partId of untold) this.#answerToldAtMs.set(partId, nowMs);
+    this.#publishTwice((atMs) => ({ answer: { partIds: untold, ageMs: atMs - answeredAtMs } }));
+  }
+
+  /** Puts an entry of this daemon in force here and elsewhere. */
+  #change(entry: QuarantineEntry, source: EntrySource): void {
+    if (!this.#merge(entry, source)) return;
+    this.#ownKeys.add(quarantineKey(entry.partIds));
+    this.#publishTwice(() => ({ entry }));
+    void this.#records.storeMissing([entry]);
+  }
+
+  #merge(entry: QuarantineEntry, source: EntrySource): boolean {
+    if (!this.#quarantine.merge(entry)) return false;
+    const { partIds, version, ends, isReleased, trials } = entry;
+    const event = isReleased ? EventId.QuarantineLifted : EventId.PromptQuarantined;
+    const message = isReleased
+      ? 'prompts with these parts go to endpoints again'
+      : 'prompts with these parts are kept from endpoints that end under them';
+    this.#options.events.warn(event, message, { partIds, version, ends, trials, source });
+    return true;
+  }
+
+  #publishTwice(message: (nowMs: number) => QuarantineMessage): void {
+    const { publish, clock } = this.#options;
+    publish(message(clock.nowMs()));
+    clock.schedule(clock.nowMs() + repeatDelayMs, () => {
+      if (!this.#isStopped) publish(message(clock.nowMs()));
+    });
+  }
+}
+
+function crashMessage(report: CrashReport, nowMs: number): CrashMessage {
+  const { endpointId, requestId, partIds, sentAtMs, endedAtMs } = report;
+  const ageOf = (atMs: number): number => Math.max(0, nowMs - atMs);
+  const ages = { sentAgeMs: ageOf(sentAtMs), ageMs: ageOf(endedAtMs) };
+  return { endpointId, requestId, partIds: [...partIds], ...ages };
+}
+
+function crashReport(message: CrashMessage, nowMs: number): CrashReport {
+  const { endpointId, requestId, partIds, sentAgeMs, ageMs } = message;
+  return { endpointId, requestId, partIds, sentAtMs: nowMs - sentAgeMs, endedAtMs: nowMs - ageMs };
+}
--- /dev/null
+++ b/src/quarantine/prompt-quarantine.ts
@@ -0,0 +1,90 @@
+import { isNewer, quarantineKey, type QuarantineEntry } from './quarantine-entry.js';
+
+/** Bound of the memory; the oldest entry gives way. */
+const maxEntries = 64;
+
+/** Time until the first request is let through again, and its growth with each. */
+const firstTrialDelayMs = 300_000;
+const trialDelayFactor = 4;
+
+/** Requests that are let through in all; each may cost an endpoint. */
+const maxTrials = 3;
+
+/**
+ * The parts of prompts that are kept from endpoints. Each change has a version, so that no daemon
+ * goes back to an older one.
+ */
+export class PromptQuarantine {
+  readonly #entries = new Map<string, QuarantineEntry>();
+  readonly #byPart = new Map<string, QuarantineEntry[]>();
+
+  /** Entries in force, and lifted ones whose versions must not be forgotten. */
+  get entries(): readonly QuarantineEntry[] {
+    return [...this.#entries.values()];
+  }
+
+  get active(): readonly QuarantineEntry[] {
+    return this.entries.filter(({ isReleased }) => !isReleased);
+  }
+
+  /** The entry that holds a request back; undefined when none does. */
+  match(partIds: readonly string[]): QuarantineEntry | undefined {
+    if (this.#byPart.size === 0) return undefined;
+    for (const partId of partIds) {
+      const entry = this.#byPart
+        .get(partId)
+        ?.find((candidate) => candidate.partIds.every((part) => partIds.includes(part)));
+      if (entry) return entry;
+    }
+    return undefined;
+  }
+
+  /** Applies an entry of this or another daemon. @returns whether it is newer than the known one. */
+  merge(entry: QuarantineEntry): boolean {
+    const key = quarantineKey(entry.partIds);
+    if (!isNewer(entry, this.#entries.get(key))) return false;
+    this.#entries.delete(key);
+    this.#entries.set(key, entry);
+    this.#forgetOldest();
+    this.#index();
+    return true;
+  }
+
+  /** Entry that puts parts under quarantine from now on; undefined when they already are. */
+  begin(partIds: readonly string[], ends: number, nowMs: number): QuarantineEntry | undefined {
+    if (this.match(partIds)) return undefined;
+    const version = (this.#entries.get(quarantineKey(partIds))?.version ?? 0) + 1;
+    const nextTrialAtMs = nowMs + firstTrialDelayMs;
+    return { partIds: [...partIds], version, ends, isReleased: false, trials: 0, nextTrialAtMs };
+  }
+
+  /** Entry that lifts a quarantine. */
+  release(entry: QuarantineEntry): QuarantineEntry {
+    return { ...entry, version: entry.version + 1, isReleased: true };
+  }
+
+  /** Entry that lets one more request through; undefined while none may be. */
+  nextTrial(entry: QuarantineEntry, nowMs: number): QuarantineEntry | undefined {
+    if (entry.isReleased || entry.trials >= maxTrials || nowMs < entry.nextTrialAtMs)
+      return undefined;
+    const trials = entry.trials + 1;
+    const nextTrialAtMs = nowMs + firstTrialDelayMs * trialDelayFactor ** trials;
+    return { ...entry, version: entry.version + 1, trials, nextTrialAtMs };
+  }
+
+  #forgetOldest(): void {
+    while (this.#entries.size > maxEntries) {
+      const oldest = this.entries.find(({ isReleased }) => isReleased) ?? this.entries[0];
+      if (oldest) this.#entries.delete(quarantineKey(oldest.partIds));
+    }
+  }
+
+  #index(): void {
+    this.#byPart.clear();
+    for (const entry of this.active) {
+      for (const partId of entry.partIds) {
+        this.#byPart.set(partId, [...(this.#byPart.get(partId) ?? []), entry]);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/quarantine/quarantine-entry.ts
@@ -0,0 +1,38 @@
+import { z } from 'zod';
+
+const maxPartIdChars = 64;
+const maxPartsOfEntry = 8;
+
+/** Parts of prompts as they cross processes. */
+export const partIdsSchema = z.array(z.string().min(1).max(maxPartIdChars)).min(1);
+
+/** A quarantine as it crosses processes and is stored. */
+export const quarantineEntrySchema = z.object({
+  /** Requests whose prompts hold all of these parts are refused; sorted. */
+  partIds: partIdsSchema.max(maxPartsOfEntry),
+  /** Increases with each change; the highest is in force. */
+  version: z.int().positive(),
+  /** Endpoints that had ended when the quarantine began. */
+  ends: z.int().nonnegative(),
+  /** Whether it was lifted. */
+  isReleased: z.boolean(),
+  /** Requests that were let through since, to see whether endpoints still end. */
+  trials: z.int().nonnegative(),
+  /** Time from which the next request may be let through, in epoch milliseconds. */
+  nextTrialAtMs: z.number(),
+});
+
+/** Parts of prompts that are kept from endpoints, or were. */
+export type QuarantineEntry = z.output<typeof quarantineEntrySchema>;
+
+/** Names an entry by its parts. */
+export function quarantineKey(partIds: readonly string[]): string {
+  return partIds.join(',');
+}
+
+/** Whether `entry` is to replace `known`. Of two changes at once, an end of the quarantine wins. */
+export function isNewer(entry: QuarantineEntry, known: QuarantineEntry | undefined): boolean {
+  if (!known) return true;
+  if (entry.version !== known.version) return entry.version > known.version;
+  return entry.isReleased && !known.isReleased;
+}
--- /dev/null
+++ b/src/quarantine/quarantine-message.ts
@@ -0,0 +1,33 @@
+import { z } from 'zod';
+import { partIdsSchema, quarantineEntrySchema } from './quarantine-entry.js';
+
+/** Longest age of a message that says anything, in milliseconds. */
+const maxAgeMs = 300_000;
+const maxIdChars = 256;
+
+const ageSchema = z.number().nonnegative().max(maxAgeMs);
+const idSchema = z.string().min(1).max(maxIdChars);
+
+/** A {@link CrashReport} as it crosses processes, with the time since the end. */
+export const crashMessageSchema = z.object({
+  endpointId: idSchema,
+  requestId: idSchema,
+  partIds: partIdsSchema,
+  /** Time since the request was sent. */
+  sentAgeMs: ageSchema,
+  /** Time since the endpoint ended. */
+  ageMs: ageSchema,
+});
+
+/** Parts of prompts on which an answer came whole, and how long ago. */
+export const answerMessageSchema = z.object({ partIds: partIdsSchema, ageMs: ageSchema });
+
+/** What daemons tell each other about endpoints that ended; each message has one of the fields. */
+export const quarantineMessageSchema = z.object({
+  crash: crashMessageSchema.optional(),
+  answer: answerMessageSchema.optional(),
+  entry: quarantineEntrySchema.optional(),
+});
+
+export type CrashMessage = z.output<typeof crashMessageSchema>;
+export type QuarantineMessage = z.output<typeof quarantineMessageSchema>;
--- /dev/null
+++ b/src/quarantine/quarantine-records.ts
@@ -0,0 +1,104 @@
+import type { Clock } from '../core/index.js';
+import { LogRefusedError, LogUnavailableError, type KeyedLog } from '../log/index.js';
+import { decodeKeyedJson, encodeKeyedJson } from '../log/keyed-json.js';
+import type { KeyedReplica } from '../log/keyed-replica.js';
+import { hash32 } from '../core/index.js';
+import { EventId, type EventLog } from '../telemetry/index.js';
+import { quarantineEntrySchema, quarantineKey, type QuarantineEntry } from './quarantine-entry.js';
+
+/** Sets the records of quarantines apart from others in their topic. */
+const keyPrefix = 'quarantine/';
+
+/** Key of an entry's record; of bounded length, whatever the number of parts. */
+export function quarantineRecordKey(entry: QuarantineEntry): string {
+  return `${keyPrefix}${hash32(quarantineKey(entry.partIds), 0).toString(16)}`;
+}
+
+/** Decodes a record of the topic; undefined when it is not about a quarantine. */
+export function decodeQuarantineRecord(
+  key: string,
+  value: Uint8Array | undefined,
+): QuarantineEntry | undefined {
+  if (!key.startsWith(keyPrefix)) return undefined;
+  return decodeKeyedJson(value, quarantineEntrySchema);
+}
+
+/** Stores an entry. @throws LogUnavailableError, LogRefusedError as {@link KeyedLog.append} does. */
+export async function storeQuarantine(
+  log: KeyedLog,
+  topic: string,
+  entry: QuarantineEntry,
+): Promise<void> {
+  await log.append(topic, quarantineRecordKey(entry), encodeKeyedJson(entry));
+}
+
+/** Options of {@link QuarantineRecords}. */
+export interface QuarantineRecordsOptions {
+  readonly log: KeyedLog;
+  readonly topic: string;
+  readonly replica: KeyedReplica;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  /** Called with each entry that is read from the store. */
+  readonly onEntry: (entry: QuarantineEntry) => void;
+}
+
+/** Time for a stored record to be read back, after which it is stored again. */
+const readBackMs = 4_000;
+
+/** Keeps quarantines in the store, where daemons that start find them. */
+export class QuarantineRecords {
+  readonly #options: QuarantineRecordsOptions;
+  /** Version of each entry that the store is known to hold. */
+  readonly #storedVersions = new Map<string, number>();
+  /** Time of the last append of an entry that the store did not show yet, by key. */
+  readonly #appendedAtMs = new Map<string, number>();
+
+  constructor(options: QuarantineRecordsOptions) {
+    this.#options = options;
+    options.replica.onRecord(({ key, value }) => {
+      const entry = decodeQuarantineRecord(key, value);
+      if (!entry) return;
+      this.#storedVersions.set(quarantineKey(entry.partIds), entry.version);
+      options.onEntry(entry);
+    });
+  }
+
+  /** Whether what the store holds was read once. */
+  get isRead(): boolean {
+    return this.#options.replica.endOffset !== undefined;
+  }
+
+  /**
+   * Stores the entries that the store does not show. An append that was given up may take effect
+   * after a later one, so that only what was read back counts as stored.
+   */
+  async storeMissing(entries: readonly QuarantineEntry[]): Promise<void> {
+    if (!this.isRead) return;
+    const dueBeforeMs = this.#options.clock.nowMs() - readBackMs;
+    const missing = entries.filter((entry) => {
+      const key = quarantineKey(entry.partIds);
+      const isStored = (this.#storedVersions.get(key) ?? 0) >= entry.version;
+      return !isStored && (this.#appendedAtMs.get(key) ?? -Infinity) < dueBeforeMs;
+    });
+    for (const entry of missing) await this.store(entry);
+  }
+
+  /** Stores an entry. @returns whether it is known to be stored. */
+  async store(entry: QuarantineEntry): Promise<boolean> {
+    const { log, topic, clock, events } = this.#options;
+    this.#appendedAtMs.set(quarantineKey(entry.partIds), clock.nowMs());
+    try {
+      await storeQuarantine(log, topic, entry);
+      return true;
+    } catch (error) {
+      if (!(error instanceof LogUnavailableError || error instanceof LogRefusedError)) throw error;
+      events.warn(EventId.QuarantineNotStored, 'quarantine not stored yet; it is stored again', {
+        partIds: entry.partIds,
+        version: entry.version,
+        reason: error.message,
+      });
+      return false;
+    }
+  }
+}
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -52,9 +52,14 @@
   RegistrationUnreadable = 416,
   DrainNotKept = 417,
   RegistrationEnded = 418,
+  EndpointCrashed = 419,
 
   // 5xx routing and admission
   RequestNotAdmitted = 501,
+  PromptQuarantined = 502,
+  QuarantineLifted = 503,
+  QuarantineTrial = 504,
+  QuarantineNotStored = 505,
 
   // 6xx capacity
   ControlLeaseTaken = 601,
--- a/test/capacity/duty-fixture.ts
+++ b/test/capacity/duty-fixture.ts
@@ -68,6 +68,7 @@
         failureDomain: '',
         capacityCores: 1,
         usage: this.counter.windows(),
+        crashes: [],
       }),
       periodMs: () => samplePeriodMs,
       onEarlierRun: ({ usage }) => this.counter.merge(usage),
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -119,16 +119,17 @@
   readonly clock = new SystemClock();
   readonly events: EventLog;
   readonly metrics = new PrometheusMetrics();
-  readonly #daemon: string;
+  /** Sets the requests of several gateways apart. */
+  readonly #idPrefix: string;
   #requests = 0;
 
   constructor(events: EventLog = new NullEventLog(), options: GatewayHarnessOptions = {}) {
     this.events = events;
     this.store = options.store ?? new MemoryKeyedLog();
-    this.#daemon = options.daemon ?? 'front-1';
+    this.#idPrefix = options.daemon === undefined ? '' : `${options.daemon}-`;
     const { clock } = this;
     this.gateway = new Gateway({
-      daemon: this.#daemon,
+      daemon: options.daemon ?? 'front-1',
       region: 'here',
       failureDomain: 'here-a',
       capacityCores: 1,
@@ -216,7 +217,7 @@
           path,
           headers: {
             host: 'shop.example',
-            'oriolestack-request-id': `${this.#daemon}-request-${this.#requests++}`,
+            'oriolestack-request-id': `${this.#idPrefix}request-${this.#requests++}`,
             'oriolestack-deadline-ms': '3000',
             ...headers,
           },
--- a/test/gateway/peer-exchange_test.ts
+++ b/test/gateway/peer-exchange_test.ts
@@ -31,6 +31,7 @@
     prefillTokensPerS: {},
     newsAddress: '',
     usage: [],
+    crashes: [],
     ...place,
     ...counts,
   };
@@ -58,6 +59,7 @@
     counts: () => counts,
     onPrefill: () => undefined,
     onSuspicion: () => undefined,
+    onQuarantine: () => undefined,
     distributor: () => undefined,
   });
   return { samples, exchange };
--- a/test/membership/peer-broadcaster_test.ts
+++ b/test/membership/peer-broadcaster_test.ts
@@ -40,6 +40,7 @@
       onPrefill: onReport,
       onGrants: onReport,
       onSuspicion: () => undefined,
+      onQuarantine: () => undefined,
       events,
     });
     broadcaster.listen();
--- /dev/null
+++ b/test/quarantine/crash-evidence_test.ts
@@ -0,0 +1,153 @@
+import { describe, expect, it } from 'vitest';
+import { CrashEvidence } from '../../src/quarantine/crash-evidence.js';
+import type { CrashReport } from '../../src/quarantine/crash-report.js';
+
+const startAtMs = 1_000_000;
+
+/** A report of a request that was sent shortly before its endpoint ended. */
+function crash(
+  endpointId: string,
+  atMs: number,
+  requestId: string,
+  ...partIds: string[]
+): CrashReport {
+  return {
+    endpointId,
+    requestId,
+    partIds,
+    sentAtMs: startAtMs + atMs - 80,
+    endedAtMs: startAtMs + atMs,
+  };
+}
+
+function partsOfCauses(evidence: CrashEvidence, atMs: number): (readonly string[])[] {
+  return evidence.causes(startAtMs + atMs).map(({ partIds }) => partIds);
+}
+
+describe('CrashEvidence', () => {
+  describe('names the part under which endpoints end', () => {
+    it('before the fifth endpoint, whatever else the requests hold', () => {
+      const evidence = new CrashEvidence();
+      for (let end = 0; end < 3; end++) {
+        evidence.add(crash(`i-${end}`, end * 600, `r${end}`, `first${end}`, 'dead'));
+      }
+      expect(partsOfCauses(evidence, 2_000)).toEqual([['dead']]);
+    });
+
+    it('when reports meet that daemons made of one end each', () => {
+      const evidence = new CrashEvidence();
+      for (const [end, daemon] of ['a', 'b', 'c'].entries()) {
+        evidence.add(crash(`i-${daemon}`, end * 600, `${daemon}-1`, 'shared', 'dead'));
+        // A bystander at the same endpoint, whose answers come whole elsewhere.
+        evidence.add(crash(`i-${daemon}`, end * 600, `${daemon}-2`, 'shared', `sound${end}`));
+        evidence.recordAnswer(['shared'], startAtMs + end * 600 + 100);
+      }
+      expect(partsOfCauses(evidence, 2_000)).toEqual([['dead']]);
+    });
+
+    it('that answers came whole on before, as parts turn deadly with new weights', () => {
+      const evidence = new CrashEvidence();
+      evidence.recordAnswer(['dead'], startAtMs - 1);
+      for (let end = 0; end < 3; end++) {
+        evidence.add(crash(`i-${end}`, end * 600, `r${end}`, 'dead'));
+      }
+      expect(partsOfCauses(evidence, 2_000)).toEqual([['dead']]);
+    });
+
+    it('when a request ends one endpoint right after the other', () => {
+      const evidence = new CrashEvidence();
+      const ends = [0, 90, 180].entries();
+      for (const [end, atMs] of ends) {
+        evidence.add(crash(`i-${end}`, atMs, end < 2 ? 'r1' : 'r2', 'dead'));
+      }
+      expect(partsOfCauses(evidence, 500)).toEqual([['dead']]);
+    });
+
+    it('for two such parts at the same time', () => {
+      const evidence = new CrashEvidence();
+      for (let end = 0; end < 6; end++) {
+        const part = end % 2 === 0 ? 'dead1' : 'dead2';
+        evidence.add(crash(`i-${end}`, end * 400, `r${end}`, part));
+      }
+      expect(partsOfCauses(evidence, 3_000).flat().toSorted()).toEqual(['dead1', 'dead2']);
+    });
+
+    it('together with a part that occurred in the same requests only', () => {
+      const evidence = new CrashEvidence();
+      for (let end = 0; end < 3; end++) {
+        evidence.add(crash(`i-${end}`, end * 600, `r${end}`, 'first', 'dead'));
+      }
+      expect(partsOfCauses(evidence, 2_000)).toEqual([['dead', 'first']]);
+    });
+  });
+
+  describe('holds back nothing sound', () => {
+    it('when a failure domain ends at once', () => {
+      const evidence = new CrashEvidence();
+      for (let end = 0; end < 18; end++) {
+        // All were sent before; the ends are seen within a fifth of a second.
+        const report = crash(`i-${end}`, end * 10, `r${end}`, 'rare');
+        evidence.add({ ...report, sentAtMs: startAtMs - 500 });
+      }
+      expect(partsOfCauses(evidence, 1_000)).toEqual([]);
+    });
+
+    it('when endpoints end one after the other under all kinds of requests', () => {
+      const evidence = new CrashEvidence();
+      for (let end = 0; end < 20; end++) {
+        evidence.add(crash(`i-${end}`, end * 500, `r${end}`, end % 5 === 0 ? 'rare' : `p${end}`));
+      }
+      expect(partsOfCauses(evidence, 11_000)).toEqual([]);
+    });
+
+    it('when one request with the part was there each time', () => {
+      const evidence = new CrashEvidence();
+      for (let end = 0; end < 4; end++) evidence.add(crash(`i-${end}`, end * 500, 'r', 'part'));
+      expect(partsOfCauses(evidence, 2_000)).toEqual([]);
+    });
+
+    it('when an answer with the part came whole after all', () => {
+      const evidence = new CrashEvidence();
+      for (let end = 0; end < 3; end++) {
+        evidence.add(crash(`i-${end}`, end * 500, `r${end}`, 'part'));
+      }
+      expect(evidence.recordAnswer(['part'], startAtMs + 1_100)).toEqual(['part']);
+      // Reports that arrive late are about the time before that answer.
+      evidence.add(crash('i-3', 1_050, 'r3', 'part'));
+      expect(partsOfCauses(evidence, 2_000)).toEqual([]);
+    });
+
+    it('until it is clear which of two parts at the same ends it is, or five endpoints ended', () => {
+      const evidence = new CrashEvidence();
+      const counts: number[] = [];
+      for (let end = 0; end < 5; end++) {
+        evidence.add(crash(`i-${end}`, end * 600, `a${end}`, 'dead'));
+        evidence.add(crash(`i-${end}`, end * 600, `b${end}`, 'bystander'));
+        counts.push(partsOfCauses(evidence, end * 600 + 1).length);
+      }
+      expect(counts.slice(0, 4)).toEqual([0, 0, 0, 0]);
+      expect(counts[4]).toBeGreaterThan(0);
+    });
+
+    it('that was at ends which another part explains, also when reports come twice', () => {
+      const evidence = new CrashEvidence();
+      const reports = [0, 1, 2].map((end) => crash(`i-${end}`, end * 600, `r${end}`, 'dead'));
+      const bystanders = [0, 1].map((end) => crash(`i-${end}`, end * 600, `b${end}`, 'rare'));
+      for (const report of [...reports, ...bystanders]) evidence.add(report);
+      expect(partsOfCauses(evidence, 2_000)).toEqual([['dead']]);
+      for (const report of bystanders) evidence.add(report);
+      evidence.add(crash('i-9', 9_000, 'b9', 'rare'));
+      expect(partsOfCauses(evidence, 10_000)).toEqual([]);
+    });
+  });
+
+  it('keeps a bounded number of parts, as callers choose their ids', () => {
+    const evidence = new CrashEvidence();
+    const before = process.memoryUsage().heapUsed;
+    for (let at = 0; at < 200_000; at++) {
+      evidence.add(crash(`i-${at}`, at, `r${at}`, `part${at}`));
+      evidence.recordAnswer([`other${at}`], startAtMs + at);
+    }
+    expect(process.memoryUsage().heapUsed - before).toBeLessThan(60_000_000);
+  });
+});
