Learn the quarantines before requests are taken, and answer reports of ends from own answers only

A daemon that started took prompts before it had read the quarantines; the copy of the duties' topic is now read from the start, and the daemon says that it is ready once it was read, or after 1.5 s without it.

Now from its own answers only; the test keeps the number below twice that of 20 daemons. It plays lost datagrams (a third, all) and outages of the store too, trials, and both ways in which a quarantine ends.

--- a/src/gateway/gateway-replicas.ts
+++ b/src/gateway/gateway-replicas.ts
@@ -179,11 +179,13 @@
     await this.#server.listen(host, port);
     this.config.start();
     this.registrations.start();
+    // Holds the quarantines too, without which a daemon would send what endpoints end under.
+    this.duties.start();
     void this.#startExchange();
   }
 
   /**
-   * Starts the topics by which daemons exchange their state once the daemon can serve, or after a
+   * Starts the topic by which daemons exchange their state once the daemon can serve, or after a
    * while. Hundreds of daemons that start together would else wait for each other's samples on the
    * link to the store before they know a configuration.
    */
@@ -198,7 +200,6 @@
     await clock.sleepUntil(clock.nowMs() + this.#random.float() * exchangeJitterMs);
     if (this.#isStopped) return;
     this.samples.start();
-    this.duties.start();
   }
 
   stop(): void {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -91,6 +91,9 @@
  */
 const demandSmoothingMs = 5_000;
 
+/** Longest time for which a starting daemon waits for the quarantines before it takes requests. */
+const maxQuarantineWaitMs = 1_500;
+
 /** Interval of the periodic work: retry budget, quotas and duties. */
 const tickPeriodMs = 500;
 
@@ -128,6 +131,8 @@
   readonly #loopMonitor: EventLoopMonitor;
   /** Resolves when the daemon has stopped; undefined until it is asked to. */
   #stopped: Promise<void> | undefined;
+  /** Time from which the daemon takes requests although it knows no quarantines. */
+  #readyAfterMs = Infinity;
   #stopTicking: () => void = () => undefined;
 
   constructor(options: GatewayOptions) {
@@ -253,7 +258,8 @@
 
   /** Whether the load balancer may send new connections. */
   get isReady(): boolean {
-    return this.#stopped === undefined && this.config.table !== undefined;
+    if (this.#stopped !== undefined || this.config.table === undefined) return false;
+    return this.#guard.isRead || this.#options.clock.nowMs() >= this.#readyAfterMs;
   }
 
   /**
@@ -264,6 +270,7 @@
   async start(): Promise<void> {
     const { clock } = this.#options;
     this.#loopMonitor.start();
+    this.#readyAfterMs = clock.nowMs() + maxQuarantineWaitMs;
     await this.#listener.listen();
     this.#peers.start();
     await this.replicas.start();
--- a/src/quarantine/crash-evidence.ts
+++ b/src/quarantine/crash-evidence.ts
@@ -100,17 +100,6 @@
     });
   }
 
-  /** Those of the parts on which an answer came whole after a time, and when the first of them did. */
-  answeredSince(
-    partIds: readonly string[],
-    sinceMs: number,
-  ): { readonly partIds: string[]; readonly atMs: number } | undefined {
-    const timeOf = (partId: string): number => this.#answeredAtMs.get(partId) ?? -Infinity;
-    const answered = partIds.filter((partId) => timeOf(partId) > sinceMs);
-    if (answered.length === 0) return undefined;
-    return { partIds: answered, atMs: Math.min(...answered.map(timeOf)) };
-  }
-
   /** Takes an end whose cause is known off the evidence, also for reports that are still to come. */
   explain(endpointId: string): void {
     this.#explainedEnds.set(endpointId, true);
--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -48,6 +48,8 @@
 const sampledReportsMs = 12_000;
 const maxSampledReports = 16;
 
+/** Bounds of the memory, as callers choose the ids of parts. */
+const maxAnsweredParts = 8_192;
 const maxToldParts = 2_048;
 
 /** Who an entry came from, for the log. */
@@ -78,6 +80,8 @@
   readonly #evidence = new CrashEvidence();
   readonly #detector: CrashDetector;
   readonly #records: QuarantineRecords;
+  /** Last whole answer with a part at this daemon, and when it was told, in epoch milliseconds. */
+  readonly #ownAnswerAtMs = new LRUCache<string, number>({ max: maxAnsweredParts });
   readonly #answerToldAtMs = new LRUCache<string, number>({ max: maxToldParts });
   #ownReports: readonly CrashReport[] = [];
   /** Entries that this daemon changed, and is to store. */
@@ -159,14 +163,19 @@
   /** An answer came whole. */
   answered(partIds: readonly string[]): void {
     if (partIds.length === 0) return;
-    this.#recordAnswer(partIds, this.#options.clock.nowMs(), true);
+    const nowMs = this.#options.clock.nowMs();
+    for (const partId of partIds) this.#ownAnswerAtMs.set(partId, nowMs);
+    const suspected = this.#evidence.recordAnswer(partIds, nowMs);
+    const isHeldBack = this.#narrow(partIds);
+    if (suspected.length > 0 || isHeldBack) this.#tellAnswers(partIds);
   }
 
   /** Applies a message of another daemon. */
   receive({ crash, answer, entry }: QuarantineMessage): void {
     const nowMs = this.#options.clock.nowMs();
     if (crash) this.#receiveCrash(crashReport(crash, nowMs));
-    if (answer) this.#recordAnswer(answer.partIds, nowMs - answer.ageMs, false);
+    // What another daemon's answer changes is told by that daemon.
+    if (answer) this.#evidence.recordAnswer(answer.partIds, nowMs - answer.ageMs);
     if (entry) this.#receiveEntry(entry, nowMs);
   }
 
@@ -227,8 +236,7 @@
   }
 
   #receiveCrash(report: CrashReport): void {
-    const answered = this.#evidence.answeredSince(report.partIds, report.endedAtMs);
-    if (answered) this.#tellAnswers(answered.partIds, answered.atMs);
+    this.#tellAnswers(this.#answeredHereSince(report.partIds, report.endedAtMs));
     this.#addEvidence(report);
     this.#scheduleDecision(otherDecisionDelayMs);
   }
@@ -236,8 +244,8 @@
   /** The sender may not have heard of an answer that came whole here. */
   #receiveEntry(entry: QuarantineEntry, nowMs: number): void {
     if (!this.#merge(entry, EntrySource.Peer) || entry.isReleased) return;
-    const answered = this.#evidence.answeredSince(entry.partIds, nowMs - contradictionMs);
-    if (answered) this.#narrow(answered.partIds);
+    const answered = this.#answeredHereSince(entry.partIds, nowMs - contradictionMs);
+    if (answered.length > 0) this.#narrow(answered);
   }
 
   #addEvidence(report: CrashReport): void {
@@ -265,14 +273,6 @@
     }
   }
 
-  #recordAnswer(partIds: readonly string[], answeredAtMs: number, isOwn: boolean): void {
-    const suspected = this.#evidence.recordAnswer(partIds, answeredAtMs);
-    // What another daemon's answer changes is told by that daemon.
-    if (!isOwn) return;
-    const isHeldBack = this.#narrow(partIds);
-    if (suspected.length > 0 || isHeldBack) this.#tellAnswers(partIds, answeredAtMs);
-  }
-
   /** Takes parts off the quarantines that they are innocent of. @returns whether there are any. */
   #narrow(partIds: readonly string[]): boolean {
     const wrong = this.#quarantine.active.filter((entry) =>
@@ -289,13 +289,19 @@
     return wrong.length > 0;
   }
 
-  #tellAnswers(partIds: readonly string[], answeredAtMs: number): void {
+  /** Those of the parts on which an answer came whole at this daemon after a time. */
+  #answeredHereSince(partIds: readonly string[], sinceMs: number): string[] {
+    return partIds.filter((partId) => (this.#ownAnswerAtMs.get(partId) ?? -Infinity) > sinceMs);
+  }
+
+  #tellAnswers(partIds: readonly string[]): void {
     const nowMs = this.#options.clock.nowMs();
     const untold = partIds.filter((partId) => {
       return (this.#answerToldAtMs.get(partId) ?? -Infinity) + answerPeriodMs <= nowMs;
     });
     if (untold.length === 0) return;
     for (const partId of untold) this.#answerToldAtMs.set(partId, nowMs);
+    const answeredAtMs = Math.min(...untold.map((id) => this.#ownAnswerAtMs.get(id) ?? nowMs));
     this.#publishTwice((atMs) => ({ answer: { partIds: untold, ageMs: atMs - answeredAtMs } }));
   }
 
--- a/test/gateway/deadly-prompts_test.ts
+++ b/test/gateway/deadly-prompts_test.ts
@@ -74,6 +74,19 @@
     expect(fleet.endsAtMs.length).toBeLessThanOrEqual(2);
   });
 
+  it('are known as such to a daemon that starts later, before it says that it is ready', async () => {
+    await start();
+    await play();
+    const late = await fleet.addGateway();
+    while (!late.gateway.isReady) await sleep(10);
+    const before = fleet.endsAtMs.length;
+    const held = await call(late, deadlyPart);
+    expect(held.status).toBe(503);
+    expect(Number(held.headers['retry-after'])).toBeGreaterThan(1);
+    expect((await call(late, 'beef9999')).status).toBe(200);
+    expect(fleet.endsAtMs.length).toBe(before);
+  });
+
   // 24 endpoints ended under one part of a prompt, 17 requests with it came after the fifth.
   it.each([
     ['before their first event', 0],
--- /dev/null
+++ b/test/quarantine/guard-fleet.ts
@@ -0,0 +1,153 @@
+import { Random, VirtualClock } from '../../src/core/index.js';
+import { KeyedReplica } from '../../src/log/keyed-replica.js';
+import { ListenCheck } from '../../src/quarantine/crash-detector.js';
+import { PromptGuard } from '../../src/quarantine/prompt-guard.js';
+import type { QuarantineMessage } from '../../src/quarantine/quarantine-message.js';
+import { MemoryKeyedLog } from '../../src/standins/memory-keyed-log.js';
+import { NullEventLog } from '../../src/telemetry/index.js';
+import { PrometheusMetrics } from '../../src/telemetry/prometheus-metrics.js';
+
+const topic = 'duties';
+
+/** Times that messages take: a datagram by two distributors, and a sample through the store. */
+const datagramDelayMs = 150;
+const sampleDelayMs = 2_800;
+const samplePeriodMs = 2_800;
+
+const tickPeriodMs = 500;
+const replicaReadIntervalMs = 2_000;
+
+/** Time from the receipt of a request at an endpoint until it begins to write. */
+const serviceMs = 80;
+
+class EndedEndpoint extends ListenCheck {
+  override isListening(): Promise<boolean> {
+    return Promise.resolve(false);
+  }
+}
+
+/** Options of {@link GuardFleet}. */
+export interface GuardFleetOptions {
+  readonly daemons: number;
+  readonly seed: number;
+  /** Part of the datagrams that are lost. */
+  readonly datagramLossRatio: number;
+}
+
+/** The guards of many daemons on a virtual clock, before endpoints that end under one part. */
+export class GuardFleet {
+  readonly clock = new VirtualClock(1_000_000);
+  readonly log = new MemoryKeyedLog();
+  readonly guards: PromptGuard[] = [];
+  /** Epoch milliseconds of each endpoint's end. */
+  readonly endsAtMs: number[] = [];
+  /** Epoch milliseconds at which requests with the deadly part were sent. */
+  readonly deadlySendsAtMs: number[] = [];
+  /** Messages that daemons sent to all others. */
+  messages = 0;
+  holder = 0;
+  readonly #options: GuardFleetOptions;
+  readonly #random: Random;
+  readonly #replicas: KeyedReplica[] = [];
+  #requests = 0;
+
+  constructor(options: GuardFleetOptions) {
+    this.#options = options;
+    this.#random = new Random(options.seed);
+    for (let at = 0; at < options.daemons; at++) this.#addGuard(at);
+  }
+
+  /** Number of daemons at which a request with the part is held back. */
+  heldBackAt(partId: string): number {
+    return this.guards.filter((guard) => guard.find([partId]) !== undefined).length;
+  }
+
+  /** A request at a random daemon, or at `at`, under which its endpoint ends. */
+  async sendDeadly(part: string, at?: number): Promise<void> {
+    const guard = this.guards[at ?? this.#random.int(0, this.guards.length - 1)]!;
+    const requestId = `r${++this.#requests}`;
+    const partIds = [`first${this.#random.int(0, 3)}`, part];
+    if (guard.admit(partIds)) return;
+    const { clock } = this;
+    const sentAtMs = clock.nowMs();
+    this.deadlySendsAtMs.push(sentAtMs);
+    await clock.sleepUntil(sentAtMs + serviceMs);
+    this.endsAtMs.push(clock.nowMs());
+    await guard.requestBroke({
+      endpointId: `i-${requestId}`,
+      baseUrl: 'http://127.0.0.1:1',
+      requestId,
+      partIds,
+      sentAtMs,
+      firstEventAtMs: undefined,
+    });
+  }
+
+  /** An answer on the parts comes whole at a random daemon. */
+  answer(...partIds: string[]): void {
+    const guard = this.guards[this.#random.int(0, this.guards.length - 1)]!;
+    if (!guard.admit(partIds)) guard.answered(partIds);
+  }
+
+  stop(): void {
+    for (const replica of this.#replicas) replica.stop();
+    for (const guard of this.guards) guard.stop();
+  }
+
+  #addGuard(at: number): void {
+    const { clock, log } = this;
+    const events = new NullEventLog();
+    const random = this.#random.fork();
+    const replica = new KeyedReplica({
+      log,
+      topic,
+      clock,
+      random,
+      events,
+      waitMs: 0,
+      minReadIntervalMs: () => replicaReadIntervalMs,
+      minOutageMs: 1_200,
+    });
+    const guard = new PromptGuard({
+      check: new EndedEndpoint(),
+      log,
+      topic,
+      replica,
+      publish: (message) => {
+        this.#broadcast(at, message);
+      },
+      isDutyHolder: () => this.holder === at,
+      onEndpointEnded: () => undefined,
+      clock,
+      events,
+      metrics: new PrometheusMetrics(),
+    });
+    this.guards.push(guard);
+    this.#replicas.push(replica);
+    replica.start();
+    clock.every(tickPeriodMs, () => void guard.tick());
+    clock.every(samplePeriodMs, () => {
+      this.#publishSample(at);
+    });
+  }
+
+  #broadcast(from: number, message: QuarantineMessage): void {
+    this.messages += 1;
+    for (const [at, guard] of this.guards.entries()) {
+      if (at === from || this.#random.float() < this.#options.datagramLossRatio) continue;
+      this.clock.schedule(this.clock.nowMs() + datagramDelayMs, () => {
+        guard.receive(message);
+      });
+    }
+  }
+
+  #publishSample(from: number): void {
+    const reports = this.guards[from]!.recentReports();
+    if (reports.length === 0) return;
+    this.clock.schedule(this.clock.nowMs() + sampleDelayMs, () => {
+      for (const [at, guard] of this.guards.entries()) {
+        if (at !== from) guard.receiveReports(reports);
+      }
+    });
+  }
+}
--- /dev/null
+++ b/test/quarantine/prompt-guard_test.ts
@@ -0,0 +1,133 @@
+import { afterEach, describe, expect, it } from 'vitest';
+import { quarantineEntrySchema } from '../../src/quarantine/quarantine-entry.js';
+import { storeQuarantine } from '../../src/quarantine/quarantine-records.js';
+import { KeyedLogFault } from '../../src/standins/memory-keyed-log.js';
+import { GuardFleet, type GuardFleetOptions } from './guard-fleet.js';
+
+/** Requests that may still be sent, and from when on that is counted. */
+const allowedSends = 3;
+const stabilityWindowMs = 4_000;
+const countedEnd = 5;
+
+const requestPeriodMs = 500;
+
+describe('PromptGuard', () => {
+  let fleet: GuardFleet;
+
+  afterEach(() => {
+    fleet.stop();
+  });
+
+  async function start(changes: Partial<GuardFleetOptions> = {}): Promise<void> {
+    fleet = new GuardFleet({ daemons: 7, seed: 1, datagramLossRatio: 0, ...changes });
+    await fleet.clock.advance(3_000);
+  }
+
+  /** Sends deadly requests to daemons at random, and lets answers on their first parts come. */
+  async function play(lengthMs: number): Promise<void> {
+    const endAtMs = fleet.clock.nowMs() + lengthMs;
+    while (fleet.clock.nowMs() < endAtMs) {
+      void fleet.sendDeadly('dead');
+      await fleet.clock.advance(requestPeriodMs);
+      for (let at = 0; at < 4; at++) fleet.answer(`first${at}`, 'sound');
+    }
+  }
+
+  function lateSends(): number {
+    const fromMs = (fleet.endsAtMs[countedEnd - 1] ?? Infinity) + stabilityWindowMs;
+    return fleet.deadlySendsAtMs.filter((atMs) => atMs > fromMs).length;
+  }
+
+  describe('many daemons, of which each sees one endpoint end at most', () => {
+    it.each([
+      ['all datagrams arrive', 0],
+      ['a third of the datagrams is lost', 0.33],
+      ['all datagrams are lost, so that reports meet through the store', 1],
+    ])('keep a deadly part from endpoints: %s', async (_, datagramLossRatio) => {
+      await start({ daemons: 195, datagramLossRatio });
+      await play(20_000);
+      expect(fleet.endsAtMs.length).toBeGreaterThanOrEqual(3);
+      expect(lateSends()).toBeLessThanOrEqual(allowedSends);
+      expect(fleet.heldBackAt('dead')).toBe(195);
+      for (let at = 0; at < 4; at++) expect(fleet.heldBackAt(`first${at}`)).toBe(0);
+    });
+
+    it('send few messages for each endpoint that ends, whatever their number', async () => {
+      const messages: number[] = [];
+      for (const daemons of [20, 195]) {
+        await start({ daemons });
+        await play(10_000);
+        messages.push(fleet.messages / fleet.endsAtMs.length);
+        fleet.stop();
+      }
+      expect(messages[1]).toBeLessThan(messages[0]! * 2);
+    });
+
+    it('store the verdict once each, not all at the same time', async () => {
+      await start({ daemons: 195 });
+      const before = fleet.log.appendCalls;
+      await play(20_000);
+      expect(fleet.log.appendCalls - before).toBeLessThanOrEqual(10);
+    });
+  });
+
+  it('keeps the verdict in the store also when it was reached in an outage', async () => {
+    await start();
+    fleet.log.fault = KeyedLogFault.Down;
+    await play(5_000);
+    expect(fleet.heldBackAt('dead')).toBe(7);
+    fleet.log.fault = KeyedLogFault.None;
+    await fleet.clock.advance(10_000);
+    const { records } = await fleet.log.newest('duties');
+    expect(records.map(({ key }) => key)).toEqual([expect.stringContaining('quarantine/')]);
+  });
+
+  it('lets nothing through before the first trial, and then only at the holder of the duties', async () => {
+    await start();
+    await play(5_000);
+    const ends = fleet.endsAtMs.length;
+    await fleet.clock.advance(400_000);
+    for (let at = 1; at < 7; at++) void fleet.sendDeadly('dead', at);
+    await fleet.clock.advance(1_000);
+    expect(fleet.endsAtMs.length).toBe(ends);
+    for (let round = 0; round < 5; round++) void fleet.sendDeadly('dead', 0);
+    await fleet.clock.advance(1_000);
+    expect(fleet.endsAtMs.length).toBe(ends + 1);
+  });
+
+  it('makes a trial once, although its holder changes', async () => {
+    await start();
+    await play(5_000);
+    const ends = fleet.endsAtMs.length;
+    await fleet.clock.advance(400_000);
+    void fleet.sendDeadly('dead', 0);
+    await fleet.clock.advance(1_000);
+    fleet.holder = 1;
+    await fleet.clock.advance(60_000);
+    void fleet.sendDeadly('dead', 1);
+    await fleet.clock.advance(1_000);
+    expect(fleet.endsAtMs.length).toBe(ends + 1);
+  });
+
+  it('ends everywhere when an answer comes whole after all', async () => {
+    await start();
+    await play(5_000);
+    expect(fleet.heldBackAt('dead')).toBe(7);
+    fleet.guards[3]!.answered(['first0', 'dead']);
+    await fleet.clock.advance(5_000);
+    expect(fleet.heldBackAt('dead')).toBe(0);
+  });
+
+  it('ends everywhere when an operator lifts it in the store', async () => {
+    await start();
+    await play(5_000);
+    const { records } = await fleet.log.newest('duties');
+    const entry = quarantineEntrySchema.parse(
+      JSON.parse(Buffer.from(records[0]!.value!).toString()),
+    );
+    const lifted = { ...entry, version: entry.version + 1, isReleased: true };
+    await storeQuarantine(fleet.log, 'duties', lifted);
+    await fleet.clock.advance(5_000);
+    expect(fleet.heldBackAt('dead')).toBe(0);
+  });
+});
