Take no stream without a length for whole that ends before its first event

A stream that resumes may have nothing left to send.

The test failed before for the empty body, and passed for ends inside an event.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -219,6 +219,12 @@
       exchange.onDrain(() => response.resume());
     });
     response.on('end', () => {
+      // Only one that resumes a stream may have nothing to send.
+      const isFresh = progress.events === 0 && progress.lastEventId === undefined;
+      if (isFresh && !isFramed(response)) {
+        this.#finish(AttemptEnd.Broken, 'stream ended before its first event');
+        return;
+      }
       if (!response.complete || splitter.pendingBytes > 0) {
         this.#finish(AttemptEnd.Broken, 'stream ended in the middle of an event');
         return;
--- a/test/gateway/request-relay_test.ts
+++ b/test/gateway/request-relay_test.ts
@@ -114,6 +114,41 @@
     });
   });
 
+  describe('streams without a length or chunks, which end with their connection', () => {
+    const config = trafficConfig({ routes: [streamRoute] });
+
+    /** Sends the head of a stream, then the text, and ends the connection in order. */
+    function endAfter(text: string): EndpointBehaviour {
+      return (request, response) => {
+        request.resume();
+        const head = Object.entries(signedHeaders(request)).map(
+          ([name, value]) => `${name}: ${value}\r\n`,
+        );
+        response.socket!.end(`HTTP/1.1 200 OK\r\n${head.join('')}connection: close\r\n\r\n${text}`);
+      };
+    }
+
+    it('are whole when they end between two events', async () => {
+      await harness.start(config, endAfter('id: 1\ndata: a\n\n'));
+      expect(await harness.call()).toMatchObject({ status: 200, isComplete: true });
+    });
+
+    it('are whole when they resume after their last event', async () => {
+      await harness.start(config, endAfter(''));
+      const headers = { 'last-event-id': '12' };
+      expect(await harness.call({ headers })).toMatchObject({ status: 200, isComplete: true });
+    });
+
+    it.each(['', ':', 'id: 1\nda', 'id: 1\ndata: a\n\nid: 2'])(
+      'never look whole when they end before their first event or inside one: %j',
+      async (text) => {
+        await harness.start(config, endAfter(text), endAfter(text));
+        const { status, isComplete } = await harness.call();
+        expect(status === 200 && isComplete).toBe(false);
+      },
+    );
+  });
+
   describe('at-most-once requests', () => {
     const config = trafficConfig({ routes: [trafficRoute({ kind: RequestKind.AtMostOnce })] });
 
