Wait longer before each further attempt of a job under which endpoints break

The delay grows with each break without new text, up to a minute, so that the job is still finished once endpoints stand it. Failures that put no endpoint at risk (refused, silent, at capacity) are retried as before.

Ruled out: giving the job up, which was accepted.

--- a/src/jobs/job-runner.ts
+++ b/src/jobs/job-runner.ts
@@ -1,5 +1,5 @@
 import type { Clock, Random } from '../core/index.js';
-import type { EngineFailure } from '../engine/index.js';
+import { EngineFailure } from '../engine/index.js';
 import {
   AppendFailedError,
   EntryKind,
@@ -17,6 +17,13 @@
 import type { KvMigrator } from './kv-migrator.js';
 import { startLeaseRenewal } from './lease-renewal.js';
 
+/**
+ * Growth of the delay before the next attempt with each endpoint that broke under a job without new
+ * text, and its longest: the job may be what endpoints crash under, and still has to be finished.
+ */
+const brokenDelayFactor = 3;
+const maxRetryDelayMs = 60_000;
+
 /** Why a runner has ended. */
 export enum RunnerEnd {
   /** The job is done or cancelled. */
@@ -67,6 +74,8 @@
   readonly #excludedIds = new Set<string>();
   readonly #notices = new Map<string, ReclaimNotice>();
   #attempt: GenerationAttempt | undefined;
+  /** Endpoints in a row that broke under the job without new text. */
+  #brokenAttempts = 0;
 
   constructor(jobId: string, options: JobRunnerOptions) {
     this.#jobId = jobId;
@@ -108,6 +117,7 @@
       }
       heldFence = fence;
       const { end, failure, requestId } = await this.#runAttempt(endpoint, fence, kvHandle);
+      this.#countBroken(failure, job.recordedTokens);
       chooser.release(endpoint, failure);
       if (end === AttemptEnd.Finished) return RunnerEnd.Finished;
       if (end === AttemptEnd.Superseded) return RunnerEnd.Superseded;
@@ -251,9 +261,17 @@
     return this.#options.leaseMs ?? 10_000;
   }
 
+  #countBroken(failure: EngineFailure | undefined, tokensBefore: number): void {
+    const tokens = this.#options.fold.job(this.#jobId)?.recordedTokens ?? tokensBefore;
+    if (tokens > tokensBefore) this.#brokenAttempts = 0;
+    else if (failure === EngineFailure.Broken) this.#brokenAttempts += 1;
+  }
+
   async #pause(): Promise<void> {
     const { clock, random, retryDelayMs = 250 } = this.#options;
-    const atMs = clock.nowMs() + retryDelayMs * (0.5 + random.float());
+    const factor = brokenDelayFactor ** Math.max(0, this.#brokenAttempts - 1);
+    const delayMs = Math.min(maxRetryDelayMs, retryDelayMs * factor);
+    const atMs = clock.nowMs() + delayMs * (0.5 + random.float());
     await clock.sleepUntil(atMs, this.#stopController.signal);
   }
 }
--- a/test/jobs/job-manager_test.ts
+++ b/test/jobs/job-manager_test.ts
@@ -3,7 +3,8 @@
 import { FakeEndpoint, FakeEndpointState } from '../../bench/histories/fake-engine.js';
 import { ProcessLogService, SimulatedProcess } from '../../bench/histories/process.js';
 import { ReplicaWriter } from '../../bench/histories/replica-writer.js';
-import { Random, VirtualClock, WorkClass, countingIds } from '../../src/core/index.js';
+import { Outcome, Random, VirtualClock, WorkClass, countingIds } from '../../src/core/index.js';
+import { EngineError, EngineFailure } from '../../src/engine/index.js';
 import { AnswerAssembler, HandoverPlanner, JobManager, KvMigrator } from '../../src/jobs/index.js';
 import { LogFault, LogFaultSource, MemoryLogService } from '../../src/standins/index.js';
 import { JobFold, JobStatus } from '../../src/state/index.js';
@@ -33,9 +34,19 @@
 class JobManagerFixture {
   readonly clock = new VirtualClock();
   readonly log = new MemoryLogService({ clock: this.clock });
+  /** Called when an endpoint begins a generation; throws when the endpoint ends under it. */
+  onStart: () => void = () => undefined;
   readonly endpoints = ['a', 'b', 'c'].map(
     (id) =>
-      new FakeEndpoint({ clock: this.clock, id, failureDomain: `domain-${id}`, tokenGapMs: 50 }),
+      new FakeEndpoint({
+        clock: this.clock,
+        id,
+        failureDomain: `domain-${id}`,
+        tokenGapMs: 50,
+        onStart: () => {
+          this.onStart();
+        },
+      }),
   );
 
   startDaemon(
@@ -127,6 +138,27 @@
     expect(chooser.open).toBe(0);
   });
 
+  it('does not end one endpoint after the other under a job that crashes them, and finishes it later', async () => {
+    const fixture = new JobManagerFixture();
+    let crashes = 0;
+    fixture.onStart = () => {
+      crashes += 1;
+      throw new EngineError('the connection broke', {
+        peer: 'engine',
+        failure: EngineFailure.Broken,
+        outcome: Outcome.Unknown,
+      });
+    };
+    const { manager } = fixture.startDaemon('d1');
+    const jobId = await fixture.submit(manager, 20);
+    await fixture.clock.advance(60_000);
+    // Five endpoints, and three more, are what users accept.
+    expect(crashes).toBeLessThanOrEqual(8);
+    fixture.onStart = () => undefined;
+    await fixture.clock.advance(120_000);
+    expect(manager.get(jobId)).toMatchObject({ status: JobStatus.Done, text: expectedText(20) });
+  });
+
   it('continues on another endpoint when one is lost or stops responding', async () => {
     const fixture = new JobManagerFixture();
     const { manager } = fixture.startDaemon('d1');
