Bound what is exchanged of a request, and judge by its events how long it had been answered

Callers choose ids and number of a prompt's parts: more than 32 parts, or longer ids, made a message that no other daemon accepted. Requests whose answer had ended with its first event were taken for long answers if the end was noticed over a second later. An endpoint that breaks answers but listens is asked twice a second at most, not for each of them.

--- a/src/gateway/request-relay.ts
+++ b/src/gateway/request-relay.ts
@@ -114,6 +114,7 @@
   #hasBegun = false;
   /** First event of the attempt in flight; undefined before. */
   #firstEventAtMs: number | undefined;
+  #lastEventAtMs: number | undefined;
   #sentAtMs = 0;
   /** Endpoints that ended, possibly under this request. */
   #endedEndpoints = 0;
@@ -176,8 +177,9 @@
   override progressed(view: EndpointView, events: number, elapsedMs: number): void {
     const { placement, clock } = this.#options;
     this.#requestLog.progressed(events);
+    this.#lastEventAtMs = clock.nowMs();
     if (this.#firstEventAtMs === undefined) {
-      this.#firstEventAtMs = clock.nowMs();
+      this.#firstEventAtMs = this.#lastEventAtMs;
       placement.recordFirstEvent(view, this.#admitted, this.#firstEventAtMs - this.#sentAtMs);
     } else placement.recordProgress(view, events, elapsedMs);
   }
@@ -209,6 +211,7 @@
     this.#sentAtMs = clock.nowMs();
     this.#requestLog.sentTo(view);
     this.#firstEventAtMs = undefined;
+    this.#lastEventAtMs = undefined;
     const attempt = this.#startAttempt(view);
     this.#attempt = attempt;
     const result = await attempt.result;
@@ -245,6 +248,7 @@
       partIds: this.#partIds,
       sentAtMs: this.#sentAtMs,
       firstEventAtMs: this.#firstEventAtMs,
+      lastEventAtMs: this.#lastEventAtMs,
     };
     // The end of a process that is leaving has nothing to do with its requests.
     const isStaying = placement.mayTake(view.id);
--- a/src/quarantine/crash-detector.ts
+++ b/src/quarantine/crash-detector.ts
@@ -1,4 +1,5 @@
 import { connect } from 'node:net';
+import { LRUCache } from 'lru-cache';
 import type { Clock } from '../core/index.js';
 import type { CrashReport } from './crash-report.js';
 
@@ -50,8 +51,9 @@
   readonly partIds: readonly string[];
   /** Epoch milliseconds. */
   readonly sentAtMs: number;
-  /** First event of its answer, in epoch milliseconds; undefined when none was received. */
+  /** First and last event of its answer, in epoch milliseconds; undefined when there was none. */
   readonly firstEventAtMs: number | undefined;
+  readonly lastEventAtMs: number | undefined;
 }
 
 /** Options of {@link CrashDetector}. */
@@ -68,6 +70,9 @@
 /** Time for a new connection; a refusal comes within a round trip. */
 const checkTimeoutMs = 200;
 
+/** Endpoints may break many answers without ending; each is asked once in this time at most. */
+const minCheckIntervalMs = 500;
+
 /** An endpoint that proves to have ended within this time after a connection broke ended then. */
 const confirmationMs = 10_000;
 
@@ -89,6 +94,8 @@
   readonly #options: CrashDetectorOptions;
   readonly #pending = new Map<string, PendingEnd>();
   readonly #checks = new Map<string, Promise<boolean>>();
+  /** Time at which an endpoint was last found to listen, in epoch milliseconds. */
+  readonly #listenedAtMs = new LRUCache<string, number>({ max: maxPendingEnds });
 
   constructor(options: CrashDetectorOptions) {
     this.#options = options;
@@ -102,6 +109,8 @@
   async diagnose(request: BrokenRequest): Promise<boolean> {
     const mayBeCause = this.note(request);
     const { endpointId, baseUrl } = request;
+    const listenedAtMs = this.#listenedAtMs.get(endpointId) ?? -Infinity;
+    if (listenedAtMs > this.#options.clock.nowMs() - minCheckIntervalMs) return false;
     let check = this.#checks.get(endpointId);
     if (!check) {
       check = this.#check(endpointId, baseUrl);
@@ -116,12 +125,13 @@
    * @returns whether the endpoint may have ended under it, if it has ended.
    */
   note(request: BrokenRequest): boolean {
-    const { endpointId, requestId, partIds, sentAtMs, firstEventAtMs } = request;
+    const { endpointId, requestId, partIds, sentAtMs } = request;
     const nowMs = this.#options.clock.nowMs();
     this.#forgetBefore(nowMs - confirmationMs);
     const pending = this.#pending.get(endpointId) ?? { brokenAtMs: nowMs, reports: [] };
     if (this.#pending.size < maxPendingEnds) this.#pending.set(endpointId, pending);
-    const hasWrittenLong = nowMs - (firstEventAtMs ?? nowMs) > maxWritingMs;
+    const { firstEventAtMs = 0, lastEventAtMs = 0 } = request;
+    const hasWrittenLong = lastEventAtMs - firstEventAtMs > maxWritingMs;
     if (!hasWrittenLong && partIds.length > 0 && pending.reports.length < maxReports) {
       pending.reports.push({
         endpointId,
@@ -147,7 +157,8 @@
     const { check, clock } = this.#options;
     try {
       const isListening = await check.isListening(baseUrl, clock.nowMs() + checkTimeoutMs);
-      if (!isListening) this.confirm(endpointId);
+      if (isListening) this.#listenedAtMs.set(endpointId, clock.nowMs());
+      else this.confirm(endpointId);
       return !isListening;
     } finally {
       this.#checks.delete(endpointId);
--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -7,8 +7,8 @@
 import { CrashEvidence } from './crash-evidence.js';
 import type { CrashReport } from './crash-report.js';
 import { PromptQuarantine } from './prompt-quarantine.js';
-import { quarantineKey, type QuarantineEntry } from './quarantine-entry.js';
-import type { CrashMessage, QuarantineMessage } from './quarantine-message.js';
+import { exchangedParts, quarantineKey, type QuarantineEntry } from './quarantine-entry.js';
+import { maxIdChars, type CrashMessage, type QuarantineMessage } from './quarantine-message.js';
 import { QuarantineRecords } from './quarantine-records.js';
 
 /** Options of {@link PromptGuard}. */
@@ -46,7 +46,7 @@
 
 /** Own reports of this time go into the daemon's samples, in case both datagrams were lost. */
 const sampledReportsMs = 12_000;
-const maxSampledReports = 16;
+const maxSampledReports = 8;
 
 /** Bounds of the memory, as callers choose the ids of parts. */
 const maxAnsweredParts = 8_192;
@@ -147,12 +147,12 @@
    * @returns whether its endpoint has ended and may have done so under this request.
    */
   requestBroke(request: BrokenRequest): Promise<boolean> {
-    return this.#detector.diagnose(request);
+    return this.#detector.diagnose(exchanged(request));
   }
 
   /** An answer ended in a way that an ending process can cause too. */
   answerMayBeCut(request: BrokenRequest): void {
-    this.#detector.note(request);
+    this.#detector.note(exchanged(request));
   }
 
   /** An endpoint refused a connection, or its registration ended. */
@@ -161,7 +161,8 @@
   }
 
   /** An answer came whole. */
-  answered(partIds: readonly string[]): void {
+  answered(allPartIds: readonly string[]): void {
+    const partIds = exchangedParts(allPartIds);
     if (partIds.length === 0) return;
     const nowMs = this.#options.clock.nowMs();
     for (const partId of partIds) this.#ownAnswerAtMs.set(partId, nowMs);
@@ -333,6 +334,12 @@
   }
 }
 
+/** A request as it is told to other daemons, whatever its caller sent. */
+function exchanged(request: BrokenRequest): BrokenRequest {
+  const partIds = exchangedParts(request.partIds);
+  return { ...request, partIds, requestId: request.requestId.slice(0, maxIdChars) };
+}
+
 function crashMessage(report: CrashReport, nowMs: number): CrashMessage {
   const { endpointId, requestId, partIds, sentAtMs, endedAtMs } = report;
   const ageOf = (atMs: number): number => Math.max(0, nowMs - atMs);
--- a/src/quarantine/quarantine-entry.ts
+++ b/src/quarantine/quarantine-entry.ts
@@ -1,15 +1,20 @@
 import { z } from 'zod';
 
 const maxPartIdChars = 64;
-const maxPartsOfEntry = 8;
+const maxParts = 32;
 
 /** Parts of prompts as they cross processes. */
-export const partIdsSchema = z.array(z.string().min(1).max(maxPartIdChars)).min(1);
+export const partIdsSchema = z.array(z.string().min(1).max(maxPartIdChars)).min(1).max(maxParts);
+
+/** Those of a prompt's parts that are exchanged; callers choose their ids and their number. */
+export function exchangedParts(partIds: readonly string[]): readonly string[] {
+  return partIds.filter(({ length }) => length > 0 && length <= maxPartIdChars).slice(0, maxParts);
+}
 
 /** A quarantine as it crosses processes and is stored. */
 export const quarantineEntrySchema = z.object({
   /** Requests whose prompts hold all of these parts are refused; sorted. */
-  partIds: partIdsSchema.max(maxPartsOfEntry),
+  partIds: partIdsSchema,
   /** Increases with each change; the highest is in force. */
   version: z.int().positive(),
   /** Endpoints that had ended when the quarantine began. */
--- a/src/quarantine/quarantine-message.ts
+++ b/src/quarantine/quarantine-message.ts
@@ -3,7 +3,9 @@
 
 /** Longest age of a message that says anything, in milliseconds. */
 const maxAgeMs = 300_000;
-const maxIdChars = 256;
+
+/** Longest id that is exchanged; longer ones are cut. */
+export const maxIdChars = 256;
 
 const ageSchema = z.number().nonnegative().max(maxAgeMs);
 const idSchema = z.string().min(1).max(maxIdChars);
--- a/test/quarantine/crash-detector_test.ts
+++ b/test/quarantine/crash-detector_test.ts
@@ -47,6 +47,7 @@
       partIds: ['part'],
       sentAtMs: clock.nowMs() - 100,
       firstEventAtMs: undefined,
+      lastEventAtMs: undefined,
       ...changes,
     };
   }
@@ -65,11 +66,28 @@
   });
 
   it('blames no request that was being answered for a while', async () => {
-    const firstEventAtMs = clock.nowMs() - 1_500;
-    expect(await detector.diagnose(broken('long', { firstEventAtMs }))).toBe(false);
+    const lastEventAtMs = clock.nowMs();
+    const firstEventAtMs = lastEventAtMs - 1_500;
+    const long = broken('long', { firstEventAtMs, lastEventAtMs });
+    expect(await detector.diagnose(long)).toBe(false);
     expect(reports).toEqual([]);
   });
 
+  it('blames one whose first event was its last, however late the end is noticed', async () => {
+    const atMs = clock.nowMs() - 3_000;
+    const short = broken('short', { firstEventAtMs: atMs, lastEventAtMs: atMs });
+    expect(await detector.diagnose(short)).toBe(true);
+  });
+
+  it('asks an endpoint that breaks many answers and listens only now and then', async () => {
+    check.isUp = true;
+    for (let at = 0; at < 100; at++) {
+      await detector.diagnose(broken(`r${at}`));
+      await clock.advance(10);
+    }
+    expect(check.asked).toBeLessThanOrEqual(3);
+  });
+
   it('counts a process that starts again so soon that connections are never refused', async () => {
     check.isUp = true;
     await detector.diagnose(broken('r'));
--- a/test/quarantine/guard-fleet.ts
+++ b/test/quarantine/guard-fleet.ts
@@ -44,7 +44,7 @@
   /** Epoch milliseconds at which requests with the deadly part were sent. */
   readonly deadlySendsAtMs: number[] = [];
   /** Messages that daemons sent to all others. */
-  messages = 0;
+  readonly sent: QuarantineMessage[] = [];
   holder = 0;
   readonly #options: GuardFleetOptions;
   readonly #random: Random;
@@ -80,6 +80,7 @@
       partIds,
       sentAtMs,
       firstEventAtMs: undefined,
+      lastEventAtMs: undefined,
     });
   }
 
@@ -132,7 +133,7 @@
   }
 
   #broadcast(from: number, message: QuarantineMessage): void {
-    this.messages += 1;
+    this.sent.push(message);
     for (const [at, guard] of this.guards.entries()) {
       if (at === from || this.#random.float() < this.#options.datagramLossRatio) continue;
       this.clock.schedule(this.clock.nowMs() + datagramDelayMs, () => {
--- a/test/quarantine/prompt-guard_test.ts
+++ b/test/quarantine/prompt-guard_test.ts
@@ -2,6 +2,7 @@
 import { QuarantineExit, runQuarantineCommand } from '../../platform/quarantine-command.js';
 import { QuarantineAdmin } from '../../src/quarantine/quarantine-admin.js';
 import { KeyedLogFault } from '../../src/standins/memory-keyed-log.js';
+import { quarantineMessageSchema } from '../../src/quarantine/quarantine-message.js';
 import { GuardFleet, type GuardFleetOptions } from './guard-fleet.js';
 
 /** Requests that may still be sent, and from when on that is counted. */
@@ -57,7 +58,7 @@
       for (const daemons of [20, 195]) {
         await start({ daemons });
         await play(10_000);
-        messages.push(fleet.messages / fleet.endsAtMs.length);
+        messages.push(fleet.sent.length / fleet.endsAtMs.length);
         fleet.stop();
       }
       expect(messages[1]).toBeLessThan(messages[0]! * 2);
@@ -71,6 +72,27 @@
     });
   });
 
+  it('exchanges ids that callers chose without bounds as far as others accept them', async () => {
+    await start();
+    const parts = Array.from({ length: 100 }, (_, at) => `p${at}`);
+    for (let end = 0; end < 3; end++) {
+      void fleet.guards[end]!.requestBroke({
+        endpointId: `i-${end}`,
+        baseUrl: 'http://127.0.0.1:1',
+        requestId: `${end}`.repeat(5_000),
+        partIds: ['x'.repeat(5_000), ...parts],
+        sentAtMs: fleet.clock.nowMs(),
+        firstEventAtMs: undefined,
+        lastEventAtMs: undefined,
+      });
+      await fleet.clock.advance(1_000);
+    }
+    expect(fleet.guards.filter((guard) => guard.find(parts))).toHaveLength(7);
+    for (const message of fleet.sent) {
+      expect(quarantineMessageSchema.safeParse(message).success).toBe(true);
+    }
+  });
+
   it('keeps the verdict in the store also when it was reached in an outage', async () => {
     await start();
     fleet.log.fault = KeyedLogFault.Down;
