--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,35 +6,16 @@
 import { Random, type Clock } from '../core/index.js';
 import { MeteredLog } from '../distribution/index.js';
 import { EngineFailure } from '../engine/engine-error.js';
-import { PrefixCacheIndex } from '../fleet/prefix-cache-index.js';
-import { EstimatedSpeeds } from '../fleet/estimated-speeds.js';
-import {
-  EndpointRegistry,
-  LeavingSet,
-  RegisteredEndpoints,
-  StallDetector,
-  type EndpointProbe,
-} from '../fleet/index.js';
-import { PeerSuspicions } from '../fleet/peer-suspicions.js';
-import { PrefillBacklog } from '../fleet/prefill-backlog.js';
-import { SpeedEstimator } from '../fleet/speed-estimator.js';
+import { RegisteredEndpoints, StallDetector, type EndpointProbe } from '../fleet/index.js';
 import type { KeyedLog } from '../log/keyed-log.js';
 import { DaemonSamples, type SampleContent } from '../membership/daemon-samples.js';
 import type { PeerAddress } from '../membership/peer-broadcaster.js';
-import {
-  PeerSuspicionFilter,
-  PrefillInterferenceScorer,
-  PrefillQueueScorer,
-  PromptAffinityScorer,
-  Router,
-  standardFilters,
-  standardScorers,
-} from '../routing/index.js';
 import { TcpListenCheck } from '../quarantine/crash-detector.js';
 import { PromptGuard } from '../quarantine/prompt-guard.js';
 import { EventId, EventLoopMonitor, type EventLog, type Metrics } from '../telemetry/index.js';
 import { ConfigHolder } from './config-holder.js';
 import { EndpointConnections } from './endpoint-connections.js';
+import { EndpointKnowledge } from './endpoint-knowledge.js';
 import { GatewayDuties } from './gateway-duties.js';
 import { GatewayGauges } from './gateway-gauges.js';
 import { GatewayListener } from './gateway-listener.js';
@@ -114,7 +95,7 @@
   readonly endpoints: RegisteredEndpoints;
   readonly replicas: GatewayReplicas;
   readonly #options: GatewayOptions;
-  readonly #registry: EndpointRegistry;
+  readonly #known: EndpointKnowledge;
   readonly #connections: EndpointConnections;
   readonly #listener: GatewayListener;
   readonly #samples: DaemonSamples;
@@ -122,8 +103,6 @@
   readonly #counter: UsageCounter;
   readonly #quotas: WorkspaceQuotas;
   readonly #gauges: GatewayGauges;
-  readonly #backlog = new PrefillBacklog();
-  readonly #suspicions = new PeerSuspicions();
   readonly #demand = new RateMeter(demandSmoothingMs);
   readonly #peers: PeerExchange;
   readonly #guard: PromptGuard;
@@ -149,25 +128,12 @@
       intervals: () => this.#peers.intervals,
     });
 
-    const speeds = new SpeedEstimator();
-    const caches = new PrefixCacheIndex();
-    this.#registry = new EndpointRegistry({
-      clock,
-      leaving: new LeavingSet(),
-      speeds: new EstimatedSpeeds(speeds),
-      events,
-    });
-    this.#registry.onRetire((endpointId) => {
-      speeds.remove(endpointId);
-      caches.remove(endpointId);
-      this.#backlog.remove(endpointId);
-      this.#suspicions.remove(endpointId);
-    });
-    this.#registry.onSuspect(({ id }) => {
+    this.#known = new EndpointKnowledge(options);
+    this.#known.registry.onSuspect(({ id }) => {
       this.#peers.broadcastSuspicion(id);
     });
     this.endpoints = new RegisteredEndpoints({
-      registry: this.#registry,
+      registry: this.#known.registry,
       clock,
       events,
       knownAsOfMs: () => this.replicas.registrations.caughtUpAtMs ?? clock.nowMs(),
@@ -204,16 +170,17 @@
       counts: () => this.#quotas.counts(),
       distributor: () => this.replicas.distributor,
       onSuspicion: (endpointId, reporter) =>
-        this.#suspicions.report(endpointId, reporter, clock.nowMs()),
+        this.#known.suspicions.report(endpointId, reporter, clock.nowMs()),
       onQuarantine: (message) => {
         this.#guard.receive(message);
       },
-      onPrefill: ({ endpointId, tokens }) => this.#backlog.add(endpointId, tokens, clock.nowMs()),
+      onPrefill: ({ endpointId, tokens }) =>
+        this.#known.backlog.add(endpointId, tokens, clock.nowMs()),
     });
     this.#quotas = new WorkspaceQuotas(this.#peers, options.quotaTolerance, options.random.fork());
     this.#retries = new SharedRetryBudget(options.retryTolerance);
     this.#guard = this.#createGuard();
-    this.#listener = this.#createListener(codec, speeds, caches);
+    this.#listener = this.#createListener(codec);
     this.#duties =
       options.duties &&
       new GatewayDuties({
@@ -228,14 +195,14 @@
         ownSample: () => this.#sampleContent(),
         counter: this.#counter,
         endpoints: this.endpoints,
-        backlog: this.#backlog,
+        backlog: this.#known.backlog,
         config: this.config,
       });
     this.#gauges = new GatewayGauges({
       metrics: options.metrics,
       clock,
       config: this.config,
-      registry: this.#registry,
+      registry: this.#known.registry,
       endpoints: this.endpoints,
       replicas: this.replicas.all(),
       isDistributor: () => this.replicas.distributor === undefined,
@@ -331,59 +298,37 @@
       },
       isDutyHolder: () => this.#duties?.isHolder === true,
       onEndpointEnded: (endpointId) => {
-        this.#registry.recordFailure(endpointId, EngineFailure.ConnectionFailed);
+        this.#known.registry.recordFailure(endpointId, EngineFailure.ConnectionFailed);
       },
       clock,
       events,
       metrics,
     });
-    this.#registry.onRetire((endpointId) => {
+    this.#known.registry.onRetire((endpointId) => {
       guard.endpointEnded(endpointId);
     });
     return guard;
   }
 
-  #createListener(
-    codec: RequestCodec,
-    speeds: SpeedEstimator,
-    caches: PrefixCacheIndex,
-  ): GatewayListener {
-    const { clock, events, daemon, region, random, host, port } = this.#options;
+  #createListener(codec: RequestCodec): GatewayListener {
+    const { clock, events, host, port } = this.#options;
+    const { registry } = this.#known;
     const metrics = new RequestMetrics(this.#options.metrics, clock);
-    const promptAffinity = new PromptAffinityScorer();
-    const router = new Router({
-      daemonId: daemon,
-      region,
-      random: random.fork(),
-      caches,
-      filters: [...standardFilters(region), new PeerSuspicionFilter(this.#suspicions)],
-      scorers: [
-        ...standardScorers(region),
-        new PrefillQueueScorer(this.#backlog, clock),
-        new PrefillInterferenceScorer(this.#backlog),
-        promptAffinity,
-      ],
-    });
     const stallDetector = new StallDetector({
       clock,
-      registry: this.#registry,
+      registry,
       probe: this.#options.probe((baseUrl) => this.#healthPathOf(baseUrl)),
     });
     const relay = new RequestRelay({
       placement: new Placement({
-        router,
-        registry: this.#registry,
+        known: this.#known,
         endpoints: this.endpoints,
-        caches,
-        speeds,
-        backlog: this.#backlog,
-        promptAffinity,
         demand: this.#demand,
         broadcastPrefill: (report) => this.#peers.broadcastPrefill(report),
         clock,
       }),
       endpoints: this.endpoints,
-      registry: this.#registry,
+      registry: this.#known.registry,
       connections: this.#connections,
       codec,
       stallDetector,
@@ -425,7 +370,7 @@
   }
 
   #healthPathOf(baseUrl: string): string {
-    const view = this.#registry.all().find((candidate) => candidate.baseUrl === baseUrl);
+    const view = this.#known.registry.all().find((candidate) => candidate.baseUrl === baseUrl);
     const service = this.config.table?.config.services.find(
       ({ name }) => this.endpoints.serviceId(name) === view?.serviceId,
     );
@@ -434,7 +379,7 @@
 
   #sampleContent(): SampleContent {
     const inFlight: Record<string, number> = {};
-    for (const view of this.#registry.all()) {
+    for (const view of this.#known.registry.all()) {
       const own = Object.values(view.ownInFlight.requests).reduce((sum, count) => sum + count, 0);
       if (own > 0) inFlight[view.serviceId] = (inFlight[view.serviceId] ?? 0) + own;
     }
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -1,30 +1,23 @@
 import type { RateMeter } from '../capacity/rate-meter.js';
 import { WorkClass, type Clock } from '../core/index.js';
-import type { PrefixCacheIndex } from '../fleet/prefix-cache-index.js';
 import {
   EndpointState,
   isLeaving,
-  type EndpointRegistry,
   type EndpointView,
   type RegisteredEndpoints,
 } from '../fleet/index.js';
 import { promptPrefixOfParts, sharedPartsOf, type PromptPrefix } from '../fleet/prompt-prefix.js';
-import { weightedTokens, type PrefillBacklog } from '../fleet/prefill-backlog.js';
-import type { SpeedEstimator } from '../fleet/speed-estimator.js';
+import { weightedTokens } from '../fleet/prefill-backlog.js';
 import type { PrefillReport } from '../membership/broadcast-message.js';
-import type { PromptAffinityScorer, Router, RouteRequest, SharedPrompt } from '../routing/index.js';
+import type { RouteRequest, SharedPrompt } from '../routing/index.js';
 import type { AdmittedRequest } from './caller-exchange.js';
+import type { EndpointKnowledge } from './endpoint-knowledge.js';
 import { RequestKind } from './traffic-config.js';
 
 /** Options of {@link Placement}. */
 export interface PlacementOptions {
-  readonly router: Router;
-  readonly registry: EndpointRegistry;
+  readonly known: EndpointKnowledge;
   readonly endpoints: RegisteredEndpoints;
-  readonly caches: PrefixCacheIndex;
-  readonly speeds: SpeedEstimator;
-  readonly backlog: PrefillBacklog;
-  readonly promptAffinity: PromptAffinityScorer;
   /** Rate of uncached prompt tokens sent, by service. */
   readonly demand: RateMeter;
   /** Called for each long prompt that is sent. */
@@ -62,17 +55,17 @@
 
   /** Chooses the endpoint for the next attempt; undefined when none is available. */
   choose(admitted: AdmittedRequest, triedIds: readonly string[]): EndpointView | undefined {
-    const { router, registry, endpoints, clock } = this.#options;
+    const { known, endpoints, clock } = this.#options;
+    const { router, registry, promptAffinity } = known;
     const serviceId = endpoints.serviceId(admitted.service.name);
     const views = registry.views(serviceId);
-    if (admitted.route.hasPrompt)
-      this.#options.promptAffinity.setEndpoints(serviceId, liveIds(views));
+    if (admitted.route.hasPrompt) promptAffinity.setEndpoints(serviceId, liveIds(views));
     return router.choose(this.#routeRequest(admitted, triedIds), views, clock.nowMs()).endpoint;
   }
 
   /** Whether an endpoint that was chosen still takes new requests. */
   mayTake(endpointId: string): boolean {
-    const view = this.#options.registry.view(endpointId);
+    const view = this.#options.known.registry.view(endpointId);
     return view !== undefined && !isLeaving(view);
   }
 
@@ -92,7 +85,8 @@
 
   /** Records that a request is sent to an endpoint. */
   recordSent(view: EndpointView, admitted: AdmittedRequest): void {
-    const { caches, speeds, backlog, demand, broadcastPrefill, clock } = this.#options;
+    const { known, demand, broadcastPrefill, clock } = this.#options;
+    const { caches, speeds, backlog } = known;
     speeds.add(view.id, view.serviceId);
     const { promptTokens = 0 } = admitted.description;
     if (promptTokens === 0) return;
@@ -112,13 +106,18 @@
     const ownTokens = admitted.description.promptParts.at(-1)?.tokens ?? promptTokens;
     // Short prompts measure the fixed cost of an engine step rather than the prefill speed.
     if (ownTokens < longPromptTokens) return;
-    this.#options.backlog.observeSpeed(weightedTokens(ownTokens) / elapsedMs);
-    this.#options.speeds.observeFirstToken(view.id, ownTokens, elapsedMs);
+    this.#options.known.backlog.observeSpeed(weightedTokens(ownTokens) / elapsedMs);
+    this.#options.known.speeds.observeFirstToken(view.id, ownTokens, elapsedMs);
   }
 
   /** Records further events of a stream, received `elapsedMs` after the previous data. */
   recordProgress(view: EndpointView, events: number, elapsedMs: number): void {
-    this.#options.speeds.observeTokens(view.id, events, elapsedMs, this.#options.clock.nowMs());
+    this.#options.known.speeds.observeTokens(
+      view.id,
+      events,
+      elapsedMs,
+      this.#options.clock.nowMs(),
+    );
   }
 
   #routeRequest(admitted: AdmittedRequest, triedIds: readonly string[]): RouteRequest {
