Clear parts of prompts by answers without a length too, once their endpoint has gone on

Where all answers end with their connections, nothing cleared any part, so that bystanders at every end could be taken for the cause. Such an answer counts as whole if its endpoint has not ended a second later; the endpoint is asked for that only while a part of the prompt is under suspicion.

The test failed before: the deadly part could not be told from the bystander's.

--- a/src/quarantine/crash-detector.ts
+++ b/src/quarantine/crash-detector.ts
@@ -93,6 +93,7 @@
 export class CrashDetector {
   readonly #options: CrashDetectorOptions;
   readonly #pending = new Map<string, PendingEnd>();
+  readonly #ended = new LRUCache<string, true>({ max: maxPendingEnds });
   readonly #checks = new Map<string, Promise<boolean>>();
   /** Time at which an endpoint was last found to listen, in epoch milliseconds. */
   readonly #listenedAtMs = new LRUCache<string, number>({ max: maxPendingEnds });
@@ -108,15 +109,17 @@
    */
   async diagnose(request: BrokenRequest): Promise<boolean> {
     const mayBeCause = this.note(request);
-    const { endpointId, baseUrl } = request;
-    const listenedAtMs = this.#listenedAtMs.get(endpointId) ?? -Infinity;
-    if (listenedAtMs > this.#options.clock.nowMs() - minCheckIntervalMs) return false;
-    let check = this.#checks.get(endpointId);
-    if (!check) {
-      check = this.#check(endpointId, baseUrl);
-      this.#checks.set(endpointId, check);
-    }
-    return (await check) && mayBeCause;
+    return (await this.#ask(request)) && mayBeCause;
+  }
+
+  /**
+   * Whether an endpoint is known to have ended.
+   *
+   * @param asks - whether to ask the endpoint if it is not.
+   */
+  async hasEnded(request: BrokenRequest, asks: boolean): Promise<boolean> {
+    if (this.#ended.has(request.endpointId)) return true;
+    return asks && this.#ask(request);
   }
 
   /**
@@ -146,6 +149,7 @@
 
   /** The endpoint has proved to have ended: it refuses connections, or its registration ended. */
   confirm(endpointId: string): void {
+    this.#ended.set(endpointId, true);
     const pending = this.#pending.get(endpointId);
     if (!pending) return;
     this.#pending.delete(endpointId);
@@ -153,6 +157,18 @@
     this.#options.onCrash(endpointId, pending.reports);
   }
 
+  #ask({ endpointId, baseUrl }: BrokenRequest): Promise<boolean> {
+    const listenedAtMs = this.#listenedAtMs.get(endpointId) ?? -Infinity;
+    if (listenedAtMs > this.#options.clock.nowMs() - minCheckIntervalMs)
+      return Promise.resolve(false);
+    let check = this.#checks.get(endpointId);
+    if (!check) {
+      check = this.#check(endpointId, baseUrl);
+      this.#checks.set(endpointId, check);
+    }
+    return check;
+  }
+
   async #check(endpointId: string, baseUrl: string): Promise<boolean> {
     const { check, clock } = this.#options;
     try {
--- a/src/quarantine/crash-evidence.ts
+++ b/src/quarantine/crash-evidence.ts
@@ -100,6 +100,11 @@
     });
   }
 
+  /** Whether anything is held against one of the parts. */
+  isSuspected(partIds: readonly string[]): boolean {
+    return partIds.some((partId) => this.#suspects.has(partId));
+  }
+
   /** Takes an end whose cause is known off the evidence, also for reports that are still to come. */
   explain(endpointId: string): void {
     this.#explainedEnds.set(endpointId, true);
--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -41,6 +41,9 @@
 /** A part on which an answer came whole this short a time ago was not held back for good reason. */
 const contradictionMs = 1_000;
 
+/** Time in which the end of an endpoint is noticed by the other requests that it had. */
+const endNoticeMs = 1_000;
+
 /** Shortest time between two messages about whole answers with the same part. */
 const answerPeriodMs = 1_000;
 
@@ -150,9 +153,16 @@
     return this.#detector.diagnose(exchanged(request));
   }
 
-  /** An answer ended in a way that an ending process can cause too. */
-  answerMayBeCut(request: BrokenRequest): void {
-    this.#detector.note(exchanged(request));
+  /**
+   * An answer ended in a way that an ending process can cause too. It counts as whole if its
+   * endpoint proves to have gone on; the endpoint is asked only if that matters.
+   */
+  answerMayBeCut(cut: BrokenRequest): void {
+    const { clock } = this.#options;
+    const request = exchanged(cut);
+    const answeredAtMs = clock.nowMs();
+    this.#detector.note(request);
+    clock.schedule(answeredAtMs + endNoticeMs, () => void this.#settle(request, answeredAtMs));
   }
 
   /** An endpoint refused a connection, or its registration ended. */
@@ -162,15 +172,8 @@
 
   /** An answer came whole. */
   answered(allPartIds: readonly string[]): void {
-    const partIds = exchangedParts(allPartIds);
-    if (partIds.length === 0) return;
-    const nowMs = this.#options.clock.nowMs();
-    for (const partId of partIds) this.#ownAnswerAtMs.set(partId, nowMs);
-    const suspected = this.#evidence.recordAnswer(partIds, nowMs);
-    const isHeldBack = this.#narrow(partIds);
-    if (suspected.length > 0 || isHeldBack) this.#tellAnswers(partIds);
+    this.#answered(exchangedParts(allPartIds), this.#options.clock.nowMs());
   }
-
   /** Applies a message of another daemon. */
   receive({ crash, answer, entry }: QuarantineMessage): void {
     const nowMs = this.#options.clock.nowMs();
@@ -214,6 +217,21 @@
     this.#cancelDecision();
   }
 
+  async #settle(request: BrokenRequest, answeredAtMs: number): Promise<void> {
+    const { partIds } = request;
+    const matters = this.#evidence.isSuspected(partIds) || this.#isHeldBack(partIds);
+    if (await this.#detector.hasEnded(request, matters)) return;
+    this.#answered(partIds, answeredAtMs);
+  }
+
+  #answered(partIds: readonly string[], answeredAtMs: number): void {
+    if (partIds.length === 0) return;
+    for (const partId of partIds) this.#ownAnswerAtMs.set(partId, answeredAtMs);
+    const suspected = this.#evidence.recordAnswer(partIds, answeredAtMs);
+    const isHeldBack = this.#narrow(partIds);
+    if (suspected.length > 0 || isHeldBack) this.#tellAnswers(partIds);
+  }
+
   #isTrial(entry: QuarantineEntry): boolean {
     return this.#trialKey === quarantineKey(entry.partIds) && this.#options.isDutyHolder();
   }
@@ -274,6 +292,12 @@
     }
   }
 
+  #isHeldBack(partIds: readonly string[]): boolean {
+    return this.#quarantine.active.some((entry) => {
+      return entry.partIds.some((partId) => partIds.includes(partId));
+    });
+  }
+
   /** Takes parts off the quarantines that they are innocent of. @returns whether there are any. */
   #narrow(partIds: readonly string[]): boolean {
     const wrong = this.#quarantine.active.filter((entry) =>
--- a/test/quarantine/guard-fleet.ts
+++ b/test/quarantine/guard-fleet.ts
@@ -1,6 +1,6 @@
 import { Random, VirtualClock } from '../../src/core/index.js';
 import { KeyedReplica } from '../../src/log/keyed-replica.js';
-import { ListenCheck } from '../../src/quarantine/crash-detector.js';
+import { ListenCheck, type BrokenRequest } from '../../src/quarantine/crash-detector.js';
 import { PromptGuard } from '../../src/quarantine/prompt-guard.js';
 import type { QuarantineMessage } from '../../src/quarantine/quarantine-message.js';
 import { MemoryKeyedLog } from '../../src/standins/memory-keyed-log.js';
@@ -20,9 +20,13 @@
 /** Time from the receipt of a request at an endpoint until it begins to write. */
 const serviceMs = 80;
 
-class EndedEndpoint extends ListenCheck {
-  override isListening(): Promise<boolean> {
-    return Promise.resolve(false);
+/** Of the endpoints here, only those that ended under the deadly part do not listen. */
+const soundUrl = 'http://127.0.0.1:2';
+const endedUrl = 'http://127.0.0.1:1';
+
+class EndpointCheck extends ListenCheck {
+  override isListening(baseUrl: string): Promise<boolean> {
+    return Promise.resolve(baseUrl === soundUrl);
   }
 }
 
@@ -62,8 +66,12 @@
     return this.guards.filter((guard) => guard.find([partId]) !== undefined).length;
   }
 
-  /** A request at a random daemon, or at `at`, under which its endpoint ends. */
-  async sendDeadly(part: string, at?: number): Promise<void> {
+  /**
+   * A request at a random daemon, or at `at`, under which its endpoint ends.
+   *
+   * @param bystander - parts of the prompt of another request in progress there.
+   */
+  async sendDeadly(part: string, at?: number, bystander?: readonly string[]): Promise<void> {
     const guard = this.guards[at ?? this.#random.int(0, this.guards.length - 1)]!;
     const requestId = `r${++this.#requests}`;
     const partIds = [`first${this.#random.int(0, 3)}`, part];
@@ -73,15 +81,17 @@
     this.deadlySendsAtMs.push(sentAtMs);
     await clock.sleepUntil(sentAtMs + serviceMs);
     this.endsAtMs.push(clock.nowMs());
-    await guard.requestBroke({
+    const broken: BrokenRequest = {
       endpointId: `i-${requestId}`,
-      baseUrl: 'http://127.0.0.1:1',
+      baseUrl: endedUrl,
       requestId,
       partIds,
       sentAtMs,
       firstEventAtMs: undefined,
       lastEventAtMs: undefined,
-    });
+    };
+    const other = { ...broken, requestId: `${requestId}-bystander`, partIds: bystander ?? [] };
+    await Promise.all([guard.requestBroke(broken), guard.requestBroke(other)]);
   }
 
   /** An answer on the parts comes whole at a random daemon. */
@@ -90,6 +100,22 @@
     if (!guard.admit(partIds)) guard.answered(partIds);
   }
 
+  /** Like {@link answer}, for one that has no length and ends with its connection. */
+  answerWithoutLength(...partIds: string[]): void {
+    const guard = this.guards[this.#random.int(0, this.guards.length - 1)]!;
+    if (guard.admit(partIds)) return;
+    const nowMs = this.clock.nowMs();
+    guard.answerMayBeCut({
+      endpointId: 'i-sound',
+      baseUrl: soundUrl,
+      requestId: `r${++this.#requests}`,
+      partIds,
+      sentAtMs: nowMs - 200,
+      firstEventAtMs: nowMs - 100,
+      lastEventAtMs: nowMs,
+    });
+  }
+
   stop(): void {
     for (const replica of this.#replicas) replica.stop();
     for (const guard of this.guards) guard.stop();
@@ -110,7 +136,7 @@
       minOutageMs: 1_200,
     });
     const guard = new PromptGuard({
-      check: new EndedEndpoint(),
+      check: new EndpointCheck(),
       log,
       topic,
       replica,
--- a/test/quarantine/prompt-guard_test.ts
+++ b/test/quarantine/prompt-guard_test.ts
@@ -72,6 +72,22 @@
     });
   });
 
+  it('holds back no part whose answers all end with their connections, as ends of processes do', async () => {
+    await start();
+    // The same first part and bystanders at each end, as on a small deployment.
+    for (let end = 0; end < 12; end++) {
+      void fleet.sendDeadly('dead', undefined, ['first0', 'sound']);
+      await fleet.clock.advance(300);
+      for (let at = 0; at < 4; at++) fleet.answerWithoutLength(`first${at}`, 'sound');
+      await fleet.clock.advance(1_500);
+    }
+    expect(fleet.heldBackAt('dead')).toBe(7);
+    for (const part of ['first0', 'first1', 'first2', 'first3', 'sound']) {
+      expect(fleet.heldBackAt(part)).toBe(0);
+    }
+    expect(fleet.endsAtMs.length).toBeLessThanOrEqual(5);
+  });
+
   it('exchanges ids that callers chose without bounds as far as others accept them', async () => {
     await start();
     const parts = Array.from({ length: 100 }, (_, at) => `p${at}`);
