Count an answer without a length as whole only once its endpoint proves to have gone on

A process that ends between two events closes its connection in order, and its answer looks whole. Now a later response of the endpoint proves it, or, under suspicion, an accepted connection asked for at once. A refused connection of any request confirms an end as well.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -63,6 +63,8 @@
 export abstract class AttemptObserver {
   /** The response head was received. */
   abstract responded(view: EndpointView, response: ResponseDescription): void;
+  /** Nothing listens at the endpoint's address. */
+  abstract refused(view: EndpointView): void;
   /** The request has started to run: its first event or its body was received. */
   abstract began(): void;
   /**
@@ -142,7 +144,8 @@
         // A framed response that was read completely is valid although its connection failed later.
         if (!this.#response?.complete) this.#finish(AttemptEnd.Broken, reason);
       },
-      failed: (reason, mayHaveRun) => {
+      failed: (reason, mayHaveRun, isRefused) => {
+        if (isRefused) options.observer.refused(options.view);
         this.#finish(mayHaveRun ? AttemptEnd.Broken : AttemptEnd.NotRun, reason);
       },
     });
--- a/src/gateway/endpoint-connections.ts
+++ b/src/gateway/endpoint-connections.ts
@@ -43,8 +43,9 @@
    * The send failed before a response head.
    *
    * @param mayHaveRun - false when no byte of the request can have reached the endpoint.
+   * @param isRefused - whether nothing listens at the endpoint's address.
    */
-  failed(reason: string, mayHaveRun: boolean): void;
+  failed(reason: string, mayHaveRun: boolean, isRefused: boolean): void;
 }
 
 /** A request in flight. */
@@ -177,9 +178,9 @@
       this.#hasResponse = true;
       this.#observer.responded(response);
     });
-    outgoing.on('error', (error) => {
+    outgoing.on('error', (error: NodeJS.ErrnoException) => {
       if (this.#hasResponse) this.#observer.broken(error.message);
-      else this.#fail(error.message);
+      else this.#fail(error.message, error.code === 'ECONNREFUSED');
     });
     outgoing.on('close', () => {
       this.#fail('connection closed before a response');
@@ -226,10 +227,10 @@
     this.#outgoing.once('close', () => socket.off('end', onEnd));
   }
 
-  #fail(reason: string): void {
+  #fail(reason: string, isRefused = false): void {
     this.#cancelConnectTimer();
     if (this.#isDone) return;
     this.#isDone = true;
-    this.#observer.failed(reason, this.#mayHaveRun);
+    this.#observer.failed(reason, this.#mayHaveRun, isRefused);
   }
 }
--- a/src/gateway/relayed-request.ts
+++ b/src/gateway/relayed-request.ts
@@ -102,7 +102,8 @@
   }
 
   override responded(view: EndpointView, response: ResponseDescription): void {
-    const { registry, clock } = this.#options;
+    const { registry, clock, guard } = this.#options;
+    guard.endpointResponded(view.id);
     const { load } = response;
     if (!load) return;
     registry.recordLoadReport(view.id, {
@@ -114,6 +115,10 @@
     });
   }
 
+  override refused(view: EndpointView): void {
+    this.#options.guard.endpointEnded(view.id);
+  }
+
   override began(): void {
     if (this.#hasBegun) return;
     this.#hasBegun = true;
--- a/src/quarantine/crash-detector.ts
+++ b/src/quarantine/crash-detector.ts
@@ -112,14 +112,9 @@
     return (await this.#ask(request)) && mayBeCause;
   }
 
-  /**
-   * Whether an endpoint is known to have ended.
-   *
-   * @param asks - whether to ask the endpoint if it is not.
-   */
-  async hasEnded(request: BrokenRequest, asks: boolean): Promise<boolean> {
-    if (this.#ended.has(request.endpointId)) return true;
-    return asks && this.#ask(request);
+  /** Whether an endpoint has ended, which is asked unless it is known. */
+  async hasEnded(request: BrokenRequest): Promise<boolean> {
+    return this.#ended.has(request.endpointId) || this.#ask(request);
   }
 
   /**
--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -41,9 +41,6 @@
 /** A part on which an answer came whole this short a time ago was not held back for good reason. */
 const contradictionMs = 1_000;
 
-/** Time in which the end of an endpoint is noticed by the other requests that it had. */
-const endNoticeMs = 1_000;
-
 /** Shortest time between two messages about whole answers with the same part. */
 const answerPeriodMs = 1_000;
 
@@ -55,6 +52,16 @@
 const maxAnsweredParts = 8_192;
 const maxToldParts = 2_048;
 
+/** Endpoints with answers whose end proves nothing yet, and such answers of one. */
+const maxUnprovenEndpoints = 512;
+const maxUnprovenAnswers = 32;
+
+/** An answer that may have been cut by the end of its endpoint. */
+interface UnprovenAnswer {
+  readonly partIds: readonly string[];
+  readonly answeredAtMs: number;
+}
+
 /** Who an entry came from, for the log. */
 enum EntrySource {
   Evidence = 'evidence',
@@ -86,6 +93,9 @@
   /** Last whole answer with a part at this daemon, and when it was told, in epoch milliseconds. */
   readonly #ownAnswerAtMs = new LRUCache<string, number>({ max: maxAnsweredParts });
   readonly #answerToldAtMs = new LRUCache<string, number>({ max: maxToldParts });
+  readonly #unproven = new LRUCache<string, readonly UnprovenAnswer[]>({
+    max: maxUnprovenEndpoints,
+  });
   #ownReports: readonly CrashReport[] = [];
   /** Entries that this daemon changed, and is to store. */
   readonly #ownKeys = new Set<string>();
@@ -154,19 +164,34 @@
   }
 
   /**
-   * An answer ended in a way that an ending process can cause too. It counts as whole if its
-   * endpoint proves to have gone on; the endpoint is asked only if that matters.
+   * An answer ended in a way that an ending process can cause too. It counts as whole once its
+   * endpoint proves to have gone on: by a later response, or, if a part of the prompt is under
+   * suspicion, by accepting a connection.
    */
   answerMayBeCut(cut: BrokenRequest): void {
-    const { clock } = this.#options;
     const request = exchanged(cut);
-    const answeredAtMs = clock.nowMs();
     this.#detector.note(request);
-    clock.schedule(answeredAtMs + endNoticeMs, () => void this.#settle(request, answeredAtMs));
+    const { endpointId, partIds } = request;
+    const unproven = { partIds, answeredAtMs: this.#options.clock.nowMs() };
+    const isSuspected = this.#evidence.isSuspected(partIds) || this.#isHeldBack(partIds);
+    if (isSuspected) void this.#proveAnswer(request, unproven);
+    else if (partIds.length > 0) {
+      const others = this.#unproven.get(endpointId) ?? [];
+      this.#unproven.set(endpointId, [...others, unproven].slice(-maxUnprovenAnswers));
+    }
+  }
+
+  /** An endpoint responded, so that it has outlived its earlier answers. */
+  endpointResponded(endpointId: string): void {
+    const answers = this.#unproven.get(endpointId);
+    if (!answers) return;
+    this.#unproven.delete(endpointId);
+    for (const { partIds, answeredAtMs } of answers) this.#answered(partIds, answeredAtMs);
   }
 
   /** An endpoint refused a connection, or its registration ended. */
   endpointEnded(endpointId: string): void {
+    this.#unproven.delete(endpointId);
     this.#detector.confirm(endpointId);
   }
 
@@ -217,11 +242,9 @@
     this.#cancelDecision();
   }
 
-  async #settle(request: BrokenRequest, answeredAtMs: number): Promise<void> {
-    const { partIds } = request;
-    const matters = this.#evidence.isSuspected(partIds) || this.#isHeldBack(partIds);
-    if (await this.#detector.hasEnded(request, matters)) return;
-    this.#answered(partIds, answeredAtMs);
+  async #proveAnswer(request: BrokenRequest, answer: UnprovenAnswer): Promise<void> {
+    if (await this.#detector.hasEnded(request)) return;
+    this.#answered(answer.partIds, answer.answeredAtMs);
   }
 
   #answered(partIds: readonly string[], answeredAtMs: number): void {
--- a/test/quarantine/guard-fleet.ts
+++ b/test/quarantine/guard-fleet.ts
@@ -1,4 +1,4 @@
-import { Random, VirtualClock } from '../../src/core/index.js';
+import { Random, VirtualClock, type Clock } from '../../src/core/index.js';
 import { KeyedReplica } from '../../src/log/keyed-replica.js';
 import { ListenCheck, type BrokenRequest } from '../../src/quarantine/crash-detector.js';
 import { PromptGuard } from '../../src/quarantine/prompt-guard.js';
@@ -17,16 +17,27 @@
 const tickPeriodMs = 500;
 const replicaReadIntervalMs = 2_000;
 
+/** Time from which an endpoint listens until its registration is known. */
+const registrationMs = 1_400;
+
 /** Time from the receipt of a request at an endpoint until it begins to write. */
 const serviceMs = 80;
 
-/** Of the endpoints here, only those that ended under the deadly part do not listen. */
-const soundUrl = 'http://127.0.0.1:2';
-const endedUrl = 'http://127.0.0.1:1';
+const soundUrl = 'http://127.0.0.1:1';
 
+/** Addresses of ended endpoints refuse connections until a successor listens there. */
 class EndpointCheck extends ListenCheck {
+  readonly refusingUntilMs = new Map<string, number>();
+  readonly #clock: Clock;
+
+  constructor(clock: Clock) {
+    super();
+    this.#clock = clock;
+  }
+
   override isListening(baseUrl: string): Promise<boolean> {
-    return Promise.resolve(baseUrl === soundUrl);
+    const untilMs = this.refusingUntilMs.get(baseUrl) ?? -Infinity;
+    return Promise.resolve(untilMs <= this.#clock.nowMs());
   }
 }
 
@@ -36,6 +47,10 @@
   readonly seed: number;
   /** Part of the datagrams that are lost. */
   readonly datagramLossRatio: number;
+  /** Time after an end from which the address accepts connections again. */
+  readonly restartMs: number;
+  /** Whether answers end with their connections, so that an ending endpoint seems to complete them. */
+  readonly hasNoLengths: boolean;
 }
 
 /** The guards of many daemons on a virtual clock, before endpoints that end under one part. */
@@ -52,8 +67,10 @@
   holder = 0;
   readonly #options: GuardFleetOptions;
   readonly #random: Random;
+  readonly #check = new EndpointCheck(this.clock);
   readonly #replicas: KeyedReplica[] = [];
   #requests = 0;
+  #addresses = 0;
 
   constructor(options: GuardFleetOptions) {
     this.#options = options;
@@ -81,19 +98,36 @@
     this.deadlySendsAtMs.push(sentAtMs);
     await clock.sleepUntil(sentAtMs + serviceMs);
     this.endsAtMs.push(clock.nowMs());
+    const baseUrl = this.endedUrl();
+    const hasEvents = this.#options.hasNoLengths;
     const broken: BrokenRequest = {
       endpointId: `i-${requestId}`,
-      baseUrl: endedUrl,
+      baseUrl,
       requestId,
       partIds,
       sentAtMs,
-      firstEventAtMs: undefined,
-      lastEventAtMs: undefined,
+      firstEventAtMs: hasEvents ? clock.nowMs() : undefined,
+      lastEventAtMs: hasEvents ? clock.nowMs() : undefined,
     };
+    if (this.#options.hasNoLengths) {
+      guard.answerMayBeCut(broken);
+      // The next registration there ends that of the one before.
+      await clock.sleepUntil(clock.nowMs() + this.#options.restartMs + registrationMs);
+      for (const other of this.guards) other.endpointEnded(broken.endpointId);
+      return;
+    }
     const other = { ...broken, requestId: `${requestId}-bystander`, partIds: bystander ?? [] };
     await Promise.all([guard.requestBroke(broken), guard.requestBroke(other)]);
   }
 
+  /** Address of an endpoint that has just ended. */
+  endedUrl(): string {
+    const baseUrl = `http://127.0.0.1:${1_000 + this.#addresses++}`;
+    const refusingUntilMs = this.clock.nowMs() + this.#options.restartMs;
+    this.#check.refusingUntilMs.set(baseUrl, refusingUntilMs);
+    return baseUrl;
+  }
+
   /** An answer on the parts comes whole at a random daemon. */
   answer(...partIds: string[]): void {
     const guard = this.guards[this.#random.int(0, this.guards.length - 1)]!;
@@ -136,7 +170,7 @@
       minOutageMs: 1_200,
     });
     const guard = new PromptGuard({
-      check: new EndpointCheck(),
+      check: this.#check,
       log,
       topic,
       replica,
--- a/test/quarantine/prompt-guard_test.ts
+++ b/test/quarantine/prompt-guard_test.ts
@@ -20,7 +20,14 @@
   });
 
   async function start(changes: Partial<GuardFleetOptions> = {}): Promise<void> {
-    fleet = new GuardFleet({ daemons: 7, seed: 1, datagramLossRatio: 0, ...changes });
+    fleet = new GuardFleet({
+      daemons: 7,
+      seed: 1,
+      datagramLossRatio: 0,
+      restartMs: 5_000,
+      hasNoLengths: false,
+      ...changes,
+    });
     await fleet.clock.advance(3_000);
   }
 
@@ -88,13 +95,38 @@
     expect(fleet.endsAtMs.length).toBeLessThanOrEqual(5);
   });
 
+  it('takes no answer for whole whose endpoint ended with it, although it seems complete', async () => {
+    await start({ hasNoLengths: true, restartMs: 600 });
+    await play(20_000);
+    expect(fleet.heldBackAt('dead')).toBe(7);
+    expect(lateSends()).toBeLessThanOrEqual(allowedSends);
+  });
+
+  it('clears parts by an answer without a length once its endpoint has responded again', async () => {
+    for (const responds of [false, true]) {
+      await start({ daemons: 1 });
+      const ends = [0, 1, 2].map((at) => ({ at, endedAtMs: fleet.clock.nowMs() + at * 300 }));
+      await fleet.clock.advance(1_000);
+      fleet.answerWithoutLength('part');
+      if (responds) fleet.guards[0]!.endpointResponded('i-sound');
+      for (const { at, endedAtMs } of ends) {
+        const ageMs = fleet.clock.nowMs() - endedAtMs;
+        const crash = { endpointId: `i-${at}`, requestId: `r${at}`, partIds: ['part'], ageMs };
+        fleet.guards[0]!.receive({ crash: { ...crash, sentAgeMs: ageMs + 80 } });
+      }
+      await fleet.clock.advance(2_000);
+      expect(fleet.heldBackAt('part')).toBe(responds ? 0 : 1);
+      fleet.stop();
+    }
+  });
+
   it('exchanges ids that callers chose without bounds as far as others accept them', async () => {
     await start();
     const parts = Array.from({ length: 100 }, (_, at) => `p${at}`);
     for (let end = 0; end < 3; end++) {
       void fleet.guards[end]!.requestBroke({
         endpointId: `i-${end}`,
-        baseUrl: 'http://127.0.0.1:1',
+        baseUrl: fleet.endedUrl(),
         requestId: `${end}`.repeat(5_000),
         partIds: ['x'.repeat(5_000), ...parts],
         sentAtMs: fleet.clock.nowMs(),
