--- a/src/quarantine/crash-detector.ts
+++ b/src/quarantine/crash-detector.ts
@@ -152,6 +152,11 @@
     this.#options.onCrash(endpointId, pending.reports);
   }
 
+  /** The endpoint responded: its process has started again under the same identity. */
+  responded(endpointId: string): void {
+    this.#ended.delete(endpointId);
+  }
+
   #ask({ endpointId, baseUrl }: BrokenRequest): Promise<boolean> {
     const listenedAtMs = this.#listenedAtMs.get(endpointId) ?? -Infinity;
     if (listenedAtMs > this.#options.clock.nowMs() - minCheckIntervalMs)
--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -183,6 +183,7 @@
 
   /** An endpoint responded, so that it has outlived its earlier answers. */
   endpointResponded(endpointId: string): void {
+    this.#detector.responded(endpointId);
     const answers = this.#unproven.get(endpointId);
     if (!answers) return;
     this.#unproven.delete(endpointId);
--- a/test/quarantine/crash-detector_test.ts
+++ b/test/quarantine/crash-detector_test.ts
@@ -98,6 +98,14 @@
     ]);
   });
 
+  it('takes a process that responds under the same identity for one that has started again', async () => {
+    await detector.diagnose(broken('r'));
+    check.isUp = true;
+    expect(await detector.hasEnded(broken('r'))).toBe(true);
+    detector.responded('i-1');
+    expect(await detector.hasEnded(broken('r'))).toBe(false);
+  });
+
   it('holds no requests against an end that came long after', async () => {
     check.isUp = true;
     await detector.diagnose(broken('r'));
