Hold back no part of sound prompts: weigh answers of before, and the age of reports

Four causes, each with a test that failed before or a case of its own now: - two parts at the same ends were told apart by chance at the fifth end, 165 ms after the first; parts that answers came whole on before now take five ends and 2.5 s, in which those of sound requests are cleared, and others go first - a report in a sample counted from its receipt: one that had been in the store for 12 s counted as new, and a daemon that had just started knew no answers of that time; reports count from their sample's time, and none from before a daemon's start - requests that broke while their endpoint went on were held against its end seconds later - reports of ends whose cause is known were still passed on

The soak now asks the store after each run whether a part other than the deadly one is held back, and looks at sound prompts by their first part.

--- a/bench/soak/caller.ts
+++ b/bench/soak/caller.ts
@@ -90,9 +90,11 @@
 
   #send(gateway: GatewayProcess, kind: CallKind): Promise<CallEnd> {
     const requestId = `${this.#options.name}-${++this.#count}`;
+    const promptHeaders = kind === CallKind.Prompt ? this.#promptHeaders() : {};
     const sent = {
       requestId,
       kind,
+      firstPart: promptHeaders[headers.promptPrefix]?.split(':', 1)[0],
       gateway: gateway.options.name,
       gatewayRun: gateway.run,
       sentAtMs: Date.now(),
@@ -120,7 +122,7 @@
             authorization: `Bearer ${callerKey}`,
             [headers.requestId]: requestId,
             [headers.deadlineMs]: String(patienceMs),
-            ...(kind === CallKind.Prompt ? this.#promptHeaders() : {}),
+            ...promptHeaders,
           },
         },
         (answer) => {
--- a/bench/soak/ledger.ts
+++ b/bench/soak/ledger.ts
@@ -18,6 +18,8 @@
 export interface CallEnd {
   readonly requestId: string;
   readonly kind: CallKind;
+  /** First part of its prompt, which other prompts share; undefined when it has none. */
+  readonly firstPart: string | undefined;
   readonly gateway: string;
   /** Run of the gateway's process when the call was sent. */
   readonly gatewayRun: number;
--- a/bench/soak/run-soak.ts
+++ b/bench/soak/run-soak.ts
@@ -1,5 +1,9 @@
 import { setTimeout as sleep } from 'node:timers/promises';
+import { topics } from '../../platform/names.js';
+import { deadlyPart } from '../../platform/standins/endpoint-server.js';
+import { StoreClient } from '../../platform/store-client.js';
 import { Random } from '../../src/core/index.js';
+import { QuarantineAdmin } from '../../src/quarantine/quarantine-admin.js';
 import { playFaults } from './fault-script.js';
 import { CallKind } from './ledger.js';
 import { promises } from './promises.js';
@@ -31,12 +35,17 @@
     await world.start();
     await playFaults(world, random.fork(), Date.now() + lengthMs);
     const lost = await unservedKinds(world);
+    const wrong = await soundQuarantines(world);
     const broken = [...promises].flatMap(([name, check]) =>
       check(ledger).map((line) => `${name}: ${line}`),
     );
     return {
       seed,
-      broken: [...broken, ...lost.map((kind) => `recovery: no ${kind} call is served`)],
+      broken: [
+        ...broken,
+        ...lost.map((kind) => `recovery: no ${kind} call is served`),
+        ...wrong.map((parts) => `nothing sound is held back: ${parts}`),
+      ],
       calls: ledger.ends.length,
       served: ledger.ends.filter(({ status, isWhole }) => status === 200 && isWhole).length,
       crashes: ledger.crashesAtMs.length,
@@ -48,6 +57,15 @@
   }
 }
 
+/** Parts of prompts that are held back at the end although no endpoint ends under them. */
+async function soundQuarantines({ store }: SoakWorld): Promise<string[]> {
+  const client = new StoreClient({ host: '127.0.0.1', port: store.port });
+  const entries = await new QuarantineAdmin(client, topics.duties).list();
+  return entries
+    .filter(({ partIds }) => !partIds.includes(deadlyPart))
+    .map(({ partIds }) => partIds.join(', '));
+}
+
 /** Waits until each kind of call is served again. @returns the kinds that are not. */
 async function unservedKinds({ ledger }: SoakWorld): Promise<CallKind[]> {
   const sinceMs = Date.now();
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -152,8 +152,8 @@
       content: () => this.#sampleContent(),
       periodMs: () => this.#peers.intervals.samplePeriodMs,
       onEarlierRun: ({ usage }) => this.#counter.merge(usage),
-      onCrashes: (reports) => {
-        this.#guard.receiveReports(reports);
+      onCrashes: (reports, sampledAtMs) => {
+        this.#guard.receiveReports(reports, sampledAtMs);
       },
     });
     this.#peers = new PeerExchange({
--- a/src/membership/daemon-samples.ts
+++ b/src/membership/daemon-samples.ts
@@ -83,8 +83,8 @@
   readonly periodMs: () => number;
   /** Called with the last sample of an earlier run of this daemon, before it is replaced. */
   readonly onEarlierRun?: (sample: DaemonSample) => void;
-  /** Called with the crash reports of another daemon's new sample. */
-  readonly onCrashes?: (reports: readonly CrashMessage[]) => void;
+  /** Called with the crash reports of another daemon's new sample, and the time of that sample. */
+  readonly onCrashes?: (reports: readonly CrashMessage[], sampledAtMs: number) => void;
 }
 
 interface ReceivedSample {
@@ -362,6 +362,6 @@
     this.#received.set(key, { sample, receivedAtMs, heartbeatAtMs });
     if (sample.daemon === daemon) return;
     this.#mergeCounts(sample);
-    if (sample.crashes.length > 0) this.#options.onCrashes?.(sample.crashes);
+    if (sample.crashes.length > 0) this.#options.onCrashes?.(sample.crashes, sample.sampledAtMs);
   }
 }
--- a/src/quarantine/crash-detector.ts
+++ b/src/quarantine/crash-detector.ts
@@ -73,6 +73,9 @@
 /** Endpoints may break many answers without ending; each is asked once in this time at most. */
 const minCheckIntervalMs = 500;
 
+/** A response that was under way when the endpoint ended comes within this time. */
+const responseDelayMs = 250;
+
 /** An endpoint that proves to have ended within this time after a connection broke ended then. */
 const confirmationMs = 10_000;
 
@@ -136,7 +139,7 @@
         requestId,
         partIds,
         sentAtMs,
-        endedAtMs: pending.brokenAtMs,
+        endedAtMs: nowMs,
       });
     }
     return !hasWrittenLong;
@@ -149,12 +152,18 @@
     if (!pending) return;
     this.#pending.delete(endpointId);
     if (pending.brokenAtMs + confirmationMs < this.#options.clock.nowMs()) return;
-    this.#options.onCrash(endpointId, pending.reports);
+    const endedAtMs = pending.brokenAtMs;
+    const reports = pending.reports.map((report) => ({ ...report, endedAtMs }));
+    this.#options.onCrash(endpointId, reports);
   }
 
-  /** The endpoint responded: its process has started again under the same identity. */
+  /**
+   * The endpoint responded, so that what broke a while before did not break with it; or its process
+   * has started again under the same identity.
+   */
   responded(endpointId: string): void {
     this.#ended.delete(endpointId);
+    this.#forgetReports(endpointId, this.#options.clock.nowMs() - responseDelayMs);
   }
 
   #ask({ endpointId, baseUrl }: BrokenRequest): Promise<boolean> {
@@ -174,13 +183,26 @@
     try {
       const isListening = await check.isListening(baseUrl, clock.nowMs() + checkTimeoutMs);
       if (isListening) this.#listenedAtMs.set(endpointId, clock.nowMs());
-      else this.confirm(endpointId);
+      else {
+        // What broke before it last listened did not break with this end.
+        this.#forgetReports(endpointId, this.#listenedAtMs.get(endpointId) ?? -Infinity);
+        this.confirm(endpointId);
+      }
       return !isListening;
     } finally {
       this.#checks.delete(endpointId);
     }
   }
 
+  #forgetReports(endpointId: string, beforeMs: number): void {
+    const pending = this.#pending.get(endpointId);
+    if (!pending) return;
+    const reports = pending.reports.filter(({ endedAtMs }) => endedAtMs > beforeMs);
+    const [first] = reports;
+    if (first) this.#pending.set(endpointId, { brokenAtMs: first.endedAtMs, reports });
+    else if (pending.brokenAtMs <= beforeMs) this.#pending.delete(endpointId);
+  }
+
   #forgetBefore(sinceMs: number): void {
     for (const [endpointId, { brokenAtMs }] of this.#pending) {
       if (brokenAtMs < sinceMs) this.#pending.delete(endpointId);
--- a/src/quarantine/crash-evidence.ts
+++ b/src/quarantine/crash-evidence.ts
@@ -12,8 +12,13 @@
 const minEnds = 3;
 const minRequests = 2;
 
-/** Ends after which the cause is named although another part fits as well. */
-const maxAmbiguousEnds = 5;
+/**
+ * Ends after which a part is named although another one fits as well, or although answers with it
+ * came whole before; and the time since the first of them, in which parts of sound requests are
+ * cleared by further answers.
+ */
+const minUnclearEnds = 5;
+const unclearMs = 2_500;
 
 /** Endpoints that end within this time of each other may have one cause outside of any prompt. */
 const sameEventMs = 250;
@@ -42,6 +47,18 @@
   readonly requestIds: Set<string>;
 }
 
+/** A part with enough held against it. */
+interface Candidate {
+  readonly partId: string;
+  /** Parts that each request with this one held too, itself included. */
+  readonly group: readonly string[];
+  /** Endpoints that ended under it. */
+  readonly ends: readonly string[];
+  readonly firstEndAtMs: number;
+  /** Whether an answer with it came whole at some time. */
+  readonly wasAnswered: boolean;
+}
+
 /** What is held against a part, by endpoint. */
 type PartEvidence = Map<string, EndOfPart>;
 
@@ -105,6 +122,16 @@
     return partIds.some((partId) => this.#suspects.has(partId));
   }
 
+  /** Whether the cause of an end is known. */
+  isExplained(endpointId: string): boolean {
+    return this.#explainedEnds.has(endpointId);
+  }
+
+  /** Whether anything is held against any part. */
+  get hasSuspects(): boolean {
+    return this.#suspects.size > 0;
+  }
+
   /** Takes an end whose cause is known off the evidence, also for reports that are still to come. */
   explain(endpointId: string): void {
     this.#explainedEnds.set(endpointId, true);
@@ -122,26 +149,53 @@
   causes(nowMs: number): CrashCause[] {
     this.#forgetBefore(nowMs - windowMs);
     const causes: CrashCause[] = [];
-    for (let cause = this.#nextCause(); cause; cause = this.#nextCause()) causes.push(cause);
-    return causes;
+    for (;;) {
+      const cause = this.#nextCause(nowMs);
+      if (!cause) return causes;
+      causes.push(cause);
+    }
   }
 
-  #nextCause(): CrashCause | undefined {
+  #nextCause(nowMs: number): CrashCause | undefined {
     const candidates = [...this.#suspects.keys()]
       .filter((partId) => this.#isCandidate(partId))
-      .map((partId) => ({ partId, group: this.#companions(partId), ends: this.#endsOf(partId) }))
-      // The most specific explanation first, then the one that explains most.
-      .sort((a, b) => b.group.length - a.group.length || b.ends.length - a.ends.length);
-    const found = candidates.find(({ group, ends }) => {
-      if (ends.length >= maxAmbiguousEnds) return true;
-      const rivals = candidates.filter(({ partId }) => !group.includes(partId));
-      return !rivals.some((rival) => ends.every((end) => rival.ends.includes(end)));
-    });
+      .map((partId) => this.#candidate(partId))
+      // Parts that no answer came whole on first, then the most specific explanation, then the one
+      // that explains most.
+      .sort(
+        (a, b) =>
+          Number(a.wasAnswered) - Number(b.wasAnswered) ||
+          b.group.length - a.group.length ||
+          b.ends.length - a.ends.length,
+      );
+    const found = candidates.find((candidate) => this.#isClear(candidate, candidates, nowMs));
     if (!found) return undefined;
     for (const endpointId of found.ends) this.explain(endpointId);
     return { partIds: found.group.toSorted(), ends: found.ends.length };
   }
 
+  #candidate(partId: string): Candidate {
+    const evidence = [...(this.#suspects.peek(partId)?.values() ?? [])];
+    return {
+      partId,
+      group: this.#companions(partId),
+      ends: this.#endsOf(partId),
+      firstEndAtMs: Math.min(...evidence.map(({ endedAtMs }) => endedAtMs)),
+      wasAnswered: this.#answeredAtMs.has(partId),
+    };
+  }
+
+  /** Whether a part is the cause, or would have been cleared by now if it was not. */
+  #isClear(candidate: Candidate, candidates: readonly Candidate[], nowMs: number): boolean {
+    const { group, ends, firstEndAtMs, wasAnswered } = candidate;
+    if (ends.length >= minUnclearEnds && nowMs - firstEndAtMs >= unclearMs) return true;
+    if (wasAnswered) return false;
+    const rivals = candidates.filter(
+      (other) => !other.wasAnswered && !group.includes(other.partId),
+    );
+    return !rivals.some((rival) => ends.every((end) => rival.ends.includes(end)));
+  }
+
   #isCandidate(partId: string): boolean {
     const ends = [...(this.#suspects.peek(partId)?.values() ?? [])];
     const events = countEvents(ends);
--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -35,6 +35,9 @@
 /** A daemon without a report of its own leaves the decision to those that have one, at first. */
 const otherDecisionDelayMs = 600;
 
+/** Time between two decisions while parts are under suspicion. */
+const decisionPeriodMs = 1_000;
+
 /** Messages are sent twice, as datagrams may be lost. */
 const repeatDelayMs = 300;
 
@@ -48,6 +51,9 @@
 const sampledReportsMs = 12_000;
 const maxSampledReports = 8;
 
+/** Reports that took longer say nothing that is still needed. */
+const maxReportAgeMs = 20_000;
+
 /** Bounds of the memory, as callers choose the ids of parts. */
 const maxAnsweredParts = 8_192;
 const maxToldParts = 2_048;
@@ -96,6 +102,7 @@
   readonly #unproven = new LRUCache<string, readonly UnprovenAnswer[]>({
     max: maxUnprovenEndpoints,
   });
+  readonly #startedAtMs: number;
   #ownReports: readonly CrashReport[] = [];
   /** Entries that this daemon changed, and is to store. */
   readonly #ownKeys = new Set<string>();
@@ -108,6 +115,7 @@
   constructor(options: PromptGuardOptions) {
     this.#options = options;
     const { clock, events, metrics, check } = options;
+    this.#startedAtMs = clock.nowMs();
     this.#detector = new CrashDetector({
       check,
       clock,
@@ -214,12 +222,22 @@
     const nowMs = this.#options.clock.nowMs();
     return this.#ownReports
       .filter(({ endedAtMs }) => endedAtMs > nowMs - sampledReportsMs)
+      .filter(({ endpointId }) => !this.#evidence.isExplained(endpointId))
       .map((report) => crashMessage(report, nowMs));
   }
 
-  /** Applies the reports of another daemon's sample. */
-  receiveReports(reports: readonly CrashMessage[]): void {
-    for (const crash of reports) this.receive({ crash });
+  /**
+   * Applies the reports of another daemon's sample.
+   *
+   * @param sampledAtMs - time of the sample on that daemon's clock, in epoch milliseconds. It may have
+   *   been in the store for long.
+   */
+  receiveReports(reports: readonly CrashMessage[], sampledAtMs: number): void {
+    const nowMs = this.#options.clock.nowMs();
+    for (const message of reports) {
+      const report = crashReport(message, Math.min(nowMs, sampledAtMs));
+      if (report.endedAtMs > nowMs - maxReportAgeMs) this.#receiveCrash(report);
+    }
   }
 
   /** Stores what the store does not hold yet, and starts trials that are due. */
@@ -292,6 +310,8 @@
   }
 
   #addEvidence(report: CrashReport): void {
+    // Of the time before its start, a daemon knows no answers that would clear the innocent.
+    if (report.endedAtMs < this.#startedAtMs) return;
     if (this.#quarantine.match(report.partIds)) this.#evidence.explain(report.endpointId);
     else this.#evidence.add(report);
   }
@@ -310,6 +330,8 @@
 
   #decide(): void {
     const nowMs = this.#options.clock.nowMs();
+    // What is unclear now may be clear later, also without a further end.
+    if (this.#evidence.hasSuspects) this.#scheduleDecision(decisionPeriodMs);
     for (const { partIds, ends } of this.#evidence.causes(nowMs)) {
       const entry = this.#quarantine.begin(partIds, ends, nowMs);
       if (entry) this.#change(entry, EntrySource.Evidence);
--- a/test/quarantine/crash-detector_test.ts
+++ b/test/quarantine/crash-detector_test.ts
@@ -106,6 +106,24 @@
     expect(await detector.hasEnded(broken('r'))).toBe(false);
   });
 
+  it('holds no requests against an end that broke while the endpoint went on', async () => {
+    check.isUp = true;
+    await detector.diagnose(broken('garbled'));
+    await clock.advance(1_000);
+    check.isUp = false;
+    await detector.diagnose(broken('crashed'));
+    expect(reports.map(({ requestId }) => requestId)).toEqual(['crashed']);
+  });
+
+  it('holds no requests against an end that broke before the endpoint last responded', async () => {
+    check.isUp = true;
+    await detector.diagnose(broken('garbled'));
+    await clock.advance(1_000);
+    detector.responded('i-1');
+    detector.confirm('i-1');
+    expect(reports).toEqual([]);
+  });
+
   it('holds no requests against an end that came long after', async () => {
     check.isUp = true;
     await detector.diagnose(broken('r'));
--- a/test/quarantine/prompt-guard_test.ts
+++ b/test/quarantine/prompt-guard_test.ts
@@ -120,6 +120,22 @@
     }
   });
 
+  describe('a daemon that starts', () => {
+    it('takes no old report in a sample for a new one, and holds back nothing sound by it', async () => {
+      await start({ daemons: 1 });
+      const guard = fleet.guards[0]!;
+      const startedAtMs = fleet.clock.nowMs() - 3_000;
+      // Reports of ends before its start, in samples that were stored then and are read only now.
+      for (let at = 0; at < 6; at++) {
+        const ids = { endpointId: `i-${at}`, requestId: `r${at}`, partIds: ['shared'] };
+        const crash = { ...ids, ageMs: 500, sentAgeMs: 600 };
+        guard.receiveReports([crash], startedAtMs - 8_000 + at * 1_000);
+      }
+      await fleet.clock.advance(5_000);
+      expect(fleet.heldBackAt('shared')).toBe(0);
+    });
+  });
+
   it('exchanges ids that callers chose without bounds as far as others accept them', async () => {
     await start();
     const parts = Array.from({ length: 100 }, (_, at) => `p${at}`);
