Name all parts that fit equally well once time is up, and suspect answered ones last

When five endpoints ended under two parts that could not be told apart, one of the two was chosen by chance; if wrong, three more endpoints had to end. Both are held back now; a part that answers came whole on before is named only if no other part was at most of its ends. A refused connection counts against what broke since the endpoint last listened only, whoever met it.

The tests failed before: one part named instead of two; a shared part named beside one that was at four of five ends.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -305,7 +305,7 @@
       metrics,
     });
     this.#known.registry.onRetire((endpointId) => {
-      guard.endpointEnded(endpointId);
+      guard.endpointRetired(endpointId);
     });
     return guard;
   }
--- a/src/gateway/relayed-request.ts
+++ b/src/gateway/relayed-request.ts
@@ -116,7 +116,7 @@
   }
 
   override refused(view: EndpointView): void {
-    this.#options.guard.endpointEnded(view.id);
+    this.#options.guard.endpointRefused(view.id);
   }
 
   override began(): void {
--- a/src/quarantine/crash-detector.ts
+++ b/src/quarantine/crash-detector.ts
@@ -145,7 +145,13 @@
     return !hasWrittenLong;
   }
 
-  /** The endpoint has proved to have ended: it refuses connections, or its registration ended. */
+  /** The endpoint refused a connection; what broke before it last listened did not break then. */
+  refused(endpointId: string): void {
+    this.#forgetReports(endpointId, this.#listenedAtMs.get(endpointId) ?? -Infinity);
+    this.confirm(endpointId);
+  }
+
+  /** The endpoint has proved to have ended, as its registration has, since the first break. */
   confirm(endpointId: string): void {
     this.#ended.set(endpointId, true);
     const pending = this.#pending.get(endpointId);
@@ -183,11 +189,7 @@
     try {
       const isListening = await check.isListening(baseUrl, clock.nowMs() + checkTimeoutMs);
       if (isListening) this.#listenedAtMs.set(endpointId, clock.nowMs());
-      else {
-        // What broke before it last listened did not break with this end.
-        this.#forgetReports(endpointId, this.#listenedAtMs.get(endpointId) ?? -Infinity);
-        this.confirm(endpointId);
-      }
+      else this.refused(endpointId);
       return !isListening;
     } finally {
       this.#checks.delete(endpointId);
--- a/src/quarantine/crash-evidence.ts
+++ b/src/quarantine/crash-evidence.ts
@@ -67,7 +67,8 @@
  * were in progress there, most of them innocent; one endpoint's end proves nothing. A part is the
  * cause when several endpoints ended, one after the other and under different requests with it, and
  * no answer with it has come whole since: a part that crashes endpoints lets none come whole, while
- * those of other requests do.
+ * those of other requests do. Parts that answers came whole on before are suspected last: they may
+ * have turned deadly with new weights, but most of them are bystanders that will be cleared soon.
  *
  * @example
  * ```ts
@@ -150,28 +151,35 @@
     this.#forgetBefore(nowMs - windowMs);
     const causes: CrashCause[] = [];
     for (;;) {
-      const cause = this.#nextCause(nowMs);
-      if (!cause) return causes;
-      causes.push(cause);
+      const found = this.#nextCauses(nowMs);
+      if (found.length === 0) return causes;
+      causes.push(...found);
     }
   }
 
-  #nextCause(nowMs: number): CrashCause | undefined {
+  /** The next cause, or those that fit equally well and were not told apart in time. */
+  #nextCauses(nowMs: number): CrashCause[] {
     const candidates = [...this.#suspects.keys()]
       .filter((partId) => this.#isCandidate(partId))
       .map((partId) => this.#candidate(partId))
-      // Parts that no answer came whole on first, then the most specific explanation, then the one
-      // that explains most.
-      .sort(
-        (a, b) =>
-          Number(a.wasAnswered) - Number(b.wasAnswered) ||
-          b.group.length - a.group.length ||
-          b.ends.length - a.ends.length,
-      );
-    const found = candidates.find((candidate) => this.#isClear(candidate, candidates, nowMs));
-    if (!found) return undefined;
-    for (const endpointId of found.ends) this.explain(endpointId);
-    return { partIds: found.group.toSorted(), ends: found.ends.length };
+      // The most specific explanation first, then the one that explains most.
+      .sort((a, b) => b.group.length - a.group.length || b.ends.length - a.ends.length);
+    const unanswered = candidates.filter(({ wasAnswered }) => !wasAnswered);
+    const clear = unanswered.find((candidate) => rivalsOf(candidate, unanswered).length === 0);
+    if (clear) return this.#name([clear]);
+    const due = candidates.filter((candidate) => isOverdue(candidate, nowMs));
+    const found = due.find(({ wasAnswered }) => !wasAnswered);
+    if (found) return this.#name([found, ...rivalsOf(found, unanswered)]);
+    const answered = due.find(
+      (candidate) => !unanswered.some((other) => explains(other, candidate)),
+    );
+    return answered ? this.#name([answered]) : [];
+  }
+
+  /** Takes the ends that the causes explain off the evidence. */
+  #name(causes: readonly Candidate[]): CrashCause[] {
+    for (const { ends } of causes) for (const endpointId of ends) this.explain(endpointId);
+    return causes.map(({ group, ends }) => ({ partIds: group.toSorted(), ends: ends.length }));
   }
 
   #candidate(partId: string): Candidate {
@@ -185,17 +193,6 @@
     };
   }
 
-  /** Whether a part is the cause, or would have been cleared by now if it was not. */
-  #isClear(candidate: Candidate, candidates: readonly Candidate[], nowMs: number): boolean {
-    const { group, ends, firstEndAtMs, wasAnswered } = candidate;
-    if (ends.length >= minUnclearEnds && nowMs - firstEndAtMs >= unclearMs) return true;
-    if (wasAnswered) return false;
-    const rivals = candidates.filter(
-      (other) => !other.wasAnswered && !group.includes(other.partId),
-    );
-    return !rivals.some((rival) => ends.every((end) => rival.ends.includes(end)));
-  }
-
   #isCandidate(partId: string): boolean {
     const ends = [...(this.#suspects.peek(partId)?.values() ?? [])];
     const events = countEvents(ends);
@@ -237,6 +234,23 @@
   }
 }
 
+/** Other parts at all ends of a candidate, in other requests. */
+function rivalsOf({ group, ends }: Candidate, candidates: readonly Candidate[]): Candidate[] {
+  return candidates
+    .filter(({ partId }) => !group.includes(partId))
+    .filter((rival) => ends.every((end) => rival.ends.includes(end)));
+}
+
+/** Whether a sound part would have been cleared by now. */
+function isOverdue({ ends, firstEndAtMs }: Candidate, nowMs: number): boolean {
+  return ends.length >= minUnclearEnds && nowMs - firstEndAtMs >= unclearMs;
+}
+
+/** Whether a part was there at most of the ends of another one. */
+function explains({ ends }: Candidate, other: Candidate): boolean {
+  return other.ends.filter((end) => ends.includes(end)).length * 2 > other.ends.length;
+}
+
 /**
  * Number of separate events, as ends shortly after each other may be one. A request that was sent
  * after an end met an endpoint that had outlived whatever caused that end.
--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -198,8 +198,14 @@
     for (const { partIds, answeredAtMs } of answers) this.#answered(partIds, answeredAtMs);
   }
 
-  /** An endpoint refused a connection, or its registration ended. */
-  endpointEnded(endpointId: string): void {
+  /** An endpoint refused a connection. */
+  endpointRefused(endpointId: string): void {
+    this.#unproven.delete(endpointId);
+    this.#detector.refused(endpointId);
+  }
+
+  /** The registration of an endpoint ended, or a later start replaced it. */
+  endpointRetired(endpointId: string): void {
     this.#unproven.delete(endpointId);
     this.#detector.confirm(endpointId);
   }
--- a/test/quarantine/crash-evidence_test.ts
+++ b/test/quarantine/crash-evidence_test.ts
@@ -126,7 +126,9 @@
         counts.push(partsOfCauses(evidence, end * 600 + 1).length);
       }
       expect(counts).toEqual([0, 0, 0, 0, 0]);
-      expect(partsOfCauses(evidence, 2_600)).not.toEqual([]);
+      // Neither can be told from the other, and more endpoints would end.
+      const causes = partsOfCauses(evidence, 2_600);
+      expect(causes.flat().toSorted()).toEqual(['bystander', 'dead']);
     });
 
     it('that answers came whole on before, however fast endpoints end beside it', () => {
@@ -144,6 +146,18 @@
       expect(partsOfCauses(evidence, 300)).toEqual([['dead']]);
     });
 
+    it('that answers came whole on before, while another part fits as well but is not clear yet', () => {
+      const evidence = new CrashEvidence();
+      evidence.recordAnswer(['shared'], startAtMs - 500);
+      for (let end = 0; end < 5; end++) {
+        evidence.add(crash(`i-${end}`, end * 700, `a${end}`, 'shared'));
+        if (end === 0) continue;
+        evidence.add(crash(`i-${end}`, end * 700, `b${end}`, 'dead'));
+        evidence.add(crash(`i-${end}`, end * 700, `c${end}`, 'bystander'));
+      }
+      expect(partsOfCauses(evidence, 3_000)).toEqual([]);
+    });
+
     it('that was at ends which another part explains, also when reports come twice', () => {
       const evidence = new CrashEvidence();
       const reports = [0, 1, 2].map((end) => crash(`i-${end}`, end * 600, `r${end}`, 'dead'));
--- a/test/quarantine/guard-fleet.ts
+++ b/test/quarantine/guard-fleet.ts
@@ -113,7 +113,7 @@
       guard.answerMayBeCut(broken);
       // The next registration there ends that of the one before.
       await clock.sleepUntil(clock.nowMs() + this.#options.restartMs + registrationMs);
-      for (const other of this.guards) other.endpointEnded(broken.endpointId);
+      for (const other of this.guards) other.endpointRetired(broken.endpointId);
       return;
     }
     const other = { ...broken, requestId: `${requestId}-bystander`, partIds: bystander ?? [] };
