--- a/src/quarantine/quarantine-admin.ts
+++ b/src/quarantine/quarantine-admin.ts
@@ -17,7 +17,7 @@
   async list(): Promise<QuarantineEntry[]> {
     const { records } = await this.#log.newest(this.#topic);
     return records
-      .flatMap(({ key, value }) => decodeQuarantineRecord(key, value) ?? [])
+      .flatMap((record) => decodeQuarantineRecord(record) ?? [])
       .filter(({ isReleased }) => !isReleased);
   }
 
--- a/src/quarantine/quarantine-records.ts
+++ b/src/quarantine/quarantine-records.ts
@@ -1,8 +1,12 @@
-import type { Clock } from '../core/index.js';
-import { LogRefusedError, LogUnavailableError, type KeyedLog } from '../log/index.js';
+import { hash32, type Clock } from '../core/index.js';
+import {
+  LogRefusedError,
+  LogUnavailableError,
+  type KeyedLog,
+  type KeyedRecord,
+} from '../log/index.js';
 import { decodeKeyedJson, encodeKeyedJson } from '../log/keyed-json.js';
 import type { KeyedReplica } from '../log/keyed-replica.js';
-import { hash32 } from '../core/index.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
 import { quarantineEntrySchema, quarantineKey, type QuarantineEntry } from './quarantine-entry.js';
 
@@ -14,12 +18,14 @@
   return `${keyPrefix}${hash32(quarantineKey(entry.partIds), 0).toString(16)}`;
 }
 
-/** Decodes a record of the topic; undefined when it is not about a quarantine. */
-export function decodeQuarantineRecord(
-  key: string,
-  value: Uint8Array | undefined,
-): QuarantineEntry | undefined {
-  if (!key.startsWith(keyPrefix)) return undefined;
+/** Whether a record of the topic is about a quarantine. */
+function isQuarantineRecord(key: string): boolean {
+  return key.startsWith(keyPrefix);
+}
+
+/** Decodes a record of the topic; undefined when it is not about a quarantine, or not readable. */
+export function decodeQuarantineRecord({ key, value }: KeyedRecord): QuarantineEntry | undefined {
+  if (!isQuarantineRecord(key)) return undefined;
   return decodeKeyedJson(value, quarantineEntrySchema);
 }
 
@@ -56,9 +62,12 @@
 
   constructor(options: QuarantineRecordsOptions) {
     this.#options = options;
-    options.replica.onRecord(({ key, value }) => {
-      const entry = decodeQuarantineRecord(key, value);
-      if (!entry) return;
+    options.replica.onRecord((record) => {
+      const entry = decodeQuarantineRecord(record);
+      if (!entry) {
+        this.#reportUnreadable(record);
+        return;
+      }
       this.#storedVersions.set(quarantineKey(entry.partIds), entry.version);
       options.onEntry(entry);
     });
@@ -101,4 +110,12 @@
       return false;
     }
   }
+
+  #reportUnreadable({ key, value, offset }: KeyedRecord): void {
+    if (!isQuarantineRecord(key) || !value) return;
+    this.#options.events.warn(EventId.QuarantineUnreadable, 'unreadable quarantine ignored', {
+      key,
+      offset,
+    });
+  }
 }
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -60,6 +60,7 @@
   QuarantineLifted = 503,
   QuarantineTrial = 504,
   QuarantineNotStored = 505,
+  QuarantineUnreadable = 506,
 
   // 6xx capacity
   ControlLeaseTaken = 601,
