Bound the records of quarantines in the store, and let versions rise with time

Each verdict left a record for good, which each starting daemon would read. The holder of the duties removes what is no longer kept; a later quarantine of the same parts begins above the version of a forgotten one, which others may know.

The test has 70 verdicts; the store keeps 64 at most.

--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -255,7 +255,9 @@
     );
     await this.#records.storeMissing(entries);
     if (!isHolder) this.#trialKey = undefined;
-    if (!isHolder || this.#trialKey !== undefined) return;
+    if (!isHolder) return;
+    await this.#records.removeOthers(this.#quarantine.entries);
+    if (this.#trialKey !== undefined) return;
     for (const entry of this.#quarantine.active) {
       const trial = this.#quarantine.nextTrial(entry, clock.nowMs());
       if (trial) await this.#startTrial(trial);
--- a/src/quarantine/prompt-quarantine.ts
+++ b/src/quarantine/prompt-quarantine.ts
@@ -7,6 +7,9 @@
 const firstTrialDelayMs = 300_000;
 const trialDelayFactor = 4;
 
+/** Versions rise at least by one in this time from one quarantine of the same parts to the next. */
+const versionPeriodMs = 1_000;
+
 /** Requests that are let through in all; each may cost an endpoint. */
 const maxTrials = 3;
 
@@ -53,7 +56,9 @@
   /** Entry that puts parts under quarantine from now on; undefined when they already are. */
   begin(partIds: readonly string[], ends: number, nowMs: number): QuarantineEntry | undefined {
     if (this.match(partIds)) return undefined;
-    const version = (this.#entries.get(quarantineKey(partIds))?.version ?? 0) + 1;
+    const knownVersion = this.#entries.get(quarantineKey(partIds))?.version ?? 0;
+    // Above those of an earlier quarantine that this daemon has forgotten and others may know.
+    const version = Math.max(knownVersion + 1, Math.floor(nowMs / versionPeriodMs));
     const nextTrialAtMs = nowMs + firstTrialDelayMs;
     return { partIds: [...partIds], version, ends, isReleased: false, trials: 0, nextTrialAtMs };
   }
--- a/src/quarantine/quarantine-records.ts
+++ b/src/quarantine/quarantine-records.ts
@@ -57,6 +57,8 @@
   readonly #options: QuarantineRecordsOptions;
   /** Version of each entry that the store is known to hold. */
   readonly #storedVersions = new Map<string, number>();
+  /** Key of the record of each entry in the store. */
+  readonly #recordKeys = new Map<string, string>();
   /** Time of the last append of an entry that the store did not show yet, by key. */
   readonly #appendedAtMs = new Map<string, number>();
 
@@ -69,6 +71,7 @@
         return;
       }
       this.#storedVersions.set(quarantineKey(entry.partIds), entry.version);
+      this.#recordKeys.set(quarantineKey(entry.partIds), record.key);
       options.onEntry(entry);
     });
   }
@@ -93,6 +96,31 @@
     for (const entry of missing) await this.store(entry);
   }
 
+  /** Removes the records of entries that are none of `entries`, so that they stay bounded. */
+  async removeOthers(entries: readonly QuarantineEntry[]): Promise<void> {
+    const { log, topic } = this.#options;
+    const kept = new Set(entries.map(({ partIds }) => quarantineKey(partIds)));
+    const others = [...this.#recordKeys].filter(([key]) => !kept.has(key));
+    if (others.length === 0) return;
+    try {
+      await log.appendAll(
+        topic,
+        others.map(([, recordKey]) => ({ key: recordKey, value: undefined })),
+      );
+    } catch (error) {
+      if (!(error instanceof LogUnavailableError || error instanceof LogRefusedError)) throw error;
+      this.#options.events.debug(EventId.AppendRetried, 'old quarantines not removed yet', {
+        stream: topic,
+        reason: error.message,
+      });
+      return;
+    }
+    for (const [key] of others) {
+      this.#recordKeys.delete(key);
+      this.#storedVersions.delete(key);
+    }
+  }
+
   /** Stores an entry. @returns whether it is known to be stored. */
   async store(entry: QuarantineEntry): Promise<boolean> {
     const { log, topic, clock, events } = this.#options;
--- a/test/quarantine/prompt-guard_test.ts
+++ b/test/quarantine/prompt-guard_test.ts
@@ -195,6 +195,22 @@
     expect(fleet.endsAtMs.length).toBe(ends + 1);
   });
 
+  it('keeps a bounded number of records in the store, which each daemon reads at its start', async () => {
+    await start();
+    for (let part = 0; part < 70; part++) {
+      for (let end = 0; end < 3; end++) {
+        void fleet.sendDeadly(`dead${part}`);
+        await fleet.clock.advance(400);
+      }
+      for (let at = 0; at < 4; at++) fleet.answer(`first${at}`, 'sound');
+    }
+    await fleet.clock.advance(10_000);
+    const { records } = await fleet.log.newest('duties');
+    expect(fleet.heldBackAt('dead69')).toBe(7);
+    expect(records.length).toBeGreaterThan(10);
+    expect(records.length).toBeLessThanOrEqual(64);
+  });
+
   it('ends everywhere when an answer comes whole after all', async () => {
     await start();
     await play(5_000);
