--- a/src/gateway/relayed-request.ts
+++ b/src/gateway/relayed-request.ts
@@ -204,7 +204,7 @@
     // The end of a process that is leaving has nothing to do with its requests.
     const isStaying = placement.mayTake(view.id);
     if (result.end === AttemptEnd.Delivered) {
-      if (result.isFramed) guard.answered(this.#partIds);
+      if (result.isFramed) guard.answered(request);
       else if (isStaying) guard.answerMayBeCut(request);
     }
     if (result.end !== AttemptEnd.Broken || !result.wasSent || !isStaying)
--- a/src/quarantine/crash-evidence.ts
+++ b/src/quarantine/crash-evidence.ts
@@ -6,6 +6,8 @@
   readonly partIds: readonly string[];
   /** Endpoints that ended under it. */
   readonly ends: number;
+  /** Epoch milliseconds. */
+  readonly firstEndAtMs: number;
 }
 
 /** Separate ends of endpoints, and requests, after which a part counts as their cause. */
@@ -179,7 +181,9 @@
   /** Takes the ends that the causes explain off the evidence. */
   #name(causes: readonly Candidate[]): CrashCause[] {
     for (const { ends } of causes) for (const endpointId of ends) this.explain(endpointId);
-    return causes.map(({ group, ends }) => ({ partIds: group.toSorted(), ends: ends.length }));
+    return causes.map(({ group, ends, firstEndAtMs }) => {
+      return { partIds: group.toSorted(), ends: ends.length, firstEndAtMs };
+    });
   }
 
   #candidate(partId: string): Candidate {
--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -62,9 +62,11 @@
 const maxUnprovenEndpoints = 512;
 const maxUnprovenAnswers = 32;
 
-/** An answer that may have been cut by the end of its endpoint. */
-interface UnprovenAnswer {
+/** A whole answer, or one that may have been cut by the end of its endpoint. */
+interface Answer {
   readonly partIds: readonly string[];
+  /** Times of the request and of the end of its answer, in epoch milliseconds. */
+  readonly sentAtMs: number;
   readonly answeredAtMs: number;
 }
 
@@ -96,10 +98,11 @@
   readonly #evidence = new CrashEvidence();
   readonly #detector: CrashDetector;
   readonly #records: QuarantineRecords;
-  /** Last whole answer with a part at this daemon, and when it was told, in epoch milliseconds. */
-  readonly #ownAnswerAtMs = new LRUCache<string, number>({ max: maxAnsweredParts });
+  /** Last whole answer with a part at this daemon. */
+  readonly #ownAnswers = new LRUCache<string, Omit<Answer, 'partIds'>>({ max: maxAnsweredParts });
+  /** Time at which such an answer was told to the others, in epoch milliseconds. */
   readonly #answerToldAtMs = new LRUCache<string, number>({ max: maxToldParts });
-  readonly #unproven = new LRUCache<string, readonly UnprovenAnswer[]>({
+  readonly #unproven = new LRUCache<string, readonly Answer[]>({
     max: maxUnprovenEndpoints,
   });
   readonly #startedAtMs: number;
@@ -180,7 +183,8 @@
     const request = exchanged(cut);
     this.#detector.note(request);
     const { endpointId, partIds } = request;
-    const unproven = { partIds, answeredAtMs: this.#options.clock.nowMs() };
+    const { sentAtMs } = request;
+    const unproven = { partIds, sentAtMs, answeredAtMs: this.#options.clock.nowMs() };
     const isSuspected = this.#evidence.isSuspected(partIds) || this.#isHeldBack(partIds);
     if (isSuspected) void this.#proveAnswer(request, unproven);
     else if (partIds.length > 0) {
@@ -195,7 +199,7 @@
     const answers = this.#unproven.get(endpointId);
     if (!answers) return;
     this.#unproven.delete(endpointId);
-    for (const { partIds, answeredAtMs } of answers) this.#answered(partIds, answeredAtMs);
+    for (const answer of answers) this.#answered(answer);
   }
 
   /** An endpoint refused a connection. */
@@ -210,9 +214,10 @@
     this.#detector.confirm(endpointId);
   }
 
-  /** An answer came whole. */
-  answered(allPartIds: readonly string[]): void {
-    this.#answered(exchangedParts(allPartIds), this.#options.clock.nowMs());
+  /** The answer to a request came whole. */
+  answered({ partIds, sentAtMs }: Pick<BrokenRequest, 'partIds' | 'sentAtMs'>): void {
+    const answeredAtMs = this.#options.clock.nowMs();
+    this.#answered({ partIds: exchangedParts(partIds), sentAtMs, answeredAtMs });
   }
   /** Applies a message of another daemon. */
   receive({ crash, answer, entry }: QuarantineMessage): void {
@@ -250,6 +255,8 @@
   async tick(): Promise<void> {
     const { isDutyHolder, clock } = this.#options;
     const isHolder = isDutyHolder();
+    const keys = new Set(this.#quarantine.entries.map(({ partIds }) => quarantineKey(partIds)));
+    for (const key of this.#ownKeys) if (!keys.has(key)) this.#ownKeys.delete(key);
     const entries = this.#quarantine.entries.filter(
       ({ partIds }) => isHolder || this.#ownKeys.has(quarantineKey(partIds)),
     );
@@ -269,16 +276,16 @@
     this.#cancelDecision();
   }
 
-  async #proveAnswer(request: BrokenRequest, answer: UnprovenAnswer): Promise<void> {
+  async #proveAnswer(request: BrokenRequest, answer: Answer): Promise<void> {
     if (await this.#detector.hasEnded(request)) return;
-    this.#answered(answer.partIds, answer.answeredAtMs);
+    this.#answered(answer);
   }
 
-  #answered(partIds: readonly string[], answeredAtMs: number): void {
+  #answered({ partIds, sentAtMs, answeredAtMs }: Answer): void {
     if (partIds.length === 0) return;
-    for (const partId of partIds) this.#ownAnswerAtMs.set(partId, answeredAtMs);
+    for (const partId of partIds) this.#ownAnswers.set(partId, { sentAtMs, answeredAtMs });
     const suspected = this.#evidence.recordAnswer(partIds, answeredAtMs);
-    const isHeldBack = this.#narrow(partIds);
+    const isHeldBack = this.#narrow(partIds, sentAtMs);
     if (suspected.length > 0 || isHeldBack) this.#tellAnswers(partIds);
   }
 
@@ -313,8 +320,9 @@
   /** The sender may not have heard of an answer that came whole here. */
   #receiveEntry(entry: QuarantineEntry, nowMs: number): void {
     if (!this.#merge(entry, EntrySource.Peer) || entry.isReleased) return;
-    const answered = this.#answeredHereSince(entry.partIds, nowMs - contradictionMs);
-    if (answered.length > 0) this.#narrow(answered);
+    for (const partId of this.#answeredHereSince(entry.partIds, nowMs - contradictionMs)) {
+      this.#narrow([partId], this.#ownAnswers.get(partId)?.sentAtMs ?? -Infinity);
+    }
   }
 
   #addEvidence(report: CrashReport): void {
@@ -340,8 +348,8 @@
     const nowMs = this.#options.clock.nowMs();
     // What is unclear now may be clear later, also without a further end.
     if (this.#evidence.hasSuspects) this.#scheduleDecision(decisionPeriodMs);
-    for (const { partIds, ends } of this.#evidence.causes(nowMs)) {
-      const entry = this.#quarantine.begin(partIds, ends, nowMs);
+    for (const cause of this.#evidence.causes(nowMs)) {
+      const entry = this.#quarantine.begin(cause, nowMs);
       if (entry) this.#change(entry, EntrySource.Evidence);
     }
   }
@@ -352,17 +360,22 @@
     });
   }
 
-  /** Takes parts off the quarantines that they are innocent of. @returns whether there are any. */
-  #narrow(partIds: readonly string[]): boolean {
-    const wrong = this.#quarantine.active.filter((entry) =>
-      entry.partIds.some((partId) => partIds.includes(partId)),
-    );
+  /**
+   * Takes parts off the quarantines that they are innocent of, by an answer to a request that was sent
+   * after endpoints had begun to end: older ones may have begun before the part turned deadly.
+   *
+   * @returns whether there are any.
+   */
+  #narrow(partIds: readonly string[], sentAtMs: number): boolean {
+    const wrong = this.#quarantine.active
+      .filter((entry) => entry.partIds.some((partId) => partIds.includes(partId)))
+      .filter(({ firstEndAtMs }) => sentAtMs > firstEndAtMs);
     for (const entry of wrong) {
       this.#change(this.#quarantine.release(entry), EntrySource.Answer);
       const rest = entry.partIds.filter((partId) => !partIds.includes(partId));
       if (rest.length === 0) continue;
-      const nowMs = this.#options.clock.nowMs();
-      const narrower = this.#quarantine.begin(rest, entry.ends, nowMs);
+      const cause = { ...entry, partIds: rest };
+      const narrower = this.#quarantine.begin(cause, this.#options.clock.nowMs());
       if (narrower) this.#change(narrower, EntrySource.Answer);
     }
     return wrong.length > 0;
@@ -370,7 +383,9 @@
 
   /** Those of the parts on which an answer came whole at this daemon after a time. */
   #answeredHereSince(partIds: readonly string[], sinceMs: number): string[] {
-    return partIds.filter((partId) => (this.#ownAnswerAtMs.get(partId) ?? -Infinity) > sinceMs);
+    return partIds.filter((partId) => {
+      return (this.#ownAnswers.get(partId)?.answeredAtMs ?? -Infinity) > sinceMs;
+    });
   }
 
   #tellAnswers(partIds: readonly string[]): void {
@@ -380,7 +395,9 @@
     });
     if (untold.length === 0) return;
     for (const partId of untold) this.#answerToldAtMs.set(partId, nowMs);
-    const answeredAtMs = Math.min(...untold.map((id) => this.#ownAnswerAtMs.get(id) ?? nowMs));
+    const answeredAtMs = Math.min(
+      ...untold.map((partId) => this.#ownAnswers.get(partId)?.answeredAtMs ?? nowMs),
+    );
     this.#publishTwice((atMs) => ({ answer: { partIds: untold, ageMs: atMs - answeredAtMs } }));
   }
 
--- a/src/quarantine/prompt-quarantine.ts
+++ b/src/quarantine/prompt-quarantine.ts
@@ -1,3 +1,4 @@
+import type { CrashCause } from './crash-evidence.js';
 import { isNewer, quarantineKey, type QuarantineEntry } from './quarantine-entry.js';
 
 /** Bound of the memory; the oldest entry gives way. */
@@ -54,13 +55,15 @@
   }
 
   /** Entry that puts parts under quarantine from now on; undefined when they already are. */
-  begin(partIds: readonly string[], ends: number, nowMs: number): QuarantineEntry | undefined {
+  begin(cause: CrashCause, nowMs: number): QuarantineEntry | undefined {
+    const { partIds, ends, firstEndAtMs } = cause;
     if (this.match(partIds)) return undefined;
     const knownVersion = this.#entries.get(quarantineKey(partIds))?.version ?? 0;
     // Above those of an earlier quarantine that this daemon has forgotten and others may know.
     const version = Math.max(knownVersion + 1, Math.floor(nowMs / versionPeriodMs));
     const nextTrialAtMs = nowMs + firstTrialDelayMs;
-    return { partIds: [...partIds], version, ends, isReleased: false, trials: 0, nextTrialAtMs };
+    const state = { isReleased: false, trials: 0, nextTrialAtMs };
+    return { partIds: [...partIds], version, ends, firstEndAtMs, ...state };
   }
 
   /** Entry that lifts a quarantine. */
--- a/src/quarantine/quarantine-entry.ts
+++ b/src/quarantine/quarantine-entry.ts
@@ -19,6 +19,8 @@
   version: z.int().positive(),
   /** Endpoints that had ended when the quarantine began. */
   ends: z.int().nonnegative(),
+  /** The first of these ends, in epoch milliseconds on the clock of the daemon that named it. */
+  firstEndAtMs: z.number(),
   /** Whether it was lifted. */
   isReleased: z.boolean(),
   /** Requests that were let through since, to see whether endpoints still end. */
--- a/test/quarantine/guard-fleet.ts
+++ b/test/quarantine/guard-fleet.ts
@@ -131,7 +131,7 @@
   /** An answer on the parts comes whole at a random daemon. */
   answer(...partIds: string[]): void {
     const guard = this.guards[this.#random.int(0, this.guards.length - 1)]!;
-    if (!guard.admit(partIds)) guard.answered(partIds);
+    if (!guard.admit(partIds)) guard.answered({ partIds, sentAtMs: this.clock.nowMs() - 200 });
   }
 
   /** Like {@link answer}, for one that has no length and ends with its connection. */
--- a/test/quarantine/prompt-guard_test.ts
+++ b/test/quarantine/prompt-guard_test.ts
@@ -215,7 +215,11 @@
     await start();
     await play(5_000);
     expect(fleet.heldBackAt('dead')).toBe(7);
-    fleet.guards[3]!.answered(['first0', 'dead']);
+    // Begun before the first end, when the part may not have been deadly yet.
+    fleet.guards[3]!.answered({ partIds: ['first0', 'dead'], sentAtMs: fleet.endsAtMs[0]! - 100 });
+    await fleet.clock.advance(5_000);
+    expect(fleet.heldBackAt('dead')).toBe(7);
+    fleet.guards[3]!.answered({ partIds: ['first0', 'dead'], sentAtMs: fleet.endsAtMs[0]! + 500 });
     await fleet.clock.advance(5_000);
     expect(fleet.heldBackAt('dead')).toBe(0);
   });
--- a/test/quarantine/prompt-quarantine_test.ts
+++ b/test/quarantine/prompt-quarantine_test.ts
@@ -6,7 +6,7 @@
 const dayMs = 24 * 3_600_000;
 
 function begin(quarantine: PromptQuarantine, ...partIds: string[]): QuarantineEntry {
-  const entry = quarantine.begin(partIds, 3, nowMs);
+  const entry = quarantine.begin({ partIds, ends: 3, firstEndAtMs: nowMs }, nowMs);
   if (!entry) throw new Error('already under quarantine');
   quarantine.merge(entry);
   return entry;
@@ -32,8 +32,9 @@
   });
 
   it('begins above the version of an earlier quarantine that it has forgotten', () => {
-    const first = new PromptQuarantine().begin(['dead'], 3, nowMs);
-    const later = new PromptQuarantine().begin(['dead'], 3, nowMs + 60_000);
+    const cause = { partIds: ['dead'], ends: 3, firstEndAtMs: nowMs };
+    const first = new PromptQuarantine().begin(cause, nowMs);
+    const later = new PromptQuarantine().begin(cause, nowMs + 60_000);
     // The first one may have been changed by trials and lifted meanwhile.
     expect(later!.version).toBeGreaterThan(first!.version + 5);
   });
--- a/test/quarantine/quarantine-records_test.ts
+++ b/test/quarantine/quarantine-records_test.ts
@@ -12,6 +12,7 @@
   partIds: ['dead'],
   version: 1,
   ends: 3,
+  firstEndAtMs: 0,
   isReleased: false,
   trials: 0,
   nextTrialAtMs: 0,
