--- a/bench/soak/fault-script.ts
+++ b/bench/soak/fault-script.ts
@@ -1,11 +1,11 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import { deadlyPart } from '../../platform/standins/endpoint-server.js';
+import { poisonPart } from '../../platform/standins/endpoint-server.js';
 import { StoreFault } from '../../platform/standins/store-server.js';
 import type { Random } from '../../src/core/index.js';
 import { LinkFault, type FaultProxy } from './fault-proxy.js';
 import { CallKind } from './ledger.js';
 import type { SoakWorld } from './soak-world.js';
-import { deadlyIdPrefix, endpointLinkFault, ordersService } from './traffic.js';
+import { poisonIdPrefix, endpointLinkFault, ordersService } from './traffic.js';
 
 type Fault = (world: SoakWorld, random: Random) => Promise<void>;
 
@@ -97,12 +97,12 @@
   end();
 };
 
-/** Requests with one part, no two alike, at any gateway; endpoints end under each that they answer. */
-const deadlyPrompts: Fault = async (world, random) => {
+/** Requests with one part, no two alike, at any gateway; endpoints crash under each that they answer. */
+const poisonPrompts: Fault = async (world, random) => {
   const endAtMs = Date.now() + random.int(3_000, 9_000);
   const calls: Promise<unknown>[] = [];
   while (Date.now() < endAtMs) {
-    const caller = world.createCaller(`${deadlyIdPrefix}-${calls.length}-${endAtMs}`, deadlyPart);
+    const caller = world.createCaller(`${poisonIdPrefix}-${calls.length}-${endAtMs}`, poisonPart);
     calls.push(caller.call(CallKind.Prompt));
     await sleep(random.int(100, 700));
   }
@@ -125,7 +125,7 @@
   reconfigure,
   reconfigure,
   replaceEndpoint,
-  deadlyPrompts,
+  poisonPrompts,
 ];
 
 /** Brings about faults in series, some of them overlapping, until `endAtMs`; waits for their ends. */
--- a/bench/soak/ledger.ts
+++ b/bench/soak/ledger.ts
@@ -62,7 +62,7 @@
   readonly runs: EndpointRun[] = [];
   readonly ends: CallEnd[] = [];
   readonly leaves: EndpointLeave[] = [];
-  /** Times at which endpoints ended under the deadly part of a prompt, in epoch milliseconds. */
+  /** Times at which endpoints crashed under the poison part of a prompt, in epoch milliseconds. */
   readonly crashesAtMs: number[] = [];
   readonly faults: FaultSpan[] = [];
   readonly dutyCalls: DutyCall[];
--- a/bench/soak/promises.ts
+++ b/bench/soak/promises.ts
@@ -1,7 +1,7 @@
 import { paths } from '../../platform/names.js';
 import { streamEvents } from '../../platform/standins/endpoint-server.js';
 import { CallKind, isStream, type CallEnd, type Ledger } from './ledger.js';
-import { deadlyIdPrefix, endpointLinkFault, versionServices } from './traffic.js';
+import { poisonIdPrefix, endpointLinkFault, versionServices } from './traffic.js';
 
 /** Looks for broken promises; gives a line for each. */
 export type PromiseCheck = (ledger: Ledger) => string[];
@@ -20,7 +20,7 @@
 
 /** Endpoints that end under one part before its requests are counted, and how many may follow. */
 const countedCrash = 5;
-const allowedDeadlyRuns = 3;
+const allowedPoisonRuns = 3;
 
 /** Fewer calls say nothing of how often they are served. */
 const minSoundCalls = 10;
@@ -59,7 +59,7 @@
 const streamsAreInOrder: PromiseCheck = ({ ends }) =>
   ends
     .filter(({ kind, status }) => isStream(kind) && status === 200)
-    .filter(({ requestId }) => !requestId.startsWith(deadlyIdPrefix))
+    .filter(({ requestId }) => !requestId.startsWith(poisonIdPrefix))
     .flatMap(({ requestId, body, isWhole }) => {
       const whole = Array.from({ length: streamEvents }, (_, at) =>
         eventText(requestId, at + 1),
@@ -150,27 +150,27 @@
  * After five endpoints have ended under a part of a prompt, requests with it reach no more of them.
  * A gateway that was cut off or started lately may not know of it.
  */
-const deadlyPromptsAreKeptBack: PromiseCheck = (ledger) => {
+const poisonPromptsAreKeptBack: PromiseCheck = (ledger) => {
   const countedAtMs = (ledger.crashesAtMs[countedCrash - 1] ?? Infinity) + calmMs;
   const gatewayOf = new Map(ledger.ends.map(({ requestId, gateway }) => [requestId, gateway]));
   const late = ledger.runs.filter(({ requestId, atMs }) => {
-    if (!requestId.startsWith(deadlyIdPrefix) || atMs <= countedAtMs) return false;
+    if (!requestId.startsWith(poisonIdPrefix) || atMs <= countedAtMs) return false;
     const gateway = gatewayOf.get(requestId) ?? '';
     return ledger.isCalm(atMs - calmMs, atMs, (what) => {
       return what.includes(gateway) || what.startsWith('the store');
     });
   });
-  if (late.length <= allowedDeadlyRuns) return [];
+  if (late.length <= allowedPoisonRuns) return [];
   return [
-    `${late.length} deadly requests reached endpoints, the last as ${late.at(-1)?.requestId}`,
+    `${late.length} poison requests reached endpoints, the last as ${late.at(-1)?.requestId}`,
   ];
 };
 
-/** Prompts that share their first part with deadly ones are served once those are kept back. */
+/** Prompts that share their first part with poison ones are served once those are kept back. */
 const soundPromptsAreServed: PromiseCheck = (ledger) => {
   const fromMs = (ledger.crashesAtMs[0] ?? Infinity) + 2 * calmMs;
   const sound = ledger.ends.filter(({ kind, hasLeft, requestId, sentAtMs, endedAtMs }) => {
-    const isSound = kind === CallKind.Prompt && !requestId.startsWith(deadlyIdPrefix);
+    const isSound = kind === CallKind.Prompt && !requestId.startsWith(poisonIdPrefix);
     return isSound && !hasLeft && sentAtMs > fromMs && ledger.isCalm(sentAtMs - calmMs, endedAtMs);
   });
   return [...new Set(sound.map(({ firstPart }) => firstPart))].flatMap((part) => {
@@ -192,7 +192,7 @@
   ['stops cut nothing', stopsCutNothing],
   ['work ends with its caller', workEndsWithItsCaller],
   ['leaving endpoints get nothing', leavingEndpointsGetNothing],
-  ['deadly prompts are kept back', deadlyPromptsAreKeptBack],
+  ['poison prompts are kept back', poisonPromptsAreKeptBack],
   ['sound prompts are served', soundPromptsAreServed],
 ]);
 
--- a/bench/soak/run-soak.ts
+++ b/bench/soak/run-soak.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { topics } from '../../platform/names.js';
-import { deadlyPart } from '../../platform/standins/endpoint-server.js';
+import { poisonPart } from '../../platform/standins/endpoint-server.js';
 import { StoreClient } from '../../platform/store-client.js';
 import { Random } from '../../src/core/index.js';
 import { QuarantineAdmin } from '../../src/quarantine/quarantine-admin.js';
@@ -16,7 +16,7 @@
   /** Calls that ended, and those that were served. */
   readonly calls: number;
   readonly served: number;
-  /** Endpoints that ended under deadly prompts. */
+  /** Endpoints that crashed under poison prompts. */
   readonly crashes: number;
   readonly faults: readonly string[];
   /** Where the logs and settings of the processes are. */
@@ -62,7 +62,7 @@
   const client = new StoreClient({ host: '127.0.0.1', port: store.port });
   const entries = await new QuarantineAdmin(client, topics.duties).list();
   return entries
-    .filter(({ partIds }) => !partIds.includes(deadlyPart))
+    .filter(({ partIds }) => !partIds.includes(poisonPart))
     .map(({ partIds }) => partIds.join(', '));
 }
 
--- a/bench/soak/traffic.ts
+++ b/bench/soak/traffic.ts
@@ -5,11 +5,11 @@
 export const callerKey = 'soak-key';
 export const ordersService = 'orders';
 
-/** Service whose endpoints end under deadly prompts. */
+/** Service whose endpoints crash under poison prompts. */
 export const promptsService = 'prompts';
 
-/** Beginning of the ids of requests with the deadly part. */
-export const deadlyIdPrefix = 'deadly';
+/** Beginning of the ids of requests with the poison part. */
+export const poisonIdPrefix = 'poison';
 
 const firstParts = 3;
 const ownTokens = 50;
--- a/src/gateway/gateway-replicas.ts
+++ b/src/gateway/gateway-replicas.ts
@@ -179,7 +179,7 @@
     await this.#server.listen(host, port);
     this.config.start();
     this.registrations.start();
-    // Holds the quarantines too, without which a daemon would send what endpoints end under.
+    // Holds the quarantines too, without which a daemon would send what endpoints crash under.
     this.duties.start();
     void this.#startExchange();
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -297,7 +297,7 @@
         this.#peers.broadcastQuarantine(message);
       },
       isDutyHolder: () => this.#duties?.isHolder === true,
-      onEndpointEnded: (endpointId) => {
+      onEndpointCrash: (endpointId) => {
         this.#known.registry.recordFailure(endpointId, EngineFailure.ConnectionFailed);
       },
       clock,
--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -35,7 +35,7 @@
   readonly onPrefill: (report: PrefillReport) => void;
   /** Called when another daemon could not reach an endpoint. */
   readonly onSuspicion: (endpointId: string, daemon: string) => void;
-  /** Called when another daemon reports endpoints that ended, or what they ended under. */
+  /** Called when another daemon reports endpoints that crashed, or what they crashed under. */
   readonly onQuarantine: (message: QuarantineMessage) => void;
   /** The daemon from which this one reads the store; undefined when it reads the store itself. */
   readonly distributor: () => DistributorCandidate | undefined;
@@ -163,7 +163,7 @@
     this.#broadcaster.broadcastSuspicion(endpointId);
   }
 
-  /** Tells all other daemons of endpoints that ended, or of what they ended under. */
+  /** Tells all other daemons of endpoints that crashed, or of what they crashed under. */
   broadcastQuarantine(message: QuarantineMessage): void {
     this.#broadcaster.broadcastQuarantine(message);
   }
--- a/src/gateway/relayed-request.ts
+++ b/src/gateway/relayed-request.ts
@@ -29,8 +29,8 @@
  */
 const maxUnsentAttempts = 4;
 
-/** Endpoints that may end under a request before it is not sent to another one. */
-const maxEndedEndpoints = 2;
+/** Endpoints that may crash under a request before it is not sent to another one. */
+const maxCrashedEndpoints = 2;
 
 /** `retry-after` of a request that no endpoint accepted, in milliseconds. */
 const retryAfterMs = 600;
@@ -62,8 +62,8 @@
   #firstEventAtMs: number | undefined;
   #lastEventAtMs: number | undefined;
   #sentAtMs = 0;
-  /** Endpoints that ended, possibly under this request. */
-  #endedEndpoints = 0;
+  /** Endpoints that crashed, possibly under this request. */
+  #crashedEndpoints = 0;
   /** Time until which its prompt is kept from endpoints; undefined if it is not. */
   #heldBackUntilMs: number | undefined;
   #isExpired = false;
@@ -168,7 +168,7 @@
     const result = await attempt.result;
     this.#attempt = undefined;
     this.#recordResult(view, inFlightRequest, result);
-    const endedUnderIt = this.#observeEnd(view, result);
+    const crashedUnderIt = this.#observeCrash(view, result);
     if (result.end === AttemptEnd.Delivered) {
       // Only requests that needed a retry are logged; a line for each request would hide them.
       if (this.#sends + this.#unsentAttempts > 1) this.#requestLog.retried(this.#sends);
@@ -176,11 +176,11 @@
     }
     if (result.end !== AttemptEnd.Aborted) this.#requestLog.attemptFailed(result, this.#sentAtMs);
     if (!this.#mayRetry(result)) return this.#conclude(result);
-    if (await endedUnderIt) this.#endedEndpoints += 1;
+    if (await crashedUnderIt) this.#crashedEndpoints += 1;
     // Meanwhile the caller may have left, or its time may be over; both were dealt with then.
     if (this.#isOver) return false;
     return (
-      (this.#endedEndpoints < maxEndedEndpoints && this.#spendRetry(result)) ||
+      (this.#crashedEndpoints < maxCrashedEndpoints && this.#spendRetry(result)) ||
       this.#conclude(result)
     );
   }
@@ -188,9 +188,9 @@
   /**
    * Tells the guard of prompts how an attempt ended.
    *
-   * @returns whether its endpoint has ended, possibly under this request.
+   * @returns whether its endpoint has crashed, possibly under this request.
    */
-  #observeEnd(view: EndpointView, result: AttemptResult): Promise<boolean> {
+  #observeCrash(view: EndpointView, result: AttemptResult): Promise<boolean> {
     const { guard, placement } = this.#options;
     const request: BrokenRequest = {
       endpointId: view.id,
@@ -308,9 +308,9 @@
     return !wasSent || retries.trySpend(this.#admitted.service.name, clock.nowMs());
   }
 
-  /** Ends a request whose prompt has parts under which endpoints end. */
+  /** Ends a request whose prompt has parts under which endpoints crash. */
   #holdBack({ partIds, nextTrialAtMs }: QuarantineEntry): void {
-    this.#lastReason = `endpoints end under parts of its prompt: ${partIds.join(', ')}`;
+    this.#lastReason = `endpoints crash under parts of its prompt: ${partIds.join(', ')}`;
     this.#heldBackUntilMs = nextTrialAtMs;
     this.#giveUp();
   }
--- a/src/gateway/request-admission.ts
+++ b/src/gateway/request-admission.ts
@@ -87,7 +87,7 @@
   #checkPrompt({ promptParts }: RequestDescription): void {
     const entry = this.#options.guard.find(sharedPartsOf(promptParts).map(({ id }) => id));
     if (!entry) return;
-    const message = `endpoints end under parts of its prompt: ${entry.partIds.join(', ')}`;
+    const message = `endpoints crash under parts of its prompt: ${entry.partIds.join(', ')}`;
     throw refusal(503, message, entry.nextTrialAtMs);
   }
 
--- a/src/membership/broadcast-message.ts
+++ b/src/membership/broadcast-message.ts
@@ -68,7 +68,7 @@
   return [BroadcastKind.Suspicion, endpointId, daemon];
 }
 
-/** Message of `daemon` about endpoints that ended, and the prompts that they ended under. */
+/** Message of `daemon` about endpoints that crashed, and the prompts that they crashed under. */
 export function quarantineBroadcast(daemon: string, content: QuarantineMessage): BroadcastMessage {
   return [BroadcastKind.Quarantine, content, daemon];
 }
--- a/src/membership/daemon-samples.ts
+++ b/src/membership/daemon-samples.ts
@@ -40,7 +40,7 @@
   capacityCores: z.number().nonnegative().default(0),
   /** Requests started, by usage window and workspace. */
   usage: z.array(z.tuple([z.int(), countsSchema])),
-  /** Its latest reports of endpoints that ended. */
+  /** Its latest reports of endpoints that crashed. */
   crashes: z.array(crashMessageSchema).catch([]),
   /** Whether the daemon is stopping. */
   isLeaving: z.boolean(),
--- a/src/membership/peer-broadcaster.ts
+++ b/src/membership/peer-broadcaster.ts
@@ -32,7 +32,7 @@
   readonly onGrants: (report: GrantReport) => void;
   /** Called when another daemon could not reach an endpoint. */
   readonly onSuspicion: (endpointId: string, daemon: string) => void;
-  /** Called when another daemon reports endpoints that ended, or what they ended under. */
+  /** Called when another daemon reports endpoints that crashed, or what they crashed under. */
   readonly onQuarantine: (message: QuarantineMessage) => void;
   readonly clock: Clock;
   readonly events: EventLog;
@@ -99,7 +99,7 @@
     this.#relay.publish(suspicionMessage(this.#options.daemon, endpointId));
   }
 
-  /** Tells all peers of endpoints that ended, or of what they ended under. */
+  /** Tells all peers of endpoints that crashed, or of what they crashed under. */
   broadcastQuarantine(message: QuarantineMessage): void {
     this.#relay.publish(quarantineBroadcast(this.#options.daemon, message));
   }
--- a/src/quarantine/crash-detector.ts
+++ b/src/quarantine/crash-detector.ts
@@ -43,7 +43,7 @@
   }
 }
 
-/** A request whose connection to an endpoint ended before its answer was whole. */
+/** A request whose connection to an endpoint crashed before its answer was whole. */
 export interface BrokenRequest {
   readonly endpointId: string;
   readonly baseUrl: string;
@@ -60,11 +60,11 @@
 export interface CrashDetectorOptions {
   readonly check: ListenCheck;
   readonly clock: Clock;
-  /** Called when an endpoint has ended, with the requests that may be the cause. */
+  /** Called when an endpoint has crashed, with the requests that may be the cause. */
   readonly onCrash: (endpointId: string, reports: readonly CrashReport[]) => void;
 }
 
-/** Endpoints end as they begin to write; one that has written for longer ended for another cause. */
+/** Endpoints crash as they begin to write; one that has written for longer crashed for another cause. */
 const maxWritingMs = 1_000;
 
 /** Time for a new connection; a refusal comes within a round trip. */
@@ -73,33 +73,33 @@
 /** Endpoints may break many answers without ending; each is asked once in this time at most. */
 const minCheckIntervalMs = 500;
 
-/** A response that was under way when the endpoint ended comes within this time. */
+/** A response that was under way when the endpoint crashed comes within this time. */
 const responseDelayMs = 250;
 
-/** An endpoint that proves to have ended within this time after a connection broke ended then. */
+/** An endpoint that proves to have crashed within this time after a connection broke did so then. */
 const confirmationMs = 10_000;
 
-/** Requests that are reported of one end, and ends that wait for their confirmation. */
+/** Requests that are reported of one crash, and crashes that wait for their confirmation. */
 const maxReports = 16;
-const maxPendingEnds = 512;
+const maxPendingCrashes = 512;
 
-/** Broken requests of one endpoint that have no proof of its end yet. */
-interface PendingEnd {
+/** Broken requests of one endpoint that have no proof of its crash yet. */
+interface PendingCrash {
   readonly brokenAtMs: number;
   readonly reports: CrashReport[];
 }
 
 /**
- * Tells the end of an endpoint's process from the loss of a connection to it: a broken connection is
- * the end only if the address then refuses new ones, or if the endpoint's registration ends soon.
+ * Tells the crash of an endpoint from the loss of a connection to it: a broken connection is a crash
+ * only if the address then refuses new ones, or if the endpoint's registration ends soon.
  */
 export class CrashDetector {
   readonly #options: CrashDetectorOptions;
-  readonly #pending = new Map<string, PendingEnd>();
-  readonly #ended = new LRUCache<string, true>({ max: maxPendingEnds });
+  readonly #pending = new Map<string, PendingCrash>();
+  readonly #crashed = new LRUCache<string, true>({ max: maxPendingCrashes });
   readonly #checks = new Map<string, Promise<boolean>>();
   /** Time at which an endpoint was last found to listen, in epoch milliseconds. */
-  readonly #listenedAtMs = new LRUCache<string, number>({ max: maxPendingEnds });
+  readonly #listenedAtMs = new LRUCache<string, number>({ max: maxPendingCrashes });
 
   constructor(options: CrashDetectorOptions) {
     this.#options = options;
@@ -108,29 +108,29 @@
   /**
    * Notes a broken request and asks the endpoint.
    *
-   * @returns whether the endpoint has ended and may have done so under this request.
+   * @returns whether the endpoint has crashed and may have done so under this request.
    */
   async diagnose(request: BrokenRequest): Promise<boolean> {
     const mayBeCause = this.note(request);
     return (await this.#ask(request)) && mayBeCause;
   }
 
-  /** Whether an endpoint has ended, which is asked unless it is known. */
-  async hasEnded(request: BrokenRequest): Promise<boolean> {
-    return this.#ended.has(request.endpointId) || this.#ask(request);
+  /** Whether an endpoint has crashed, which is asked unless it is known. */
+  async hasCrashed(request: BrokenRequest): Promise<boolean> {
+    return this.#crashed.has(request.endpointId) || this.#ask(request);
   }
 
   /**
    * Notes a request that broke, if at all, without asking the endpoint.
    *
-   * @returns whether the endpoint may have ended under it, if it has ended.
+   * @returns whether the endpoint may have crashed under it, if it has crashed.
    */
   note(request: BrokenRequest): boolean {
     const { endpointId, requestId, partIds, sentAtMs } = request;
     const nowMs = this.#options.clock.nowMs();
     this.#forgetBefore(nowMs - confirmationMs);
     const pending = this.#pending.get(endpointId) ?? { brokenAtMs: nowMs, reports: [] };
-    if (this.#pending.size < maxPendingEnds) this.#pending.set(endpointId, pending);
+    if (this.#pending.size < maxPendingCrashes) this.#pending.set(endpointId, pending);
     const { firstEventAtMs = 0, lastEventAtMs = 0 } = request;
     const hasWrittenLong = lastEventAtMs - firstEventAtMs > maxWritingMs;
     if (!hasWrittenLong && partIds.length > 0 && pending.reports.length < maxReports) {
@@ -139,7 +139,7 @@
         requestId,
         partIds,
         sentAtMs,
-        endedAtMs: nowMs,
+        crashedAtMs: nowMs,
       });
     }
     return !hasWrittenLong;
@@ -151,15 +151,15 @@
     this.confirm(endpointId);
   }
 
-  /** The endpoint has proved to have ended, as its registration has, since the first break. */
+  /** The endpoint has crashed, as its registration has ended since the first break. */
   confirm(endpointId: string): void {
-    this.#ended.set(endpointId, true);
+    this.#crashed.set(endpointId, true);
     const pending = this.#pending.get(endpointId);
     if (!pending) return;
     this.#pending.delete(endpointId);
     if (pending.brokenAtMs + confirmationMs < this.#options.clock.nowMs()) return;
-    const endedAtMs = pending.brokenAtMs;
-    const reports = pending.reports.map((report) => ({ ...report, endedAtMs }));
+    const crashedAtMs = pending.brokenAtMs;
+    const reports = pending.reports.map((report) => ({ ...report, crashedAtMs }));
     this.#options.onCrash(endpointId, reports);
   }
 
@@ -168,7 +168,7 @@
    * has started again under the same identity.
    */
   responded(endpointId: string): void {
-    this.#ended.delete(endpointId);
+    this.#crashed.delete(endpointId);
     this.#forgetReports(endpointId, this.#options.clock.nowMs() - responseDelayMs);
   }
 
@@ -199,9 +199,9 @@
   #forgetReports(endpointId: string, beforeMs: number): void {
     const pending = this.#pending.get(endpointId);
     if (!pending) return;
-    const reports = pending.reports.filter(({ endedAtMs }) => endedAtMs > beforeMs);
+    const reports = pending.reports.filter(({ crashedAtMs }) => crashedAtMs > beforeMs);
     const [first] = reports;
-    if (first) this.#pending.set(endpointId, { brokenAtMs: first.endedAtMs, reports });
+    if (first) this.#pending.set(endpointId, { brokenAtMs: first.crashedAtMs, reports });
     else if (pending.brokenAtMs <= beforeMs) this.#pending.delete(endpointId);
   }
 
--- a/src/quarantine/crash-evidence.ts
+++ b/src/quarantine/crash-evidence.ts
@@ -1,17 +1,17 @@
 import { LRUCache } from 'lru-cache';
 import type { CrashReport } from './crash-report.js';
 
-/** Parts of prompts that can be told apart neither by the endpoints' ends nor by answers. */
+/** Parts of prompts that can be told apart neither by the endpoints' crashes nor by answers. */
 export interface CrashCause {
   readonly partIds: readonly string[];
-  /** Endpoints that ended under it. */
-  readonly ends: number;
+  /** Endpoints that crashed under it. */
+  readonly crashes: number;
   /** Epoch milliseconds. */
-  readonly firstEndAtMs: number;
+  readonly firstCrashAtMs: number;
 }
 
-/** Separate ends of endpoints, and requests, after which a part counts as their cause. */
-const minEnds = 3;
+/** Separate crashes of endpoints, and requests, after which a part counts as their cause. */
+const minCrashes = 3;
 const minRequests = 2;
 
 /**
@@ -19,13 +19,13 @@
  * came whole before; and the time since the first of them, in which parts of sound requests are
  * cleared by further answers.
  */
-const minUnclearEnds = 5;
+const minUnclearCrashes = 5;
 const unclearMs = 2_500;
 
-/** Endpoints that end within this time of each other may have one cause outside of any prompt. */
+/** Endpoints that crash within this time of each other may have one cause outside of any prompt. */
 const sameEventMs = 250;
 
-/** A part that was there at fewer of the ends in its time is not what endpoints end under. */
+/** A part that was there at fewer of the crashes in its time is not what endpoints crash under. */
 const minExplainedRatio = 1 / 3;
 
 /** Ends that are further back count no more. */
@@ -34,18 +34,18 @@
 /** Bounds of the memory, as callers choose the ids of parts. */
 const maxSuspectParts = 2_048;
 const maxAnsweredParts = 16_384;
-const maxEndsOfPart = 16;
-const maxEnds = 1_024;
+const maxCrashesOfPart = 16;
+const maxCrashes = 1_024;
 
-/** End of an endpoint. */
-interface End {
-  readonly endedAtMs: number;
+/** Crash of an endpoint. */
+interface Crash {
+  readonly crashedAtMs: number;
   /** Time at which the latest request there was sent, in epoch milliseconds. */
   readonly sentAtMs: number;
 }
 
-/** Requests with a part at one endpoint when it ended. */
-interface EndOfPart extends End {
+/** Requests with a part at one endpoint when it crashed. */
+interface CrashWithPart extends Crash {
   readonly requestIds: Set<string>;
 }
 
@@ -54,23 +54,23 @@
   readonly partId: string;
   /** Parts that each request with this one held too, itself included. */
   readonly group: readonly string[];
-  /** Endpoints that ended under it. */
-  readonly ends: readonly string[];
-  readonly firstEndAtMs: number;
+  /** Endpoints that crashed under it. */
+  readonly crashes: readonly string[];
+  readonly firstCrashAtMs: number;
   /** Whether an answer with it came whole at some time. */
   readonly wasAnswered: boolean;
 }
 
 /** What is held against a part, by endpoint. */
-type PartEvidence = Map<string, EndOfPart>;
+type PartEvidence = Map<string, CrashWithPart>;
 
 /**
- * Finds the parts of prompts under which endpoints end. An end names the parts of all requests that
- * were in progress there, most of them innocent; one endpoint's end proves nothing. A part is the
- * cause when several endpoints ended, one after the other and under different requests with it, and
+ * Finds the parts of prompts under which endpoints crash. A crash names the parts of all requests that
+ * were in progress there, most of them innocent; one endpoint's crash proves nothing. A part is the
+ * cause when several endpoints crashed, one after the other and under different requests with it, and
  * no answer with it has come whole since: a part that crashes endpoints lets none come whole, while
  * those of other requests do. Parts that answers came whole on before are suspected last: they may
- * have turned deadly with new weights, but most of them are bystanders that will be cleared soon.
+ * have become poison with new weights, but most of them are bystanders that will be cleared soon.
  *
  * @example
  * ```ts
@@ -82,27 +82,30 @@
   readonly #suspects = new LRUCache<string, PartEvidence>({ max: maxSuspectParts });
   /** Time of the last whole answer with a part, in epoch milliseconds. */
   readonly #answeredAtMs = new LRUCache<string, number>({ max: maxAnsweredParts });
-  readonly #ends = new LRUCache<string, End>({ max: maxEnds });
+  readonly #crashes = new LRUCache<string, Crash>({ max: maxCrashes });
   /** Ends of which the cause is known; they are held against no other part. */
-  readonly #explainedEnds = new LRUCache<string, true>({ max: maxEnds });
+  readonly #explainedCrashes = new LRUCache<string, true>({ max: maxCrashes });
 
   /** Adds a report of this or another daemon; the same one may come more than once. */
-  add({ endpointId, requestId, partIds, sentAtMs, endedAtMs }: CrashReport): void {
-    if (partIds.length === 0 || this.#explainedEnds.has(endpointId)) return;
-    this.#ends.set(endpointId, laterSent(this.#ends.get(endpointId), { sentAtMs, endedAtMs }));
+  add({ endpointId, requestId, partIds, sentAtMs, crashedAtMs }: CrashReport): void {
+    if (partIds.length === 0 || this.#explainedCrashes.has(endpointId)) return;
+    this.#crashes.set(
+      endpointId,
+      laterSent(this.#crashes.get(endpointId), { sentAtMs, crashedAtMs }),
+    );
     for (const partId of partIds) {
-      if ((this.#answeredAtMs.get(partId) ?? -Infinity) > endedAtMs) continue;
-      const evidence = this.#suspects.get(partId) ?? new Map<string, EndOfPart>();
+      if ((this.#answeredAtMs.get(partId) ?? -Infinity) > crashedAtMs) continue;
+      const evidence = this.#suspects.get(partId) ?? new Map<string, CrashWithPart>();
       const known = evidence.get(endpointId);
       const requestIds = new Set([...(known?.requestIds ?? []), requestId]);
-      if (known || evidence.size < maxEndsOfPart)
-        evidence.set(endpointId, { ...laterSent(known, { sentAtMs, endedAtMs }), requestIds });
+      if (known || evidence.size < maxCrashesOfPart)
+        evidence.set(endpointId, { ...laterSent(known, { sentAtMs, crashedAtMs }), requestIds });
       this.#suspects.set(partId, evidence);
     }
   }
 
   /**
-   * Records an answer that came whole, which clears the parts of its prompt of the ends before it.
+   * Records an answer that came whole, which clears the parts of its prompt of the crashes before it.
    *
    * @returns the parts that were under suspicion here.
    */
@@ -112,8 +115,8 @@
       this.#answeredAtMs.set(partId, Math.max(knownAtMs, answeredAtMs));
       const evidence = this.#suspects.get(partId);
       if (!evidence) return false;
-      for (const [endpointId, { endedAtMs }] of evidence) {
-        if (endedAtMs < answeredAtMs) evidence.delete(endpointId);
+      for (const [endpointId, { crashedAtMs }] of evidence) {
+        if (crashedAtMs < answeredAtMs) evidence.delete(endpointId);
       }
       if (evidence.size === 0) this.#suspects.delete(partId);
       return true;
@@ -125,9 +128,9 @@
     return partIds.some((partId) => this.#suspects.has(partId));
   }
 
-  /** Whether the cause of an end is known. */
+  /** Whether the cause of a crash is known. */
   isExplained(endpointId: string): boolean {
-    return this.#explainedEnds.has(endpointId);
+    return this.#explainedCrashes.has(endpointId);
   }
 
   /** Whether anything is held against any part. */
@@ -135,10 +138,10 @@
     return this.#suspects.size > 0;
   }
 
-  /** Takes an end whose cause is known off the evidence, also for reports that are still to come. */
+  /** Takes a crash whose cause is known off the evidence, also for reports that are still to come. */
   explain(endpointId: string): void {
-    this.#explainedEnds.set(endpointId, true);
-    this.#ends.delete(endpointId);
+    this.#explainedCrashes.set(endpointId, true);
+    this.#crashes.delete(endpointId);
     for (const [partId, evidence] of [...this.#suspects.entries()]) {
       evidence.delete(endpointId);
       if (evidence.size === 0) this.#suspects.delete(partId);
@@ -146,7 +149,7 @@
   }
 
   /**
-   * Names the causes that the evidence shows now, and takes the ends that each explains off the
+   * Names the causes that the evidence shows now, and takes the crashes that each explains off the
    * evidence against other parts.
    */
   causes(nowMs: number): CrashCause[] {
@@ -165,7 +168,7 @@
       .filter((partId) => this.#isCandidate(partId))
       .map((partId) => this.#candidate(partId))
       // The most specific explanation first, then the one that explains most.
-      .sort((a, b) => b.group.length - a.group.length || b.ends.length - a.ends.length);
+      .sort((a, b) => b.group.length - a.group.length || b.crashes.length - a.crashes.length);
     const unanswered = candidates.filter(({ wasAnswered }) => !wasAnswered);
     const clear = unanswered.find((candidate) => rivalsOf(candidate, unanswered).length === 0);
     if (clear) return this.#name([clear]);
@@ -178,11 +181,11 @@
     return answered ? this.#name([answered]) : [];
   }
 
-  /** Takes the ends that the causes explain off the evidence. */
+  /** Takes the crashes that the causes explain off the evidence. */
   #name(causes: readonly Candidate[]): CrashCause[] {
-    for (const { ends } of causes) for (const endpointId of ends) this.explain(endpointId);
-    return causes.map(({ group, ends, firstEndAtMs }) => {
-      return { partIds: group.toSorted(), ends: ends.length, firstEndAtMs };
+    for (const { crashes } of causes) for (const endpointId of crashes) this.explain(endpointId);
+    return causes.map(({ group, crashes, firstCrashAtMs }) => {
+      return { partIds: group.toSorted(), crashes: crashes.length, firstCrashAtMs };
     });
   }
 
@@ -191,18 +194,20 @@
     return {
       partId,
       group: this.#companions(partId),
-      ends: this.#endsOf(partId),
-      firstEndAtMs: Math.min(...evidence.map(({ endedAtMs }) => endedAtMs)),
+      crashes: this.#crashesOf(partId),
+      firstCrashAtMs: Math.min(...evidence.map(({ crashedAtMs }) => crashedAtMs)),
       wasAnswered: this.#answeredAtMs.has(partId),
     };
   }
 
   #isCandidate(partId: string): boolean {
-    const ends = [...(this.#suspects.peek(partId)?.values() ?? [])];
-    const events = countEvents(ends);
-    if (events < minEnds || this.#requests(partId).size < minRequests) return false;
-    const firstAtMs = Math.min(...ends.map(({ endedAtMs }) => endedAtMs));
-    const allEnds = [...this.#ends.values()].filter(({ endedAtMs }) => endedAtMs >= firstAtMs);
+    const crashes = [...(this.#suspects.peek(partId)?.values() ?? [])];
+    const events = countEvents(crashes);
+    if (events < minCrashes || this.#requests(partId).size < minRequests) return false;
+    const firstAtMs = Math.min(...crashes.map(({ crashedAtMs }) => crashedAtMs));
+    const allEnds = [...this.#crashes.values()].filter(
+      ({ crashedAtMs }) => crashedAtMs >= firstAtMs,
+    );
     return events >= countEvents(allEnds) * minExplainedRatio;
   }
 
@@ -215,63 +220,68 @@
     });
   }
 
-  /** Endpoints that ended while a request with the part was in progress. */
-  #endsOf(partId: string): string[] {
+  /** Endpoints that crashed while a request with the part was in progress. */
+  #crashesOf(partId: string): string[] {
     return [...(this.#suspects.peek(partId)?.keys() ?? [])];
   }
 
   #requests(partId: string): Set<string> {
-    const ends = [...(this.#suspects.peek(partId)?.values() ?? [])];
-    return new Set(ends.flatMap(({ requestIds }) => [...requestIds]));
+    const crashes = [...(this.#suspects.peek(partId)?.values() ?? [])];
+    return new Set(crashes.flatMap(({ requestIds }) => [...requestIds]));
   }
 
   #forgetBefore(sinceMs: number): void {
-    for (const [endpointId, { endedAtMs }] of [...this.#ends.entries()]) {
-      if (endedAtMs < sinceMs) this.#ends.delete(endpointId);
+    for (const [endpointId, { crashedAtMs }] of [...this.#crashes.entries()]) {
+      if (crashedAtMs < sinceMs) this.#crashes.delete(endpointId);
     }
     for (const [partId, evidence] of [...this.#suspects.entries()]) {
-      for (const [endpointId, { endedAtMs }] of evidence) {
-        if (endedAtMs < sinceMs) evidence.delete(endpointId);
+      for (const [endpointId, { crashedAtMs }] of evidence) {
+        if (crashedAtMs < sinceMs) evidence.delete(endpointId);
       }
       if (evidence.size === 0) this.#suspects.delete(partId);
     }
   }
 }
 
-/** Other parts at all ends of a candidate, in other requests. */
-function rivalsOf({ group, ends }: Candidate, candidates: readonly Candidate[]): Candidate[] {
+/** Other parts at all crashes of a candidate, in other requests. */
+function rivalsOf({ group, crashes }: Candidate, candidates: readonly Candidate[]): Candidate[] {
   return candidates
     .filter(({ partId }) => !group.includes(partId))
-    .filter((rival) => ends.every((end) => rival.ends.includes(end)));
+    .filter((rival) => crashes.every((endpointId) => rival.crashes.includes(endpointId)));
 }
 
 /** Whether a sound part would have been cleared by now. */
-function isOverdue({ ends, firstEndAtMs }: Candidate, nowMs: number): boolean {
-  return ends.length >= minUnclearEnds && nowMs - firstEndAtMs >= unclearMs;
+function isOverdue({ crashes, firstCrashAtMs }: Candidate, nowMs: number): boolean {
+  return crashes.length >= minUnclearCrashes && nowMs - firstCrashAtMs >= unclearMs;
 }
 
-/** Whether a part was there at most of the ends of another one. */
-function explains({ ends }: Candidate, other: Candidate): boolean {
-  return other.ends.filter((end) => ends.includes(end)).length * 2 > other.ends.length;
+/** Whether a part was there at most of the crashes of another one. */
+function explains({ crashes }: Candidate, other: Candidate): boolean {
+  return (
+    other.crashes.filter((endpointId) => crashes.includes(endpointId)).length * 2 >
+    other.crashes.length
+  );
 }
 
 /**
- * Number of separate events, as ends shortly after each other may be one. A request that was sent
- * after an end met an endpoint that had outlived whatever caused that end.
+ * Number of separate events, as crashes shortly after each other may be one. A request that was sent
+ * after a crash met an endpoint that had outlived whatever caused that crash.
  */
-function countEvents(ends: readonly End[]): number {
+function countEvents(crashes: readonly Crash[]): number {
   let events = 0;
   let eventAtMs = -Infinity;
-  for (const { sentAtMs, endedAtMs } of ends.toSorted((a, b) => a.endedAtMs - b.endedAtMs)) {
-    if (endedAtMs - eventAtMs <= sameEventMs && sentAtMs <= eventAtMs) continue;
+  for (const { sentAtMs, crashedAtMs } of crashes.toSorted(
+    (a, b) => a.crashedAtMs - b.crashedAtMs,
+  )) {
+    if (crashedAtMs - eventAtMs <= sameEventMs && sentAtMs <= eventAtMs) continue;
     events += 1;
-    eventAtMs = endedAtMs;
+    eventAtMs = crashedAtMs;
   }
   return events;
 }
 
-/** An end with the time of the later of two requests. */
-function laterSent(known: End | undefined, end: End): End {
-  const sentAtMs = Math.max(known?.sentAtMs ?? -Infinity, end.sentAtMs);
-  return { endedAtMs: known?.endedAtMs ?? end.endedAtMs, sentAtMs };
+/** A crash with the time of the later of two requests. */
+function laterSent(known: Crash | undefined, crash: Crash): Crash {
+  const sentAtMs = Math.max(known?.sentAtMs ?? -Infinity, crash.sentAtMs);
+  return { crashedAtMs: known?.crashedAtMs ?? crash.crashedAtMs, sentAtMs };
 }
--- a/src/quarantine/crash-report.ts
+++ b/src/quarantine/crash-report.ts
@@ -1,4 +1,4 @@
-/** A request that was in progress at an endpoint when the endpoint ended. */
+/** A request that was in progress at an endpoint when the endpoint crashed. */
 export interface CrashReport {
   readonly endpointId: string;
   readonly requestId: string;
@@ -7,5 +7,5 @@
   /** Time at which it was sent, on this daemon's clock, in epoch milliseconds. */
   readonly sentAtMs: number;
   /** End of the endpoint on this daemon's clock, in epoch milliseconds. */
-  readonly endedAtMs: number;
+  readonly crashedAtMs: number;
 }
--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -22,8 +22,8 @@
   readonly publish: (message: QuarantineMessage) => void;
   /** Whether this daemon alone may act for all. */
   readonly isDutyHolder: () => boolean;
-  /** Called when an endpoint has ended. */
-  readonly onEndpointEnded: (endpointId: string) => void;
+  /** Called when an endpoint has crashed. */
+  readonly onEndpointCrash: (endpointId: string) => void;
   readonly clock: Clock;
   readonly events: EventLog;
   readonly metrics: Metrics;
@@ -62,7 +62,7 @@
 const maxUnprovenEndpoints = 512;
 const maxUnprovenAnswers = 32;
 
-/** A whole answer, or one that may have been cut by the end of its endpoint. */
+/** A whole answer, or one that may have been cut by the crash of its endpoint. */
 interface Answer {
   readonly partIds: readonly string[];
   /** Times of the request and of the end of its answer, in epoch milliseconds. */
@@ -80,8 +80,8 @@
 }
 
 /**
- * Keeps prompts with a part under which endpoints end, one after the other, from endpoints. All
- * daemons exchange which requests were in progress when an endpoint ended and on which parts
+ * Keeps prompts with a part under which endpoints crash, one after the other, from endpoints. All
+ * daemons exchange which requests were in progress when an endpoint crashed and on which parts
  * answers came whole; each names the cause by the same evidence, and the store keeps it for
  * daemons that start. A quarantine ends when an answer comes whole after all, by a trial of the
  * daemon that holds the duties, or by an operator.
@@ -123,12 +123,12 @@
       check,
       clock,
       onCrash: (endpointId, reports) => {
-        events.warn(EventId.EndpointCrashed, 'endpoint ended while it had requests', {
+        events.warn(EventId.EndpointCrashed, 'endpoint crashed while it had requests', {
           endpoint: endpointId,
           requestIds: reports.map(({ requestId }) => requestId),
         });
         metrics.count('gateway_endpoint_crashes', 1);
-        options.onEndpointEnded(endpointId);
+        options.onEndpointCrash(endpointId);
         for (const report of reports) this.#reportCrash(report);
       },
     });
@@ -168,14 +168,14 @@
   /**
    * A connection broke before its answer was whole.
    *
-   * @returns whether its endpoint has ended and may have done so under this request.
+   * @returns whether its endpoint has crashed and may have done so under this request.
    */
   requestBroke(request: BrokenRequest): Promise<boolean> {
     return this.#detector.diagnose(exchanged(request));
   }
 
   /**
-   * An answer ended in a way that an ending process can cause too. It counts as whole once its
+   * An answer ended in a way that a crashing process can cause too. It counts as whole once its
    * endpoint proves to have gone on: by a later response, or, if a part of the prompt is under
    * suspicion, by accepting a connection.
    */
@@ -208,7 +208,7 @@
     this.#detector.refused(endpointId);
   }
 
-  /** The registration of an endpoint ended, or a later start replaced it. */
+  /** The registration of an endpoint crashed, or a later start replaced it. */
   endpointRetired(endpointId: string): void {
     this.#unproven.delete(endpointId);
     this.#detector.confirm(endpointId);
@@ -232,7 +232,7 @@
   recentReports(): CrashMessage[] {
     const nowMs = this.#options.clock.nowMs();
     return this.#ownReports
-      .filter(({ endedAtMs }) => endedAtMs > nowMs - sampledReportsMs)
+      .filter(({ crashedAtMs }) => crashedAtMs > nowMs - sampledReportsMs)
       .filter(({ endpointId }) => !this.#evidence.isExplained(endpointId))
       .map((report) => crashMessage(report, nowMs));
   }
@@ -247,7 +247,7 @@
     const nowMs = this.#options.clock.nowMs();
     for (const message of reports) {
       const report = crashReport(message, Math.min(nowMs, sampledAtMs));
-      if (report.endedAtMs > nowMs - maxReportAgeMs) this.#receiveCrash(report);
+      if (report.crashedAtMs > nowMs - maxReportAgeMs) this.#receiveCrash(report);
     }
   }
 
@@ -277,7 +277,7 @@
   }
 
   async #proveAnswer(request: BrokenRequest, answer: Answer): Promise<void> {
-    if (await this.#detector.hasEnded(request)) return;
+    if (await this.#detector.hasCrashed(request)) return;
     this.#answered(answer);
   }
 
@@ -312,7 +312,7 @@
   }
 
   #receiveCrash(report: CrashReport): void {
-    this.#tellAnswers(this.#answeredHereSince(report.partIds, report.endedAtMs));
+    this.#tellAnswers(this.#answeredHereSince(report.partIds, report.crashedAtMs));
     this.#addEvidence(report);
     this.#scheduleDecision(otherDecisionDelayMs);
   }
@@ -327,7 +327,7 @@
 
   #addEvidence(report: CrashReport): void {
     // Of the time before its start, a daemon knows no answers that would clear the innocent.
-    if (report.endedAtMs < this.#startedAtMs) return;
+    if (report.crashedAtMs < this.#startedAtMs) return;
     if (this.#quarantine.match(report.partIds)) this.#evidence.explain(report.endpointId);
     else this.#evidence.add(report);
   }
@@ -346,7 +346,7 @@
 
   #decide(): void {
     const nowMs = this.#options.clock.nowMs();
-    // What is unclear now may be clear later, also without a further end.
+    // What is unclear now may be clear later, also without a further crash.
     if (this.#evidence.hasSuspects) this.#scheduleDecision(decisionPeriodMs);
     for (const cause of this.#evidence.causes(nowMs)) {
       const entry = this.#quarantine.begin(cause, nowMs);
@@ -362,14 +362,14 @@
 
   /**
    * Takes parts off the quarantines that they are innocent of, by an answer to a request that was sent
-   * after endpoints had begun to end: older ones may have begun before the part turned deadly.
+   * after endpoints had begun to crash: older ones may have begun before the part became poison.
    *
    * @returns whether there are any.
    */
   #narrow(partIds: readonly string[], sentAtMs: number): boolean {
     const wrong = this.#quarantine.active
       .filter((entry) => entry.partIds.some((partId) => partIds.includes(partId)))
-      .filter(({ firstEndAtMs }) => sentAtMs > firstEndAtMs);
+      .filter(({ firstCrashAtMs }) => sentAtMs > firstCrashAtMs);
     for (const entry of wrong) {
       this.#change(this.#quarantine.release(entry), EntrySource.Answer);
       const rest = entry.partIds.filter((partId) => !partIds.includes(partId));
@@ -411,12 +411,12 @@
 
   #merge(entry: QuarantineEntry, source: EntrySource): boolean {
     if (!this.#quarantine.merge(entry)) return false;
-    const { partIds, version, ends, isReleased, trials } = entry;
+    const { partIds, version, crashes, isReleased, trials } = entry;
     const event = isReleased ? EventId.QuarantineLifted : EventId.PromptQuarantined;
     const message = isReleased
       ? 'prompts with these parts go to endpoints again'
-      : 'prompts with these parts are kept from endpoints that end under them';
-    this.#options.events.warn(event, message, { partIds, version, ends, trials, source });
+      : 'prompts with these parts are kept from endpoints that crash under them';
+    this.#options.events.warn(event, message, { partIds, version, crashes, trials, source });
     return true;
   }
 
@@ -436,13 +436,19 @@
 }
 
 function crashMessage(report: CrashReport, nowMs: number): CrashMessage {
-  const { endpointId, requestId, partIds, sentAtMs, endedAtMs } = report;
+  const { endpointId, requestId, partIds, sentAtMs, crashedAtMs } = report;
   const ageOf = (atMs: number): number => Math.max(0, nowMs - atMs);
-  const ages = { sentAgeMs: ageOf(sentAtMs), ageMs: ageOf(endedAtMs) };
+  const ages = { sentAgeMs: ageOf(sentAtMs), ageMs: ageOf(crashedAtMs) };
   return { endpointId, requestId, partIds: [...partIds], ...ages };
 }
 
 function crashReport(message: CrashMessage, nowMs: number): CrashReport {
   const { endpointId, requestId, partIds, sentAgeMs, ageMs } = message;
-  return { endpointId, requestId, partIds, sentAtMs: nowMs - sentAgeMs, endedAtMs: nowMs - ageMs };
+  return {
+    endpointId,
+    requestId,
+    partIds,
+    sentAtMs: nowMs - sentAgeMs,
+    crashedAtMs: nowMs - ageMs,
+  };
 }
--- a/src/quarantine/prompt-quarantine.ts
+++ b/src/quarantine/prompt-quarantine.ts
@@ -56,14 +56,14 @@
 
   /** Entry that puts parts under quarantine from now on; undefined when they already are. */
   begin(cause: CrashCause, nowMs: number): QuarantineEntry | undefined {
-    const { partIds, ends, firstEndAtMs } = cause;
+    const { partIds, crashes, firstCrashAtMs } = cause;
     if (this.match(partIds)) return undefined;
     const knownVersion = this.#entries.get(quarantineKey(partIds))?.version ?? 0;
     // Above those of an earlier quarantine that this daemon has forgotten and others may know.
     const version = Math.max(knownVersion + 1, Math.floor(nowMs / versionPeriodMs));
     const nextTrialAtMs = nowMs + firstTrialDelayMs;
     const state = { isReleased: false, trials: 0, nextTrialAtMs };
-    return { partIds: [...partIds], version, ends, firstEndAtMs, ...state };
+    return { partIds: [...partIds], version, crashes, firstCrashAtMs, ...state };
   }
 
   /** Entry that lifts a quarantine. */
--- a/src/quarantine/quarantine-entry.ts
+++ b/src/quarantine/quarantine-entry.ts
@@ -17,13 +17,13 @@
   partIds: partIdsSchema,
   /** Increases with each change; the highest is in force. */
   version: z.int().positive(),
-  /** Endpoints that had ended when the quarantine began. */
-  ends: z.int().nonnegative(),
-  /** The first of these ends, in epoch milliseconds on the clock of the daemon that named it. */
-  firstEndAtMs: z.number(),
+  /** Endpoints that had crashed when the quarantine began. */
+  crashes: z.int().nonnegative(),
+  /** The first of these crashes, in epoch milliseconds on the clock of the daemon that named it. */
+  firstCrashAtMs: z.number(),
   /** Whether it was lifted. */
   isReleased: z.boolean(),
-  /** Requests that were let through since, to see whether endpoints still end. */
+  /** Requests that were let through since, to see whether endpoints still crash. */
   trials: z.int().nonnegative(),
   /** Time from which the next request may be let through, in epoch milliseconds. */
   nextTrialAtMs: z.number(),
--- a/src/quarantine/quarantine-message.ts
+++ b/src/quarantine/quarantine-message.ts
@@ -10,21 +10,21 @@
 const ageSchema = z.number().nonnegative().max(maxAgeMs);
 const idSchema = z.string().min(1).max(maxIdChars);
 
-/** A {@link CrashReport} as it crosses processes, with the time since the end. */
+/** A {@link CrashReport} as it crosses processes, with the time since the crash. */
 export const crashMessageSchema = z.object({
   endpointId: idSchema,
   requestId: idSchema,
   partIds: partIdsSchema,
   /** Time since the request was sent. */
   sentAgeMs: ageSchema,
-  /** Time since the endpoint ended. */
+  /** Time since the endpoint crashed. */
   ageMs: ageSchema,
 });
 
 /** Parts of prompts on which an answer came whole, and how long ago. */
 export const answerMessageSchema = z.object({ partIds: partIdsSchema, ageMs: ageSchema });
 
-/** What daemons tell each other about endpoints that ended; each message has one of the fields. */
+/** What daemons tell each other about endpoints that crashed; each message has one of the fields. */
 export const quarantineMessageSchema = z.object({
   crash: crashMessageSchema.optional(),
   answer: answerMessageSchema.optional(),
--- a/test/gateway/gateway-fleet.ts
+++ b/test/gateway/gateway-fleet.ts
@@ -20,7 +20,7 @@
   readonly endpointId: string;
   /** Epoch milliseconds. */
   readonly atMs: number;
-  readonly isDeadly: boolean;
+  readonly isPoison: boolean;
 }
 
 /** Options of {@link GatewayFleet}. */
@@ -28,15 +28,15 @@
   readonly config: TrafficConfig;
   readonly gateways: number;
   readonly endpoints: number;
-  /** Id of the part of a prompt under which endpoints end. */
-  readonly deadlyPart: string;
+  /** Id of the part of a prompt under which endpoints crash. */
+  readonly poisonPart: string;
   /** Events that an endpoint still sends before it ends. */
-  readonly deadlyEvents: number;
+  readonly poisonEvents: number;
 }
 
 /**
  * Several gateways with one store before endpoints that stream events. An endpoint ends as soon as it
- * begins to write an answer on the deadly part, with all its connections; another one replaces it.
+ * begins to write an answer on the poison part, with all its connections; another one replaces it.
  */
 export class GatewayFleet {
   readonly options: GatewayFleetOptions;
@@ -45,7 +45,7 @@
   readonly logs: RecordingEventLog[] = [];
   readonly arrivals: Arrival[] = [];
   /** Epoch milliseconds of each endpoint's end. */
-  readonly endsAtMs: number[] = [];
+  readonly crashesAtMs: number[] = [];
   readonly #subnet = `127.${1 + (process.pid % 250)}.${Math.floor(process.pid / 250) % 250}`;
   readonly #endpoints = new Map<string, TestEndpoint>();
   #endpointCount = 0;
@@ -79,18 +79,18 @@
         return;
       }
       const prompt = String(request.headers['oriolestack-prompt-prefix']);
-      const isDeadly = prompt.includes(`${this.options.deadlyPart}:`);
+      const isPoison = prompt.includes(`${this.options.poisonPart}:`);
       const requestId = String(request.headers['oriolestack-request-id']);
-      this.arrivals.push({ requestId, endpointId: id, atMs: Date.now(), isDeadly });
+      this.arrivals.push({ requestId, endpointId: id, atMs: Date.now(), isPoison });
       response.writeHead(200, { ...signedHeaders(request), 'content-type': 'text/event-stream' });
       response.flushHeaders();
-      const lastEvent = isDeadly ? this.options.deadlyEvents : streamEvents;
+      const lastEvent = isPoison ? this.options.poisonEvents : streamEvents;
       let event = 0;
       const next = (): void => {
         if (event < lastEvent) {
           response.write(`id: ${++event}\ndata: ${event}\n\n`);
           setTimeout(next, eventGapMs);
-        } else if (isDeadly) this.#end(id);
+        } else if (isPoison) this.#end(id);
         else response.end();
       };
       setTimeout(next, eventGapMs);
@@ -100,10 +100,10 @@
     for (const harness of this.gateways) harness.registerEndpoint(id, baseUrl);
   }
 
-  /** Deadly requests that reached an endpoint later than `afterMs` after the given end of one. */
-  deadlyArrivalsAfterEnd(end: number, afterMs: number): Arrival[] {
-    const sinceMs = (this.endsAtMs[end - 1] ?? Infinity) + afterMs;
-    return this.arrivals.filter(({ isDeadly, atMs }) => isDeadly && atMs > sinceMs);
+  /** Poison requests that reached an endpoint later than `afterMs` after the given end of one. */
+  poisonArrivalsAfterCrash(end: number, afterMs: number): Arrival[] {
+    const sinceMs = (this.crashesAtMs[end - 1] ?? Infinity) + afterMs;
+    return this.arrivals.filter(({ isPoison, atMs }) => isPoison && atMs > sinceMs);
   }
 
   async stop(): Promise<void> {
@@ -129,7 +129,7 @@
     const endpoint = this.#endpoints.get(id);
     if (!endpoint) return;
     this.#endpoints.delete(id);
-    this.endsAtMs.push(Date.now());
+    this.crashesAtMs.push(Date.now());
     endpoint.stop();
     void this.addEndpoint();
   }
--- a/test/gateway/deadly-prompts_test.ts
+++ b/test/gateway/poison-prompts_test.ts
@@ -5,13 +5,13 @@
 import { GatewayFleet, type GatewayFleetOptions } from './gateway-fleet.js';
 import type { CallerResponse, GatewayHarness } from './gateway-harness.js';
 
-const deadlyPart = 'dead0001';
+const poisonPart = 'dead0001';
 const sharedPart = '5a4ed001';
 
 /** Requests that may still reach endpoints, and from when on that is counted. */
 const allowedArrivals = 3;
 const stabilityWindowMs = 4_000;
-const countedEnd = 5;
+const countedCrash = 5;
 
 const requestPeriodMs = 250;
 const runMs = 8_000;
@@ -29,7 +29,7 @@
   });
 }
 
-describe('requests with a part under which endpoints end', () => {
+describe('requests with a part under which endpoints crash', () => {
   let fleet: GatewayFleet;
 
   afterEach(async () => {
@@ -42,36 +42,36 @@
       config: trafficConfig({ routes: [{ ...route, maxAttempts: 3 }] }),
       gateways: 4,
       endpoints: 14,
-      deadlyPart,
-      deadlyEvents: 0,
+      poisonPart,
+      poisonEvents: 0,
       ...changes,
     });
     await fleet.start();
   }
 
-  /** Sends deadly requests and sound ones, which share the first part, to all gateways in turn. */
-  async function play(): Promise<{ sound: CallerResponse[]; deadly: CallerResponse[] }> {
-    const open: { sound: Promise<CallerResponse>[]; deadly: Promise<CallerResponse>[] } = {
+  /** Sends poison requests and sound ones, which share the first part, to all gateways in turn. */
+  async function play(): Promise<{ sound: CallerResponse[]; poison: CallerResponse[] }> {
+    const open: { sound: Promise<CallerResponse>[]; poison: Promise<CallerResponse>[] } = {
       sound: [],
-      deadly: [],
+      poison: [],
     };
     const endAtMs = Date.now() + runMs;
     for (let round = 0; Date.now() < endAtMs; round++) {
       const gateway = fleet.gateways[round % fleet.gateways.length]!;
       const other = fleet.gateways[(round + 1) % fleet.gateways.length]!;
-      open.deadly.push(call(gateway, deadlyPart));
+      open.poison.push(call(gateway, poisonPart));
       open.sound.push(call(other, `beef${String(round).padStart(4, '0')}`));
       await sleep(requestPeriodMs);
     }
-    return { sound: await Promise.all(open.sound), deadly: await Promise.all(open.deadly) };
+    return { sound: await Promise.all(open.sound), poison: await Promise.all(open.poison) };
   }
 
   it('end two endpoints at most by themselves, where the route allows more attempts', async () => {
     const route = trafficRoute({ maxAttempts: 5, hasPrompt: true });
     await start({ config: trafficConfig({ routes: [route] }), gateways: 1, endpoints: 6 });
-    const { status } = await call(fleet.gateways[0]!, deadlyPart);
+    const { status } = await call(fleet.gateways[0]!, poisonPart);
     expect(status).toBe(502);
-    expect(fleet.endsAtMs.length).toBeLessThanOrEqual(2);
+    expect(fleet.crashesAtMs.length).toBeLessThanOrEqual(2);
   });
 
   it('are known as such to a daemon that starts later, before it says that it is ready', async () => {
@@ -79,24 +79,24 @@
     await play();
     const late = await fleet.addGateway();
     while (!late.gateway.isReady) await sleep(10);
-    const before = fleet.endsAtMs.length;
-    const held = await call(late, deadlyPart);
+    const before = fleet.crashesAtMs.length;
+    const held = await call(late, poisonPart);
     expect(held.status).toBe(503);
     expect(Number(held.headers['retry-after'])).toBeGreaterThan(1);
     expect((await call(late, 'beef9999')).status).toBe(200);
-    expect(fleet.endsAtMs.length).toBe(before);
+    expect(fleet.crashesAtMs.length).toBe(before);
   });
 
-  // 24 endpoints ended under one part of a prompt, 17 requests with it came after the fifth.
+  // 24 endpoints crashed under one part of a prompt, 17 requests with it came after the fifth.
   it.each([
     ['before their first event', 0],
     ['after their first event', 1],
   ])(
     'stop reaching endpoints on all daemons, which would end one after the other: %s',
-    async (_, deadlyEvents) => {
-      await start({ deadlyEvents });
+    async (_, poisonEvents) => {
+      await start({ poisonEvents });
       const { sound } = await play();
-      const late = fleet.deadlyArrivalsAfterEnd(countedEnd, stabilityWindowMs);
+      const late = fleet.poisonArrivalsAfterCrash(countedCrash, stabilityWindowMs);
       expect(late.length).toBeLessThanOrEqual(allowedArrivals);
       // Sound requests with the same first part go on; half of them is the least that users accept.
       const lastSound = sound.slice(-10);
--- a/test/quarantine/crash-detector_test.ts
+++ b/test/quarantine/crash-detector_test.ts
@@ -93,7 +93,7 @@
     await detector.diagnose(broken('r'));
     await clock.advance(2_000);
     detector.confirm('i-1');
-    expect(reports.map(({ requestId, endedAtMs }) => [requestId, endedAtMs])).toEqual([
+    expect(reports.map(({ requestId, crashedAtMs }) => [requestId, crashedAtMs])).toEqual([
       ['r', 1_000_000],
     ]);
   });
@@ -101,9 +101,9 @@
   it('takes a process that responds under the same identity for one that has started again', async () => {
     await detector.diagnose(broken('r'));
     check.isUp = true;
-    expect(await detector.hasEnded(broken('r'))).toBe(true);
+    expect(await detector.hasCrashed(broken('r'))).toBe(true);
     detector.responded('i-1');
-    expect(await detector.hasEnded(broken('r'))).toBe(false);
+    expect(await detector.hasCrashed(broken('r'))).toBe(false);
   });
 
   it('holds no requests against an end that broke while the endpoint went on', async () => {
--- a/test/quarantine/crash-evidence_test.ts
+++ b/test/quarantine/crash-evidence_test.ts
@@ -16,7 +16,7 @@
     requestId,
     partIds,
     sentAtMs: startAtMs + atMs - 80,
-    endedAtMs: startAtMs + atMs,
+    crashedAtMs: startAtMs + atMs,
   };
 }
 
@@ -25,7 +25,7 @@
 }
 
 describe('CrashEvidence', () => {
-  describe('names the part under which endpoints end', () => {
+  describe('names the part under which endpoints crash', () => {
     it('before the fifth endpoint, whatever else the requests hold', () => {
       const evidence = new CrashEvidence();
       for (let end = 0; end < 3; end++) {
@@ -45,7 +45,7 @@
       expect(partsOfCauses(evidence, 2_000)).toEqual([['dead']]);
     });
 
-    it('that answers came whole on before, as parts turn deadly with new weights', () => {
+    it('that answers came whole on before, as parts become poison with new weights', () => {
       const evidence = new CrashEvidence();
       evidence.recordAnswer(['dead'], startAtMs - 1);
       for (let end = 0; end < 5; end++) {
@@ -92,7 +92,7 @@
       expect(partsOfCauses(evidence, 1_000)).toEqual([]);
     });
 
-    it('when endpoints end one after the other under all kinds of requests', () => {
+    it('when endpoints crash one after the other under all kinds of requests', () => {
       const evidence = new CrashEvidence();
       for (let end = 0; end < 20; end++) {
         evidence.add(crash(`i-${end}`, end * 500, `r${end}`, end % 5 === 0 ? 'rare' : `p${end}`));
@@ -131,7 +131,7 @@
       expect(causes.flat().toSorted()).toEqual(['bystander', 'dead']);
     });
 
-    it('that answers came whole on before, however fast endpoints end beside it', () => {
+    it('that answers came whole on before, however fast endpoints crash beside it', () => {
       const evidence = new CrashEvidence();
       evidence.recordAnswer(['shared'], startAtMs - 500);
       for (let end = 0; end < 6; end++) {
--- a/test/quarantine/guard-fleet.ts
+++ b/test/quarantine/guard-fleet.ts
@@ -53,15 +53,15 @@
   readonly hasNoLengths: boolean;
 }
 
-/** The guards of many daemons on a virtual clock, before endpoints that end under one part. */
+/** The guards of many daemons on a virtual clock, before endpoints that crash under one part. */
 export class GuardFleet {
   readonly clock = new VirtualClock(1_000_000);
   readonly log = new MemoryKeyedLog();
   readonly guards: PromptGuard[] = [];
   /** Epoch milliseconds of each endpoint's end. */
-  readonly endsAtMs: number[] = [];
-  /** Epoch milliseconds at which requests with the deadly part were sent. */
-  readonly deadlySendsAtMs: number[] = [];
+  readonly crashesAtMs: number[] = [];
+  /** Epoch milliseconds at which requests with the poison part were sent. */
+  readonly poisonSendsAtMs: number[] = [];
   /** Messages that daemons sent to all others. */
   readonly sent: QuarantineMessage[] = [];
   holder = 0;
@@ -88,17 +88,17 @@
    *
    * @param bystander - parts of the prompt of another request in progress there.
    */
-  async sendDeadly(part: string, at?: number, bystander?: readonly string[]): Promise<void> {
+  async sendPoison(part: string, at?: number, bystander?: readonly string[]): Promise<void> {
     const guard = this.guards[at ?? this.#random.int(0, this.guards.length - 1)]!;
     const requestId = `r${++this.#requests}`;
     const partIds = [`first${this.#random.int(0, 3)}`, part];
     if (guard.admit(partIds)) return;
     const { clock } = this;
     const sentAtMs = clock.nowMs();
-    this.deadlySendsAtMs.push(sentAtMs);
+    this.poisonSendsAtMs.push(sentAtMs);
     await clock.sleepUntil(sentAtMs + serviceMs);
-    this.endsAtMs.push(clock.nowMs());
-    const baseUrl = this.endedUrl();
+    this.crashesAtMs.push(clock.nowMs());
+    const baseUrl = this.crashedUrl();
     const hasEvents = this.#options.hasNoLengths;
     const broken: BrokenRequest = {
       endpointId: `i-${requestId}`,
@@ -121,7 +121,7 @@
   }
 
   /** Address of an endpoint that has just ended. */
-  endedUrl(): string {
+  crashedUrl(): string {
     const baseUrl = `http://127.0.0.1:${1_000 + this.#addresses++}`;
     const refusingUntilMs = this.clock.nowMs() + this.#options.restartMs;
     this.#check.refusingUntilMs.set(baseUrl, refusingUntilMs);
@@ -178,7 +178,7 @@
         this.#broadcast(at, message);
       },
       isDutyHolder: () => this.holder === at,
-      onEndpointEnded: () => undefined,
+      onEndpointCrash: () => undefined,
       clock,
       events,
       metrics: new PrometheusMetrics(),
--- a/test/quarantine/prompt-guard_test.ts
+++ b/test/quarantine/prompt-guard_test.ts
@@ -8,7 +8,7 @@
 /** Requests that may still be sent, and from when on that is counted. */
 const allowedSends = 3;
 const stabilityWindowMs = 4_000;
-const countedEnd = 5;
+const countedCrash = 5;
 
 const requestPeriodMs = 500;
 
@@ -31,19 +31,19 @@
     await fleet.clock.advance(3_000);
   }
 
-  /** Sends deadly requests to daemons at random, and lets answers on their first parts come. */
+  /** Sends poison requests to daemons at random, and lets answers on their first parts come. */
   async function play(lengthMs: number): Promise<void> {
     const endAtMs = fleet.clock.nowMs() + lengthMs;
     while (fleet.clock.nowMs() < endAtMs) {
-      void fleet.sendDeadly('dead');
+      void fleet.sendPoison('dead');
       await fleet.clock.advance(requestPeriodMs);
       for (let at = 0; at < 4; at++) fleet.answer(`first${at}`, 'sound');
     }
   }
 
   function lateSends(): number {
-    const fromMs = (fleet.endsAtMs[countedEnd - 1] ?? Infinity) + stabilityWindowMs;
-    return fleet.deadlySendsAtMs.filter((atMs) => atMs > fromMs).length;
+    const fromMs = (fleet.crashesAtMs[countedCrash - 1] ?? Infinity) + stabilityWindowMs;
+    return fleet.poisonSendsAtMs.filter((atMs) => atMs > fromMs).length;
   }
 
   describe('many daemons, of which each sees one endpoint end at most', () => {
@@ -51,10 +51,10 @@
       ['all datagrams arrive', 0],
       ['a third of the datagrams is lost', 0.33],
       ['all datagrams are lost, so that reports meet through the store', 1],
-    ])('keep a deadly part from endpoints: %s', async (_, datagramLossRatio) => {
+    ])('keep a poison part from endpoints: %s', async (_, datagramLossRatio) => {
       await start({ daemons: 195, datagramLossRatio });
       await play(20_000);
-      expect(fleet.endsAtMs.length).toBeGreaterThanOrEqual(3);
+      expect(fleet.crashesAtMs.length).toBeGreaterThanOrEqual(3);
       expect(lateSends()).toBeLessThanOrEqual(allowedSends);
       expect(fleet.heldBackAt('dead')).toBe(195);
       for (let at = 0; at < 4; at++) expect(fleet.heldBackAt(`first${at}`)).toBe(0);
@@ -65,7 +65,7 @@
       for (const daemons of [20, 195]) {
         await start({ daemons });
         await play(10_000);
-        messages.push(fleet.sent.length / fleet.endsAtMs.length);
+        messages.push(fleet.sent.length / fleet.crashesAtMs.length);
         fleet.stop();
       }
       expect(messages[1]).toBeLessThan(messages[0]! * 2);
@@ -83,7 +83,7 @@
     await start();
     // The same first part and bystanders at each end, as on a small deployment.
     for (let end = 0; end < 12; end++) {
-      void fleet.sendDeadly('dead', undefined, ['first0', 'sound']);
+      void fleet.sendPoison('dead', undefined, ['first0', 'sound']);
       await fleet.clock.advance(300);
       for (let at = 0; at < 4; at++) fleet.answerWithoutLength(`first${at}`, 'sound');
       await fleet.clock.advance(1_500);
@@ -92,7 +92,7 @@
     for (const part of ['first0', 'first1', 'first2', 'first3', 'sound']) {
       expect(fleet.heldBackAt(part)).toBe(0);
     }
-    expect(fleet.endsAtMs.length).toBeLessThanOrEqual(5);
+    expect(fleet.crashesAtMs.length).toBeLessThanOrEqual(5);
   });
 
   it('takes no answer for whole whose endpoint ended with it, although it seems complete', async () => {
@@ -105,12 +105,12 @@
   it('clears parts by an answer without a length once its endpoint has responded again', async () => {
     for (const responds of [false, true]) {
       await start({ daemons: 1 });
-      const ends = [0, 1, 2].map((at) => ({ at, endedAtMs: fleet.clock.nowMs() + at * 300 }));
+      const ends = [0, 1, 2].map((at) => ({ at, crashedAtMs: fleet.clock.nowMs() + at * 300 }));
       await fleet.clock.advance(1_000);
       fleet.answerWithoutLength('part');
       if (responds) fleet.guards[0]!.endpointResponded('i-sound');
-      for (const { at, endedAtMs } of ends) {
-        const ageMs = fleet.clock.nowMs() - endedAtMs;
+      for (const { at, crashedAtMs } of ends) {
+        const ageMs = fleet.clock.nowMs() - crashedAtMs;
         const crash = { endpointId: `i-${at}`, requestId: `r${at}`, partIds: ['part'], ageMs };
         fleet.guards[0]!.receive({ crash: { ...crash, sentAgeMs: ageMs + 80 } });
       }
@@ -142,7 +142,7 @@
     for (let end = 0; end < 3; end++) {
       void fleet.guards[end]!.requestBroke({
         endpointId: `i-${end}`,
-        baseUrl: fleet.endedUrl(),
+        baseUrl: fleet.crashedUrl(),
         requestId: `${end}`.repeat(5_000),
         partIds: ['x'.repeat(5_000), ...parts],
         sentAtMs: fleet.clock.nowMs(),
@@ -171,35 +171,35 @@
   it('lets nothing through before the first trial, and then only at the holder of the duties', async () => {
     await start();
     await play(5_000);
-    const ends = fleet.endsAtMs.length;
+    const ends = fleet.crashesAtMs.length;
     await fleet.clock.advance(400_000);
-    for (let at = 1; at < 7; at++) void fleet.sendDeadly('dead', at);
+    for (let at = 1; at < 7; at++) void fleet.sendPoison('dead', at);
     await fleet.clock.advance(1_000);
-    expect(fleet.endsAtMs.length).toBe(ends);
-    for (let round = 0; round < 5; round++) void fleet.sendDeadly('dead', 0);
+    expect(fleet.crashesAtMs.length).toBe(ends);
+    for (let round = 0; round < 5; round++) void fleet.sendPoison('dead', 0);
     await fleet.clock.advance(1_000);
-    expect(fleet.endsAtMs.length).toBe(ends + 1);
+    expect(fleet.crashesAtMs.length).toBe(ends + 1);
   });
 
   it('makes a trial once, although its holder changes', async () => {
     await start();
     await play(5_000);
-    const ends = fleet.endsAtMs.length;
+    const ends = fleet.crashesAtMs.length;
     await fleet.clock.advance(400_000);
-    void fleet.sendDeadly('dead', 0);
+    void fleet.sendPoison('dead', 0);
     await fleet.clock.advance(1_000);
     fleet.holder = 1;
     await fleet.clock.advance(60_000);
-    void fleet.sendDeadly('dead', 1);
+    void fleet.sendPoison('dead', 1);
     await fleet.clock.advance(1_000);
-    expect(fleet.endsAtMs.length).toBe(ends + 1);
+    expect(fleet.crashesAtMs.length).toBe(ends + 1);
   });
 
   it('keeps a bounded number of records in the store, which each daemon reads at its start', async () => {
     await start();
     for (let part = 0; part < 70; part++) {
       for (let end = 0; end < 3; end++) {
-        void fleet.sendDeadly(`dead${part}`);
+        void fleet.sendPoison(`dead${part}`);
         await fleet.clock.advance(400);
       }
       for (let at = 0; at < 4; at++) fleet.answer(`first${at}`, 'sound');
@@ -215,11 +215,17 @@
     await start();
     await play(5_000);
     expect(fleet.heldBackAt('dead')).toBe(7);
-    // Begun before the first end, when the part may not have been deadly yet.
-    fleet.guards[3]!.answered({ partIds: ['first0', 'dead'], sentAtMs: fleet.endsAtMs[0]! - 100 });
+    // Begun before the first end, when the part may not have been poison yet.
+    fleet.guards[3]!.answered({
+      partIds: ['first0', 'dead'],
+      sentAtMs: fleet.crashesAtMs[0]! - 100,
+    });
     await fleet.clock.advance(5_000);
     expect(fleet.heldBackAt('dead')).toBe(7);
-    fleet.guards[3]!.answered({ partIds: ['first0', 'dead'], sentAtMs: fleet.endsAtMs[0]! + 500 });
+    fleet.guards[3]!.answered({
+      partIds: ['first0', 'dead'],
+      sentAtMs: fleet.crashesAtMs[0]! + 500,
+    });
     await fleet.clock.advance(5_000);
     expect(fleet.heldBackAt('dead')).toBe(0);
   });
--- a/test/quarantine/prompt-quarantine_test.ts
+++ b/test/quarantine/prompt-quarantine_test.ts
@@ -6,7 +6,7 @@
 const dayMs = 24 * 3_600_000;
 
 function begin(quarantine: PromptQuarantine, ...partIds: string[]): QuarantineEntry {
-  const entry = quarantine.begin({ partIds, ends: 3, firstEndAtMs: nowMs }, nowMs);
+  const entry = quarantine.begin({ partIds, crashes: 3, firstCrashAtMs: nowMs }, nowMs);
   if (!entry) throw new Error('already under quarantine');
   quarantine.merge(entry);
   return entry;
@@ -32,7 +32,7 @@
   });
 
   it('begins above the version of an earlier quarantine that it has forgotten', () => {
-    const cause = { partIds: ['dead'], ends: 3, firstEndAtMs: nowMs };
+    const cause = { partIds: ['dead'], crashes: 3, firstCrashAtMs: nowMs };
     const first = new PromptQuarantine().begin(cause, nowMs);
     const later = new PromptQuarantine().begin(cause, nowMs + 60_000);
     // The first one may have been changed by trials and lifted meanwhile.
--- a/test/quarantine/quarantine-records_test.ts
+++ b/test/quarantine/quarantine-records_test.ts
@@ -11,8 +11,8 @@
 const entry: QuarantineEntry = {
   partIds: ['dead'],
   version: 1,
-  ends: 3,
-  firstEndAtMs: 0,
+  crashes: 3,
+  firstCrashAtMs: 0,
   isReleased: false,
   trials: 0,
   nextTrialAtMs: 0,
--- a/test/soak/promises_test.ts
+++ b/test/soak/promises_test.ts
@@ -55,20 +55,20 @@
     expect(found('refusals are true', fill)).toBe(1);
   });
 
-  it('find deadly prompts that still reach endpoints', () => {
-    const deadly = (late: number) => (ledger: Ledger) => {
+  it('find poison prompts that still reach endpoints', () => {
+    const poison = (late: number) => (ledger: Ledger) => {
       ledger.crashesAtMs.push(1_000, 2_000, 3_000, 4_000, 90_000);
       for (let at = 0; at < late; at++) {
-        ledger.ends.push(end({ requestId: `deadly-${at}` }));
-        ledger.runs.push(ran(`deadly-${at}`, CallKind.Prompt));
+        ledger.ends.push(end({ requestId: `poison-${at}` }));
+        ledger.runs.push(ran(`poison-${at}`, CallKind.Prompt));
       }
     };
-    const name = 'deadly prompts are kept back';
-    expect(found(name, deadly(3))).toBe(0);
-    expect(found(name, deadly(4))).toBe(1);
+    const name = 'poison prompts are kept back';
+    expect(found(name, poison(3))).toBe(0);
+    expect(found(name, poison(4))).toBe(1);
   });
 
-  it('find sound prompts that are not served beside deadly ones', () => {
+  it('find sound prompts that are not served beside poison ones', () => {
     const sound = (status: number) => (ledger: Ledger) => {
       ledger.crashesAtMs.push(80_000);
       for (let at = 0; at < 90; at++) {
