--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -1,4 +1,3 @@
-import { LRUCache } from 'lru-cache';
 import type { Clock } from '../core/index.js';
 import type { KeyedLog } from '../log/index.js';
 import type { KeyedReplica } from '../log/keyed-replica.js';
@@ -10,6 +9,7 @@
 import { exchangedParts, quarantineKey, type QuarantineEntry } from './quarantine-entry.js';
 import { maxIdChars, type CrashMessage, type QuarantineMessage } from './quarantine-message.js';
 import { QuarantineRecords } from './quarantine-records.js';
+import { WholeAnswers, type Answer } from './whole-answers.js';
 
 /** Options of {@link PromptGuard}. */
 export interface PromptGuardOptions {
@@ -44,9 +44,6 @@
 /** A part on which an answer came whole this short a time ago was not held back for good reason. */
 const contradictionMs = 1_000;
 
-/** Shortest time between two messages about whole answers with the same part. */
-const answerPeriodMs = 1_000;
-
 /** Own reports of this time go into the daemon's samples, in case both datagrams were lost. */
 const sampledReportsMs = 12_000;
 const maxSampledReports = 8;
@@ -54,22 +51,6 @@
 /** Reports that took longer say nothing that is still needed. */
 const maxReportAgeMs = 20_000;
 
-/** Bounds of the memory, as callers choose the ids of parts. */
-const maxAnsweredParts = 8_192;
-const maxToldParts = 2_048;
-
-/** Endpoints with answers whose end proves nothing yet, and such answers of one. */
-const maxUnprovenEndpoints = 512;
-const maxUnprovenAnswers = 32;
-
-/** A whole answer, or one that may have been cut by the crash of its endpoint. */
-interface Answer {
-  readonly partIds: readonly string[];
-  /** Times of the request and of the end of its answer, in epoch milliseconds. */
-  readonly sentAtMs: number;
-  readonly answeredAtMs: number;
-}
-
 /** Who an entry came from, for the log. */
 enum EntrySource {
   Evidence = 'evidence',
@@ -98,13 +79,7 @@
   readonly #evidence = new CrashEvidence();
   readonly #detector: CrashDetector;
   readonly #records: QuarantineRecords;
-  /** Last whole answer with a part at this daemon. */
-  readonly #ownAnswers = new LRUCache<string, Omit<Answer, 'partIds'>>({ max: maxAnsweredParts });
-  /** Time at which such an answer was told to the others, in epoch milliseconds. */
-  readonly #answerToldAtMs = new LRUCache<string, number>({ max: maxToldParts });
-  readonly #unproven = new LRUCache<string, readonly Answer[]>({
-    max: maxUnprovenEndpoints,
-  });
+  readonly #answers = new WholeAnswers();
   readonly #startedAtMs: number;
   #ownReports: readonly CrashReport[] = [];
   /** Entries that this daemon changed, and is to store. */
@@ -187,30 +162,24 @@
     const unproven = { partIds, sentAtMs, answeredAtMs: this.#options.clock.nowMs() };
     const isSuspected = this.#evidence.isSuspected(partIds) || this.#isHeldBack(partIds);
     if (isSuspected) void this.#proveAnswer(request, unproven);
-    else if (partIds.length > 0) {
-      const others = this.#unproven.get(endpointId) ?? [];
-      this.#unproven.set(endpointId, [...others, unproven].slice(-maxUnprovenAnswers));
-    }
+    else if (partIds.length > 0) this.#answers.addUnproven(endpointId, unproven);
   }
 
   /** An endpoint responded, so that it has outlived its earlier answers. */
   endpointResponded(endpointId: string): void {
     this.#detector.responded(endpointId);
-    const answers = this.#unproven.get(endpointId);
-    if (!answers) return;
-    this.#unproven.delete(endpointId);
-    for (const answer of answers) this.#answered(answer);
+    for (const answer of this.#answers.takeUnproven(endpointId)) this.#answered(answer);
   }
 
   /** An endpoint refused a connection. */
   endpointRefused(endpointId: string): void {
-    this.#unproven.delete(endpointId);
+    this.#answers.takeUnproven(endpointId);
     this.#detector.refused(endpointId);
   }
 
   /** The registration of an endpoint crashed, or a later start replaced it. */
   endpointRetired(endpointId: string): void {
-    this.#unproven.delete(endpointId);
+    this.#answers.takeUnproven(endpointId);
     this.#detector.confirm(endpointId);
   }
 
@@ -281,9 +250,10 @@
     this.#answered(answer);
   }
 
-  #answered({ partIds, sentAtMs, answeredAtMs }: Answer): void {
+  #answered(answer: Answer): void {
+    const { partIds, sentAtMs, answeredAtMs } = answer;
     if (partIds.length === 0) return;
-    for (const partId of partIds) this.#ownAnswers.set(partId, { sentAtMs, answeredAtMs });
+    this.#answers.record(answer);
     const suspected = this.#evidence.recordAnswer(partIds, answeredAtMs);
     const isHeldBack = this.#narrow(partIds, sentAtMs);
     if (suspected.length > 0 || isHeldBack) this.#tellAnswers(partIds);
@@ -312,7 +282,7 @@
   }
 
   #receiveCrash(report: CrashReport): void {
-    this.#tellAnswers(this.#answeredHereSince(report.partIds, report.crashedAtMs));
+    this.#tellAnswers(this.#answers.answeredSince(report.partIds, report.crashedAtMs));
     this.#addEvidence(report);
     this.#scheduleDecision(otherDecisionDelayMs);
   }
@@ -320,8 +290,8 @@
   /** The sender may not have heard of an answer that came whole here. */
   #receiveEntry(entry: QuarantineEntry, nowMs: number): void {
     if (!this.#merge(entry, EntrySource.Peer) || entry.isReleased) return;
-    for (const partId of this.#answeredHereSince(entry.partIds, nowMs - contradictionMs)) {
-      this.#narrow([partId], this.#ownAnswers.get(partId)?.sentAtMs ?? -Infinity);
+    for (const partId of this.#answers.answeredSince(entry.partIds, nowMs - contradictionMs)) {
+      this.#narrow([partId], this.#answers.latest(partId)?.sentAtMs ?? -Infinity);
     }
   }
 
@@ -381,23 +351,12 @@
     return wrong.length > 0;
   }
 
-  /** Those of the parts on which an answer came whole at this daemon after a time. */
-  #answeredHereSince(partIds: readonly string[], sinceMs: number): string[] {
-    return partIds.filter((partId) => {
-      return (this.#ownAnswers.get(partId)?.answeredAtMs ?? -Infinity) > sinceMs;
-    });
-  }
-
   #tellAnswers(partIds: readonly string[]): void {
     const nowMs = this.#options.clock.nowMs();
-    const untold = partIds.filter((partId) => {
-      return (this.#answerToldAtMs.get(partId) ?? -Infinity) + answerPeriodMs <= nowMs;
-    });
+    const untold = this.#answers.takeUntold(partIds, nowMs);
     if (untold.length === 0) return;
-    for (const partId of untold) this.#answerToldAtMs.set(partId, nowMs);
-    const answeredAtMs = Math.min(
-      ...untold.map((partId) => this.#ownAnswers.get(partId)?.answeredAtMs ?? nowMs),
-    );
+    const times = untold.map((partId) => this.#answers.latest(partId)?.answeredAtMs ?? nowMs);
+    const answeredAtMs = Math.min(...times);
     this.#publishTwice((atMs) => ({ answer: { partIds: untold, ageMs: atMs - answeredAtMs } }));
   }
 
