--- a/test/quarantine/prompt-guard_test.ts
+++ b/test/quarantine/prompt-guard_test.ts
@@ -242,6 +242,9 @@
     expect(lines[0]).toContain('"partIds":["dead"]');
     expect(await run('release', 'other')).toBe(QuarantineExit.NotFound);
     expect(await run('release')).toBe(QuarantineExit.Usage);
+    fleet.log.fault = KeyedLogFault.Down;
+    expect(await run('release', 'dead')).toBe(QuarantineExit.Unavailable);
+    fleet.log.fault = KeyedLogFault.None;
     expect(await run('release', 'dead')).toBe(QuarantineExit.Done);
     await fleet.clock.advance(5_000);
     expect(fleet.heldBackAt('dead')).toBe(0);
