--- a/bench/soak/promises.ts
+++ b/bench/soak/promises.ts
@@ -18,7 +18,7 @@
 /** A leaving endpoint serves for this long. */
 const drainMs = 2_500;
 
-/** Endpoints that end under one part before its requests are counted, and how many may follow. */
+/** Endpoints that crash under one part before its requests are counted, and how many may follow. */
 const countedCrash = 5;
 const allowedPoisonRuns = 3;
 
@@ -147,7 +147,7 @@
 };
 
 /**
- * After five endpoints have ended under a part of a prompt, requests with it reach no more of them.
+ * After five endpoints have crashed under a part of a prompt, requests with it reach no more of them.
  * A gateway that was cut off or started lately may not know of it.
  */
 const poisonPromptsAreKeptBack: PromiseCheck = (ledger) => {
--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -177,7 +177,7 @@
     this.#detector.refused(endpointId);
   }
 
-  /** The registration of an endpoint crashed, or a later start replaced it. */
+  /** The registration of an endpoint ended, or a later start replaced it. */
   endpointRetired(endpointId: string): void {
     this.#answers.takeUnproven(endpointId);
     this.#detector.confirm(endpointId);
