Name no cause of crashes by three of them while reports of other daemons are missing

Until 1.1 s none received the datagrams of the others. Gateway 3 had bystanders with first1 at three crashes, the reports with the poison part were at gateway 2, which had named it at 0.6 s; nobody heard of that either. The class of fault is a decision from reports that are not complete.

Ruled out: the datagrams' loss (each is sent twice; none was received before the peers had read of the daemon), and a second cause (i-6 and i-10, at which first1 was, both had the poison part at gateway 2).

Change: a daemon keeps track of since when the datagrams of (nearly) all live peers arrive, which begins once its peers must know of it and ends when those of one are missing (ReportCoverage). By three crashes it names only what was at three crashes since then. Else it waits for five and 2.5 s as before, in which answers clear the parts of sound requests. A machine that has just started is not in touch for longer than that.

Before: two tests of CrashEvidence and one of PromptGuard fail on the code before.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -296,6 +296,7 @@
       publish: (message) => {
         this.#peers.broadcastQuarantine(message);
       },
+      reportsCompleteSinceMs: () => this.#peers.reportsCompleteSinceMs,
       isDutyHolder: () => this.#duties?.isHolder === true,
       onEndpointCrash: (endpointId) => {
         this.#known.registry.recordFailure(endpointId, EngineFailure.ConnectionFailed);
@@ -384,12 +385,11 @@
       if (own > 0) inFlight[view.serviceId] = (inFlight[view.serviceId] ?? 0) + own;
     }
     const { peerAddress, region, failureDomain, capacityCores } = this.#options;
-    const { host, port } = peerAddress;
     return {
       ...this.#quotas.counts(),
       inFlight,
       prefillTokensPerS: this.#demand.ratesPerS(this.#options.clock.nowMs()),
-      newsAddress: `${host}:${port}`,
+      newsAddress: `${peerAddress.host}:${peerAddress.port}`,
       region,
       failureDomain,
       capacityCores,
--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -9,6 +9,7 @@
 import { exchangeIntervals, type ExchangeIntervals } from '../membership/exchange-intervals.js';
 import type { PrefillReport } from '../membership/broadcast-message.js';
 import type { BroadcastRoutes } from '../membership/broadcast-relay.js';
+import { ReportCoverage, type PeerCoverage } from '../membership/report-coverage.js';
 import { PeerBroadcaster, type PeerAddress } from '../membership/peer-broadcaster.js';
 import type { QuarantineMessage } from '../quarantine/quarantine-message.js';
 import type { EventLog } from '../telemetry/index.js';
@@ -53,12 +54,21 @@
 /** Transit time of a sample through the store, with the wait for a batch, besides the intervals. */
 const storeTransitMs = 1_300;
 
+/** Time until the first sample of a daemon has reached all others, through the store. */
+const maxFirstSampleDelayMs = 3_300;
+
 /** A sample passes two readers: the distributor and the daemon that reads from it. */
 const readers = 2;
 
 /** Missed direct reports in a row after which a daemon counts as reachable by the store only. */
 const maxMissedReports = 4;
 
+/** The other daemons as this one reaches them, itself counted. */
+interface PeerReach extends PeerCoverage {
+  readonly daemons: number;
+  readonly unreachableDaemons: number;
+}
+
 /**
  * Exchanges quota grants and prefill load with the other daemons, directly by datagram and through
  * the store, at intervals that grow with the number of daemons. Datagrams may be lost or blocked;
@@ -69,6 +79,7 @@
   readonly #broadcaster: PeerBroadcaster;
   readonly #grantedFilter = new ChangeFilter();
   readonly #askedFilter = new ChangeFilter();
+  readonly #coverage: ReportCoverage;
   #groups: { readonly groups: readonly DistributionGroup[]; readonly untilMs: number } = {
     groups: [],
     untilMs: 0,
@@ -82,6 +93,7 @@
     const { samples, daemon, address, clock, events } = options;
     const { onPrefill, onSuspicion, onQuarantine } = options;
     this.#intervals = this.#intervalsFor(1, 1);
+    this.#coverage = new ReportCoverage(clock.nowMs() + maxFirstSampleDelayMs);
     this.#broadcaster = new PeerBroadcaster({
       daemon,
       listenAddress: address,
@@ -110,30 +122,27 @@
   }
 
   override peerStatus(): QuotaPeerStatus {
-    const { samples, clock } = this.#options;
     const { grantReportPeriodMs, samplePeriodMs, sampleReadIntervalMs } = this.#intervals;
-    const sinceMs = clock.nowMs() - grantReportPeriodMs * maxMissedReports;
-    const isDirect = ({ daemon }: DaemonSample): boolean =>
-      samples.hasDirectReportSince(daemon, sinceMs);
-    const live = samples.livePeers();
-    const unreachable = samples.unreachablePeers();
-    // A peer that is missing from the store but reports directly counts as live.
-    const directlyReachable = unreachable.filter(isDirect).length;
-    const reachable = live.length + directlyReachable;
-    const directRatio =
-      reachable === 0 ? 1 : (live.filter(isDirect).length + directlyReachable) / reachable;
-    const hasPeers = live.length + unreachable.length > 0;
+    const { daemons, unreachableDaemons, isConnected, directRatio } = this.#reach();
     const storeDelayMs = samplePeriodMs + readers * sampleReadIntervalMs + storeTransitMs;
     return {
-      daemons: reachable + 1,
-      unreachableDaemons: unreachable.length - directlyReachable,
-      isConnected: samples.isCurrent || (hasPeers && directRatio === 1),
+      daemons,
+      unreachableDaemons,
+      isConnected,
       // Delays of direct reports and the store, weighted by the share of daemons each reaches.
       propagationDelayMs:
         directRatio * (grantReportPeriodMs + directDelayMs) + (1 - directRatio) * storeDelayMs,
     };
   }
 
+  /**
+   * Time since which what the other daemons broadcast arrives, in epoch milliseconds; infinite while
+   * it does not.
+   */
+  get reportsCompleteSinceMs(): number {
+    return this.#coverage.sinceMs;
+  }
+
   override grantedByPeers(workspaceName: string): number {
     return this.#options.samples.grantedByPeers(workspaceName);
   }
@@ -178,7 +187,9 @@
     this.#stopReporting = clock.schedule(
       clock.nowMs() + this.#intervals.grantReportPeriodMs,
       () => {
-        this.#intervals = this.#intervalsFor(this.peerStatus().daemons, this.ranking().length);
+        const reach = this.#reach();
+        this.#coverage.update(reach, clock.nowMs());
+        this.#intervals = this.#intervalsFor(reach.daemons, this.ranking().length);
         const { granted, asked } = counts();
         this.#broadcaster.broadcastGrants({
           daemon,
@@ -191,6 +202,28 @@
     );
   }
 
+  /** Which of the other daemons this one knows and hears of directly. */
+  #reach(): PeerReach {
+    const { samples, clock } = this.#options;
+    const sinceMs = clock.nowMs() - this.#intervals.grantReportPeriodMs * maxMissedReports;
+    const isDirect = ({ daemon }: DaemonSample): boolean =>
+      samples.hasDirectReportSince(daemon, sinceMs);
+    const live = samples.livePeers();
+    const unreachable = samples.unreachablePeers();
+    // A peer that is missing from the store but reports directly counts as live.
+    const directlyReachable = unreachable.filter(isDirect).length;
+    const reachable = live.length + directlyReachable;
+    const directRatio =
+      reachable === 0 ? 1 : (live.filter(isDirect).length + directlyReachable) / reachable;
+    const hasPeers = live.length + unreachable.length > 0;
+    return {
+      daemons: reachable + 1,
+      unreachableDaemons: unreachable.length - directlyReachable,
+      directRatio,
+      isConnected: samples.isCurrent || (hasPeers && directRatio === 1),
+    };
+  }
+
   #intervalsFor(daemons: number, domainDaemons: number): ExchangeIntervals {
     const { maxRegistrationReadIntervalMs } = this.#options;
     return exchangeIntervals({ daemons, domainDaemons, maxRegistrationReadIntervalMs });
--- a/src/quarantine/crash-evidence.ts
+++ b/src/quarantine/crash-evidence.ts
@@ -1,4 +1,5 @@
 import { LRUCache } from 'lru-cache';
+import { countEvents, laterSent, type Crash } from './crash-events.js';
 import type { CrashReport } from './crash-report.js';
 
 /** Parts of prompts that can be told apart neither by the endpoints' crashes nor by answers. */
@@ -22,9 +23,6 @@
 const minUnclearCrashes = 5;
 const unclearMs = 2_500;
 
-/** Endpoints that crash within this time of each other may have one cause outside of any prompt. */
-const sameEventMs = 250;
-
 /** A part that was there at fewer of the crashes in its time is not what endpoints crash under. */
 const minExplainedRatio = 1 / 3;
 
@@ -37,13 +35,6 @@
 const maxCrashesOfPart = 16;
 const maxCrashes = 1_024;
 
-/** Crash of an endpoint. */
-interface Crash {
-  readonly crashedAtMs: number;
-  /** Time at which the latest request there was sent, in epoch milliseconds. */
-  readonly sentAtMs: number;
-}
-
 /** Requests with a part at one endpoint when it crashed. */
 interface CrashWithPart extends Crash {
   readonly requestIds: Set<string>;
@@ -151,26 +142,31 @@
   /**
    * Names the causes that the evidence shows now, and takes the crashes that each explains off the
    * evidence against other parts.
+   *
+   * @param completeSinceMs - time since which the reports of all daemons arrive, in epoch milliseconds.
+   *   Of crashes before it the cause may be missing while bystanders are known.
    */
-  causes(nowMs: number): CrashCause[] {
+  causes(nowMs: number, completeSinceMs: number): CrashCause[] {
     this.#forgetBefore(nowMs - windowMs);
     const causes: CrashCause[] = [];
     for (;;) {
-      const found = this.#nextCauses(nowMs);
+      const found = this.#nextCauses(nowMs, completeSinceMs);
       if (found.length === 0) return causes;
       causes.push(...found);
     }
   }
 
   /** The next cause, or those that fit equally well and were not told apart in time. */
-  #nextCauses(nowMs: number): CrashCause[] {
+  #nextCauses(nowMs: number, completeSinceMs: number): CrashCause[] {
     const candidates = [...this.#suspects.keys()]
       .filter((partId) => this.#isCandidate(partId))
       .map((partId) => this.#candidate(partId))
       // The most specific explanation first, then the one that explains most.
       .sort((a, b) => b.group.length - a.group.length || b.crashes.length - a.crashes.length);
     const unanswered = candidates.filter(({ wasAnswered }) => !wasAnswered);
-    const clear = unanswered.find((candidate) => rivalsOf(candidate, unanswered).length === 0);
+    const clear = unanswered
+      .filter(({ partId }) => this.#eventsSince(partId, completeSinceMs) >= minCrashes)
+      .find((candidate) => rivalsOf(candidate, unanswered).length === 0);
     if (clear) return this.#name([clear]);
     const due = candidates.filter((candidate) => isOverdue(candidate, nowMs));
     const found = due.find(({ wasAnswered }) => !wasAnswered);
@@ -211,6 +207,12 @@
     return events >= countEvents(allEnds) * minExplainedRatio;
   }
 
+  /** Separate crashes under a part since `sinceMs`, in epoch milliseconds. */
+  #eventsSince(partId: string, sinceMs: number): number {
+    const crashes = [...(this.#suspects.peek(partId)?.values() ?? [])];
+    return countEvents(crashes.filter(({ crashedAtMs }) => crashedAtMs >= sinceMs));
+  }
+
   /** Parts that each request with this one held too, itself included. */
   #companions(partId: string): string[] {
     const requests = this.#requests(partId);
@@ -262,26 +264,3 @@
     other.crashes.length
   );
 }
-
-/**
- * Number of separate events, as crashes shortly after each other may be one. A request that was sent
- * after a crash met an endpoint that had outlived whatever caused that crash.
- */
-function countEvents(crashes: readonly Crash[]): number {
-  let events = 0;
-  let eventAtMs = -Infinity;
-  for (const { sentAtMs, crashedAtMs } of crashes.toSorted(
-    (a, b) => a.crashedAtMs - b.crashedAtMs,
-  )) {
-    if (crashedAtMs - eventAtMs <= sameEventMs && sentAtMs <= eventAtMs) continue;
-    events += 1;
-    eventAtMs = crashedAtMs;
-  }
-  return events;
-}
-
-/** A crash with the time of the later of two requests. */
-function laterSent(known: Crash | undefined, crash: Crash): Crash {
-  const sentAtMs = Math.max(known?.sentAtMs ?? -Infinity, crash.sentAtMs);
-  return { crashedAtMs: known?.crashedAtMs ?? crash.crashedAtMs, sentAtMs };
-}
--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -6,9 +6,16 @@
 import { CrashEvidence } from './crash-evidence.js';
 import type { CrashReport } from './crash-report.js';
 import { PromptQuarantine } from './prompt-quarantine.js';
-import { exchangedParts, quarantineKey, type QuarantineEntry } from './quarantine-entry.js';
+import { crashMessage, crashReport, QuarantineBroadcaster } from './quarantine-broadcaster.js';
+import {
+  EntrySource,
+  exchangedParts,
+  quarantineKey,
+  type QuarantineEntry,
+} from './quarantine-entry.js';
 import { maxIdChars, type CrashMessage, type QuarantineMessage } from './quarantine-message.js';
 import { QuarantineRecords } from './quarantine-records.js';
+import { QuarantineTrials } from './quarantine-trials.js';
 import { WholeAnswers, type Answer } from './whole-answers.js';
 
 /** Options of {@link PromptGuard}. */
@@ -20,6 +27,11 @@
   readonly replica: KeyedReplica;
   /** Sends a message to all other daemons; it may be lost. */
   readonly publish: (message: QuarantineMessage) => void;
+  /**
+   * Time since which messages of all other daemons arrive, in epoch milliseconds; infinite while
+   * those of some do not.
+   */
+  readonly reportsCompleteSinceMs: () => number;
   /** Whether this daemon alone may act for all. */
   readonly isDutyHolder: () => boolean;
   /** Called when an endpoint has crashed. */
@@ -38,9 +50,6 @@
 /** Time between two decisions while parts are under suspicion. */
 const decisionPeriodMs = 1_000;
 
-/** Messages are sent twice, as datagrams may be lost. */
-const repeatDelayMs = 300;
-
 /** A part on which an answer came whole this short a time ago was not held back for good reason. */
 const contradictionMs = 1_000;
 
@@ -51,15 +60,6 @@
 /** Reports that took longer say nothing that is still needed. */
 const maxReportAgeMs = 20_000;
 
-/** Who an entry came from, for the log. */
-enum EntrySource {
-  Evidence = 'evidence',
-  Answer = 'answer',
-  Peer = 'peer',
-  Store = 'store',
-  Trial = 'trial',
-}
-
 /**
  * Keeps prompts with a part under which endpoints crash, one after the other, from endpoints. All
  * daemons exchange which requests were in progress when an endpoint crashed and on which parts
@@ -80,13 +80,12 @@
   readonly #detector: CrashDetector;
   readonly #records: QuarantineRecords;
   readonly #answers = new WholeAnswers();
+  readonly #broadcaster: QuarantineBroadcaster;
+  readonly #trials: QuarantineTrials;
   readonly #startedAtMs: number;
   #ownReports: readonly CrashReport[] = [];
   /** Entries that this daemon changed, and is to store. */
   readonly #ownKeys = new Set<string>();
-  /** Key of the entry that lets the next request at this daemon through. */
-  #trialKey: string | undefined;
-  #isStopped = false;
   #decisionAtMs = Infinity;
   #cancelDecision: () => void = () => undefined;
 
@@ -94,6 +93,7 @@
     this.#options = options;
     const { clock, events, metrics, check } = options;
     this.#startedAtMs = clock.nowMs();
+    this.#broadcaster = new QuarantineBroadcaster(options);
     this.#detector = new CrashDetector({
       check,
       clock,
@@ -113,6 +113,14 @@
         this.#merge(entry, EntrySource.Store);
       },
     });
+    this.#trials = new QuarantineTrials({
+      ...options,
+      quarantine: this.#quarantine,
+      records: this.#records,
+      onTrial: (entry) => {
+        this.#merge(entry, EntrySource.Trial);
+      },
+    });
   }
 
   /** Whether the stored quarantines were read, which a starting daemon waits for. */
@@ -128,7 +136,7 @@
   /** The quarantine that holds a request back now; undefined when none does. */
   find(partIds: readonly string[]): QuarantineEntry | undefined {
     const entry = this.#quarantine.match(partIds);
-    if (!entry || this.#isTrial(entry)) return undefined;
+    if (!entry || this.#trials.isOpen(entry)) return undefined;
     this.#options.metrics.count('gateway_quarantine_refusals', 1);
     return entry;
   }
@@ -136,7 +144,7 @@
   /** Like {@link find}, for a request that is about to be sent; a trial is used up by it. */
   admit(partIds: readonly string[]): QuarantineEntry | undefined {
     const entry = this.find(partIds);
-    if (!entry && this.#quarantine.match(partIds)) this.#trialKey = undefined;
+    if (!entry && this.#quarantine.match(partIds)) this.#trials.close();
     return entry;
   }
 
@@ -157,8 +165,7 @@
   answerMayBeCut(cut: BrokenRequest): void {
     const request = exchanged(cut);
     this.#detector.note(request);
-    const { endpointId, partIds } = request;
-    const { sentAtMs } = request;
+    const { endpointId, partIds, sentAtMs } = request;
     const unproven = { partIds, sentAtMs, answeredAtMs: this.#options.clock.nowMs() };
     const isSuspected = this.#evidence.isSuspected(partIds) || this.#isHeldBack(partIds);
     if (isSuspected) void this.#proveAnswer(request, unproven);
@@ -188,6 +195,7 @@
     const answeredAtMs = this.#options.clock.nowMs();
     this.#answered({ partIds: exchangedParts(partIds), sentAtMs, answeredAtMs });
   }
+
   /** Applies a message of another daemon. */
   receive({ crash, answer, entry }: QuarantineMessage): void {
     const nowMs = this.#options.clock.nowMs();
@@ -222,26 +230,21 @@
 
   /** Stores what the store does not hold yet, and starts trials that are due. */
   async tick(): Promise<void> {
-    const { isDutyHolder, clock } = this.#options;
-    const isHolder = isDutyHolder();
+    const isHolder = this.#options.isDutyHolder();
+    if (!isHolder) this.#trials.close();
     const keys = new Set(this.#quarantine.entries.map(({ partIds }) => quarantineKey(partIds)));
     for (const key of this.#ownKeys) if (!keys.has(key)) this.#ownKeys.delete(key);
     const entries = this.#quarantine.entries.filter(
       ({ partIds }) => isHolder || this.#ownKeys.has(quarantineKey(partIds)),
     );
     await this.#records.storeMissing(entries);
-    if (!isHolder) this.#trialKey = undefined;
     if (!isHolder) return;
     await this.#records.removeOthers(this.#quarantine.entries);
-    if (this.#trialKey !== undefined) return;
-    for (const entry of this.#quarantine.active) {
-      const trial = this.#quarantine.nextTrial(entry, clock.nowMs());
-      if (trial) await this.#startTrial(trial);
-    }
+    await this.#trials.startDue();
   }
 
   stop(): void {
-    this.#isStopped = true;
+    this.#broadcaster.stop();
     this.#cancelDecision();
   }
 
@@ -259,24 +262,9 @@
     if (suspected.length > 0 || isHeldBack) this.#tellAnswers(partIds);
   }
 
-  #isTrial(entry: QuarantineEntry): boolean {
-    return this.#trialKey === quarantineKey(entry.partIds) && this.#options.isDutyHolder();
-  }
-
-  /** The trial is counted in the store before it is made, so that no daemon makes it again. */
-  async #startTrial(trial: QuarantineEntry): Promise<void> {
-    if (!(await this.#records.store(trial))) return;
-    this.#merge(trial, EntrySource.Trial);
-    this.#trialKey = quarantineKey(trial.partIds);
-    this.#options.events.info(EventId.QuarantineTrial, 'the next request is let through', {
-      partIds: trial.partIds,
-      trials: trial.trials,
-    });
-  }
-
   #reportCrash(report: CrashReport): void {
     this.#ownReports = [...this.#ownReports, report].slice(-maxSampledReports);
-    this.#publishTwice((nowMs) => ({ crash: crashMessage(report, nowMs) }));
+    this.#broadcaster.sendCrash(report);
     this.#addEvidence(report);
     this.#scheduleDecision(ownDecisionDelayMs);
   }
@@ -318,7 +306,8 @@
     const nowMs = this.#options.clock.nowMs();
     // What is unclear now may be clear later, also without a further crash.
     if (this.#evidence.hasSuspects) this.#scheduleDecision(decisionPeriodMs);
-    for (const cause of this.#evidence.causes(nowMs)) {
+    const completeSinceMs = this.#options.reportsCompleteSinceMs();
+    for (const cause of this.#evidence.causes(nowMs, completeSinceMs)) {
       const entry = this.#quarantine.begin(cause, nowMs);
       if (entry) this.#change(entry, EntrySource.Evidence);
     }
@@ -357,14 +346,14 @@
     if (untold.length === 0) return;
     const times = untold.map((partId) => this.#answers.latest(partId)?.answeredAtMs ?? nowMs);
     const answeredAtMs = Math.min(...times);
-    this.#publishTwice((atMs) => ({ answer: { partIds: untold, ageMs: atMs - answeredAtMs } }));
+    this.#broadcaster.sendAnswer(untold, answeredAtMs);
   }
 
   /** Puts an entry of this daemon in force here and elsewhere. */
   #change(entry: QuarantineEntry, source: EntrySource): void {
     if (!this.#merge(entry, source)) return;
     this.#ownKeys.add(quarantineKey(entry.partIds));
-    this.#publishTwice(() => ({ entry }));
+    this.#broadcaster.sendEntry(entry);
     void this.#records.storeMissing([entry]);
   }
 
@@ -378,14 +367,6 @@
     this.#options.events.warn(event, message, { partIds, version, crashes, trials, source });
     return true;
   }
-
-  #publishTwice(message: (nowMs: number) => QuarantineMessage): void {
-    const { publish, clock } = this.#options;
-    publish(message(clock.nowMs()));
-    clock.schedule(clock.nowMs() + repeatDelayMs, () => {
-      if (!this.#isStopped) publish(message(clock.nowMs()));
-    });
-  }
 }
 
 /** A request as it is told to other daemons, whatever its caller sent. */
@@ -393,21 +374,3 @@
   const partIds = exchangedParts(request.partIds);
   return { ...request, partIds, requestId: request.requestId.slice(0, maxIdChars) };
 }
-
-function crashMessage(report: CrashReport, nowMs: number): CrashMessage {
-  const { endpointId, requestId, partIds, sentAtMs, crashedAtMs } = report;
-  const ageOf = (atMs: number): number => Math.max(0, nowMs - atMs);
-  const ages = { sentAgeMs: ageOf(sentAtMs), ageMs: ageOf(crashedAtMs) };
-  return { endpointId, requestId, partIds: [...partIds], ...ages };
-}
-
-function crashReport(message: CrashMessage, nowMs: number): CrashReport {
-  const { endpointId, requestId, partIds, sentAgeMs, ageMs } = message;
-  return {
-    endpointId,
-    requestId,
-    partIds,
-    sentAtMs: nowMs - sentAgeMs,
-    crashedAtMs: nowMs - ageMs,
-  };
-}
--- a/src/quarantine/quarantine-entry.ts
+++ b/src/quarantine/quarantine-entry.ts
@@ -32,6 +32,15 @@
 /** Parts of prompts that are kept from endpoints, or were. */
 export type QuarantineEntry = z.output<typeof quarantineEntrySchema>;
 
+/** Who an entry came from, for the log. */
+export enum EntrySource {
+  Evidence = 'evidence',
+  Answer = 'answer',
+  Peer = 'peer',
+  Store = 'store',
+  Trial = 'trial',
+}
+
 /** Names an entry by its parts. */
 export function quarantineKey(partIds: readonly string[]): string {
   return partIds.join(',');
--- a/test/quarantine/crash-evidence_test.ts
+++ b/test/quarantine/crash-evidence_test.ts
@@ -20,8 +20,13 @@
   };
 }
 
-function partsOfCauses(evidence: CrashEvidence, atMs: number): (readonly string[])[] {
-  return evidence.causes(startAtMs + atMs).map(({ partIds }) => partIds);
+/** Parts of the causes that are named when all reports arrive since `completeSinceMs`. */
+function partsOfCauses(
+  evidence: CrashEvidence,
+  atMs: number,
+  completeSinceMs = -Infinity,
+): (readonly string[])[] {
+  return evidence.causes(startAtMs + atMs, completeSinceMs).map(({ partIds }) => partIds);
 }
 
 describe('CrashEvidence', () => {
@@ -72,6 +77,15 @@
       expect(partsOfCauses(evidence, 3_000).flat().toSorted()).toEqual(['dead1', 'dead2']);
     });
 
+    it('after five crashes and a while also when reports of other daemons are missing', () => {
+      const evidence = new CrashEvidence();
+      for (let end = 0; end < 5; end++) {
+        evidence.add(crash(`i-${end}`, end * 600, `r${end}`, 'dead'));
+      }
+      expect(partsOfCauses(evidence, 2_400, Infinity)).toEqual([]);
+      expect(partsOfCauses(evidence, 2_600, Infinity)).toEqual([['dead']]);
+    });
+
     it('together with a part that occurred in the same requests only', () => {
       const evidence = new CrashEvidence();
       for (let end = 0; end < 3; end++) {
@@ -100,6 +114,17 @@
       expect(partsOfCauses(evidence, 11_000)).toEqual([]);
     });
 
+    it('while reports of other daemons are missing, which may know the cause of these crashes', () => {
+      const evidence = new CrashEvidence();
+      for (let end = 0; end < 4; end++) {
+        evidence.add(crash(`i-${end}`, end * 500, `r${end}`, 'bystander'));
+      }
+      expect(partsOfCauses(evidence, 2_000, Infinity)).toEqual([]);
+      // The crashes at 1,000 and 1,500 ms are the only ones of which all reports came.
+      expect(partsOfCauses(evidence, 2_000, startAtMs + 900)).toEqual([]);
+      expect(partsOfCauses(evidence, 2_000, startAtMs + 400)).toEqual([['bystander']]);
+    });
+
     it('when one request with the part was there each time', () => {
       const evidence = new CrashEvidence();
       for (let end = 0; end < 4; end++) evidence.add(crash(`i-${end}`, end * 500, 'r', 'part'));
--- a/test/quarantine/guard-fleet.ts
+++ b/test/quarantine/guard-fleet.ts
@@ -47,6 +47,8 @@
   readonly seed: number;
   /** Part of the datagrams that are lost. */
   readonly datagramLossRatio: number;
+  /** Time after the start of all daemons until their datagrams arrive, in milliseconds. */
+  readonly unheardForMs: number;
   /** Time after an end from which the address accepts connections again. */
   readonly restartMs: number;
   /** Whether answers end with their connections, so that an ending endpoint seems to complete them. */
@@ -69,12 +71,14 @@
   readonly #random: Random;
   readonly #check = new EndpointCheck(this.clock);
   readonly #replicas: KeyedReplica[] = [];
+  readonly #heardFromMs: number;
   #requests = 0;
   #addresses = 0;
 
   constructor(options: GuardFleetOptions) {
     this.#options = options;
     this.#random = new Random(options.seed);
+    this.#heardFromMs = this.clock.nowMs() + options.unheardForMs;
     for (let at = 0; at < options.daemons; at++) this.#addGuard(at);
   }
 
@@ -120,6 +124,21 @@
     await Promise.all([guard.requestBroke(broken), guard.requestBroke(other)]);
   }
 
+  /** An endpoint crashes under requests of several daemons, each given with its parts. */
+  async crashUnder(requests: ReadonlyMap<number, readonly string[]>): Promise<void> {
+    const endpointId = `i-${++this.#requests}`;
+    const baseUrl = this.crashedUrl();
+    const nowMs = this.clock.nowMs();
+    this.crashesAtMs.push(nowMs);
+    const times = { sentAtMs: nowMs - serviceMs, firstEventAtMs: undefined };
+    const broken = [...requests].map(([at, partIds]) => {
+      const requestId = `${endpointId}-${at}`;
+      const request = { endpointId, baseUrl, requestId, partIds, lastEventAtMs: undefined };
+      return this.guards[at]!.requestBroke({ ...request, ...times });
+    });
+    await Promise.all(broken);
+  }
+
   /** Address of an endpoint that has just ended. */
   crashedUrl(): string {
     const baseUrl = `http://127.0.0.1:${1_000 + this.#addresses++}`;
@@ -155,6 +174,10 @@
     for (const guard of this.guards) guard.stop();
   }
 
+  get #isHeard(): boolean {
+    return this.#options.datagramLossRatio < 1 && this.clock.nowMs() >= this.#heardFromMs;
+  }
+
   #addGuard(at: number): void {
     const { clock, log } = this;
     const events = new NullEventLog();
@@ -177,6 +200,7 @@
       publish: (message) => {
         this.#broadcast(at, message);
       },
+      reportsCompleteSinceMs: () => (this.#isHeard ? this.#heardFromMs : Infinity),
       isDutyHolder: () => this.holder === at,
       onEndpointCrash: () => undefined,
       clock,
@@ -194,6 +218,7 @@
 
   #broadcast(from: number, message: QuarantineMessage): void {
     this.sent.push(message);
+    if (!this.#isHeard) return;
     for (const [at, guard] of this.guards.entries()) {
       if (at === from || this.#random.float() < this.#options.datagramLossRatio) continue;
       this.clock.schedule(this.clock.nowMs() + datagramDelayMs, () => {
--- a/test/quarantine/prompt-guard_test.ts
+++ b/test/quarantine/prompt-guard_test.ts
@@ -24,6 +24,7 @@
       daemons: 7,
       seed: 1,
       datagramLossRatio: 0,
+      unheardForMs: 0,
       restartMs: 5_000,
       hasNoLengths: false,
       ...changes,
@@ -121,6 +122,24 @@
   });
 
   describe('a daemon that starts', () => {
+    it('holds back nothing sound by crashes of which it has heard no other reports yet', async () => {
+      await start({ unheardForMs: 4_500 });
+      // Daemon 0 knows the bystanders of each crash, daemon 1 the requests under which they happen.
+      for (let end = 0; end < 4; end++) {
+        const parts = new Map([
+          [0, ['first0', `sound${end}`]],
+          [1, [`first${1 + end}`, 'dead']],
+        ]);
+        void fleet.crashUnder(parts);
+        await fleet.clock.advance(350);
+      }
+      await fleet.clock.advance(3_000);
+      expect(fleet.heldBackAt('first0')).toBe(0);
+      await play(8_000);
+      expect(fleet.heldBackAt('dead')).toBe(7);
+      expect(fleet.heldBackAt('first0')).toBe(0);
+    });
+
     it('takes no old report in a sample for a new one, and holds back nothing sound by it', async () => {
       await start({ daemons: 1 });
       const guard = fleet.guards[0]!;
