Try a quarantine early when endpoints go on crashing under other prompts

Cause: only an answer to a held back prompt lifts a quarantine, and none is sent before the trial. What shows that the quarantine is wrong, further crashes without its parts, counted for nothing.

Three trials in all, as before, so that no more than three poison requests are sent. While no endpoints crash, a quarantine stays as it was.

Before: the test of PromptGuard with such a quarantine fails on the code before (held back at 7 of 7 to the end). After: lifted.

--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -15,6 +15,7 @@
 } from './quarantine-entry.js';
 import { maxIdChars, type CrashMessage, type QuarantineMessage } from './quarantine-message.js';
 import { QuarantineRecords } from './quarantine-records.js';
+import { QuarantineReview } from './quarantine-review.js';
 import { QuarantineTrials } from './quarantine-trials.js';
 import { WholeAnswers, type Answer } from './whole-answers.js';
 
@@ -80,6 +81,7 @@
   readonly #detector: CrashDetector;
   readonly #records: QuarantineRecords;
   readonly #answers = new WholeAnswers();
+  readonly #review = new QuarantineReview();
   readonly #broadcaster: QuarantineBroadcaster;
   readonly #trials: QuarantineTrials;
   readonly #startedAtMs: number;
@@ -117,6 +119,7 @@
       ...options,
       quarantine: this.#quarantine,
       records: this.#records,
+      review: this.#review,
       onTrial: (entry) => {
         this.#merge(entry, EntrySource.Trial);
       },
@@ -232,6 +235,7 @@
   async tick(): Promise<void> {
     const isHolder = this.#options.isDutyHolder();
     if (!isHolder) this.#trials.close();
+    this.#review.retain(this.#quarantine.active);
     const keys = new Set(this.#quarantine.entries.map(({ partIds }) => quarantineKey(partIds)));
     for (const key of this.#ownKeys) if (!keys.has(key)) this.#ownKeys.delete(key);
     const entries = this.#quarantine.entries.filter(
@@ -286,7 +290,9 @@
   #addEvidence(report: CrashReport): void {
     // Of the time before its start, a daemon knows no answers that would clear the innocent.
     if (report.crashedAtMs < this.#startedAtMs) return;
-    if (this.#quarantine.match(report.partIds)) this.#evidence.explain(report.endpointId);
+    const entry = this.#quarantine.match(report.partIds);
+    this.#review.recordCrash(report, entry);
+    if (entry) this.#evidence.explain(report.endpointId);
     else this.#evidence.add(report);
   }
 
@@ -360,6 +366,7 @@
   #merge(entry: QuarantineEntry, source: EntrySource): boolean {
     if (!this.#quarantine.merge(entry)) return false;
     const { partIds, version, crashes, isReleased, trials } = entry;
+    if (!isReleased) this.#review.began(entry, this.#options.clock.nowMs());
     const event = isReleased ? EventId.QuarantineLifted : EventId.PromptQuarantined;
     const message = isReleased
       ? 'prompts with these parts go to endpoints again'
--- a/src/quarantine/prompt-quarantine.ts
+++ b/src/quarantine/prompt-quarantine.ts
@@ -71,10 +71,18 @@
     return { ...entry, version: entry.version + 1, isReleased: true };
   }
 
-  /** Entry that lets one more request through; undefined while none may be. */
-  nextTrial(entry: QuarantineEntry, nowMs: number): QuarantineEntry | undefined {
-    if (entry.isReleased || entry.trials >= maxTrials || nowMs < entry.nextTrialAtMs)
-      return undefined;
+  /**
+   * Entry that lets one more request through; undefined while none may be.
+   *
+   * @param isDoubtful - whether the quarantine may be wrong, so that the trial is due at once.
+   */
+  nextTrial(
+    entry: QuarantineEntry,
+    nowMs: number,
+    isDoubtful: boolean,
+  ): QuarantineEntry | undefined {
+    if (entry.isReleased || entry.trials >= maxTrials) return undefined;
+    if (nowMs < entry.nextTrialAtMs && !isDoubtful) return undefined;
     const trials = entry.trials + 1;
     const nextTrialAtMs = nowMs + firstTrialDelayMs * trialDelayFactor ** trials;
     return { ...entry, version: entry.version + 1, trials, nextTrialAtMs };
--- a/src/quarantine/quarantine-trials.ts
+++ b/src/quarantine/quarantine-trials.ts
@@ -3,11 +3,13 @@
 import type { PromptQuarantine } from './prompt-quarantine.js';
 import { quarantineKey, type QuarantineEntry } from './quarantine-entry.js';
 import type { QuarantineRecords } from './quarantine-records.js';
+import type { QuarantineReview } from './quarantine-review.js';
 
 /** Options of {@link QuarantineTrials}. */
 export interface QuarantineTrialsOptions {
   readonly quarantine: PromptQuarantine;
   readonly records: QuarantineRecords;
+  readonly review: QuarantineReview;
   /** Whether this daemon alone may act for all. */
   readonly isDutyHolder: () => boolean;
   /** Called with the entry of a trial that begins. */
@@ -38,10 +40,11 @@
 
   /** Starts a trial that is due, unless one is open. */
   async startDue(): Promise<void> {
-    const { quarantine, clock } = this.#options;
+    const { quarantine, review, clock } = this.#options;
     for (const entry of quarantine.active) {
       if (this.#key !== undefined) return;
-      const trial = quarantine.nextTrial(entry, clock.nowMs());
+      const nowMs = clock.nowMs();
+      const trial = quarantine.nextTrial(entry, nowMs, review.isDoubtful(entry, nowMs));
       if (trial) await this.#start(trial);
     }
   }
--- a/test/quarantine/prompt-guard_test.ts
+++ b/test/quarantine/prompt-guard_test.ts
@@ -200,6 +200,34 @@
     expect(fleet.crashesAtMs.length).toBe(ends + 1);
   });
 
+  describe('a quarantine of sound prompts, reached without the reports that show the cause', () => {
+    const wrong = { partIds: ['first0'], crashes: 3, isReleased: false, trials: 0 };
+
+    async function startWithWrong(): Promise<void> {
+      await start();
+      const nowMs = fleet.clock.nowMs();
+      const entry = { ...wrong, version: 1, firstCrashAtMs: nowMs, nextTrialAtMs: nowMs + 300_000 };
+      for (const guard of fleet.guards) guard.receive({ entry });
+    }
+
+    it('is lifted soon, by an answer to one of them, when endpoints crash under others', async () => {
+      await startWithWrong();
+      await play(20_000);
+      expect(fleet.heldBackAt('first0')).toBe(0);
+      expect(fleet.heldBackAt('dead')).toBe(7);
+      expect(lateSends()).toBeLessThanOrEqual(allowedSends);
+    });
+
+    it('stays while no endpoints crash, as a right one does', async () => {
+      await startWithWrong();
+      for (let at = 0; at < 100; at++) {
+        fleet.answer('first0', 'sound');
+        await fleet.clock.advance(500);
+      }
+      expect(fleet.heldBackAt('first0')).toBe(7);
+    });
+  });
+
   it('makes a trial once, although its holder changes', async () => {
     await start();
     await play(5_000);
--- a/test/quarantine/prompt-quarantine_test.ts
+++ b/test/quarantine/prompt-quarantine_test.ts
@@ -45,7 +45,7 @@
     const gapsMs: number[] = [];
     let lastAtMs = nowMs;
     for (let atMs = nowMs; atMs < nowMs + 7 * dayMs; atMs += 10_000) {
-      const trial = quarantine.nextTrial(entry, atMs);
+      const trial = quarantine.nextTrial(entry, atMs, false);
       if (!trial) continue;
       quarantine.merge(trial);
       entry = trial;
@@ -57,6 +57,20 @@
     expect(gapsMs[0]).toBeGreaterThanOrEqual(60_000);
   });
 
+  it('lets no more than three requests through when it stays doubtful', () => {
+    const quarantine = new PromptQuarantine();
+    let entry = begin(quarantine, 'dead');
+    let trials = 0;
+    for (let atMs = nowMs; atMs < nowMs + dayMs; atMs += 10_000) {
+      const trial = quarantine.nextTrial(entry, atMs, true);
+      if (!trial) continue;
+      quarantine.merge(trial);
+      entry = trial;
+      trials += 1;
+    }
+    expect(trials).toBe(3);
+  });
+
   it('keeps a bounded number of entries, those in force longest', () => {
     const quarantine = new PromptQuarantine();
     const lifted = begin(quarantine, 'lifted');
