Tell a daemon of a quarantine again when it reports a crash under it

Change: the daemon that named the cause sends the quarantine again, once a second at most, when another one reports a crash under it with a request sent after it was in force. Only the daemons that named it do, so that the number of messages does not grow with the daemons.

Before: the test of PromptGuard in which the store is away and nothing was heard fails (held back at 1 of 7).

--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -51,6 +51,9 @@
 /** Time between two decisions while parts are under suspicion. */
 const decisionPeriodMs = 1_000;
 
+/** A daemon that does not know a quarantine is told of it again this often at most. */
+const retellPeriodMs = 1_000;
+
 /** A part on which an answer came whole this short a time ago was not held back for good reason. */
 const contradictionMs = 1_000;
 
@@ -88,6 +91,7 @@
   #ownReports: readonly CrashReport[] = [];
   /** Entries that this daemon changed, and is to store. */
   readonly #ownKeys = new Set<string>();
+  #retoldAtMs = -Infinity;
   #decisionAtMs = Infinity;
   #cancelDecision: () => void = () => undefined;
 
@@ -274,6 +278,7 @@
   }
 
   #receiveCrash(report: CrashReport): void {
+    this.#retellQuarantine(report);
     this.#tellAnswers(this.#answers.answeredSince(report.partIds, report.crashedAtMs));
     this.#addEvidence(report);
     this.#scheduleDecision(otherDecisionDelayMs);
@@ -287,6 +292,18 @@
     }
   }
 
+  /** A daemon that sent a request after this one's quarantine began does not know of it. */
+  #retellQuarantine({ partIds, sentAtMs }: CrashReport): void {
+    const entry = this.#quarantine.match(partIds);
+    if (!entry) return;
+    const key = quarantineKey(entry.partIds);
+    const nowMs = this.#options.clock.nowMs();
+    if (!this.#ownKeys.has(key) || nowMs < this.#retoldAtMs + retellPeriodMs) return;
+    if (sentAtMs <= (this.#review.inForceAtMs(key) ?? Infinity)) return;
+    this.#retoldAtMs = nowMs;
+    this.#broadcaster.sendEntry(entry);
+  }
+
   #addEvidence(report: CrashReport): void {
     // Of the time before its start, a daemon knows no answers that would clear the innocent.
     if (report.crashedAtMs < this.#startedAtMs) return;
--- a/test/quarantine/prompt-guard_test.ts
+++ b/test/quarantine/prompt-guard_test.ts
@@ -228,6 +228,21 @@
     });
   });
 
+  it('tells a daemon that missed the verdict of it when that one sends a poison request', async () => {
+    await start({ unheardForMs: 8_000 });
+    fleet.log.fault = KeyedLogFault.Down;
+    // Nothing is heard of each other: daemon 0 alone names the part.
+    for (let end = 0; end < 6; end++) {
+      void fleet.crashUnder(new Map([[0, [`first${end}`, 'dead']]]));
+      await fleet.clock.advance(600);
+    }
+    await fleet.clock.advance(4_000);
+    expect(fleet.heldBackAt('dead')).toBe(1);
+    void fleet.crashUnder(new Map([[1, ['first0', 'dead']]]));
+    await fleet.clock.advance(1_000);
+    expect(fleet.heldBackAt('dead')).toBe(7);
+  });
+
   it('makes a trial once, although its holder changes', async () => {
     await start();
     await play(5_000);
