Tell a poison part from one that fits about as well, and try two quarantines by the same crashes

Found by the new tests: a daemon that had its own report of the last crash decided before those of others had come (150 ms); a part with all crashes but that one looked like the lesser explanation. And daemons without a report of their own, when all wait for the same moment, named a cause at the same time (196 messages a crash at 195 daemons, by a test that was there).

Change: a part is clear only if no other unanswered one was at most of its crashes; one that was at some of them only explains less. Crashes count once their reports had 300 ms to arrive. Daemons without a report of their own leave a cause to the others for 1.2 s. Two quarantines of which one was at most crashes of the other are tried, after two seconds, as the review of quarantines does for further crashes.

Ruled out: incomplete reports (all gateways had heard of each other for a second).

The decisions are a class of their own (CauseFinder), and so are candidates.

--- a/src/quarantine/crash-evidence.ts
+++ b/src/quarantine/crash-evidence.ts
@@ -1,4 +1,5 @@
 import { LRUCache } from 'lru-cache';
+import { CrashCandidate } from './crash-candidate.js';
 import { countEvents, laterSent, type Crash } from './crash-events.js';
 import type { CrashReport } from './crash-report.js';
 
@@ -15,14 +16,6 @@
 const minCrashes = 3;
 const minRequests = 2;
 
-/**
- * Ends after which a part is named although another one fits as well, or although answers with it
- * came whole before; and the time since the first of them, in which parts of sound requests are
- * cleared by further answers.
- */
-const minUnclearCrashes = 5;
-const unclearMs = 2_500;
-
 /** A part that was there at fewer of the crashes in its time is not what endpoints crash under. */
 const minExplainedRatio = 1 / 3;
 
@@ -40,18 +33,6 @@
   readonly requestIds: Set<string>;
 }
 
-/** A part with enough held against it. */
-interface Candidate {
-  readonly partId: string;
-  /** Parts that each request with this one held too, itself included. */
-  readonly group: readonly string[];
-  /** Endpoints that crashed under it. */
-  readonly crashes: readonly string[];
-  readonly firstCrashAtMs: number;
-  /** Whether an answer with it came whole at some time. */
-  readonly wasAnswered: boolean;
-}
-
 /** What is held against a part, by endpoint. */
 type PartEvidence = Map<string, CrashWithPart>;
 
@@ -145,55 +126,63 @@
    *
    * @param completeSinceMs - time since which the reports of all daemons arrive, in epoch milliseconds.
    *   Of crashes before it the cause may be missing while bystanders are known.
+   * @param mayName - asked before a cause is named, which is put off when it says no.
    */
-  causes(nowMs: number, completeSinceMs: number): CrashCause[] {
+  causes(
+    nowMs: number,
+    completeSinceMs: number,
+    mayName: (candidate: CrashCandidate) => boolean,
+  ): CrashCause[] {
     this.#forgetBefore(nowMs - windowMs);
     const causes: CrashCause[] = [];
     for (;;) {
       const found = this.#nextCauses(nowMs, completeSinceMs);
-      if (found.length === 0) return causes;
-      causes.push(...found);
+      if (!found.some(mayName)) return causes;
+      causes.push(...this.#name(found));
     }
   }
 
   /** The next cause, or those that fit equally well and were not told apart in time. */
-  #nextCauses(nowMs: number, completeSinceMs: number): CrashCause[] {
+  #nextCauses(nowMs: number, completeSinceMs: number): CrashCandidate[] {
     const candidates = [...this.#suspects.keys()]
       .filter((partId) => this.#isCandidate(partId))
       .map((partId) => this.#candidate(partId))
       // The most specific explanation first, then the one that explains most.
-      .sort((a, b) => b.group.length - a.group.length || b.crashes.length - a.crashes.length);
+      .sort(
+        (a, b) => b.group.length - a.group.length || b.endpointIds.length - a.endpointIds.length,
+      );
     const unanswered = candidates.filter(({ wasAnswered }) => !wasAnswered);
+    const rivalsOf = (candidate: CrashCandidate): CrashCandidate[] =>
+      unanswered.filter((other) => other.isRivalOf(candidate, nowMs));
     const clear = unanswered
-      .filter(({ partId }) => this.#eventsSince(partId, completeSinceMs) >= minCrashes)
-      .find((candidate) => rivalsOf(candidate, unanswered).length === 0);
-    if (clear) return this.#name([clear]);
-    const due = candidates.filter((candidate) => isOverdue(candidate, nowMs));
+      .filter((candidate) => candidate.reportedEvents(completeSinceMs, nowMs) >= minCrashes)
+      .find((candidate) => rivalsOf(candidate).length === 0);
+    if (clear) return [clear];
+    const due = candidates.filter((candidate) => candidate.isOverdue(nowMs));
     const found = due.find(({ wasAnswered }) => !wasAnswered);
-    if (found) return this.#name([found, ...rivalsOf(found, unanswered)]);
+    if (found) return [found, ...rivalsOf(found)];
     const answered = due.find(
-      (candidate) => !unanswered.some((other) => explains(other, candidate)),
+      (candidate) => !unanswered.some((other) => other.explains(candidate)),
     );
-    return answered ? this.#name([answered]) : [];
+    return answered ? [answered] : [];
   }
 
   /** Takes the crashes that the causes explain off the evidence. */
-  #name(causes: readonly Candidate[]): CrashCause[] {
-    for (const { crashes } of causes) for (const endpointId of crashes) this.explain(endpointId);
-    return causes.map(({ group, crashes, firstCrashAtMs }) => {
-      return { partIds: group.toSorted(), crashes: crashes.length, firstCrashAtMs };
+  #name(causes: readonly CrashCandidate[]): CrashCause[] {
+    for (const { endpointIds } of causes)
+      for (const endpointId of endpointIds) this.explain(endpointId);
+    return causes.map(({ group, endpointIds, firstCrashAtMs }) => {
+      return { partIds: group.toSorted(), crashes: endpointIds.length, firstCrashAtMs };
     });
   }
 
-  #candidate(partId: string): Candidate {
-    const evidence = [...(this.#suspects.peek(partId)?.values() ?? [])];
-    return {
+  #candidate(partId: string): CrashCandidate {
+    return new CrashCandidate({
       partId,
       group: this.#companions(partId),
-      crashes: this.#crashesOf(partId),
-      firstCrashAtMs: Math.min(...evidence.map(({ crashedAtMs }) => crashedAtMs)),
+      crashes: new Map(this.#suspects.peek(partId)),
       wasAnswered: this.#answeredAtMs.has(partId),
-    };
+    });
   }
 
   #isCandidate(partId: string): boolean {
@@ -207,12 +196,6 @@
     return events >= countEvents(allEnds) * minExplainedRatio;
   }
 
-  /** Separate crashes under a part since `sinceMs`, in epoch milliseconds. */
-  #eventsSince(partId: string, sinceMs: number): number {
-    const crashes = [...(this.#suspects.peek(partId)?.values() ?? [])];
-    return countEvents(crashes.filter(({ crashedAtMs }) => crashedAtMs >= sinceMs));
-  }
-
   /** Parts that each request with this one held too, itself included. */
   #companions(partId: string): string[] {
     const requests = this.#requests(partId);
@@ -222,11 +205,6 @@
     });
   }
 
-  /** Endpoints that crashed while a request with the part was in progress. */
-  #crashesOf(partId: string): string[] {
-    return [...(this.#suspects.peek(partId)?.keys() ?? [])];
-  }
-
   #requests(partId: string): Set<string> {
     const crashes = [...(this.#suspects.peek(partId)?.values() ?? [])];
     return new Set(crashes.flatMap(({ requestIds }) => [...requestIds]));
@@ -244,23 +222,3 @@
     }
   }
 }
-
-/** Other parts at all crashes of a candidate, in other requests. */
-function rivalsOf({ group, crashes }: Candidate, candidates: readonly Candidate[]): Candidate[] {
-  return candidates
-    .filter(({ partId }) => !group.includes(partId))
-    .filter((rival) => crashes.every((endpointId) => rival.crashes.includes(endpointId)));
-}
-
-/** Whether a sound part would have been cleared by now. */
-function isOverdue({ crashes, firstCrashAtMs }: Candidate, nowMs: number): boolean {
-  return crashes.length >= minUnclearCrashes && nowMs - firstCrashAtMs >= unclearMs;
-}
-
-/** Whether a part was there at most of the crashes of another one. */
-function explains({ crashes }: Candidate, other: Candidate): boolean {
-  return (
-    other.crashes.filter((endpointId) => crashes.includes(endpointId)).length * 2 >
-    other.crashes.length
-  );
-}
--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -3,6 +3,7 @@
 import type { KeyedReplica } from '../log/keyed-replica.js';
 import { EventId, type EventLog, type Metrics } from '../telemetry/index.js';
 import { CrashDetector, type BrokenRequest, type ListenCheck } from './crash-detector.js';
+import { CauseFinder } from './cause-finder.js';
 import { CrashEvidence } from './crash-evidence.js';
 import type { CrashReport } from './crash-report.js';
 import { PromptQuarantine } from './prompt-quarantine.js';
@@ -42,15 +43,6 @@
   readonly metrics: Metrics;
 }
 
-/** Time for the reports and answers of the other daemons to arrive before a cause is named. */
-const ownDecisionDelayMs = 150;
-
-/** A daemon without a report of its own leaves the decision to those that have one, at first. */
-const otherDecisionDelayMs = 600;
-
-/** Time between two decisions while parts are under suspicion. */
-const decisionPeriodMs = 1_000;
-
 /** A daemon that does not know a quarantine is told of it again this often at most. */
 const retellPeriodMs = 1_000;
 
@@ -87,13 +79,12 @@
   readonly #review = new QuarantineReview();
   readonly #broadcaster: QuarantineBroadcaster;
   readonly #trials: QuarantineTrials;
+  readonly #finder: CauseFinder;
   readonly #startedAtMs: number;
   #ownReports: readonly CrashReport[] = [];
   /** Entries that this daemon changed, and is to store. */
   readonly #ownKeys = new Set<string>();
   #retoldAtMs = -Infinity;
-  #decisionAtMs = Infinity;
-  #cancelDecision: () => void = () => undefined;
 
   constructor(options: PromptGuardOptions) {
     this.#options = options;
@@ -113,6 +104,16 @@
         for (const report of reports) this.#reportCrash(report);
       },
     });
+    this.#finder = new CauseFinder({
+      ...options,
+      evidence: this.#evidence,
+      hasOwnReport: (endpointIds) =>
+        this.#ownReports.some(({ endpointId }) => endpointIds.includes(endpointId)),
+      onCause: (cause) => {
+        const entry = this.#quarantine.begin(cause, clock.nowMs());
+        if (entry) this.#change(entry, EntrySource.Evidence);
+      },
+    });
     this.#records = new QuarantineRecords({
       ...options,
       onEntry: (entry) => {
@@ -253,7 +254,7 @@
 
   stop(): void {
     this.#broadcaster.stop();
-    this.#cancelDecision();
+    this.#finder.stop();
   }
 
   async #proveAnswer(request: BrokenRequest, answer: Answer): Promise<void> {
@@ -274,14 +275,14 @@
     this.#ownReports = [...this.#ownReports, report].slice(-maxSampledReports);
     this.#broadcaster.sendCrash(report);
     this.#addEvidence(report);
-    this.#scheduleDecision(ownDecisionDelayMs);
+    this.#finder.reported();
   }
 
   #receiveCrash(report: CrashReport): void {
     this.#retellQuarantine(report);
     this.#tellAnswers(this.#answers.answeredSince(report.partIds, report.crashedAtMs));
     this.#addEvidence(report);
-    this.#scheduleDecision(otherDecisionDelayMs);
+    this.#finder.reported();
   }
 
   /** The sender may not have heard of an answer that came whole here. */
@@ -307,35 +308,11 @@
   #addEvidence(report: CrashReport): void {
     // Of the time before its start, a daemon knows no answers that would clear the innocent.
     if (report.crashedAtMs < this.#startedAtMs) return;
-    const entry = this.#quarantine.match(report.partIds);
-    this.#review.recordCrash(report, entry);
-    if (entry) this.#evidence.explain(report.endpointId);
+    this.#review.recordCrash(report);
+    if (this.#quarantine.match(report.partIds)) this.#evidence.explain(report.endpointId);
     else this.#evidence.add(report);
   }
 
-  #scheduleDecision(delayMs: number): void {
-    const { clock } = this.#options;
-    const atMs = clock.nowMs() + delayMs;
-    if (this.#decisionAtMs <= atMs) return;
-    this.#cancelDecision();
-    this.#decisionAtMs = atMs;
-    this.#cancelDecision = clock.schedule(atMs, () => {
-      this.#decisionAtMs = Infinity;
-      this.#decide();
-    });
-  }
-
-  #decide(): void {
-    const nowMs = this.#options.clock.nowMs();
-    // What is unclear now may be clear later, also without a further crash.
-    if (this.#evidence.hasSuspects) this.#scheduleDecision(decisionPeriodMs);
-    const completeSinceMs = this.#options.reportsCompleteSinceMs();
-    for (const cause of this.#evidence.causes(nowMs, completeSinceMs)) {
-      const entry = this.#quarantine.begin(cause, nowMs);
-      if (entry) this.#change(entry, EntrySource.Evidence);
-    }
-  }
-
   #isHeldBack(partIds: readonly string[]): boolean {
     return this.#quarantine.active.some((entry) => {
       return entry.partIds.some((partId) => partIds.includes(partId));
--- a/src/quarantine/quarantine-review.ts
+++ b/src/quarantine/quarantine-review.ts
@@ -15,15 +15,18 @@
 /** A trial without a crash and without a whole answer in this time showed nothing. */
 const trialMs = 10_000;
 
-const maxCrashes = 256;
+/** Bounds of the memory, as callers choose the ids of parts. */
+const maxCrashes = 128;
+const maxReportsOfCrash = 8;
 
-/** A crash, and the quarantine whose prompts were in progress there. */
+/** A crash with the parts of the requests that were in progress, by the requests' ids. */
 interface ReviewedCrash extends Crash {
-  readonly key: string | undefined;
+  readonly reports: ReadonlyMap<string, readonly string[]>;
 }
 
-/** Times of a quarantine at this daemon, in epoch milliseconds. */
+/** What this daemon knows of a quarantine that is in force; times in epoch milliseconds. */
 interface Term {
+  readonly partIds: readonly string[];
   readonly inForceAtMs: number;
   /** Beginning of its latest trial; `-Infinity` when there was none. */
   readonly trialAtMs: number;
@@ -33,7 +36,8 @@
 /**
  * Finds the quarantines that may hold back sound prompts. Once the right prompts are held back,
  * endpoints crash no more; when they go on crashing under others, the quarantine may have been
- * reached without the reports that would have shown the cause.
+ * reached without the reports that would have shown the cause. So may one of two quarantines by
+ * the same crashes.
  */
 export class QuarantineReview {
   readonly #terms = new Map<string, Term>();
@@ -42,9 +46,14 @@
   /** A quarantine is in force, or its next trial has begun, at this daemon or another one. */
   began({ partIds, trials }: QuarantineEntry, nowMs: number): void {
     const key = quarantineKey(partIds);
-    const { inForceAtMs, trialAtMs, trials: knownTrials } = this.#terms.get(key) ?? newTerm(nowMs);
-    const isNextTrial = trials > knownTrials;
-    this.#terms.set(key, { inForceAtMs, trialAtMs: isNextTrial ? nowMs : trialAtMs, trials });
+    const known = this.#terms.get(key);
+    const isNextTrial = trials > (known?.trials ?? 0);
+    this.#terms.set(key, {
+      partIds,
+      inForceAtMs: known?.inForceAtMs ?? nowMs,
+      trialAtMs: isNextTrial ? nowMs : (known?.trialAtMs ?? -Infinity),
+      trials,
+    });
   }
 
   /** Forgets all quarantines but `entries`. */
@@ -58,32 +67,47 @@
     return this.#terms.get(key)?.inForceAtMs;
   }
 
-  /** @param entry - the quarantine whose prompts were in progress there, if one is known. */
-  recordCrash(report: CrashReport, entry: QuarantineEntry | undefined): void {
+  recordCrash(report: CrashReport): void {
     const known = this.#crashes.get(report.endpointId);
-    const key = entry ? quarantineKey(entry.partIds) : known?.key;
-    this.#crashes.set(report.endpointId, { ...laterSent(known, report), key });
+    const reports = new Map(known?.reports);
+    if (reports.size < maxReportsOfCrash) reports.set(report.requestId, report.partIds);
+    this.#crashes.set(report.endpointId, { ...laterSent(known, report), reports });
   }
 
   /** Whether one request is to be let through before its time. */
   isDoubtful({ partIds }: QuarantineEntry, nowMs: number): boolean {
-    const ownKey = quarantineKey(partIds);
-    const term = this.#terms.get(ownKey);
-    if (!term || nowMs < term.trialAtMs + trialMs) return false;
-    const crashes = [...this.#crashes.values()];
-    const isConfirmed =
-      term.trials > 0 &&
-      crashes.some(({ key, crashedAtMs }) => key === ownKey && crashedAtMs > term.trialAtMs);
-    if (isConfirmed) return false;
-    const sinceMs = Math.max(term.inForceAtMs, nowMs - windowMs);
-    const others = crashes.filter(
-      ({ key, crashedAtMs }) => key !== ownKey && crashedAtMs > sinceMs,
+    const term = this.#terms.get(quarantineKey(partIds));
+    if (!term || nowMs < Math.max(term.inForceAtMs + otherCauseMs, term.trialAtMs + trialMs))
+      return false;
+    const crashes = [...this.#crashes.values()].filter(
+      ({ crashedAtMs }) => crashedAtMs > nowMs - windowMs,
     );
-    const firstAtMs = Math.min(...others.map(({ crashedAtMs }) => crashedAtMs));
-    return countEvents(others) >= minOtherCrashes && nowMs >= firstAtMs + otherCauseMs;
+    const own = crashes.filter((crash) => isUnder(crash, term));
+    const isConfirmed = term.trials > 0 && own.some((crash) => crash.crashedAtMs > term.trialAtMs);
+    if (isConfirmed) return false;
+    return this.#hasRival(own, term) || goesOnUnderOthers(crashes, term, nowMs);
+  }
+
+  /** Whether the same crashes led to another quarantine too. */
+  #hasRival(own: readonly ReviewedCrash[], term: Term): boolean {
+    return [...this.#terms.values()].some((other) => {
+      if (other === term) return false;
+      const shared = own.filter((crash) => isUnder(crash, other));
+      return shared.length * 2 > own.length;
+    });
   }
 }
 
-function newTerm(nowMs: number): Term {
-  return { inForceAtMs: nowMs, trialAtMs: -Infinity, trials: 0 };
+/** Whether a request that a quarantine holds back was in progress at a crash. */
+function isUnder({ reports }: ReviewedCrash, { partIds }: Term): boolean {
+  return [...reports.values()].some((parts) => partIds.every((part) => parts.includes(part)));
+}
+
+/** Whether endpoints have crashed under other prompts since a quarantine is in force. */
+function goesOnUnderOthers(crashes: readonly ReviewedCrash[], term: Term, nowMs: number): boolean {
+  const others = crashes
+    .filter(({ crashedAtMs }) => crashedAtMs > term.inForceAtMs)
+    .filter((crash) => !isUnder(crash, term));
+  const firstAtMs = Math.min(...others.map(({ crashedAtMs }) => crashedAtMs));
+  return countEvents(others) >= minOtherCrashes && nowMs >= firstAtMs + otherCauseMs;
 }
--- a/test/quarantine/prompt-guard_test.ts
+++ b/test/quarantine/prompt-guard_test.ts
@@ -218,6 +218,25 @@
       expect(lateSends()).toBeLessThanOrEqual(allowedSends);
     });
 
+    it('is lifted soon when another one was reached by the same crashes', async () => {
+      await start();
+      for (let end = 0; end < 6; end++) {
+        void fleet.crashUnder(
+          new Map([
+            [3, ['first0', `sound${end}`]],
+            [4, [`first${1 + (end % 3)}`, 'dead']],
+          ]),
+        );
+        await fleet.clock.advance(600);
+      }
+      expect(fleet.heldBackAt('first0')).toBe(7);
+      expect(fleet.heldBackAt('dead')).toBe(7);
+      await play(20_000);
+      expect(fleet.heldBackAt('first0')).toBe(0);
+      expect(fleet.heldBackAt('dead')).toBe(7);
+      expect(lateSends()).toBeLessThanOrEqual(allowedSends);
+    });
+
     it('stays while no endpoints crash, as a right one does', async () => {
       await startWithWrong();
       for (let at = 0; at < 100; at++) {
