Make a trial of a quarantine with no request that another one holds back

Two parts were held back, first3 and the poison one; the trial of first3 was made with a poison request, which held both parts; its endpoint crashed, and first3 stayed.

Cause: the guard asked the first quarantine that matches a request, not each of them.

Change: a request passes if all quarantines that match it are on trial.

Before: the test of PromptGuard fails.

--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -143,8 +143,8 @@
 
   /** The quarantine that holds a request back now; undefined when none does. */
   find(partIds: readonly string[]): QuarantineEntry | undefined {
-    const entry = this.#quarantine.match(partIds);
-    if (!entry || this.#trials.isOpen(entry)) return undefined;
+    const entry = this.#quarantine.matches(partIds).find((match) => !this.#trials.isOpen(match));
+    if (!entry) return undefined;
     this.#options.metrics.count('gateway_quarantine_refusals', 1);
     return entry;
   }
--- a/src/quarantine/prompt-quarantine.ts
+++ b/src/quarantine/prompt-quarantine.ts
@@ -31,16 +31,18 @@
     return this.entries.filter(({ isReleased }) => !isReleased);
   }
 
-  /** The entry that holds a request back; undefined when none does. */
+  /** An entry that holds a request back; undefined when none does. */
   match(partIds: readonly string[]): QuarantineEntry | undefined {
-    if (this.#byPart.size === 0) return undefined;
-    for (const partId of partIds) {
-      const entry = this.#byPart
-        .get(partId)
-        ?.find((candidate) => candidate.partIds.every((part) => partIds.includes(part)));
-      if (entry) return entry;
-    }
-    return undefined;
+    return this.matches(partIds)[0];
+  }
+
+  /** All entries that hold a request back. */
+  matches(partIds: readonly string[]): readonly QuarantineEntry[] {
+    if (this.#byPart.size === 0) return [];
+    const found = partIds
+      .flatMap((partId) => this.#byPart.get(partId) ?? [])
+      .filter((entry) => entry.partIds.every((part) => partIds.includes(part)));
+    return [...new Set(found)];
   }
 
   /** Applies an entry of this or another daemon. @returns whether it is newer than the known one. */
--- a/test/quarantine/prompt-guard_test.ts
+++ b/test/quarantine/prompt-guard_test.ts
@@ -237,6 +237,22 @@
       expect(lateSends()).toBeLessThanOrEqual(allowedSends);
     });
 
+    it('is tried by no request that another quarantine holds back', async () => {
+      await start();
+      const nowMs = fleet.clock.nowMs();
+      const entry = { ...wrong, version: 1, firstCrashAtMs: nowMs, nextTrialAtMs: nowMs };
+      const right = { ...entry, partIds: ['dead'], nextTrialAtMs: nowMs + 300_000 };
+      for (const guard of fleet.guards) {
+        guard.receive({ entry });
+        guard.receive({ entry: right });
+      }
+      await fleet.clock.advance(1_000);
+      const holder = fleet.guards[fleet.holder]!;
+      expect(holder.admit(['first0', 'dead'])?.partIds).toEqual(['dead']);
+      expect(holder.admit(['first0', 'sound'])).toBeUndefined();
+      expect(holder.admit(['first0', 'sound'])?.partIds).toEqual(['first0']);
+    });
+
     it('stays while no endpoints crash, as a right one does', async () => {
       await startWithWrong();
       for (let at = 0; at < 100; at++) {
