Name the part at most crashes when time is up, not each that is at most of them

All endpoints had crashed within a second, so that no answer came in 2.5 s that would have cleared it. The poison part was at seven crashes, first3 at five; as gateway 2 had missed the report with the poison part of one of these, first3 counted as a part that fits equally well.

Change: with the part at most crashes only those are held back that are at as many.

Before: the test of CrashEvidence fails.

--- a/src/quarantine/crash-evidence.ts
+++ b/src/quarantine/crash-evidence.ts
@@ -160,7 +160,7 @@
     if (clear) return [clear];
     const due = candidates.filter((candidate) => candidate.isOverdue(nowMs));
     const found = due.find(({ wasAnswered }) => !wasAnswered);
-    if (found) return [found, ...rivalsOf(found)];
+    if (found) return [found, ...rivalsOf(found).filter((rival) => rival.fitsAsMuchAs(found))];
     const answered = due.find(
       (candidate) => !unanswered.some((other) => other.explains(candidate)),
     );
--- a/test/quarantine/crash-evidence_test.ts
+++ b/test/quarantine/crash-evidence_test.ts
@@ -182,6 +182,18 @@
       expect(partsOfCauses(evidence, 1_600)).toEqual([['dead']]);
     });
 
+    it('that was at fewer crashes than another part when time is up', () => {
+      const evidence = new CrashEvidence();
+      for (const end of [1, 3, 4, 5, 7]) {
+        evidence.add(crash(`i-${end}`, end * 400, `b${end}`, 'bystander'));
+      }
+      // No report with the poison part came of the fifth crash, so that both have one of their own.
+      for (const end of [0, 1, 2, 3, 4, 6, 7]) {
+        evidence.add(crash(`i-${end}`, end * 400, `d${end}`, 'dead'));
+      }
+      expect(partsOfCauses(evidence, 3_500)).toEqual([['dead']]);
+    });
+
     it('that answers came whole on before, however fast endpoints crash beside it', () => {
       const evidence = new CrashEvidence();
       evidence.recordAnswer(['shared'], startAtMs - 500);
