Compare all parts that fit when the time of one is up, also those whose own time is not

Cause, from its log: first3 was at six crashes, the first of them 60 ms before the first with the poison part, which was at seven. When the 2.5 s of first3 were over, those of the poison part were not, so that first3 was taken for the first choice and the poison part for one that fits as well.

Change: of a part whose time is up and all that are at most of its crashes, those at most crashes are named.

Before: the test of CrashEvidence fails.

--- a/src/quarantine/crash-candidate.ts
+++ b/src/quarantine/crash-candidate.ts
@@ -87,11 +87,6 @@
     });
   }
 
-  /** Whether the part was at as many crashes as another one. */
-  fitsAsMuchAs(other: CrashCandidate): boolean {
-    return this.endpointIds.length >= other.endpointIds.length;
-  }
-
   #times(): Crash[] {
     return [...this.#options.crashes.values()];
   }
--- a/src/quarantine/crash-evidence.ts
+++ b/src/quarantine/crash-evidence.ts
@@ -160,7 +160,7 @@
     if (clear) return [clear];
     const due = candidates.filter((candidate) => candidate.isOverdue(nowMs));
     const found = due.find(({ wasAnswered }) => !wasAnswered);
-    if (found) return [found, ...rivalsOf(found).filter((rival) => rival.fitsAsMuchAs(found))];
+    if (found) return withMostCrashes([found, ...rivalsOf(found)]);
     const answered = due.find(
       (candidate) => !unanswered.some((other) => other.explains(candidate)),
     );
@@ -222,3 +222,8 @@
     }
   }
 }
+
+function withMostCrashes(candidates: readonly CrashCandidate[]): CrashCandidate[] {
+  const most = Math.max(...candidates.map(({ endpointIds }) => endpointIds.length));
+  return candidates.filter(({ endpointIds }) => endpointIds.length === most);
+}
--- a/test/quarantine/crash-evidence_test.ts
+++ b/test/quarantine/crash-evidence_test.ts
@@ -194,6 +194,18 @@
       expect(partsOfCauses(evidence, 3_500)).toEqual([['dead']]);
     });
 
+    it('that was at fewer crashes, although its time is up first', () => {
+      const evidence = new CrashEvidence();
+      evidence.add(crash('i-0', -100, 'b', 'bystander'));
+      for (const end of [1, 2, 3, 4, 5]) {
+        evidence.add(crash(`i-${end}`, end * 300, `b${end}`, 'bystander'));
+      }
+      for (const end of [1, 2, 3, 4, 5, 6, 7]) {
+        evidence.add(crash(`i-${end}`, end * 300, `d${end}`, 'dead'));
+      }
+      expect(partsOfCauses(evidence, 2_450)).toEqual([['dead']]);
+    });
+
     it('that answers came whole on before, however fast endpoints crash beside it', () => {
       const evidence = new CrashEvidence();
       evidence.recordAnswer(['shared'], startAtMs - 500);
