Log since when a request had been written to its endpoint when its caller left

A request that reaches an endpoint after its caller has left (soak) was either written too late by the daemon or read late by the endpoint; event 206 could not tell which.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -157,6 +157,11 @@
     return this.#response !== undefined || (this.#send?.mayHaveRun ?? false);
   }
 
+  /** Time at which the request was written to the endpoint, in epoch milliseconds; undefined before. */
+  get writtenAtMs(): number | undefined {
+    return this.#send?.writtenAtMs;
+  }
+
   /** Ends the attempt and closes its connection. */
   abort(reason: string): void {
     this.#finish(AttemptEnd.Aborted, reason);
--- a/src/gateway/endpoint-connections.ts
+++ b/src/gateway/endpoint-connections.ts
@@ -14,6 +14,7 @@
   readonly method: string;
   /** Path and query, unchanged. */
   readonly path: string;
+  /** Without the length of the body, which is added. */
   readonly headers: OutgoingHttpHeaders;
   readonly body: Buffer;
   /** Whether the request may use a kept connection that served other requests before. */
@@ -52,6 +53,8 @@
 export interface PendingSend {
   /** False while no byte of the request can have reached the endpoint. */
   readonly mayHaveRun: boolean;
+  /** Time at which the request was written, in epoch milliseconds; undefined before. */
+  readonly writtenAtMs: number | undefined;
   /** Whether the connection served another request before, whose response may come once more. */
   readonly isOnReusedConnection: boolean;
   /** Closes the connection, so that the endpoint stops its work. */
@@ -106,7 +109,7 @@
       port: Number(port || 80),
       method: request.method,
       path: request.path,
-      headers: request.headers,
+      headers: { ...request.headers, ...bodyHeaders(request) },
       setHost: false,
     });
     const send = new Send(outgoing, observer, this.#clock);
@@ -126,7 +129,7 @@
   readonly #observer: SendObserver;
   readonly #clock: Clock;
   #cancelConnectTimer: () => void = () => undefined;
-  #mayHaveRun = false;
+  #writtenAtMs: number | undefined;
   #isDone = false;
   #hasResponse = false;
 
@@ -137,7 +140,11 @@
   }
 
   get mayHaveRun(): boolean {
-    return this.#mayHaveRun;
+    return this.#writtenAtMs !== undefined;
+  }
+
+  get writtenAtMs(): number | undefined {
+    return this.#writtenAtMs;
   }
 
   get isOnReusedConnection(): boolean {
@@ -170,7 +177,7 @@
     this.#limitInterimResponses();
     outgoing.on('response', (response) => {
       if (this.#isDone) return;
-      if (!this.#mayHaveRun) {
+      if (!this.mayHaveRun) {
         outgoing.destroy(new Error('response came before the request was written'));
         return;
       }
@@ -191,7 +198,7 @@
     await allSocketsRead();
     if (this.#isDone || this.#outgoing.destroyed) return;
     if (this.#observer.mayWrite()) {
-      this.#mayHaveRun = true;
+      this.#writtenAtMs = this.#clock.nowMs();
       this.#outgoing.end(body);
       return;
     }
@@ -231,6 +238,12 @@
     this.#cancelConnectTimer();
     if (this.#isDone) return;
     this.#isDone = true;
-    this.#observer.failed(reason, this.#mayHaveRun, isRefused);
+    this.#observer.failed(reason, this.mayHaveRun, isRefused);
   }
 }
+
+/** GET requests without a body get no `content-length`, so that endpoints see them as sent. */
+function bodyHeaders({ method, body }: EndpointRequest): OutgoingHttpHeaders {
+  const hasBody = body.length > 0 || !['GET', 'HEAD', 'DELETE'].includes(method);
+  return hasBody ? { 'content-length': body.length } : {};
+}
--- a/src/gateway/relayed-request.ts
+++ b/src/gateway/relayed-request.ts
@@ -233,12 +233,7 @@
         baseUrl: view.baseUrl,
         method: request.method ?? 'GET',
         path: request.url ?? '/',
-        headers: {
-          ...headers,
-          ...(hasBody(request.method, admitted.body)
-            ? { 'content-length': admitted.body.length }
-            : {}),
-        },
+        headers,
         body: admitted.body,
         // The endpoint may be closing a reused connection, or send the response to an earlier
         // request on it. Whether this request ran would then be unknown.
@@ -395,11 +390,7 @@
       reason: this.#lastReason,
       sends: this.#sends + Number(attempt !== undefined),
       mayHaveRun: this.#mayHaveRun || attempt?.mayHaveRun === true,
+      writtenAtMs: attempt?.writtenAtMs,
     });
   }
 }
-
-/** GET requests without a body get no `content-length`, so that endpoints see them as sent. */
-function hasBody(method: string | undefined, body: Buffer): boolean {
-  return body.length > 0 || (method !== 'GET' && method !== 'HEAD' && method !== 'DELETE');
-}
--- a/src/gateway/request-log.ts
+++ b/src/gateway/request-log.ts
@@ -18,6 +18,8 @@
   readonly reason: string;
   readonly sends: number;
   readonly mayHaveRun: boolean;
+  /** Time at which it was written to its endpoint, if an attempt is in progress (epoch milliseconds). */
+  readonly writtenAtMs: number | undefined;
 }
 
 /** Log lines of one request, and what it has reached so far as they report it. */
@@ -79,16 +81,18 @@
   /** The request ended without its complete response. */
   ended(event: EventId, message: string, end: RequestEnd): void {
     const { description, route, service, receivedAtMs, deadlineAtMs } = this.#admitted;
+    const { writtenAtMs, ...logged } = end;
     this.#options.events.warn(event, message, {
       requestId: description.requestId,
       route: route.name,
       service: service.name,
-      ...end,
+      ...logged,
       endpoint: this.#endpointId,
       events: this.#events,
       ...(this.#firstEventAtMs === undefined
         ? {}
         : { firstEventMs: Math.round(this.#firstEventAtMs - receivedAtMs) }),
+      ...(writtenAtMs === undefined ? {} : { sinceWrittenMs: this.#elapsedMs(writtenAtMs) }),
       sinceProgressMs: this.#elapsedMs(this.#progressAtMs),
       remainingMs: -this.#elapsedMs(deadlineAtMs),
       elapsedMs: this.#elapsedMs(receivedAtMs),
--- a/test/gateway/request-diagnosis_test.ts
+++ b/test/gateway/request-diagnosis_test.ts
@@ -159,7 +159,10 @@
     it('before the first event: it was sent and not answered', async () => {
       await harness.start(streams, (incoming) => incoming.resume());
       await callAndLeave(200);
-      expect(ownFields(EventId.CallerLeft)).toMatchObject({ sends: 1, events: 0 });
+      const fields = ownFields(EventId.CallerLeft);
+      expect(fields).toMatchObject({ sends: 1, events: 0 });
+      // Tells a request that was written before its caller left from one that was written after.
+      expect(Number(fields?.sinceWrittenMs)).toBeGreaterThan(100);
     });
   });
 
