--- a/src/quarantine/crash-evidence.ts
+++ b/src/quarantine/crash-evidence.ts
@@ -19,7 +19,7 @@
 /** A part that was there at fewer of the crashes in its time is not what endpoints crash under. */
 const minExplainedRatio = 1 / 3;
 
-/** Ends that are further back count no more. */
+/** Crashes that are further back count no more. */
 const windowMs = 300_000;
 
 /** Bounds of the memory, as callers choose the ids of parts. */
@@ -47,7 +47,7 @@
  * @example
  * ```ts
  * evidence.add(report);
- * evidence.causes(clock.nowMs()).map(({ partIds }) => partIds);
+ * const causes = evidence.causes(clock.nowMs(), completeSinceMs, () => true);
  * ```
  */
 export class CrashEvidence {
@@ -55,7 +55,7 @@
   /** Time of the last whole answer with a part, in epoch milliseconds. */
   readonly #answeredAtMs = new LRUCache<string, number>({ max: maxAnsweredParts });
   readonly #crashes = new LRUCache<string, Crash>({ max: maxCrashes });
-  /** Ends of which the cause is known; they are held against no other part. */
+  /** Crashes of which the cause is known; they are held against no other part. */
   readonly #explainedCrashes = new LRUCache<string, true>({ max: maxCrashes });
 
   /** Adds a report of this or another daemon; the same one may come more than once. */
--- a/src/quarantine/quarantine-trials.ts
+++ b/src/quarantine/quarantine-trials.ts
@@ -45,12 +45,12 @@
       if (this.#key !== undefined) return;
       const nowMs = clock.nowMs();
       const trial = quarantine.nextTrial(entry, nowMs, review.isDoubtful(entry, nowMs));
-      if (trial) await this.#start(trial);
+      if (trial) await this.#start(trial, nowMs < entry.nextTrialAtMs);
     }
   }
 
   /** The trial is counted in the store before it is made, so that no daemon makes it again. */
-  async #start(trial: QuarantineEntry): Promise<void> {
+  async #start(trial: QuarantineEntry, isEarly: boolean): Promise<void> {
     const { records, onTrial, events } = this.#options;
     if (!(await records.store(trial))) return;
     onTrial(trial);
@@ -58,6 +58,7 @@
     events.info(EventId.QuarantineTrial, 'the next request is let through', {
       partIds: trial.partIds,
       trials: trial.trials,
+      isEarly,
     });
   }
 }
