End the slow stream of a test after its fifth event, not by a timer of its own

Trace: the test's endpoint wrote an event every 1.4 s by an interval and ended after 6 s by another timer; four intervals that are late by 100 ms each come after that. Its own end was orderly and was passed on as such. The endpoint ends after its fifth event now; that the response is complete and has it is asserted as before.

--- a/test/gateway/misbehaving-endpoint_test.ts
+++ b/test/gateway/misbehaving-endpoint_test.ts
@@ -184,8 +184,11 @@
       await harness.start(streams);
       await addRawEndpoint((socket, id) => {
         socket.write(head(id, 'content-type: text/event-stream', 'connection: close') + firstEvent);
-        every(socket, 1_400, (count) => `id: ${count + 1}\ndata: x\n\n`);
-        setTimeout(() => socket.end(), 6_000);
+        every(socket, 1_400, (count) => {
+          // After its own fifth event, however late its timer is.
+          if (count === 4) setImmediate(() => socket.end());
+          return `id: ${count + 1}\ndata: x\n\n`;
+        });
       });
       const response = await callStream();
       expect(response.isComplete).toBe(true);
