--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -56,6 +56,12 @@
 /** Reports that took longer say nothing that is still needed. */
 const maxReportAgeMs = 20_000;
 
+/** What a quarantine was decided by, as far as it is logged. */
+interface DecisionInputs {
+  /** Time for which the reports of all daemons had arrived; 0 while those of some were missing. */
+  readonly reportsCompleteMs?: number;
+}
+
 /**
  * Keeps prompts with a part under which endpoints crash, one after the other, from endpoints. All
  * daemons exchange which requests were in progress when an endpoint crashed and on which parts
@@ -111,7 +117,9 @@
         this.#ownReports.some(({ endpointId }) => endpointIds.includes(endpointId)),
       onCause: (cause) => {
         const entry = this.#quarantine.begin(cause, clock.nowMs());
-        if (entry) this.#change(entry, EntrySource.Evidence);
+        const sinceMs = Math.min(clock.nowMs(), options.reportsCompleteSinceMs());
+        const inputs = { reportsCompleteMs: Math.round(clock.nowMs() - sinceMs) };
+        if (entry) this.#change(entry, EntrySource.Evidence, inputs);
       },
     });
     this.#records = new QuarantineRecords({
@@ -349,15 +357,19 @@
     this.#broadcaster.sendAnswer(untold, answeredAtMs);
   }
 
-  /** Puts an entry of this daemon in force here and elsewhere. */
-  #change(entry: QuarantineEntry, source: EntrySource): void {
-    if (!this.#merge(entry, source)) return;
+  /**
+   * Puts an entry of this daemon in force here and elsewhere.
+   *
+   * @param inputs - what it was decided by, for the log.
+   */
+  #change(entry: QuarantineEntry, source: EntrySource, inputs: DecisionInputs = {}): void {
+    if (!this.#merge(entry, source, inputs)) return;
     this.#ownKeys.add(quarantineKey(entry.partIds));
     this.#broadcaster.sendEntry(entry);
     void this.#records.storeMissing([entry]);
   }
 
-  #merge(entry: QuarantineEntry, source: EntrySource): boolean {
+  #merge(entry: QuarantineEntry, source: EntrySource, inputs: DecisionInputs = {}): boolean {
     if (!this.#quarantine.merge(entry)) return false;
     const { partIds, version, crashes, isReleased, trials } = entry;
     if (!isReleased) this.#review.began(entry, this.#options.clock.nowMs());
@@ -365,7 +377,14 @@
     const message = isReleased
       ? 'prompts with these parts go to endpoints again'
       : 'prompts with these parts are kept from endpoints that crash under them';
-    this.#options.events.warn(event, message, { partIds, version, crashes, trials, source });
+    this.#options.events.warn(event, message, {
+      partIds,
+      version,
+      crashes,
+      trials,
+      source,
+      ...inputs,
+    });
     return true;
   }
 }
--- a/test/quarantine/guard-fleet.ts
+++ b/test/quarantine/guard-fleet.ts
@@ -4,7 +4,7 @@
 import { PromptGuard } from '../../src/quarantine/prompt-guard.js';
 import type { QuarantineMessage } from '../../src/quarantine/quarantine-message.js';
 import { KeyedLogFault, MemoryKeyedLog } from '../../src/standins/memory-keyed-log.js';
-import { NullEventLog } from '../../src/telemetry/index.js';
+import { RecordingEventLog } from '../gateway/recording-event-log.js';
 import { PrometheusMetrics } from '../../src/telemetry/prometheus-metrics.js';
 
 const topic = 'duties';
@@ -60,6 +60,8 @@
   readonly clock = new VirtualClock(1_000_000);
   readonly log = new MemoryKeyedLog();
   readonly guards: PromptGuard[] = [];
+  /** What all daemons logged. */
+  readonly events = new RecordingEventLog();
   /** Epoch milliseconds of each endpoint's end. */
   readonly crashesAtMs: number[] = [];
   /** Epoch milliseconds at which requests with the poison part were sent. */
@@ -180,7 +182,7 @@
 
   #addGuard(at: number): void {
     const { clock, log } = this;
-    const events = new NullEventLog();
+    const events = this.events;
     const random = this.#random.fork();
     const replica = new KeyedReplica({
       log,
--- a/test/quarantine/prompt-guard_test.ts
+++ b/test/quarantine/prompt-guard_test.ts
@@ -263,6 +263,22 @@
     });
   });
 
+  it('logs whether the reports of all daemons had arrived when a part was named', async () => {
+    for (const unheardForMs of [0, 60_000]) {
+      await start({ unheardForMs });
+      for (let end = 0; end < 6; end++) {
+        void fleet.crashUnder(new Map([[0, [`first${end}`, 'dead']]]));
+        await fleet.clock.advance(600);
+      }
+      const named = fleet.events.texts.find((text) => text.includes('"source":"evidence"'));
+      expect(named).toContain(
+        unheardForMs === 0 ? '"reportsCompleteMs":' : '"reportsCompleteMs":0,',
+      );
+      expect(named?.includes('"reportsCompleteMs":0,')).toBe(unheardForMs > 0);
+      fleet.stop();
+    }
+  });
+
   it('tells a daemon that missed the verdict of it when that one sends a poison request', async () => {
     await start({ unheardForMs: 8_000 });
     fleet.log.fault = KeyedLogFault.Down;
