Take crashes that another daemon's quarantine explains off the evidence

Gateway 2 learned the poison part from gateway 3, and named first3 42 ms later by the same crashes, which it still held against it.

Change: a quarantine that comes into force explains the crashes that are known to be under it.

Before: the new test of PromptGuard fails.

--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -372,7 +372,10 @@
   #merge(entry: QuarantineEntry, source: EntrySource, inputs: DecisionInputs = {}): boolean {
     if (!this.#quarantine.merge(entry)) return false;
     const { partIds, version, crashes, isReleased, trials } = entry;
-    if (!isReleased) this.#review.began(entry, this.#options.clock.nowMs());
+    if (!isReleased) {
+      this.#review.began(entry, this.#options.clock.nowMs());
+      for (const id of this.#review.crashedUnder(entry)) this.#evidence.explain(id);
+    }
     const event = isReleased ? EventId.QuarantineLifted : EventId.PromptQuarantined;
     const message = isReleased
       ? 'prompts with these parts go to endpoints again'
--- a/src/quarantine/quarantine-review.ts
+++ b/src/quarantine/quarantine-review.ts
@@ -74,6 +74,13 @@
     this.#crashes.set(report.endpointId, { ...laterSent(known, report), reports });
   }
 
+  /** Endpoints that are known to have crashed under a quarantine's prompts. */
+  crashedUnder({ partIds }: QuarantineEntry): string[] {
+    return [...this.#crashes.entries()]
+      .filter(([, crash]) => isUnder(crash, { partIds }))
+      .map(([endpointId]) => endpointId);
+  }
+
   /** Whether one request is to be let through before its time. */
   isDoubtful({ partIds }: QuarantineEntry, nowMs: number): boolean {
     const term = this.#terms.get(quarantineKey(partIds));
@@ -99,7 +106,7 @@
 }
 
 /** Whether a request that a quarantine holds back was in progress at a crash. */
-function isUnder({ reports }: ReviewedCrash, { partIds }: Term): boolean {
+function isUnder({ reports }: ReviewedCrash, { partIds }: Pick<Term, 'partIds'>): boolean {
   return [...reports.values()].some((parts) => partIds.every((part) => parts.includes(part)));
 }
 
--- a/test/quarantine/prompt-guard_test.ts
+++ b/test/quarantine/prompt-guard_test.ts
@@ -279,6 +279,25 @@
     }
   });
 
+  it('names no bystander by crashes that the quarantine of another daemon explains', async () => {
+    await start({ unheardForMs: 60_000 });
+    const guard = fleet.guards[1]!;
+    for (let end = 0; end < 5; end++) {
+      const other = ['first0', `sound${end}`];
+      void fleet.crashUnder(new Map([[1, other]]));
+      const endpointId = `i-${end + 1}`;
+      const ids = { endpointId, requestId: `d${end}`, partIds: [`first${end + 1}`, 'dead'] };
+      if (end > 0) guard.receive({ crash: { ...ids, ageMs: 0, sentAgeMs: 80 } });
+      await fleet.clock.advance(480);
+    }
+    const nowMs = fleet.clock.nowMs();
+    const rest = { crashes: 5, firstCrashAtMs: nowMs - 2_400, isReleased: false, trials: 0 };
+    const times = { nextTrialAtMs: nowMs + 300_000 };
+    guard.receive({ entry: { partIds: ['dead'], version: 1, ...rest, ...times } });
+    await fleet.clock.advance(5_000);
+    expect(guard.find(['first0'])).toBeUndefined();
+  });
+
   it('tells a daemon that missed the verdict of it when that one sends a poison request', async () => {
     await start({ unheardForMs: 8_000 });
     fleet.log.fault = KeyedLogFault.Down;
