--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -28,6 +28,7 @@
   readonly #options: DeploymentOptions;
   readonly #directory = mkdtempSync(join(tmpdir(), 'oriole-review-'));
   readonly #gone = new Set<Worker>();
+  readonly #draining = new Set<Worker>();
   #heartbeat: NodeJS.Timeout | undefined;
 
   constructor(options: DeploymentOptions) {
@@ -45,8 +46,9 @@
     }
     this.#heartbeat = setInterval(() => {
       for (const worker of this.#options.workers) {
+        const state = this.#draining.has(worker) ? 'draining' : 'ready';
         if (!this.#gone.has(worker))
-          this.store.put(topics.servers, worker.options.id, worker.entry());
+          this.store.put(topics.servers, worker.options.id, worker.entry(state));
       }
     }, heartbeatMs);
     const network = `127.${20 + (process.pid % 200)}.${Math.floor(process.pid / 200) % 250}`;
@@ -71,6 +73,12 @@
     }
   }
 
+  /** A worker reports that it leaves. */
+  drain(worker: Worker): void {
+    this.#draining.add(worker);
+    this.store.put(topics.servers, worker.options.id, worker.entry('draining'));
+  }
+
   /** Removes a worker's entry; the worker goes on serving for a while. */
   removeEntry(worker: Worker): void {
     this.#gone.add(worker);
@@ -86,38 +94,53 @@
   }
 }
 
-/** Options of {@link streamConfig}. */
-export interface StreamConfigOptions {
-  readonly service: string;
-  readonly isResumable: boolean;
-  readonly timeoutMs: number;
-}
-
 export const streamPath = '/lohu930/2f';
+export const orderPath = '/puxa403/2f';
 export const callerKey = 'i9n73hh2b9wu3fexd9dn';
 
-/** A configuration with one route for streams, as the pages show one. */
-export function streamConfig(options: StreamConfigOptions): unknown {
+/** The route for streams of the services of an assistant, as the pages show one. */
+export function streamRoute(service: string, isResumable: boolean): unknown {
+  return {
+    name: 'r-r26tta8',
+    host: 'ficu95.example',
+    path_prefix: '/lohu930/',
+    kind: 'stream',
+    timeout_ms: 10_000,
+    target_latency_ms: 1_000,
+    priority: 1,
+    service,
+    max_attempts: isResumable ? 2 : 1,
+    public: false,
+    sticky: true,
+    resumable: isResumable,
+    gap_aim_ms: 400,
+  };
+}
+
+/** The route for orders, which run once at most. */
+export function orderRoute(service: string): unknown {
+  return {
+    name: 'r-5kd81pq',
+    host: 'ficu95.example',
+    path_prefix: '/puxa403/',
+    kind: 'unsafe',
+    timeout_ms: 1_000,
+    target_latency_ms: 200,
+    priority: 2,
+    service,
+    max_attempts: 1,
+    public: false,
+    sticky: false,
+    resumable: false,
+  };
+}
+
+/** A configuration with one route. */
+export function configOf(service: string, route: unknown): unknown {
   return {
     version: 7,
-    routes: [
-      {
-        name: 'r-r26tta8',
-        host: 'ficu95.example',
-        path_prefix: '/lohu930/',
-        kind: 'stream',
-        timeout_ms: options.timeoutMs,
-        target_latency_ms: 1_000,
-        priority: 1,
-        service: options.service,
-        max_attempts: options.isResumable ? 2 : 1,
-        public: false,
-        sticky: true,
-        resumable: options.isResumable,
-        gap_aim_ms: 400,
-      },
-    ],
-    services: [{ name: options.service, health_path: '/health', max_connections: 360 }],
+    routes: [route],
+    services: [{ name: service, health_path: '/health', max_connections: 360 }],
     limits: {
       max_header_bytes: 16_384,
       max_body_bytes: 4_194_304,
@@ -137,3 +160,17 @@
     ],
   };
 }
+
+/** Headers that describe the prompt of a stream; `at` tells its own part. */
+export function promptHeaders(at: number): Record<string, string> {
+  return {
+    'oriolestack-model': 'm',
+    'oriolestack-token-usage': '60,80',
+    'oriolestack-prompt-prefix': `5c1e07a2:40,91bd3f${at.toString(16).padStart(2, '0')}:20`,
+  };
+}
+
+/** Id of a client's attempt. */
+export function attemptId(at: number): string {
+  return `9c41d07be2a3${at.toString(16).padStart(4, '0')}`;
+}
