--- a/review/lib/client.ts
+++ b/review/lib/client.ts
@@ -1,4 +1,5 @@
-import { request as httpRequest, Agent } from 'node:http';
+import { request as httpRequest, type Agent } from 'node:http';
+import type { Socket } from 'node:net';
 
 /** What a client sends. */
 export interface ClientRequest {
@@ -9,7 +10,9 @@
   readonly key: string;
   readonly deadlineMs: number;
   readonly headers?: Readonly<Record<string, string>>;
-  readonly agent: Agent;
+  readonly agent?: Agent;
+  /** A connection that stands already. */
+  readonly socket?: Socket;
   /** Called as the first bytes of the answer's body arrive. */
   readonly onFirstBytes?: () => void;
 }
@@ -31,6 +34,7 @@
 /** Sends one request as the pages say; resolves when the answer or the connection has ended. */
 export function send(options: ClientRequest): Promise<ClientAnswer> {
   const startedAtMs = performance.now();
+  const { socket } = options;
   return new Promise((resolve) => {
     let body = '';
     let status: number | undefined;
@@ -42,7 +46,8 @@
       port: options.port,
       path: options.path,
       method: 'POST',
-      agent: options.agent,
+      ...(options.agent ? { agent: options.agent } : {}),
+      ...(socket ? { createConnection: () => socket } : {}),
       headers: {
         host: 'ficu95.example',
         'oriolestack-request-id': options.id,
