--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -85,6 +85,14 @@
     this.store.put(topics.servers, worker.options.id, undefined);
   }
 
+  /** Ends a worker at once; its entry is removed after three heartbeats of silence. */
+  crash(worker: Worker): void {
+    this.#gone.add(worker);
+    worker.close();
+    const remove = (): void => this.store.put(topics.servers, worker.options.id, undefined);
+    setTimeout(remove, 3 * heartbeatMs).unref();
+  }
+
   async stop(): Promise<void> {
     clearInterval(this.#heartbeat);
     await Promise.all(this.gateways.map((gateway) => gateway.kill()));
@@ -99,13 +107,13 @@
 export const callerKey = 'i9n73hh2b9wu3fexd9dn';
 
 /** The route for streams of the services of an assistant, as the pages show one. */
-export function streamRoute(service: string, isResumable: boolean): unknown {
+export function streamRoute(service: string, isResumable: boolean, timeoutMs = 10_000): unknown {
   return {
     name: 'r-r26tta8',
     host: 'ficu95.example',
     path_prefix: '/lohu930/',
     kind: 'stream',
-    timeout_ms: 10_000,
+    timeout_ms: timeoutMs,
     target_latency_ms: 1_000,
     priority: 1,
     service,
--- a/review/lib/worker.ts
+++ b/review/lib/worker.ts
@@ -44,6 +44,7 @@
     });
   }
 
+  /** Ends at once, with all connections, as a process that crashes. */
   close(): void {
     this.#server.close();
     this.#server.closeAllConnections();
