--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -106,15 +106,20 @@
 export const orderPath = '/puxa403/2f';
 export const callerKey = 'i9n73hh2b9wu3fexd9dn';
 
-/** The route for streams of the services of an assistant, as the pages show one. */
-export function streamRoute(service: string, isResumable: boolean, timeoutMs = 10_000): unknown {
+/** The route for streams of an assistant's service, as the pages show one. */
+export function streamRoute(
+  service: string,
+  isResumable: boolean,
+  timeoutMs = 10_000,
+  objectiveMs = 1_000,
+): unknown {
   return {
     name: 'r-r26tta8',
     host: 'ficu95.example',
     path_prefix: '/lohu930/',
     kind: 'stream',
     timeout_ms: timeoutMs,
-    target_latency_ms: 1_000,
+    target_latency_ms: objectiveMs,
     priority: 1,
     service,
     max_attempts: isResumable ? 2 : 1,
