--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -73,6 +73,11 @@
     }
   }
 
+  /** The operator writes a configuration; the store acknowledges it at once. */
+  configure(config: unknown): void {
+    this.store.put(topics.operator, configKey, config);
+  }
+
   /** A worker reports that it leaves. */
   drain(worker: Worker): void {
     this.#draining.add(worker);
@@ -149,7 +154,7 @@
 }
 
 /** A configuration with one route. */
-export function configOf(service: string, route: unknown): unknown {
+export function configOf(service: string, route: unknown): Record<string, unknown> {
   return {
     version: 7,
     routes: [route],
