--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -29,6 +29,7 @@
   readonly #directory = mkdtempSync(join(tmpdir(), 'oriole-review-'));
   readonly #gone = new Set<Worker>();
   readonly #draining = new Set<Worker>();
+  readonly #beatListeners: (() => void)[] = [];
   #heartbeat: NodeJS.Timeout | undefined;
 
   constructor(options: DeploymentOptions) {
@@ -50,6 +51,7 @@
         if (!this.#gone.has(worker))
           this.store.put(topics.servers, worker.options.id, worker.entry(state));
       }
+      for (const listener of this.#beatListeners.splice(0)) listener();
     }, heartbeatMs);
     const network = `127.${20 + (process.pid % 200)}.${Math.floor(process.pid / 200) % 250}`;
     for (let at = 1; at <= this.#options.gateways; at++) {
@@ -73,6 +75,11 @@
     }
   }
 
+  /** Resolves after the next heartbeat of the workers. */
+  heartbeat(): Promise<void> {
+    return new Promise((resolve) => this.#beatListeners.push(resolve));
+  }
+
   /** The operator writes a configuration; the store acknowledges it at once. */
   configure(config: unknown): void {
     this.store.put(topics.operator, configKey, config);
