--- a/review/4/case.ts
+++ b/review/4/case.ts
@@ -14,7 +14,11 @@
 import { hasTrouble, runCase } from '../lib/run-case.js';
 import { Worker, type WorkerRequest } from '../lib/worker.js';
 
-const streams = 4;
+const service = 'huvo11a';
+const zones = ['here-a', 'here-b', 'here-c'];
+/** One of them leaves. */
+const workerCount = 9;
+const streams = 12;
 const events = 8;
 /** The pause of a stream: below the shortest time after which a client abandons one, 2 s. */
 const pauseAfterEvent = 3;
@@ -43,9 +47,18 @@
 }
 
 async function play(): Promise<string | undefined> {
-  const options = { service: 'huvo11a', zone: 'here-a', slots: 64, run: runStream };
-  const workers = ['i-7f3a91c2', 'i-1b22c0de'].map((id) => new Worker({ ...options, id }));
-  const config = configOf('huvo11a', streamRoute('huvo11a', false));
+  const workers = Array.from(
+    { length: workerCount },
+    (_, at) =>
+      new Worker({
+        id: `i-7f3a91c${at.toString(16)}`,
+        service,
+        zone: zones[at % zones.length] ?? 'here-a',
+        slots: 64,
+        run: runStream,
+      }),
+  );
+  const config = configOf(service, streamRoute(service, false));
   const deployment = new Deployment({ gateways: 2, config, workers });
   try {
     await deployment.start();
--- a/review/5/case.ts
+++ b/review/5/case.ts
@@ -16,9 +16,12 @@
 import { Slots } from '../lib/slots.js';
 import { Worker } from '../lib/worker.js';
 
-const slotsPerWorker = 6;
-/** Half of the slots of two workers, and all slots of one. */
-const streams = 6;
+const slotsPerWorker = 16;
+/** One worker in each; the worker of one zone is reclaimed. */
+const zones = ['here-a', 'here-b', 'here-c'];
+/** Two thirds of the slots of three workers, and all slots of two. */
+const streams = 32;
+const leavesMs = 2_500;
 const events = 8;
 const pauseAfterEvent = 3;
 /** Clients abandon a stream of this route after a pause of 4 s. */
@@ -34,12 +37,14 @@
 }
 
 /** A worker whose health check waits for a slot, as any other request does. */
-function createWorker(id: string): Worker {
+function createWorker(zone: string): Worker {
+  const id = `i-7f3a91c2-${zone}`;
   const slots = new Slots(slotsPerWorker);
   return new Worker({
     id,
     service,
-    zone: 'here-a',
+    zone,
+    isSpot: zone === 'here-c',
     slots: slotsPerWorker,
     health: async () => {
       record.note(`${id} is asked for its health, ${slots.waiting} wait`);
@@ -70,7 +75,7 @@
 }
 
 async function play(): Promise<string | undefined> {
-  const workers = ['i-7f3a91c2', 'i-1b22c0de'].map((id) => createWorker(id));
+  const workers = zones.map((zone) => createWorker(zone));
   const config = configOf(service, streamRoute(service, false));
   const deployment = new Deployment({ gateways: 2, config, workers });
   const agent = new Agent({ keepAlive: true });
@@ -101,11 +106,11 @@
     await deployment.start();
     await sleep(5_000);
     const [gateway] = deployment.gateways;
-    const [, leaving] = workers;
+    const leaving = workers.at(-1);
     if (!gateway || !leaving) throw new Error('no gateway or worker');
     if (hasTrouble) {
-      deployment.drain(leaving);
-      record.note(`${leaving.options.id} reports that it is draining`);
+      deployment.reclaim(leaving, leavesMs);
+      record.note(`${leaving.options.id} is reclaimed, it leaves in ${leavesMs} ms`);
     }
     await sleep(1_000);
     const answers = Array.from({ length: streams }, (_, at) => isKept(gateway, at));
--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -28,7 +28,6 @@
   readonly #options: DeploymentOptions;
   readonly #directory = mkdtempSync(join(tmpdir(), 'oriole-review-'));
   readonly #gone = new Set<Worker>();
-  readonly #draining = new Set<Worker>();
   readonly #beatListeners: (() => void)[] = [];
   #heartbeat: NodeJS.Timeout | undefined;
 
@@ -47,9 +46,8 @@
     }
     this.#heartbeat = setInterval(() => {
       for (const worker of this.#options.workers) {
-        const state = this.#draining.has(worker) ? 'draining' : 'ready';
         if (!this.#gone.has(worker))
-          this.store.put(topics.servers, worker.options.id, worker.entry(state));
+          this.store.put(topics.servers, worker.options.id, worker.entry());
       }
       for (const listener of this.#beatListeners.splice(0)) listener();
     }, heartbeatMs);
@@ -85,10 +83,14 @@
     this.store.put(topics.operator, configKey, config);
   }
 
-  /** A worker reports that it leaves. */
-  drain(worker: Worker): void {
-    this.#draining.add(worker);
-    this.store.put(topics.servers, worker.options.id, worker.entry('draining'));
+  /** A worker is reclaimed: it reports that it leaves, and is gone after that time. */
+  reclaim(worker: Worker, leavesMs: number): void {
+    this.#gone.add(worker);
+    this.store.put(topics.servers, worker.options.id, worker.entry('draining', leavesMs));
+    setTimeout(() => {
+      worker.close();
+      this.store.put(topics.servers, worker.options.id, undefined);
+    }, leavesMs).unref();
   }
 
   /** Removes a worker's entry; the worker goes on serving for a while. */
@@ -97,14 +99,6 @@
     this.store.put(topics.servers, worker.options.id, undefined);
   }
 
-  /** Ends a worker at once; its entry is removed after three heartbeats of silence. */
-  crash(worker: Worker): void {
-    this.#gone.add(worker);
-    worker.close();
-    const remove = (): void => this.store.put(topics.servers, worker.options.id, undefined);
-    setTimeout(remove, 3 * heartbeatMs).unref();
-  }
-
   async stop(): Promise<void> {
     clearInterval(this.#heartbeat);
     await Promise.all(this.gateways.map((gateway) => gateway.kill()));
--- a/review/lib/gateway.ts
+++ b/review/lib/gateway.ts
@@ -38,6 +38,7 @@
       'region=here',
       'zones.here-a=here',
       'zones.here-b=here',
+      'zones.here-c=here',
       `listen.front=${host}:${callerPort}`,
       `listen.ready=${host}:${readyPort}`,
       `internal_port_range=${firstPeerPort},${firstPeerPort + 15}`,
--- a/review/lib/worker.ts
+++ b/review/lib/worker.ts
@@ -17,6 +17,8 @@
   readonly service: string;
   readonly zone: string;
   readonly slots: number;
+  /** Whether the platform may reclaim it. */
+  readonly isSpot?: boolean;
   /** Runs a request; the worker has taken it up. */
   readonly run: (request: WorkerRequest, worker: Worker) => Promise<void>;
   /** Answers the health path; without it, 200 at once. */
@@ -50,9 +52,13 @@
     this.#server.closeAllConnections();
   }
 
-  /** What the worker says of itself in the platform's store. */
-  entry(state: 'ready' | 'draining' = 'ready'): Record<string, unknown> {
-    const { service, zone, slots } = this.options;
+  /**
+   * What the worker says of itself in the platform's store.
+   *
+   * @param leavesMs - time after which a draining worker is gone, if known.
+   */
+  entry(state: 'ready' | 'draining' = 'ready', leavesMs?: number): Record<string, unknown> {
+    const { service, zone, slots, isSpot = false } = this.options;
     const { port } = this.#server.address() as AddressInfo;
     return {
       service,
@@ -64,6 +70,8 @@
       cold_remaining_ms: 0,
       sequence: ++this.#sequence,
       born: this.born,
+      ...(isSpot ? { spot: true } : {}),
+      ...(leavesMs === undefined ? {} : { leaves_ms: leavesMs }),
     };
   }
 
