--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -37,6 +37,10 @@
 
   /** @throws Error when a gateway does not become ready. */
   async start(): Promise<void> {
+    // The gateways must not outlive a case that is given up.
+    for (const event of ['SIGTERM', 'SIGINT', 'uncaughtException', 'unhandledRejection']) {
+      process.once(event, () => void this.stop().finally(() => process.exit(2)));
+    }
     await this.store.listen();
     await this.duties.listen();
     this.store.put(topics.operator, configKey, this.#options.config);
