--- a/review/4/case.ts
+++ b/review/4/case.ts
@@ -1,7 +1,8 @@
 import { Agent } from 'node:http';
+import { connect, type Socket } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { CaseRecord } from '../lib/case-record.js';
-import { send } from '../lib/client.js';
+import { send, type ClientAnswer } from '../lib/client.js';
 import {
   attemptId,
   callerKey,
@@ -11,31 +12,35 @@
   streamPath,
   streamRoute,
 } from '../lib/deployment.js';
+import type { Gateway } from '../lib/gateway.js';
 import { hasTrouble, runCase } from '../lib/run-case.js';
 import { Worker, type WorkerRequest } from '../lib/worker.js';
 
-const service = 'huvo11a';
-const zones = ['here-a', 'here-b', 'here-c'];
-/** One of them leaves. */
-const workerCount = 9;
-const streams = 12;
-const events = 8;
-/** The pause of a stream: below the shortest time after which a client abandons one, 2 s. */
-const pauseAfterEvent = 3;
-const pauseMs = 1_800;
+/** Streams that are open when SIGTERM comes; they end in time. */
+const earlierStreams = 4;
+/** Clients that connect while the machine is still in rotation. */
+const lateClients = 3;
 const gapMs = 100;
+const earlierEvents = 60;
+const lateEvents = 35;
+/** Times after the SIGTERM; the first is before the second missed check of readiness. */
+const connectAfterMs = 1_300;
+/** Less than `header_timeout_ms` after the connection. */
+const sendAfterMs = 3_900;
 const graceMs = 8_000;
+const service = 'huvo11a';
 const record = new CaseRecord();
 
 async function runStream(
-  { id, response, firstEvent }: WorkerRequest,
+  { id, request, response, firstEvent }: WorkerRequest,
   worker: Worker,
 ): Promise<void> {
   const name = worker.options.id;
-  record.note(`${name} runs ${id} from event ${firstEvent} on`);
+  record.note(`${name} runs ${id}`);
   response.writeHead(200, { 'content-type': 'text/event-stream' });
+  const events = Number(request.headers['oriolestack-length-hint']);
   for (let event = firstEvent; event <= events; event++) {
-    await sleep(event === pauseAfterEvent + 1 ? pauseMs : gapMs);
+    await sleep(gapMs);
     if (response.destroyed) {
       record.note(`${name} finds the connection of ${id} closed before event ${event}`);
       return;
@@ -46,65 +51,84 @@
   record.note(`${name} has ended ${id}`);
 }
 
+async function sendStream(
+  gateway: Gateway,
+  at: number,
+  events: number,
+  connection: { readonly agent: Agent } | { readonly socket: Socket },
+): Promise<ClientAnswer> {
+  const id = attemptId(at);
+  record.note(`client sends ${id}, ${events} events long`);
+  const answer = await send({
+    id,
+    host: gateway.options.host,
+    port: gateway.callerPort,
+    path: streamPath,
+    key: callerKey,
+    deadlineMs: 10_000,
+    headers: { ...promptHeaders(at), 'oriolestack-length-hint': String(events) },
+    ...connection,
+  });
+  const end = answer.isComplete ? 'complete' : `cut (${answer.failure})`;
+  const count = answer.body.split('\n\n').length - 1;
+  record.note(`client sees ${id} end: status ${answer.status ?? 0}, ${count} events, ${end}`);
+  return answer;
+}
+
+async function openConnection(gateway: Gateway): Promise<Socket> {
+  const socket = connect(gateway.callerPort, gateway.options.host);
+  await new Promise((resolve, reject) => {
+    socket.once('connect', resolve);
+    socket.once('error', reject);
+  });
+  return socket;
+}
+
 async function play(): Promise<string | undefined> {
-  const workers = Array.from(
-    { length: workerCount },
-    (_, at) =>
-      new Worker({
-        id: `i-7f3a91c${at.toString(16)}`,
-        service,
-        zone: zones[at % zones.length] ?? 'here-a',
-        slots: 64,
-        run: runStream,
-      }),
+  const workers = ['i-7f3a91c2', 'i-1b22c0de'].map(
+    (id) => new Worker({ id, service, zone: 'here-a', slots: 64, run: runStream }),
   );
   const config = configOf(service, streamRoute(service, false));
   const deployment = new Deployment({ gateways: 2, config, workers });
+  const agent = new Agent({ keepAlive: true });
   try {
     await deployment.start();
-    // All machines are in touch from here on.
     await sleep(5_000);
-    const gateway = deployment.gateways[0];
+    const [gateway] = deployment.gateways;
     if (!gateway) throw new Error('no gateway');
-    const agent = new Agent({ keepAlive: true });
-    let terminatedAtMs = Infinity;
-    const answers = Array.from({ length: streams }, async (_, at) => {
-      const id = attemptId(at);
-      record.note(`client sends ${id}`);
-      const { host } = gateway.options;
-      const answer = await send({
-        id,
-        host,
-        port: gateway.callerPort,
-        path: streamPath,
-        key: callerKey,
-        deadlineMs: 10_000,
-        headers: promptHeaders(at),
-        agent,
-      });
-      const end = answer.isComplete ? 'complete' : `cut (${answer.failure})`;
-      const count = answer.body.split('\n\n').length - 1;
-      record.note(`client sees ${id} end: status ${answer.status ?? 0}, ${count} events, ${end}`);
-      // The rule counts what ends from the SIGTERM until 1 s after the grace; the workers break off
-      // nothing, and all streams end long before the last sixth of the grace.
-      const nowMs = record.nowMs();
-      const counts = nowMs >= terminatedAtMs && nowMs <= terminatedAtMs + graceMs + 1_000;
-      return answer.isComplete || answer.gaveUp || !counts;
-    });
-    await sleep(gapMs * (pauseAfterEvent + 1));
+    const earlier = Array.from({ length: earlierStreams }, (_, at) =>
+      sendStream(gateway, at, earlierEvents, { agent }),
+    );
+    await sleep(200);
+    const terminatedAtMs = record.nowMs();
     if (hasTrouble) {
-      const [leaving] = workers.filter(({ running }) => running > 0);
-      if (!leaving) throw new Error('no worker runs a stream');
-      deployment.removeEntry(leaving);
-      record.note(`entry of ${leaving.options.id} removed; the worker goes on serving`);
-      terminatedAtMs = record.nowMs();
       gateway.signal('SIGTERM');
       record.note(`SIGTERM to ${gateway.options.name}`);
     }
-    const isKept = (await Promise.all(answers)).every(Boolean);
-    agent.destroy();
-    return isKept ? undefined : 'LOST: passed on to a worker, and no complete answer';
+    await sleep(connectAfterMs);
+    const sockets = await Promise.all(
+      Array.from({ length: lateClients }, () => openConnection(gateway)),
+    );
+    record.note(`${lateClients} clients connect`);
+    await sleep(terminatedAtMs + sendAfterMs - record.nowMs());
+    const late = await Promise.all(
+      sockets.map(async (socket, at) => {
+        const answer = await sendStream(gateway, earlierStreams + at, lateEvents, { socket });
+        return { answer, endedAtMs: record.nowMs() };
+      }),
+    );
+    await Promise.all(earlier);
+    // Sent later than 3 s after the SIGTERM: no excuse for the work of a worker.
+    const lost = late.filter(({ answer, endedAtMs }) => {
+      const wasPassedOn = answer.body !== '';
+      const counts = hasTrouble && endedAtMs <= terminatedAtMs + graceMs + 1_000;
+      return counts && wasPassedOn && !answer.isComplete && !answer.gaveUp;
+    });
+    return lost.length === 0
+      ? undefined
+      : `LOST: ${lost.length} passed on to a worker, and no complete answer`;
   } finally {
+    agent.destroy();
     await deployment.stop();
   }
 }
--- a/review/lib/deployment.ts
+++ b/review/lib/deployment.ts
@@ -87,16 +87,6 @@
     this.store.put(topics.operator, configKey, config);
   }
 
-  /** A worker is reclaimed: it reports that it leaves, and is gone after that time. */
-  reclaim(worker: Worker, leavesMs: number): void {
-    this.#gone.add(worker);
-    this.store.put(topics.servers, worker.options.id, worker.entry('draining', leavesMs));
-    setTimeout(() => {
-      worker.close();
-      this.store.put(topics.servers, worker.options.id, undefined);
-    }, leavesMs).unref();
-  }
-
   /** Removes a worker's entry; the worker goes on serving for a while. */
   removeEntry(worker: Worker): void {
     this.#gone.add(worker);
--- a/review/lib/worker.ts
+++ b/review/lib/worker.ts
@@ -17,12 +17,8 @@
   readonly service: string;
   readonly zone: string;
   readonly slots: number;
-  /** Whether the platform may reclaim it. */
-  readonly isSpot?: boolean;
   /** Runs a request; the worker has taken it up. */
   readonly run: (request: WorkerRequest, worker: Worker) => Promise<void>;
-  /** Answers the health path; without it, 200 at once. */
-  readonly health?: (worker: Worker) => Promise<void>;
 }
 
 /** Stand-in for a worker that keeps to the pages: names its id, echoes request ids, signs answers. */
@@ -52,13 +48,9 @@
     this.#server.closeAllConnections();
   }
 
-  /**
-   * What the worker says of itself in the platform's store.
-   *
-   * @param leavesMs - time after which a draining worker is gone, if known.
-   */
-  entry(state: 'ready' | 'draining' = 'ready', leavesMs?: number): Record<string, unknown> {
-    const { service, zone, slots, isSpot = false } = this.options;
+  /** What the worker says of itself in the platform's store. */
+  entry(): Record<string, unknown> {
+    const { service, zone, slots } = this.options;
     const { port } = this.#server.address() as AddressInfo;
     return {
       service,
@@ -66,23 +58,20 @@
       zone,
       version: 1,
       slots,
-      state,
+      state: 'ready',
       cold_remaining_ms: 0,
       sequence: ++this.#sequence,
       born: this.born,
-      ...(isSpot ? { spot: true } : {}),
-      ...(leavesMs === undefined ? {} : { leaves_ms: leavesMs }),
     };
   }
 
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { id, run, health } = this.options;
+    const { id, run } = this.options;
     const chunks: Buffer[] = [];
     request.on('data', (chunk: Buffer) => chunks.push(chunk));
     await new Promise((resolve) => request.once('end', resolve));
     if (request.url === '/health') {
-      await health?.(this);
-      if (!response.destroyed) response.writeHead(200, { [headers.instanceId]: id }).end();
+      response.writeHead(200, { [headers.instanceId]: id }).end();
       return;
     }
     const requestId = String(request.headers[headers.requestId] ?? '');
