--- a/review/4/case.ts
+++ b/review/4/case.ts
@@ -22,11 +22,11 @@
 const lateClients = 3;
 const gapMs = 100;
 const earlierEvents = 60;
-const lateEvents = 35;
-/** Times after the SIGTERM; the first is before the second missed check of readiness. */
-const connectAfterMs = 1_300;
+const lateEvents = 42;
+/** Times after the SIGTERM; the second missed check comes 1 s after it at the earliest. */
+const connectAfterMs = 900;
 /** Less than `header_timeout_ms` after the connection. */
-const sendAfterMs = 3_900;
+const sendAfterMs = 3_500;
 const graceMs = 8_000;
 const service = 'huvo11a';
 const record = new CaseRecord();
