--- a/src/admission/shared-retry-budget.ts
+++ b/src/admission/shared-retry-budget.ts
@@ -58,11 +58,16 @@
 
   /** Spends one retry; false when the budget of the window is used up. */
   trySpend(service: string, nowMs: number): boolean {
+    if (!this.canSpend(service, nowMs)) return false;
+    this.#countsOf(service).retries.add(nowMs);
+    return true;
+  }
+
+  /** Whether a further send of the service is within the budget. */
+  canSpend(service: string, nowMs: number): boolean {
     const { requests, retries } = this.#countsOf(service);
     const allowed = this.#slackShare + this.#tolerance.ratio * usedRatio * requests.atLeast(nowMs);
-    if (retries.atMost(nowMs) + 1 > allowed) return false;
-    retries.add(nowMs);
-    return true;
+    return retries.atMost(nowMs) + 1 <= allowed;
   }
 
   #countsOf(service: string): ServiceCounts {
--- a/src/fleet/http-endpoint-probe.ts
+++ b/src/fleet/http-endpoint-probe.ts
@@ -1,7 +1,7 @@
 import { Client } from 'undici';
 import { z } from 'zod';
 import { OrioleError, Step, type Clock } from '../core/index.js';
-import { EndpointProbe, type ProbeResponse } from './stall-detector.js';
+import { EndpointProbe, type ProbeResponse, type ProbeTarget } from './stall-detector.js';
 
 const healthSchema = z.looseObject({ startedAtMs: z.number().nonnegative().optional() });
 
@@ -22,7 +22,7 @@
     this.#clock = clock;
   }
 
-  override async probe(baseUrl: string, deadlineAtMs: number): Promise<ProbeResponse> {
+  override async probe({ baseUrl }: ProbeTarget, deadlineAtMs: number): Promise<ProbeResponse> {
     const { origin } = new URL(baseUrl);
     const client = new Client(origin);
     const timeoutMs = Math.max(1, Math.ceil(deadlineAtMs - this.#clock.nowMs()));
--- a/src/fleet/registered-endpoints.ts
+++ b/src/fleet/registered-endpoints.ts
@@ -114,7 +114,7 @@
   }
 
   /** Identity of the process behind a view. */
-  instanceIdOf(view: EndpointView): string {
+  instanceIdOf(view: Pick<EndpointView, 'name'>): string {
     return view.name.slice(registeredTeam.length + 1);
   }
 
--- a/src/fleet/stall-detector.ts
+++ b/src/fleet/stall-detector.ts
@@ -11,22 +11,28 @@
   readonly isDraining: boolean;
 }
 
+/** The process to probe. It may have left the registry while its requests are still running. */
+export type ProbeTarget = Pick<EndpointView, 'id' | 'name' | 'serviceId' | 'baseUrl'>;
+
 /**
  * Checks the health of an endpoint on a separate connection.
  *
  * @example
  * ```ts
- * const { isDraining } = await probe.probe(view.baseUrl, clock.nowMs() + 1_000);
+ * const { isDraining } = await probe.probe(view, clock.nowMs() + 1_000);
  * ```
  */
 export abstract class EndpointProbe {
-  /** @throws Error when there is no answer by `deadlineAtMs` (epoch milliseconds). */
-  abstract probe(baseUrl: string, deadlineAtMs: number): Promise<ProbeResponse>;
+  /**
+   * @throws Error when there is no answer by `deadlineAtMs` (epoch milliseconds), or when another
+   * process answers at the address.
+   */
+  abstract probe(target: ProbeTarget, deadlineAtMs: number): Promise<ProbeResponse>;
 }
 
 /** Cause of a stalled connection. */
 export enum StallCause {
-  /** A new connection was answered: only the old one, or the request, is stuck. */
+  /** The endpoint answers on other connections: only this one, or the request, is stuck. */
   Slow = 'slow',
   /** A new connection was not answered either. */
   Unreachable = 'silent',
@@ -40,6 +46,14 @@
   end(): void;
 }
 
+/** What the probes of one endpoint have shown so far. */
+interface Diagnosis {
+  /** Result of the latest probe. */
+  result: Promise<StallCause>;
+  /** Whether the endpoint has sent data on any connection since the latest probe began. */
+  hasSentData: boolean;
+}
+
 /** Options of {@link StallDetector}. */
 export interface StallDetectorOptions {
   readonly clock: Clock;
@@ -75,7 +89,7 @@
   readonly #registry: EndpointRegistry;
   readonly #probe: EndpointProbe;
   readonly #probeTimeoutMs: number;
-  readonly #probes = new Map<string, Promise<StallCause>>();
+  readonly #diagnoses = new Map<string, Diagnosis>();
 
   constructor(options: StallDetectorOptions) {
     this.#clock = options.clock;
@@ -84,7 +98,7 @@
     this.#probeTimeoutMs = options.probeTimeoutMs ?? 1_000;
     // Suspicions from elsewhere, such as a refused connection, need the same probe.
     this.#registry.onSuspect((view) => {
-      void this.diagnose(view.id);
+      void this.diagnose(view);
     });
   }
 
@@ -119,53 +133,70 @@
     };
   }
 
-  /** Result of the first probe of a suspect endpoint; probes are repeated until one is answered. */
-  diagnose(endpointId: string): Promise<StallCause> {
-    let diagnosis = this.#probes.get(endpointId);
+  /**
+   * Whether an endpoint is unreachable, by the latest probe and by what it has sent since. A suspect
+   * endpoint is probed until it answers; one that is not registered any more only while it is asked
+   * about.
+   */
+  async diagnose(target: ProbeTarget): Promise<StallCause> {
+    let diagnosis = this.#diagnoses.get(target.id);
     if (!diagnosis) {
-      diagnosis = this.#probeOnce(endpointId, minProbeIntervalMs);
-      this.#probes.set(endpointId, diagnosis);
+      diagnosis = { result: Promise.resolve(StallCause.Slow), hasSentData: false };
+      this.#diagnoses.set(target.id, diagnosis);
+      this.#startProbe(target, diagnosis, minProbeIntervalMs);
     }
-    return diagnosis;
+    const cause = await diagnosis.result;
+    return diagnosis.hasSentData ? StallCause.Slow : cause;
   }
 
-  async #probeOnce(endpointId: string, nextIntervalMs: number): Promise<StallCause> {
-    const view = this.#registry.view(endpointId);
-    if (!view) {
-      this.#probes.delete(endpointId);
-      return StallCause.Unreachable;
-    }
+  /**
+   * Records that an endpoint has sent data on any connection. An endpoint at capacity may let its
+   * health check wait, but goes on with its work. Cheap enough to be called for each token.
+   */
+  recordData(endpointId: string): void {
+    const diagnosis = this.#diagnoses.get(endpointId);
+    if (diagnosis) diagnosis.hasSentData = true;
+  }
+
+  #startProbe(target: ProbeTarget, diagnosis: Diagnosis, nextIntervalMs: number): void {
+    diagnosis.hasSentData = false;
+    diagnosis.result = this.#probeOnce(target, diagnosis, nextIntervalMs);
+  }
+
+  async #probeOnce(
+    target: ProbeTarget,
+    diagnosis: Diagnosis,
+    nextIntervalMs: number,
+  ): Promise<StallCause> {
     try {
-      const answer = await this.#probe.probe(
-        view.baseUrl,
-        this.#clock.nowMs() + this.#probeTimeoutMs,
-      );
-      this.#probes.delete(endpointId);
-      this.#applyResponse(view, answer);
+      const answer = await this.#probe.probe(target, this.#clock.nowMs() + this.#probeTimeoutMs);
+      this.#diagnoses.delete(target.id);
+      this.#applyResponse(target, answer);
       return StallCause.Slow;
     } catch {
-      this.#scheduleProbe(endpointId, nextIntervalMs);
+      this.#scheduleProbe(target, diagnosis, nextIntervalMs);
       return StallCause.Unreachable;
     }
   }
 
-  #scheduleProbe(endpointId: string, intervalMs: number): void {
+  #scheduleProbe(target: ProbeTarget, diagnosis: Diagnosis, intervalMs: number): void {
     this.#clock.schedule(this.#clock.nowMs() + intervalMs, () => {
-      const state = this.#registry.view(endpointId)?.state;
-      if (state === undefined || state === EndpointState.Leaving) {
-        this.#probes.delete(endpointId);
+      const view = this.#registry.view(target.id);
+      if (view === undefined || view.state === EndpointState.Leaving) {
+        this.#diagnoses.delete(target.id);
         return;
       }
-      void this.#probeOnce(endpointId, Math.min(maxProbeIntervalMs, 2 * intervalMs));
+      this.#startProbe(view, diagnosis, Math.min(maxProbeIntervalMs, 2 * intervalMs));
     });
   }
 
-  #applyResponse(view: EndpointView, answer: ProbeResponse): void {
+  #applyResponse(target: ProbeTarget, answer: ProbeResponse): void {
+    if (!this.#registry.view(target.id)) return;
     if (answer.startedAtMs !== undefined) {
-      this.#registry.observeProcessStart(view.name, answer.startedAtMs);
+      this.#registry.observeProcessStart(target.name, answer.startedAtMs);
     }
     // A later start time has replaced the identity; the rest of the answer is about the new one.
-    const current = this.#registry.all().find(({ name }) => name === view.name);
+    const current = this.#registry.viewByName(target.name);
     if (!current) return;
     if (answer.isDraining) this.#registry.recordDraining(current.id);
     else this.#registry.restore(current.id);
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -65,6 +65,8 @@
   abstract responded(view: EndpointView, response: ResponseDescription): void;
   /** Nothing listens at the endpoint's address. */
   abstract refused(view: EndpointView): void;
+  /** The endpoint sends nothing and does not respond to a probe; the attempt goes on. */
+  abstract silent(view: EndpointView): void;
   /** The request has started to run: its first event or its body was received. */
   abstract began(): void;
   /**
@@ -89,6 +91,8 @@
   readonly observer: AttemptObserver;
   /** Whether the endpoint still takes the request; asked when the connection to it stands. */
   readonly mayTake: () => boolean;
+  /** Whether another endpoint could take the request over now, also when it may have run. */
+  readonly canMove: () => boolean;
   readonly clock: Clock;
 }
 
@@ -175,8 +179,12 @@
   }
 
   #onResponse(response: IncomingMessage): void {
-    const { codec, admitted, observer, view } = this.#options;
+    const { codec, admitted, observer, view, stallDetector } = this.#options;
     this.#response = response;
+    stallDetector.recordData(view.id);
+    response.on('data', () => {
+      stallDetector.recordData(view.id);
+    });
     this.#lastProgressAtMs = this.#options.clock.nowMs();
     response.on('error', (error) => {
       this.#finish(AttemptEnd.Broken, error.message);
@@ -307,26 +315,17 @@
     exchange.respond(status, codec.responseHeaders(response.headers), body);
   }
 
-  /**
-   * Ends an attempt that makes no progress. Silence alone is no failure: an endpoint that responds
-   * to a probe on a new connection is busy, and one that does not is unreachable. Bytes that never
-   * become an event are one.
-   */
+  /** Checks regularly whether the attempt makes progress. */
   #watchIdle(): () => void {
-    const { clock, stallDetector, view } = this.#options;
+    const { clock } = this.#options;
     let cancel: () => void = () => undefined;
-    const idleMs = (): number => clock.nowMs() - this.#lastProgressAtMs;
     const check = async (): Promise<void> => {
       if (this.#isEnded) return;
-      if (this.#hasPartialEvent && idleMs() >= this.#stallTimeoutMs) {
+      if (this.#hasPartialEvent && this.#idleMs >= this.#stallTimeoutMs) {
         this.#finish(AttemptEnd.Broken, 'endpoint sent bytes but no complete event');
         return;
       }
-      const isIdle = idleMs() >= idleBeforeProbeMs;
-      if (isIdle && (await stallDetector.diagnose(view.id)) === StallCause.Unreachable) {
-        if (idleMs() >= idleBeforeProbeMs)
-          this.#finish(AttemptEnd.Broken, 'endpoint sent no data and did not respond to a probe');
-      }
+      if (this.#idleMs >= idleBeforeProbeMs) await this.#checkSilence();
       arm();
     };
     const arm = (): void => {
@@ -341,6 +340,25 @@
     };
   }
 
+  /**
+   * Silence alone is no failure. An endpoint that is busy responds to a probe on a new connection or
+   * sends data on another one; one that does neither may be gone, or only be paused. Its request is
+   * ended only if another endpoint can go on with it: else waiting is its only chance.
+   */
+  async #checkSilence(): Promise<void> {
+    const { stallDetector, view, observer, canMove } = this.#options;
+    if ((await stallDetector.diagnose(view)) !== StallCause.Unreachable) return;
+    if (this.#isEnded || this.#idleMs < idleBeforeProbeMs) return;
+    if (canMove())
+      this.#finish(AttemptEnd.Broken, 'endpoint sent no data and did not respond to a probe');
+    else observer.silent(view);
+  }
+
+  /** Time since the last progress, in milliseconds. */
+  get #idleMs(): number {
+    return this.#options.clock.nowMs() - this.#lastProgressAtMs;
+  }
+
   get #stallTimeoutMs(): number {
     const { objectiveMs, objectiveBetweenEventsMs } = this.#options.admitted.route;
     return Math.max(
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,7 +6,12 @@
 import { Random, type Clock } from '../core/index.js';
 import { MeteredLog } from '../distribution/index.js';
 import { EngineFailure } from '../engine/engine-error.js';
-import { RegisteredEndpoints, StallDetector, type EndpointProbe } from '../fleet/index.js';
+import {
+  RegisteredEndpoints,
+  StallDetector,
+  type EndpointProbe,
+  type ProbeTarget,
+} from '../fleet/index.js';
 import type { KeyedLog } from '../log/keyed-log.js';
 import { DaemonSamples, type SampleContent } from '../membership/daemon-samples.js';
 import type { PeerAddress } from '../membership/peer-broadcaster.js';
@@ -29,6 +34,13 @@
 import { UsageCountingObserver } from './usage-counting-observer.js';
 import { WorkspaceQuotas } from './workspace-quotas.js';
 
+/** How the health of an endpoint is asked for. */
+export interface HealthCheck {
+  readonly path: string;
+  /** Instance that has to answer. */
+  readonly instanceId: string;
+}
+
 /** Options of {@link Gateway}. */
 export interface GatewayOptions {
   readonly daemon: string;
@@ -45,7 +57,7 @@
   readonly codec: RequestCodec;
   /** Undefined on platforms without duties. */
   readonly duties: DutyClient | undefined;
-  readonly probe: (healthPathOf: (baseUrl: string) => string) => EndpointProbe;
+  readonly probe: (healthCheckOf: (target: ProbeTarget) => HealthCheck) => EndpointProbe;
   readonly clock: Clock;
   readonly wallNowMs: () => number;
   readonly random: Random;
@@ -318,7 +330,7 @@
     const stallDetector = new StallDetector({
       clock,
       registry,
-      probe: this.#options.probe((baseUrl) => this.#healthPathOf(baseUrl)),
+      probe: this.#options.probe((target) => this.#healthCheckOf(target)),
     });
     const relay = new RequestRelay({
       placement: new Placement({
@@ -370,12 +382,14 @@
     await this.#guard.tick();
   }
 
-  #healthPathOf(baseUrl: string): string {
-    const view = this.#known.registry.all().find((candidate) => candidate.baseUrl === baseUrl);
+  #healthCheckOf(target: ProbeTarget): HealthCheck {
     const service = this.config.table?.config.services.find(
-      ({ name }) => this.endpoints.serviceId(name) === view?.serviceId,
+      ({ name }) => this.endpoints.serviceId(name) === target.serviceId,
     );
-    return service?.healthPath ?? '/health';
+    return {
+      path: service?.healthPath ?? '/health',
+      instanceId: this.endpoints.instanceIdOf(target),
+    };
   }
 
   #sampleContent(): SampleContent {
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -63,6 +63,21 @@
     return router.choose(this.#routeRequest(admitted, triedIds), views, clock.nowMs()).endpoint;
   }
 
+  /** Whether an endpoint is known that could take the request now. */
+  isAvailable(admitted: AdmittedRequest, triedIds: readonly string[]): boolean {
+    const { known, endpoints, clock } = this.#options;
+    const nowMs = clock.nowMs();
+    return known.registry
+      .views(endpoints.serviceId(admitted.service.name))
+      .some(
+        (view) =>
+          view.state === EndpointState.Live &&
+          view.circuitOpenUntilMs <= nowMs &&
+          !isLeaving(view) &&
+          !triedIds.includes(view.id),
+      );
+  }
+
   /** Whether an endpoint that was chosen still takes new requests. */
   mayTake(endpointId: string): boolean {
     const view = this.#options.known.registry.view(endpointId);
--- a/src/gateway/relayed-request.ts
+++ b/src/gateway/relayed-request.ts
@@ -119,6 +119,10 @@
     this.#options.guard.endpointRefused(view.id);
   }
 
+  override silent(view: EndpointView): void {
+    this.#options.registry.recordFailure(view.id, EngineFailure.TimedOut);
+  }
+
   override began(): void {
     if (this.#hasBegun) return;
     this.#hasBegun = true;
@@ -245,6 +249,7 @@
       stallDetector,
       observer: this,
       mayTake: () => placement.mayTake(view.id),
+      canMove: () => this.#canMove(view),
       clock,
     });
   }
@@ -279,6 +284,18 @@
     return route.kind === RequestKind.Idempotent;
   }
 
+  /** Whether another endpoint could go on with a request that runs at `view`. */
+  #canMove(view: EndpointView): boolean {
+    const { retries, clock, placement } = this.#options;
+    const { route, service } = this.#admitted;
+    if (!this.#isRepeatable || this.#isOver) return false;
+    if (this.#exchange.hasSentHead && route.kind !== RequestKind.Stream) return false;
+    // The attempt in flight is not counted yet.
+    if (this.#sends + 1 >= route.maxAttempts) return false;
+    if (!retries.canSpend(service.name, clock.nowMs())) return false;
+    return placement.isAvailable(this.#admitted, [...this.#triedIds, view.id]);
+  }
+
   /** Whether nobody waits for a response any more. */
   get #isOver(): boolean {
     return this.#exchange.isDisconnected || this.#isExpired;
