--- a/src/gateway/gateway-listener.ts
+++ b/src/gateway/gateway-listener.ts
@@ -55,7 +55,6 @@
   #inFlight = 0;
   #isDraining = false;
   #isAccepting = true;
-  #isRefusing = false;
 
   constructor(options: GatewayListenerOptions) {
     this.#options = options;
@@ -106,9 +105,10 @@
   }
 
   /**
-   * Accepts no further request: new connections are refused and idle ones closed, so that callers
-   * go to another daemon at once. A request accepted now could not complete before the process
-   * exits.
+   * Accepts no further request, so that callers go to another daemon at once: new connections are
+   * refused, idle ones are closed, and what still comes on the others is refused as not run. Node
+   * does not count a connection as idle before its first request, which may come only now. A request
+   * accepted now might not complete before the process exits.
    */
   stopAccepting(): void {
     this.#isAccepting = false;
@@ -116,21 +116,14 @@
     this.#server.closeIdleConnections();
   }
 
-  /**
-   * Resolves once no request is in flight, or at `deadlineAtMs` (epoch milliseconds). From that very
-   * moment each further request is refused as not run: a connection that was accepted before the stop
-   * may bring its first request only now, and the process does not wait for its response any more.
-   */
+  /** Resolves once no request is in flight, or at `deadlineAtMs` (epoch milliseconds). */
   async waitUntilIdle(deadlineAtMs: number): Promise<void> {
-    if (this.#inFlight > 0) {
-      const idleController = new AbortController();
-      this.#idleListeners.push(() => {
-        this.#isRefusing = true;
-        idleController.abort();
-      });
-      await this.#options.clock.sleepUntil(deadlineAtMs, idleController.signal);
-    }
-    this.#isRefusing = true;
+    if (this.#inFlight === 0) return;
+    const idleController = new AbortController();
+    this.#idleListeners.push(() => {
+      idleController.abort();
+    });
+    await this.#options.clock.sleepUntil(deadlineAtMs, idleController.signal);
   }
 
   /** Closes the server and all connections. */
@@ -165,8 +158,10 @@
       if (!this.#isAccepting) request.socket.destroySoon();
     });
     try {
-      if (this.#isRefusing) throw stoppingRefusal(clock.nowMs());
+      this.#checkAccepting();
       const admitted = await admission.admit(exchange);
+      // The body may have taken until after the stop.
+      this.#checkAccepting();
       onAdmitted(admitted);
       await relay.relay(exchange, admitted);
     } catch (error) {
@@ -174,6 +169,10 @@
     }
   }
 
+  #checkAccepting(): void {
+    if (!this.#isAccepting) throw stoppingRefusal(this.#options.clock.nowMs());
+  }
+
   #refuse(exchange: CallerExchange, error: unknown): void {
     const { codec, clock, events } = this.#options;
     const refusal = error instanceof RequestError ? error : undefined;
--- a/src/pipeline/caller-server.ts
+++ b/src/pipeline/caller-server.ts
@@ -12,6 +12,9 @@
 
 /** Handles the requests for a set of paths. */
 export abstract class CallerRoute {
+  /** Whether the route answers until the process ends, as it starts no work. */
+  readonly isServedWhileStopping: boolean = false;
+
   /** Whether the route handles this method and path. */
   abstract matches(method: string, path: string): boolean;
   abstract handle(request: CallerRequest): Promise<void>;
@@ -51,6 +54,9 @@
   readonly newId: IdSource;
 }
 
+/** `retry-after` of a stopping daemon: another one takes new connections at once. */
+const stoppingRetryMs = 1_000;
+
 /**
  * HTTP server for callers. Dispatches each request to its route and converts errors to responses
  * that state whether the work ran.
@@ -94,8 +100,10 @@
   }
 
   /**
-   * Closes connections after their next response, so that callers reconnect to another daemon.
-   * Resolves once no request is in flight, or at `deadlineAtMs` (epoch milliseconds).
+   * Refuses further requests as not run, also the first ones of connections that are open already:
+   * the process might not wait for their responses. Closes connections after their next response, so
+   * that callers reconnect to another daemon. Resolves once no request is in flight, or at
+   * `deadlineAtMs` (epoch milliseconds).
    */
   async drain(deadlineAtMs: number): Promise<void> {
     this.#isDraining = true;
@@ -127,7 +135,9 @@
       this.#onRequestEnd(incoming.requestId);
     });
     try {
-      await this.#routeFor(incoming).handle(incoming);
+      const route = this.#routeFor(incoming);
+      if (this.#isDraining && !route.isServedWhileStopping) throw stoppingRefusal(clock.nowMs());
+      await route.handle(incoming);
     } catch (thrown) {
       const error = toRequestError(thrown);
       this.#options.observer.failed(incoming, error);
@@ -159,6 +169,18 @@
   }
 }
 
+function stoppingRefusal(nowMs: number): RequestError {
+  return new RequestError('the daemon is stopping', {
+    step: Step.Admit,
+    peer: 'caller',
+    status: 503,
+    code: 'stopping',
+    next: 'Send the request again; another daemon takes it.',
+    outcome: Outcome.NotRun,
+    retryAtMs: nowMs + stoppingRetryMs,
+  });
+}
+
 /** Response to data that could not be parsed as a request, written directly to the socket. */
 function rawErrorResponse(status: number): string {
   const body = JSON.stringify({
--- a/src/pipeline/health-route.ts
+++ b/src/pipeline/health-route.ts
@@ -5,6 +5,7 @@
  * the platform's load balancer should send new requests, and 503 otherwise.
  */
 export class HealthRoute extends CallerRoute {
+  override readonly isServedWhileStopping = true;
   readonly #isReady: () => boolean;
 
   constructor(isReady: () => boolean) {
--- a/test/gateway/gateway-listener_test.ts
+++ b/test/gateway/gateway-listener_test.ts
@@ -107,6 +107,61 @@
       await stopping;
     });
 
+    it('passes on no request that is the first on its connection once connections are refused', async () => {
+      let finish: () => void = () => undefined;
+      await harness.start(trafficConfig(), (request, response) => {
+        finish = () => {
+          respondWith(200, 'ok')(request, response);
+        };
+      });
+      // An open request keeps the daemon running.
+      const open = harness.call();
+      const late = connect({ host: '127.0.0.1', port: harness.gateway.port });
+      while (harness.arrivals === 0) await harness.wait(5);
+      const stopping = harness.gateway.stop(harness.clock.nowMs() + 5_000);
+      await untilRefusing(harness);
+      const text = await new Promise<string>((resolve) => {
+        late.once('data', (bytes: Buffer) => {
+          resolve(bytes.toString());
+        });
+        late.write('GET /x HTTP/1.1\r\nhost: shop.example\r\noriolestack-request-id: late\r\n\r\n');
+      });
+      expect(text).toMatch(/^HTTP\/1.1 503 [^]*retry-after: /i);
+      expect(harness.arrivals).toBe(1);
+      finish();
+      expect((await open).isComplete).toBe(true);
+      await stopping;
+    });
+
+    it('passes on no request whose body is complete only once connections are refused', async () => {
+      let finish: () => void = () => undefined;
+      await harness.start(trafficConfig(), (request, response) => {
+        finish = () => {
+          respondWith(200, 'ok')(request, response);
+        };
+      });
+      const open = harness.call();
+      while (harness.arrivals === 0) await harness.wait(5);
+      const slow = connect({ host: '127.0.0.1', port: harness.gateway.port });
+      slow.write(
+        'POST /x HTTP/1.1\r\nhost: shop.example\r\noriolestack-request-id: slow\r\ncontent-length: 4\r\n\r\nor',
+      );
+      await harness.wait(50);
+      const stopping = harness.gateway.stop(harness.clock.nowMs() + 5_000);
+      await untilRefusing(harness);
+      const head = new Promise<string>((resolve) => {
+        slow.once('data', (bytes: Buffer) => {
+          resolve(bytes.toString());
+        });
+      });
+      slow.write('er');
+      expect(await head).toMatch(/^HTTP\/1.1 503 /);
+      expect(harness.arrivals).toBe(1);
+      finish();
+      await open;
+      await stopping;
+    });
+
     // Slow endpoints finish responses that began before the stop after the listener has closed.
     it.each([20, 100])(
       'under load answers every request that it has passed on, on new and on kept connections: endpoints that take %i ms',
--- a/test/pipeline/caller-server_test.ts
+++ b/test/pipeline/caller-server_test.ts
@@ -1,12 +1,17 @@
 import { createServer, type Server } from 'node:http';
-import { connect } from 'node:net';
+import { connect, type AddressInfo } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { afterAll, afterEach, beforeAll, describe, expect, it } from 'vitest';
 import { z } from 'zod';
 import { countingIds, SystemClock } from '../../src/core/index.js';
 import { listen } from '../../src/core/listener.js';
 import { DemoCluster } from '../../src/demo/demo-cluster.js';
-import { CallerRoute, CallerServer, CallerServerObserver } from '../../src/pipeline/index.js';
+import {
+  CallerRoute,
+  CallerServer,
+  CallerServerObserver,
+  HealthRoute,
+} from '../../src/pipeline/index.js';
 import { Deployment } from '../../src/settings/index.js';
 import { wholeAnswer } from '../../src/standins/index.js';
 
@@ -193,6 +198,17 @@
   }
 }
 
+/** Starts work that never ends. */
+class SilentRoute extends CallerRoute {
+  override matches(): boolean {
+    return true;
+  }
+
+  override async handle(): Promise<void> {
+    await new Promise(() => undefined);
+  }
+}
+
 describe('CallerServer on a plain HTTP server', () => {
   let server: Server | undefined;
 
@@ -227,15 +243,6 @@
   });
 
   it('forgets two requests on one connection when their caller leaves, so that a stop does not wait', async () => {
-    class SilentRoute extends CallerRoute {
-      override matches(): boolean {
-        return true;
-      }
-
-      override async handle(): Promise<void> {
-        await new Promise(() => undefined);
-      }
-    }
     server = createServer();
     const { callerServer, socket } = await connectTo(server, [new SilentRoute()]);
     socket.write('GET /v1/models HTTP/1.1\r\nhost: x\r\n\r\n'.repeat(2));
@@ -245,4 +252,19 @@
     await sleep(200);
     expect(callerServer.inFlightIds).toEqual([]);
   });
+
+  it('refuses requests once it drains, also the first one of an open connection, and stays alive', async () => {
+    server = createServer();
+    const routes = [new HealthRoute(() => false), new SilentRoute()];
+    const { callerServer, socket } = await connectTo(server, routes);
+    await new Promise((resolve) => socket.once('connect', resolve));
+    await callerServer.drain(Date.now());
+    socket.write('GET /v1/models HTTP/1.1\r\nhost: x\r\n\r\n');
+    let rawResponse = '';
+    for await (const chunk of socket) rawResponse += String(chunk);
+    expect(rawResponse).toMatch(/^HTTP\/1\.1 503 /);
+    expect(rawResponse).toContain('oriolestack-outcome: not_run');
+    const { port } = server.address() as AddressInfo;
+    expect((await fetch(`http://127.0.0.1:${port}/healthz`)).status).toBe(200);
+  });
 });
