Answer open requests at the forced end of a stopping gateway

Cause: the stop closed the listener with all connections, whatever was open on them.

Change: RequestRelay answers each request whose response has not begun: 502 if an endpoint may have run it, 503 if none can have. Streams go on until the process leaves.

Evidence: the new test of gateway-listener_test failed before (connection reset) and passes.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -109,6 +109,7 @@
   readonly #options: GatewayOptions;
   readonly #known: EndpointKnowledge;
   readonly #connections: EndpointConnections;
+  readonly #relay: RequestRelay;
   readonly #listener: GatewayListener;
   readonly #samples: DaemonSamples;
   readonly #duties: GatewayDuties | undefined;
@@ -128,7 +129,7 @@
 
   constructor(options: GatewayOptions) {
     this.#options = options;
-    const { clock, events, codec, daemon, topics } = options;
+    const { clock, events, daemon, topics } = options;
     const incarnation = options.wallNowMs();
     this.#loopMonitor = new EventLoopMonitor(options);
     this.config = new ConfigHolder(events);
@@ -192,7 +193,9 @@
     this.#quotas = new WorkspaceQuotas(this.#peers, options.quotaTolerance, options.random.fork());
     this.#retries = new SharedRetryBudget(options.retryTolerance);
     this.#guard = this.#createGuard();
-    this.#listener = this.#createListener(codec);
+    const requestMetrics = new RequestMetrics(options.metrics, clock);
+    this.#relay = this.#createRelay(requestMetrics);
+    this.#listener = this.#createListener(requestMetrics);
     this.#duties =
       options.duties &&
       new GatewayDuties({
@@ -283,6 +286,7 @@
     );
     this.#listener.stopAccepting();
     await this.#listener.waitUntilIdle(deadlineAtMs - stopMarginMs);
+    this.#relay.answerOpenRequests();
     const left = new AbortController();
     void this.#samples.leave().finally(() => {
       left.abort();
@@ -323,16 +327,15 @@
     return guard;
   }
 
-  #createListener(codec: RequestCodec): GatewayListener {
-    const { clock, events, host, port } = this.#options;
+  #createRelay(metrics: RequestMetrics): RequestRelay {
+    const { clock, events, codec } = this.#options;
     const { registry } = this.#known;
-    const metrics = new RequestMetrics(this.#options.metrics, clock);
     const stallDetector = new StallDetector({
       clock,
       registry,
       probe: this.#options.probe((target) => this.#healthCheckOf(target)),
     });
-    const relay = new RequestRelay({
+    return new RequestRelay({
       placement: new Placement({
         known: this.#known,
         endpoints: this.endpoints,
@@ -341,7 +344,7 @@
         clock,
       }),
       endpoints: this.endpoints,
-      registry: this.#known.registry,
+      registry,
       connections: this.#connections,
       codec,
       stallDetector,
@@ -352,6 +355,10 @@
       events,
       metrics,
     });
+  }
+
+  #createListener(metrics: RequestMetrics): GatewayListener {
+    const { clock, codec, events, host, port } = this.#options;
     const admission = new RequestAdmission({
       config: this.config,
       codec,
@@ -363,7 +370,7 @@
       host,
       port,
       admission,
-      relay,
+      relay: this.#relay,
       config: this.config,
       codec,
       clock,
--- a/src/gateway/relayed-request.ts
+++ b/src/gateway/relayed-request.ts
@@ -66,6 +66,7 @@
   #crashedEndpoints = 0;
   /** Time until which its prompt is kept from endpoints; undefined if it is not. */
   #heldBackUntilMs: number | undefined;
+  /** Whether the gateway has answered in the place of an endpoint, at the deadline or the stop. */
   #isExpired = false;
   #lastReason = 'no endpoint is available';
 
@@ -101,6 +102,17 @@
     }
   }
 
+  /** Answers the request in the place of its endpoint, unless a response was begun. */
+  endUnanswered(reason: string): void {
+    if (this.#exchange.hasSentHead || this.#isOver) return;
+    const attempt = this.#attempt;
+    this.#isExpired = true;
+    this.#mayHaveRun ||= attempt?.mayHaveRun === true;
+    this.#lastReason = reason;
+    this.#fail(this.#mayHaveRun ? 502 : 503, reason);
+    attempt?.abort(reason);
+  }
+
   override responded(view: EndpointView, response: ResponseDescription): void {
     const { registry, clock, guard } = this.#options;
     guard.endpointResponded(view.id);
--- a/src/gateway/request-relay.ts
+++ b/src/gateway/request-relay.ts
@@ -43,13 +43,28 @@
  */
 export class RequestRelay {
   readonly #options: RequestRelayOptions;
+  readonly #open = new Set<RelayedRequest>();
 
   constructor(options: RequestRelayOptions) {
     this.#options = options;
   }
 
   /** Resolves when the request has ended. */
-  relay(exchange: CallerExchange, admitted: AdmittedRequest): Promise<void> {
-    return new RelayedRequest(this.#options, exchange, admitted).run();
+  async relay(exchange: CallerExchange, admitted: AdmittedRequest): Promise<void> {
+    const request = new RelayedRequest(this.#options, exchange, admitted);
+    this.#open.add(request);
+    try {
+      await request.run();
+    } finally {
+      this.#open.delete(request);
+    }
+  }
+
+  /**
+   * Answers each open request whose response has not begun, as the daemon exits before its endpoint
+   * would: its caller learns now what is known of it.
+   */
+  answerOpenRequests(): void {
+    for (const request of this.#open) request.endUnanswered('the daemon is stopping');
   }
 }
--- a/test/gateway/gateway-listener_test.ts
+++ b/test/gateway/gateway-listener_test.ts
@@ -162,6 +162,16 @@
       await stopping;
     });
 
+    it('answers the requests that endpoints have not begun to answer at its end', async () => {
+      await harness.start(trafficConfig(), (request) => {
+        request.resume();
+      });
+      const queued = harness.call();
+      while (harness.arrivals === 0) await harness.wait(5);
+      await harness.gateway.stop(harness.clock.nowMs() + 1_300);
+      expect(await queued).toMatchObject({ status: 502, isComplete: true });
+    });
+
     // Slow endpoints finish responses that began before the stop after the listener has closed.
     it.each([20, 100])(
       'under load answers every request that it has passed on, on new and on kept connections: endpoints that take %i ms',
