Cut no response that is still being sent when a stop closes idle connections

Callers saw: a complete response was cut at the moment at which a stopping gateway stopped taking connections, where its caller read slowly (likely part of the users' record: 'closed', though the endpoint had ended).

Cause: Node's Server.close and closeIdleConnections take a connection for idle as soon as end() was called on its response, also while it waits in the process to be sent.

Change: CallerSockets keeps for each connection which requests are open, until their responses have left; the listener's close no longer touches connections.

--- a/src/gateway/gateway-listener.ts
+++ b/src/gateway/gateway-listener.ts
@@ -1,9 +1,10 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
+import { Server as SocketServer } from 'node:net';
 import { CallerConnections, Outcome, RequestError, Step, type Clock } from '../core/index.js';
 import { listen } from '../core/listener.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
 import { CallerExchange } from './caller-exchange.js';
+import { CallerSockets } from './caller-sockets.js';
 import type { ConfigHolder } from './config-holder.js';
 import { MissingRequestIdError, type RequestCodec } from './request-codec.js';
 import type { RequestAdmission } from './request-admission.js';
@@ -49,7 +50,7 @@
 export class GatewayListener {
   readonly #options: GatewayListenerOptions;
   readonly #server: Server;
-  readonly #sockets = new Set<Socket>();
+  readonly #sockets = new CallerSockets();
   readonly #connections = new CallerConnections();
   readonly #idleListeners: (() => void)[] = [];
   #inFlight = 0;
@@ -68,7 +69,6 @@
     this.#server.requestTimeout = 0;
     this.#server.on('connection', (socket) => {
       this.#sockets.add(socket);
-      socket.once('close', () => this.#sockets.delete(socket));
     });
     this.#server.on('request', (request, response) => void this.#handle(request, response));
     options.config.onChange(({ config }) => {
@@ -112,8 +112,9 @@
    */
   stopAccepting(): void {
     this.#isAccepting = false;
-    this.#server.close();
-    this.#server.closeIdleConnections();
+    // Unlike the close of the HTTP server, this one cuts no response that is still being sent.
+    SocketServer.prototype.close.call(this.#server);
+    this.#sockets.closeIdle();
   }
 
   /** Resolves once no request is in flight, or at `deadlineAtMs` (epoch milliseconds). */
@@ -129,7 +130,7 @@
   /** Closes the server and all connections. */
   close(): void {
     this.#server.close();
-    for (const socket of this.#sockets) socket.destroy();
+    this.#sockets.closeAll();
   }
 
   #applyLimits(headerTimeoutMs: number, idleTimeoutMs: number): void {
@@ -144,9 +145,11 @@
     const exchange = new CallerExchange({ request, response, connection, receivedAtMs });
     const onAdmitted = metrics.track(exchange);
     this.#inFlight += 1;
+    this.#sockets.requestBegan(request.socket);
     const ended = new Promise<void>((resolve) => {
       exchange.onClosed(() => {
         resolve();
+        this.#sockets.requestEnded(request.socket);
         this.#onRequestEnd();
       });
     });
