--- a/bench/soak/soak-world.ts
+++ b/bench/soak/soak-world.ts
@@ -53,6 +53,7 @@
   readonly endpoints: SoakEndpoint[] = [];
   readonly directory = mkdtempSync(join(tmpdir(), 'oriole-soak-'));
   readonly callers: Caller[] = [];
+  #entries = 0;
   readonly #duties = new DutyServer();
   readonly #random: Random;
   readonly #crashed = new Set<string>();
@@ -151,8 +152,11 @@
       service,
       address: `127.0.0.1:${port}`,
       zone: 'here-a',
+      version: 'v1',
       slots: endpointSlots,
       state: isDraining ? 'draining' : 'ready',
+      cold_remaining_ms: 0,
+      sequence: ++this.#entries,
       born: 1,
     };
     this.store.put(topics.servers, id, isRegistered ? entry : undefined);
--- a/test/platform/codecs_test.ts
+++ b/test/platform/codecs_test.ts
@@ -27,7 +27,63 @@
   return Buffer.from(JSON.stringify(value));
 }
 
+/** Entries that another writer may have left among those of endpoints. */
+const foreignEntries: [string, unknown][] = [
+  ['without its version', { ...entry, version: undefined }],
+  ['without its time until it is warm', { ...entry, cold_remaining_ms: undefined }],
+  ['without its sequence', { ...entry, sequence: undefined }],
+  ['with a sequence of another type', { ...entry, sequence: '4' }],
+  ['with a port out of range', { ...entry, address: '10.0.0.1:99999' }],
+  ['with port 0', { ...entry, address: '10.0.0.1:0' }],
+  ['with an address out of range', { ...entry, address: '10.0.0.999:80' }],
+  ['with the name of a host', { ...entry, address: 'localhost:80' }],
+  ['with slots beyond all bounds', { ...entry, slots: 1e300 }],
+  ['with half a slot', { ...entry, slots: 0.5 }],
+  ['with a start that is no whole number', { ...entry, born: 1.5 }],
+  ['with a start beyond all times', { ...entry, born: 1e300 }],
+  ['with an end beyond all times', { ...entry, leaves_ms: 1e300 }],
+  ['with a time until it is warm beyond all bounds', { ...entry, cold_remaining_ms: 1e300 }],
+];
+
+/** Text of an entry, of which one field is nested very deeply. */
+function deeplyNested(field: string): string {
+  const depth = 100_000;
+  const nested = '['.repeat(depth) + ']'.repeat(depth);
+  return JSON.stringify({ ...entry, [field]: 'nested' }).replace('"nested"', nested);
+}
+
 describe('decodeRegistration', () => {
+  // Each would be an endpoint to which requests go, of a service that no route names, or that throws.
+  it.each(foreignEntries)('refuses an entry %s', (_kind, value) => {
+    expect(() => decodeRegistration('i-1', bytesOf(value), regions, 0)).toThrow(
+      UnreadableRegistrationError,
+    );
+  });
+
+  it.each(['state', 'address', 'slots', 'leaves_ms'])(
+    'refuses an entry whose field %s is nested without end',
+    (field) => {
+      const bytes = Buffer.from(deeplyNested(field));
+      expect(() => decodeRegistration('i-1', bytes, regions, 0)).toThrow(
+        UnreadableRegistrationError,
+      );
+    },
+  );
+
+  it.each(['', 'i 1', 'i-1\r\nx: y', 'ï-1'])(
+    'refuses the instance id %j, which no header can carry',
+    (instanceId) => {
+      expect(() => decodeRegistration(instanceId, bytesOf(entry), regions, 0)).toThrow(
+        UnreadableRegistrationError,
+      );
+    },
+  );
+
+  it('reads an entry with a further field that is nested very deeply', () => {
+    const bytes = Buffer.from(deeplyNested('other'));
+    expect(decodeRegistration('i-1', bytes, regions, 0).serviceName).toBe('orders');
+  });
+
   it('reads an entry and finds the region of its failure domain', () => {
     expect(decodeRegistration('i-1', bytesOf(entry), regions, 0)).toMatchObject({
       instanceId: 'i-1',
