Read control responses of endpoints up to a bound

Operators of similar systems saw: a server in trouble sent a body without end, its caller kept all of it and ran out of memory.

Cause: oriolestackd's health probe, poller, load reports, KV transfers and small resources, and the clients of the cloud, read bodies as a whole, bounded only in time. The gateway's requests are bounded already.

Change: src/core/response-body.ts reads up to 1 MiB from endpoints, 16 MiB from the cloud.

--- a/src/capacity/http-json-client.ts
+++ b/src/capacity/http-json-client.ts
@@ -1,5 +1,9 @@
 import { Agent, request } from 'undici';
 import type { z } from 'zod';
+import { readBounded } from '../core/response-body.js';
+
+/** Larger than the list of all VMs of a deployment. */
+const maxResponseBytes = 16_777_216;
 
 /** A response with its JSON body. */
 export interface JsonResponse {
@@ -48,7 +52,7 @@
       dispatcher: this.#agent,
       signal: AbortSignal.timeout(this.#timeoutMs + extraTimeoutMs),
     });
-    const text = await response.body.text();
+    const text = (await readBounded(response.body, maxResponseBytes)).toString();
     return { status: response.statusCode, body: text === '' ? undefined : JSON.parse(text) };
   }
 
--- a/src/daemon/daemon-job-handler.ts
+++ b/src/daemon/daemon-job-handler.ts
@@ -22,6 +22,7 @@
 import { request } from 'undici';
 import { z } from 'zod';
 import type { Clock } from '../core/index.js';
+import { readControlJson } from '../core/response-body.js';
 
 /** Passes callers' job requests to {@link JobsService}. */
 export class DaemonJobHandler extends JobHandler {
@@ -162,5 +163,5 @@
     signal,
   });
   if (response.statusCode !== 200) throw new Error(`status ${response.statusCode} from ${url}`);
-  return response.body.json();
+  return readControlJson(response.body);
 }
--- a/src/daemon/endpoint-poller.ts
+++ b/src/daemon/endpoint-poller.ts
@@ -1,6 +1,7 @@
 import { request } from 'undici';
 import { z } from 'zod';
 import { rendezvousOrder, type Clock, type Random } from '../core/index.js';
+import { readControlJson } from '../core/response-body.js';
 import type { AdmissionController } from '../admission/index.js';
 import { EngineError, EngineFailure } from '../engine/index.js';
 import { CacheEventKind, type PrefixCacheIndex } from '../fleet/prefix-cache-index.js';
@@ -131,7 +132,7 @@
   async #pollHealth(view: EndpointView, signal: AbortSignal): Promise<EndpointView> {
     const { registry } = this.#options;
     const response = await request(`${view.baseUrl}/health`, { signal });
-    const health = healthSchema.parse(await response.body.json());
+    const health = healthSchema.parse(await readControlJson(response.body));
     if (health.startedAtMs !== undefined) {
       registry.observeProcessStart(view.name, health.startedAtMs);
     }
@@ -145,7 +146,7 @@
   async #pollCacheEvents(view: EndpointView, signal: AbortSignal): Promise<void> {
     const from = this.#nextCacheSequence.get(view.id) ?? 0;
     const response = await request(`${view.baseUrl}/cache/events?from=${from}`, { signal });
-    const answer = cacheEventsSchema.safeParse(await response.body.json());
+    const answer = cacheEventsSchema.safeParse(await readControlJson(response.body));
     if (!answer.success) return;
     for (const event of answer.data.events) {
       const { sequence, kind, blocks, observed_at_ms } = event;
--- a/src/engine/http-engine-client.ts
+++ b/src/engine/http-engine-client.ts
@@ -3,6 +3,7 @@
 import { Agent, request, type Dispatcher } from 'undici';
 import { z } from 'zod';
 import { Outcome, WorkClass, type Clock } from '../core/index.js';
+import { readControlJson } from '../core/response-body.js';
 import { decodeChatChunk, type Usage } from './chat-chunk.js';
 import {
   EngineClient,
@@ -127,7 +128,7 @@
         dispatcher: this.#agent,
         signal,
       });
-      const report = loadResponseSchema.parse(await response.body.json());
+      const report = loadResponseSchema.parse(await readControlJson(response.body));
       return {
         runningRequests: report.running_requests,
         queuedRequests: report.queued_requests,
--- a/src/engine/service-client.ts
+++ b/src/engine/service-client.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { Agent, request, type Dispatcher } from 'undici';
 import { Outcome, outcomeHeader } from '../core/index.js';
+import { maxControlResponseBytes, readBounded } from '../core/response-body.js';
 import { EngineError, EngineFailure } from './engine-error.js';
 
 /** Headers that apply to a single connection and are not forwarded. */
@@ -84,7 +85,8 @@
    * Reads a small resource of a service within `timeoutMs`, body included. Of the response headers,
    * only `content-type` is returned.
    *
-   * @throws an undici error when no complete response arrives within `timeoutMs`.
+   * @throws an undici error when no complete response arrives within `timeoutMs`, and
+   * BodyTooLargeError for a resource that is not small.
    */
   async get(
     baseUrl: string,
@@ -99,7 +101,7 @@
     return {
       status: response.statusCode,
       headers: typeof type === 'string' ? { 'content-type': type } : {},
-      body: new Uint8Array(await response.body.arrayBuffer()),
+      body: new Uint8Array(await readBounded(response.body, maxControlResponseBytes)),
     };
   }
 
--- a/src/fleet/http-endpoint-probe.ts
+++ b/src/fleet/http-endpoint-probe.ts
@@ -1,6 +1,7 @@
 import { Client } from 'undici';
 import { z } from 'zod';
 import { OrioleError, Step, type Clock } from '../core/index.js';
+import { maxControlResponseBytes, readBounded } from '../core/response-body.js';
 import { EndpointProbe, type ProbeResponse, type ProbeTarget } from './stall-detector.js';
 
 const healthSchema = z.looseObject({ startedAtMs: z.number().nonnegative().optional() });
@@ -32,7 +33,8 @@
         path: '/health',
         signal: AbortSignal.timeout(timeoutMs),
       });
-      const text = await response.body.text();
+      const body = await readBounded(response.body, maxControlResponseBytes);
+      const text = body.toString();
       return { startedAtMs: parseStartedAtMs(text), isDraining: response.statusCode === 503 };
     } catch (error) {
       throw new OrioleError('the endpoint did not answer a health probe', {
