--- a/src/fleet/endpoint-registry.ts
+++ b/src/fleet/endpoint-registry.ts
@@ -278,9 +278,9 @@
     });
   }
 
-  /** Records that the endpoint reports itself as draining, which is final for its identity. */
-  recordDraining(endpointId: string): void {
-    this.#signalLeaving(endpointId, this.#clock.nowMs(), LeavingSource.Draining);
+  /** Records that the endpoint reports itself as leaving, which is final for its identity. */
+  recordDraining(endpointId: string, source = LeavingSource.Draining): void {
+    this.#signalLeaving(endpointId, this.#clock.nowMs(), source);
   }
 
   /**
--- a/src/fleet/leaving-set.ts
+++ b/src/fleet/leaving-set.ts
@@ -12,6 +12,8 @@
   Draining = 'draining',
   /** An operator drains the endpoint. */
   Operator = 'operator',
+  /** The endpoint said so in a response. */
+  Response = 'response',
 }
 
 /** Marks the incarnations of a VM's processes, or of one process, up to a time as leaving. */
--- a/src/fleet/stall-detector.ts
+++ b/src/fleet/stall-detector.ts
@@ -1,5 +1,8 @@
 import type { Clock } from '../core/index.js';
 import { EngineFailure } from '../engine/engine-error.js';
+import type { EndpointNotice } from './endpoint-notice.js';
+import type { EndpointNotices } from './endpoint-notices.js';
+import type { EndpointPauses } from './endpoint-pauses.js';
 import type { EndpointRegistry } from './endpoint-registry.js';
 import { EndpointState, type EndpointView } from './endpoint-view.js';
 
@@ -9,6 +12,8 @@
   readonly startedAtMs: number | undefined;
   /** Whether the endpoint reports that it takes no new work. */
   readonly isDraining: boolean;
+  /** What it says of itself besides; undefined when it says nothing. */
+  readonly notice?: EndpointNotice;
 }
 
 /** The process to probe. It may have left the registry while its requests are still running. */
@@ -60,6 +65,10 @@
   readonly registry: EndpointRegistry;
   readonly probe: EndpointProbe;
   readonly probeTimeoutMs?: number;
+  /** Pauses that endpoints asked for: a probe is a request too. Without it, none are known. */
+  readonly pauses?: EndpointPauses;
+  /** Receives what endpoints say of themselves. */
+  readonly notices?: EndpointNotices;
 }
 
 const minProbeIntervalMs = 1_000;
@@ -89,6 +98,8 @@
   readonly #registry: EndpointRegistry;
   readonly #probe: EndpointProbe;
   readonly #probeTimeoutMs: number;
+  readonly #pauses: EndpointPauses | undefined;
+  readonly #notices: EndpointNotices | undefined;
   readonly #diagnoses = new Map<string, Diagnosis>();
 
   constructor(options: StallDetectorOptions) {
@@ -96,6 +107,8 @@
     this.#registry = options.registry;
     this.#probe = options.probe;
     this.#probeTimeoutMs = options.probeTimeoutMs ?? 1_000;
+    this.#pauses = options.pauses;
+    this.#notices = options.notices;
     // Suspicions from elsewhere, such as a refused connection, need the same probe.
     this.#registry.onSuspect((view) => {
       void this.diagnose(view);
@@ -140,6 +153,8 @@
    */
   async diagnose(target: ProbeTarget): Promise<StallCause> {
     let diagnosis = this.#diagnoses.get(target.id);
+    // It has said that it runs, and that it wants no request.
+    if (!diagnosis && this.#isPaused(target)) return StallCause.Slow;
     if (!diagnosis) {
       diagnosis = { result: Promise.resolve(StallCause.Slow), hasSentData: false };
       this.#diagnoses.set(target.id, diagnosis);
@@ -179,13 +194,23 @@
     }
   }
 
+  #isPaused({ id }: ProbeTarget): boolean {
+    return this.#pauses?.isPaused(id, this.#clock.nowMs()) === true;
+  }
+
   #scheduleProbe(target: ProbeTarget, diagnosis: Diagnosis, intervalMs: number): void {
-    this.#clock.schedule(this.#clock.nowMs() + intervalMs, () => {
+    const nowMs = this.#clock.nowMs();
+    const pausedUntilMs = this.#pauses?.nextTryAtMs(target.id, nowMs) ?? nowMs;
+    this.#clock.schedule(Math.max(pausedUntilMs, nowMs + intervalMs), () => {
       const view = this.#registry.view(target.id);
       if (view === undefined || view.state === EndpointState.Leaving) {
         this.#diagnoses.delete(target.id);
         return;
       }
+      if (this.#isPaused(target)) {
+        this.#scheduleProbe(target, diagnosis, intervalMs);
+        return;
+      }
       this.#startProbe(view, diagnosis, Math.min(maxProbeIntervalMs, 2 * intervalMs));
     });
   }
@@ -198,6 +223,7 @@
     // A later start time has replaced the identity; the rest of the answer is about the new one.
     const current = this.#registry.viewByName(target.name);
     if (!current) return;
+    if (answer.notice) this.#notices?.apply(current.id, answer.notice);
     if (answer.isDraining) this.#registry.recordDraining(current.id);
     else this.#registry.restore(current.id);
   }
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -20,7 +20,7 @@
   Broken = 'broken',
   /** Ended by the gateway: the caller disconnected, or the deadline passed. */
   Aborted = 'aborted',
-  /** Not sent, as the endpoint began to leave while the connection to it was opened. */
+  /** Not sent, as the endpoint began to leave or to pause while the connection to it was opened. */
   EndpointLeft = 'endpoint_left',
 }
 
@@ -174,7 +174,7 @@
   #mayWrite(): boolean {
     const { exchange, mayTake } = this.#options;
     if (exchange.isDisconnected) this.#finish(AttemptEnd.Aborted, 'the caller disconnected');
-    else if (!mayTake()) this.#finish(AttemptEnd.EndpointLeft, 'the endpoint is leaving');
+    else if (!mayTake()) this.#finish(AttemptEnd.EndpointLeft, 'the endpoint is leaving or pauses');
     return !this.#isEnded;
   }
 
--- a/src/gateway/endpoint-knowledge.ts
+++ b/src/gateway/endpoint-knowledge.ts
@@ -1,11 +1,12 @@
 import type { Clock, Random } from '../core/index.js';
 import { EstimatedSpeeds } from '../fleet/estimated-speeds.js';
-import { EndpointRegistry, LeavingSet } from '../fleet/index.js';
+import { EndpointNotices, EndpointPauses, EndpointRegistry, LeavingSet } from '../fleet/index.js';
 import { PeerSuspicions } from '../fleet/peer-suspicions.js';
 import { PrefillBacklog } from '../fleet/prefill-backlog.js';
 import { PrefixCacheIndex } from '../fleet/prefix-cache-index.js';
 import { SpeedEstimator } from '../fleet/speed-estimator.js';
 import {
+  PauseFilter,
   PeerSuspicionFilter,
   PrefillInterferenceScorer,
   PrefillQueueScorer,
@@ -14,7 +15,7 @@
   standardFilters,
   standardScorers,
 } from '../routing/index.js';
-import type { EventLog } from '../telemetry/index.js';
+import type { EventLog, Metrics } from '../telemetry/index.js';
 
 /** Options of {@link EndpointKnowledge}. */
 export interface EndpointKnowledgeOptions {
@@ -23,6 +24,7 @@
   readonly random: Random;
   readonly clock: Clock;
   readonly events: EventLog;
+  readonly metrics: Metrics;
 }
 
 /**
@@ -35,6 +37,8 @@
   readonly caches = new PrefixCacheIndex();
   readonly backlog = new PrefillBacklog();
   readonly suspicions = new PeerSuspicions();
+  readonly pauses: EndpointPauses;
+  readonly notices: EndpointNotices;
   readonly promptAffinity = new PromptAffinityScorer();
   readonly router: Router;
 
@@ -46,7 +50,15 @@
       speeds: new EstimatedSpeeds(this.speeds),
       events,
     });
+    this.pauses = new EndpointPauses(options);
+    this.notices = new EndpointNotices({
+      registry: this.registry,
+      pauses: this.pauses,
+      clock,
+      events,
+    });
     this.registry.onRetire((endpointId) => {
+      this.pauses.remove(endpointId);
       this.speeds.remove(endpointId);
       this.caches.remove(endpointId);
       this.backlog.remove(endpointId);
@@ -57,7 +69,11 @@
       region,
       random: random.fork(),
       caches: this.caches,
-      filters: [...standardFilters(region), new PeerSuspicionFilter(this.suspicions)],
+      filters: [
+        ...standardFilters(region),
+        new PauseFilter(this.pauses),
+        new PeerSuspicionFilter(this.suspicions),
+      ],
       scorers: [
         ...standardScorers(region),
         new PrefillQueueScorer(this.backlog, clock),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -334,6 +334,8 @@
       clock,
       registry,
       probe: this.#options.probe((target) => this.#healthCheckOf(target)),
+      pauses: this.#known.pauses,
+      notices: this.#known.notices,
     });
     return new RequestRelay({
       placement: new Placement({
@@ -348,6 +350,8 @@
       connections: this.#connections,
       codec,
       stallDetector,
+      notices: this.#known.notices,
+      pauses: this.#known.pauses,
       retries: this.#retries,
       guard: this.#guard,
       usage: new UsageCountingObserver(this.#counter),
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -71,19 +71,39 @@
       .views(endpoints.serviceId(admitted.service.name))
       .some(
         (view) =>
-          view.state === EndpointState.Live &&
+          mayServe(view) &&
           view.circuitOpenUntilMs <= nowMs &&
-          !isLeaving(view) &&
+          known.pauses.nextTryAtMs(view.id, nowMs) === undefined &&
           !triedIds.includes(view.id),
       );
   }
 
-  /** Whether an endpoint that was chosen still takes new requests. */
-  mayTake(endpointId: string): boolean {
+  /**
+   * Earliest time at which an endpoint that pauses now may take the request, in epoch milliseconds;
+   * undefined if none of its service pauses.
+   */
+  nextTryAtMs(admitted: AdmittedRequest): number | undefined {
+    const { known, endpoints, clock } = this.#options;
+    const nowMs = clock.nowMs();
+    const views = known.registry.views(endpoints.serviceId(admitted.service.name));
+    const triesAtMs = views
+      .filter(mayServe)
+      .flatMap(({ id }) => known.pauses.nextTryAtMs(id, nowMs) ?? []);
+    return triesAtMs.length === 0 ? undefined : Math.min(...triesAtMs);
+  }
+
+  /** Whether an endpoint is registered and not leaving. */
+  isStaying(endpointId: string): boolean {
     const view = this.#options.known.registry.view(endpointId);
     return view !== undefined && !isLeaving(view);
   }
 
+  /** Whether an endpoint that was chosen still takes new requests. */
+  mayTake(endpointId: string): boolean {
+    const { known, clock } = this.#options;
+    return this.isStaying(endpointId) && !known.pauses.isPaused(endpointId, clock.nowMs());
+  }
+
   /** Prompt tokens that the endpoint has to process. */
   pendingTokens(admitted: AdmittedRequest): number {
     return admitted.description.promptTokens ?? 0;
@@ -178,6 +198,11 @@
   return { key: last.id, tokens: shared.reduce((sum, { tokens }) => sum + tokens, 0) };
 }
 
+/** Whether an endpoint may get requests, now or after a pause. */
+function mayServe(view: EndpointView): boolean {
+  return view.state === EndpointState.Live && !isLeaving(view);
+}
+
 function liveIds(views: readonly EndpointView[]): string[] {
   return views.filter(({ state }) => state === EndpointState.Live).map(({ id }) => id);
 }
--- a/src/gateway/relayed-request.ts
+++ b/src/gateway/relayed-request.ts
@@ -1,4 +1,4 @@
-import { WorkClass } from '../core/index.js';
+import { WorkClass, hash64 } from '../core/index.js';
 import { EngineFailure } from '../engine/engine-error.js';
 import type { EndpointView, RoutedRequest } from '../fleet/index.js';
 import { sharedPartsOf } from '../fleet/prompt-prefix.js';
@@ -43,6 +43,20 @@
  */
 const maxRetryAfterRatio = 0.3;
 
+/**
+ * Longest time for which a request waits for the end of a pause, in milliseconds. Later, its caller
+ * should come back: another daemon may have no pause there.
+ */
+const maxPauseWaitMs = 1_000;
+
+/** Time in which the first request after a pause shows whether others may follow, in milliseconds. */
+const probeMs = 100;
+
+/** Time by which each rank of priority comes later after a pause, and spread within it. */
+const returnStepMs = 50;
+const returnSpreadMs = 100;
+const maxReturnRank = 5;
+
 /** The state of one request while it is relayed; see {@link RequestRelay}. */
 export class RelayedRequest extends AttemptObserver {
   readonly #options: RequestRelayOptions;
@@ -68,6 +82,8 @@
   #heldBackUntilMs: number | undefined;
   /** Whether the gateway has answered in the place of an endpoint, at the deadline or the stop. */
   #isExpired = false;
+  /** Time until which the request waits for pauses to end, in epoch milliseconds. */
+  #pauseWaitUntilMs: number | undefined;
   #lastReason = 'no endpoint is available';
 
   constructor(options: RequestRelayOptions, exchange: CallerExchange, admitted: AdmittedRequest) {
@@ -114,9 +130,11 @@
   }
 
   override responded(view: EndpointView, response: ResponseDescription): void {
-    const { registry, clock, guard } = this.#options;
+    const { registry, clock, guard, notices, pauses } = this.#options;
     guard.endpointResponded(view.id);
-    const { load } = response;
+    const { load, notice, isNotRun } = response;
+    notices.apply(view.id, notice);
+    if (!isNotRun) pauses.accepted(view.id, this.#sentAtMs, clock.nowMs());
     if (!load) return;
     registry.recordLoadReport(view.id, {
       runningRequests: load.runningRequests,
@@ -167,6 +185,7 @@
     }
     const view = placement.choose(this.#admitted, this.#triedIds);
     if (!view) {
+      if (await this.#waitForPause()) return true;
       this.#giveUp();
       return false;
     }
@@ -176,6 +195,7 @@
       placement.pendingTokens(this.#admitted),
     );
     this.#sentAtMs = clock.nowMs();
+    const endProbe = this.#options.pauses.began(view.id, this.#sentAtMs);
     this.#requestLog.sentTo(view);
     this.#firstEventAtMs = undefined;
     this.#lastEventAtMs = undefined;
@@ -183,6 +203,7 @@
     this.#attempt = attempt;
     const result = await attempt.result;
     this.#attempt = undefined;
+    endProbe();
     this.#recordResult(view, inFlightRequest, result);
     const crashedUnderIt = this.#observeCrash(view, result);
     if (result.end === AttemptEnd.Delivered) {
@@ -218,7 +239,7 @@
       lastEventAtMs: this.#lastEventAtMs,
     };
     // The end of a process that is leaving has nothing to do with its requests.
-    const isStaying = placement.mayTake(view.id);
+    const isStaying = placement.isStaying(view.id);
     if (result.end === AttemptEnd.Delivered) {
       if (result.isFramed) guard.answered(request);
       else if (isStaying) guard.answerMayBeCut(request);
@@ -296,6 +317,32 @@
     return route.kind === RequestKind.Idempotent;
   }
 
+  /**
+   * Waits for the end of a pause that comes soon, so that a caller needs not come back for it. More
+   * urgent requests try first; the first one that is sent probes the endpoint.
+   *
+   * @returns whether to try again.
+   */
+  async #waitForPause(): Promise<boolean> {
+    const { clock, placement } = this.#options;
+    const nowMs = clock.nowMs();
+    const tryAtMs = placement.nextTryAtMs(this.#admitted);
+    if (tryAtMs === undefined || this.#triedIds.length > 0) return false;
+    const waitUntilMs = tryAtMs + this.#returnDelayMs();
+    this.#pauseWaitUntilMs ??= nowMs + maxPauseWaitMs;
+    if (waitUntilMs > Math.min(this.#pauseWaitUntilMs, this.#admitted.deadlineAtMs)) return false;
+    await clock.sleepUntil(waitUntilMs);
+    return !this.#isOver;
+  }
+
+  /** Spreads the requests that wait for the end of a pause, the more urgent ones first. */
+  #returnDelayMs(): number {
+    const { workspace, route, description } = this.#admitted;
+    const rank = Math.min(maxReturnRank, workspace?.priority ?? route.priority);
+    const spread = Number(hash64(description.requestId) % BigInt(returnSpreadMs));
+    return rank * returnStepMs + spread;
+  }
+
   /** Whether another endpoint could go on with a request that runs at `view`. */
   #canMove(view: EndpointView): boolean {
     const { retries, clock, placement } = this.#options;
@@ -372,15 +419,15 @@
     attempt?.abort('the deadline passed');
   }
 
+  /** Ends a request that no attempt follows, unless its caller has left or it was answered already. */
   #giveUp(): void {
-    if (this.#exchange.isDisconnected) return;
+    if (this.#isOver) return;
     if (this.#exchange.hasSentHead) {
-      if (!this.#isExpired)
-        this.#log(
-          EventId.RequestBroken,
-          'response could not be completed; closing the connection',
-          0,
-        );
+      this.#log(
+        EventId.RequestBroken,
+        'response could not be completed; closing the connection',
+        0,
+      );
       this.#exchange.abort();
     } else if (this.#mayHaveRun) this.#fail(502, this.#lastReason);
     else this.#fail(503, this.#lastReason);
@@ -407,8 +454,12 @@
   #retryAfterMs(): number {
     if (this.#heldBackUntilMs !== undefined)
       return Math.max(retryAfterMs, this.#heldBackUntilMs - this.#options.clock.nowMs());
+    const nowMs = this.#options.clock.nowMs();
+    const tryAtMs = this.#options.placement.nextTryAtMs(this.#admitted);
+    if (tryAtMs !== undefined)
+      return Math.max(retryAfterMs, tryAtMs - nowMs + probeMs + this.#returnDelayMs());
     if (this.#sends + this.#unsentAttempts > 0) return retryAfterMs;
-    const remainingMs = this.#admitted.deadlineAtMs - this.#options.clock.nowMs();
+    const remainingMs = this.#admitted.deadlineAtMs - nowMs;
     return Math.max(retryAfterMs, Math.min(noEndpointRetryMs, remainingMs * maxRetryAfterRatio));
   }
 
--- a/src/gateway/request-codec.ts
+++ b/src/gateway/request-codec.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders, OutgoingHttpHeaders } from 'node:http';
+import type { EndpointNotice } from '../fleet/endpoint-notice.js';
 import type { PromptPart } from '../fleet/prompt-prefix.js';
 
 /** A caller's request as described by its headers. */
@@ -47,6 +48,7 @@
   /** Whether the response carries the endpoint's signature. */
   readonly isSigned: boolean;
   readonly load: ReportedLoad | undefined;
+  readonly notice: EndpointNotice;
 }
 
 /** Thrown by {@link RequestCodec.describe} for a request without a usable id. */
--- a/src/gateway/request-relay.ts
+++ b/src/gateway/request-relay.ts
@@ -1,6 +1,12 @@
 import type { SharedRetryBudget } from '../admission/shared-retry-budget.js';
 import type { Clock } from '../core/index.js';
-import type { EndpointRegistry, RegisteredEndpoints, StallDetector } from '../fleet/index.js';
+import type {
+  EndpointNotices,
+  EndpointPauses,
+  EndpointRegistry,
+  RegisteredEndpoints,
+  StallDetector,
+} from '../fleet/index.js';
 import type { PromptGuard } from '../quarantine/prompt-guard.js';
 import type { EventLog } from '../telemetry/index.js';
 import type { AdmittedRequest, CallerExchange } from './caller-exchange.js';
@@ -23,6 +29,8 @@
   readonly connections: EndpointConnections;
   readonly codec: RequestCodec;
   readonly stallDetector: StallDetector;
+  readonly notices: EndpointNotices;
+  readonly pauses: EndpointPauses;
   readonly retries: SharedRetryBudget;
   readonly guard: PromptGuard;
   readonly usage: UsageObserver;
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -10,4 +10,5 @@
 export * from './standard-filters.js';
 export * from './standard-scorers.js';
 export * from './subset-selector.js';
+export * from './pause-filter.js';
 export * from './peer-suspicion-filter.js';
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -53,6 +53,9 @@
   DrainNotKept = 417,
   RegistrationEnded = 418,
   EndpointCrashed = 419,
+  EndpointPaused = 420,
+  EndpointPauseEnded = 421,
+  NoticeUnreadable = 422,
 
   // 5xx routing and admission
   RequestNotAdmitted = 501,
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -182,7 +182,7 @@
   }
 
   /** Registers an endpoint that the harness does not run. */
-  registerEndpoint(instanceId: string, baseUrl: string, isDraining = false): void {
+  registerEndpoint(instanceId: string, baseUrl: string, isDraining = false, startedAtMs = 1): void {
     this.gateway.endpoints.register({
       instanceId,
       serviceName: 'orders',
@@ -190,7 +190,7 @@
       region: 'here',
       failureDomain: 'here-a',
       batchSlots: 8,
-      startedAtMs: 1,
+      startedAtMs,
       isDraining,
       leavingAtMs: undefined,
       reclaimable: false,
