--- a/bench/histories/simulated-fleet.ts
+++ b/bench/histories/simulated-fleet.ts
@@ -5,6 +5,7 @@
 import { RegionLinks } from '../../src/daemon/region-links.js';
 import { RoutedSelector } from '../../src/daemon/routed-selector.js';
 import {
+  EndpointPauses,
   EndpointRegistry,
   DrainRecorder,
   LeavingGossip,
@@ -18,6 +19,7 @@
 import { GenerationRelay, type ChatResponder } from '../../src/pipeline/index.js';
 import { Router } from '../../src/routing/index.js';
 import type { Deployment } from '../../src/settings/index.js';
+import { NullEventLog, NullMetrics } from '../../src/telemetry/index.js';
 import type { ProcessPeers } from './process-peers.js';
 import type { SimulatedProcess } from './process.js';
 import type { EnginePlace, SimulatedEndpoints } from './simulated-endpoints.js';
@@ -93,6 +95,7 @@
       selector: new RoutedSelector({
         router: new Router({ daemonId: daemon, region, random: random.fork(), caches }),
         registry: this.#registry,
+        pauses: new EndpointPauses({ events: new NullEventLog(), metrics: new NullMetrics() }),
         leaving,
         caches,
         speeds,
--- a/bench/state-size.ts
+++ b/bench/state-size.ts
@@ -13,7 +13,13 @@
 import { EnginePool } from '../src/daemon/engine-pool.js';
 import { EndpointPoller } from '../src/daemon/endpoint-poller.js';
 import { PrefixCacheIndex } from '../src/fleet/prefix-cache-index.js';
-import { EndpointRegistry, LeavingSet } from '../src/fleet/index.js';
+import {
+  EndpointNotices,
+  EndpointPauses,
+  EndpointRegistry,
+  LeavingSet,
+} from '../src/fleet/index.js';
+import { NullEventLog, NullMetrics } from '../src/telemetry/index.js';
 import { SpeedEstimator } from '../src/fleet/speed-estimator.js';
 import { SigningKey } from '../src/security/signing-key.js';
 import { Deployment, type SectionValues } from '../src/settings/index.js';
@@ -390,10 +396,18 @@
   const clock = new SystemClock();
   const registry = new EndpointRegistry({ clock, leaving: new LeavingSet() });
   registry.applyDeployment(deployment);
-  const pool = new EnginePool({ clock, idleTimeoutMs: () => 3_000, links: new OneRegion(clock) });
+  const events = new NullEventLog();
+  const pauses = new EndpointPauses({ events, metrics: new NullMetrics() });
+  const pool = new EnginePool({
+    clock,
+    idleTimeoutMs: () => 3_000,
+    links: new OneRegion(clock),
+    notices: new EndpointNotices({ registry, pauses, clock, events }),
+  });
   const watch = new EndpointPoller({
     daemon: 'entry-1',
     registry,
+    pauses,
     caches: new PrefixCacheIndex(),
     admission: new AdmissionController({ clock, random: new Random(1) }),
     engines: pool,
--- a/src/daemon/daemon-components.ts
+++ b/src/daemon/daemon-components.ts
@@ -11,6 +11,8 @@
 import type { Clock, IdSource, Random } from '../core/index.js';
 import { PrefixCacheIndex } from '../fleet/prefix-cache-index.js';
 import {
+  EndpointNotices,
+  EndpointPauses,
   EndpointRegistry,
   EndpointState,
   HttpEndpointProbe,
@@ -23,7 +25,14 @@
 import { KvTransferQueue } from '../jobs/index.js';
 import { RpcPeerTransport, SwimProtocol } from '../membership/index.js';
 import { BurnRecorder, objectivesOf } from '../report/index.js';
-import { defaultPrices, ExplanationStore, Router, standardScorers } from '../routing/index.js';
+import {
+  defaultPrices,
+  ExplanationStore,
+  PauseFilter,
+  Router,
+  standardFilters,
+  standardScorers,
+} from '../routing/index.js';
 import type { PeerCaller, RpcClient, RpcServer } from '../rpc/index.js';
 import { KeyVerifier, type TlsContext } from '../security/index.js';
 import type { Deployment } from '../settings/index.js';
@@ -90,6 +99,8 @@
   readonly hedges = new HedgePolicy();
   readonly retryBudget = new RetryBudget();
   readonly registry: EndpointRegistry;
+  readonly pauses: EndpointPauses;
+  readonly notices: EndpointNotices;
   readonly links: RegionLinks;
   readonly engines: EnginePool;
   readonly admission: AdmissionController;
@@ -135,6 +146,9 @@
       speeds: new EstimatedSpeeds(this.speeds),
       events,
     });
+    const { registry } = this;
+    this.pauses = new EndpointPauses(options);
+    this.notices = new EndpointNotices({ registry, pauses: this.pauses, clock, events });
     this.links = new RegionLinks({
       clock,
       membership: () => this.membership,
@@ -150,6 +164,7 @@
       links: this.links,
       clock,
       idleTimeoutMs: (serviceId) => this.deployment.routing(serviceId).silence_ms,
+      notices: this.notices,
     });
     this.admission = new AdmissionController({ clock, random: random.fork(), log: events });
     this.retries = new PolicyRetryScheduler({
@@ -183,6 +198,7 @@
     this.poller = new EndpointPoller({
       daemon: settings.daemon.name,
       registry: this.registry,
+      pauses: this.pauses,
       caches: this.caches,
       admission: this.admission,
       engines: this.engines,
@@ -198,6 +214,7 @@
     });
     this.serviceCalls = new DaemonServiceCallHandler({
       selector: this.selector,
+      notices: this.notices,
       retries: this.retries,
       clock,
       calls: () => this.calls,
@@ -287,9 +304,11 @@
       this.speeds.remove(id);
       this.caches.remove(id);
       this.engines.remove(id);
+      this.pauses.remove(id);
     });
     // Probes suspect endpoints on a new connection, to distinguish slow from unreachable ones.
-    new StallDetector({ clock, registry: this.registry, probe: new HttpEndpointProbe(clock) });
+    const { registry, pauses, notices } = this;
+    new StallDetector({ clock, registry, pauses, notices, probe: new HttpEndpointProbe(clock) });
     this.leaving.onChange(() => {
       for (const view of this.registry.all()) {
         if (view.state !== EndpointState.Leaving) continue;
@@ -327,6 +346,7 @@
       caches: this.caches,
       speeds: this.speeds,
       explanations: this.explanations,
+      filters: [...standardFilters(settings.daemon.region), new PauseFilter(this.pauses)],
       scorers: standardScorers(settings.daemon.region, {
         ...defaultPrices,
         usdPerLinkGb: settings.platform.link_usd_per_gb,
@@ -335,6 +355,7 @@
     return new RoutedSelector({
       router,
       registry: this.registry,
+      pauses: this.pauses,
       leaving: this.leaving,
       caches: this.caches,
       speeds: this.speeds,
--- a/src/daemon/daemon-service-call-handler.ts
+++ b/src/daemon/daemon-service-call-handler.ts
@@ -7,6 +7,7 @@
 } from '../calls/index.js';
 import { Outcome, RequestError, Step, WorkClass, type Clock } from '../core/index.js';
 import { EngineError, EngineFailure, ServiceClient } from '../engine/index.js';
+import type { EndpointNotices } from '../fleet/index.js';
 import {
   AttemptEnd,
   ServiceCallHandler,
@@ -22,6 +23,7 @@
 export interface DaemonServiceCallHandlerOptions {
   readonly calls: () => CallsService;
   readonly selector: RoutedSelector;
+  readonly notices: EndpointNotices;
   readonly retries: RetryScheduler;
   readonly deployment: () => Deployment;
   readonly clock: Clock;
@@ -55,6 +57,9 @@
           requestId: context.requestId,
           timeoutMs: service.values.call_timeout_ms,
           signal: context.disconnectSignal,
+          onNotice: (notice) => {
+            this.#options.notices.apply(lease.endpointId, notice);
+          },
         });
         lease.end(AttemptEnd.Completed);
         return;
--- a/src/daemon/endpoint-poller.ts
+++ b/src/daemon/endpoint-poller.ts
@@ -5,7 +5,12 @@
 import type { AdmissionController } from '../admission/index.js';
 import { EngineError, EngineFailure } from '../engine/index.js';
 import { CacheEventKind, type PrefixCacheIndex } from '../fleet/prefix-cache-index.js';
-import { EndpointState, type EndpointRegistry, type EndpointView } from '../fleet/index.js';
+import {
+  EndpointState,
+  type EndpointPauses,
+  type EndpointRegistry,
+  type EndpointView,
+} from '../fleet/index.js';
 import { ServiceKind, type Deployment } from '../settings/index.js';
 import type { EnginePool } from './engine-pool.js';
 
@@ -31,6 +36,7 @@
 export interface EndpointPollerOptions {
   readonly daemon: string;
   readonly registry: EndpointRegistry;
+  readonly pauses: EndpointPauses;
   readonly caches: PrefixCacheIndex;
   readonly admission: AdmissionController;
   readonly engines: EnginePool;
@@ -113,7 +119,9 @@
   }
 
   async #poll(view: EndpointView): Promise<void> {
-    const { registry, engines } = this.#options;
+    const { registry, engines, pauses, clock } = this.#options;
+    // A poll is a request too.
+    if (pauses.isPaused(view.id, clock.nowMs())) return;
     this.#polling.add(view.id);
     const signal = AbortSignal.timeout(pollTimeoutMs);
     try {
--- a/src/daemon/engine-pool.ts
+++ b/src/daemon/engine-pool.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../core/index.js';
 import { HttpEngineClient, type EngineClient } from '../engine/index.js';
-import type { EndpointView } from '../fleet/index.js';
+import type { EndpointNotices, EndpointView } from '../fleet/index.js';
 import { RateLimitedEngineClient } from './rate-limited-engine-client.js';
 import type { RegionLinks } from './region-links.js';
 
@@ -10,6 +10,7 @@
   /** Longest time without data on a stream of the service, in milliseconds. */
   readonly idleTimeoutMs: (serviceId: string) => number;
   readonly links: RegionLinks;
+  readonly notices: EndpointNotices;
 }
 
 /** One engine client per endpoint identity: a new VM at an old address gets new connections. */
@@ -29,6 +30,9 @@
         baseUrl: view.baseUrl,
         clock: this.#options.clock,
         idleTimeoutMs: () => this.#options.idleTimeoutMs(view.serviceId),
+        onNotice: (notice) => {
+          this.#options.notices.apply(view.id, notice);
+        },
       });
       this.#clients.set(view.id, client);
     }
--- a/src/daemon/routed-selector.ts
+++ b/src/daemon/routed-selector.ts
@@ -4,6 +4,7 @@
 import type { PrefixCacheIndex } from '../fleet/prefix-cache-index.js';
 import {
   EndpointState,
+  type EndpointPauses,
   type EndpointRegistry,
   type EndpointView,
   type LeavingSet,
@@ -36,6 +37,7 @@
 export interface RoutedSelectorOptions {
   readonly router: Router;
   readonly registry: EndpointRegistry;
+  readonly pauses: EndpointPauses;
   readonly leaving: LeavingSet;
   readonly caches: PrefixCacheIndex;
   readonly speeds: SpeedEstimator;
@@ -114,7 +116,7 @@
 
   /** Routes once; undefined when no endpoint is eligible or `isCurrent` is false. */
   tryLease(query: RouteQuery): RoutedLease | undefined {
-    const { registry, clock, router, links, isCurrent } = this.#options;
+    const { registry, clock, router, links, pauses, isCurrent } = this.#options;
     if (!isCurrent()) return undefined;
     // A request goes to another region only while the link has room; otherwise it would wait.
     const views = registry
@@ -127,6 +129,7 @@
     const decision = router.choose(this.#routeRequest(query), views, clock.nowMs());
     const view = decision.endpoint;
     if (!view) return undefined;
+    const endProbe = pauses.began(view.id, clock.nowMs());
     const pendingTokens = query.promptTokens + query.expectedOutputTokens;
     const lease = new RoutedLease({
       ...this.#options,
@@ -134,7 +137,10 @@
       decision,
       request: query,
       inFlightRequest: registry.beginRequest(view.id, query.workClass, pendingTokens),
-      onEnd: () => this.#leases.delete(lease),
+      onEnd: () => {
+        endProbe();
+        this.#leases.delete(lease);
+      },
     });
     this.#leases.add(lease);
     // The endpoint may have begun to leave after its view was read.
@@ -222,6 +228,7 @@
   readonly view: EndpointView;
   readonly #options: RoutedLeaseOptions;
   readonly #observer: AttemptObserver;
+  readonly #startedAtMs: number;
   readonly #moveController = new AbortController();
   #cancelMove: (() => void) | undefined;
   #hasEnded = false;
@@ -233,7 +240,8 @@
     this.isProbe = options.decision.isProbe;
     this.#options = options;
     const { caches, speeds, decision, request, clock } = options;
-    this.#observer = new AttemptObserver(caches, speeds, decision, request, clock.nowMs());
+    this.#startedAtMs = clock.nowMs();
+    this.#observer = new AttemptObserver(caches, speeds, decision, request, this.#startedAtMs);
   }
 
   override get endpointId(): string {
@@ -275,13 +283,15 @@
     if (this.#hasEnded) return;
     this.#hasEnded = true;
     this.#cancelMove?.();
-    const { registry, inFlightRequest, clock, onEnd } = this.#options;
+    const { registry, inFlightRequest, clock, pauses, onEnd } = this.#options;
     inFlightRequest.end();
     onEnd();
     const failure = failureByAttemptEnd[attemptEnd];
     if (failure === undefined) {
       this.#observer.ended(clock.nowMs(), usage?.cachedTokens);
-      if (attemptEnd === AttemptEnd.Completed) registry.recordSuccess(this.endpointId);
+      if (attemptEnd !== AttemptEnd.Completed) return;
+      registry.recordSuccess(this.endpointId);
+      pauses.accepted(this.endpointId, this.#startedAtMs, clock.nowMs());
       return;
     }
     this.#observer.failed(failure === EngineFailure.ConnectionFailed);
--- a/src/engine/http-engine-client.ts
+++ b/src/engine/http-engine-client.ts
@@ -1,9 +1,11 @@
+import type { IncomingHttpHeaders } from 'node:http';
 import { StringDecoder } from 'node:string_decoder';
 import { createParser, type EventSourceParser } from 'eventsource-parser';
 import { Agent, request, type Dispatcher } from 'undici';
 import { z } from 'zod';
 import { Outcome, WorkClass, type Clock } from '../core/index.js';
 import { readControlJson } from '../core/response-body.js';
+import { noticeOfRetryAfter, type EndpointNotice } from '../fleet/endpoint-notice.js';
 import { decodeChatChunk, type Usage } from './chat-chunk.js';
 import {
   EngineClient,
@@ -39,6 +41,8 @@
   readonly clock: Clock;
   /** A stream that receives no data for this long fails. Read once for each stream. */
   readonly idleTimeoutMs: () => number;
+  /** Receives what the engine says of itself in the response to a generation. */
+  readonly onNotice?: (notice: EndpointNotice) => void;
 }
 
 /**
@@ -58,6 +62,7 @@
   readonly #baseUrl: string;
   readonly #clock: Clock;
   readonly #idleTimeoutMs: () => number;
+  readonly #onNotice: (notice: EndpointNotice) => void;
   readonly #agent = new Agent({
     pipelining: 1,
     connections: null,
@@ -72,6 +77,7 @@
     this.#baseUrl = options.baseUrl;
     this.#clock = options.clock;
     this.#idleTimeoutMs = options.idleTimeoutMs;
+    this.#onNotice = options.onNotice ?? (() => undefined);
   }
 
   override generate(
@@ -84,6 +90,7 @@
         name: this.#name,
         clock: this.#clock,
         idleTimeoutMs: this.#idleTimeoutMs(),
+        onNotice: this.#onNotice,
         onEvent,
         signal,
         resolve,
@@ -171,6 +178,7 @@
   readonly name: string;
   readonly clock: Clock;
   readonly idleTimeoutMs: number;
+  readonly onNotice: (notice: EndpointNotice) => void;
   readonly onEvent: (event: GenerationEvent) => void | Promise<void>;
   readonly signal: AbortSignal;
   readonly resolve: () => void;
@@ -222,8 +230,13 @@
     if (this.#isSettled) controller.abort(new Error('the stream has already failed'));
   }
 
-  onResponseStart(_controller: Dispatcher.DispatchController, statusCode: number): void {
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    statusCode: number,
+    headers: IncomingHttpHeaders,
+  ): void {
     this.#status = statusCode;
+    this.#options.onNotice(noticeOfRetryAfter(statusCode, headers['retry-after']));
     this.#lastDataAtMs = this.#options.clock.nowMs();
   }
 
--- a/src/engine/service-client.ts
+++ b/src/engine/service-client.ts
@@ -2,6 +2,7 @@
 import { Agent, request, type Dispatcher } from 'undici';
 import { Outcome, outcomeHeader } from '../core/index.js';
 import { maxControlResponseBytes, readBounded } from '../core/response-body.js';
+import { noticeOfRetryAfter, type EndpointNotice } from '../fleet/endpoint-notice.js';
 import { EngineError, EngineFailure } from './engine-error.js';
 
 /** Headers that apply to a single connection and are not forwarded. */
@@ -33,6 +34,8 @@
   readonly timeoutMs: number;
   /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal;
+  /** Receives what the service says of itself in its response. */
+  readonly onNotice?: (notice: EndpointNotice) => void;
 }
 
 /**
@@ -60,6 +63,8 @@
     options: ServiceRelayOptions,
   ): Promise<void> {
     const response = await this.#send(incoming, options);
+    const retryAfter = response.headers['retry-after'];
+    options.onNotice?.(noticeOfRetryAfter(response.statusCode, retryAfter?.toString()));
     if (outgoing.destroyed) {
       response.body.destroy();
       return;
--- a/test/engine/service-client_test.ts
+++ b/test/engine/service-client_test.ts
@@ -1,13 +1,18 @@
 import { once } from 'node:events';
 import { createServer, request as httpRequest, type IncomingMessage } from 'node:http';
 import type { Server } from 'node:http';
-import { afterEach, describe, expect, it } from 'vitest';
+import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { closeServer, listen } from '../../src/core/listener.js';
+import type { EndpointNotice } from '../../src/fleet/index.js';
 import { ServiceClient } from '../../src/engine/index.js';
 
 describe('ServiceClient', () => {
   const servers: Server[] = [];
-  const client = new ServiceClient();
+  let client: ServiceClient;
+
+  beforeEach(() => {
+    client = new ServiceClient();
+  });
 
   afterEach(async () => {
     await Promise.all(servers.splice(0).map(closeServer));
@@ -49,4 +54,28 @@
     expect(second.toString()).toBe('second');
     await ended;
   });
+
+  it('tells what a service says of itself, so that a pause is kept by the daemon too', async () => {
+    const servicePort = await serve(
+      createServer((_request, response) => {
+        response.writeHead(503, { 'retry-after': '4' }).end();
+      }),
+    );
+    const notices: EndpointNotice[] = [];
+    const port = await serve(
+      createServer((request, response) => {
+        void client.relay(request, response, {
+          name: 'orders',
+          baseUrl: `http://127.0.0.1:${servicePort}`,
+          path: '/',
+          requestId: 'r-1',
+          timeoutMs: 10_000,
+          signal: new AbortController().signal,
+          onNotice: (notice) => notices.push(notice),
+        });
+      }),
+    );
+    expect((await fetch(`http://127.0.0.1:${port}/`)).status).toBe(503);
+    expect(notices).toEqual([{ isLeaving: false, pauseMs: 4_000, unreadable: [] }]);
+  });
 });
