--- a/bench/soak/fault-script.ts
+++ b/bench/soak/fault-script.ts
@@ -109,6 +109,45 @@
   await Promise.all(calls);
 };
 
+/** An endpoint leaves by its responses only: its registration says ready until its end. */
+const leaveByResponse: Fault = async (world, random) => {
+  const endpoint = random.pick(
+    world.endpoints.filter(
+      ({ service, isRegistered, isDraining, server }) =>
+        service === ordersService && isRegistered && !isDraining && !server.isLeaving,
+    ),
+  );
+  await world.addEndpoint(ordersService);
+  endpoint.server.isLeaving = true;
+  await sleep(random.int(3_000, 6_000));
+  endpoint.isRegistered = false;
+  world.register(endpoint);
+};
+
+/** One endpoint, or all of its service, turn requests away and want a pause. */
+const pauseEndpoints: Fault = async (world, random) => {
+  const { service } = random.pick(world.endpoints.filter(({ isRegistered }) => isRegistered));
+  const endpoints = world.endpoints.filter((endpoint) => endpoint.service === service);
+  const chosen = random.float() < 0.3 ? endpoints : [random.pick(endpoints)];
+  const untilMs = Date.now() + random.int(700, 4_000);
+  for (const { server } of chosen) server.pausedUntilMs = untilMs;
+  await sleep(untilMs - Date.now());
+};
+
+/** Endpoints that leave or pause by their responses, in series, until `endAtMs`. */
+export async function playNotices(
+  world: SoakWorld,
+  random: Random,
+  endAtMs: number,
+): Promise<void> {
+  const open: Promise<void>[] = [];
+  while (Date.now() < endAtMs) {
+    open.push(random.pick([leaveByResponse, pauseEndpoints])(world, random.fork()));
+    await sleep(random.int(300, 2_500));
+  }
+  await Promise.all(open);
+}
+
 const faults: readonly Fault[] = [
   kill,
   terminate,
--- a/bench/soak/ledger.ts
+++ b/bench/soak/ledger.ts
@@ -1,5 +1,5 @@
 import type { DutyCall } from '../../platform/standins/duty-server.js';
-import type { EndpointRun } from '../../platform/standins/endpoint-server.js';
+import type { EndpointArrival, EndpointRun } from '../../platform/standins/endpoint-server.js';
 
 /** What a caller asks for. */
 export enum CallKind {
@@ -66,6 +66,7 @@
 /** Everything that callers, endpoints and the platform saw in a run. */
 export class Ledger {
   readonly runs: EndpointRun[] = [];
+  readonly arrivals: EndpointArrival[] = [];
   readonly ends: CallEnd[] = [];
   readonly leaves: EndpointLeave[] = [];
   /** Times at which endpoints crashed under the poison part of a prompt, in epoch milliseconds. */
--- a/bench/soak/promises.ts
+++ b/bench/soak/promises.ts
@@ -1,5 +1,5 @@
 import { paths } from '../../platform/names.js';
-import { streamEvents } from '../../platform/standins/endpoint-server.js';
+import { streamEvents, type EndpointArrival } from '../../platform/standins/endpoint-server.js';
 import { CallKind, isStream, type CallEnd, type Ledger } from './ledger.js';
 import { poisonIdPrefix, endpointLinkFault, versionServices } from './traffic.js';
 
@@ -18,6 +18,10 @@
 /** A leaving endpoint serves for this long. */
 const drainMs = 2_500;
 
+/** Requests may reach an endpoint for this long after it has asked for a pause, and so many later. */
+const pauseNoticeMs = 500;
+const allowedPauseArrivals = 2;
+
 /** Endpoints that crash under one part before its requests are counted, and how many may follow. */
 const countedCrash = 5;
 const allowedPoisonRuns = 3;
@@ -136,6 +140,54 @@
       ),
   );
 
+/**
+ * A request that its caller sent later than the drain time after a run of a gateway had passed on a
+ * response with the leaving does not reach that endpoint from there.
+ */
+const toldLeavingIsKept: PromiseCheck = (ledger) => {
+  const ends = new Map(ledger.ends.map((end) => [end.requestId, end]));
+  const told = new Map<string, number>();
+  for (const { requestId, instanceId, toldLeaving } of ledger.arrivals) {
+    const end = ends.get(requestId);
+    if (!toldLeaving || end?.status === undefined || end.hasLeft) continue;
+    const key = `${instanceId} ${runOf(end)}`;
+    told.set(key, Math.min(told.get(key) ?? Infinity, end.endedAtMs));
+  }
+  return ledger.arrivals.flatMap(({ requestId, instanceId, atMs }) => {
+    const end = ends.get(requestId);
+    const toldAtMs = end && told.get(`${instanceId} ${runOf(end)}`);
+    if (!end || toldAtMs === undefined || end.sentAtMs <= toldAtMs + drainMs) return [];
+    if (!ledger.isCalm(toldAtMs, atMs, (what) => what.includes(end.gateway))) return [];
+    return [`${requestId} reached ${instanceId} ${atMs - toldAtMs} ms after its leaving was told`];
+  });
+};
+
+/** No more than two requests reach an endpoint from a run of a gateway that it has asked for a pause. */
+const pausesAreKept: PromiseCheck = (ledger) => {
+  const ends = new Map(ledger.ends.map((end) => [end.requestId, end]));
+  const arrivalsByRun = new Map<string, EndpointArrival[]>();
+  for (const arrival of ledger.arrivals) {
+    const end = ends.get(arrival.requestId);
+    if (!end) continue;
+    const key = `${arrival.instanceId} from ${runOf(end)}`;
+    arrivalsByRun.set(key, [...(arrivalsByRun.get(key) ?? []), arrival]);
+  }
+  return [...arrivalsByRun].flatMap(([key, arrivals]) =>
+    arrivals.flatMap(({ atMs: askedAtMs, pauseUntilMs, requestId }) => {
+      if (pauseUntilMs === undefined) return [];
+      const gateway = ends.get(requestId)?.gateway ?? '';
+      const isExcused = !ledger.isCalm(askedAtMs, pauseUntilMs, (what) => {
+        return what.includes(gateway) || what.startsWith(endpointLinkFault);
+      });
+      const late = arrivals.filter(({ atMs }) => {
+        return atMs > askedAtMs + pauseNoticeMs && atMs < pauseUntilMs;
+      });
+      if (isExcused || late.length <= allowedPauseArrivals) return [];
+      return [`${late.length} requests reached ${key} within a pause`];
+    }),
+  );
+};
+
 /** A request that a gateway has passed on is answered, also when the gateway is asked to stop. */
 const stopsCutNothing: PromiseCheck = (ledger) => {
   const ran = new Set(ledger.runs.map(({ requestId }) => requestId));
@@ -194,10 +246,17 @@
   ['stops cut nothing', stopsCutNothing],
   ['work ends with its caller', workEndsWithItsCaller],
   ['leaving endpoints get nothing', leavingEndpointsGetNothing],
+  ['a leaving that was told is kept', toldLeavingIsKept],
+  ['pauses are kept', pausesAreKept],
   ['poison prompts are kept back', poisonPromptsAreKeptBack],
   ['sound prompts are served', soundPromptsAreServed],
 ]);
 
+/** Names a run of a gateway's process. */
+function runOf({ gateway, gatewayRun }: CallEnd): string {
+  return `${gateway} run ${gatewayRun}`;
+}
+
 function eventText(requestId: string, event: number): string {
   return `id: ${event}\ndata: ${requestId} ${event}\n\n`;
 }
--- a/bench/soak/run-soak.ts
+++ b/bench/soak/run-soak.ts
@@ -4,7 +4,7 @@
 import { StoreClient } from '../../platform/store-client.js';
 import { Random } from '../../src/core/index.js';
 import { QuarantineAdmin } from '../../src/quarantine/quarantine-admin.js';
-import { playFaults } from './fault-script.js';
+import { playFaults, playNotices } from './fault-script.js';
 import { CallKind } from './ledger.js';
 import { OwnStalls } from './own-stalls.js';
 import { promises } from './promises.js';
@@ -27,6 +27,9 @@
 /** After all faults, each kind of call must be served within this time. */
 const recoveryMs = 20_000;
 
+/** Sets the notices of endpoints apart from the faults of the same seed. */
+const noticeSeedMask = 0x5eed;
+
 /** Plays the faults of a seed against real processes and checks the promises. */
 export async function runSoak(seed: number, lengthMs: number): Promise<SoakResult> {
   const random = new Random(seed);
@@ -35,7 +38,11 @@
   const ownStalls = new OwnStalls(ledger);
   try {
     await world.start();
-    await playFaults(world, random.fork(), Date.now() + lengthMs);
+    const endAtMs = Date.now() + lengthMs;
+    // Its own random numbers: the faults of a seed stay what they were.
+    const notices = playNotices(world, new Random(seed ^ noticeSeedMask), endAtMs);
+    await playFaults(world, random.fork(), endAtMs);
+    await notices;
     const lost = await unservedKinds(world);
     const wrong = await soundQuarantines(world);
     const broken = [...promises].flatMap(([name, check]) =>
--- a/bench/soak/soak-world.ts
+++ b/bench/soak/soak-world.ts
@@ -129,6 +129,7 @@
       instanceId: id,
       service,
       onRun: (run) => this.ledger.runs.push(run),
+      onArrival: (arrival) => this.ledger.arrivals.push(arrival),
       random: () => random.float(),
       onCrash: () => void this.#crash(id),
     });
--- a/test/soak/promises_test.ts
+++ b/test/soak/promises_test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest';
+import type { EndpointArrival } from '../../platform/standins/endpoint-server.js';
 import { CallKind, Ledger, type CallEnd } from '../../bench/soak/ledger.js';
 import { promises } from '../../bench/soak/promises.js';
 import { versionServices } from '../../bench/soak/traffic.js';
@@ -55,6 +56,47 @@
     expect(found('refusals are true', fill)).toBe(1);
   });
 
+  describe('find what endpoints said and was not kept', () => {
+    const arrival = (requestId: string, atMs: number, changes: Partial<EndpointArrival> = {}) => ({
+      requestId,
+      instanceId: 'i-1',
+      atMs,
+      toldLeaving: false,
+      pauseUntilMs: undefined,
+      ...changes,
+    });
+
+    it('a request that was sent after its endpoint had told that it leaves', () => {
+      const after = (lateMs: number) => (ledger: Ledger) => {
+        const lateAtMs = 100_050 + lateMs;
+        ledger.ends.push(end(), end({ requestId: 'c-2', sentAtMs: lateAtMs }));
+        ledger.arrivals.push(arrival('c-1', 100_010, { toldLeaving: true }));
+        ledger.arrivals.push(arrival('c-2', lateAtMs + 10));
+      };
+      const name = 'a leaving that was told is kept';
+      expect(found(name, after(2_000))).toBe(0);
+      expect(found(name, after(3_000))).toBe(1);
+      const restarted = (ledger: Ledger) => {
+        after(3_000)(ledger);
+        ledger.ends[1] = end({ requestId: 'c-2', sentAtMs: 103_050, gatewayRun: 2 });
+      };
+      expect(found(name, restarted)).toBe(0);
+    });
+
+    it('more than two requests within a pause', () => {
+      const within = (count: number) => (ledger: Ledger) => {
+        ledger.ends.push(end());
+        ledger.arrivals.push(arrival('c-1', 100_010, { pauseUntilMs: 104_000 }));
+        for (let number = 0; number < count; number++) {
+          ledger.ends.push(end({ requestId: `late-${number}` }));
+          ledger.arrivals.push(arrival(`late-${number}`, 101_000));
+        }
+      };
+      expect(found('pauses are kept', within(2))).toBe(0);
+      expect(found('pauses are kept', within(3))).toBe(1);
+    });
+  });
+
   it('find poison prompts that still reach endpoints', () => {
     const poison = (late: number) => (ledger: Ledger) => {
       ledger.crashesAtMs.push(1_000, 2_000, 3_000, 4_000, 90_000);
