--- a/src/gateway/request-admission.ts
+++ b/src/gateway/request-admission.ts
@@ -119,7 +119,7 @@
   { callerKey }: RequestDescription,
   table: RouteTable,
 ): TrafficWorkspace | undefined {
-  if (route.isPublic || table.config.workspaces.length === 0) return undefined;
+  if (route.isPublic || !table.config.requiresKeys) return undefined;
   const workspace = callerKey === undefined ? undefined : table.workspace(callerKey);
   if (workspace) return workspace;
   throw refusal(
--- a/src/gateway/traffic-config.ts
+++ b/src/gateway/traffic-config.ts
@@ -96,6 +96,8 @@
   readonly version: number;
   readonly routes: readonly TrafficRoute[];
   readonly services: readonly TrafficService[];
+  /** Whether routes that are not public need a key, also when no workspace has one any more. */
+  readonly requiresKeys: boolean;
   readonly workspaces: readonly TrafficWorkspace[];
   readonly limits: CallerLimits;
 }
--- a/test/gateway/configs.ts
+++ b/test/gateway/configs.ts
@@ -36,6 +36,7 @@
         scaling: undefined,
       },
     ],
+    requiresKeys: (changes.workspaces ?? []).length > 0,
     workspaces: [],
     limits: {
       maxHeaderBytes: 16_384,
--- a/test/gateway/request-relay_test.ts
+++ b/test/gateway/request-relay_test.ts
@@ -321,6 +321,15 @@
       expect(response.status).toBe(401);
       expect(harness.arrivals).toBe(0);
     });
+
+    it('are refused when the last workspace was taken away, as then no key is known', async () => {
+      await harness.start(trafficConfig({ workspaces }), respondWith(200, 'ok'));
+      harness.gateway.config.update(trafficConfig({ version: 2, requiresKeys: true }));
+      const headers = { authorization: 'Bearer secret' };
+      expect((await harness.call({ headers })).status).toBe(401);
+      expect((await harness.call()).status).toBe(401);
+      expect(harness.arrivals).toBe(0);
+    });
   });
 
   describe('the configuration', () => {
--- a/test/platform/codecs_test.ts
+++ b/test/platform/codecs_test.ts
@@ -142,6 +142,16 @@
     expect(unreadable).toEqual(['route 1', 'route 2', 'service 0']);
   });
 
+  // The last workspace was taken away, and requests ran without a key.
+  it.each([
+    ['no list of workspaces', undefined, false],
+    ['an empty list', [], true],
+    ['a list of which nothing can be read', [7], true],
+  ])('knows whether keys are required: %s', (_kind, tenants, requiresKeys) => {
+    const record = { version: 3, routes: [], services: [], tenants };
+    expect(decodeConfig(bytesOf(record), () => undefined)).toMatchObject({ requiresKeys });
+  });
+
   it('rejects a record without a version, so that the previous one stays in force', () => {
     expect(() => decodeConfig(bytesOf({ routes: [], services: [] }), () => undefined)).toThrow();
     expect(() => decodeConfig(Buffer.from('{'), () => undefined)).toThrow();
