End a resumed stream whose next response cannot go on with it

Statuses outside of HTTP's threw in an event handler.

Cause: the response counted as delivered although its head could not be sent any more.

Change: such a response breaks the attempt.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -102,6 +102,10 @@
  */
 const maxBufferedBytes = 1_048_576;
 
+/** Statuses of final responses. */
+const minStatus = 200;
+const maxStatus = 599;
+
 /** Time without progress after which the endpoint is probed on a new connection. */
 const idleBeforeProbeMs = 1_200;
 
@@ -206,6 +210,10 @@
       this.#finish(AttemptEnd.NotRun, `refused with status ${status}`);
       return;
     }
+    if (!this.#canForward(status)) {
+      this.#finish(AttemptEnd.Broken, `response with status ${status} cannot be forwarded`);
+      return;
+    }
     if (status < 300 && !described.isSigned) {
       this.#finish(AttemptEnd.Broken, 'response carries no endpoint signature');
       return;
@@ -214,6 +222,12 @@
     else this.#bufferResponse(response, status);
   }
 
+  /** Whether a status is one of HTTP's, and goes on with a response whose head was sent. */
+  #canForward(status: number): boolean {
+    if (status < minStatus || status > maxStatus) return false;
+    return !this.#options.exchange.hasSentHead || status === 200 || status >= 400;
+  }
+
   #relayEvents(response: IncomingMessage): void {
     const { exchange, codec, progress, observer, view, clock } = this.#options;
     const splitter = new EventSplitter();
--- a/test/gateway/request-relay_test.ts
+++ b/test/gateway/request-relay_test.ts
@@ -215,6 +215,27 @@
       expect(response.isComplete).toBe(true);
     });
 
+    it.each([204, 205, 304])(
+      'end, and do not hang, when the endpoint that resumes them answers %i',
+      async (status) => {
+        const arrivals = new EventEmitter();
+        const arrived = once(arrivals, 'first');
+        await harness.start(trafficConfig({ routes: [streamRoute] }), (request, response) => {
+          arrivals.emit('first');
+          events(1, 2, true)(request, response);
+        });
+        const pendingResponse = harness.call({ method: 'POST', body: 'prompt' });
+        await arrived;
+        await harness.addEndpoint((request, response) => {
+          request.resume();
+          response.writeHead(status, signedHeaders(request)).end();
+        });
+        const response = await pendingResponse;
+        expect(response.isComplete).toBe(false);
+        expect(response.body).toBe('id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n');
+      },
+    );
+
     it('never look complete when no endpoint can resume them', async () => {
       await harness.start(trafficConfig({ routes: [streamRoute] }), events(1, 2, true));
       const response = await harness.call({ method: 'POST', body: 'prompt' });
