--- a/test/platform/codecs_test.ts
+++ b/test/platform/codecs_test.ts
@@ -161,6 +161,14 @@
 describe('HeaderCodec', () => {
   const codec = new HeaderCodec();
 
+  it('takes a load beyond all bounds for none, as its score spoils the choice among all endpoints', () => {
+    const loadOf = (text: string) =>
+      codec.describeResponse(200, { 'oriolestack-server-load': text }).load;
+    expect(loadOf('3,0,8')).toEqual({ runningRequests: 3, queuedRequests: 0 });
+    for (const text of ['1e300,0,8', '0,1e308,8', '-1,0', 'x,y'])
+      expect(loadOf(text)).toBeUndefined();
+  });
+
   it('reads prompts, estimates and keys, and accepts any text in their place', () => {
     expect(
       codec.describe({
