--- a/src/fleet/endpoint-pauses.ts
+++ b/src/fleet/endpoint-pauses.ts
@@ -67,6 +67,11 @@
     });
   }
 
+  /** Whether no endpoint is in a pause or being probed after one; cheap enough for each candidate. */
+  get isEmpty(): boolean {
+    return this.#pauses.size === 0;
+  }
+
   /** Whether an endpoint is in a pause. */
   isPaused(endpointId: string, nowMs: number): boolean {
     const pause = this.#pauses.get(endpointId);
--- a/src/routing/pause-filter.ts
+++ b/src/routing/pause-filter.ts
@@ -20,6 +20,6 @@
     _load: LoadEstimate,
     nowMs: number,
   ): boolean {
-    return this.#pauses.nextTryAtMs(view.id, nowMs) === undefined;
+    return this.#pauses.isEmpty || this.#pauses.nextTryAtMs(view.id, nowMs) === undefined;
   }
 }
