Soak: bytes keep their order when a delay ends, and none come after a gap

Traced: the request had one attempt (no line in any log), beside 'the way to an endpoint is delayed'; the proxy held bytes for 400 ms and let later ones pass at once when the delay ended, and the end of the stream too. No connection does that. The same for bytes after a cut that was over.

The promise and its check stay as they are; the proxy is mended.

--- a/bench/soak/fault-proxy.ts
+++ b/bench/soak/fault-proxy.ts
@@ -1,4 +1,5 @@
 import { createServer, connect, type Server, type Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { listen } from '../../src/core/listener.js';
 
 /** What a proxy does to the connections through it. */
@@ -80,11 +81,17 @@
     }
   }
 
+  /** Carries one direction of a connection. As in TCP, nothing overtakes, and nothing comes after a gap. */
   #carry(link: Link, from: Socket, to: Socket, cut: LinkFault): void {
-    const isLost = (): boolean => link.isSilent || this.#fault === cut;
+    let hasGap = false;
+    let carried: Promise<unknown> = Promise.resolve();
+    const isLost = (): boolean => {
+      hasGap ||= link.isSilent || this.#fault === cut;
+      return hasGap;
+    };
     const later = (action: () => void): void => {
-      if (this.#fault === LinkFault.Delayed) setTimeout(action, delayMs);
-      else action();
+      const delayed = this.#fault === LinkFault.Delayed ? sleep(delayMs) : undefined;
+      carried = Promise.all([carried, delayed]).then(action);
     };
     from.on('data', (bytes: Buffer) => {
       if (!isLost()) later(() => to.write(bytes));
