Soak: carry an orderly end behind the bytes before it

An orderly end of the server is carried in its turn now; a client that is gone, and errors, reset the other side as before.

--- a/bench/soak/fault-proxy.ts
+++ b/bench/soak/fault-proxy.ts
@@ -74,9 +74,11 @@
       socket.setNoDelay(true);
       // Either side's failure is a fault under test; the other side learns of it below.
       socket.on('error', () => undefined);
-      socket.on('close', () => {
-        this.#links.delete(link);
-        if (!link.isSilent) reset(link);
+      socket.on('close', (hadError) => {
+        // An orderly end of the server is carried behind its bytes; a client that is gone reads none.
+        const isOrderlyEnd = socket === server && !hadError;
+        if (!isOrderlyEnd && !link.isSilent) reset(link);
+        if (client.destroyed && server.destroyed) this.#links.delete(link);
       });
     }
   }
