--- a/src/core/listener.ts
+++ b/src/core/listener.ts
@@ -1,17 +1,44 @@
 import type { Server } from 'node:http';
 import type { AddressInfo, Server as SocketServer } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 
 /**
- * Starts listening and resolves with the port; rejects when the server cannot listen.
+ * Time for which a port may be in use at a start: by the process before, or by an outgoing
+ * connection of another one.
+ */
+const portBusyTimeoutMs = 10_000;
+const portRetryMs = 100;
+
+/**
+ * Starts listening and resolves with the port; rejects when the server cannot listen. A port that is
+ * in use is tried again for 10 s.
  *
  * @param port - 0 selects a free port.
  * @param backlog - maximum number of connections waiting to be accepted; default: Node's.
  */
-export function listen(
+export async function listen(
   server: SocketServer,
   host: string,
   port: number,
   backlog?: number,
+): Promise<number> {
+  const giveUpAtMs = performance.now() + portBusyTimeoutMs;
+  for (;;) {
+    try {
+      return await listenOnce(server, host, port, backlog);
+    } catch (error) {
+      const isBusy = (error as NodeJS.ErrnoException).code === 'EADDRINUSE';
+      if (!isBusy || performance.now() >= giveUpAtMs) throw error;
+      await sleep(portRetryMs);
+    }
+  }
+}
+
+function listenOnce(
+  server: SocketServer,
+  host: string,
+  port: number,
+  backlog: number | undefined,
 ): Promise<number> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -11,6 +11,7 @@
   DaemonStarted = 105,
   UnexpectedError = 106,
   EventLoopStalled = 107,
+  MetricsNotServed = 108,
   ConfigInForce = 110,
   ConfigUnreadable = 111,
   RequestServed = 201,
