Count a request that Node refuses to send as not sent

Callers saw: 500 for a request that never ran, where an endpoint's address or a header cannot be sent; the endpoint's count of requests in flight stayed one too high for good.

Cause: the throw left RelayedRequest between beginRequest and its end.

Change: EndpointConnections reports it as a send of which nothing was written; the request goes elsewhere.

Evidence: the new test of request-relay_test got 500 before.

--- a/src/gateway/endpoint-connections.ts
+++ b/src/gateway/endpoint-connections.ts
@@ -102,6 +102,19 @@
   }
 
   send(request: EndpointRequest, observer: SendObserver): PendingSend {
+    try {
+      return this.#send(request, observer);
+    } catch (error) {
+      // An address, a path or a header that no request can carry: nothing was sent.
+      const reason = error instanceof Error ? error.message : String(error);
+      queueMicrotask(() => {
+        observer.failed(reason, false, false);
+      });
+      return new UnsentRequest();
+    }
+  }
+
+  #send(request: EndpointRequest, observer: SendObserver): PendingSend {
     const { hostname, port } = new URL(request.baseUrl);
     const outgoing = httpRequest({
       agent: request.mayReuseConnection ? this.#keepAliveAgent : this.#singleUseAgent,
@@ -123,6 +136,17 @@
   }
 }
 
+/** A request that could not be put on a connection. */
+class UnsentRequest implements PendingSend {
+  readonly mayHaveRun = false;
+  readonly writtenAtMs = undefined;
+  readonly isOnReusedConnection = false;
+
+  abort(): void {
+    // Nothing was opened.
+  }
+}
+
 /** One request, from opening the connection to the response head. */
 class Send implements PendingSend {
   readonly #outgoing: ClientRequest;
--- a/test/gateway/request-relay_test.ts
+++ b/test/gateway/request-relay_test.ts
@@ -297,6 +297,17 @@
     });
   });
 
+  describe('an endpoint at an address that no request can go to', () => {
+    it('is left out for another one, and keeps no request counted', async () => {
+      await harness.start(trafficConfig(), respondWith(200, 'ok'));
+      harness.registerEndpoint('odd', 'http://127.0.0.1:99999');
+      for (let number = 0; number < 10; number++) expect((await harness.call()).status).toBe(200);
+      const [odd] = harness.gateway.endpoints.registrationsOf('orders').slice(-1);
+      expect(odd?.instanceId).toBe('odd');
+      expect(harness.arrivals).toBe(10);
+    });
+  });
+
   describe('headers', () => {
     const workspaces = [
       {
