Refuse requests that are half read at the forced end of a stop

Callers saw: the connection of a request whose body was half read was closed without a byte at the end of the grace.

Change: GatewayListener refuses what is not admitted yet as not run, before the process leaves.

Evidence: the new test of gateway-listener_test received nothing before.

--- a/src/gateway/gateway-listener.ts
+++ b/src/gateway/gateway-listener.ts
@@ -53,6 +53,8 @@
   readonly #sockets = new CallerSockets();
   readonly #connections = new CallerConnections();
   readonly #idleListeners: (() => void)[] = [];
+  /** Requests that are read or checked. */
+  readonly #unadmitted = new Set<CallerExchange>();
   #inFlight = 0;
   #isDraining = false;
   #isAccepting = true;
@@ -127,6 +129,12 @@
     await this.#options.clock.sleepUntil(deadlineAtMs, idleController.signal);
   }
 
+  /** Refuses the requests that are not read completely, as they will not be. */
+  refuseUnadmitted(): void {
+    const refusal = stoppingRefusal(this.#options.clock.nowMs());
+    for (const exchange of this.#unadmitted) this.#refuse(exchange, refusal);
+  }
+
   /** Closes the server and all connections. */
   close(): void {
     this.#server.close();
@@ -162,13 +170,17 @@
     });
     try {
       this.#checkAccepting();
+      this.#unadmitted.add(exchange);
       const admitted = await admission.admit(exchange);
       // The body may have taken until after the stop.
       this.#checkAccepting();
       onAdmitted(admitted);
+      this.#unadmitted.delete(exchange);
       await relay.relay(exchange, admitted);
     } catch (error) {
       this.#refuse(exchange, error);
+    } finally {
+      this.#unadmitted.delete(exchange);
     }
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -287,6 +287,7 @@
     this.#listener.stopAccepting();
     await this.#listener.waitUntilIdle(deadlineAtMs - stopMarginMs);
     this.#relay.answerOpenRequests();
+    this.#listener.refuseUnadmitted();
     const left = new AbortController();
     void this.#samples.leave().finally(() => {
       left.abort();
--- a/test/gateway/gateway-listener_test.ts
+++ b/test/gateway/gateway-listener_test.ts
@@ -172,6 +172,26 @@
       expect(await queued).toMatchObject({ status: 502, isComplete: true });
     });
 
+    it('answers a request that is half read at its end', async () => {
+      await harness.start(trafficConfig(), respondWith(200, 'ok'));
+      const slow = connect({ host: '127.0.0.1', port: harness.gateway.port });
+      slow.on('error', () => undefined);
+      slow.write(
+        'POST /x HTTP/1.1\r\nhost: shop.example\r\noriolestack-request-id: slow\r\ncontent-length: 4\r\n\r\nor',
+      );
+      const received = new Promise<string>((resolve) => {
+        let text = '';
+        slow.on('data', (bytes: Buffer) => (text += bytes.toString()));
+        slow.once('close', () => {
+          resolve(text);
+        });
+      });
+      await harness.wait(50);
+      await harness.gateway.stop(harness.clock.nowMs() + 1_300);
+      expect(await received).toMatch(/^HTTP\/1.1 503 /);
+      expect(harness.arrivals).toBe(0);
+    });
+
     // Slow endpoints finish responses that began before the stop after the listener has closed.
     it.each([20, 100])(
       'under load answers every request that it has passed on, on new and on kept connections: endpoints that take %i ms',
