Event 204 tells when data and events of a response last came

An attempt that ended by silence, one that ended as its endpoint sent bytes without an event, and one whose caller took no data could not be told apart in the log: it had the reason only. It now has sinceDataMs, sinceEventMs and isBlocked. No decision changes.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -40,10 +40,21 @@
    * nothing about the endpoint.
    */
   readonly hasLostKeptConnection: boolean;
+  readonly ages: ResponseAges;
   /** Set for {@link AttemptEnd.FailedAnswer} only. */
   readonly response?: BufferedResponse;
 }
 
+/** When data of a response last came, as of the end of its attempt. */
+export interface ResponseAges {
+  /** Milliseconds since the last byte; since the send if there was none. */
+  readonly sinceDataMs: number;
+  /** Milliseconds since the last complete event, or the last byte of other responses. */
+  readonly sinceEventMs: number;
+  /** Whether the caller took no more data. */
+  readonly isBlocked: boolean;
+}
+
 /** A response that was read completely. */
 export interface BufferedResponse {
   readonly status: number;
@@ -133,6 +144,9 @@
   #isEnded = false;
   /** Time of the last complete event, or of the last data of other responses. */
   #lastProgressAtMs: number;
+  #lastDataAtMs: number;
+  /** Whether the caller takes no more data, so that none is read from the endpoint. */
+  #isBlocked = false;
   /** Whether a stream has sent bytes since its last complete event. */
   #hasPartialEvent = false;
 
@@ -142,6 +156,7 @@
     this.result = new Promise((resolve) => (resolveResult = resolve));
     this.#resolve = resolveResult;
     this.#lastProgressAtMs = options.clock.nowMs();
+    this.#lastDataAtMs = this.#lastProgressAtMs;
     this.#cancelIdleCheck = this.#watchIdle();
     this.#send = options.connections.send(options.request, {
       mayWrite: () => this.#mayWrite(),
@@ -187,9 +202,11 @@
     this.#response = response;
     stallDetector.recordData(view.id);
     response.on('data', () => {
+      this.#lastDataAtMs = this.#options.clock.nowMs();
       stallDetector.recordData(view.id);
     });
     this.#lastProgressAtMs = this.#options.clock.nowMs();
+    this.#lastDataAtMs = this.#lastProgressAtMs;
     response.on('error', (error) => {
       this.#finish(AttemptEnd.Broken, error.message);
     });
@@ -244,9 +261,7 @@
         observer.progressed(view, events.count, elapsedMs);
       }
       exchange.writeHead(200, codec.responseHeaders(response.headers));
-      if (exchange.write(events.bytes)) return;
-      response.pause();
-      exchange.onDrain(() => response.resume());
+      if (!exchange.write(events.bytes)) this.#block(response);
     });
     response.on('end', () => {
       // Only one that resumes a stream may have nothing to send.
@@ -308,10 +323,17 @@
   }
 
   #forward(response: IncomingMessage, bytes: Buffer): void {
-    const { exchange } = this.#options;
-    if (exchange.write(bytes)) return;
+    if (!this.#options.exchange.write(bytes)) this.#block(response);
+  }
+
+  /** Reads no more of a response until its caller takes data again. */
+  #block(response: IncomingMessage): void {
+    this.#isBlocked = true;
     response.pause();
-    exchange.onDrain(() => response.resume());
+    this.#options.exchange.onDrain(() => {
+      this.#isBlocked = false;
+      response.resume();
+    });
   }
 
   #deliver(response: IncomingMessage, status: number, body: Buffer): void {
@@ -401,6 +423,11 @@
       hasResponse: this.#response !== undefined,
       isFramed: isFramed(this.#response),
       hasLostKeptConnection,
+      ages: {
+        sinceDataMs: this.#options.clock.nowMs() - this.#lastDataAtMs,
+        sinceEventMs: this.#idleMs,
+        isBlocked: this.#isBlocked,
+      },
       ...(response ? { response } : {}),
     });
   }
--- a/src/gateway/request-log.ts
+++ b/src/gateway/request-log.ts
@@ -61,7 +61,7 @@
   }
 
   attemptFailed(result: AttemptResult, sentAtMs: number): void {
-    const { end, reason, wasSent, hasResponse } = result;
+    const { end, reason, wasSent, hasResponse, ages } = result;
     const { promptParts } = this.#admitted.description;
     this.#options.events.warn(EventId.AttemptFailed, 'attempt at an endpoint failed', {
       requestId: this.#admitted.description.requestId,
@@ -74,6 +74,9 @@
         ? { sharedParts: sharedPartsOf(promptParts).map(({ id }) => id) }
         : {}),
       events: this.#events,
+      sinceDataMs: Math.round(ages.sinceDataMs),
+      sinceEventMs: Math.round(ages.sinceEventMs),
+      isBlocked: ages.isBlocked,
       elapsedMs: this.#elapsedMs(sentAtMs),
     });
   }
--- a/test/gateway/request-diagnosis_test.ts
+++ b/test/gateway/request-diagnosis_test.ts
@@ -106,6 +106,27 @@
     });
   });
 
+  it('that was cut: bytes came, but for too long no event', async () => {
+    const routes = [
+      trafficRoute({ kind: RequestKind.Stream, objectiveMs: 100, objectiveBetweenEventsMs: 100 }),
+    ];
+    await harness.start(trafficConfig({ routes }), (request, response) => {
+      request.resume();
+      response.writeHead(200, { ...signedHeaders(request), 'content-type': 'text/event-stream' });
+      response.write('id: 1\ndata: 1\n\n');
+      const timer = setInterval(() => response.write('x'), 100);
+      response.once('close', () => {
+        clearInterval(timer);
+      });
+    });
+    await harness.call({ headers });
+
+    const { sinceDataMs, sinceEventMs, isBlocked } = ownFields(EventId.AttemptFailed) ?? {};
+    expect(sinceDataMs).toBeLessThan(1_200);
+    expect(sinceEventMs).toBeGreaterThanOrEqual(2_000);
+    expect(isBlocked).toBe(false);
+  });
+
   it('of unknown outcome: its only endpoint received it and sent no response', async () => {
     const routes = [trafficRoute({ kind: RequestKind.AtMostOnce })];
     await harness.start(trafficConfig({ routes }), (request) => request.socket.destroy());
