Tell an endpoint that is silent from one that sends bytes without an event

What callers saw: a stream whose endpoint fell silent in the middle of an event was cut after its stall timeout (2 s or more) although the endpoint went on; so was one that its caller did not read for that long, as no data came then either.

Cause: the timeout for bytes without an event ran from the last complete event and did not ask whether any byte had come since. It now applies only while bytes come; a response that is silent is handled as silence, wherever in an event it falls.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -6,7 +6,8 @@
 import type { EndpointConnections, EndpointRequest, PendingSend } from './endpoint-connections.js';
 import { EventSplitter, EventTooLongError, type CompleteEvents } from './event-splitter.js';
 import type { ResponseDescription, RequestCodec } from './request-codec.js';
-import { RequestKind } from './traffic-config.js';
+import { ProgressState, ResponseProgress, type ProgressAges } from './response-progress.js';
+import { RequestKind, type TrafficRoute } from './traffic-config.js';
 
 /** How an attempt at one endpoint ended. */
 export enum AttemptEnd {
@@ -40,21 +41,11 @@
    * nothing about the endpoint.
    */
   readonly hasLostKeptConnection: boolean;
-  readonly ages: ResponseAges;
+  readonly ages: ProgressAges;
   /** Set for {@link AttemptEnd.FailedAnswer} only. */
   readonly response?: BufferedResponse;
 }
 
-/** When data of a response last came, as of the end of its attempt. */
-export interface ResponseAges {
-  /** Milliseconds since the last byte; since the send if there was none. */
-  readonly sinceDataMs: number;
-  /** Milliseconds since the last complete event, or the last byte of other responses. */
-  readonly sinceEventMs: number;
-  /** Whether the caller took no more data. */
-  readonly isBlocked: boolean;
-}
-
 /** A response that was read completely. */
 export interface BufferedResponse {
   readonly status: number;
@@ -117,12 +108,6 @@
 const minStatus = 200;
 const maxStatus = 599;
 
-/** Time without progress after which the endpoint is probed on a new connection. */
-const idleBeforeProbeMs = 1_200;
-
-/** Shortest time between two checks for progress. */
-const minCheckIntervalMs = 200;
-
 /**
  * Callers leave a stream after a gap of two seconds, four times the objective for the first event
  * or eight times that between events, whichever is longest. A stream that sends bytes but no event
@@ -142,21 +127,15 @@
   #send: PendingSend | undefined;
   #response: IncomingMessage | undefined;
   #isEnded = false;
-  /** Time of the last complete event, or of the last data of other responses. */
-  #lastProgressAtMs: number;
-  #lastDataAtMs: number;
-  /** Whether the caller takes no more data, so that none is read from the endpoint. */
-  #isBlocked = false;
-  /** Whether a stream has sent bytes since its last complete event. */
-  #hasPartialEvent = false;
+  readonly #responseProgress: ResponseProgress;
 
   constructor(options: AttemptOptions) {
     this.#options = options;
     let resolveResult: (result: AttemptResult) => void = () => undefined;
     this.result = new Promise((resolve) => (resolveResult = resolve));
     this.#resolve = resolveResult;
-    this.#lastProgressAtMs = options.clock.nowMs();
-    this.#lastDataAtMs = this.#lastProgressAtMs;
+    const { clock, admitted } = options;
+    this.#responseProgress = new ResponseProgress(clock, stallTimeoutMs(admitted.route));
     this.#cancelIdleCheck = this.#watchIdle();
     this.#send = options.connections.send(options.request, {
       mayWrite: () => this.#mayWrite(),
@@ -201,12 +180,10 @@
     const { codec, admitted, observer, view, stallDetector } = this.#options;
     this.#response = response;
     stallDetector.recordData(view.id);
+    this.#responseProgress.recordProgress();
     response.on('data', () => {
-      this.#lastDataAtMs = this.#options.clock.nowMs();
       stallDetector.recordData(view.id);
     });
-    this.#lastProgressAtMs = this.#options.clock.nowMs();
-    this.#lastDataAtMs = this.#lastProgressAtMs;
     response.on('error', (error) => {
       this.#finish(AttemptEnd.Broken, error.message);
     });
@@ -246,15 +223,15 @@
   }
 
   #relayEvents(response: IncomingMessage): void {
-    const { exchange, codec, progress, observer, view, clock } = this.#options;
+    const { exchange, codec, progress, observer, view } = this.#options;
     const splitter = new EventSplitter();
     response.on('data', (chunk: Buffer) => {
       const events = this.#split(splitter, chunk);
+      if (!events?.count) this.#responseProgress.recordPartialEvent();
       if (!events || this.#isEnded) return;
-      const elapsedMs = clock.nowMs() - this.#lastProgressAtMs;
       if (events.count > 0) {
-        this.#lastProgressAtMs += elapsedMs;
-        this.#hasPartialEvent = splitter.pendingBytes > 0;
+        const elapsedMs = this.#responseProgress.ages.sinceEventMs;
+        this.#responseProgress.recordProgress(splitter.pendingBytes > 0);
         if (progress.events === 0) observer.began();
         progress.events += events.count;
         progress.lastEventId = events.lastEventId ?? progress.lastEventId;
@@ -282,7 +259,6 @@
   }
 
   #split(splitter: EventSplitter, chunk: Buffer): CompleteEvents | undefined {
-    this.#hasPartialEvent = true;
     try {
       return splitter.push(chunk);
     } catch (error) {
@@ -297,7 +273,7 @@
     let bytes = 0;
     let isForwarding = false;
     response.on('data', (chunk: Buffer) => {
-      this.#lastProgressAtMs = this.#options.clock.nowMs();
+      this.#responseProgress.recordProgress();
       if (isForwarding) {
         this.#forward(response, chunk);
         return;
@@ -328,10 +304,10 @@
 
   /** Reads no more of a response until its caller takes data again. */
   #block(response: IncomingMessage): void {
-    this.#isBlocked = true;
+    this.#responseProgress.block();
     response.pause();
     this.#options.exchange.onDrain(() => {
-      this.#isBlocked = false;
+      this.#responseProgress.unblock();
       response.resume();
     });
   }
@@ -355,20 +331,11 @@
   #watchIdle(): () => void {
     const { clock } = this.#options;
     let cancel: () => void = () => undefined;
-    const check = async (): Promise<void> => {
-      if (this.#isEnded) return;
-      if (this.#hasPartialEvent && this.#idleMs >= this.#stallTimeoutMs) {
-        this.#finish(AttemptEnd.Broken, 'endpoint sent bytes but no complete event');
-        return;
-      }
-      if (this.#idleMs >= idleBeforeProbeMs) await this.#checkSilence();
-      arm();
-    };
     const arm = (): void => {
       if (this.#isEnded) return;
-      const probeAtMs = this.#lastProgressAtMs + idleBeforeProbeMs;
-      const dueAtMs = Math.max(clock.nowMs() + minCheckIntervalMs, probeAtMs);
-      cancel = clock.schedule(dueAtMs, () => void check());
+      cancel = clock.schedule(this.#responseProgress.nextCheckAtMs, () => {
+        void this.#checkProgress().then(arm);
+      });
     };
     arm();
     return () => {
@@ -376,6 +343,14 @@
     };
   }
 
+  async #checkProgress(): Promise<void> {
+    if (this.#isEnded) return;
+    const { state } = this.#responseProgress;
+    if (state === ProgressState.Silent) await this.#checkSilence();
+    else if (state === ProgressState.Stalled)
+      this.#finish(AttemptEnd.Broken, 'endpoint sent bytes but no complete event');
+  }
+
   /**
    * Silence alone is no failure. An endpoint that is busy responds to a probe on a new connection or
    * sends data on another one; one that does neither may be gone, or only be paused. Its request is
@@ -384,26 +359,12 @@
   async #checkSilence(): Promise<void> {
     const { stallDetector, view, observer, canMove } = this.#options;
     if ((await stallDetector.diagnose(view)) !== StallCause.Unreachable) return;
-    if (this.#isEnded || this.#idleMs < idleBeforeProbeMs) return;
+    if (this.#isEnded || this.#responseProgress.state !== ProgressState.Silent) return;
     if (canMove())
       this.#finish(AttemptEnd.Broken, 'endpoint sent no data and did not respond to a probe');
     else observer.silent(view);
   }
 
-  /** Time since the last progress, in milliseconds. */
-  get #idleMs(): number {
-    return this.#options.clock.nowMs() - this.#lastProgressAtMs;
-  }
-
-  get #stallTimeoutMs(): number {
-    const { objectiveMs, objectiveBetweenEventsMs } = this.#options.admitted.route;
-    return Math.max(
-      minStallTimeoutMs,
-      stallObjectiveRatio * objectiveMs,
-      stallGapRatio * objectiveBetweenEventsMs,
-    );
-  }
-
   #finish(end: AttemptEnd, reason: string, response?: BufferedResponse): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
@@ -423,16 +384,21 @@
       hasResponse: this.#response !== undefined,
       isFramed: isFramed(this.#response),
       hasLostKeptConnection,
-      ages: {
-        sinceDataMs: this.#options.clock.nowMs() - this.#lastDataAtMs,
-        sinceEventMs: this.#idleMs,
-        isBlocked: this.#isBlocked,
-      },
+      ages: this.#responseProgress.ages,
       ...(response ? { response } : {}),
     });
   }
 }
 
+/** Time for which a stream may send bytes without a complete event, in milliseconds. */
+function stallTimeoutMs({ objectiveMs, objectiveBetweenEventsMs }: TrafficRoute): number {
+  return Math.max(
+    minStallTimeoutMs,
+    stallObjectiveRatio * objectiveMs,
+    stallGapRatio * objectiveBetweenEventsMs,
+  );
+}
+
 /** Whether a response tells its own end; one that does not ends with its connection. */
 function isFramed(response: IncomingMessage | undefined): boolean {
   const { 'content-length': length, 'transfer-encoding': encoding } = response?.headers ?? {};
