Take no slow caller for a silent endpoint

While a caller takes no data none is read from its endpoint, which looked silent after 1.2 s: it was probed, and a stream that can be resumed could be sent to another endpoint. A response counts as flowing while its caller blocks it, and its times run anew from when data is taken again. Shown by a test of ResponseProgress that failed before.

--- a/src/gateway/response-progress.ts
+++ b/src/gateway/response-progress.ts
@@ -2,7 +2,7 @@
 
 /** What the times of a response say of its endpoint. */
 export enum ProgressState {
-  /** Data comes. */
+  /** Data comes, or the caller does not take it. */
   Flowing = 'flowing',
   /** Nothing has come for a while. */
   Silent = 'silent',
@@ -28,7 +28,7 @@
 
 /**
  * Records when data of a response came, and distinguishes an endpoint that is silent from one that
- * sends bytes without an event.
+ * sends bytes without an event, and from a caller that does not read.
  */
 export class ResponseProgress {
   readonly #clock: Clock;
@@ -72,10 +72,13 @@
   /** The caller takes data again. */
   unblock(): void {
     this.#isBlocked = false;
+    this.#lastDataAtMs = this.#clock.nowMs();
+    this.#lastEventAtMs = this.#lastDataAtMs;
   }
 
   get state(): ProgressState {
-    const { sinceDataMs, sinceEventMs } = this.ages;
+    const { sinceDataMs, sinceEventMs, isBlocked } = this.ages;
+    if (isBlocked) return ProgressState.Flowing;
     if (sinceDataMs >= silenceMs) return ProgressState.Silent;
     const isStalled = this.#hasPartialEvent && sinceEventMs >= this.#stallTimeoutMs;
     return isStalled ? ProgressState.Stalled : ProgressState.Flowing;
--- a/test/gateway/response-progress_test.ts
+++ b/test/gateway/response-progress_test.ts
@@ -55,6 +55,19 @@
     }
   });
 
+  // A caller that read slowly made its endpoint look silent, and its stream was sent once more.
+  it('is neither silent nor stalled while its caller takes no data', async () => {
+    progress.recordProgress(true);
+    progress.block();
+    await clock.advance(2 * stallTimeoutMs);
+    expect(progress.state).toBe(ProgressState.Flowing);
+    expect(progress.ages.isBlocked).toBe(true);
+    progress.unblock();
+    expect(progress.state).toBe(ProgressState.Flowing);
+    await clock.advance(1_200);
+    expect(progress.state).toBe(ProgressState.Silent);
+  });
+
   describe('the next check', () => {
     it('comes when silence would show', async () => {
       await clock.advance(300);
