Forward no large error response that may not be the answer

Cause: a response above 1 MiB was forwarded as it came, whatever its status, also after the head of another response and where another attempt was allowed.

An error response that is too large to be kept is now forwarded only if no head was sent, no other attempt can follow, and its status promises nothing; else it ends its attempt.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -75,6 +75,13 @@
    * @param hasContent - whether it is more than comments of a stream.
    */
   abstract mayForward(hasContent: boolean): boolean;
+  /**
+   * Asked before an error response is forwarded that is too large to be kept until its end.
+   *
+   * @returns false if the caller must not get it: something else may still answer the request, or the
+   * status would promise what the endpoint did not say.
+   */
+  abstract mayForwardError(status: number): boolean;
   /** The request has started to run: its first event or its body was received. */
   abstract began(): void;
   /**
@@ -289,9 +296,8 @@
       }
       chunks.push(chunk);
       bytes += chunk.length;
-      if (bytes <= maxBufferedBytes) return;
+      if (bytes <= maxBufferedBytes || !this.#mayForwardUnfinished(status)) return;
       const { exchange, codec, observer } = this.#options;
-      if (!observer.mayForward(true)) return;
       isForwarding = true;
       observer.began();
       exchange.writeHead(status, codec.responseHeaders(response.headers));
@@ -308,6 +314,16 @@
     });
   }
 
+  /** Whether a response that is too large to be kept is forwarded; one that is not ends the attempt. */
+  #mayForwardUnfinished(status: number): boolean {
+    const { observer } = this.#options;
+    if (this.#isEnded) return false;
+    if (status < 400) return observer.mayForward(true);
+    if (observer.mayForwardError(status)) return true;
+    this.#finish(AttemptEnd.Broken, `error response with status ${status} is too large to be kept`);
+    return false;
+  }
+
   #forward(response: IncomingMessage, bytes: Buffer): void {
     if (!this.#options.exchange.write(bytes)) this.#block(response);
   }
--- a/src/gateway/relayed-request.ts
+++ b/src/gateway/relayed-request.ts
@@ -160,6 +160,12 @@
     return this.#race.mayForward(running, hasContent);
   }
 
+  override mayForwardError(running: RunningAttempt, status: number): boolean {
+    if (this.#exchange.hasSentHead || notRunStatuses.has(status)) return false;
+    if (status >= 500 && this.#canFollow(running)) return false;
+    return this.#race.mayForward(running, true);
+  }
+
   override began(): void {
     if (this.#hasBegun) return;
     this.#hasBegun = true;
@@ -372,23 +378,26 @@
    * open until the second one has something to forward: a sound endpoint may go on after a while,
    * and the other one may refuse or fail.
    */
-  #askAnother({ view: silent }: RunningAttempt): void {
+  #askAnother(running: RunningAttempt): void {
+    const silent = running.view;
     const { retries, clock, placement } = this.#options;
-    const { service } = this.#admitted;
-    const excludedIds = [...this.#triedIds, silent.id];
-    if (!this.#mayAskAnother() || !placement.isAvailable(this.#admitted, excludedIds)) return;
-    const view = placement.choose(this.#admitted, excludedIds);
-    if (!view || !retries.trySpend(service.name, clock.nowMs())) return;
+    if (this.#race.size !== 1 || !this.#canFollow(running)) return;
+    const view = placement.choose(this.#admitted, [...this.#triedIds, silent.id]);
+    if (!view || !retries.trySpend(this.#admitted.service.name, clock.nowMs())) return;
     this.#requestLog.askedAnother(silent, view);
     this.#start(view);
   }
 
-  #mayAskAnother(): boolean {
-    const { route } = this.#admitted;
-    if (!this.#isRepeatable || this.#isOver || this.#race.size !== 1) return false;
+  /** Whether an attempt at another endpoint could follow now on one that is in flight. */
+  #canFollow({ view }: RunningAttempt): boolean {
+    const { retries, clock, placement, guard } = this.#options;
+    const { route, service } = this.#admitted;
+    if (!this.#isRepeatable || this.#isOver) return false;
     if (this.#exchange.hasSentHead && route.kind !== RequestKind.Stream) return false;
-    if (this.#options.guard.find(this.#partIds)) return false;
-    return this.#sends + this.#race.size < route.maxAttempts;
+    if (this.#sends + this.#race.size >= route.maxAttempts) return false;
+    if (guard.find(this.#partIds)) return false;
+    if (!retries.canSpend(service.name, clock.nowMs())) return false;
+    return placement.isAvailable(this.#admitted, [...this.#triedIds, view.id]);
   }
 
   /** Whether nobody waits for a response any more. */
--- a/src/gateway/running-attempt.ts
+++ b/src/gateway/running-attempt.ts
@@ -27,6 +27,8 @@
    * @param hasContent - whether it is more than comments of a stream.
    */
   abstract mayForward(running: RunningAttempt, hasContent: boolean): boolean;
+  /** Asked before an error response is forwarded that is too large to be kept until its end. */
+  abstract mayForwardError(running: RunningAttempt, status: number): boolean;
 }
 
 /** Options of {@link RunningAttempt}. */
@@ -115,6 +117,10 @@
     return this.#options.observer.mayForward(this, hasContent);
   }
 
+  override mayForwardError(status: number): boolean {
+    return this.#options.observer.mayForwardError(this, status);
+  }
+
   override began(): void {
     this.#options.observer.began();
   }
