Let no part of a response that does not fit its state pass in silence

CallerExchange dropped a second head and a second response without a word, so that the bytes of one response could go on behind the head of another one.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -4,7 +4,7 @@
 import { StallCause } from '../fleet/index.js';
 import type { AdmittedRequest, CallerExchange } from './caller-exchange.js';
 import type { EndpointConnections, EndpointRequest, PendingSend } from './endpoint-connections.js';
-import { EventSplitter, EventTooLongError, type CompleteEvents } from './event-splitter.js';
+import { EventSplitter } from './event-splitter.js';
 import type { ResponseDescription, RequestCodec } from './request-codec.js';
 import { ProgressState, ResponseProgress, type ProgressAges } from './response-progress.js';
 import { RequestKind, type TrafficRoute } from './traffic-config.js';
@@ -151,7 +151,9 @@
     this.#send = options.connections.send(options.request, {
       mayWrite: () => this.#mayWrite(),
       responded: (response) => {
-        this.#onResponse(response);
+        this.#guard(() => {
+          this.#onResponse(response);
+        });
       },
       broken: (reason) => {
         // A framed response that was read completely is valid although its connection failed later.
@@ -239,10 +241,10 @@
   }
 
   #relayEvents(response: IncomingMessage): void {
-    const { exchange, codec, progress, observer } = this.#options;
+    const { exchange, progress, observer } = this.#options;
     const splitter = new EventSplitter();
-    response.on('data', (chunk: Buffer) => {
-      const events = this.#split(splitter, chunk);
+    this.#listen(response, 'data', (chunk) => {
+      const events = splitter.push(chunk);
       if (!events?.count) this.#responseProgress.recordPartialEvent();
       if (!events || this.#isEnded || !observer.mayForward(events.count > 0)) return;
       if (events.count > 0) {
@@ -253,10 +255,10 @@
         progress.lastEventId = events.lastEventId ?? progress.lastEventId;
         observer.progressed(events.count, elapsedMs);
       }
-      exchange.writeHead(200, codec.responseHeaders(response.headers));
+      this.#beginStream(response);
       if (!exchange.write(events.bytes)) this.#block(response);
     });
-    response.on('end', () => {
+    this.#listen(response, 'end', () => {
       // Only one that resumes a stream may have nothing to send.
       const isFresh = progress.events === 0 && progress.lastEventId === undefined;
       if (isFresh && !isFramed(response)) {
@@ -268,19 +270,37 @@
         return;
       }
       if (this.#isEnded || !observer.mayForward(true)) return;
-      exchange.writeHead(200, codec.responseHeaders(response.headers));
+      this.#beginStream(response);
       exchange.end();
       this.#finish(AttemptEnd.Delivered, 'delivered');
     });
   }
 
-  #split(splitter: EventSplitter, chunk: Buffer): CompleteEvents | undefined {
+  /** Sends the head of the first response that brings events; those that resume it have none. */
+  #beginStream(response: IncomingMessage): void {
+    const { exchange, codec } = this.#options;
+    if (!exchange.hasSentHead) exchange.writeHead(200, codec.responseHeaders(response.headers));
+  }
+
+  /** Calls `listener` with the events of a response; an error in it ends the attempt. */
+  #listen(
+    response: IncomingMessage,
+    event: 'data' | 'end',
+    listener: (chunk: Buffer) => void,
+  ): void {
+    response.on(event, (chunk: Buffer) => {
+      this.#guard(() => {
+        listener(chunk);
+      });
+    });
+  }
+
+  /** Without this, an error would leave the request without an answer until its deadline. */
+  #guard(action: () => void): void {
     try {
-      return splitter.push(chunk);
+      action();
     } catch (error) {
-      if (!(error instanceof EventTooLongError)) throw error;
-      this.#finish(AttemptEnd.Broken, error.message);
-      return undefined;
+      this.#finish(AttemptEnd.Broken, error instanceof Error ? error.message : String(error));
     }
   }
 
@@ -288,7 +308,7 @@
     const chunks: Buffer[] = [];
     let bytes = 0;
     let isForwarding = false;
-    response.on('data', (chunk: Buffer) => {
+    this.#listen(response, 'data', (chunk) => {
       this.#responseProgress.recordProgress();
       if (isForwarding) {
         this.#forward(response, chunk);
@@ -303,7 +323,7 @@
       exchange.writeHead(status, codec.responseHeaders(response.headers));
       this.#forward(response, Buffer.concat(chunks));
     });
-    response.on('end', () => {
+    this.#listen(response, 'end', () => {
       if (!response.complete) {
         this.#finish(AttemptEnd.Broken, 'connection closed before the response was complete');
         return;
--- a/src/gateway/caller-exchange.ts
+++ b/src/gateway/caller-exchange.ts
@@ -26,6 +26,11 @@
   readonly receivedAtMs: number;
 }
 
+/** Part of a response that does not fit what was sent of it before. */
+export class ExchangeStateError extends Error {
+  override readonly name = 'ExchangeStateError';
+}
+
 /** The caller's side of one request: its connection state and the response sent so far. */
 export class CallerExchange {
   readonly request: IncomingMessage;
@@ -84,26 +89,35 @@
     this.#closedListeners.push(listener);
   }
 
-  /** Sends a complete response. No effect once a head was sent or the caller disconnected. */
+  /**
+   * Sends a complete response. No effect once the caller disconnected.
+   *
+   * @throws ExchangeStateError when a head was sent.
+   */
   respond(status: number, headers: OutgoingHttpHeaders, body: Buffer): void {
-    if (this.#isDisconnected || this.hasSentHead) return;
+    if (this.#isDisconnected) return;
     this.#writeHead(status, { ...headers, 'content-length': body.length });
     this.#response.end(body);
   }
 
-  /** Sends the head of a response whose length is not known. Later calls have no effect. */
+  /**
+   * Sends the head of a response whose length is not known. No effect once the caller disconnected.
+   *
+   * @throws ExchangeStateError when a head was sent.
+   */
   writeHead(status: number, headers: OutgoingHttpHeaders): void {
-    if (this.#isDisconnected || this.hasSentHead) return;
-    this.#writeHead(status, headers);
+    if (!this.#isDisconnected) this.#writeHead(status, headers);
   }
 
   /**
-   * Sends a part of the body.
+   * Sends a part of the body. No effect once the caller disconnected.
    *
    * @returns false when the send buffer is full; wait for {@link onDrain} then.
+   * @throws ExchangeStateError when no head was sent, or the response was ended.
    */
   write(bytes: Buffer): boolean {
     if (this.#isDisconnected) return true;
+    this.#checkOpen();
     return this.#response.write(bytes);
   }
 
@@ -112,9 +126,15 @@
     this.#response.once('drain', listener);
   }
 
-  /** Ends the response as complete. */
+  /**
+   * Ends the response as complete. No effect once the caller disconnected.
+   *
+   * @throws ExchangeStateError when no head was sent, or the response was ended before.
+   */
   end(): void {
-    if (!this.#isDisconnected) this.#response.end();
+    if (this.#isDisconnected) return;
+    this.#checkOpen();
+    this.#response.end();
   }
 
   /** Closes the connection, so that an incomplete response does not look complete. */
@@ -137,7 +157,14 @@
     for (const listener of this.#closedListeners) listener(outcome);
   }
 
+  #checkOpen(): void {
+    if (!this.hasSentHead) throw new ExchangeStateError('a body was to be sent before its head');
+    if (this.#response.writableEnded)
+      throw new ExchangeStateError('a body was to be sent after its end');
+  }
+
   #writeHead(status: number, headers: OutgoingHttpHeaders): void {
+    if (this.hasSentHead) throw new ExchangeStateError('a head was to be sent after another one');
     this.#response.writeHead(status, headers);
     for (const listener of this.#headSentListeners) listener();
   }
