--- a/src/pipeline/caller-server.ts
+++ b/src/pipeline/caller-server.ts
@@ -118,7 +118,8 @@
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const ended = new Promise<void>((resolve) => response.once('close', resolve));
     // Only the response whose turn it is on the connection is told that the caller has left.
-    if (!(await this.#connections.of(request.socket).enter(ended))) return;
+    const connection = this.#connections.of(request.socket);
+    if (!(await connection.enter(ended))) return;
     const { clock, newId, deployment } = this.#options;
     const incoming: CallerRequest = {
       requestId: newId(),
@@ -129,7 +130,8 @@
       path: (request.url ?? '/').split('?')[0] ?? '/',
       attribution: {},
     };
-    if (this.#isDraining) response.setHeader('connection', 'close');
+    if (this.#isDraining && connection.endAfterResponse())
+      response.setHeader('connection', 'close');
     this.#inFlight.set(incoming.requestId, incoming);
     response.once('close', () => {
       this.#onRequestEnd(incoming.requestId);
--- a/test/pipeline/caller-server_test.ts
+++ b/test/pipeline/caller-server_test.ts
@@ -267,4 +267,17 @@
     const { port } = server.address() as AddressInfo;
     expect((await fetch(`http://127.0.0.1:${port}/healthz`)).status).toBe(200);
   });
+
+  // Those behind the first one got neither an answer nor a refusal.
+  it('refuses each of the requests that came together on a connection while it drains', async () => {
+    server = createServer();
+    const routes = [new HealthRoute(() => false), new SilentRoute()];
+    const { callerServer, socket } = await connectTo(server, routes);
+    await new Promise((resolve) => socket.once('connect', resolve));
+    await callerServer.drain(Date.now());
+    socket.write('GET /v1/models HTTP/1.1\r\nhost: x\r\n\r\n'.repeat(3));
+    let rawResponse = '';
+    for await (const chunk of socket) rawResponse += String(chunk);
+    expect(rawResponse.match(/HTTP\/1\.1 503 /g)).toHaveLength(3);
+  });
 });
