--- a/test/gateway/misbehaving-endpoint_test.ts
+++ b/test/gateway/misbehaving-endpoint_test.ts
@@ -62,7 +62,7 @@
   const sockets = new Set<Socket>();
 
   /** Adds an endpoint that writes raw bytes. */
-  async function addRawEndpoint(behaviour: RawBehaviour): Promise<void> {
+  async function addRawEndpoint(behaviour: RawBehaviour): Promise<string> {
     const server = createServer((socket) => {
       sockets.add(socket);
       socket.on('error', () => undefined);
@@ -78,7 +78,9 @@
     servers.push(server);
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
     const { port } = server.address() as AddressInfo;
-    harness.registerEndpoint('raw', `http://127.0.0.1:${port}`);
+    const baseUrl = `http://127.0.0.1:${port}`;
+    harness.registerEndpoint('raw', baseUrl);
+    return baseUrl;
   }
 
   beforeEach(() => {
@@ -246,4 +248,121 @@
       }
     });
   });
+
+  describe('writes a refusal that is not of this request', () => {
+    const refusal = (...lines: string[]): string =>
+      [
+        'HTTP/1.1 503 Unavailable',
+        'oriolestack-not-executed: 1',
+        'content-length: 0',
+        ...lines,
+        '\r\n',
+      ].join('\r\n');
+    const repeats: [string, (previousId: string) => string][] = [
+      ['with the id of an earlier one', (id) => refusal(`oriolestack-request-id: ${id}`)],
+      ['without an id', () => refusal()],
+    ];
+
+    // Callers were told 'not run, try again' for requests that had run.
+    it.each(repeats)('no caller gets it from a kept connection: %s', async (_kind, repeat) => {
+      await harness.start(trafficConfig({ routes: [trafficRoute({ maxAttempts: 1 })] }));
+      const answered: string[] = [];
+      await addRawEndpoint((socket, id) => {
+        const previousId = answered.at(-1) ?? '';
+        answered.push(id);
+        const isRepeat = answered.length % 2 === 0;
+        if (isRepeat) socket.write(repeat(previousId));
+        socket.write(`${head(id, 'content-length: 2')}ok`);
+        // Also while the connection is idle.
+        if (!isRepeat) setTimeout(() => socket.write(repeat(id)), 30);
+      });
+      const statuses: number[] = [];
+      for (let number = 0; number < 8; number++) {
+        statuses.push((await harness.call()).status);
+        await harness.wait(number % 4 === 0 ? 50 : 0);
+      }
+      expect(statuses.filter((status) => ![200, 502].includes(status))).toEqual([]);
+    });
+
+    it('an order that ran is not reported as refused, and runs once', async () => {
+      const route = trafficRoute({ kind: RequestKind.AtMostOnce });
+      await harness.start(trafficConfig({ routes: [route] }));
+      let arrivals = 0;
+      await addRawEndpoint((socket, id) => {
+        arrivals += 1;
+        socket.write(refusal('oriolestack-request-id: another'));
+        socket.write(`${head(id, 'content-length: 2')}ok`);
+      });
+      expect((await harness.call({ method: 'POST', body: 'order' })).status).toBe(502);
+      expect(arrivals).toBe(1);
+    });
+
+    it('a connection that bore a refusal bears no other request', async () => {
+      await harness.start(trafficConfig());
+      const connections = new Set<Socket>();
+      let arrivals = 0;
+      await addRawEndpoint((socket, id) => {
+        arrivals += 1;
+        connections.add(socket);
+        socket.write(refusal(`oriolestack-request-id: ${id}`));
+      });
+      for (let number = 0; number < 4; number++) {
+        expect((await harness.call()).status).toBe(503);
+      }
+      expect(connections.size).toBe(arrivals);
+    });
+  });
+
+  // Callers got a 200 with an empty or short body, framed as whole.
+  describe('breaks off in the middle of its answer', () => {
+    const framings: [string, string, string][] = [
+      ['with a length', 'content-length: 5', 'whole'],
+      ['in chunks', 'transfer-encoding: chunked', '5\r\nwhole\r\n0\r\n\r\n'],
+      [
+        'in chunks with a trailer',
+        'transfer-encoding: chunked',
+        '5\r\nwhole\r\n0\r\nx-check: 1\r\n\r\n',
+      ],
+    ];
+    const ends: [string, (socket: Socket) => void][] = [
+      ['closed', (socket) => socket.end()],
+      ['reset', (socket) => socket.resetAndDestroy()],
+    ];
+
+    it.each(framings.flatMap((framing) => ends.map((end) => [...framing, ...end] as const)))(
+      'no part of it counts as whole: %s, %s %s, then %s',
+      async (_framing, header, body, _end, end) => {
+        await harness.start(trafficConfig({ routes: [trafficRoute({ maxAttempts: 1 })] }));
+        let cutAt = 0;
+        let whole = '';
+        const baseUrl = await addRawEndpoint((socket, id) => {
+          whole = head(id, header) + body;
+          socket.write(whole.slice(0, cutAt), () => {
+            end(socket);
+          });
+        });
+        const broken: string[] = [];
+        do {
+          cutAt += 1;
+          // A later start is another endpoint, of which no failures are known.
+          harness.registerEndpoint('raw', baseUrl, false, cutAt + 1);
+          const response = await harness.call();
+          if (response.status !== 502 && cutAt < whole.length)
+            broken.push(`${cutAt}: ${response.status} "${response.body}"`);
+        } while (cutAt < whole.length - 1);
+        expect(broken).toEqual([]);
+      },
+      30_000,
+    );
+
+    it('a stream without a length is not complete when its connection is reset', async () => {
+      await harness.start(trafficConfig({ routes: [{ ...streamRoute, maxAttempts: 1 }] }));
+      await addRawEndpoint((socket, id) => {
+        socket.write(`${head(id, 'content-type: text/event-stream')}id: 1\ndata: 1\n\n`, () => {
+          setTimeout(() => socket.resetAndDestroy(), 20);
+        });
+      });
+      expect(await callStream()).toMatchObject({ status: 200, isComplete: false });
+    });
+  });
 });
