Keep a connection open for the time that its response told

What callers saw: a configuration lowered the idle limit while a response lasted; its head had told the old one, and the connection was closed by the new one under the next request of a caller that kept to what it was told.

Cause: Node puts the limit of a request's start into the head and takes the one in force at the response's end for the timer. The connection now stays open for the longer one; a timeout is set only where Node has set one, never while another request is served.

--- a/src/gateway/gateway-listener.ts
+++ b/src/gateway/gateway-listener.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { Server as SocketServer } from 'node:net';
+import { Server as SocketServer, type Socket } from 'node:net';
 import { CallerConnections, Outcome, RequestError, Step, type Clock } from '../core/index.js';
 import { listen } from '../core/listener.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
@@ -150,6 +150,7 @@
     const { admission, relay, metrics, clock } = this.#options;
     const connection = this.#connections.of(request.socket);
     const receivedAtMs = clock.nowMs();
+    const toldIdleTimeoutMs = this.#server.keepAliveTimeout;
     const exchange = new CallerExchange({
       request,
       response,
@@ -168,6 +169,9 @@
       });
     });
     if (!(await connection.enter(ended))) return;
+    response.once('finish', () => {
+      extendIdleTimeout(request.socket, toldIdleTimeoutMs);
+    });
     // A response head that was sent before the stop carries no `connection: close`. The connection
     // must not be read any further either: what came next could get no response.
     response.once('finish', () => {
@@ -231,6 +235,16 @@
   }
 }
 
+/**
+ * Keeps an idle connection for the time that its last response's head told. Node takes the limit in
+ * force at the end of that response, which a configuration may have lowered meanwhile.
+ */
+function extendIdleTimeout(socket: Socket, toldIdleTimeoutMs: number): void {
+  // Zero while another request is served on the connection.
+  const { timeout: timeoutMs = 0 } = socket;
+  if (timeoutMs > 0 && timeoutMs < toldIdleTimeoutMs) socket.setTimeout(toldIdleTimeoutMs);
+}
+
 function stoppingRefusal(nowMs: number): RequestError {
   return new RequestError('the daemon is stopping', {
     step: Step.Admit,
--- a/test/gateway/gateway-listener_test.ts
+++ b/test/gateway/gateway-listener_test.ts
@@ -19,6 +19,30 @@
     await harness.stop();
   });
 
+  // A caller that kept to the time in its response's head found its connection closed.
+  it('keeps a connection open for the time that it told, also when a configuration lowers it', async () => {
+    const finishers: (() => void)[] = [];
+    const limits = { ...trafficConfig().limits, idleTimeoutMs: 3_000 };
+    await harness.start(trafficConfig({ limits }), (request, response) => {
+      request.resume();
+      finishers.push(() => {
+        respondWith(200, 'ok')(request, response);
+      });
+    });
+    const caller = connect({ host: '127.0.0.1', port: harness.gateway.port });
+    const isClosed = new Promise((resolve) => caller.once('close', () => resolve(true)));
+    let received = '';
+    caller.on('data', (bytes: Buffer) => (received += bytes.toString()));
+    caller.write('GET /x HTTP/1.1\r\nhost: shop.example\r\noriolestack-request-id: r\r\n\r\n');
+    while (finishers.length === 0) await harness.wait(5);
+    const lower = { ...limits, idleTimeoutMs: 100 };
+    harness.gateway.config.update(trafficConfig({ version: 2, limits: lower }));
+    finishers[0]?.();
+    expect(await Promise.race([isClosed, harness.wait(2_500)])).toBeUndefined();
+    expect(received).toMatch(/keep-alive: timeout=3/i);
+    caller.destroy();
+  });
+
   describe('a graceful stop', () => {
     it('accepts no request that could not complete before the process exits', async () => {
       let finish: () => void = () => undefined;
