Move the times at which refused requests return out of RelayedRequest

When a request is tried again, here or by its caller, is a job of its own now (ReturnTimes). No behaviour changes.

--- a/src/gateway/relayed-request.ts
+++ b/src/gateway/relayed-request.ts
@@ -1,4 +1,4 @@
-import { WorkClass, hash64 } from '../core/index.js';
+import { WorkClass } from '../core/index.js';
 import { EngineFailure } from '../engine/engine-error.js';
 import type { EndpointView } from '../fleet/index.js';
 import { sharedPartsOf } from '../fleet/prompt-prefix.js';
@@ -18,6 +18,7 @@
 import type { ResponseDescription } from './request-codec.js';
 import { RequestLog } from './request-log.js';
 import type { RequestRelayOptions } from './request-relay.js';
+import { ReturnTimes } from './return-times.js';
 import { RunningAttempt, RunningAttemptObserver } from './running-attempt.js';
 import { RequestKind } from './traffic-config.js';
 
@@ -35,31 +36,6 @@
 /** Endpoints that may crash under a request before it is not sent to another one. */
 const maxCrashedEndpoints = 2;
 
-/** `retry-after` of a request that no endpoint accepted, in milliseconds. */
-const retryAfterMs = 600;
-
-/** `retry-after` while a service has no endpoint: the time that a new one needs to start. */
-const noEndpointRetryMs = 4_000;
-
-/**
- * Upper bound of `retry-after`, relative to the time until the deadline; the retry needs the rest.
- */
-const maxRetryAfterRatio = 0.3;
-
-/**
- * Longest time for which a request waits for the end of a pause, in milliseconds. Later, its caller
- * should come back: another daemon may have no pause there.
- */
-const maxPauseWaitMs = 1_000;
-
-/** Time in which the first request after a pause shows whether others may follow, in milliseconds. */
-const probeMs = 100;
-
-/** Time by which each rank of priority comes later after a pause, and spread within it. */
-const returnStepMs = 50;
-const returnSpreadMs = 100;
-const maxReturnRank = 5;
-
 /** The state of one request while it is relayed; see {@link RequestRelay}. */
 export class RelayedRequest extends RunningAttemptObserver {
   readonly #options: RequestRelayOptions;
@@ -68,6 +44,7 @@
   readonly #triedIds: string[] = [];
   readonly #progress: StreamProgress;
   readonly #requestLog: RequestLog;
+  readonly #returnTimes: ReturnTimes;
   readonly #partIds: readonly string[];
   readonly #race = new AttemptRace({
     onEnded: (ended) => {
@@ -86,8 +63,6 @@
   #heldBackUntilMs: number | undefined;
   /** Whether the gateway has answered in the place of an endpoint, at the deadline or the stop. */
   #isExpired = false;
-  /** Time until which the request waits for pauses to end, in epoch milliseconds. */
-  #pauseWaitUntilMs: number | undefined;
   #lastReason = 'no endpoint is available';
 
   constructor(options: RequestRelayOptions, exchange: CallerExchange, admitted: AdmittedRequest) {
@@ -97,6 +72,7 @@
     this.#admitted = admitted;
     this.#progress = { lastEventId: admitted.description.lastEventId, events: 0 };
     this.#requestLog = new RequestLog(options, admitted);
+    this.#returnTimes = new ReturnTimes({ ...options, admitted });
     this.#partIds = sharedPartsOf(admitted.description.promptParts).map(({ id }) => id);
   }
 
@@ -348,31 +324,18 @@
   }
 
   /**
-   * Waits for the end of a pause that comes soon, so that a caller needs not come back for it. More
-   * urgent requests try first; the first one that is sent probes the endpoint.
+   * Waits for the end of a pause that comes soon, so that a caller needs not come back for it.
    *
    * @returns whether to try again.
    */
   async #waitForPause(): Promise<boolean> {
-    const { clock, placement } = this.#options;
-    const nowMs = clock.nowMs();
-    const tryAtMs = placement.nextTryAtMs(this.#admitted);
-    if (tryAtMs === undefined || this.#triedIds.length > 0) return false;
-    const waitUntilMs = tryAtMs + this.#returnDelayMs();
-    this.#pauseWaitUntilMs ??= nowMs + maxPauseWaitMs;
-    if (waitUntilMs > Math.min(this.#pauseWaitUntilMs, this.#admitted.deadlineAtMs)) return false;
-    await clock.sleepUntil(waitUntilMs);
+    if (this.#triedIds.length > 0) return false;
+    const waitUntilMs = this.#returnTimes.waitUntilMs();
+    if (waitUntilMs === undefined) return false;
+    await this.#options.clock.sleepUntil(waitUntilMs);
     return !this.#isOver;
   }
 
-  /** Spreads the requests that wait for the end of a pause, the more urgent ones first. */
-  #returnDelayMs(): number {
-    const { workspace, route, description } = this.#admitted;
-    const rank = Math.min(maxReturnRank, workspace?.priority ?? route.priority);
-    const spread = Number(hash64(description.requestId) % BigInt(returnSpreadMs));
-    return rank * returnStepMs + spread;
-  }
-
   /**
    * Asks another endpoint to go on with a request whose endpoint is silent. The first attempt stays
    * open until the second one has something to forward: a sound endpoint may go on after a while,
@@ -496,15 +459,10 @@
   }
 
   #retryAfterMs(): number {
-    if (this.#heldBackUntilMs !== undefined)
-      return Math.max(retryAfterMs, this.#heldBackUntilMs - this.#options.clock.nowMs());
-    const nowMs = this.#options.clock.nowMs();
-    const tryAtMs = this.#options.placement.nextTryAtMs(this.#admitted);
-    if (tryAtMs !== undefined)
-      return Math.max(retryAfterMs, tryAtMs - nowMs + probeMs + this.#returnDelayMs());
-    if (this.#sends + this.#unsentAttempts > 0) return retryAfterMs;
-    const remainingMs = this.#admitted.deadlineAtMs - nowMs;
-    return Math.max(retryAfterMs, Math.min(noEndpointRetryMs, remainingMs * maxRetryAfterRatio));
+    return this.#returnTimes.retryAfterMs({
+      hasTried: this.#sends + this.#unsentAttempts > 0,
+      heldBackUntilMs: this.#heldBackUntilMs,
+    });
   }
 
   #log(event: EventId, message: string, status: number): void {
