Ask a third endpoint when the second one is silent too, and keep it from large errors

Found by a review of the attempts that stay open: while two endpoints were silent no third one was asked, though the route allowed it, and the request ended at its deadline; and an error above 1 MiB of one attempt was forwarded while another attempt was to be served. Another endpoint is now asked whenever all endpoints of the request are silent, within max_attempts and the budget, and a 5xx that is too large to be kept ends its attempt only.

--- a/src/gateway/attempt-race.ts
+++ b/src/gateway/attempt-race.ts
@@ -16,9 +16,9 @@
 }
 
 /**
- * The attempts of one request that are in flight: one, or two while the endpoint of the first is
- * silent. Whichever has something to forward goes on alone, so that the caller loses nothing if the
- * other endpoint fails or the silent one goes on.
+ * The attempts of one request that are in flight: one, and another one for each whose endpoint is
+ * silent. Whichever has something to forward goes on alone, so that the caller loses nothing if
+ * another endpoint fails or the silent one goes on.
  *
  * @example
  * ```ts
@@ -40,6 +40,16 @@
     return this.#running.size;
   }
 
+  /** Endpoints of the attempts in flight. */
+  get endpointIds(): readonly string[] {
+    return [...this.#running].map(({ view }) => view.id);
+  }
+
+  /** Whether the endpoints of all attempts in flight are silent. */
+  get isSilent(): boolean {
+    return [...this.#running].every(({ isSilent }) => isSilent);
+  }
+
   /** Whether an endpoint of an attempt in flight may have run the request. */
   get mayHaveRun(): boolean {
     return [...this.#running].some(({ mayHaveRun }) => mayHaveRun);
@@ -65,19 +75,17 @@
   }
 
   /**
-   * Asked before data of an attempt is forwarded; ends the other one.
+   * Asked before data of an attempt is forwarded; ends the others.
    *
    * @param hasContent - whether it is more than comments of a stream, which do not decide.
    */
   mayForward(running: RunningAttempt, hasContent: boolean): boolean {
     if (this.#running.size === 1) return this.#running.has(running);
     if (!hasContent || !this.#running.has(running)) return false;
-    const [first] = this.#running;
     for (const other of this.#running) {
       if (other === running) continue;
-      // The first one was silent; the second one has done nothing wrong.
-      if (other === first) other.giveUp();
-      else other.abort('the first endpoint goes on with the request');
+      if (other.isSilent) other.giveUp();
+      else other.abort('another endpoint goes on with the request');
     }
     return true;
   }
--- a/src/gateway/relayed-request.ts
+++ b/src/gateway/relayed-request.ts
@@ -138,7 +138,7 @@
 
   override mayForwardError(running: RunningAttempt, status: number): boolean {
     if (this.#exchange.hasSentHead || notRunStatuses.has(status)) return false;
-    if (status >= 500 && this.#canFollow(running)) return false;
+    if (status >= 500 && (this.#race.size > 1 || this.#canFollow())) return false;
     return this.#race.mayForward(running, true);
   }
 
@@ -160,7 +160,7 @@
   }
 
   /**
-   * Makes one attempt, or two if the endpoint of the first one falls silent.
+   * Makes one attempt, and further ones beside it while endpoints are silent.
    *
    * @returns whether another attempt should follow.
    */
@@ -344,15 +344,15 @@
   #askAnother(running: RunningAttempt): void {
     const silent = running.view;
     const { retries, clock, placement } = this.#options;
-    if (this.#race.size !== 1 || !this.#canFollow(running)) return;
-    const view = placement.choose(this.#admitted, [...this.#triedIds, silent.id]);
+    if (!this.#race.isSilent || !this.#canFollow()) return;
+    const view = placement.choose(this.#admitted, this.#excludedIds());
     if (!view || !retries.trySpend(this.#admitted.service.name, clock.nowMs())) return;
     this.#requestLog.askedAnother(silent, view);
     this.#start(view);
   }
 
-  /** Whether an attempt at another endpoint could follow now on one that is in flight. */
-  #canFollow({ view }: RunningAttempt): boolean {
+  /** Whether an attempt at another endpoint could follow now on those in flight. */
+  #canFollow(): boolean {
     const { retries, clock, placement, guard } = this.#options;
     const { route, service } = this.#admitted;
     if (!this.#isRepeatable || this.#isOver) return false;
@@ -360,7 +360,12 @@
     if (this.#sends + this.#race.size >= route.maxAttempts) return false;
     if (guard.find(this.#partIds)) return false;
     if (!retries.canSpend(service.name, clock.nowMs())) return false;
-    return placement.isAvailable(this.#admitted, [...this.#triedIds, view.id]);
+    return placement.isAvailable(this.#admitted, this.#excludedIds());
+  }
+
+  /** Endpoints that were tried or have the request now. */
+  #excludedIds(): string[] {
+    return [...this.#triedIds, ...this.#race.endpointIds];
   }
 
   /** Whether nobody waits for a response any more. */
--- a/src/gateway/running-attempt.ts
+++ b/src/gateway/running-attempt.ts
@@ -51,6 +51,7 @@
   #attempt: Attempt | undefined;
   #firstEventAtMs: number | undefined;
   #lastEventAtMs: number | undefined;
+  #isSilent = false;
 
   constructor(options: RunningAttemptOptions) {
     super();
@@ -69,6 +70,11 @@
     return this.#lastEventAtMs;
   }
 
+  /** Whether its endpoint was found silent, and has sent nothing since. */
+  get isSilent(): boolean {
+    return this.#isSilent;
+  }
+
   /** Whether the endpoint may have run the request. */
   get mayHaveRun(): boolean {
     return this.#attempt?.mayHaveRun === true;
@@ -102,6 +108,7 @@
   }
 
   override responded(response: ResponseDescription): void {
+    this.#isSilent = false;
     this.#options.observer.responded(this, response);
   }
 
@@ -110,6 +117,7 @@
   }
 
   override silent(): void {
+    this.#isSilent = true;
     this.#options.observer.silent(this);
   }
 
@@ -127,6 +135,7 @@
 
   override progressed(events: number, elapsedMs: number): void {
     const { observer, clock } = this.#options;
+    this.#isSilent = false;
     const isFirst = this.#firstEventAtMs === undefined;
     this.#lastEventAtMs = clock.nowMs();
     this.#firstEventAtMs ??= this.#lastEventAtMs;
--- a/test/gateway/silent-endpoint-moves_test.ts
+++ b/test/gateway/silent-endpoint-moves_test.ts
@@ -105,6 +105,20 @@
     expect(response).toMatchObject({ body: event(1) + event(2), isComplete: true });
   });
 
+  it('is handed to a third endpoint when the second one is silent too', async () => {
+    const silent: EndpointBehaviour = (request) => {
+      request.resume();
+    };
+    const route = streamRoute({ isResumable: true, maxAttempts: 3, objectiveMs: 2_000 });
+    await harness.start(trafficConfig({ routes: [route] }), silent);
+    const call = harness.call({ headers: deadline });
+    await harness.wait(200);
+    await harness.addEndpoint(silent);
+    while (harness.arrivals < 2) await harness.wait(20);
+    await harness.addEndpoint(silentBetween('', event(1), 0));
+    expect(await call).toMatchObject({ body: event(1), isComplete: true });
+  });
+
   it('has each event once when both endpoints go on with it', async () => {
     const response = await callAndAdd(
       silentBetween(event(1), event(2) + event(3), 1_700),
@@ -135,6 +149,34 @@
   });
 });
 
+// The error of one endpoint ended the attempt that would have been served.
+describe('a call whose silent endpoint fails after another one was asked', () => {
+  it.each([
+    ['small', 'failed'],
+    ['large', 'failed '.repeat(300_000)],
+  ])('is answered by the other one: a %s error', async (_size, text) => {
+    const harness = new GatewayHarness();
+    harness.probe.isResponding = false;
+    const after = (ms: number, status: number, body: string): EndpointBehaviour => {
+      return (request, response) => {
+        request.resume();
+        setTimeout(() => {
+          response.writeHead(status, signedHeaders(request));
+          response.end(body);
+        }, ms);
+      };
+    };
+    const routes = [trafficRoute({ timeoutMs: 8_000 })];
+    await harness.start(trafficConfig({ routes }), after(2_000, 500, text));
+    const call = harness.call({ headers: deadline });
+    await harness.wait(200);
+    await harness.addEndpoint(after(1_800, 200, 'served'));
+    expect(await call).toMatchObject({ status: 200, body: 'served' });
+    expect(harness.arrivals).toBe(2);
+    await harness.stop();
+  });
+});
+
 // A caller that stopped reading for some seconds lost its stream as if the endpoint had stalled.
 describe('a stream that its caller does not read for a while', () => {
   const events = 800;
