Refuse what cannot be read only behind the answers of the requests before it

What callers saw: behind an open request the head of the next one did not come whole in time, or was no request. 408 or 400 was written in the place of the open request's answer and the connection was closed, though its endpoint ran it: a promise that it had not run, for an order too (LOST, REFUSED). In oriolestackd the text stood in the middle of an open stream (MIXED). A new configuration sets it off, as its header timeout applies to open connections.

Cause: Node's own handling of such bytes asks only whether a head was sent; the gateway had no handler, that of oriolestackd wrote to the socket at once. Both now let nothing further enter, wait until what was read is answered, and refuse then, with a log line (event 202) in the gateway.

The same class at the forced end of a stop: requests that wait behind the ones answered there were closed without a word, as nobody waited for their turn; and the drain of oriolestackd did not count them. Both wait for them now.

Found by a review of the fix. The harness of the tests can give a stop more time, as one of them depended on 50 ms.

--- a/src/core/caller-connection.ts
+++ b/src/core/caller-connection.ts
@@ -16,6 +16,7 @@
   /** Requests that wait for their turn. */
   #waiting = 0;
   #isEnding = false;
+  #isRefusing = false;
   /** End of the latest request that has entered. */
   #latestEnded: Promise<void> = Promise.resolve();
 
@@ -56,6 +57,23 @@
     return !this.#hasLeft;
   }
 
+  /**
+   * Lets no request enter that is not read yet.
+   *
+   * @returns false if this was said before.
+   */
+  refuseFurther(): boolean {
+    const isFirst = !this.#isRefusing;
+    this.#isRefusing = true;
+    this.#isEnding = true;
+    return isFirst;
+  }
+
+  /** Resolves once all requests that were read have ended, or the caller has left. */
+  served(): Promise<void> {
+    return this.#untilEndedOrLeft(this.#latestEnded);
+  }
+
   /**
    * Lets no further request enter, unless some wait already: those were read and get a response too.
    *
--- a/src/gateway/gateway-listener.ts
+++ b/src/gateway/gateway-listener.ts
@@ -1,7 +1,15 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import {
+  STATUS_CODES,
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 import { Server as SocketServer, type Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 import { CallerConnections, Outcome, RequestError, Step, type Clock } from '../core/index.js';
 import { listen } from '../core/listener.js';
+import { refuseUnreadable, statusOfUnreadable } from '../core/unreadable-request.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
 import { CallerExchange } from './caller-exchange.js';
 import { CallerSockets } from './caller-sockets.js';
@@ -72,6 +80,7 @@
     this.#server.on('connection', (socket) => {
       this.#sockets.add(socket);
     });
+    this.#server.on('clientError', (error, socket) => void this.#refuseUnreadable(error, socket));
     this.#server.on('request', (request, response) => void this.#handle(request, response));
     options.config.onChange(({ config }) => {
       this.#applyLimits(config.limits.headerTimeoutMs, config.limits.idleTimeoutMs);
@@ -146,6 +155,17 @@
     this.#server.keepAliveTimeout = idleTimeoutMs;
   }
 
+  async #refuseUnreadable(error: Error, socket: Duplex): Promise<void> {
+    const status = statusOfUnreadable(error);
+    const connection = this.#connections.of(socket as Socket);
+    const refusal = `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`;
+    if (!(await refuseUnreadable(socket, connection, refusal))) return;
+    this.#options.events.warn(EventId.RequestRefused, 'request could not be read', {
+      status,
+      reason: error.message,
+    });
+  }
+
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const { admission, relay, metrics, clock } = this.#options;
     const connection = this.#connections.of(request.socket);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -292,7 +292,11 @@
     void this.#samples.leave().finally(() => {
       left.abort();
     });
-    await clock.sleepUntil(deadlineAtMs - leaveMarginMs, left.signal);
+    await Promise.all([
+      clock.sleepUntil(deadlineAtMs - leaveMarginMs, left.signal),
+      // Those that were read behind the ones just answered have yet to be refused.
+      this.#listener.waitUntilIdle(deadlineAtMs - leaveMarginMs),
+    ]);
     this.#stopTicking();
     this.#guard.stop();
     this.#loopMonitor.stop();
--- a/src/pipeline/caller-server.ts
+++ b/src/pipeline/caller-server.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import {
   CallerConnections,
   Outcome,
@@ -7,6 +8,7 @@
   type Clock,
   type IdSource,
 } from '../core/index.js';
+import { refuseUnreadable, statusOfUnreadable } from '../core/unreadable-request.js';
 import type { Deployment } from '../settings/index.js';
 import { sendError, toRequestError } from './error-response.js';
 
@@ -72,6 +74,8 @@
   readonly #inFlight = new Map<string, CallerRequest>();
   readonly #idleListeners = new Set<() => void>();
   readonly #connections = new CallerConnections();
+  /** Requests that were read, also those that wait behind another one on their connection. */
+  #openRequests = 0;
   #isDraining = false;
 
   constructor(options: CallerServerOptions) {
@@ -83,14 +87,9 @@
     server.on('request', (request: IncomingMessage, response: ServerResponse) => {
       void this.#handle(request, response);
     });
-    server.on('clientError', (error: Error & { code?: string }, socket) => {
-      const status =
-        error.code === 'HPE_HEADER_OVERFLOW'
-          ? 431
-          : error.code === 'ERR_HTTP_REQUEST_TIMEOUT'
-            ? 408
-            : 400;
-      if (socket.writable) socket.end(rawErrorResponse(status));
+    server.on('clientError', (error: Error, socket) => {
+      const refusal = rawErrorResponse(statusOfUnreadable(error));
+      void refuseUnreadable(socket, this.#connections.of(socket as Socket), refusal);
     });
   }
 
@@ -107,7 +106,7 @@
    */
   async drain(deadlineAtMs: number): Promise<void> {
     this.#isDraining = true;
-    if (this.#inFlight.size === 0) return;
+    if (this.#openRequests === 0) return;
     const idleController = new AbortController();
     this.#idleListeners.add(() => {
       idleController.abort();
@@ -119,7 +118,11 @@
     const ended = new Promise<void>((resolve) => response.once('close', resolve));
     // Only the response whose turn it is on the connection is told that the caller has left.
     const connection = this.#connections.of(request.socket);
-    if (!(await connection.enter(ended))) return;
+    this.#openRequests += 1;
+    if (!(await connection.enter(ended))) {
+      this.#onRequestEnd();
+      return;
+    }
     const { clock, newId, deployment } = this.#options;
     const incoming: CallerRequest = {
       requestId: newId(),
@@ -134,7 +137,8 @@
       response.setHeader('connection', 'close');
     this.#inFlight.set(incoming.requestId, incoming);
     response.once('close', () => {
-      this.#onRequestEnd(incoming.requestId);
+      this.#inFlight.delete(incoming.requestId);
+      this.#onRequestEnd();
     });
     try {
       const route = this.#routeFor(incoming);
@@ -163,9 +167,9 @@
     });
   }
 
-  #onRequestEnd(requestId: string): void {
-    this.#inFlight.delete(requestId);
-    if (this.#inFlight.size > 0) return;
+  #onRequestEnd(): void {
+    this.#openRequests -= 1;
+    if (this.#openRequests > 0) return;
     for (const resolve of this.#idleListeners) resolve();
     this.#idleListeners.clear();
   }
--- a/test/gateway/gateway-harness.ts
+++ b/test/gateway/gateway-harness.ts
@@ -106,6 +106,8 @@
   /** Where the other gateways send datagrams and read copies; by default nowhere. */
   readonly peerAddress?: PeerAddress;
   readonly store?: MemoryKeyedLog;
+  /** Time for which a stopping gateway still accepts requests, in milliseconds. */
+  readonly deregistrationDelayMs?: number;
   /** Whether endpoints are asked for their health; by default they always count as healthy. */
   readonly asksEndpoints?: boolean;
 }
@@ -147,7 +149,7 @@
       random: new Random(1),
       events: this.events,
       metrics: this.metrics,
-      deregistrationDelayMs: 50,
+      deregistrationDelayMs: options.deregistrationDelayMs ?? 50,
       leaseMs: 3_000,
       usageWindowMs: 5_000,
       usageDueMs: 10_000,
--- a/test/gateway/gateway-listener_test.ts
+++ b/test/gateway/gateway-listener_test.ts
@@ -43,6 +43,49 @@
     caller.destroy();
   });
 
+  // Callers were told 408, not run, in the place of the answer to a request that ran.
+  describe('with a request that is open while the next one cannot be read', () => {
+    const limits = { ...trafficConfig().limits, headerTimeoutMs: 300 };
+    const next = 'GET /x HTTP/1.1\r\nhost: sh';
+    let received: string;
+    let closed: Promise<void>;
+
+    async function callWith(behind: string, config = trafficConfig({ limits })): Promise<Socket> {
+      await harness.start(config, (request, response) => {
+        request.resume();
+        setTimeout(() => {
+          respondWith(200, 'ok')(request, response);
+        }, 1_500);
+      });
+      const caller = connect({ host: '127.0.0.1', port: harness.gateway.port });
+      received = '';
+      caller.on('data', (bytes: Buffer) => (received += bytes.toString()));
+      closed = new Promise((resolve) => caller.once('close', () => resolve()));
+      caller.write(
+        `GET /x HTTP/1.1\r\nhost: shop.example\r\noriolestack-request-id: open\r\n\r\n${behind}`,
+      );
+      while (harness.arrivals === 0) await harness.wait(5);
+      return caller;
+    }
+
+    it.each([
+      ['does not come whole in time', next, 408],
+      ['is no request', 'nonsense\r\n\r\n', 400],
+    ])('answers the open one first: the next one %s', async (_kind, behind, status) => {
+      await callWith(behind);
+      await closed;
+      expect(received.match(/HTTP\/1.1 \d+/g)).toEqual(['HTTP/1.1 200', `HTTP/1.1 ${status}`]);
+    });
+
+    it('answers the open one first when a configuration lowers the time for a head', async () => {
+      const caller = await callWith(next, trafficConfig());
+      harness.gateway.config.update(trafficConfig({ version: 2, limits }));
+      await closed;
+      expect(received.match(/HTTP\/1.1 \d+/g)).toEqual(['HTTP/1.1 200', 'HTTP/1.1 408']);
+      caller.destroy();
+    });
+  });
+
   describe('a graceful stop', () => {
     it('accepts no request that could not complete before the process exits', async () => {
       let finish: () => void = () => undefined;
@@ -143,6 +186,7 @@
 
       beforeEach(async () => {
         finishers = new Map();
+        harness = new GatewayHarness(undefined, { deregistrationDelayMs: 2_000 });
         await harness.start(trafficConfig(), (request, response) => {
           request.resume();
           finishers.set(String(request.headers['oriolestack-request-id']), () => {
@@ -264,6 +308,29 @@
       expect(await queued).toMatchObject({ status: 502, isComplete: true });
     });
 
+    it('answers the requests that were read behind an open one at its end', async () => {
+      await harness.start(trafficConfig(), (request) => {
+        request.resume();
+      });
+      const caller = connect({ host: '127.0.0.1', port: harness.gateway.port });
+      let received = '';
+      caller.on('data', (bytes: Buffer) => (received += bytes.toString()));
+      const closed = new Promise((resolve) => caller.once('close', resolve));
+      for (const id of ['first', 'second', 'third']) {
+        caller.write(
+          `GET /x HTTP/1.1\r\nhost: shop.example\r\noriolestack-request-id: ${id}\r\n\r\n`,
+        );
+      }
+      while (harness.arrivals === 0) await harness.wait(5);
+      await harness.gateway.stop(harness.clock.nowMs() + 1_500);
+      await closed;
+      expect(received.match(/HTTP\/1.1 \d+/g)).toEqual([
+        'HTTP/1.1 502',
+        'HTTP/1.1 503',
+        'HTTP/1.1 503',
+      ]);
+    });
+
     it('answers a request that is half read at its end', async () => {
       await harness.start(trafficConfig(), respondWith(200, 'ok'));
       const slow = connect({ host: '127.0.0.1', port: harness.gateway.port });
--- a/test/pipeline/caller-server_test.ts
+++ b/test/pipeline/caller-server_test.ts
@@ -11,6 +11,7 @@
   CallerServer,
   CallerServerObserver,
   HealthRoute,
+  type CallerRequest,
 } from '../../src/pipeline/index.js';
 import { Deployment } from '../../src/settings/index.js';
 import { wholeAnswer } from '../../src/standins/index.js';
@@ -280,4 +281,63 @@
     for await (const chunk of socket) rawResponse += String(chunk);
     expect(rawResponse.match(/HTTP\/1\.1 503 /g)).toHaveLength(3);
   });
+
+  // The drain ended while they had not had their turn, and the end of the daemon cut them.
+  it('waits for the requests that were read behind an open one', async () => {
+    let finish: () => void = () => undefined;
+    class OpenRoute extends CallerRoute {
+      override matches(): boolean {
+        return true;
+      }
+
+      override handle({ response }: CallerRequest): Promise<void> {
+        finish = () => response.end('ok');
+        return Promise.resolve();
+      }
+    }
+    server = createServer();
+    const { callerServer, socket } = await connectTo(server, [new OpenRoute()]);
+    socket.write('GET /v1/models HTTP/1.1\r\nhost: x\r\n\r\n'.repeat(3));
+    await until(() => callerServer.inFlightIds.length === 1);
+    const received = (async (): Promise<string> => {
+      let text = '';
+      for await (const chunk of socket) text += String(chunk);
+      return text;
+    })();
+    const drained = callerServer.drain(Date.now() + 5_000);
+    finish();
+    await drained;
+    server.closeAllConnections();
+    expect((await received).match(/HTTP\/1\.1 \d+/g)).toEqual([
+      'HTTP/1.1 200',
+      'HTTP/1.1 503',
+      'HTTP/1.1 503',
+    ]);
+  });
+
+  // The refusal stood in the middle of the open response, and ended it.
+  it.each([
+    ['whose head does not come whole in time', 'GET /v1/models HTTP/1.1\r\nhost: x', 408],
+    ['that cannot be read', 'nonsense\r\n\r\n', 400],
+  ])('ends an open response before it refuses a request %s', async (_kind, next, status) => {
+    class StreamRoute extends CallerRoute {
+      override matches(): boolean {
+        return true;
+      }
+
+      override handle({ response }: CallerRequest): Promise<void> {
+        response.write('data: 1\n\n');
+        setTimeout(() => response.end('data: 2\n\n'), 1_000);
+        return Promise.resolve();
+      }
+    }
+    server = createServer({ headersTimeout: 300, connectionsCheckingInterval: 50 });
+    const { callerServer, socket } = await connectTo(server, [new StreamRoute()]);
+    socket.write('GET /v1/models HTTP/1.1\r\nhost: x\r\n\r\n');
+    await until(() => callerServer.inFlightIds.length === 1);
+    socket.write(next);
+    let text = '';
+    for await (const chunk of socket) text += String(chunk);
+    expect(text).toMatch(new RegExp(`data: 2[^]*HTTP/1\\.1 ${status} `));
+  });
 });
