Attempts beside each other: count crashes, keep what may still be answered

An attempt that cannot be made now ends its request with an error instead of leaving it open, and the log names the endpoint whose answer was forwarded.

--- a/src/gateway/attempt-race.ts
+++ b/src/gateway/attempt-race.ts
@@ -30,6 +30,7 @@
   readonly #options: AttemptRaceOptions;
   readonly #running = new Set<RunningAttempt>();
   #onDecided: (ended: EndedAttempt) => void = () => undefined;
+  #onFailed: (error: unknown) => void = () => undefined;
 
   constructor(options: AttemptRaceOptions) {
     this.#options = options;
@@ -64,14 +65,25 @@
   /** Adds an attempt that was started. */
   add(running: RunningAttempt, result: Promise<AttemptResult>): void {
     this.#running.add(running);
-    void result.then((ended) => {
-      this.#end({ running, result: ended });
-    });
+    result
+      .then((ended) => {
+        this.#end({ running, result: ended });
+      })
+      .catch((error: unknown) => {
+        this.#running.delete(running);
+        this.#onFailed(error);
+      });
   }
 
-  /** Resolves with the end of the last attempt in flight, or with the one that answers the request. */
+  /**
+   * Resolves with the end of the last attempt in flight, or with the one that answers the request.
+   * Rejects when an attempt could not be made or its end not be recorded.
+   */
   decided(): Promise<EndedAttempt> {
-    return new Promise((resolve) => (this.#onDecided = resolve));
+    return new Promise((resolve, reject) => {
+      this.#onDecided = resolve;
+      this.#onFailed = reject;
+    });
   }
 
   /**
--- a/src/gateway/relayed-request.ts
+++ b/src/gateway/relayed-request.ts
@@ -10,6 +10,7 @@
   AttemptEnd,
   type AttemptObserver,
   type AttemptResult,
+  type BufferedResponse,
   type StreamProgress,
 } from './attempt.js';
 import { AttemptRace, type EndedAttempt } from './attempt-race.js';
@@ -52,8 +53,12 @@
     },
     isDecisive: (result) => this.#isDecisive(result),
   });
-  /** For each attempt that has ended, whether its endpoint crashed, possibly under this request. */
-  readonly #crashChecks: Promise<boolean>[] = [];
+  /** Checks whether the endpoints of ended attempts have crashed, while they last. */
+  readonly #crashChecks = new Set<Promise<void>>();
+  /** Endpoints that crashed, possibly under this request. */
+  #crashedEndpoints = 0;
+  /** The last error response of an endpoint, in case nothing better comes. */
+  #failedResponse: BufferedResponse | undefined;
   #sends = 0;
   #unsentAttempts = 0;
   /** Whether an endpoint may have run the request. */
@@ -133,7 +138,9 @@
   }
 
   override mayForward(running: RunningAttempt, hasContent: boolean): boolean {
-    return this.#race.mayForward(running, hasContent);
+    const mayForward = this.#race.mayForward(running, hasContent);
+    if (mayForward) this.#requestLog.sentTo(running.view);
+    return mayForward;
   }
 
   override mayForwardError(running: RunningAttempt, status: number): boolean {
@@ -187,17 +194,18 @@
       return false;
     }
     if (!this.#mayRetry(result)) return this.#conclude(result);
-    const crashes = await Promise.all(this.#crashChecks);
+    await Promise.all(this.#crashChecks);
     // Meanwhile the caller may have left, or its time may be over; both were dealt with then.
     if (this.#isOver) return false;
-    const isSuspect = crashes.filter(Boolean).length >= maxCrashedEndpoints;
-    return (!isSuspect && this.#spendRetry(result)) || this.#conclude(result);
+    const mayCrashMore = this.#crashedEndpoints < maxCrashedEndpoints;
+    return (mayCrashMore && this.#spendRetry(result)) || this.#conclude(result);
   }
 
   /** Whether the end of an attempt answers the request, whatever another one would bring. */
   #isDecisive({ end, response }: AttemptResult): boolean {
     if (end === AttemptEnd.Delivered) return true;
-    return response !== undefined && response.status < 500 && !this.#exchange.hasSentHead;
+    if (!response || this.#exchange.hasSentHead) return false;
+    return response.status < 500 && !notRunStatuses.has(response.status);
   }
 
   /**
@@ -205,7 +213,7 @@
    *
    * @returns whether its endpoint has crashed, possibly under this request.
    */
-  #observeCrash(running: RunningAttempt, result: AttemptResult): Promise<boolean> {
+  async #observeCrash(running: RunningAttempt, result: AttemptResult): Promise<boolean> {
     const { guard, placement } = this.#options;
     const { view, sentAtMs, firstEventAtMs, lastEventAtMs } = running;
     const request: BrokenRequest = {
@@ -223,8 +231,7 @@
       if (result.isFramed) guard.answered(request);
       else if (isStaying) guard.answerMayBeCut(request);
     }
-    if (result.end !== AttemptEnd.Broken || !result.wasSent || !isStaying)
-      return Promise.resolve(false);
+    if (result.end !== AttemptEnd.Broken || !result.wasSent || !isStaying) return false;
     return guard.requestBroke(request);
   }
 
@@ -289,17 +296,26 @@
   #recordEnd({ running, result }: EndedAttempt): void {
     const { view, sentAtMs } = running;
     this.#recordResult(view, result);
-    this.#crashChecks.push(this.#observeCrash(running, result));
+    this.#checkCrash(running, result);
     if (result.end !== AttemptEnd.Delivered && result.end !== AttemptEnd.Aborted)
       this.#requestLog.attemptFailed(view, result, sentAtMs);
   }
 
+  #checkCrash(running: RunningAttempt, result: AttemptResult): void {
+    const check = this.#observeCrash(running, result).then((hasCrashed) => {
+      this.#crashedEndpoints += Number(hasCrashed);
+      this.#crashChecks.delete(check);
+    });
+    this.#crashChecks.add(check);
+  }
+
   #recordResult(view: EndpointView, result: AttemptResult): void {
     const { registry, metrics } = this.#options;
     metrics.countAttempt(this.#admitted.service.name, result.end);
     // The endpoint may take the request on another connection.
     if (!result.hasLostKeptConnection) this.#triedIds.push(view.id);
     this.#lastReason = result.reason;
+    this.#failedResponse = result.response ?? this.#failedResponse;
     if (result.wasSent) this.#sends += 1;
     else this.#unsentAttempts += 1;
     if (result.wasSent && result.end !== AttemptEnd.NotRun) this.#mayHaveRun = true;
@@ -358,6 +374,8 @@
     if (!this.#isRepeatable || this.#isOver) return false;
     if (this.#exchange.hasSentHead && route.kind !== RequestKind.Stream) return false;
     if (this.#sends + this.#race.size >= route.maxAttempts) return false;
+    // An endpoint that may have crashed under it is looked at first.
+    if (this.#crashChecks.size > 0 || this.#crashedEndpoints >= maxCrashedEndpoints) return false;
     if (guard.find(this.#partIds)) return false;
     if (!retries.canSpend(service.name, clock.nowMs())) return false;
     return placement.isAvailable(this.#admitted, this.#excludedIds());
@@ -405,7 +423,7 @@
    * @returns false, as no attempt follows.
    */
   #conclude(result: AttemptResult): false {
-    const { response } = result;
+    const response = result.response ?? this.#failedResponse;
     if (response && !this.#exchange.hasSentHead && !this.#isExpired) {
       const { codec } = this.#options;
       if (notRunStatuses.has(response.status)) this.#fail(502, result.reason);
--- a/src/gateway/response-progress.ts
+++ b/src/gateway/response-progress.ts
@@ -13,6 +13,12 @@
 /** Time without data after which the endpoint is probed on a new connection. */
 const silenceMs = 1_200;
 
+/**
+ * Times that bytes must have come since the last event before a stream counts as stalled: an event
+ * that goes on after a silence may come in pieces.
+ */
+const minStalledReads = 3;
+
 /** Shortest time between two checks. */
 const minCheckIntervalMs = 200;
 
@@ -35,8 +41,8 @@
   readonly #stallTimeoutMs: number;
   #lastDataAtMs: number;
   #lastEventAtMs: number;
-  /** Whether bytes have come since the last complete event. */
-  #hasPartialEvent = false;
+  /** Times that bytes have come since the last complete event. */
+  #partialReads = 0;
   #isBlocked = false;
 
   /** @param stallTimeoutMs - time for which bytes may come without a complete event. */
@@ -50,7 +56,7 @@
   /** Records bytes that complete no event. */
   recordPartialEvent(): void {
     this.#lastDataAtMs = this.#clock.nowMs();
-    this.#hasPartialEvent = true;
+    this.#partialReads += 1;
   }
 
   /**
@@ -61,7 +67,7 @@
   recordProgress(hasPartialEvent = false): void {
     this.#lastDataAtMs = this.#clock.nowMs();
     this.#lastEventAtMs = this.#lastDataAtMs;
-    this.#hasPartialEvent = hasPartialEvent;
+    this.#partialReads = Number(hasPartialEvent);
   }
 
   /** The caller takes no more data, so that none is read from the endpoint. */
@@ -80,19 +86,21 @@
     const { sinceDataMs, sinceEventMs, isBlocked } = this.ages;
     if (isBlocked) return ProgressState.Flowing;
     if (sinceDataMs >= silenceMs) return ProgressState.Silent;
-    const isStalled = this.#hasPartialEvent && sinceEventMs >= this.#stallTimeoutMs;
+    const isStalled = this.#isPartial && sinceEventMs >= this.#stallTimeoutMs;
     return isStalled ? ProgressState.Stalled : ProgressState.Flowing;
   }
 
   /** Time of the next check that may find another state, in epoch milliseconds. */
   get nextCheckAtMs(): number {
     const silentAtMs = this.#lastDataAtMs + silenceMs;
-    const stalledAtMs = this.#hasPartialEvent
-      ? this.#lastEventAtMs + this.#stallTimeoutMs
-      : Infinity;
+    const stalledAtMs = this.#isPartial ? this.#lastEventAtMs + this.#stallTimeoutMs : Infinity;
     return Math.max(this.#clock.nowMs() + minCheckIntervalMs, Math.min(silentAtMs, stalledAtMs));
   }
 
+  get #isPartial(): boolean {
+    return this.#partialReads >= minStalledReads;
+  }
+
   get ages(): ProgressAges {
     return {
       sinceDataMs: this.#clock.nowMs() - this.#lastDataAtMs,
--- a/test/gateway/response-progress_test.ts
+++ b/test/gateway/response-progress_test.ts
@@ -38,6 +38,13 @@
     expect(progress.state).toBe(ProgressState.Flowing);
   });
 
+  it('is not stalled when the event goes on after the silence in pieces', async () => {
+    progress.recordProgress(true);
+    await clock.advance(stallTimeoutMs);
+    progress.recordPartialEvent();
+    expect(progress.state).toBe(ProgressState.Flowing);
+  });
+
   it.each([100, 1_000, 1_900])(
     'is stalled when a byte comes each %i ms and no event',
     async (periodMs) => {
--- a/test/gateway/silent-endpoint-moves_test.ts
+++ b/test/gateway/silent-endpoint-moves_test.ts
@@ -152,9 +152,11 @@
 // The error of one endpoint ended the attempt that would have been served.
 describe('a call whose silent endpoint fails after another one was asked', () => {
   it.each([
-    ['small', 'failed'],
-    ['large', 'failed '.repeat(300_000)],
-  ])('is answered by the other one: a %s error', async (_size, text) => {
+    ['a small error', 500, 'failed'],
+    ['a large error', 500, 'failed '.repeat(300_000)],
+    // The endpoint has not said that the request did not run.
+    ['a status without a promise', 429, ''],
+  ])('is answered by the other one: %s', async (_kind, status, text) => {
     const harness = new GatewayHarness();
     harness.probe.isResponding = false;
     const after = (ms: number, status: number, body: string): EndpointBehaviour => {
@@ -167,7 +169,7 @@
       };
     };
     const routes = [trafficRoute({ timeoutMs: 8_000 })];
-    await harness.start(trafficConfig({ routes }), after(2_000, 500, text));
+    await harness.start(trafficConfig({ routes }), after(2_000, status, text));
     const call = harness.call({ headers: deadline });
     await harness.wait(200);
     await harness.addEndpoint(after(1_800, 200, 'served'));
