--- a/src/core/caller-connection.ts
+++ b/src/core/caller-connection.ts
@@ -1,4 +1,4 @@
-import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 
 /**
  * A caller's connection. Knows whether the caller has left, and lets the requests on it be handled
@@ -20,7 +20,7 @@
   /** End of the latest request that has entered. */
   #latestEnded: Promise<void> = Promise.resolve();
 
-  constructor(socket: Socket) {
+  constructor(socket: Duplex) {
     this.#hasLeft = socket.destroyed;
     const onLeft = (): void => {
       this.#leave();
@@ -106,10 +106,10 @@
 
 /** The connections of a server's callers, from their first request on. */
 export class CallerConnections {
-  readonly #bySocket = new WeakMap<Socket, CallerConnection>();
+  readonly #bySocket = new WeakMap<Duplex, CallerConnection>();
 
   /** The connection on a socket. */
-  of(socket: Socket): CallerConnection {
+  of(socket: Duplex): CallerConnection {
     let connection = this.#bySocket.get(socket);
     if (!connection) {
       connection = new CallerConnection(socket);
--- a/src/gateway/gateway-listener.ts
+++ b/src/gateway/gateway-listener.ts
@@ -157,7 +157,7 @@
 
   async #refuseUnreadable(error: Error, socket: Duplex): Promise<void> {
     const status = statusOfUnreadable(error);
-    const connection = this.#connections.of(socket as Socket);
+    const connection = this.#connections.of(socket);
     const refusal = `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`;
     if (!(await refuseUnreadable(socket, connection, refusal))) return;
     this.#options.events.warn(EventId.RequestRefused, 'request could not be read', {
--- a/src/pipeline/caller-server.ts
+++ b/src/pipeline/caller-server.ts
@@ -1,5 +1,4 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
 import {
   CallerConnections,
   Outcome,
@@ -89,7 +88,7 @@
     });
     server.on('clientError', (error: Error, socket) => {
       const refusal = rawErrorResponse(statusOfUnreadable(error));
-      void refuseUnreadable(socket, this.#connections.of(socket as Socket), refusal);
+      void refuseUnreadable(socket, this.#connections.of(socket), refusal);
     });
   }
 
