Let a read go on while its bytes keep coming

Cause: a read between daemons ended 0.4 s after its wait, one of the store 0.7 s after, whether or not bytes came. All readers of a link timed out together, also at the store that they went to, and began anew.

Change: a read has 0.4 s or 0.7 s for its first bytes as before; after them it ends when none come for 0.7 s (the reader's own limit: 1.3 s), or 6 s after the first, doubled with each read that began and did not end, up to 24 s. Then the next distributor or the store is asked. A page counts as old as its first bytes, not as its last.

What the system's send buffers hold still goes out first.

--- a/src/core/http-connection.ts
+++ b/src/core/http-connection.ts
@@ -7,6 +7,16 @@
   readonly port: number;
 }
 
+/** How a large response may arrive. */
+export interface HttpTransfer {
+  /** Time without a further byte after which the connection is closed, in milliseconds. */
+  readonly stalledMs: number;
+  /** Time after the first bytes at which the connection is closed in any case, in milliseconds. */
+  readonly maxMs: number;
+  /** Called whenever bytes have arrived. */
+  readonly onBytes: (() => void) | undefined;
+}
+
 /** A call over an {@link HttpConnection}. */
 export interface HttpCall {
   readonly method: 'GET' | 'POST';
@@ -14,8 +24,13 @@
   readonly path: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: Buffer;
-  /** Time after which the connection is closed if the response is not complete, in milliseconds. */
+  /**
+   * Time after which the connection is closed if the response is not complete, or with
+   * {@link transfer} if it has not begun, in milliseconds.
+   */
   readonly timeoutMs: number;
+  /** Lets a response that has begun go on while its bytes keep coming. */
+  readonly transfer?: HttpTransfer;
   readonly signal?: AbortSignal | undefined;
 }
 
@@ -53,12 +68,26 @@
    *
    * @throws Error when no complete response was received; the call may have been carried out.
    */
-  call({ method, path, headers, body, timeoutMs, signal }: HttpCall): Promise<HttpResponse> {
+  call(call: HttpCall): Promise<HttpResponse> {
+    const { method, path, headers, body, timeoutMs, transfer, signal } = call;
     return new Promise((resolve, reject) => {
+      const timeOut = (): void => void outgoing.destroy(new Error('response timeout'));
       const fail = (error: Error): void => {
         cancelTimeout();
         reject(error);
       };
+      let transferEndsAtMs: number | undefined;
+      const onBytes = (): void => {
+        if (!transfer) return;
+        const nowMs = performance.now();
+        transferEndsAtMs ??= nowMs + transfer.maxMs;
+        cancelTimeout();
+        cancelTimeout = scheduleTimer(
+          Math.max(0, Math.min(transfer.stalledMs, transferEndsAtMs - nowMs)),
+          timeOut,
+        );
+        transfer.onBytes?.();
+      };
       const outgoing = httpRequest(
         {
           agent: this.#agent,
@@ -69,15 +98,15 @@
           headers: { ...headers, ...(body ? { 'content-length': body.length } : {}) },
         },
         (incoming) => {
+          onBytes();
+          incoming.on('data', onBytes);
           readBounded(incoming, (error) => outgoing.destroy(error)).then((received) => {
             cancelTimeout();
             resolve({ status: incoming.statusCode ?? 0, body: received });
           }, fail);
         },
       );
-      const cancelTimeout = scheduleTimer(timeoutMs, () =>
-        outgoing.destroy(new Error('response timeout')),
-      );
+      let cancelTimeout = scheduleTimer(timeoutMs, timeOut);
       outgoing.on('error', fail);
       outgoing.end(body);
     });
--- a/src/distribution/distributed-log.ts
+++ b/src/distribution/distributed-log.ts
@@ -7,7 +7,8 @@
   type KeyedPage,
 } from '../log/keyed-log.js';
 import type { Offset } from '../log/log-service.js';
-import { withTimeout } from '../log/with-timeout.js';
+import { maxTransferMs } from '../log/keyed-replica.js';
+import { withTransferTimeout } from '../log/with-timeout.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
 import type { AppendBatcher } from './append-batcher.js';
 import type { DistributorCandidate } from './distributor-ranking.js';
@@ -33,8 +34,8 @@
 /** Longest time for which a distributor may hold a read: it must notice its own loss sooner. */
 const maxDistributorWaitMs = 800;
 
-/** Time for the store to answer a reader whose distributors do not serve it. */
-const fallbackTimeoutMs = 600;
+/** Limits of a read of the store by a reader whose distributors do not serve it. */
+const fallbackLimits = { answerMs: 600, stalledMs: 700, transferMs: maxTransferMs };
 
 /** Times for which a distributor that failed is not asked; spread, so that not all return at once. */
 const minSuspensionMs = 1_500;
@@ -76,6 +77,7 @@
     fromOffset: Offset,
     waitMs: number,
     signal?: AbortSignal,
+    onBytes?: () => void,
   ): Promise<KeyedPage> {
     const { client, store, clock } = this.#options;
     const waitUntilMs = clock.nowMs() + Math.min(waitMs, maxDistributorWaitMs);
@@ -86,7 +88,7 @@
       if (distributorWaitMs < 0) break;
       try {
         const { address } = distributor;
-        return await client.read(address, topic, fromOffset, distributorWaitMs, signal);
+        return await client.read(address, topic, fromOffset, distributorWaitMs, signal, onBytes);
       } catch (error) {
         // It is sound, only its copy does not reach back far enough.
         if (error instanceof HistoryTrimmedError) break;
@@ -94,12 +96,15 @@
         if (signal?.aborted) throw error;
       }
     }
-    if (distributors.length === 0) return store.read(topic, fromOffset, waitMs, signal);
+    if (distributors.length === 0) return store.read(topic, fromOffset, waitMs, signal, onBytes);
     // The distributors have taken a part of the reader's time; a store that does not answer soon is
     // asked again.
     const abort = signal ?? new AbortController().signal;
-    return withTimeout(clock, fallbackTimeoutMs, abort, (storeSignal) =>
-      store.read(topic, fromOffset, 0, storeSignal),
+    return withTransferTimeout(clock, fallbackLimits, abort, (storeSignal, onStoreBytes) =>
+      store.read(topic, fromOffset, 0, storeSignal, () => {
+        onStoreBytes();
+        onBytes?.();
+      }),
     );
   }
 
--- a/src/distribution/metered-log.ts
+++ b/src/distribution/metered-log.ts
@@ -35,9 +35,10 @@
     fromOffset: Offset,
     waitMs: number,
     signal?: AbortSignal,
+    onBytes?: () => void,
   ): Promise<KeyedPage> {
     this.#count(topic, StoreCall.Read);
-    return this.#log.read(topic, fromOffset, waitMs, signal);
+    return this.#log.read(topic, fromOffset, waitMs, signal, onBytes);
   }
 
   override appendAll(
--- a/src/distribution/replica-client.ts
+++ b/src/distribution/replica-client.ts
@@ -1,6 +1,7 @@
 import { LRUCache } from 'lru-cache';
 import { HttpConnection, type HttpCall, type HttpResponse } from '../core/http-connection.js';
 import { HistoryTrimmedError, type KeyedEntry, type KeyedPage } from '../log/keyed-log.js';
+import { maxTransferMs } from '../log/keyed-replica.js';
 import { LogUnavailableError } from '../log/log-errors.js';
 import type { Offset } from '../log/log-service.js';
 import { decodePage, encodeEntries } from './page-codec.js';
@@ -11,6 +12,7 @@
   /**
    * Reads records from an offset on; waits up to `waitMs` for the first one.
    *
+   * @param onBytes - called whenever bytes of the answer have arrived.
    * @throws HistoryTrimmedError when the daemon does not know all changes since this offset.
    * @throws LogUnavailableError when the daemon does not serve the topic or did not respond.
    */
@@ -20,6 +22,7 @@
     fromOffset: Offset,
     waitMs: number,
     signal?: AbortSignal,
+    onBytes?: () => void,
   ): Promise<KeyedPage>;
 
   /**
@@ -32,9 +35,12 @@
   abstract close(): void;
 }
 
-/** Response timeout, in addition to the time for which the daemon may hold a read. */
+/** Time for the first bytes, in addition to the time for which the daemon may hold a read. */
 const answerTimeoutMs = 400;
 
+/** Time without a further byte after which a page that has begun to arrive is read elsewhere. */
+const stalledMs = 700;
+
 /** Covers the wait for a batch and the append to the store. */
 const appendTimeoutMs = 2_000;
 
@@ -56,6 +62,23 @@
     fromOffset: Offset,
     waitMs: number,
     signal?: AbortSignal,
+    onBytes?: () => void,
+  ): Promise<KeyedPage> {
+    const transfer = { stalledMs, maxMs: maxTransferMs, onBytes };
+    try {
+      return await this.#readOnce(address, topic, fromOffset, waitMs, { signal, transfer });
+    } catch (error) {
+      if (!wasReset(error)) throw error;
+      return await this.#readOnce(address, topic, fromOffset, 0, { signal, transfer });
+    }
+  }
+
+  async #readOnce(
+    address: string,
+    topic: string,
+    fromOffset: Offset,
+    waitMs: number,
+    options: Pick<HttpCall, 'signal' | 'transfer'>,
   ): Promise<KeyedPage> {
     const query = new URLSearchParams({
       topic,
@@ -65,7 +88,7 @@
     });
     const path = `${replicaPaths.read}?${query.toString()}`;
     const timeoutMs = waitMs + answerTimeoutMs;
-    const call: HttpCall = { method: 'GET', path, timeoutMs, signal };
+    const call: HttpCall = { method: 'GET', path, timeoutMs, ...options };
     const { status, body } = await this.#call(address, call);
     if (status === 410) throw new HistoryTrimmedError(topic);
     return decodePage(expectOk(address, status, body));
@@ -106,6 +129,12 @@
   }
 }
 
+/** A daemon breaks off a page that was superseded on its way; the newest is asked for at once. */
+function wasReset(error: unknown): boolean {
+  const cause = error instanceof LogUnavailableError ? error.cause : undefined;
+  return (cause as NodeJS.ErrnoException | undefined)?.code === 'ECONNRESET';
+}
+
 function expectOk(address: string, status: number, body: Buffer): Buffer {
   if (status === 200) return body;
   throw new LogUnavailableError(`the daemon responded with status ${status}`, address, true);
--- a/src/distribution/replica-server.ts
+++ b/src/distribution/replica-server.ts
@@ -6,6 +6,7 @@
 import { EventId, type EventLog } from '../telemetry/index.js';
 import type { AppendBatcher } from './append-batcher.js';
 import { decodeEntries, encodePage } from './page-codec.js';
+import { PageTransfers } from './page-transfers.js';
 import { ReplicaReader } from './replica-reader.js';
 
 /** Paths of a {@link ReplicaServer}. */
@@ -42,6 +43,7 @@
   readonly #options: ReplicaServerOptions;
   readonly #server = createServer((request, response) => void this.#handle(request, response));
   readonly #reader: ReplicaReader;
+  readonly #transfers = new PageTransfers();
 
   constructor(options: ReplicaServerOptions) {
     this.#options = options;
@@ -65,6 +67,7 @@
   }
 
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.#transfers.end(request.socket);
     try {
       const url = new URL(request.url ?? '/', 'http://daemon');
       const topic = url.searchParams.get('topic') ?? '';
@@ -96,6 +99,7 @@
     const deadlineAtMs = this.#options.clock.nowMs() + waitMs;
     const page = await this.#reader.read(replica, fromOffset, deadlineAtMs, gone.signal);
     respond(response, 200, encodePage(page, query.has(compressedParameter)));
+    if (response.socket) this.#transfers.watch(replica, page.records, response.socket);
   }
 
   async #append(topic: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/src/log/keyed-log.ts
+++ b/src/log/keyed-log.ts
@@ -70,6 +70,7 @@
   /**
    * Reads records from an offset on; waits up to `waitMs` for the first one.
    *
+   * @param onBytes - called whenever bytes of the answer have arrived.
    * @throws HistoryTrimmedError when records from this offset on have been trimmed.
    * @throws LogUnavailableError when the read failed.
    */
@@ -78,6 +79,7 @@
     fromOffset: Offset,
     waitMs: number,
     signal?: AbortSignal,
+    onBytes?: () => void,
   ): Promise<KeyedPage>;
 
   /**
--- a/src/log/keyed-replica.ts
+++ b/src/log/keyed-replica.ts
@@ -9,7 +9,7 @@
 } from './keyed-log.js';
 import type { Offset } from './log-service.js';
 import { OutageDetector } from './outage-detector.js';
-import { withTimeout } from './with-timeout.js';
+import { withTimeout, withTransferTimeout } from './with-timeout.js';
 
 /** Options of {@link KeyedReplica}. */
 export interface KeyedReplicaOptions {
@@ -39,6 +39,21 @@
 const minNewestTimeoutMs = 1_500;
 const maxNewestTimeoutMs = 6_000;
 
+/**
+ * Time without a further byte after which a read that had begun to arrive times out; covers a
+ * distributor that stops in its middle and the first bytes of the next one.
+ */
+const stalledReadMs = 1_300;
+
+/**
+ * Time for the bytes of a read, doubled with each read that began to arrive and did not finish: many
+ * daemons may read a large value over one narrow link at the same time.
+ */
+const minTransferMs = 6_000;
+
+/** @internal */
+export const maxTransferMs = 24_000;
+
 /** Longest delay between failed reads; short, since a daemon must recover soon after an outage. */
 const maxRetryDelayMs = 800;
 
@@ -69,6 +84,7 @@
   readonly #changeListeners = new Set<() => void>();
   #isDirect = false;
   #newestTimeoutMs = minNewestTimeoutMs;
+  #transferMs = minTransferMs;
   #nextOffset: Offset | undefined;
   #caughtUpAtMs: number | undefined;
   #failingSinceMs: number | undefined;
@@ -205,12 +221,21 @@
     // After a failure the read does not wait, so that a recovered store is detected sooner.
     const waitMs = this.isFailing ? 0 : this.#options.waitMs;
     const deadlineAtMs = clock.nowMs() + waitMs + answerTimeoutMs;
-    const page = await withTimeout(clock, waitMs + answerTimeoutMs, this.#abort.signal, (signal) =>
-      log.read(topic, fromOffset, waitMs, signal),
+    const transferMs = this.#transferMs;
+    const limits = { answerMs: waitMs + answerTimeoutMs, stalledMs: stalledReadMs, transferMs };
+    let beganAtMs = Infinity;
+    const page = await withTransferTimeout(clock, limits, this.#abort.signal, (signal, onBytes) =>
+      log.read(topic, fromOffset, waitMs, signal, () => {
+        onBytes();
+        beganAtMs = Math.min(beganAtMs, clock.nowMs());
+        this.#transferMs = Math.min(maxTransferMs, 2 * transferMs);
+      }),
     );
+    this.#transferMs = minTransferMs;
     // A concurrent refresh may have advanced the offset.
     if (this.#nextOffset !== fromOffset) return;
-    this.#recordSuccess(page, deadlineAtMs);
+    // A page is as old as its first bytes, however long the others take.
+    this.#recordSuccess(page, Math.min(deadlineAtMs, beganAtMs));
     for (const record of page.records) this.#apply(record);
     this.#nextOffset = Math.max(fromOffset, (page.records.at(-1)?.offset ?? fromOffset - 1) + 1);
     if (page.records.length > 0) this.#notifyChange();
@@ -219,12 +244,14 @@
   /**
    * Comes before the records are applied: their listeners ask how current the copy is. A page that
    * is read after the deadline of its call came before it, and waited for this process.
+   *
+   * @param latestAtMs - time by which the page had begun to arrive, in epoch milliseconds.
    */
-  #recordSuccess({ copyAgeMs }: KeyedPage, deadlineAtMs: number): void {
+  #recordSuccess({ copyAgeMs }: KeyedPage, latestAtMs: number): void {
     const nowMs = this.#options.clock.nowMs();
     this.#outages.recordSuccess(nowMs);
     this.#isDirect = copyAgeMs === undefined;
-    const asOfMs = Math.min(nowMs, deadlineAtMs) - (copyAgeMs ?? 0);
+    const asOfMs = Math.min(nowMs, latestAtMs) - (copyAgeMs ?? 0);
     this.#caughtUpAtMs = Math.max(this.#caughtUpAtMs ?? -Infinity, asOfMs);
     this.#retryDelay.reset();
     if (this.#failingSinceMs === undefined) return;
--- a/test/log/keyed-replica_test.ts
+++ b/test/log/keyed-replica_test.ts
@@ -1,5 +1,6 @@
 import { beforeEach, describe, expect, it } from 'vitest';
 import { Random, VirtualClock } from '../../src/core/index.js';
+import type { KeyedLog, KeyedPage } from '../../src/log/keyed-log.js';
 import { KeyedReplica } from '../../src/log/keyed-replica.js';
 import { KeyedLogFault, MemoryKeyedLog } from '../../src/standins/memory-keyed-log.js';
 import { NullEventLog } from '../../src/telemetry/index.js';
@@ -138,6 +139,66 @@
     });
   });
 
+  describe('when a large value comes slowly, as many daemons read it over one link', () => {
+    /** Sends the bytes of each answer for some time. */
+    class NarrowLog extends MemoryKeyedLog {
+      transferMs = 3_000;
+
+      override async read(
+        ...[topic, from, waitMs, signal, onBytes]: Parameters<KeyedLog['read']>
+      ): Promise<KeyedPage> {
+        const page = await super.read(topic, from, waitMs);
+        if (page.records.length === 0) return page;
+        const endsAtMs = clock.nowMs() + this.transferMs;
+        while (clock.nowMs() < endsAtMs && signal?.aborted !== true) {
+          onBytes?.();
+          await clock.sleepUntil(clock.nowMs() + 100);
+        }
+        return page;
+      }
+    }
+
+    let narrowLog: NarrowLog;
+    let narrow: KeyedReplica;
+
+    beforeEach(async () => {
+      narrowLog = new NarrowLog();
+      narrow = new KeyedReplica({
+        log: narrowLog,
+        topic: 't',
+        clock,
+        random: new Random(1),
+        events: new NullEventLog(),
+        waitMs: 1_000,
+        minReadIntervalMs: () => 100,
+        minOutageMs: 1_200,
+      });
+      narrow.start();
+      await clock.advance(50);
+      narrowLog.put('t', 'a', '1');
+    });
+
+    it('does not give up while its bytes keep coming', async () => {
+      await clock.advance(4_000);
+      expect(narrow.get('a')).toBeDefined();
+    });
+
+    it('counts the copy as old as the first bytes, so that the time of the others hides no change', async () => {
+      const putAtMs = clock.nowMs();
+      let asOfMs: number | undefined;
+      narrow.onRecord(() => (asOfMs = narrow.caughtUpAtMs));
+      await clock.advance(4_000);
+      expect(asOfMs).toBeGreaterThanOrEqual(putAtMs);
+      expect(asOfMs).toBeLessThanOrEqual(putAtMs + 200);
+    });
+
+    it('gives it more time with each try, up to a limit, so that the daemons do not read in vain for ever', async () => {
+      narrowLog.transferMs = 20_000;
+      await clock.advance(70_000);
+      expect(narrow.get('a')).toBeDefined();
+    });
+  });
+
   describe('when the store is down', () => {
     it('reads without a wait until the store recovers, and then waits again', async () => {
       replica.start();
