Bound the sum of the decompressed values of a page

Seen: a page of less than 4 MiB, as another daemon may send it, was decoded to 100 values of 6 MiB each; a VM has 250 to 602 MB.

Cause: maxOutputLength bounded each value of a page (16 MiB) and nothing their sum.

Change: the compressed values of a page share 16 MiB, what a page without compression may have. A page beyond it is malformed: the reader suspends the daemon and reads the store.

Test: page-codec_test, "are refused by their sum"; it failed before (no error).

--- a/src/distribution/page-codec.ts
+++ b/src/distribution/page-codec.ts
@@ -27,8 +27,11 @@
 /** Fast; the values repeat the same names many times. */
 const compressionLevel = 1;
 
-/** Largest value after decompression; larger than a record of the store. */
-const maxValueBytes = 16_777_216;
+/**
+ * Largest sum of the compressed values of a page after decompression: what a page without compression
+ * may have. What does not fit is read from the store.
+ */
+const maxDecompressedBytes = 16_777_216;
 
 /** Compressed values, so that all readers of a copy share the work. */
 const compressedValues = new WeakMap<Uint8Array, Buffer>();
@@ -96,9 +99,10 @@
   return bytes;
 }
 
-function decompressed(bytes: Buffer): Buffer {
+function decompressed(bytes: Buffer, maxBytes: number): Buffer {
+  if (maxBytes === 0) throw new MalformedPageError('its values are too large');
   try {
-    return inflateSync(bytes, { maxOutputLength: maxValueBytes });
+    return inflateSync(bytes, { maxOutputLength: maxBytes });
   } catch (error) {
     const reason = error instanceof Error ? error.message : String(error);
     throw new MalformedPageError(`a compressed value cannot be read: ${reason}`);
@@ -107,6 +111,7 @@
 
 function decodeRecords(bytes: Buffer): KeyedRecord[] {
   const records: KeyedRecord[] = [];
+  let leftBytes = maxDecompressedBytes;
   let at = 0;
   while (at < bytes.length) {
     const keyStart = at + recordHeadBytes;
@@ -116,11 +121,15 @@
     const length = bytes.readUInt32BE(at + 10);
     const valueEnd = length === removedLength ? keyEnd : keyEnd + length;
     if (valueEnd > bytes.length) throw new MalformedPageError('a record is cut');
-    const sent = length === removedLength ? undefined : bytes.subarray(keyEnd, valueEnd);
+    let value = length === removedLength ? undefined : bytes.subarray(keyEnd, valueEnd);
+    if (value && (keyLength & compressedBit) !== 0) {
+      value = decompressed(value, leftBytes);
+      leftBytes -= value.length;
+    }
     records.push({
       offset: offsetOf(bytes.readDoubleBE(at)),
       key: bytes.toString('utf8', keyStart, keyEnd),
-      value: sent && (keyLength & compressedBit) !== 0 ? decompressed(sent) : sent,
+      value,
     });
     at = valueEnd;
   }
--- a/test/distribution/page-codec_test.ts
+++ b/test/distribution/page-codec_test.ts
@@ -61,6 +61,31 @@
     );
   });
 
+  describe('small bytes that decompress to large values', () => {
+    /** A page of so many values of 6 MiB each, whose compressed bytes are few. */
+    const pageOf = (values: number): Buffer => {
+      const value = Buffer.alloc(6 * 1_048_576);
+      const records = Array.from({ length: values }, (_, offset) => ({
+        key: `k${offset}`,
+        value,
+        offset,
+      }));
+      return encodePage({ records, endOffset: values }, true);
+    };
+
+    it('are refused by their sum, so that one page does not fill the memory of a VM', () => {
+      const bytes = pageOf(100);
+      expect(bytes.length).toBeLessThan(4 * 1_048_576);
+      const before = process.memoryUsage().arrayBuffers;
+      expect(() => decodePage(bytes)).toThrow(MalformedPageError);
+      expect(process.memoryUsage().arrayBuffers - before).toBeLessThan(64 * 1_048_576);
+    });
+
+    it('are taken as long as their sum is that of a page', () => {
+      expect(decodePage(pageOf(2)).records).toHaveLength(2);
+    });
+  });
+
   describe('a large configuration for the daemons of a region', () => {
     const routes = Array.from({ length: 1_600 }, (_, at) => ({
       name: `r-${at.toString(36)}`,
