Wait for the datagram port and the administration port at a start

Seen: beside a process that still has its port, oriolestackd ended with EADDRINUSE of its administration listener. A gateway warned once, sent its datagrams from a port that the system chose, and received none until its end.

Cause: both bound their port once. All other listeners go through src/core/listener.ts, which tries for 10 s.

While the datagram port is busy, what the gateway would send is dropped, as any datagram may be: sending would bind the socket to another port.

Tests: admin-server_test and peer-broadcaster_test, "waits for a port that is still in use"; both failed before (the first with EADDRINUSE, the second with its 30 s over).

--- a/src/admin/admin-server.ts
+++ b/src/admin/admin-server.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { createServer as createTlsServer } from 'node:https';
-import type { AddressInfo } from 'node:net';
 import type { Clock } from '../core/index.js';
+import { listen } from '../core/listener.js';
 import type { PeerCaller } from '../rpc/index.js';
 import { KeyVerifierBusyError, type KeyVerifier, type TlsContext } from '../security/index.js';
 import { KeyKind } from '../settings/index.js';
@@ -81,15 +81,12 @@
     }
   }
 
-  /** Starts to listen; port 0 selects a free port. Check the address with `checkListenAddress`. */
-  listen(host: string, port: number): Promise<{ readonly port: number }> {
-    return new Promise((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(port, host, () => {
-        this.#server.off('error', reject);
-        resolve({ port: (this.#server.address() as AddressInfo).port });
-      });
-    });
+  /**
+   * Starts to listen; port 0 selects a free port, one that is in use is tried again for 10 s. Check
+   * the address with `checkListenAddress`.
+   */
+  async listen(host: string, port: number): Promise<{ readonly port: number }> {
+    return { port: await listen(this.#server, host, port) };
   }
 
   /** Stops accepting connections and waits for the requests in flight. */
--- a/src/core/listener.ts
+++ b/src/core/listener.ts
@@ -16,16 +16,25 @@
  * @param port - 0 selects a free port.
  * @param backlog - maximum number of connections waiting to be accepted; default: Node's.
  */
-export async function listen(
+export function listen(
   server: SocketServer,
   host: string,
   port: number,
   backlog?: number,
 ): Promise<number> {
+  return retryWhileBusy(() => listenOnce(server, host, port, backlog));
+}
+
+/**
+ * Binds a port; while the port is in use, tries again for 10 s.
+ *
+ * @throws the error of the last attempt.
+ */
+export async function retryWhileBusy<T>(bind: () => Promise<T>): Promise<T> {
   const giveUpAtMs = performance.now() + portBusyTimeoutMs;
   for (;;) {
     try {
-      return await listenOnce(server, host, port, backlog);
+      return await bind();
     } catch (error) {
       const isBusy = (error as NodeJS.ErrnoException).code === 'EADDRINUSE';
       if (!isBusy || performance.now() >= giveUpAtMs) throw error;
--- a/src/membership/peer-broadcaster.ts
+++ b/src/membership/peer-broadcaster.ts
@@ -1,5 +1,7 @@
 import { createSocket, type Socket } from 'node:dgram';
+import { once } from 'node:events';
 import type { Clock } from '../core/index.js';
+import { retryWhileBusy } from '../core/listener.js';
 import type { QuarantineMessage } from '../quarantine/quarantine-message.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
 import {
@@ -52,6 +54,8 @@
   #encoded: { readonly batch: BroadcastBatch; readonly bytes: Buffer } | undefined;
 
   #isClosed = false;
+  /** Whether an attempt to bind the port has failed and another is to follow. */
+  #isPortBusy = false;
 
   constructor(options: PeerBroadcasterOptions) {
     this.#options = options;
@@ -72,21 +76,41 @@
       const batch = decodeBatch(bytes);
       if (batch) this.#relay.receive(batch);
     });
-    this.#socket.on('error', (error) => {
-      options.events.warn(
-        EventId.ListenerFailed,
-        'socket for peer broadcasts failed; datagrams may be lost',
-        {
-          reason: error.message,
-        },
-      );
-    });
   }
 
+  /** Starts to receive; a port that is in use is tried again for 10 s. */
   listen(): void {
+    const bound = retryWhileBusy(() => this.#bind()).catch((error: unknown) => {
+      this.#warn(error);
+    });
+    void bound.then(() => {
+      this.#isPortBusy = false;
+      this.#socket.on('error', (error) => {
+        this.#warn(error);
+      });
+    });
+  }
+
+  async #bind(): Promise<void> {
+    if (this.#isClosed) return;
     const { host, port } = this.#options.listenAddress;
+    const listening = once(this.#socket, 'listening');
     this.#socket.bind(port, host);
     this.#socket.unref();
+    try {
+      await listening;
+    } catch (error) {
+      this.#isPortBusy = true;
+      throw error;
+    }
+  }
+
+  #warn(error: unknown): void {
+    this.#options.events.warn(
+      EventId.ListenerFailed,
+      'socket for peer broadcasts failed; datagrams may be lost',
+      { reason: error instanceof Error ? error.message : String(error) },
+    );
   }
 
   /** Sends all peers a prompt that this daemon has sent to an endpoint. */
@@ -116,8 +140,9 @@
   }
 
   #send(address: string, batch: BroadcastBatch): void {
-    // What is published while the daemon ends is lost, as any datagram may be.
-    if (this.#isClosed) return;
+    // What is published while the daemon ends is lost, as any datagram may be, and while its port is
+    // in use: sending would bind the socket to another one.
+    if (this.#isClosed || this.#isPortBusy) return;
     if (this.#encoded?.batch !== batch) this.#encoded = { batch, bytes: encodeBatch(batch) };
     const at = address.lastIndexOf(':');
     const port = Number(address.slice(at + 1));
--- a/test/admin/admin-server_test.ts
+++ b/test/admin/admin-server_test.ts
@@ -1,8 +1,11 @@
+import { createServer } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { request } from 'undici';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { AdminServer, registerAdminQueries, type AdminBackend } from '../../src/admin/index.js';
 import { AdminQuery } from '../../src/admin-api/index.js';
 import { OrioleError, Step, SystemClock } from '../../src/core/index.js';
+import { listen } from '../../src/core/listener.js';
 import { PeerCaller, PeerMethodRegistry, type PeerMethodHandler } from '../../src/rpc/index.js';
 import { createBearerKey, formatBearerKey, KeyVerifier } from '../../src/security/index.js';
 import { Deployment, type SectionValues } from '../../src/settings/index.js';
@@ -69,13 +72,20 @@
     backend = new FakeAdminBackend('entry-1');
     peers = new FakePeerCaller();
     log = new RecordingEventLog();
+    server = createAdminServer();
+    ({ port } = await server.listen('127.0.0.1', 0));
+  });
+
+  afterEach(() => server.close());
+
+  function createAdminServer(): AdminServer {
     const keys = new KeyVerifier({
       deployment: () => deployment,
       verify: async (secret, stored) =>
         (secret === tejidosKey.secret && stored === hash('1')) ||
         (secret === callerKey.secret && stored === hash('2')),
     });
-    server = new AdminServer({
+    return new AdminServer({
       backend,
       keys,
       peers,
@@ -84,10 +94,7 @@
       metrics: new NullMetrics(),
       peerTimeoutMs: 100,
     });
-    ({ port } = await server.listen('127.0.0.1', 0));
-  });
-
-  afterEach(() => server.close());
+  }
 
   async function send(
     path: string,
@@ -102,6 +109,17 @@
     return { status: response.statusCode, body: await response.body.json() };
   }
 
+  it('waits for a port that is still in use, which ended a daemon at its start', async () => {
+    const before = createServer();
+    const busyPort = await listen(before, '127.0.0.1', 0);
+    await server.close();
+    server = createAdminServer();
+    const listening = server.listen('127.0.0.1', busyPort);
+    await sleep(300);
+    before.close();
+    expect(await listening).toEqual({ port: busyPort });
+  });
+
   describe('authentication', () => {
     it('refuses a malformed or wrong key and the key of a caller', async () => {
       expect((await send('status', undefined, 'Bearer x')).status).toBe(401);
--- a/test/membership/peer-broadcaster_test.ts
+++ b/test/membership/peer-broadcaster_test.ts
@@ -1,5 +1,6 @@
 import { createSocket } from 'node:dgram';
 import { once } from 'node:events';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { afterEach, describe, expect, it } from 'vitest';
 import { SystemClock } from '../../src/core/index.js';
 import { decodeBatch, type PrefillReport } from '../../src/membership/broadcast-message.js';
@@ -23,8 +24,8 @@
     for (const broadcaster of open.splice(0)) broadcaster.close();
   });
 
-  async function start(peers: () => string[]) {
-    const port = await freePort();
+  async function start(peers: () => string[], listenPort?: number) {
+    const port = listenPort ?? (await freePort());
     const received: (PrefillReport | GrantReport)[] = [];
     const waiters: (() => void)[] = [];
     const onReport = (item: PrefillReport | GrantReport): void => {
@@ -68,6 +69,22 @@
     expect(receiver.received).toEqual([prompt, report]);
   });
 
+  it('waits for a port that is still in use, so that a daemon that starts beside it is not deaf for good', async () => {
+    const before = createSocket('udp4').bind(0, host);
+    await once(before, 'listening');
+    const receiver = await start(() => [], before.address().port);
+    // What it sends meanwhile must not take another port.
+    receiver.broadcaster.broadcastPrefill({ endpointId: 'e-0', tokens: 1 });
+    await sleep(300);
+    before.close();
+    await sleep(300);
+    const sender = await start(() => [`${host}:${receiver.port}`]);
+    const delivery = receiver.next();
+    sender.broadcaster.broadcastPrefill({ endpointId: 'e-1', tokens: 1 });
+    await delivery;
+    expect(receiver.received).toEqual([{ endpointId: 'e-1', tokens: 1 }]);
+  });
+
   it('takes the known messages of a batch of a later build, as both run during a rolling restart', () => {
     const known = ['prefill', 'e-1', 5, 'a'];
     const batch = { scope: 'receiver', sender: 'a', senderAddress: 'b' };
