Bound the sum of the request bodies that a gateway holds

Seen: 120 callers that send 1 MiB each, all but the last byte, were all read into memory; a body announced larger than its limit was waited for. A VM has 250 to 602 MB, and a body up to 4 MiB.

Cause: the configuration limits each body and nothing their sum. Bodies are kept until their request ends, for further attempts.

Change: BodyMemory counts the bytes that have come, of all open requests: 50 MB at most (a fifth of the smallest VM), those above 64 KiB 37.5 MB, so that small requests are served meanwhile. What does not fit, or would not by its content-length, is refused at once with 503 as not run and `retry-after`; a content-length above the limit of one body gets 413 unread. The refusal says the sum (event 202), a gauge shows it. Bytes announced do not count: a caller that announces much and sends nothing costs no other its place. The reading of a body moves to a file of its own.

Tests: body-memory_test; three of its four cases failed before (none of 120 refused; no gauge; no 413). That small requests are served meanwhile held before too.

--- a/src/gateway/gateway-gauges.ts
+++ b/src/gateway/gateway-gauges.ts
@@ -13,6 +13,8 @@
   readonly endpoints: RegisteredEndpoints;
   readonly replicas: readonly KeyedReplica[];
   readonly inFlight: () => number;
+  /** Bytes of the bodies of open requests. */
+  readonly bufferedBodyBytes: () => number;
   readonly liveDaemons: () => number;
   readonly isDutyHolder: () => boolean;
   /** Quarantines of parts of prompts that are in force. */
@@ -34,6 +36,7 @@
     const { metrics, config, replicas, inFlight, liveDaemons } = this.#options;
     const { isDutyHolder, isDistributor, clock } = this.#options;
     metrics.gauge('gateway_in_flight', inFlight());
+    metrics.gauge('gateway_buffered_body_bytes', this.#options.bufferedBodyBytes());
     metrics.gauge('gateway_config_version', config.table?.config.version ?? 0);
     metrics.gauge('gateway_live_daemons', liveDaemons());
     metrics.gauge('gateway_duties_held', Number(isDutyHolder()));
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -18,6 +18,7 @@
 import { TcpListenCheck } from '../quarantine/crash-detector.js';
 import { PromptGuard } from '../quarantine/prompt-guard.js';
 import { EventId, EventLoopMonitor, type EventLog, type Metrics } from '../telemetry/index.js';
+import { BodyMemory } from './body-memory.js';
 import { ConfigHolder } from './config-holder.js';
 import { EndpointConnections } from './endpoint-connections.js';
 import { EndpointKnowledge } from './endpoint-knowledge.js';
@@ -116,6 +117,7 @@
   readonly #counter: UsageCounter;
   readonly #quotas: WorkspaceQuotas;
   readonly #gauges: GatewayGauges;
+  readonly #bodies = new BodyMemory();
   readonly #demand = new RateMeter(demandSmoothingMs);
   readonly #peers: PeerExchange;
   readonly #guard: PromptGuard;
@@ -222,6 +224,7 @@
       replicas: this.replicas.all(),
       isDistributor: () => this.replicas.distributor === undefined,
       inFlight: () => this.#listener.inFlight,
+      bufferedBodyBytes: () => this.#bodies.usedBytes,
       liveDaemons: () => this.liveDaemons,
       isDutyHolder: () => this.#duties?.isHolder === true,
       quarantines: () => this.#guard.activeEntries,
@@ -369,6 +372,7 @@
       codec,
       quotas: this.#quotas,
       guard: this.#guard,
+      bodies: this.#bodies,
       clock,
     });
     return new GatewayListener({
--- a/src/gateway/request-admission.ts
+++ b/src/gateway/request-admission.ts
@@ -1,6 +1,7 @@
-import { Outcome, RequestError, Step, type Clock } from '../core/index.js';
+import type { Clock } from '../core/index.js';
 import { sharedPartsOf } from '../fleet/prompt-prefix.js';
 import type { PromptGuard } from '../quarantine/prompt-guard.js';
+import type { BodyMemory } from './body-memory.js';
 import type { CallerExchange, AdmittedRequest } from './caller-exchange.js';
 import type { ConfigHolder } from './config-holder.js';
 import {
@@ -8,6 +9,8 @@
   type RequestCodec,
   type RequestDescription,
 } from './request-codec.js';
+import { refusal } from './refusal.js';
+import { readRequestBody } from './request-body.js';
 import type { RouteTable } from './route-table.js';
 import type { TrafficRoute, TrafficWorkspace } from './traffic-config.js';
 import type { WorkspaceQuotas } from './workspace-quotas.js';
@@ -18,12 +21,17 @@
   readonly codec: RequestCodec;
   readonly quotas: WorkspaceQuotas;
   readonly guard: PromptGuard;
+  /** Counts the bodies of all open requests. */
+  readonly bodies: BodyMemory;
   readonly clock: Clock;
 }
 
 /** `retry-after` of refusals while the daemon has no configuration, in milliseconds. */
 const noConfigRetryMs = 500;
 
+/** `retry-after` of refusals while the bodies of other requests take all memory, in milliseconds. */
+const noRoomRetryMs = 500;
+
 /** Reads a request and decides by route, key, size and quota whether it may go to an endpoint. */
 export class RequestAdmission {
   readonly #options: RequestAdmissionOptions;
@@ -45,7 +53,11 @@
     const service = serviceName === undefined ? undefined : table.service(serviceName);
     if (!service)
       throw refusal(503, `route "${route.name}" has no service`, noConfigRetryMs + clock.nowMs());
-    const body = await readBody(exchange, table.config.limits.maxBodyBytes);
+    const body = await readRequestBody(exchange, {
+      maxBytes: table.config.limits.maxBodyBytes,
+      memory: this.#options.bodies,
+      retryAtMs: () => clock.nowMs() + noRoomRetryMs,
+    });
     const nowMs = clock.nowMs();
     const callerTimeoutMs = description.callerTimeoutMs ?? Infinity;
     const deadlineAtMs = receivedAtMs + Math.min(callerTimeoutMs, route.timeoutMs);
@@ -127,35 +139,3 @@
     `the key is missing or unknown in configuration version ${table.config.version}`,
   );
 }
-
-function readBody({ request }: CallerExchange, maxBytes: number): Promise<Buffer> {
-  return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    request.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes <= maxBytes) chunks.push(chunk);
-      else reject(refusal(413, `the body is larger than the limit of ${maxBytes} bytes`));
-    });
-    request.once('end', () => resolve(Buffer.concat(chunks)));
-    request.once('close', () => {
-      if (!request.complete)
-        reject(refusal(400, 'the caller disconnected before its request was complete'));
-    });
-    request.once('error', () =>
-      reject(refusal(400, 'the connection failed before the request was complete')),
-    );
-  });
-}
-
-function refusal(status: number, message: string, retryAtMs?: number): RequestError {
-  return new RequestError(message, {
-    step: Step.Admit,
-    peer: 'caller',
-    status,
-    code: 'refused',
-    next: 'Correct the request, or send it again at the time given.',
-    outcome: Outcome.NotRun,
-    ...(retryAtMs === undefined ? {} : { retryAtMs }),
-  });
-}
