Refuse a request whose body has not come by its deadline

Seen: a caller that sends half of its body and stalls got no answer (5 s waited, deadline 0.4 s), and its bytes stayed in memory as long as it stayed connected; a dozen of them would keep all large bodies out.

Cause: the deadline was compared with the time only once the body had come.

Change: the body is waited for until the deadline of the request (of its caller or its route); then the request is refused with 503 as not run, as one whose body comes late was before, and its bytes are given back.

Test: body-memory_test, "do not hold memory beyond their deadline when they stall"; it failed before.

--- a/src/gateway/request-admission.ts
+++ b/src/gateway/request-admission.ts
@@ -53,14 +53,16 @@
     const service = serviceName === undefined ? undefined : table.service(serviceName);
     if (!service)
       throw refusal(503, `route "${route.name}" has no service`, noConfigRetryMs + clock.nowMs());
+    const callerTimeoutMs = description.callerTimeoutMs ?? Infinity;
+    const deadlineAtMs = receivedAtMs + Math.min(callerTimeoutMs, route.timeoutMs);
     const body = await readRequestBody(exchange, {
       maxBytes: table.config.limits.maxBodyBytes,
       memory: this.#options.bodies,
+      clock,
+      deadlineAtMs,
       retryAtMs: () => clock.nowMs() + noRoomRetryMs,
     });
     const nowMs = clock.nowMs();
-    const callerTimeoutMs = description.callerTimeoutMs ?? Infinity;
-    const deadlineAtMs = receivedAtMs + Math.min(callerTimeoutMs, route.timeoutMs);
     if (deadlineAtMs <= nowMs)
       throw refusal(503, 'the deadline passed before the request could be handled');
     this.#checkPrompt(description);
--- a/src/gateway/request-body.ts
+++ b/src/gateway/request-body.ts
@@ -1,4 +1,4 @@
-import type { RequestError } from '../core/index.js';
+import type { Clock, RequestError } from '../core/index.js';
 import type { BodyMemory } from './body-memory.js';
 import type { CallerExchange } from './caller-exchange.js';
 import { refusal } from './refusal.js';
@@ -8,19 +8,22 @@
   /** Largest body of one request. */
   readonly maxBytes: number;
   readonly memory: BodyMemory;
+  readonly clock: Clock;
+  /** Time by which the body has to have come, in epoch milliseconds. */
+  readonly deadlineAtMs: number;
   /** `retry-after` of a body that does not fit in the memory beside others, in epoch milliseconds. */
   readonly retryAtMs: () => number;
 }
 
 /**
  * Reads the body of a request, which counts in {@link BodyMemory} until the request ends. One that is
- * announced larger than it may be is refused unread.
+ * announced larger than it may be is refused unread, one that has not come by the deadline then.
  *
  * @throws RequestError when the body is too large, does not fit beside others or does not come.
  */
 export async function readRequestBody(
   exchange: CallerExchange,
-  { maxBytes, memory, retryAtMs }: RequestBodyLimits,
+  { maxBytes, memory, clock, deadlineAtMs, retryAtMs }: RequestBodyLimits,
 ): Promise<Buffer> {
   const { request } = exchange;
   const tooLarge = (): RequestError =>
@@ -38,8 +41,12 @@
   exchange.onClosed(() => {
     hold.release();
   });
+  const late = new AbortController();
+  const cancelDeadline = clock.schedule(deadlineAtMs, () => {
+    late.abort();
+  });
   try {
-    const body = await readChunks(exchange, (bytes, chunkBytes) => {
+    const body = await readChunks(exchange, late.signal, (bytes, chunkBytes) => {
       if (bytes > maxBytes) return tooLarge();
       return hold.add(chunkBytes) ? undefined : noRoom();
     });
@@ -49,34 +56,41 @@
   } catch (error) {
     hold.release();
     throw error;
+  } finally {
+    cancelDeadline();
   }
 }
 
 /**
  * Collects the chunks of a body.
  *
+ * @param late - aborted at the deadline of the request.
  * @param check - called with the bytes so far and those of each chunk; what it returns refuses the
  *   request, and the rest of the body is dropped.
  */
 function readChunks(
   { request }: CallerExchange,
+  late: AbortSignal,
   check: (bytes: number, chunkBytes: number) => RequestError | undefined,
 ): Promise<Buffer> {
   return new Promise((resolve, reject) => {
     const chunks: Buffer[] = [];
     let bytes = 0;
     let isRefused = false;
+    const refuse = (error: RequestError): void => {
+      isRefused = true;
+      chunks.length = 0;
+      reject(error);
+    };
+    late.addEventListener('abort', () => {
+      refuse(refusal(503, 'the deadline passed before the body of the request had come'));
+    });
     request.on('data', (chunk: Buffer) => {
       if (isRefused) return;
       bytes += chunk.length;
       const refused = check(bytes, chunk.length);
-      if (!refused) {
-        chunks.push(chunk);
-        return;
-      }
-      isRefused = true;
-      chunks.length = 0;
-      reject(refused);
+      if (refused) refuse(refused);
+      else chunks.push(chunk);
     });
     request.once('end', () => {
       resolve(Buffer.concat(chunks));
--- a/test/gateway/body-memory_test.ts
+++ b/test/gateway/body-memory_test.ts
@@ -26,7 +26,12 @@
   });
 
   /** Sends a head and some bytes of its body, and collects what comes back. */
-  function send(id: string, contentLength: number, bytes: number): { received: string } {
+  function send(
+    id: string,
+    contentLength: number,
+    bytes: number,
+    deadlineMs = 60_000,
+  ): { received: string } {
     const exchange = { received: '' };
     const socket = connect(harness.gateway.port, '127.0.0.1');
     sockets.push(socket);
@@ -36,7 +41,7 @@
     });
     socket.write(
       `POST /x HTTP/1.1\r\nhost: shop.example\r\noriolestack-request-id: ${id}\r\n` +
-        `oriolestack-deadline-ms: 60000\r\ncontent-length: ${contentLength}\r\n\r\n`,
+        `oriolestack-deadline-ms: ${deadlineMs}\r\ncontent-length: ${contentLength}\r\n\r\n`,
     );
     socket.write(Buffer.alloc(bytes));
     return exchange;
@@ -96,6 +101,13 @@
     await waitForRelease();
   });
 
+  it('do not hold memory beyond their deadline when they stall, so that the next ones are taken', async () => {
+    const exchange = send('stalled', maxBodyBytes, maxBodyBytes / 2, 400);
+    await waitFor(() => exchange.received !== '');
+    expect(exchange.received).toMatch(/^HTTP\/1.1 503/);
+    await waitForRelease();
+  });
+
   it('are refused unread when they are announced larger than the limit of one', async () => {
     const exchange = send('huge', maxBodyBytes + 1, 0);
     await waitFor(() => exchange.received !== '');
