Read elsewhere when a daemon sends a byte now and then

Seen: since reads go on while bytes keep coming, a distributor that sends a byte every 50 ms kept a reader for 6 s (its own limit; 24 s that of the call), where 0.4 s were the limit before: longer than a leaving endpoint serves.

Cause: any byte counted as progress.

Change: 4 KiB do. Forty readers of one link so need 1.9 Mbit/s together (40 x 4 KiB / 0.7 s); on a narrower one they go to the store.

--- a/src/core/http-connection.ts
+++ b/src/core/http-connection.ts
@@ -9,11 +9,13 @@
 
 /** How a large response may arrive. */
 export interface HttpTransfer {
-  /** Time without a further byte after which the connection is closed, in milliseconds. */
+  /** Time without further {@link minBytes} after which the connection is closed, in milliseconds. */
   readonly stalledMs: number;
+  /** Bytes that count as progress; fewer are those of a server that sends one now and then. */
+  readonly minBytes: number;
   /** Time after the first bytes at which the connection is closed in any case, in milliseconds. */
   readonly maxMs: number;
-  /** Called whenever bytes have arrived. */
+  /** Called with the first bytes and after each further {@link minBytes}. */
   readonly onBytes: (() => void) | undefined;
 }
 
@@ -77,8 +79,11 @@
         reject(error);
       };
       let transferEndsAtMs: number | undefined;
-      const onBytes = (): void => {
-        if (!transfer) return;
+      let newBytes = 0;
+      const onBytes = (bytes: number): void => {
+        newBytes += bytes;
+        if (!transfer || (transferEndsAtMs !== undefined && newBytes < transfer.minBytes)) return;
+        newBytes = 0;
         const nowMs = performance.now();
         transferEndsAtMs ??= nowMs + transfer.maxMs;
         cancelTimeout();
@@ -98,8 +103,10 @@
           headers: { ...headers, ...(body ? { 'content-length': body.length } : {}) },
         },
         (incoming) => {
-          onBytes();
-          incoming.on('data', onBytes);
+          onBytes(0);
+          incoming.on('data', (chunk: Buffer) => {
+            onBytes(chunk.length);
+          });
           readBounded(incoming, (error) => outgoing.destroy(error)).then((received) => {
             cancelTimeout();
             resolve({ status: incoming.statusCode ?? 0, body: received });
--- a/src/distribution/replica-client.ts
+++ b/src/distribution/replica-client.ts
@@ -38,8 +38,11 @@
 /** Time for the first bytes, in addition to the time for which the daemon may hold a read. */
 const answerTimeoutMs = 400;
 
-/** Time without a further byte after which a page that has begun to arrive is read elsewhere. */
+/**
+ * Time for each further {@link minProgressBytes} of a page; one that takes longer is read elsewhere.
+ */
 const stalledMs = 700;
+const minProgressBytes = 4_096;
 
 /** Covers the wait for a batch and the append to the store. */
 const appendTimeoutMs = 2_000;
@@ -64,7 +67,7 @@
     signal?: AbortSignal,
     onBytes?: () => void,
   ): Promise<KeyedPage> {
-    const transfer = { stalledMs, maxMs: maxTransferMs, onBytes };
+    const transfer = { stalledMs, minBytes: minProgressBytes, maxMs: maxTransferMs, onBytes };
     try {
       return await this.#readOnce(address, topic, fromOffset, waitMs, { signal, transfer });
     } catch (error) {
--- a/test/distribution/replica-server_test.ts
+++ b/test/distribution/replica-server_test.ts
@@ -92,6 +92,23 @@
     },
   );
 
+  it('reads elsewhere when a daemon sends a byte now and then, so that no change waits for it', async () => {
+    const dripping = createServer((socket) => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => {
+        socket.write('HTTP/1.1 200 OK\r\ncontent-length: 100000\r\n\r\n');
+        const timer = setInterval(() => socket.write('x'), 50);
+        socket.once('close', () => {
+          clearInterval(timer);
+        });
+      });
+    });
+    await new Promise<void>((resolve) => dripping.listen(0, host, resolve));
+    const { port } = dripping.address() as AddressInfo;
+    await expect(client.read(`${host}:${port}`, 't', 1, 0)).rejects.toThrow(LogUnavailableError);
+    dripping.close();
+  }, 5_000);
+
   describe('a daemon that sends bytes without end', () => {
     let endless: Server;
     const sockets = new Set<Socket>();
