--- a/src/core/http-connection.ts
+++ b/src/core/http-connection.ts
@@ -7,6 +7,18 @@
   readonly port: number;
 }
 
+/** How a large response may arrive. */
+export interface HttpTransfer {
+  /** Time without further {@link minBytes} after which the connection is closed, in milliseconds. */
+  readonly stalledMs: number;
+  /** Bytes that count as progress; fewer are those of a server that sends one now and then. */
+  readonly minBytes: number;
+  /** Time after the first bytes at which the connection is closed in any case, in milliseconds. */
+  readonly maxMs: number;
+  /** Called with the first bytes and after each further {@link minBytes}. */
+  readonly onBytes: (() => void) | undefined;
+}
+
 /** A call over an {@link HttpConnection}. */
 export interface HttpCall {
   readonly method: 'GET' | 'POST';
@@ -14,8 +26,13 @@
   readonly path: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: Buffer;
-  /** Time after which the connection is closed if the response is not complete, in milliseconds. */
+  /**
+   * Time after which the connection is closed if the response is not complete, or with
+   * {@link transfer} if it has not begun, in milliseconds.
+   */
   readonly timeoutMs: number;
+  /** Lets a response that has begun go on while its bytes keep coming. */
+  readonly transfer?: HttpTransfer;
   readonly signal?: AbortSignal | undefined;
 }
 
@@ -53,12 +70,29 @@
    *
    * @throws Error when no complete response was received; the call may have been carried out.
    */
-  call({ method, path, headers, body, timeoutMs, signal }: HttpCall): Promise<HttpResponse> {
+  call(call: HttpCall): Promise<HttpResponse> {
+    const { method, path, headers, body, timeoutMs, transfer, signal } = call;
     return new Promise((resolve, reject) => {
+      const timeOut = (): void => void outgoing.destroy(new Error('response timeout'));
       const fail = (error: Error): void => {
         cancelTimeout();
         reject(error);
       };
+      let transferEndsAtMs: number | undefined;
+      let newBytes = 0;
+      const onBytes = (bytes: number): void => {
+        newBytes += bytes;
+        if (!transfer || (transferEndsAtMs !== undefined && newBytes < transfer.minBytes)) return;
+        newBytes = 0;
+        const nowMs = performance.now();
+        transferEndsAtMs ??= nowMs + transfer.maxMs;
+        cancelTimeout();
+        cancelTimeout = scheduleTimer(
+          Math.max(0, Math.min(transfer.stalledMs, transferEndsAtMs - nowMs)),
+          timeOut,
+        );
+        transfer.onBytes?.();
+      };
       const outgoing = httpRequest(
         {
           agent: this.#agent,
@@ -69,15 +103,17 @@
           headers: { ...headers, ...(body ? { 'content-length': body.length } : {}) },
         },
         (incoming) => {
+          onBytes(0);
+          incoming.on('data', (chunk: Buffer) => {
+            onBytes(chunk.length);
+          });
           readBounded(incoming, (error) => outgoing.destroy(error)).then((received) => {
             cancelTimeout();
             resolve({ status: incoming.statusCode ?? 0, body: received });
           }, fail);
         },
       );
-      const cancelTimeout = scheduleTimer(timeoutMs, () =>
-        outgoing.destroy(new Error('response timeout')),
-      );
+      let cancelTimeout = scheduleTimer(timeoutMs, timeOut);
       outgoing.on('error', fail);
       outgoing.end(body);
     });
