Keep streams of silent engines until another engine has gone on

Callers of oriolestackd saw (LOST): a chat stream whose engine was silent for silence_ms (3 s) and would have gone on ended with an error when the next engine was full, reset, answered 400 or 500, was silent too, or when there was no other engine, no retry budget, or a text that cannot be continued elsewhere.

Cause: HttpEngineClient ended a stream at its first silence and destroyed its connection, before anything was known of another engine.

Change: the client reports a silence as an event and the stream stays open. The relay asks another endpoint, within attempts and retry budget, and gives back what it did not use; the attempt that brings a token first goes on, as with hedges, and the others are cancelled (AttemptRace). A stream still silent at the deadline of its request ends with 504 endpoint_silent. The endpoint becomes suspect at once, as before. A job moves off a silent endpoint when another one is reserved; else it waits and starts again after 10 s without an event, as its text is recorded. Without the change in src/jobs two tests of job-manager_test fail.

--- a/bench/histories/fake-chooser.ts
+++ b/bench/histories/fake-chooser.ts
@@ -33,7 +33,8 @@
     region,
   }: EndpointQuery): Promise<ChosenEndpoint | undefined> {
     const candidates = this.#endpoints.filter(
-      ({ options, state }) =>
+      ({ options, state, isChoosable }) =>
+        isChoosable &&
         !excludedIds.has(options.id) &&
         (region === undefined || (options.region ?? 'region') === region) &&
         (state === FakeEndpointState.Live || this.#random.float() >= this.#knowsLostRatio),
--- a/bench/histories/fake-engine.ts
+++ b/bench/histories/fake-engine.ts
@@ -26,6 +26,8 @@
   readonly failureDomain: string;
   readonly region?: string;
   readonly tokenGapMs: number;
+  /** Interval of the client's reports of a silence, from its begin on; without it, there are none. */
+  readonly silenceReportMs?: number;
   /** Told of each generation that starts, with its request id and the tag of its prompt. */
   readonly onStart?: (requestId: string, tag: string) => void;
 }
@@ -42,6 +44,8 @@
 export class FakeEndpoint {
   readonly options: FakeEndpointOptions;
   state = FakeEndpointState.Live;
+  /** Whether daemons consider it for jobs. */
+  isChoosable = true;
   /** Streams open now; each can be made silent for good. */
   readonly streams = new Set<{ isSilent: boolean; readonly tag: string }>();
   /** Tokens generated on this endpoint. */
@@ -98,7 +102,7 @@
         if (signal.aborted) return;
         this.#check(id);
         this.generatedTokens += 1;
-        if (stream.isSilent) await new Promise<void>(() => undefined);
+        await this.#whileSilent(stream, send, signal);
         const text = `${tag}:${index} `;
         await send({ kind: GenerationEventKind.Token, text, chunkJson: '{}' });
       }
@@ -115,6 +119,21 @@
     }
   }
 
+  async #whileSilent(
+    stream: { readonly isSilent: boolean },
+    send: (event: GenerationEvent) => Promise<void>,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const { clock, silenceReportMs } = this.options;
+    if (stream.isSilent && silenceReportMs === undefined) {
+      await new Promise<void>(() => undefined);
+    }
+    while (stream.isSilent && silenceReportMs !== undefined && !signal.aborted) {
+      await send({ kind: GenerationEventKind.Silence });
+      await clock.sleepUntil(clock.nowMs() + silenceReportMs, signal);
+    }
+  }
+
   #check(id: string): void {
     if (this.state === FakeEndpointState.Live) return;
     throw new EngineError('the connection broke', {
--- a/bench/histories/simulated-endpoints.ts
+++ b/bench/histories/simulated-endpoints.ts
@@ -15,7 +15,7 @@
 
 export const regions = ['north', 'south'] as const;
 const endpointsPerRegion = 3;
-/** Silence of a stream after which the client gives it up, and bound of a connect. */
+/** Silence of a stream after which, and at which interval, the client reports it; bound of a connect. */
 const idleTimeoutMs = 3_000;
 const connectMs = 1_000;
 const tokenGapMs = 100;
@@ -226,6 +226,10 @@
   return isLost;
 }
 
+function isAborted({ aborted }: AbortSignal): boolean {
+  return aborted;
+}
+
 /** What goes wrong in one generation. */
 enum GenerationFault {
   None = 'none',
@@ -321,10 +325,12 @@
       if (signal.aborted || isGone(run) || (breaks && sent === faultAt)) {
         throw this.#error(EngineFailure.Broken, Outcome.Unknown);
       }
-      if (this.#isCut() || (fault === GenerationFault.Silent && sent === faultAt)) {
+      const isSilentForGood = fault === GenerationFault.Silent && sent === faultAt;
+      while (!isAborted(signal) && (isSilentForGood || this.#isCut())) {
         await this.#sleep(idleTimeoutMs, signal);
-        throw this.#error(EngineFailure.TimedOut, Outcome.Unknown);
+        if (!isAborted(signal)) await send({ kind: GenerationEventKind.Silence });
       }
+      if (isAborted(signal)) throw this.#error(EngineFailure.Broken, Outcome.Unknown);
       const text = `${workId}:${start + sent} `;
       await send({ kind: GenerationEventKind.Token, text, chunkJson: '{}' });
     }
--- a/src/admission/retry-policy.ts
+++ b/src/admission/retry-policy.ts
@@ -46,4 +46,9 @@
     if (atMs === undefined || !this.#budget.trySpend(failed.budgetKey)) return undefined;
     return atMs;
   }
+
+  /** Returns an attempt that was allowed but not made. */
+  refund(budgetKey: string): void {
+    this.#budget.refund(budgetKey);
+  }
 }
--- a/src/daemon/policy-retry-scheduler.ts
+++ b/src/daemon/policy-retry-scheduler.ts
@@ -40,4 +40,8 @@
       clock.nowMs(),
     );
   }
+
+  override refund({ workspaceId }: { readonly workspaceId: string }): void {
+    this.#options.policy.refund(workspaceId);
+  }
 }
--- a/src/daemon/routed-selector.ts
+++ b/src/daemon/routed-selector.ts
@@ -275,6 +275,10 @@
     this.#observer.token(this.#options.clock.nowMs());
   }
 
+  override recordSilence(): void {
+    this.#options.registry.recordFailure(this.endpointId, EngineFailure.TimedOut);
+  }
+
   checkStall(nowMs: number): void {
     this.#observer.checkStall(nowMs);
   }
--- a/src/engine/engine-client.ts
+++ b/src/engine/engine-client.ts
@@ -27,6 +27,8 @@
 export enum GenerationEventKind {
   Token = 'token',
   Heartbeat = 'heartbeat',
+  /** Nothing has arrived for the client's idle time. The stream stays open. */
+  Silence = 'silence',
   End = 'end',
 }
 
@@ -40,6 +42,7 @@
       readonly chunkJson: string;
     }
   | { readonly kind: GenerationEventKind.Heartbeat }
+  | { readonly kind: GenerationEventKind.Silence }
   | {
       readonly kind: GenerationEventKind.End;
       readonly finishReason: string;
@@ -70,7 +73,8 @@
   /**
    * Streams a generation and resolves after its end event. Aborting `signal` cancels the generation
    * at the engine. When `onEvent` returns a promise, reading pauses until it settles, which
-   * propagates a slow caller's back-pressure to the engine.
+   * propagates a slow caller's back-pressure to the engine. A silence is reported once for each idle
+   * time that it lasts; whether to wait on is the caller's decision.
    *
    * @throws EngineError with the endpoint's name and whether the engine may have started.
    */
--- a/src/engine/http-engine-client.ts
+++ b/src/engine/http-engine-client.ts
@@ -39,7 +39,7 @@
   readonly name: string;
   readonly baseUrl: string;
   readonly clock: Clock;
-  /** A stream that receives no data for this long fails. Read once for each stream. */
+  /** A stream that receives no data for this long is reported as silent. Read once for each stream. */
   readonly idleTimeoutMs: () => number;
   /** Receives what the engine says of itself in the response to a generation. */
   readonly onNotice?: (notice: EndpointNotice) => void;
@@ -50,7 +50,7 @@
  *
  * To continue a generation, the client sends the earlier text as the last assistant message with
  * `continue_final_message`. Each stream uses its own connection from the pool. The connection of a
- * stream that timed out is destroyed, not reused.
+ * stream that is given up is destroyed, not reused.
  *
  * @example
  * ```ts
@@ -186,6 +186,7 @@
 }
 
 const heartbeat: GenerationEvent = { kind: GenerationEventKind.Heartbeat };
+const silence: GenerationEvent = { kind: GenerationEventKind.Silence };
 
 /** Response handler of one generation. @internal */
 class GenerationStream implements Dispatcher.DispatchHandler {
@@ -220,7 +221,7 @@
       },
     });
     this.#lastDataAtMs = options.clock.nowMs();
-    this.#cancelIdleTimer = this.#armIdleTimer();
+    this.#cancelIdleTimer = this.#armIdleTimer(this.#lastDataAtMs);
     options.signal.addEventListener('abort', this.#onAbort, { once: true });
   }
 
@@ -340,18 +341,17 @@
     }
   }
 
-  #armIdleTimer(): () => void {
-    const { clock, idleTimeoutMs } = this.#options;
+  #armIdleTimer(sinceMs: number): () => void {
+    const { clock, idleTimeoutMs, onEvent } = this.#options;
     // One timer per stream, re-armed when it fires. Re-arming it on each token would cost more than
     // relaying the token.
-    return clock.schedule(this.#lastDataAtMs + idleTimeoutMs, () => {
+    return clock.schedule(sinceMs + idleTimeoutMs, () => {
       if (this.#isSettled) return;
-      if (this.#pendingWrites > 0) this.#lastDataAtMs = clock.nowMs();
-      if (clock.nowMs() - this.#lastDataAtMs >= idleTimeoutMs) {
-        this.fail(EngineFailure.TimedOut, `was silent for ${idleTimeoutMs} ms`, Outcome.Unknown);
-      } else {
-        this.#cancelIdleTimer = this.#armIdleTimer();
-      }
+      const nowMs = clock.nowMs();
+      if (this.#pendingWrites > 0) this.#lastDataAtMs = nowMs;
+      const isSilent = nowMs - this.#lastDataAtMs >= idleTimeoutMs;
+      this.#cancelIdleTimer = this.#armIdleTimer(isSilent ? nowMs : this.#lastDataAtMs);
+      if (isSilent) void onEvent(silence);
     });
   }
 
--- a/src/jobs/generation-attempt.ts
+++ b/src/jobs/generation-attempt.ts
@@ -15,7 +15,7 @@
   type JobFold,
   type RawEntry,
 } from '../state/index.js';
-import type { ChosenEndpoint, ReclaimNotice } from './endpoint-chooser.js';
+import type { ChosenEndpoint, EndpointChooser, ReclaimNotice } from './endpoint-chooser.js';
 import { HandoverKind, type HandoverPlanner } from './handover-planner.js';
 import { startLeaseRenewal } from './lease-renewal.js';
 
@@ -52,6 +52,9 @@
   readonly jobId: string;
   readonly fence: Fence;
   readonly endpoint: ChosenEndpoint;
+  readonly chooser: EndpointChooser;
+  /** Identities of the endpoints that cannot go on with the job. */
+  readonly excludedIds: ReadonlySet<string>;
   readonly policy: JobPolicy;
   readonly leaseMs: number;
   /** Factor from 1 to 4 that lengthens the checkpoint intervals while appends are throttled. */
@@ -86,6 +89,8 @@
   #flushPromise: Promise<void> | undefined;
   #end: AttemptEnd | undefined;
   #failure: EngineFailure | undefined;
+  #successor: ChosenEndpoint | undefined;
+  #isChoosingSuccessor = false;
   #lastEventAtMs: number;
   #firstTokenAtMs: number | undefined;
   #receivedTokens = 0;
@@ -109,6 +114,11 @@
     return this.#failure;
   }
 
+  /** Chosen when the endpoint fell silent; the job goes on there. Undefined for any other end. */
+  get successor(): ChosenEndpoint | undefined {
+    return this.#successor;
+  }
+
   /** Runs until the attempt has ended; rejects only on internal errors. */
   async run(): Promise<AttemptEnd> {
     const { clock, fold, jobId, policy, idleTimeoutMs } = this.#options;
@@ -203,6 +213,10 @@
       },
       (event) => {
         if (signal.aborted) return;
+        if (event.kind === GenerationEventKind.Silence) {
+          void this.#moveIfPossible(job);
+          return;
+        }
         this.#lastEventAtMs = this.#options.clock.nowMs();
         if (event.kind === GenerationEventKind.End) finishReason = event.finishReason;
         return this.#onEvent(event);
@@ -226,6 +240,30 @@
     return finishReason;
   }
 
+  /** Ends the attempt if another endpoint can go on; else the silent one still may. */
+  async #moveIfPossible(job: Job): Promise<void> {
+    const { chooser, excludedIds, endpoint } = this.#options;
+    if (this.#isChoosingSuccessor || this.#end !== undefined) return;
+    this.#isChoosingSuccessor = true;
+    const lastEventAtMs = this.#lastEventAtMs;
+    const successor = await chooser.choose({
+      job,
+      excludedIds: new Set([...excludedIds, endpoint.id]),
+    });
+    this.#isChoosingSuccessor = false;
+    if (!successor) return;
+    if (this.#hasEnded() || this.#lastEventAtMs !== lastEventAtMs) {
+      chooser.release(successor, undefined);
+      return;
+    }
+    this.#successor = successor;
+    this.#fail(EngineFailure.TimedOut);
+  }
+
+  #hasEnded(): boolean {
+    return this.#end !== undefined;
+  }
+
   #onEvent(event: GenerationEvent): void | Promise<void> {
     if (event.kind !== GenerationEventKind.Token || event.text === '') return;
     this.#receivedTokens += 1;
--- a/src/jobs/job-runner.ts
+++ b/src/jobs/job-runner.ts
@@ -116,9 +116,18 @@
         continue;
       }
       heldFence = fence;
-      const { end, failure, requestId } = await this.#runAttempt(endpoint, fence, kvHandle);
+      const { end, failure, successor, requestId } = await this.#runAttempt(
+        endpoint,
+        fence,
+        kvHandle,
+      );
       this.#countBroken(failure, job.recordedTokens);
       chooser.release(endpoint, failure);
+      if (successor && end === AttemptEnd.Failed) {
+        reserved = { endpoint: successor, kvHandle: undefined };
+      } else if (successor) {
+        chooser.release(successor, undefined);
+      }
       if (end === AttemptEnd.Finished) return RunnerEnd.Finished;
       if (end === AttemptEnd.Superseded) return RunnerEnd.Superseded;
       if (end === AttemptEnd.Stopped) continue;
@@ -129,7 +138,7 @@
         reason: failure ?? end,
       });
       if (end === AttemptEnd.ExportKv) reserved = await this.#migrateKv(endpoint, requestId);
-      if (end === AttemptEnd.Failed) await this.#pause();
+      if (end === AttemptEnd.Failed && !reserved) await this.#pause();
     }
   }
 
@@ -152,14 +161,21 @@
     endpoint: ChosenEndpoint,
     fence: Fence,
     kvHandle: string | undefined,
-  ): Promise<{ end: AttemptEnd; failure: EngineFailure | undefined; requestId: string }> {
-    const { clock, fold, writer, planner, policyFor, kvMigrator, ...rest } = this.#options;
+  ): Promise<{
+    end: AttemptEnd;
+    failure: EngineFailure | undefined;
+    successor: ChosenEndpoint | undefined;
+    requestId: string;
+  }> {
+    const { clock, fold, writer, planner, chooser, policyFor, kvMigrator, ...rest } = this.#options;
     const job = fold.job(this.#jobId);
     const attempt = new GenerationAttempt({
       clock,
       fold,
       writer,
       planner,
+      chooser,
+      excludedIds: this.#excludedIds,
       jobId: this.#jobId,
       fence,
       endpoint,
@@ -179,7 +195,9 @@
     if (notice) attempt.reclaim(notice);
     if (this.#stopController.signal.aborted) attempt.stop();
     try {
-      return { end: await ended, failure: attempt.failure, requestId: attempt.requestId };
+      const end = await ended;
+      const { failure, successor, requestId } = attempt;
+      return { end, failure, successor, requestId };
     } finally {
       this.#attempt = undefined;
     }
--- a/src/pipeline/endpoint-selector.ts
+++ b/src/pipeline/endpoint-selector.ts
@@ -35,7 +35,7 @@
   Rejected = 'rejected',
   /** The endpoint failed after it was connected, for example in the middle of the response. */
   Broken = 'broken',
-  /** No data arrived within the idle timeout. */
+  /** The endpoint was silent and was given up. */
   TimedOut = 'silent',
 }
 
@@ -59,6 +59,8 @@
 
   /** Records that one output token has arrived, for speed estimates. */
   abstract recordToken(): void;
+  /** Records that the endpoint is silent in the attempt, which goes on. */
+  abstract recordSilence(): void;
   abstract end(
     attemptEnd: AttemptEnd,
     usage?: { promptTokens: number; cachedTokens: number },
@@ -94,4 +96,7 @@
     },
     attemptsMade: number,
   ): number | undefined;
+
+  /** Returns an attempt that was taken from the retry budget but not made. */
+  abstract refund(request: { readonly workspaceId: string }): void;
 }
--- a/src/pipeline/generation-relay.ts
+++ b/src/pipeline/generation-relay.ts
@@ -7,6 +7,7 @@
   type GenerationEvent,
 } from '../engine/index.js';
 import type { HedgePolicy } from '../admission/index.js';
+import { AttemptRace, type Attempt } from './attempt-race.js';
 import type { ChatResponder, GenerationEnd } from './chat-responder.js';
 import {
   AttemptEnd,
@@ -61,7 +62,7 @@
 /**
  * Relays a generation from an endpoint to the caller. When the endpoint fails or leaves, another
  * endpoint continues after the text already sent, so that the caller receives one uninterrupted
- * answer.
+ * answer. A silent endpoint is given up only once another one has gone on, or at the deadline.
  *
  * @example
  * ```ts
@@ -93,14 +94,6 @@
   }
 }
 
-/** One attempt at an endpoint. @internal */
-interface Attempt {
-  readonly lease: EndpointLease;
-  readonly abortController: AbortController;
-  /** Whether another attempt produced its first token earlier. */
-  hasLost: boolean;
-}
-
 interface AttemptResult {
   readonly lease: EndpointLease;
   readonly failure: EngineError | undefined;
@@ -121,7 +114,7 @@
   #lastTokenAtMs = 0;
   #maxGapMs = 0;
   #end: GenerationEnd | undefined;
-  #winner: Attempt | undefined;
+  #isChoosingSuccessor = false;
 
   constructor(
     options: GenerationRelayOptions,
@@ -151,30 +144,23 @@
   }
 
   /**
-   * Runs an attempt and, when its first token is late and the hedge budget allows, a second one at
-   * another endpoint. The attempt that produces the first token continues; the other is cancelled.
+   * Runs an attempt and, when its first token is late and the hedge budget allows, or when it falls
+   * silent, a further one at another endpoint. The attempt that goes on first continues; the others
+   * are cancelled.
    */
   #runHedged(first: EndpointLease): Promise<AttemptResult> {
     return new Promise((resolve, reject) => {
-      const open = new Set<Attempt>();
-      let isOver = false;
+      const race = new AttemptRace();
       const start = (lease: EndpointLease): void => {
-        const attempt: Attempt = { lease, abortController: new AbortController(), hasLost: false };
-        open.add(attempt);
-        this.#runAttempt(attempt, open).then((failure) => {
-          open.delete(attempt);
-          const isDecisive = attempt === this.#winner || !failure || open.size === 0;
-          if (isOver || !isDecisive) return;
-          isOver = true;
+        const attempt = race.add(lease);
+        this.#runAttempt(attempt, race, start).then((failure) => {
+          if (failure && !attempt.hasLost) this.#excludedIds.add(lease.endpointId);
+          if (!race.end(attempt, !failure)) return;
           cancelHedge();
           resolve({ lease, failure });
         }, reject);
       };
-      const cancelHedge = this.#scheduleHedge(first, (lease) => {
-        if (isOver || this.#winner) lease.end(AttemptEnd.Cancelled);
-        else start(lease);
-      });
-      this.#winner = undefined;
+      const cancelHedge = this.#scheduleHedge(first, race, start);
       start(first);
     });
   }
@@ -184,7 +170,11 @@
    *
    * @returns a function that cancels the hedge.
    */
-  #scheduleHedge(first: EndpointLease, start: (lease: EndpointLease) => void): () => void {
+  #scheduleHedge(
+    first: EndpointLease,
+    race: AttemptRace,
+    start: (lease: EndpointLease) => void,
+  ): () => void {
     const { hedges, clock, selector } = this.#options;
     const { serviceId, workspaceId, workClass } = this.#task;
     if (!hedges || this.#hasSentChunks) return () => undefined;
@@ -192,26 +182,83 @@
     const delayMs = first.isProbe ? 0 : hedges.delayMs(serviceId, workClass);
     const atMs = clock.nowMs() + delayMs;
     return clock.schedule(atMs, () => {
-      if (this.#winner || this.#disconnectSignal.aborted) return;
+      if (race.isDecided || this.#disconnectSignal.aborted) return;
       if (!first.isProbe && !hedges.tryHedge(workspaceId, true)) return;
-      const excludedIds = new Set([...this.#excludedIds, first.endpointId]);
-      selector
-        .select({ ...this.#task, resumeText: '', excludedIds }, this.#disconnectSignal)
-        .then(start, () => {
+      const excludedIds = new Set([...this.#excludedIds, ...race.endpointIds]);
+      selector.select({ ...this.#task, resumeText: '', excludedIds }, this.#disconnectSignal).then(
+        (lease) => {
+          if (race.isDecided || this.#hasSentChunks) lease.end(AttemptEnd.Cancelled);
+          else start(lease);
+        },
+        () => {
           // No second endpoint is available; the first attempt continues alone.
           if (!first.isProbe) hedges.refund(workspaceId);
-        });
+        },
+      );
+    });
+  }
+
+  /**
+   * Calls `start` with another endpoint if all attempts are silent and another one may go on. They
+   * stay open, as each of them may go on as well.
+   */
+  async #startSuccessor(race: AttemptRace, start: (lease: EndpointLease) => void): Promise<void> {
+    if (this.#isChoosingSuccessor || !this.#needsSuccessor(race)) return;
+    const { retries, clock, selector } = this.#options;
+    const atMs = retries.nextAttemptAtMs(this.#task, this.#attempts);
+    if (atMs === undefined) return;
+    this.#isChoosingSuccessor = true;
+    await clock.sleepUntil(atMs, this.#disconnectSignal);
+    const excludedIds = new Set([...this.#excludedIds, ...race.endpointIds]);
+    const lease = this.#needsSuccessor(race)
+      ? await selector
+          .select(
+            { ...this.#task, resumeText: this.#sentText, excludedIds },
+            this.#disconnectSignal,
+          )
+          // No other endpoint is available; the silent ones may go on.
+          .catch(() => undefined)
+      : undefined;
+    this.#isChoosingSuccessor = false;
+    if (lease && this.#needsSuccessor(race)) {
+      start(lease);
+      return;
+    }
+    lease?.end(AttemptEnd.Cancelled);
+    retries.refund(this.#task);
+  }
+
+  #needsSuccessor(race: AttemptRace): boolean {
+    const canMove = this.#task.isResumable || !this.#hasSentChunks;
+    return canMove && race.isSilent && !this.#disconnectSignal.aborted;
+  }
+
+  /** Ends an attempt that is still silent when the deadline of the request has passed. */
+  #giveUpAtDeadline(attempt: Attempt): () => void {
+    const { clock } = this.#options;
+    return clock.schedule(Math.max(clock.nowMs(), this.#task.deadlineAtMs), () => {
+      if (!attempt.isSilent) return;
+      attempt.isGivenUp = true;
+      attempt.abortController.abort();
     });
   }
 
   /** Runs one attempt. Returns the error that ended it, or undefined after its end event. */
   async #runAttempt(
     attempt: Attempt,
-    open: ReadonlySet<Attempt>,
+    race: AttemptRace,
+    startNext: (lease: EndpointLease) => void,
   ): Promise<EngineError | undefined> {
     const { lease, abortController } = attempt;
     const task = this.#task;
     this.#attempts += 1;
+    let cancelGivingUp: () => void = () => undefined;
+    const onSilence = (): void => {
+      lease.recordSilence();
+      cancelGivingUp();
+      cancelGivingUp = this.#giveUpAtDeadline(attempt);
+      void this.#startSuccessor(race, startNext);
+    };
     const abort = (): void => {
       abortController.abort();
     };
@@ -231,7 +278,11 @@
           workClass: lease.engineClass ?? task.workClass,
           passThrough: task.passThrough,
         },
-        (event) => (this.#tryWin(attempt, event, open) ? this.#onEvent(event, lease) : undefined),
+        (event) => {
+          if (race.accept(attempt, event)) return this.#onEvent(event, lease);
+          if (event.kind === GenerationEventKind.Silence) onSilence();
+          return undefined;
+        },
         abortController.signal,
       );
       lease.end(AttemptEnd.Completed, this.#end);
@@ -241,30 +292,16 @@
         lease.end(AttemptEnd.Broken);
         throw error;
       }
-      lease.end(attempt.hasLost ? AttemptEnd.Cancelled : this.#attemptEndOf(error, lease));
-      return error;
+      const failure = attempt.isGivenUp ? silentUntilDeadline(lease, error) : error;
+      lease.end(attempt.hasLost ? AttemptEnd.Cancelled : this.#attemptEndOf(failure, lease));
+      return failure;
     } finally {
+      cancelGivingUp();
       this.#disconnectSignal.removeEventListener('abort', abort);
       lease.moveSignal.removeEventListener('abort', abort);
     }
   }
 
-  /**
-   * Whether to relay the attempt's events. The first attempt that produces a token or ends wins and
-   * cancels the other.
-   */
-  #tryWin(attempt: Attempt, event: GenerationEvent, open: ReadonlySet<Attempt>): boolean {
-    if (this.#winner) return this.#winner === attempt;
-    if (event.kind === GenerationEventKind.Heartbeat) return false;
-    this.#winner = attempt;
-    for (const other of open) {
-      if (other === attempt) continue;
-      other.hasLost = true;
-      other.abortController.abort();
-    }
-    return true;
-  }
-
   #attemptEndOf(error: EngineError, lease: EndpointLease): AttemptEnd {
     if (this.#disconnectSignal.aborted) return AttemptEnd.Cancelled;
     if (lease.moveSignal.aborted) return AttemptEnd.Moved;
@@ -280,6 +317,7 @@
         this.#end = event;
         return undefined;
       case GenerationEventKind.Heartbeat:
+      case GenerationEventKind.Silence:
         return undefined;
     }
   }
@@ -310,12 +348,14 @@
   async #prepareNextAttempt(lease: EndpointLease, failure: EngineError): Promise<void> {
     const { clock, retries } = this.#options;
     const isMove = lease.moveSignal.aborted;
-    this.#excludedIds.add(lease.endpointId);
     if (this.#disconnectSignal.aborted) throw this.#relayError(499, 'caller_gone', failure);
     if (failure.failure === EngineFailure.BadRequest) throw this.#engineRefusalError(failure);
     if (this.#hasSentChunks && !this.#task.isResumable) {
       throw this.#relayError(502, 'answer_interrupted', failure);
     }
+    if (failure.failure === EngineFailure.TimedOut && clock.nowMs() >= this.#task.deadlineAtMs) {
+      throw this.#relayError(504, 'endpoint_silent', failure);
+    }
     // The platform forces the move and the text so far is kept, so the move uses no retry budget.
     if (isMove) return;
     const atMs = retries.nextAttemptAtMs(this.#task, this.#attempts);
@@ -368,6 +408,15 @@
   }
 }
 
+function silentUntilDeadline({ endpointName }: EndpointLease, cause: EngineError): EngineError {
+  return new EngineError(`endpoint ${endpointName} was silent at the deadline`, {
+    peer: endpointName,
+    failure: EngineFailure.TimedOut,
+    outcome: Outcome.Unknown,
+    cause,
+  });
+}
+
 const attemptEndByFailure: Readonly<Record<EngineFailure, AttemptEnd>> = {
   [EngineFailure.ConnectionFailed]: AttemptEnd.ConnectionFailed,
   [EngineFailure.Rejected]: AttemptEnd.Rejected,
--- a/test/jobs/job-manager_test.ts
+++ b/test/jobs/job-manager_test.ts
@@ -40,6 +40,7 @@
     (id) =>
       new FakeEndpoint({
         clock: this.clock,
+        silenceReportMs: 500,
         id,
         failureDomain: `domain-${id}`,
         tokenGapMs: 50,
@@ -171,6 +172,38 @@
     expect(manager.get(jobId)).toMatchObject({ status: JobStatus.Done, text: expectedText(200) });
   });
 
+  // Each silence of the only endpoint ended the generation, and its prompt was computed anew.
+  it('waits for a silent endpoint that no other one can replace', async () => {
+    const fixture = new JobManagerFixture();
+    const { manager, chooser } = fixture.startDaemon('d1');
+    const jobId = await fixture.submit(manager, 200);
+    await fixture.clock.advance(1_000);
+    const busy = fixture.findBusyEndpoint()!;
+    for (const endpoint of fixture.endpoints) endpoint.isChoosable = endpoint === busy;
+    busy.silence();
+    await fixture.clock.advance(5_000);
+    for (const stream of busy.streams) stream.isSilent = false;
+    await fixture.clock.advance(20_000);
+    expect(manager.get(jobId)).toMatchObject({ status: JobStatus.Done, text: expectedText(200) });
+    expect(busy).toMatchObject({ starts: 1, generatedTokens: 200 });
+    expect(chooser.open).toBe(0);
+  });
+
+  it('moves a job off a silent endpoint as soon as its silence is reported', async () => {
+    const fixture = new JobManagerFixture();
+    const { manager, chooser } = fixture.startDaemon('d1');
+    const jobId = await fixture.submit(manager, 200);
+    await fixture.clock.advance(1_000);
+    const silent = fixture.findBusyEndpoint()!;
+    silent.silence();
+    await fixture.clock.advance(4_000);
+    expect(silent.streams.size).toBe(0);
+    expect(fixture.findBusyEndpoint()).toBeDefined();
+    await fixture.clock.advance(20_000);
+    expect(manager.get(jobId)).toMatchObject({ status: JobStatus.Done, text: expectedText(200) });
+    expect(chooser.open).toBe(0);
+  });
+
   it('moves a job to another endpoint before a reclaim and recomputes no recorded token', async () => {
     const fixture = new JobManagerFixture();
     const { manager } = fixture.startDaemon('d1');
--- a/test/pipeline/generation-relay_test.ts
+++ b/test/pipeline/generation-relay_test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { Outcome, RequestError, VirtualClock, WorkClass } from '../../src/core/index.js';
+import { Outcome, RequestError, VirtualClock } from '../../src/core/index.js';
 import {
   EngineClient,
   EngineError,
@@ -9,16 +9,14 @@
   type GenerationRequest,
   type LoadReport,
 } from '../../src/engine/index.js';
+import { AttemptEnd, GenerationRelay, type GenerationTask } from '../../src/pipeline/index.js';
 import {
-  AttemptEnd,
-  ChatResponder,
-  EndpointLease,
-  EndpointSelector,
-  GenerationRelay,
-  RetryScheduler,
-  type GenerationTask,
-  type SelectionRequest,
-} from '../../src/pipeline/index.js';
+  CollectingResponder,
+  CountingRetryScheduler,
+  ScriptedLease,
+  ScriptedSelector,
+  task,
+} from './relay-fixtures.js';
 
 const answerTokens = ['a ', 'b ', 'c ', 'd '];
 
@@ -83,94 +81,6 @@
   }
 }
 
-class ScriptedLease extends EndpointLease {
-  readonly ends: AttemptEnd[] = [];
-  readonly moveController = new AbortController();
-  override readonly moveSignal = this.moveController.signal;
-  override readonly endpointId: string;
-  override readonly client: EngineClient;
-
-  constructor(endpointId: string, client: EngineClient) {
-    super();
-    this.endpointId = endpointId;
-    this.client = client;
-  }
-
-  override get endpointName(): string {
-    return this.endpointId;
-  }
-
-  override recordToken(): void {
-    // Not observed by these tests.
-  }
-
-  override end(attemptEnd: AttemptEnd): void {
-    this.ends.push(attemptEnd);
-  }
-}
-
-class ScriptedSelector extends EndpointSelector {
-  readonly selections: SelectionRequest[] = [];
-  readonly #leases: ScriptedLease[];
-
-  constructor(leases: ScriptedLease[]) {
-    super();
-    this.#leases = leases;
-  }
-
-  override select(request: SelectionRequest): Promise<EndpointLease> {
-    this.selections.push({ ...request, excludedIds: new Set(request.excludedIds) });
-    const lease = this.#leases.find(({ endpointId }) => !request.excludedIds.has(endpointId));
-    return lease ? Promise.resolve(lease) : Promise.reject(new Error('no endpoint left'));
-  }
-}
-
-class CountingRetryScheduler extends RetryScheduler {
-  usedCount = 0;
-  readonly #limit: number;
-
-  constructor(limit: number) {
-    super();
-    this.#limit = limit;
-  }
-
-  override nextAttemptAtMs(): number | undefined {
-    return this.usedCount++ < this.#limit ? 0 : undefined;
-  }
-}
-
-class CollectingResponder extends ChatResponder {
-  text = '';
-  ends = 0;
-
-  override writeToken(text: string): undefined {
-    this.text += text;
-    return undefined;
-  }
-
-  override writeKeepAlive(): void {
-    // Not observed by these tests.
-  }
-
-  override end(): void {
-    this.ends += 1;
-  }
-}
-
-const task: GenerationTask = {
-  requestId: 'r1',
-  serviceId: 'team/service',
-  workspaceId: 'team/workspace',
-  model: 'm',
-  messages: [{ role: 'user', content: 'hello' }],
-  maxTokens: 100,
-  expectedOutputTokens: 4,
-  workClass: WorkClass.Short,
-  deadlineAtMs: 1e12,
-  isResumable: true,
-  passThrough: {},
-};
-
 interface RelayFixture {
   readonly responder: CollectingResponder;
   readonly selector: ScriptedSelector;
