Open a connection for each engine stream and each call of a plain service

A generation that ran was reported as not run (503, 4xx); a call got another call's answer; the answer of a status query about another key would have been recorded as the outcome of a call.

Cause: HttpEngineClient and ServiceClient used kept connections, and nothing in the responses names the request.

Calls that run at most once held, they have had their own connection.

Cost: one connection for each stream and call; not measured.

--- a/src/engine/http-engine-client.ts
+++ b/src/engine/http-engine-client.ts
@@ -49,8 +49,8 @@
  * {@link EngineClient} for engines with the OpenAI chat API over HTTP.
  *
  * To continue a generation, the client sends the earlier text as the last assistant message with
- * `continue_final_message`. Each stream uses its own connection from the pool. The connection of a
- * stream that is given up is destroyed, not reused.
+ * `continue_final_message`. Each stream has a connection of its own: on a reused one, what the engine
+ * still had to say to an earlier request would be taken for the response.
  *
  * @example
  * ```ts
@@ -63,13 +63,15 @@
   readonly #clock: Clock;
   readonly #idleTimeoutMs: () => number;
   readonly #onNotice: (notice: EndpointNotice) => void;
-  readonly #agent = new Agent({
-    pipelining: 1,
+  /** Connections of generations, each for one only. */
+  readonly #streams = new Agent({
+    pipelining: 0,
     connections: null,
     headersTimeout: 0,
     bodyTimeout: 0,
     connect: { timeout: 2_000 },
   });
+  readonly #agent = new Agent({ pipelining: 1, connect: { timeout: 2_000 } });
 
   constructor(options: HttpEngineClientOptions) {
     super();
@@ -100,7 +102,7 @@
         stream.fail(EngineFailure.Broken, 'cancelled before it was sent', Outcome.NotRun);
         return;
       }
-      this.#agent.dispatch(
+      this.#streams.dispatch(
         {
           origin: this.#baseUrl,
           path: '/v1/chat/completions',
@@ -154,7 +156,7 @@
 
   /** Closes all connections; streams in flight fail. */
   async close(): Promise<void> {
-    await this.#agent.destroy();
+    await Promise.all([this.#streams.destroy(), this.#agent.destroy()]);
   }
 }
 
--- a/src/engine/service-client.ts
+++ b/src/engine/service-client.ts
@@ -1,9 +1,10 @@
-import type { IncomingMessage, ServerResponse } from 'node:http';
-import { Agent, request, type Dispatcher } from 'undici';
+import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from 'node:http';
+import { pipeline } from 'node:stream/promises';
 import { Outcome, outcomeHeader } from '../core/index.js';
 import { maxControlResponseBytes, readBounded } from '../core/response-body.js';
 import { noticeOfRetryAfter, type EndpointNotice } from '../fleet/endpoint-notice.js';
 import { EngineError, EngineFailure } from './engine-error.js';
+import { ConnectTimeoutError, SingleUseConnections } from './service-request.js';
 
 /** Headers that apply to a single connection and are not forwarded. */
 const hopByHopHeaders = new Set([
@@ -40,7 +41,8 @@
 
 /**
  * Forwards HTTP calls to plain services, that is, services that are not model engines. Both bodies
- * are streamed. It never retries a call; the caller decides which calls may be repeated.
+ * are streamed. It never retries a call; the caller decides which calls may be repeated. Each call
+ * has a connection of its own.
  *
  * @example
  * ```ts
@@ -48,7 +50,7 @@
  * ```
  */
 export class ServiceClient {
-  readonly #agent = new Agent({ pipelining: 1, connect: { timeout: 2_000 } });
+  readonly #connections = new SingleUseConnections();
 
   /**
    * Relays one call.
@@ -64,33 +66,28 @@
   ): Promise<void> {
     const response = await this.#send(incoming, options);
     const retryAfter = response.headers['retry-after'];
-    options.onNotice?.(noticeOfRetryAfter(response.statusCode, retryAfter?.toString()));
+    const status = response.statusCode ?? 502;
+    options.onNotice?.(noticeOfRetryAfter(status, retryAfter));
     if (outgoing.destroyed) {
-      response.body.destroy();
+      response.destroy();
       return;
     }
-    const isFailure = response.statusCode >= 400;
-    outgoing.writeHead(response.statusCode, {
+    const isFailure = status >= 400;
+    outgoing.writeHead(status, {
       ...forwardedHeaders(response.headers),
       'x-request-id': options.requestId,
       // The service returned an error status; whether it did any work before that is unknown.
       ...(isFailure ? { [outcomeHeader]: Outcome.Unknown } : {}),
     });
-    await new Promise<void>((resolve) => {
-      response.body.once('error', () => {
-        outgoing.destroy();
-        resolve();
-      });
-      outgoing.once('close', resolve);
-      response.body.pipe(outgoing);
-    });
+    // A failure destroys both, so that the response does not look complete.
+    await pipeline(response, outgoing).catch(() => undefined);
   }
 
   /**
    * Reads a small resource of a service within `timeoutMs`, body included. Of the response headers,
    * only `content-type` is returned.
    *
-   * @throws an undici error when no complete response arrives within `timeoutMs`, and
+   * @throws an error of Node when no complete response arrives within `timeoutMs`, and
    * BodyTooLargeError for a resource that is not small.
    */
   async get(
@@ -98,43 +95,44 @@
     path: string,
     timeoutMs: number,
   ): Promise<{ status: number; headers: Record<string, string>; body: Uint8Array }> {
-    const response = await request(`${baseUrl}${path}`, {
+    const response = await this.#connections.send({
+      url: `${baseUrl}${path}`,
+      method: 'GET',
+      headers: {},
+      body: undefined,
+      timeoutMs,
       signal: AbortSignal.timeout(timeoutMs),
-      dispatcher: this.#agent,
     });
     const type = response.headers['content-type'];
     return {
-      status: response.statusCode,
-      headers: typeof type === 'string' ? { 'content-type': type } : {},
-      body: new Uint8Array(await readBounded(response.body, maxControlResponseBytes)),
+      status: response.statusCode ?? 502,
+      headers: type === undefined ? {} : { 'content-type': type },
+      body: new Uint8Array(await readBounded(response, maxControlResponseBytes)),
     };
   }
 
   /** Destroys all connections; calls that are still running fail. */
-  async close(): Promise<void> {
-    await this.#agent.destroy();
+  close(): Promise<void> {
+    this.#connections.close();
+    return Promise.resolve();
   }
 
-  async #send(
-    incoming: IncomingMessage,
-    options: ServiceRelayOptions,
-  ): Promise<Dispatcher.ResponseData> {
+  async #send(incoming: IncomingMessage, options: ServiceRelayOptions): Promise<IncomingMessage> {
     const { name, baseUrl, path, timeoutMs, signal } = options;
     const method = incoming.method ?? 'GET';
     const hasBody = method !== 'GET' && method !== 'HEAD';
     try {
-      return await request(`${baseUrl}${path}`, {
+      return await this.#connections.send({
+        url: `${baseUrl}${path}`,
         method,
-        headers: { ...forwardedHeaders(incoming.headers), 'x-request-id': options.requestId },
-        body: hasBody ? incoming : null,
-        headersTimeout: timeoutMs,
-        bodyTimeout: timeoutMs,
+        headers: requestHeaders(incoming, hasBody, options.requestId),
+        body: hasBody ? incoming : undefined,
+        timeoutMs,
         signal,
-        dispatcher: this.#agent,
       });
     } catch (error) {
       const code = (error as { code?: unknown }).code;
-      const isConnectionFailure = code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT';
+      const isConnectionFailure = code === 'ECONNREFUSED' || error instanceof ConnectTimeoutError;
       throw new EngineError(`endpoint ${name} brought no answer`, {
         peer: name,
         failure: isConnectionFailure ? EngineFailure.ConnectionFailed : EngineFailure.Broken,
@@ -145,6 +143,22 @@
   }
 }
 
+/** Headers of the request to the service. Node frames no body of a DELETE by itself. */
+function requestHeaders(
+  { headers }: IncomingMessage,
+  hasBody: boolean,
+  requestId: string,
+): OutgoingHttpHeaders {
+  const { 'content-length': length, ...forwarded } = forwardedHeaders(headers);
+  const framing =
+    typeof length === 'string'
+      ? { 'content-length': length }
+      : headers['transfer-encoding'] !== undefined
+        ? { 'transfer-encoding': 'chunked' }
+        : {};
+  return { ...forwarded, ...(hasBody ? framing : {}), 'x-request-id': requestId };
+}
+
 /** Omits hop-by-hop headers and `authorization`, since the caller's key is for the gateway only. */
 function forwardedHeaders(
   headers: Readonly<Record<string, string | string[] | undefined>>,
--- a/test/engine/service-client_test.ts
+++ b/test/engine/service-client_test.ts
@@ -1,5 +1,11 @@
 import { once } from 'node:events';
-import { createServer, request as httpRequest, type IncomingMessage } from 'node:http';
+import {
+  createServer,
+  request as httpRequest,
+  type IncomingMessage,
+  type RequestListener,
+} from 'node:http';
+import { text } from 'node:stream/consumers';
 import type { Server } from 'node:http';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { closeServer, listen } from '../../src/core/listener.js';
@@ -24,6 +30,25 @@
     return listen(server, '127.0.0.1', 0);
   }
 
+  /** Serves a relay to a service that behaves so; answers 502 for a call that failed. */
+  async function serveRelay(service: RequestListener, timeoutMs = 10_000): Promise<number> {
+    const servicePort = await serve(createServer(service));
+    return serve(
+      createServer((request, response) => {
+        client
+          .relay(request, response, {
+            name: 'service',
+            baseUrl: `http://127.0.0.1:${servicePort}`,
+            path: '/',
+            requestId: 'r-1',
+            timeoutMs,
+            signal: new AbortController().signal,
+          })
+          .catch(() => response.writeHead(502).end());
+      }),
+    );
+  }
+
   it('streams both bodies at the same time, without buffering either', async () => {
     const echoPort = await serve(
       createServer((request, response) => {
@@ -78,4 +103,59 @@
     expect((await fetch(`http://127.0.0.1:${port}/`)).status).toBe(503);
     expect(notices).toEqual([{ isLeaving: false, pauseMs: 4_000, unreadable: [] }]);
   });
+
+  // Node frames no body of a DELETE by itself: its bytes would have been read as the next request.
+  it('passes on a body without a length for each method', async () => {
+    const received: [string | undefined, string][] = [];
+    const port = await serveRelay((request, response) => {
+      void text(request).then((body) => {
+        received.push([request.method, body]);
+        response.end('ok');
+      });
+    });
+    for (const method of ['DELETE', 'POST', 'PUT']) {
+      const caller = httpRequest({
+        port,
+        method,
+        path: '/',
+        headers: { 'transfer-encoding': 'chunked' },
+      });
+      caller.write('first ');
+      caller.end('second');
+      const [response] = (await once(caller, 'response')) as [IncomingMessage];
+      expect(await text(response)).toBe('ok');
+    }
+    const whole = 'first second';
+    expect(received).toEqual([
+      ['DELETE', whole],
+      ['POST', whole],
+      ['PUT', whole],
+    ]);
+  });
+
+  it('answers a HEAD and a GET that has a body, which is not passed on', async () => {
+    const port = await serveRelay((request, response) => {
+      response.writeHead(200, { 'content-length': '2' }).end(request.method === 'GET' ? 'ok' : '');
+    });
+    const head = await fetch(`http://127.0.0.1:${port}/`, { method: 'HEAD' });
+    expect([head.status, head.headers.get('content-length')]).toEqual([200, '2']);
+    const caller = httpRequest({ port, path: '/', headers: { 'content-length': '4' } });
+    caller.end('body');
+    const [response] = (await once(caller, 'response')) as [IncomingMessage];
+    expect(await text(response)).toBe('ok');
+  });
+
+  it('gives a service up that sends nothing, and waits for a caller that does', async () => {
+    const timeoutMs = 100;
+    const silentPort = await serveRelay(() => undefined, timeoutMs);
+    expect((await fetch(`http://127.0.0.1:${silentPort}/`)).status).toBe(502);
+    const echoPort = await serveRelay((request, response) => request.pipe(response), timeoutMs);
+    const caller = httpRequest({ port: echoPort, method: 'POST', path: '/' });
+    const responded = once(caller, 'response');
+    caller.write('first ');
+    await new Promise((resolve) => setTimeout(resolve, 5 * timeoutMs));
+    caller.end('second');
+    const [response] = (await responded) as [IncomingMessage];
+    expect(await text(response)).toBe('first second');
+  });
 });
