Break calls whose connection is reset in a body without a length

For a call that runs at most once, the short answer was recorded as its outcome and replayed to repeats. The same for calls of the store and the platform.

Evidence: misbehaving-endpoint_test (daemon), responses cut at each byte, by an end or a reset, with a length, in chunks, with trailers, without a length: 4 of 32 failed before, the reset without a length of all four clients; the 28 others hold. An orderly end of a body without a length is its end and cannot be told from a cut.

Change: onResetBeforeEnd, as the gateway does for its endpoints; a response that is complete by its framing stays whole.

--- a/src/calls/http-back-end-caller.ts
+++ b/src/calls/http-back-end-caller.ts
@@ -2,6 +2,7 @@
 import { connect as connectTcp, type Socket } from 'node:net';
 import { connect as connectTls } from 'node:tls';
 import type { Clock } from '../core/index.js';
+import { onResetBeforeEnd } from '../core/reset-detection.js';
 import {
   BackEndCaller,
   BackEndCallError,
@@ -103,6 +104,7 @@
         },
       );
       outgoing.once('error', reject);
+      onResetBeforeEnd(outgoing, reject);
       outgoing.end(request.body);
     });
   }
--- a/src/core/http-connection.ts
+++ b/src/core/http-connection.ts
@@ -1,5 +1,6 @@
 import { Agent, request as httpRequest, type IncomingMessage } from 'node:http';
 import { scheduleTimer } from './event-loop.js';
+import { onResetBeforeEnd } from './reset-detection.js';
 
 /** An IP address with a port. */
 export interface SocketAddress {
@@ -79,6 +80,7 @@
         outgoing.destroy(new Error('response timeout')),
       );
       outgoing.on('error', fail);
+      onResetBeforeEnd(outgoing, fail);
       outgoing.end(body);
     });
   }
--- a/src/engine/service-request.ts
+++ b/src/engine/service-request.ts
@@ -7,6 +7,7 @@
 } from 'node:http';
 import { Agent as HttpsAgent, request as httpsRequest } from 'node:https';
 import type { Socket } from 'node:net';
+import { onResetBeforeEnd } from '../core/reset-detection.js';
 
 /** A request to a plain service. */
 export interface ServiceRequest {
@@ -60,6 +61,7 @@
       outgoing.once('socket', (socket) => {
         limitWaits(outgoing, socket, request, () => response);
       });
+      onResetBeforeEnd(outgoing, fail);
       if (request.body) request.body.pipe(outgoing);
       else outgoing.end();
     });
--- a/test/daemon/misbehaving-endpoint_test.ts
+++ b/test/daemon/misbehaving-endpoint_test.ts
@@ -94,6 +94,54 @@
   ['a call of the store or the platform', platformCall],
 ];
 
+const body = 'a whole body';
+const statusLine = 'HTTP/1.1 200 OK\r\n';
+const trailers = 'x-sum: 1\r\n';
+const framings: Readonly<Record<string, string>> = {
+  'with a length': `${statusLine}content-length: ${body.length}\r\n\r\n${body}`,
+  'in chunks': `${statusLine}transfer-encoding: chunked\r\n\r\n5\r\na who\r\n7\r\nle body\r\n0\r\n\r\n`,
+  'in chunks with trailers': `${statusLine}trailer: x-sum\r\ntransfer-encoding: chunked\r\n\r\nc\r\n${body}\r\n0\r\n${trailers}\r\n`,
+  'without a length': `${statusLine}content-type: text/plain\r\n\r\n${body}`,
+};
+
+// Callers got a 200 with an empty or short body as if it were whole.
+describe.each(clients)('%s whose endpoint breaks its response off', (_name, connect) => {
+  const ends: [string, RawBehaviour][] = [
+    ['ends', ({ socket }) => socket.end()],
+    ['is reset', ({ socket }) => socket.resetAndDestroy()],
+  ];
+  const cases = Object.entries(framings).flatMap(([framing, response]) =>
+    ends.map(([how, end]) => [how, framing, response, end] as const),
+  );
+
+  it.each(cases)('fails or gets it whole when it %s: %s', async (how, framing, response, end) => {
+    const endpoint = await listenRaw((request) => {
+      const cut = Number(/\/cut\/(\d+)/.exec(request.head)?.[1]);
+      request.socket.write(response.slice(0, cut));
+      // The response is read before the end, or with it.
+      if (cut % 2 === 0) end(request, cut);
+      else setTimeout(() => end(request, cut), 20);
+    });
+    const call = await connect(endpoint);
+    const headLength = response.indexOf('\r\n\r\n') + 4;
+    // An orderly end is the end of a body without a length, wherever it comes.
+    const hasOwnEnd = framing !== 'without a length' || how !== 'ends';
+    const cuts = Array.from({ length: hasOwnEnd ? response.length : headLength }, (_, cut) => cut);
+    const takenForWhole: string[] = [];
+    for (let at = 0; at < cuts.length; at += 16) {
+      await Promise.all(
+        cuts.slice(at, at + 16).map(async (cut) => {
+          const answer = await call(`/cut/${cut}`).catch(() => undefined);
+          if (answer?.status === 200 && answer.body !== body) {
+            takenForWhole.push(`${cut}: "${answer.body}"`);
+          }
+        }),
+      );
+    }
+    expect(takenForWhole).toEqual([]);
+  });
+});
+
 const refusal = 'HTTP/1.1 503 Service Unavailable\r\ncontent-length: 4\r\n\r\nfull';
 
 /** Answers the first request, and writes this answer once more when the second one arrives. */
