Compare ids before an RPC error counts as not run

Callers would see (REFUSED, TWICE): the owner of a shard ran a call, an earlier error ("method not found", "invalid request") arrived once more on the connection, and the daemon took the call for not run and ran it itself.

Cause: RpcClient read errors before it compared ids, and an error without an id as its own.

Evidence: rpc-client_test, an error with the id of an earlier call and one without an id: failed before. Found by reading; the daemons' own server repeats nothing.

Change: an answer with another id breaks the call; an error without an id does not prove that nothing ran.

--- a/src/rpc/rpc-client.ts
+++ b/src/rpc/rpc-client.ts
@@ -147,17 +147,19 @@
 }
 
 function resultOf(answer: JSONRPCResponse, id: number, method: string, peerUrl: string): unknown {
+  // The error for a call that the peer could not read has no id; it may be that of an earlier call.
+  const isErrorWithoutId = answer.error !== undefined && answer.id === null;
+  if (answer.id !== id && !isErrorWithoutId) {
+    throw new RpcError(`answer to "${method}" carries the id of another call`, peerUrl, true);
+  }
   if (answer.error) {
     const { code, message } = answer.error;
     throw new RpcError(
       `"${method}" failed at the peer: ${message}`,
       peerUrl,
-      !notRunCodes.includes(code),
+      isErrorWithoutId || !notRunCodes.includes(code),
     );
   }
-  if (answer.id !== id) {
-    throw new RpcError(`answer to "${method}" carries the id of another call`, peerUrl, true);
-  }
   return answer.result as unknown;
 }
 
--- a/test/rpc/rpc-client_test.ts
+++ b/test/rpc/rpc-client_test.ts
@@ -98,6 +98,22 @@
     });
   });
 
+  // An earlier error that arrived once more said of a method that ran that it had not.
+  it('does not take the error of another call for its own', async () => {
+    for (const id of [1, null]) {
+      const answer = { jsonrpc: '2.0', id, error: { code: -32601, message: 'Method not found' } };
+      const url = await listen(
+        createServer((request, response) => {
+          request.resume().once('end', () => response.end(JSON.stringify(answer)));
+        }),
+      );
+      const client = connect('');
+      await failureOf(client.call(url, 'first', {}, callOptions));
+      const second = await failureOf(client.call(url, 'second', {}, callOptions));
+      expect(second.mayHaveRun).toBe(true);
+    }
+  });
+
   it('rejects a second registration of a method', () => {
     const server = new RpcServer({ authenticator: () => true });
     server.register('a', () => Promise.resolve(1));
