End an attempt whose engine sends an error without end

Cause: HttpEngineClient kept 4 KiB of an error, but read it to its end before it failed the attempt. Since silences no longer end streams, an error whose body fell silent held the attempt as well.

Errors over 1 MiB held: their text reaches no caller's stream, which ends without data: [DONE].

Change: the attempt fails after 4,096 characters, or at the first silence.

--- a/src/engine/http-engine-client.ts
+++ b/src/engine/http-engine-client.ts
@@ -26,6 +26,9 @@
 /** Longest event accepted from an engine, so that a faulty engine cannot exhaust memory. */
 const maxEventChars = 1_048_576;
 
+/** Characters of an error response that are read; it may have no end. */
+const maxErrorChars = 4_096;
+
 const loadResponseSchema = z.object({
   running_requests: z.number().nonnegative(),
   queued_requests: z.number().nonnegative(),
@@ -248,7 +251,8 @@
     this.#lastDataAtMs = this.#options.clock.nowMs();
     const text = this.#decoder.write(chunk);
     if (this.#status !== 200) {
-      if (this.#errorText.length < 4_096) this.#errorText += text;
+      this.#errorText += text;
+      if (this.#errorText.length > maxErrorChars) this.#failWithErrorStatus();
       return;
     }
     try {
@@ -353,7 +357,10 @@
       if (this.#pendingWrites > 0) this.#lastDataAtMs = nowMs;
       const isSilent = nowMs - this.#lastDataAtMs >= idleTimeoutMs;
       this.#cancelIdleTimer = this.#armIdleTimer(isSilent ? nowMs : this.#lastDataAtMs);
-      if (isSilent) void onEvent(silence);
+      if (!isSilent) return;
+      // The rest of an error response is not worth a wait.
+      if (this.#status !== 0 && this.#status !== 200) this.#failWithErrorStatus();
+      else void onEvent(silence);
     });
   }
 
--- a/test/pipeline/silent-engine_test.ts
+++ b/test/pipeline/silent-engine_test.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import { afterEach, describe, expect, it, vi } from 'vitest';
 import { Outcome, SystemClock } from '../../src/core/index.js';
 import { HttpEngineClient } from '../../src/engine/index.js';
@@ -33,6 +34,15 @@
 
 const rest = `${chunk('b ')}${chunk('', 'stop')}data: [DONE]\n\n`;
 
+/** Writes for as long as the receiver takes it. */
+function writeForever(socket: Socket, piece: string): void {
+  const fill = (): void => {
+    while (!socket.destroyed && socket.write(piece));
+  };
+  socket.on('drain', fill);
+  fill();
+}
+
 interface Play {
   readonly engines: readonly RawEndpoint[];
   readonly leases: readonly ScriptedLease[];
@@ -158,6 +168,47 @@
     expect(played.leases[0]).toMatchObject({ ends: [AttemptEnd.Cancelled] });
   });
 
+  describe('answers with an error', () => {
+    const errorHead = 'HTTP/1.1 500 Oops\r\nconnection: close\r\n\r\n';
+    const errors: [string, RawBehaviour][] = [
+      ['whose body has no end', ({ socket }) => writeForever(socket, 'x'.repeat(65_536))],
+      ['whose body falls silent', ({ socket }) => socket.write('stack trace')],
+      ['over 1 MiB', ({ socket }) => socket.end('x'.repeat(2 * 1_048_576))],
+    ];
+
+    // Such an error held its request for as long as the engine wrote, or its caller waited.
+    it.each(errors)('%s, and the next engine answers', async (_kind, writeBody) => {
+      const played = await play([
+        (request, index) => {
+          request.socket.write(errorHead);
+          writeBody(request, index);
+        },
+        ({ socket }) => socket.end(streamHead + chunk('a ') + rest),
+      ]);
+      await expectWhole(played);
+      expect(played.leases[0]?.ends).toEqual([AttemptEnd.Broken]);
+    });
+
+    // Callers of other systems found the text of such an error in their stream.
+    it.each(errors)(
+      '%s after a stream broke off: the stream is not whole',
+      async (_kind, writeBody) => {
+        const played = await play(
+          [
+            ({ socket }) => socket.end(streamHead + chunk('a ')),
+            (request, index) => {
+              request.socket.write(errorHead);
+              writeBody(request, index);
+            },
+          ],
+          { retries: 1 },
+        );
+        await expect(played.result).rejects.toMatchObject({ code: 'attempts_exhausted' });
+        expect(played.responder).toMatchObject({ text: 'a ', ends: 0 });
+      },
+    );
+  });
+
   // A connection that has gone silent for good held its request and its caller without an end.
   it('is given up at the deadline of the request', async () => {
     const deadlineAtMs = clock.nowMs() + 5 * idleTimeoutMs;
