Name no part by five crashes while reports may be missing, until a deadline

Cause: by three crashes a daemon names a part only if the reports of all daemons arrived since before them; by five crashes and 2.5 s (CrashCandidate.isOverdue) it did not ask. It then knows bystanders of its own, while the reports that show the cause are at others.

Change: CrashCandidate.dueAtMs: five crashes and 2.5 s count for crashes of which all reports arrived; else the part is named 2.5 s after its fifth crash, by when the reports come by the store or the verdict of a daemon that has them. That keeps the bound of 4 s after the fifth crash when they never come. CauseFinder decides at that deadline, not up to a second later.

Tests: two of CrashEvidence (reports that come by the store; crashes before the reports of all arrived) failed before: "expected [ [ 'bystander' ] ] to deeply equal []".

--- a/src/quarantine/cause-finder.ts
+++ b/src/quarantine/cause-finder.ts
@@ -76,5 +76,6 @@
     const causes = evidence.causes(nowMs, reportsCompleteSinceMs(), mayName);
     this.#deferredAtMs = deferredAtMs;
     for (const cause of causes) onCause(cause);
+    this.#schedule(evidence.nextDueAtMs(nowMs, reportsCompleteSinceMs()));
   }
 }
--- a/src/quarantine/crash-candidate.ts
+++ b/src/quarantine/crash-candidate.ts
@@ -8,6 +8,13 @@
 const minUnclearCrashes = 5;
 const unclearMs = 2_500;
 
+/**
+ * Time after the fifth crash for what is missing: the reports of daemons whose datagrams do not
+ * arrive come by the store, or the verdict of one that has them. A part whose reports never come is
+ * named then, as its requests may reach no endpoint from 4 s after that crash on.
+ */
+const missingReportsMs = 2_500;
+
 /** Time in which the reports of a crash arrive from all daemons that had requests there. */
 const reportTransitMs = 300;
 
@@ -58,10 +65,22 @@
     return countEvents(reported);
   }
 
-  /** Whether a sound part would have been cleared by now. */
-  isOverdue(nowMs: number): boolean {
-    const { size } = this.#options.crashes;
-    return size >= minUnclearCrashes && nowMs - this.firstCrashAtMs >= unclearMs;
+  /**
+   * Deadline in epoch milliseconds from which the part is named although it is not clear, as a sound
+   * one would have been cleared by then; infinite while it was at too few crashes.
+   *
+   * @param completeSinceMs - time since which the reports of all daemons arrive, in epoch milliseconds.
+   */
+  dueAtMs(completeSinceMs: number): number {
+    const atMs = this.#times()
+      .map(({ crashedAtMs }) => crashedAtMs)
+      .toSorted((a, b) => a - b);
+    const completeAtMs = atMs.filter((crashedAtMs) => crashedAtMs >= completeSinceMs);
+    const clearedAtMs = Math.max(
+      nthCrashAtMs(completeAtMs, 1) + unclearMs,
+      nthCrashAtMs(completeAtMs, minUnclearCrashes),
+    );
+    return Math.min(clearedAtMs, nthCrashAtMs(atMs, minUnclearCrashes) + missingReportsMs);
   }
 
   /** Whether the part was there at most of the crashes of another one. */
@@ -91,3 +110,8 @@
     return [...this.#options.crashes.values()];
   }
 }
+
+/** Time of one of the crashes, counted from 1; infinite when there are fewer. */
+function nthCrashAtMs(sortedAtMs: readonly number[], nth: number): number {
+  return sortedAtMs[nth - 1] ?? Infinity;
+}
--- a/src/quarantine/crash-evidence.ts
+++ b/src/quarantine/crash-evidence.ts
@@ -142,11 +142,24 @@
     }
   }
 
+  /**
+   * Next time after `nowMs` from which a part is named although it is not clear, in epoch
+   * milliseconds; infinite when none would be.
+   */
+  nextDueAtMs(nowMs: number, completeSinceMs: number): number {
+    const dueAtMs = this.#candidates().map((candidate) => candidate.dueAtMs(completeSinceMs));
+    return Math.min(...dueAtMs.filter((atMs) => atMs > nowMs));
+  }
+
+  #candidates(): CrashCandidate[] {
+    return [...this.#suspects.keys()]
+      .filter((partId) => this.#isCandidate(partId))
+      .map((partId) => this.#candidate(partId));
+  }
+
   /** The next cause, or those that fit equally well and were not told apart in time. */
   #nextCauses(nowMs: number, completeSinceMs: number): CrashCandidate[] {
-    const candidates = [...this.#suspects.keys()]
-      .filter((partId) => this.#isCandidate(partId))
-      .map((partId) => this.#candidate(partId))
+    const candidates = this.#candidates()
       // The most specific explanation first, then the one that explains most.
       .sort(
         (a, b) => b.group.length - a.group.length || b.endpointIds.length - a.endpointIds.length,
@@ -158,7 +171,7 @@
       .filter((candidate) => candidate.reportedEvents(completeSinceMs, nowMs) >= minCrashes)
       .find((candidate) => rivalsOf(candidate).length === 0);
     if (clear) return [clear];
-    const due = candidates.filter((candidate) => candidate.isOverdue(nowMs));
+    const due = candidates.filter((candidate) => candidate.dueAtMs(completeSinceMs) <= nowMs);
     const found = due.find(({ wasAnswered }) => !wasAnswered);
     if (found) return withMostCrashes([found, ...rivalsOf(found)]);
     const answered = due.find(
