Let a quarantine name the crashes it explains, for daemons that lack the reports of them

Cause: a daemon that learns of a quarantine takes off the evidence only crashes of which it has reports with the quarantine's parts. A daemon to which these reports never came keeps the crashes as evidence against the bystanders, and names them by five crashes after it knew the cause. Found by reading what follows a verdict while reports are missing.

One that was decided with reports missing takes off no more than before, as it may be wrong itself.

--- a/src/quarantine/crash-evidence.ts
+++ b/src/quarantine/crash-evidence.ts
@@ -8,6 +8,10 @@
   readonly partIds: readonly string[];
   /** Endpoints that crashed under it. */
   readonly crashes: number;
+  /** These endpoints, where they are known. */
+  readonly endpointIds?: readonly string[] | undefined;
+  /** Whether the reports of all daemons had arrived, so that these crashes had no other cause. */
+  readonly isByAllReports?: boolean | undefined;
   /** Epoch milliseconds. */
   readonly firstCrashAtMs: number;
 }
@@ -138,7 +142,7 @@
     for (;;) {
       const found = this.#nextCauses(nowMs, completeSinceMs);
       if (!found.some(mayName)) return causes;
-      causes.push(...this.#name(found));
+      causes.push(...this.#name(found, nowMs, completeSinceMs));
     }
   }
 
@@ -181,11 +185,18 @@
   }
 
   /** Takes the crashes that the causes explain off the evidence. */
-  #name(causes: readonly CrashCandidate[]): CrashCause[] {
+  #name(causes: readonly CrashCandidate[], nowMs: number, completeSinceMs: number): CrashCause[] {
     for (const { endpointIds } of causes)
       for (const endpointId of endpointIds) this.explain(endpointId);
-    return causes.map(({ group, endpointIds, firstCrashAtMs }) => {
-      return { partIds: group.toSorted(), crashes: endpointIds.length, firstCrashAtMs };
+    return causes.map((cause) => {
+      const { group, endpointIds, firstCrashAtMs } = cause;
+      return {
+        partIds: group.toSorted(),
+        crashes: endpointIds.length,
+        endpointIds,
+        isByAllReports: cause.reportedEvents(completeSinceMs, nowMs) >= minCrashes,
+        firstCrashAtMs,
+      };
     });
   }
 
--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -11,10 +11,11 @@
 import {
   EntrySource,
   exchangedParts,
+  maxIdChars,
   quarantineKey,
   type QuarantineEntry,
 } from './quarantine-entry.js';
-import { maxIdChars, type CrashMessage, type QuarantineMessage } from './quarantine-message.js';
+import type { CrashMessage, QuarantineMessage } from './quarantine-message.js';
 import { QuarantineRecords } from './quarantine-records.js';
 import { QuarantineReview } from './quarantine-review.js';
 import { QuarantineTrials } from './quarantine-trials.js';
@@ -369,12 +370,18 @@
     void this.#records.storeMissing([entry]);
   }
 
+  /** Crashes of which an entry is the cause; this daemon may lack the reports that show it. */
+  #explainedBy(entry: QuarantineEntry): readonly string[] {
+    const known = this.#review.crashedUnder(entry);
+    return entry.isByAllReports ? [...known, ...(entry.endpointIds ?? [])] : known;
+  }
+
   #merge(entry: QuarantineEntry, source: EntrySource, inputs: DecisionInputs = {}): boolean {
     if (!this.#quarantine.merge(entry)) return false;
     const { partIds, version, crashes, isReleased, trials } = entry;
     if (!isReleased) {
       this.#review.began(entry, this.#options.clock.nowMs());
-      for (const id of this.#review.crashedUnder(entry)) this.#evidence.explain(id);
+      for (const id of this.#explainedBy(entry)) this.#evidence.explain(id);
     }
     const event = isReleased ? EventId.QuarantineLifted : EventId.PromptQuarantined;
     const message = isReleased
--- a/src/quarantine/prompt-quarantine.ts
+++ b/src/quarantine/prompt-quarantine.ts
@@ -1,5 +1,10 @@
 import type { CrashCause } from './crash-evidence.js';
-import { isNewer, quarantineKey, type QuarantineEntry } from './quarantine-entry.js';
+import {
+  exchangedEndpoints,
+  isNewer,
+  quarantineKey,
+  type QuarantineEntry,
+} from './quarantine-entry.js';
 
 /** Bound of the memory; the oldest entry gives way. */
 const maxEntries = 64;
@@ -58,14 +63,16 @@
 
   /** Entry that puts parts under quarantine from now on; undefined when they already are. */
   begin(cause: CrashCause, nowMs: number): QuarantineEntry | undefined {
-    const { partIds, crashes, firstCrashAtMs } = cause;
+    const { partIds, crashes, firstCrashAtMs, isByAllReports } = cause;
+    const endpointIds = cause.endpointIds && exchangedEndpoints(cause.endpointIds);
     if (this.match(partIds)) return undefined;
     const knownVersion = this.#entries.get(quarantineKey(partIds))?.version ?? 0;
     // Above those of an earlier quarantine that this daemon has forgotten and others may know.
     const version = Math.max(knownVersion + 1, Math.floor(nowMs / versionPeriodMs));
     const nextTrialAtMs = nowMs + firstTrialDelayMs;
     const state = { isReleased: false, trials: 0, nextTrialAtMs };
-    return { partIds: [...partIds], version, crashes, firstCrashAtMs, ...state };
+    const evidence = { crashes, endpointIds, isByAllReports, firstCrashAtMs };
+    return { partIds: [...partIds], version, ...evidence, ...state };
   }
 
   /** Entry that lifts a quarantine. */
--- a/src/quarantine/quarantine-message.ts
+++ b/src/quarantine/quarantine-message.ts
@@ -1,14 +1,10 @@
 import { z } from 'zod';
-import { partIdsSchema, quarantineEntrySchema } from './quarantine-entry.js';
+import { idSchema, partIdsSchema, quarantineEntrySchema } from './quarantine-entry.js';
 
 /** Longest age of a message that says anything, in milliseconds. */
 const maxAgeMs = 300_000;
 
-/** Longest id that is exchanged; longer ones are cut. */
-export const maxIdChars = 256;
-
 const ageSchema = z.number().nonnegative().max(maxAgeMs);
-const idSchema = z.string().min(1).max(maxIdChars);
 
 /** A {@link CrashReport} as it crosses processes, with the time since the crash. */
 export const crashMessageSchema = z.object({
--- a/test/quarantine/prompt-guard_test.ts
+++ b/test/quarantine/prompt-guard_test.ts
@@ -3,6 +3,8 @@
 import { QuarantineAdmin } from '../../src/quarantine/quarantine-admin.js';
 import { KeyedLogFault } from '../../src/standins/memory-keyed-log.js';
 import { quarantineMessageSchema } from '../../src/quarantine/quarantine-message.js';
+import type { QuarantineEntry } from '../../src/quarantine/quarantine-entry.js';
+import { storeQuarantine } from '../../src/quarantine/quarantine-records.js';
 import { GuardFleet, type GuardFleetOptions } from './guard-fleet.js';
 
 /** Requests that may still be sent, and from when on that is counted. */
@@ -299,6 +301,50 @@
     expect(guard.find(['first0'])).toBeUndefined();
   });
 
+  describe('a quarantine of another daemon', () => {
+    const endpointIds = ['i-1', 'i-2', 'i-3', 'i-4', 'i-5'];
+
+    /** Of five crashes the bystanders are known to daemon 1, the requests with the cause elsewhere. */
+    async function playBystanders(tell: (entry: QuarantineEntry) => void): Promise<void> {
+      await start({ daemons: 2, unheardForMs: 60_000 });
+      const firstCrashAtMs = fleet.clock.nowMs();
+      const state = { version: 1, isReleased: false, trials: 0 };
+      for (const [end] of endpointIds.entries()) {
+        void fleet.crashUnder(new Map([[1, ['first0', `sound${end}`]]]));
+        await fleet.clock.advance(480);
+      }
+      const nextTrialAtMs = firstCrashAtMs + 300_000;
+      const cause = { partIds: ['dead'], crashes: 5, endpointIds, firstCrashAtMs, nextTrialAtMs };
+      tell({ ...cause, ...state });
+      await fleet.clock.advance(10_000);
+    }
+
+    it('takes its crashes off the evidence, although the reports with its parts are missing', async () => {
+      await playBystanders((entry) => {
+        for (const guard of fleet.guards)
+          guard.receive({ entry: { ...entry, isByAllReports: true } });
+      });
+      expect(fleet.heldBackAt('first0')).toBe(0);
+    });
+
+    it('does so also when it is known by the store only', async () => {
+      await playBystanders((entry) => {
+        void storeQuarantine(fleet.log, 'duties', { ...entry, isByAllReports: true });
+      });
+      expect(fleet.heldBackAt('dead')).toBe(2);
+      expect(fleet.heldBackAt('first0')).toBe(0);
+    });
+
+    it('takes no crash off the evidence when it was decided with reports missing', async () => {
+      await playBystanders((entry) => {
+        for (const guard of fleet.guards)
+          guard.receive({ entry: { ...entry, isByAllReports: false } });
+      });
+      // Which of the two is sound is for their trials to show.
+      expect(fleet.heldBackAt('first0')).toBe(2);
+    });
+  });
+
   it('tells a daemon that missed the verdict of it when that one sends a poison request', async () => {
     await start({ unheardForMs: 10_000 });
     fleet.log.fault = KeyedLogFault.Down;
