Let a trial that waits for its request keep up no other one

What callers see: sound prompts stay refused although their quarantine is doubtful. Two quarantines by the same crashes are both tried; once poison requests come no more, the trial of the right one waits for ever, and the wrong one is not tried.

Cause: QuarantineTrials kept one open trial, and started none while it was open. Found by reading what revises a wrong quarantine.

Change: each quarantine has a trial of its own. As before, a request that several quarantines hold back passes under none. A trial whose quarantine is lifted is closed with it; it would have let a request through, uncounted, when the parts came under quarantine again.

Test: "is tried although the trial of another one waits for a request that never comes" failed before: "expected 7 to be +0".

--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -152,7 +152,11 @@
 
   /** The quarantine that holds a request back now; undefined when none does. */
   find(partIds: readonly string[]): QuarantineEntry | undefined {
-    const entry = this.#quarantine.matches(partIds).find((match) => !this.#trials.isOpen(match));
+    const matches = this.#quarantine.matches(partIds);
+    // A crash under a request that several hold back would not tell which of them is right.
+    const isTrial = matches.length === 1 && matches.every((entry) => this.#trials.isOpen(entry));
+    if (isTrial) return undefined;
+    const entry = matches.find((match) => !this.#trials.isOpen(match)) ?? matches[0];
     if (!entry) return undefined;
     this.#options.metrics.count('gateway_quarantine_refusals', 1);
     return entry;
@@ -160,9 +164,10 @@
 
   /** Like {@link find}, for a request that is about to be sent; a trial is used up by it. */
   admit(partIds: readonly string[]): QuarantineEntry | undefined {
-    const entry = this.find(partIds);
-    if (!entry && this.#quarantine.match(partIds)) this.#trials.close();
-    return entry;
+    const heldBackBy = this.find(partIds);
+    const entry = this.#quarantine.match(partIds);
+    if (!heldBackBy && entry) this.#trials.close(entry);
+    return heldBackBy;
   }
 
   /**
@@ -248,7 +253,7 @@
   /** Stores what the store does not hold yet, and starts trials that are due. */
   async tick(): Promise<void> {
     const isHolder = this.#options.isDutyHolder();
-    if (!isHolder) this.#trials.close();
+    if (!isHolder) this.#trials.closeAll();
     this.#review.retain(this.#quarantine.active);
     const keys = new Set(this.#quarantine.entries.map(({ partIds }) => quarantineKey(partIds)));
     for (const key of this.#ownKeys) if (!keys.has(key)) this.#ownKeys.delete(key);
--- a/src/quarantine/quarantine-trials.ts
+++ b/src/quarantine/quarantine-trials.ts
@@ -21,8 +21,8 @@
 /** Lets single requests through a quarantine, at the holder of the duties, to see whether it is right. */
 export class QuarantineTrials {
   readonly #options: QuarantineTrialsOptions;
-  /** Key of the quarantine whose next request at this daemon is let through. */
-  #key: string | undefined;
+  /** Keys of the quarantines of which the next request at this daemon is let through. */
+  readonly #openKeys = new Set<string>();
 
   constructor(options: QuarantineTrialsOptions) {
     this.#options = options;
@@ -30,31 +30,44 @@
 
   /** Whether the next request with the parts of a quarantine may be sent. */
   isOpen(entry: QuarantineEntry): boolean {
-    return this.#key === quarantineKey(entry.partIds) && this.#options.isDutyHolder();
+    return this.#openKeys.has(quarantineKey(entry.partIds)) && this.#options.isDutyHolder();
   }
 
-  /** The request was sent, or the daemon does not hold the duties any more. */
-  close(): void {
-    this.#key = undefined;
+  /** The request of a trial was sent. */
+  close(entry: QuarantineEntry): void {
+    this.#openKeys.delete(quarantineKey(entry.partIds));
   }
 
-  /** Starts a trial that is due, unless one is open. */
+  /** The daemon does not hold the duties any more. */
+  closeAll(): void {
+    this.#openKeys.clear();
+  }
+
+  /** Starts the trials that are due. One that waits for its request keeps up no other. */
   async startDue(): Promise<void> {
     const { quarantine, review, clock } = this.#options;
+    this.#closeLifted();
     for (const entry of quarantine.active) {
-      if (this.#key !== undefined) return;
+      if (this.#openKeys.has(quarantineKey(entry.partIds))) continue;
       const nowMs = clock.nowMs();
       const trial = quarantine.nextTrial(entry, nowMs, review.isDoubtful(entry, nowMs));
       if (trial) await this.#start(trial, nowMs < entry.nextTrialAtMs);
     }
   }
 
+  #closeLifted(): void {
+    const keys = new Set(
+      this.#options.quarantine.active.map((entry) => quarantineKey(entry.partIds)),
+    );
+    for (const key of this.#openKeys) if (!keys.has(key)) this.#openKeys.delete(key);
+  }
+
   /** The trial is counted in the store before it is made, so that no daemon makes it again. */
   async #start(trial: QuarantineEntry, isEarly: boolean): Promise<void> {
     const { records, onTrial, events } = this.#options;
     if (!(await records.store(trial))) return;
     onTrial(trial);
-    this.#key = quarantineKey(trial.partIds);
+    this.#openKeys.add(quarantineKey(trial.partIds));
     events.info(EventId.QuarantineTrial, 'the next request is let through', {
       partIds: trial.partIds,
       trials: trial.trials,
--- a/test/quarantine/prompt-guard_test.ts
+++ b/test/quarantine/prompt-guard_test.ts
@@ -255,6 +255,31 @@
       expect(holder.admit(['first0', 'sound'])?.partIds).toEqual(['first0']);
     });
 
+    it('is tried although the trial of another one waits for a request that never comes', async () => {
+      await start();
+      for (let end = 0; end < 3; end++) {
+        const parts = new Map([
+          [3, ['first0', `sound${end}`]],
+          [4, [`first${1 + end}`, 'dead']],
+        ]);
+        void fleet.crashUnder(parts);
+        await fleet.clock.advance(600);
+      }
+      const nowMs = fleet.clock.nowMs();
+      const times = { firstCrashAtMs: nowMs - 1_800, nextTrialAtMs: nowMs + 300_000 };
+      for (const partId of ['dead', 'first0']) {
+        const entry = { ...wrong, ...times, partIds: [partId], version: 1 };
+        for (const guard of fleet.guards) guard.receive({ entry });
+      }
+      for (let at = 0; at < 20; at++) {
+        fleet.answer('first0', 'sound');
+        await fleet.clock.advance(500);
+      }
+      expect(fleet.heldBackAt('first0')).toBe(0);
+      // The holder of the duties still waits for a request to try it with.
+      expect(fleet.heldBackAt('dead')).toBe(6);
+    });
+
     it('stays while no endpoints crash, as a right one does', async () => {
       await startWithWrong();
       for (let at = 0; at < 100; at++) {
