Doubt a quarantine by the crashes that another one names, also without the reports of them

What callers see: sound prompts stay refused for five minutes, although another quarantine was reached by the same crashes.

Cause: the holder of the duties compares two quarantines by the reports that came to it. When those with the parts of one are missing, which is also how a wrong one comes about, the two seem to have nothing in common, and no trial is made.

Change: QuarantineReview counts the endpoints that entries name as well.

Tests: "doubts two by the same crashes also when the reports with the parts of one never came" failed before: "expected false to be true".

--- a/src/quarantine/quarantine-review.ts
+++ b/src/quarantine/quarantine-review.ts
@@ -21,12 +21,15 @@
 
 /** A crash with the parts of the requests that were in progress, by the requests' ids. */
 interface ReviewedCrash extends Crash {
+  readonly endpointId: string;
   readonly reports: ReadonlyMap<string, readonly string[]>;
 }
 
 /** What this daemon knows of a quarantine that is in force; times in epoch milliseconds. */
 interface Term {
   readonly partIds: readonly string[];
+  /** Endpoints whose crashes it was decided by, as far as its entry names them. */
+  readonly endpointIds: readonly string[];
   readonly inForceAtMs: number;
   /** Beginning of its latest trial; `-Infinity` when there was none. */
   readonly trialAtMs: number;
@@ -44,12 +47,13 @@
   readonly #crashes = new LRUCache<string, ReviewedCrash>({ max: maxCrashes });
 
   /** A quarantine is in force, or its next trial has begun, at this daemon or another one. */
-  began({ partIds, trials }: QuarantineEntry, nowMs: number): void {
+  began({ partIds, endpointIds = [], trials }: QuarantineEntry, nowMs: number): void {
     const key = quarantineKey(partIds);
     const known = this.#terms.get(key);
     const isNextTrial = trials > (known?.trials ?? 0);
     this.#terms.set(key, {
       partIds,
+      endpointIds,
       inForceAtMs: known?.inForceAtMs ?? nowMs,
       trialAtMs: isNextTrial ? nowMs : (known?.trialAtMs ?? -Infinity),
       trials,
@@ -71,7 +75,8 @@
     const known = this.#crashes.get(report.endpointId);
     const reports = new Map(known?.reports);
     if (reports.size < maxReportsOfCrash) reports.set(report.requestId, report.partIds);
-    this.#crashes.set(report.endpointId, { ...laterSent(known, report), reports });
+    const { endpointId } = report;
+    this.#crashes.set(endpointId, { endpointId, ...laterSent(known, report), reports });
   }
 
   /** Endpoints that are known to have crashed under a quarantine's prompts. */
@@ -89,7 +94,7 @@
     const crashes = [...this.#crashes.values()].filter(
       ({ crashedAtMs }) => crashedAtMs > nowMs - windowMs,
     );
-    const own = crashes.filter((crash) => isUnder(crash, term));
+    const own = crashes.filter((crash) => isOf(crash, term));
     const isConfirmed = term.trials > 0 && own.some((crash) => crash.crashedAtMs > term.trialAtMs);
     if (isConfirmed) return false;
     return this.#hasRival(own, term) || goesOnUnderOthers(crashes, term, nowMs);
@@ -99,7 +104,7 @@
   #hasRival(own: readonly ReviewedCrash[], term: Term): boolean {
     return [...this.#terms.values()].some((other) => {
       if (other === term) return false;
-      const shared = own.filter((crash) => isUnder(crash, other));
+      const shared = own.filter((crash) => isOf(crash, other));
       return shared.length * 2 > own.length;
     });
   }
@@ -110,11 +115,16 @@
   return [...reports.values()].some((parts) => partIds.every((part) => parts.includes(part)));
 }
 
+/** Whether a crash speaks for a quarantine, by the reports that came or by what its entry says. */
+function isOf(crash: ReviewedCrash, term: Term): boolean {
+  return term.endpointIds.includes(crash.endpointId) || isUnder(crash, term);
+}
+
 /** Whether endpoints have crashed under other prompts since a quarantine is in force. */
 function goesOnUnderOthers(crashes: readonly ReviewedCrash[], term: Term, nowMs: number): boolean {
   const others = crashes
     .filter(({ crashedAtMs }) => crashedAtMs > term.inForceAtMs)
-    .filter((crash) => !isUnder(crash, term));
+    .filter((crash) => !isOf(crash, term));
   const firstAtMs = Math.min(...others.map(({ crashedAtMs }) => crashedAtMs));
   return countEvents(others) >= minOtherCrashes && nowMs >= firstAtMs + otherCauseMs;
 }
--- a/test/quarantine/quarantine-review_test.ts
+++ b/test/quarantine/quarantine-review_test.ts
@@ -77,6 +77,13 @@
     expect(review.isDoubtful(dead, nowMs + 2_200)).toBe(true);
   });
 
+  it('doubts two by the same crashes also when the reports with the parts of one never came', () => {
+    crash(4, nowMs - 2_000, ['first', 'own']);
+    const endpointIds = [0, 500, 1_000].map((atMs) => `i-${nowMs - 2_000 + atMs}`);
+    review.began({ ...entry, partIds: ['dead'], endpointIds }, nowMs + 100);
+    expect(review.isDoubtful(entry, nowMs + 2_200)).toBe(true);
+  });
+
   it('does not doubt two quarantines by crashes of their own', () => {
     const other = { ...entry, partIds: ['other'] };
     crash(4, nowMs - 2_000, ['first', 'own']);
