Wait for reports on their way before one of two parts is named by most crashes

What callers would see: sound prompts refused, as their part was at one crash more than the poison one by the reports that had come; the missing one was 110 ms old and on its way.

Cause: once five crashes and 2.5 s have passed, of the parts that fit those at most crashes are named (withMostCrashes), also in the 300 ms in which reports of the last crash still arrive.

Change: while a part that fits as well may catch up by such reports, nothing is named; at the latest 2.5 s after the fifth crash it is.

Test: "when time is up just before the report with another part of the last crash arrives" failed before: "expected [ [ 'bystander' ] ] to deeply equal []".

--- a/src/quarantine/crash-candidate.ts
+++ b/src/quarantine/crash-candidate.ts
@@ -72,15 +72,17 @@
    * @param completeSinceMs - time since which the reports of all daemons arrive, in epoch milliseconds.
    */
   dueAtMs(completeSinceMs: number): number {
-    const atMs = this.#times()
-      .map(({ crashedAtMs }) => crashedAtMs)
-      .toSorted((a, b) => a - b);
-    const completeAtMs = atMs.filter((crashedAtMs) => crashedAtMs >= completeSinceMs);
+    const completeAtMs = this.#sortedAtMs().filter((atMs) => atMs >= completeSinceMs);
     const clearedAtMs = Math.max(
       nthCrashAtMs(completeAtMs, 1) + unclearMs,
       nthCrashAtMs(completeAtMs, minUnclearCrashes),
     );
-    return Math.min(clearedAtMs, nthCrashAtMs(atMs, minUnclearCrashes) + missingReportsMs);
+    return Math.min(clearedAtMs, this.deadlineAtMs);
+  }
+
+  /** Deadline in epoch milliseconds after which no report is waited for. */
+  get deadlineAtMs(): number {
+    return nthCrashAtMs(this.#sortedAtMs(), minUnclearCrashes) + missingReportsMs;
   }
 
   /** Whether the part was there at most of the crashes of another one. */
@@ -106,6 +108,19 @@
     });
   }
 
+  /** Whether reports with the part of crashes of another one may still be on their way. */
+  mayCatchUpWith(other: CrashCandidate, nowMs: number): boolean {
+    return [...other.#options.crashes].some(([endpointId, { crashedAtMs }]) => {
+      return !this.#options.crashes.has(endpointId) && crashedAtMs > nowMs - reportTransitMs;
+    });
+  }
+
+  #sortedAtMs(): number[] {
+    return this.#times()
+      .map(({ crashedAtMs }) => crashedAtMs)
+      .toSorted((a, b) => a - b);
+  }
+
   #times(): Crash[] {
     return [...this.#options.crashes.values()];
   }
--- a/src/quarantine/crash-evidence.ts
+++ b/src/quarantine/crash-evidence.ts
@@ -177,7 +177,12 @@
     if (clear) return [clear];
     const due = candidates.filter((candidate) => candidate.dueAtMs(completeSinceMs) <= nowMs);
     const found = due.find(({ wasAnswered }) => !wasAnswered);
-    if (found) return withMostCrashes([found, ...rivalsOf(found)]);
+    if (found) {
+      const rivals = rivalsOf(found);
+      const isEarly = rivals.some((rival) => rival.mayCatchUpWith(found, nowMs));
+      if (isEarly && nowMs < found.deadlineAtMs) return [];
+      return withMostCrashes([found, ...rivals]);
+    }
     const answered = due.find(
       (candidate) => !unanswered.some((other) => other.explains(candidate)),
     );
--- a/test/quarantine/crash-evidence_test.ts
+++ b/test/quarantine/crash-evidence_test.ts
@@ -204,6 +204,20 @@
       expect(partsOfCauses(evidence, 1_600)).toEqual([['dead']]);
     });
 
+    it('when time is up just before the report with another part of the last crash arrives', () => {
+      const evidence = new CrashEvidence();
+      for (let end = 0; end < 5; end++) {
+        evidence.add(crash(`i-${end}`, end * 600, `b${end}`, 'bystander'));
+      }
+      for (let end = 0; end < 4; end++) {
+        evidence.add(crash(`i-${end}`, end * 600, `d${end}`, 'dead'));
+      }
+      expect(partsOfCauses(evidence, 2_510)).toEqual([]);
+      evidence.add(crash('i-4', 2_400, 'd4', 'dead'));
+      evidence.add(crash('i-5', 2_600, 'd5', 'dead'));
+      expect(partsOfCauses(evidence, 2_950)).toEqual([['dead']]);
+    });
+
     it('that was at fewer crashes than another part when time is up', () => {
       const evidence = new CrashEvidence();
       for (const end of [1, 3, 4, 5, 7]) {
