Lift a quarantine by each answer since its first crash that its author did not hear of

What callers see: sound prompts stay refused although another daemon has answered some since endpoints began to crash.

Cause: a daemon that learns of a quarantine lifted it only by an answer of the last second, and only if it came by datagram. A daemon that names a part with reports missing has missed the news of answers too; those of more than a second ago revised nothing, and a quarantine that came by the store was taken as it was. Found by reading.

Change: an answer to a request that was sent since the first of its crashes that is known here (on this daemon's own clock) lifts it as well, whichever way the entry comes. That is the rule by which parts are named: no whole answer since.

Tests: "is lifted by an answer of 1.5 s ago that came whole here since the first crash", by the peer and by the store, failed before: "expected 2 to be +0".

--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -126,7 +126,7 @@
     this.#records = new QuarantineRecords({
       ...options,
       onEntry: (entry) => {
-        this.#merge(entry, EntrySource.Store);
+        this.#receiveEntry(entry, EntrySource.Store, clock.nowMs());
       },
     });
     this.#trials = new QuarantineTrials({
@@ -224,7 +224,7 @@
     if (crash) this.#receiveCrash(crashReport(crash, nowMs));
     // What another daemon's answer changes is told by that daemon.
     if (answer) this.#evidence.recordAnswer(answer.partIds, nowMs - answer.ageMs);
-    if (entry) this.#receiveEntry(entry, nowMs);
+    if (entry) this.#receiveEntry(entry, EntrySource.Peer, nowMs);
   }
 
   /** This daemon's latest reports, for daemons that received no datagram. */
@@ -299,11 +299,18 @@
     this.#finder.reported();
   }
 
-  /** The sender may not have heard of an answer that came whole here. */
-  #receiveEntry(entry: QuarantineEntry, nowMs: number): void {
-    if (!this.#merge(entry, EntrySource.Peer) || entry.isReleased) return;
-    for (const partId of this.#answers.answeredSince(entry.partIds, nowMs - contradictionMs)) {
-      this.#narrow([partId], this.#answers.latest(partId)?.sentAtMs ?? -Infinity);
+  /**
+   * The daemon that named the parts may not have heard of an answer that came whole here, to a request
+   * that was sent since the first of the crashes, or lately when none of them is known here.
+   */
+  #receiveEntry(entry: QuarantineEntry, source: EntrySource, nowMs: number): void {
+    if (!this.#merge(entry, source) || entry.isReleased) return;
+    const firstCrashAtMs = this.#review.firstCrashAtMs(entry);
+    for (const partId of entry.partIds) {
+      const answer = this.#answers.latest(partId);
+      if (!answer) continue;
+      const isRecent = answer.answeredAtMs > nowMs - contradictionMs;
+      if (isRecent || answer.sentAtMs > firstCrashAtMs) this.#narrow([partId], answer.sentAtMs);
     }
   }
 
--- a/src/quarantine/quarantine-review.ts
+++ b/src/quarantine/quarantine-review.ts
@@ -86,6 +86,17 @@
       .map(([endpointId]) => endpointId);
   }
 
+  /**
+   * The first crash that is known here of those that a quarantine was decided by, in epoch
+   * milliseconds on this daemon's clock; infinite when none is known.
+   */
+  firstCrashAtMs({ partIds, endpointIds = [] }: QuarantineEntry): number {
+    const times = [...this.#crashes.values()]
+      .filter((crash) => isOf(crash, { partIds, endpointIds }))
+      .map(({ crashedAtMs }) => crashedAtMs);
+    return Math.min(...times);
+  }
+
   /** Whether one request is to be let through before its time. */
   isDoubtful({ partIds }: QuarantineEntry, nowMs: number): boolean {
     const term = this.#terms.get(quarantineKey(partIds));
@@ -116,7 +127,7 @@
 }
 
 /** Whether a crash speaks for a quarantine, by the reports that came or by what its entry says. */
-function isOf(crash: ReviewedCrash, term: Term): boolean {
+function isOf(crash: ReviewedCrash, term: Pick<Term, 'partIds' | 'endpointIds'>): boolean {
   return term.endpointIds.includes(crash.endpointId) || isUnder(crash, term);
 }
 
--- a/test/quarantine/prompt-guard_test.ts
+++ b/test/quarantine/prompt-guard_test.ts
@@ -3,7 +3,7 @@
 import { QuarantineAdmin } from '../../src/quarantine/quarantine-admin.js';
 import { KeyedLogFault } from '../../src/standins/memory-keyed-log.js';
 import { quarantineMessageSchema } from '../../src/quarantine/quarantine-message.js';
-import type { QuarantineEntry } from '../../src/quarantine/quarantine-entry.js';
+import { EntrySource, type QuarantineEntry } from '../../src/quarantine/quarantine-entry.js';
 import { storeQuarantine } from '../../src/quarantine/quarantine-records.js';
 import { GuardFleet, type GuardFleetOptions } from './guard-fleet.js';
 
@@ -360,6 +360,25 @@
       expect(fleet.heldBackAt('first0')).toBe(0);
     });
 
+    it.each([EntrySource.Peer, EntrySource.Store])(
+      'is lifted by an answer of 1.5 s ago that came whole here since the first crash: by the %s',
+      async (source) => {
+        await start({ daemons: 2 });
+        const firstCrashAtMs = fleet.clock.nowMs();
+        void fleet.crashUnder(new Map([[1, ['first0', 'sound']]]));
+        await fleet.clock.advance(1_000);
+        fleet.guards[0]!.answered({ partIds: ['first0'], sentAtMs: fleet.clock.nowMs() - 200 });
+        await fleet.clock.advance(1_500);
+        const state = { version: 1, isReleased: false, trials: 0 };
+        const times = { firstCrashAtMs, nextTrialAtMs: firstCrashAtMs + 300_000 };
+        const entry = { partIds: ['first0'], crashes: 5, endpointIds, ...times, ...state };
+        if (source === EntrySource.Store) await storeQuarantine(fleet.log, 'duties', entry);
+        else for (const guard of fleet.guards) guard.receive({ entry });
+        await fleet.clock.advance(5_000);
+        expect(fleet.heldBackAt('first0')).toBe(0);
+      },
+    );
+
     it('takes no crash off the evidence when it was decided with reports missing', async () => {
       await playBystanders((entry) => {
         for (const guard of fleet.guards)
