Report requests that broke just before the port of an ending process was closed

Under i-77 and i-78 the reports with it were lost: poison-5 broke there (ECONNRESET at 1,513 ms of the log, poison-6 at 1,717 ms), the endpoint still listened when it was asked right after, and what had broken before that was forgotten when it refused connections a moment later. The reports that remained were those of bystanders that broke later.

Evidence: events 204 and 419 of gateway-1 and gateway-3: 204 for poison-5 at i-77, 419 for i-77 0.4 s later with caller-7-15 only; the same for poison-6 at i-78.

Change: an endpoint that listens is asked once more 300 ms later, and what broke up to 300 ms before it last listened is kept until then. An endpoint that goes on clears its broken requests as before.

Tests: two of crash-detector_test failed before: "expected [] to deeply equal [ 'first' ]".

--- a/src/quarantine/crash-detector.ts
+++ b/src/quarantine/crash-detector.ts
@@ -73,6 +73,12 @@
 /** Endpoints may break many answers without ending; each is asked once in this time at most. */
 const minCheckIntervalMs = 500;
 
+/**
+ * The port of a process that ends may still accept connections for this time after the first of its
+ * connections broke. One that listens is asked again after it.
+ */
+const closingMs = 300;
+
 /** A response that was under way when the endpoint crashed comes within this time. */
 const responseDelayMs = 250;
 
@@ -145,9 +151,10 @@
     return !hasWrittenLong;
   }
 
-  /** The endpoint refused a connection; what broke before it last listened did not break then. */
+  /** The endpoint refused a connection; what broke well before it last listened did not break then. */
   refused(endpointId: string): void {
-    this.#forgetReports(endpointId, this.#listenedAtMs.get(endpointId) ?? -Infinity);
+    const listenedAtMs = this.#listenedAtMs.get(endpointId) ?? -Infinity;
+    this.#forgetReports(endpointId, listenedAtMs - closingMs);
     this.confirm(endpointId);
   }
 
@@ -172,10 +179,19 @@
     this.#forgetReports(endpointId, this.#options.clock.nowMs() - responseDelayMs);
   }
 
-  #ask({ endpointId, baseUrl }: BrokenRequest): Promise<boolean> {
+  async #ask({ endpointId, baseUrl }: BrokenRequest): Promise<boolean> {
+    const { clock } = this.#options;
     const listenedAtMs = this.#listenedAtMs.get(endpointId) ?? -Infinity;
-    if (listenedAtMs > this.#options.clock.nowMs() - minCheckIntervalMs)
-      return Promise.resolve(false);
+    if (listenedAtMs > clock.nowMs() - minCheckIntervalMs) return false;
+    const isFirst = !this.#checks.has(endpointId);
+    const hasCrashed = await this.#checkOnce(endpointId, baseUrl);
+    if (isFirst && !hasCrashed) {
+      clock.schedule(clock.nowMs() + closingMs, () => void this.#checkOnce(endpointId, baseUrl));
+    }
+    return hasCrashed;
+  }
+
+  #checkOnce(endpointId: string, baseUrl: string): Promise<boolean> {
     let check = this.#checks.get(endpointId);
     if (!check) {
       check = this.#check(endpointId, baseUrl);
--- a/test/quarantine/crash-detector_test.ts
+++ b/test/quarantine/crash-detector_test.ts
@@ -79,6 +79,24 @@
     expect(await detector.diagnose(short)).toBe(true);
   });
 
+  it('reports a request that broke just before the port of the ending process was closed', async () => {
+    check.isUp = true;
+    expect(await detector.diagnose(broken('first'))).toBe(false);
+    check.isUp = false;
+    await clock.advance(400);
+    expect(reports.map(({ requestId, crashedAtMs }) => [requestId, crashedAtMs])).toEqual([
+      ['first', 1_000_000],
+    ]);
+  });
+
+  it('reports it also when another request is refused first', async () => {
+    check.isUp = true;
+    await detector.diagnose(broken('first'));
+    await clock.advance(100);
+    detector.refused('i-1');
+    expect(reports.map(({ requestId }) => requestId)).toEqual(['first']);
+  });
+
   it('asks an endpoint that breaks many answers and listens only now and then', async () => {
     check.isUp = true;
     for (let at = 0; at < 100; at++) {
