Use up a trial of a quarantine only by a request that is sent

Cause: a request passed the guard, and used the trial up, before an endpoint was chosen for it.

Change: the trial is used up once there is an endpoint for the request.

Test: "is not used up by a request for which there is no endpoint" (poison-prompts_test) failed before: "expected 503 to be 200".

--- a/src/gateway/relayed-request.ts
+++ b/src/gateway/relayed-request.ts
@@ -178,7 +178,7 @@
     const { placement, registry, clock, guard } = this.#options;
     // No caller is waiting for a response, and no attempt is in flight.
     if (this.#exchange.isDisconnected) return false;
-    const entry = guard.admit(this.#partIds);
+    const entry = guard.find(this.#partIds);
     if (entry) {
       this.#holdBack(entry);
       return false;
@@ -189,6 +189,7 @@
       this.#giveUp();
       return false;
     }
+    guard.admit(this.#partIds);
     const inFlightRequest = registry.beginRequest(
       view.id,
       WorkClass.Short,
--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -162,7 +162,7 @@
     return entry;
   }
 
-  /** Like {@link find}, for a request that is about to be sent; a trial is used up by it. */
+  /** Like {@link find}, for a request that is sent to an endpoint now; a trial is used up by it. */
   admit(partIds: readonly string[]): QuarantineEntry | undefined {
     const heldBackBy = this.find(partIds);
     const entry = this.#quarantine.match(partIds);
--- a/test/gateway/poison-prompts_test.ts
+++ b/test/gateway/poison-prompts_test.ts
@@ -1,9 +1,11 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { afterEach, describe, expect, it } from 'vitest';
 import { RequestKind } from '../../src/gateway/traffic-config.js';
+import { storeQuarantine } from '../../src/quarantine/quarantine-records.js';
 import { trafficConfig, trafficRoute } from './configs.js';
 import { GatewayFleet, type GatewayFleetOptions } from './gateway-fleet.js';
-import type { CallerResponse, GatewayHarness } from './gateway-harness.js';
+import { GatewayHarness, respondWith, type CallerResponse } from './gateway-harness.js';
+import { RecordingEventLog } from './recording-event-log.js';
 
 const poisonPart = 'dead0001';
 const sharedPart = '5a4ed001';
@@ -29,6 +31,27 @@
   });
 }
 
+describe('a trial of a quarantine', () => {
+  it('is not used up by a request for which there is no endpoint, so that sound prompts are freed', async () => {
+    const events = new RecordingEventLog();
+    const harness = new GatewayHarness(events);
+    const nowMs = harness.clock.nowMs();
+    const times = { firstCrashAtMs: nowMs - 60_000, nextTrialAtMs: nowMs };
+    const state = { version: 1, crashes: 3, isReleased: false, trials: 0 };
+    await storeQuarantine(harness.store, 'duties', { partIds: [sharedPart], ...state, ...times });
+    try {
+      await harness.start(trafficConfig({ routes: [trafficRoute({ hasPrompt: true })] }));
+      while (!events.texts.some((text) => text.includes('"event":504'))) await harness.wait(100);
+      expect((await call(harness, 'beef0001')).status).toBe(503);
+      await harness.addEndpoint(respondWith(200, 'whole'));
+      expect((await call(harness, 'beef0002')).status).toBe(200);
+      expect((await call(harness, 'beef0003')).status).toBe(200);
+    } finally {
+      await harness.stop();
+    }
+  });
+});
+
 describe('requests with a part under which endpoints crash', () => {
   let fleet: GatewayFleet;
 
