Lift a quarantine by earlier answers only from the first of the crashes that it names

What callers would see: a right quarantine lifted as soon as it comes, and more endpoints crash. Not seen; found by reading.

Cause: the first crash under the parts that a daemon knows may be an older one, at which the part was a bystander. An answer since then says nothing of later crashes; only the time of the entry kept it from lifting it, which is of another daemon's clock.

Change: only the crashes that the entry names count.

Test: "stays in spite of an answer before its crashes, also when it comes from a clock that is behind" failed before: "expected +0 to be 2".

--- a/src/quarantine/quarantine-review.ts
+++ b/src/quarantine/quarantine-review.ts
@@ -87,13 +87,11 @@
   }
 
   /**
-   * The first crash that is known here of those that a quarantine was decided by, in epoch
-   * milliseconds on this daemon's clock; infinite when none is known.
+   * The first crash that is known here of those that a quarantine names, in epoch milliseconds on this
+   * daemon's clock; infinite when none is known. Other crashes with its parts may be long past.
    */
-  firstCrashAtMs({ partIds, endpointIds = [] }: QuarantineEntry): number {
-    const times = [...this.#crashes.values()]
-      .filter((crash) => isOf(crash, { partIds, endpointIds }))
-      .map(({ crashedAtMs }) => crashedAtMs);
+  firstCrashAtMs({ endpointIds = [] }: QuarantineEntry): number {
+    const times = endpointIds.map((id) => this.#crashes.peek(id)?.crashedAtMs ?? Infinity);
     return Math.min(...times);
   }
 
@@ -127,7 +125,7 @@
 }
 
 /** Whether a crash speaks for a quarantine, by the reports that came or by what its entry says. */
-function isOf(crash: ReviewedCrash, term: Pick<Term, 'partIds' | 'endpointIds'>): boolean {
+function isOf(crash: ReviewedCrash, term: Term): boolean {
   return term.endpointIds.includes(crash.endpointId) || isUnder(crash, term);
 }
 
--- a/test/quarantine/prompt-guard_test.ts
+++ b/test/quarantine/prompt-guard_test.ts
@@ -379,6 +379,23 @@
       },
     );
 
+    it('stays in spite of an answer before its crashes, also when it comes from a clock that is behind', async () => {
+      await start({ daemons: 2 });
+      void fleet.crashUnder(new Map([[1, ['first0', 'sound']]]));
+      await fleet.clock.advance(1_000);
+      fleet.guards[0]!.answered({ partIds: ['first0'], sentAtMs: fleet.clock.nowMs() - 200 });
+      await fleet.clock.advance(60_000);
+      const firstCrashAtMs = fleet.clock.nowMs() - 90_000;
+      const state = { version: 1, isReleased: false, trials: 0 };
+      const times = { firstCrashAtMs, nextTrialAtMs: fleet.clock.nowMs() + 300_000 };
+      // The part was at an earlier crash too.
+      const others = { crashes: 3, endpointIds: ['i-7', 'i-8', 'i-9'] };
+      const entry = { partIds: ['first0'], ...others, ...times, ...state };
+      for (const guard of fleet.guards) guard.receive({ entry });
+      await fleet.clock.advance(5_000);
+      expect(fleet.heldBackAt('first0')).toBe(2);
+    });
+
     it('takes no crash off the evidence when it was decided with reports missing', async () => {
       await playBystanders((entry) => {
         for (const guard of fleet.guards)
