--- a/src/gateway/relayed-request.ts
+++ b/src/gateway/relayed-request.ts
@@ -175,7 +175,7 @@
     const { placement, guard } = this.#options;
     // No caller is waiting for a response, and no attempt is in flight.
     if (this.#exchange.isDisconnected) return false;
-    const entry = guard.admit(this.#partIds);
+    const entry = guard.find(this.#partIds);
     if (entry) {
       this.#holdBack(entry);
       return false;
@@ -186,6 +186,7 @@
       this.#giveUp();
       return false;
     }
+    guard.admit(this.#partIds);
     this.#start(view);
     const { result } = await this.#race.decided();
     if (result.end === AttemptEnd.Delivered) {
--- a/src/quarantine/crash-evidence.ts
+++ b/src/quarantine/crash-evidence.ts
@@ -8,6 +8,10 @@
   readonly partIds: readonly string[];
   /** Endpoints that crashed under it. */
   readonly crashes: number;
+  /** These endpoints, where they are known. */
+  readonly endpointIds?: readonly string[] | undefined;
+  /** Whether the reports of all daemons had arrived, so that these crashes had no other cause. */
+  readonly isByAllReports?: boolean | undefined;
   /** Epoch milliseconds. */
   readonly firstCrashAtMs: number;
 }
@@ -138,15 +142,28 @@
     for (;;) {
       const found = this.#nextCauses(nowMs, completeSinceMs);
       if (!found.some(mayName)) return causes;
-      causes.push(...this.#name(found));
+      causes.push(...this.#name(found, nowMs, completeSinceMs));
     }
   }
 
+  /**
+   * Next time after `nowMs` from which a part is named although it is not clear, in epoch
+   * milliseconds; infinite when none would be.
+   */
+  nextDueAtMs(nowMs: number, completeSinceMs: number): number {
+    const dueAtMs = this.#candidates().map((candidate) => candidate.dueAtMs(completeSinceMs));
+    return Math.min(...dueAtMs.filter((atMs) => atMs > nowMs));
+  }
+
+  #candidates(): CrashCandidate[] {
+    return [...this.#suspects.keys()]
+      .filter((partId) => this.#isCandidate(partId))
+      .map((partId) => this.#candidate(partId));
+  }
+
   /** The next cause, or those that fit equally well and were not told apart in time. */
   #nextCauses(nowMs: number, completeSinceMs: number): CrashCandidate[] {
-    const candidates = [...this.#suspects.keys()]
-      .filter((partId) => this.#isCandidate(partId))
-      .map((partId) => this.#candidate(partId))
+    const candidates = this.#candidates()
       // The most specific explanation first, then the one that explains most.
       .sort(
         (a, b) => b.group.length - a.group.length || b.endpointIds.length - a.endpointIds.length,
@@ -158,9 +175,14 @@
       .filter((candidate) => candidate.reportedEvents(completeSinceMs, nowMs) >= minCrashes)
       .find((candidate) => rivalsOf(candidate).length === 0);
     if (clear) return [clear];
-    const due = candidates.filter((candidate) => candidate.isOverdue(nowMs));
+    const due = candidates.filter((candidate) => candidate.dueAtMs(completeSinceMs) <= nowMs);
     const found = due.find(({ wasAnswered }) => !wasAnswered);
-    if (found) return withMostCrashes([found, ...rivalsOf(found)]);
+    if (found) {
+      const rivals = rivalsOf(found);
+      const isEarly = rivals.some((rival) => rival.mayCatchUpWith(found, nowMs));
+      if (isEarly && nowMs < found.deadlineAtMs) return [];
+      return withMostCrashes([found, ...rivals]);
+    }
     const answered = due.find(
       (candidate) => !unanswered.some((other) => other.explains(candidate)),
     );
@@ -168,11 +190,18 @@
   }
 
   /** Takes the crashes that the causes explain off the evidence. */
-  #name(causes: readonly CrashCandidate[]): CrashCause[] {
+  #name(causes: readonly CrashCandidate[], nowMs: number, completeSinceMs: number): CrashCause[] {
     for (const { endpointIds } of causes)
       for (const endpointId of endpointIds) this.explain(endpointId);
-    return causes.map(({ group, endpointIds, firstCrashAtMs }) => {
-      return { partIds: group.toSorted(), crashes: endpointIds.length, firstCrashAtMs };
+    return causes.map((cause) => {
+      const { group, endpointIds, firstCrashAtMs } = cause;
+      return {
+        partIds: group.toSorted(),
+        crashes: endpointIds.length,
+        endpointIds,
+        isByAllReports: cause.reportedEvents(completeSinceMs, nowMs) >= minCrashes,
+        firstCrashAtMs,
+      };
     });
   }
 
--- a/src/quarantine/prompt-guard.ts
+++ b/src/quarantine/prompt-guard.ts
@@ -11,10 +11,11 @@
 import {
   EntrySource,
   exchangedParts,
+  maxIdChars,
   quarantineKey,
   type QuarantineEntry,
 } from './quarantine-entry.js';
-import { maxIdChars, type CrashMessage, type QuarantineMessage } from './quarantine-message.js';
+import type { CrashMessage, QuarantineMessage } from './quarantine-message.js';
 import { QuarantineRecords } from './quarantine-records.js';
 import { QuarantineReview } from './quarantine-review.js';
 import { QuarantineTrials } from './quarantine-trials.js';
@@ -125,7 +126,7 @@
     this.#records = new QuarantineRecords({
       ...options,
       onEntry: (entry) => {
-        this.#merge(entry, EntrySource.Store);
+        this.#receiveEntry(entry, EntrySource.Store, clock.nowMs());
       },
     });
     this.#trials = new QuarantineTrials({
@@ -151,17 +152,22 @@
 
   /** The quarantine that holds a request back now; undefined when none does. */
   find(partIds: readonly string[]): QuarantineEntry | undefined {
-    const entry = this.#quarantine.matches(partIds).find((match) => !this.#trials.isOpen(match));
+    const matches = this.#quarantine.matches(partIds);
+    // A crash under a request that several hold back would not tell which of them is right.
+    const isTrial = matches.length === 1 && matches.every((entry) => this.#trials.isOpen(entry));
+    if (isTrial) return undefined;
+    const entry = matches.find((match) => !this.#trials.isOpen(match)) ?? matches[0];
     if (!entry) return undefined;
     this.#options.metrics.count('gateway_quarantine_refusals', 1);
     return entry;
   }
 
-  /** Like {@link find}, for a request that is about to be sent; a trial is used up by it. */
+  /** Like {@link find}, for a request that is sent to an endpoint now; a trial is used up by it. */
   admit(partIds: readonly string[]): QuarantineEntry | undefined {
-    const entry = this.find(partIds);
-    if (!entry && this.#quarantine.match(partIds)) this.#trials.close();
-    return entry;
+    const heldBackBy = this.find(partIds);
+    const entry = this.#quarantine.match(partIds);
+    if (!heldBackBy && entry) this.#trials.close(entry);
+    return heldBackBy;
   }
 
   /**
@@ -218,7 +224,7 @@
     if (crash) this.#receiveCrash(crashReport(crash, nowMs));
     // What another daemon's answer changes is told by that daemon.
     if (answer) this.#evidence.recordAnswer(answer.partIds, nowMs - answer.ageMs);
-    if (entry) this.#receiveEntry(entry, nowMs);
+    if (entry) this.#receiveEntry(entry, EntrySource.Peer, nowMs);
   }
 
   /** This daemon's latest reports, for daemons that received no datagram. */
@@ -247,7 +253,7 @@
   /** Stores what the store does not hold yet, and starts trials that are due. */
   async tick(): Promise<void> {
     const isHolder = this.#options.isDutyHolder();
-    if (!isHolder) this.#trials.close();
+    if (!isHolder) this.#trials.closeAll();
     this.#review.retain(this.#quarantine.active);
     const keys = new Set(this.#quarantine.entries.map(({ partIds }) => quarantineKey(partIds)));
     for (const key of this.#ownKeys) if (!keys.has(key)) this.#ownKeys.delete(key);
@@ -293,11 +299,18 @@
     this.#finder.reported();
   }
 
-  /** The sender may not have heard of an answer that came whole here. */
-  #receiveEntry(entry: QuarantineEntry, nowMs: number): void {
-    if (!this.#merge(entry, EntrySource.Peer) || entry.isReleased) return;
-    for (const partId of this.#answers.answeredSince(entry.partIds, nowMs - contradictionMs)) {
-      this.#narrow([partId], this.#answers.latest(partId)?.sentAtMs ?? -Infinity);
+  /**
+   * The daemon that named the parts may not have heard of an answer that came whole here, to a request
+   * that was sent since the first of the crashes, or lately when none of them is known here.
+   */
+  #receiveEntry(entry: QuarantineEntry, source: EntrySource, nowMs: number): void {
+    if (!this.#merge(entry, source) || entry.isReleased) return;
+    const firstCrashAtMs = this.#review.firstCrashAtMs(entry);
+    for (const partId of entry.partIds) {
+      const answer = this.#answers.latest(partId);
+      if (!answer) continue;
+      const isRecent = answer.answeredAtMs > nowMs - contradictionMs;
+      if (isRecent || answer.sentAtMs > firstCrashAtMs) this.#narrow([partId], answer.sentAtMs);
     }
   }
 
@@ -369,12 +382,18 @@
     void this.#records.storeMissing([entry]);
   }
 
+  /** Crashes of which an entry is the cause; this daemon may lack the reports that show it. */
+  #explainedBy(entry: QuarantineEntry): readonly string[] {
+    const known = this.#review.crashedUnder(entry);
+    return entry.isByAllReports ? [...known, ...(entry.endpointIds ?? [])] : known;
+  }
+
   #merge(entry: QuarantineEntry, source: EntrySource, inputs: DecisionInputs = {}): boolean {
     if (!this.#quarantine.merge(entry)) return false;
     const { partIds, version, crashes, isReleased, trials } = entry;
     if (!isReleased) {
       this.#review.began(entry, this.#options.clock.nowMs());
-      for (const id of this.#review.crashedUnder(entry)) this.#evidence.explain(id);
+      for (const id of this.#explainedBy(entry)) this.#evidence.explain(id);
     }
     const event = isReleased ? EventId.QuarantineLifted : EventId.PromptQuarantined;
     const message = isReleased
--- a/test/quarantine/prompt-guard_test.ts
+++ b/test/quarantine/prompt-guard_test.ts
@@ -3,6 +3,8 @@
 import { QuarantineAdmin } from '../../src/quarantine/quarantine-admin.js';
 import { KeyedLogFault } from '../../src/standins/memory-keyed-log.js';
 import { quarantineMessageSchema } from '../../src/quarantine/quarantine-message.js';
+import { EntrySource, type QuarantineEntry } from '../../src/quarantine/quarantine-entry.js';
+import { storeQuarantine } from '../../src/quarantine/quarantine-records.js';
 import { GuardFleet, type GuardFleetOptions } from './guard-fleet.js';
 
 /** Requests that may still be sent, and from when on that is counted. */
@@ -253,6 +255,31 @@
       expect(holder.admit(['first0', 'sound'])?.partIds).toEqual(['first0']);
     });
 
+    it('is tried although the trial of another one waits for a request that never comes', async () => {
+      await start();
+      for (let end = 0; end < 3; end++) {
+        const parts = new Map([
+          [3, ['first0', `sound${end}`]],
+          [4, [`first${1 + end}`, 'dead']],
+        ]);
+        void fleet.crashUnder(parts);
+        await fleet.clock.advance(600);
+      }
+      const nowMs = fleet.clock.nowMs();
+      const times = { firstCrashAtMs: nowMs - 1_800, nextTrialAtMs: nowMs + 300_000 };
+      for (const partId of ['dead', 'first0']) {
+        const entry = { ...wrong, ...times, partIds: [partId], version: 1 };
+        for (const guard of fleet.guards) guard.receive({ entry });
+      }
+      for (let at = 0; at < 20; at++) {
+        fleet.answer('first0', 'sound');
+        await fleet.clock.advance(500);
+      }
+      expect(fleet.heldBackAt('first0')).toBe(0);
+      // The holder of the duties still waits for a request to try it with.
+      expect(fleet.heldBackAt('dead')).toBe(6);
+    });
+
     it('stays while no endpoints crash, as a right one does', async () => {
       await startWithWrong();
       for (let at = 0; at < 100; at++) {
@@ -270,6 +297,7 @@
         void fleet.crashUnder(new Map([[0, [`first${end}`, 'dead']]]));
         await fleet.clock.advance(600);
       }
+      await fleet.clock.advance(2_000);
       const named = fleet.events.texts.find((text) => text.includes('"source":"evidence"'));
       expect(named).toContain(
         unheardForMs === 0 ? '"reportsCompleteMs":' : '"reportsCompleteMs":0,',
@@ -298,8 +326,89 @@
     expect(guard.find(['first0'])).toBeUndefined();
   });
 
+  describe('a quarantine of another daemon', () => {
+    const endpointIds = ['i-1', 'i-2', 'i-3', 'i-4', 'i-5'];
+
+    /** Of five crashes the bystanders are known to daemon 1, the requests with the cause elsewhere. */
+    async function playBystanders(tell: (entry: QuarantineEntry) => void): Promise<void> {
+      await start({ daemons: 2, unheardForMs: 60_000 });
+      const firstCrashAtMs = fleet.clock.nowMs();
+      const state = { version: 1, isReleased: false, trials: 0 };
+      for (const [end] of endpointIds.entries()) {
+        void fleet.crashUnder(new Map([[1, ['first0', `sound${end}`]]]));
+        await fleet.clock.advance(480);
+      }
+      const nextTrialAtMs = firstCrashAtMs + 300_000;
+      const cause = { partIds: ['dead'], crashes: 5, endpointIds, firstCrashAtMs, nextTrialAtMs };
+      tell({ ...cause, ...state });
+      await fleet.clock.advance(10_000);
+    }
+
+    it('takes its crashes off the evidence, although the reports with its parts are missing', async () => {
+      await playBystanders((entry) => {
+        for (const guard of fleet.guards)
+          guard.receive({ entry: { ...entry, isByAllReports: true } });
+      });
+      expect(fleet.heldBackAt('first0')).toBe(0);
+    });
+
+    it('does so also when it is known by the store only', async () => {
+      await playBystanders((entry) => {
+        void storeQuarantine(fleet.log, 'duties', { ...entry, isByAllReports: true });
+      });
+      expect(fleet.heldBackAt('dead')).toBe(2);
+      expect(fleet.heldBackAt('first0')).toBe(0);
+    });
+
+    it.each([EntrySource.Peer, EntrySource.Store])(
+      'is lifted by an answer of 1.5 s ago that came whole here since the first crash: by the %s',
+      async (source) => {
+        await start({ daemons: 2 });
+        const firstCrashAtMs = fleet.clock.nowMs();
+        void fleet.crashUnder(new Map([[1, ['first0', 'sound']]]));
+        await fleet.clock.advance(1_000);
+        fleet.guards[0]!.answered({ partIds: ['first0'], sentAtMs: fleet.clock.nowMs() - 200 });
+        await fleet.clock.advance(1_500);
+        const state = { version: 1, isReleased: false, trials: 0 };
+        const times = { firstCrashAtMs, nextTrialAtMs: firstCrashAtMs + 300_000 };
+        const entry = { partIds: ['first0'], crashes: 5, endpointIds, ...times, ...state };
+        if (source === EntrySource.Store) await storeQuarantine(fleet.log, 'duties', entry);
+        else for (const guard of fleet.guards) guard.receive({ entry });
+        await fleet.clock.advance(5_000);
+        expect(fleet.heldBackAt('first0')).toBe(0);
+      },
+    );
+
+    it('stays in spite of an answer before its crashes, also when it comes from a clock that is behind', async () => {
+      await start({ daemons: 2 });
+      void fleet.crashUnder(new Map([[1, ['first0', 'sound']]]));
+      await fleet.clock.advance(1_000);
+      fleet.guards[0]!.answered({ partIds: ['first0'], sentAtMs: fleet.clock.nowMs() - 200 });
+      await fleet.clock.advance(60_000);
+      const firstCrashAtMs = fleet.clock.nowMs() - 90_000;
+      const state = { version: 1, isReleased: false, trials: 0 };
+      const times = { firstCrashAtMs, nextTrialAtMs: fleet.clock.nowMs() + 300_000 };
+      // The part was at an earlier crash too.
+      const others = { crashes: 3, endpointIds: ['i-7', 'i-8', 'i-9'] };
+      const entry = { partIds: ['first0'], ...others, ...times, ...state };
+      for (const guard of fleet.guards) guard.receive({ entry });
+      await fleet.clock.advance(5_000);
+      expect(fleet.heldBackAt('first0')).toBe(2);
+    });
+
+    it('takes no crash off the evidence when it was decided with reports missing', async () => {
+      await playBystanders((entry) => {
+        for (const guard of fleet.guards)
+          guard.receive({ entry: { ...entry, isByAllReports: false } });
+      });
+      // Which of the two is sound is for their trials to show, at the holder of the duties.
+      expect(fleet.guards[1]!.find(['first0'])).toBeDefined();
+      expect(fleet.events.texts.some((text) => text.includes('"isEarly":true'))).toBe(true);
+    });
+  });
+
   it('tells a daemon that missed the verdict of it when that one sends a poison request', async () => {
-    await start({ unheardForMs: 8_000 });
+    await start({ unheardForMs: 10_000 });
     fleet.log.fault = KeyedLogFault.Down;
     // Nothing is heard of each other: daemon 0 alone names the part.
     for (let end = 0; end < 6; end++) {
