--- a/bench/histories/checkers/index.ts
+++ b/bench/histories/checkers/index.ts
@@ -5,9 +5,13 @@
 import { gracefulStop } from './graceful-stop.js';
 import { leavingEndpointsRest } from './leaving-endpoints-rest.js';
 import { notRunIsTrue } from './not-run-is-true.js';
+import { pausesAreKept } from './pauses-are-kept.js';
+import { refusalsNameTheEnd } from './refusals-name-the-end.js';
+import { soundEndpointsServe } from './sound-endpoints-serve.js';
+import { toldLeavingIsKept } from './told-leaving-is-kept.js';
 import { wholeAnswers } from './whole-answers.js';
 
-/** Checkers of the guarantees P1 to P7, in this order. */
+/** Checkers of the guarantees P1 to P7, in this order, and of what endpoints say themselves. */
 export const checkers: readonly Checker[] = [
   acceptedJobsSurvive,
   wholeAnswers,
@@ -16,4 +20,8 @@
   leavingEndpointsRest,
   gracefulStop,
   configurationInForce,
+  toldLeavingIsKept,
+  pausesAreKept,
+  soundEndpointsServe,
+  refusalsNameTheEnd,
 ];
--- a/bench/histories/history.ts
+++ b/bench/histories/history.ts
@@ -15,6 +15,11 @@
   EndpointLeaving = 'endpoint_leaving',
   WorkAssigned = 'work_assigned',
   SignalHeldUp = 'signal_held_up',
+  RequestArrived = 'request_arrived',
+  LeavingTold = 'leaving_told',
+  PauseAsked = 'pause_asked',
+  CallRefused = 'call_refused',
+  EndpointUsable = 'endpoint_usable',
   StopBegan = 'stop_began',
   DaemonCrashed = 'daemon_crashed',
   RequestBegan = 'request_began',
@@ -88,6 +93,43 @@
       readonly workId: string;
       readonly region: string;
     }
+  /**
+   * A request of a run of a daemon reached the endpoint that it names. `writtenAtMs` is when the
+   * daemon wrote it; a probe is a request for the endpoint's health.
+   */
+  | {
+      readonly kind: HistoryKind.RequestArrived;
+      readonly endpointId: string;
+      readonly daemon: string;
+      readonly requestId: string;
+      readonly isProbe: boolean;
+      readonly writtenAtMs: number;
+    }
+  /** A run of a daemon read a response by which an endpoint says that it leaves. */
+  | { readonly kind: HistoryKind.LeavingTold; readonly endpointId: string; readonly daemon: string }
+  /** A run of a daemon read a refusal that was sent at `askedAtMs` and asks for a pause to `untilMs`. */
+  | {
+      readonly kind: HistoryKind.PauseAsked;
+      readonly endpointId: string;
+      readonly daemon: string;
+      readonly askedAtMs: number;
+      readonly untilMs: number;
+    }
+  /** A daemon refused a call and named the time of the next try. */
+  | {
+      readonly kind: HistoryKind.CallRefused;
+      readonly callId: string;
+      readonly retryAtMs: number;
+      /** End of the earliest pause if all endpoints that the daemon may use pause; else undefined. */
+      readonly pausedUntilMs: number | undefined;
+    }
+  /** Whether a daemon may use a sound endpoint once all faults have ended. */
+  | {
+      readonly kind: HistoryKind.EndpointUsable;
+      readonly endpointId: string;
+      readonly daemon: string;
+      readonly isUsable: boolean;
+    }
   /** Daemons of stops and requests are named with their run, as `entry-0.3`. */
   | { readonly kind: HistoryKind.StopBegan; readonly daemon: string }
   | { readonly kind: HistoryKind.DaemonCrashed; readonly daemon: string }
--- a/bench/histories/run-history.ts
+++ b/bench/histories/run-history.ts
@@ -4,6 +4,8 @@
 import { chats } from './chat-commands.js';
 import { callsAndJobs, faults } from './commands.js';
 import { HistoryKind, type HistoryEvent } from './history.js';
+import { noticeCommands } from './notice-commands.js';
+import { NoticeWorld } from './notice-world.js';
 import { settings } from './settings-commands.js';
 import { World, type WorldParts } from './world.js';
 
@@ -31,9 +33,16 @@
   readonly counts: ReadonlyMap<HistoryKind, number>;
 }
 
+/** A world that commands act on. */
+interface HistoryWorld {
+  readonly history: { readonly events: readonly HistoryEvent[] };
+  start(): Promise<void>;
+  finish(): Promise<void>;
+}
+
 /**
- * Runs the history of a seed and, when a guarantee is violated, looks for a shorter one that
- * violates it too.
+ * Runs the histories of a seed, of the system and of what endpoints say themselves, and, when a
+ * guarantee is violated, looks for a shorter one that violates it too.
  *
  * @example
  * ```ts
@@ -41,14 +50,35 @@
  * ```
  */
 export async function runHistory(seed: number): Promise<HistoryResult> {
-  let first: readonly HistoryEvent[] | undefined;
   const parts = partsOf(seed);
-  const commandLists = fc.commands<HistoryModel, World, false>(parts.commands.flat(), {
+  const system = await playWorld(
+    seed,
+    parts.commands.flat(),
+    (worldSeed) => new World(worldSeed, parts.world),
+  );
+  const notices = await runNoticeHistory(seed);
+  const counts = new Map(system.counts);
+  for (const [kind, count] of notices.counts) counts.set(kind, (counts.get(kind) ?? 0) + count);
+  return { seed, failure: system.failure ?? notices.failure, counts };
+}
+
+/** Runs the history of a seed in which endpoints leave and pause by their responses. */
+export function runNoticeHistory(seed: number): Promise<HistoryResult> {
+  return playWorld(seed, noticeCommands, (worldSeed) => new NoticeWorld(worldSeed));
+}
+
+async function playWorld<WorldType extends HistoryWorld>(
+  seed: number,
+  commandKinds: readonly fc.Arbitrary<fc.AsyncCommand<HistoryModel, WorldType>>[],
+  createWorld: (worldSeed: number) => WorldType,
+): Promise<HistoryResult> {
+  let first: readonly HistoryEvent[] | undefined;
+  const commandLists = fc.commands<HistoryModel, WorldType, false>([...commandKinds], {
     maxCommands,
     size: 'max',
   });
   const property = fc.asyncProperty(commandLists, fc.integer(), async (commands, worldSeed) => {
-    const world = new World(worldSeed, parts.world);
+    const world = createWorld(worldSeed);
     await world.start();
     await fc.asyncModelRun(() => ({ model: {}, real: world }), commands);
     await world.finish();
--- a/test/histories/checkers_test.ts
+++ b/test/histories/checkers_test.ts
@@ -5,6 +5,10 @@
 import { gracefulStop } from '../../bench/histories/checkers/graceful-stop.js';
 import { leavingEndpointsRest } from '../../bench/histories/checkers/leaving-endpoints-rest.js';
 import { notRunIsTrue } from '../../bench/histories/checkers/not-run-is-true.js';
+import { pausesAreKept } from '../../bench/histories/checkers/pauses-are-kept.js';
+import { refusalsNameTheEnd } from '../../bench/histories/checkers/refusals-name-the-end.js';
+import { soundEndpointsServe } from '../../bench/histories/checkers/sound-endpoints-serve.js';
+import { toldLeavingIsKept } from '../../bench/histories/checkers/told-leaving-is-kept.js';
 import { wholeAnswers } from '../../bench/histories/checkers/whole-answers.js';
 import { HistoryKind, type HistoryEvent } from '../../bench/histories/history.js';
 import { Outcome } from '../../src/core/index.js';
@@ -192,4 +196,79 @@
       expect(configurationInForce([setting, answered(true, 6)])).toHaveLength(1);
     });
   });
+
+  describe('what endpoints say themselves', () => {
+    const arrived = (arrivedAtMs: number, changes: Partial<HistoryEvent> = {}): HistoryEvent =>
+      ({
+        atMs: arrivedAtMs,
+        kind: HistoryKind.RequestArrived,
+        endpointId: 'i-1@0',
+        daemon: 'entry-0.1',
+        requestId: 'r',
+        isProbe: false,
+        writtenAtMs: arrivedAtMs - 1,
+        ...changes,
+      }) as HistoryEvent;
+
+    it('catches a request later than the drain bound after the leaving was told', () => {
+      const told: HistoryEvent = {
+        atMs: 1_000,
+        kind: HistoryKind.LeavingTold,
+        endpointId: 'i-1@0',
+        daemon: 'entry-0.1',
+      };
+      expect(toldLeavingIsKept([told, arrived(3_501)])).toHaveLength(1);
+      // The first response counts, not a later one.
+      expect(toldLeavingIsKept([told, { ...told, atMs: 3_000 }, arrived(3_501)])).toHaveLength(1);
+      expect(toldLeavingIsKept([told, arrived(3_500)])).toEqual([]);
+      const allowed: Partial<HistoryEvent>[] = [
+        { daemon: 'entry-0.2' },
+        { endpointId: 'i-1@900' },
+        { isProbe: true },
+      ];
+      for (const changes of allowed) {
+        expect(toldLeavingIsKept([told, arrived(9_000, changes)])).toEqual([]);
+      }
+    });
+
+    it('catches a request or a probe within a pause that the daemon knew of', () => {
+      const asked: HistoryEvent = {
+        atMs: 1_010,
+        kind: HistoryKind.PauseAsked,
+        endpointId: 'i-1@0',
+        daemon: 'entry-0.1',
+        askedAtMs: 1_000,
+        untilMs: 5_000,
+      };
+      expect(pausesAreKept([asked, arrived(1_501)])).toHaveLength(1);
+      expect(pausesAreKept([asked, arrived(4_999, { isProbe: true })])).toHaveLength(1);
+      // A longer pause holds beside a shorter one.
+      expect(pausesAreKept([asked, { ...asked, untilMs: 2_000 }, arrived(4_000)])).toHaveLength(1);
+      expect(pausesAreKept([asked, arrived(1_500), arrived(5_000)])).toEqual([]);
+      expect(pausesAreKept([asked, arrived(3_000, { writtenAtMs: 1_009 })])).toEqual([]);
+      expect(pausesAreKept([asked, arrived(3_000, { daemon: 'entry-1.1' })])).toEqual([]);
+    });
+
+    it('catches a sound endpoint that gets nothing, and a refusal that names too early a time', () => {
+      const usable: HistoryEvent = {
+        atMs,
+        kind: HistoryKind.EndpointUsable,
+        endpointId: 'i-1@0',
+        daemon: 'entry-0.1',
+        isUsable: true,
+      };
+      expect(soundEndpointsServe([usable])).toEqual([]);
+      expect(soundEndpointsServe([{ ...usable, isUsable: false }])).toHaveLength(1);
+      const refused: HistoryEvent = {
+        atMs,
+        kind: HistoryKind.CallRefused,
+        callId: 'c',
+        retryAtMs: 900,
+        pausedUntilMs: 1_000,
+      };
+      expect(refusalsNameTheEnd([refused])).toHaveLength(1);
+      expect(refusalsNameTheEnd([{ ...refused, retryAtMs: 1_000 }])).toEqual([]);
+      expect(refusalsNameTheEnd([{ ...refused, pausedUntilMs: undefined }])).toEqual([]);
+    });
+  });
 });
--- a/test/histories/seed-range.ts
+++ b/test/histories/seed-range.ts
@@ -27,6 +27,11 @@
           HistoryKind.RequestEnded,
           HistoryKind.SettingAccepted,
           HistoryKind.SettingInForce,
+          HistoryKind.RequestArrived,
+          HistoryKind.LeavingTold,
+          HistoryKind.PauseAsked,
+          HistoryKind.CallRefused,
+          HistoryKind.EndpointUsable,
         ]) {
           expect(totals.get(kind) ?? 0).toBeGreaterThan(count / 2);
         }
