--- a/bench/histories/notice-world.ts
+++ b/bench/histories/notice-world.ts
@@ -15,6 +15,8 @@
 const heartbeatMs = 1_200;
 /** Age of the registrations that a daemon knows; below the time for which leaving endpoints serve. */
 const maxLagMs = 2_400;
+const datagramLossRatio = 0.1;
+const maxDatagramMs = 150;
 const connectionLossMs = 20_000;
 /** Time after the last fault by which calls, pauses and suspicions have ended. */
 const settleMs = 22_000;
@@ -214,6 +216,18 @@
     });
   }
 
+  /** Sends what a daemon was told to the others by datagrams, of which some are lost. */
+  #tellPeers(from: number, endpointId: string): void {
+    const { run } = this.gateway(from);
+    this.#gateways.forEach(({ process }, place) => {
+      if (place === from || this.random.float() < datagramLossRatio) return;
+      process.schedule(this.clock.nowMs() + this.random.int(1, maxDatagramMs), () => {
+        const { peerLeavings } = this.gateway(place).known;
+        peerLeavings.report(endpointId, run, 0, this.clock.nowMs());
+      });
+    });
+  }
+
   #startGateway(place: number): void {
     const { clock, history, endpoints } = this;
     const process = new SimulatedProcess(clock);
@@ -225,6 +239,9 @@
       endpoints,
       run: `entry-${place}.${++this.#runCount}`,
       hasFaults: () => this.#hasFaults,
+      tellLeaving: (endpointId) => {
+        this.#tellPeers(place, endpointId);
+      },
       isCut: () => clock.nowMs() < (this.#cutUntilMs[place] ?? -Infinity),
     });
     process.onCrash = () => {
--- a/bench/histories/simulated-gateway.ts
+++ b/bench/histories/simulated-gateway.ts
@@ -64,6 +64,8 @@
   readonly run: string;
   readonly hasFaults: () => boolean;
   readonly isCut: () => boolean;
+  /** Tells the other daemons that an endpoint leaves. */
+  readonly tellLeaving: (endpointId: string) => void;
 }
 
 /** The parts of a gateway that choose endpoints and relay requests, without a network. */
@@ -87,6 +89,7 @@
       clock,
       events,
       metrics,
+      onLeaving: options.tellLeaving,
     });
     const { registry, pauses, notices } = this.known;
     this.endpoints = new RegisteredEndpoints({
--- a/src/fleet/endpoint-notices.ts
+++ b/src/fleet/endpoint-notices.ts
@@ -3,6 +3,7 @@
 import type { EndpointNotice } from './endpoint-notice.js';
 import type { EndpointPauses } from './endpoint-pauses.js';
 import type { EndpointRegistry } from './endpoint-registry.js';
+import { isLeaving as isViewLeaving } from './endpoint-view.js';
 import { LeavingSource } from './leaving-set.js';
 
 /** Longest part of a header line that is logged. */
@@ -14,6 +15,8 @@
   readonly pauses: EndpointPauses;
   readonly clock: Clock;
   readonly events: EventLog;
+  /** Called when an endpoint says that it leaves and nothing has said so before. */
+  readonly onLeaving?: (endpointId: string) => void;
 }
 
 /**
@@ -39,7 +42,7 @@
    */
   apply(endpointId: string, { isLeaving, pauseMs, unreadable }: EndpointNotice): void {
     const { registry, pauses, clock, events } = this.#options;
-    if (isLeaving) registry.recordDraining(endpointId, LeavingSource.Response);
+    if (isLeaving) this.#recordLeaving(endpointId);
     if (pauseMs !== undefined && registry.view(endpointId)) {
       const nowMs = clock.nowMs();
       pauses.record(endpointId, nowMs + pauseMs, nowMs);
@@ -51,4 +54,12 @@
       });
     }
   }
+
+  #recordLeaving(endpointId: string): void {
+    const { registry, onLeaving } = this.#options;
+    const view = registry.view(endpointId);
+    if (!view) return;
+    registry.recordDraining(endpointId, LeavingSource.Response);
+    if (!isViewLeaving(view)) onLeaving?.(endpointId);
+  }
 }
--- a/src/gateway/endpoint-knowledge.ts
+++ b/src/gateway/endpoint-knowledge.ts
@@ -1,12 +1,14 @@
 import type { Clock, Random } from '../core/index.js';
 import { EstimatedSpeeds } from '../fleet/estimated-speeds.js';
 import { EndpointNotices, EndpointPauses, EndpointRegistry, LeavingSet } from '../fleet/index.js';
+import { PeerLeavings } from '../fleet/peer-leavings.js';
 import { PeerSuspicions } from '../fleet/peer-suspicions.js';
 import { PrefillBacklog } from '../fleet/prefill-backlog.js';
 import { PrefixCacheIndex } from '../fleet/prefix-cache-index.js';
 import { SpeedEstimator } from '../fleet/speed-estimator.js';
 import {
   PauseFilter,
+  PeerLeavingFilter,
   PeerSuspicionFilter,
   PrefillInterferenceScorer,
   PrefillQueueScorer,
@@ -25,6 +27,8 @@
   readonly clock: Clock;
   readonly events: EventLog;
   readonly metrics: Metrics;
+  /** Called when an endpoint says by a response that it leaves, and nothing has said so before. */
+  readonly onLeaving?: (endpointId: string) => void;
 }
 
 /**
@@ -37,6 +41,7 @@
   readonly caches = new PrefixCacheIndex();
   readonly backlog = new PrefillBacklog();
   readonly suspicions = new PeerSuspicions();
+  readonly peerLeavings: PeerLeavings;
   readonly pauses: EndpointPauses;
   readonly notices: EndpointNotices;
   readonly promptAffinity = new PromptAffinityScorer();
@@ -56,13 +61,16 @@
       pauses: this.pauses,
       clock,
       events,
+      ...(options.onLeaving ? { onLeaving: options.onLeaving } : {}),
     });
+    this.peerLeavings = new PeerLeavings(options);
     this.registry.onRetire((endpointId) => {
       this.pauses.remove(endpointId);
       this.speeds.remove(endpointId);
       this.caches.remove(endpointId);
       this.backlog.remove(endpointId);
       this.suspicions.remove(endpointId);
+      this.peerLeavings.remove(endpointId);
     });
     this.router = new Router({
       daemonId: daemon,
@@ -73,6 +81,7 @@
         ...standardFilters(region),
         new PauseFilter(this.pauses),
         new PeerSuspicionFilter(this.suspicions),
+        new PeerLeavingFilter(this.peerLeavings),
       ],
       scorers: [
         ...standardScorers(region),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -141,7 +141,12 @@
       intervals: () => this.#peers.intervals,
     });
 
-    this.#known = new EndpointKnowledge(options);
+    this.#known = new EndpointKnowledge({
+      ...options,
+      onLeaving: (endpointId) => {
+        this.#peers.broadcastLeaving(endpointId);
+      },
+    });
     this.#known.registry.onSuspect(({ id }) => {
       this.#peers.broadcastSuspicion(id);
     });
@@ -184,6 +189,9 @@
       distributor: () => this.replicas.distributor,
       onSuspicion: (endpointId, reporter) =>
         this.#known.suspicions.report(endpointId, reporter, clock.nowMs()),
+      onLeaving: (endpointId, reporter, ageMs) => {
+        this.#known.peerLeavings.report(endpointId, reporter, ageMs, clock.nowMs());
+      },
       onQuarantine: (message) => {
         this.#guard.receive(message);
       },
--- a/src/gateway/peer-exchange.ts
+++ b/src/gateway/peer-exchange.ts
@@ -1,3 +1,4 @@
+import { TokenBucket } from '../admission/token-bucket.js';
 import type { QuotaPeerStatus } from '../admission/token-quota.js';
 import type { Clock } from '../core/index.js';
 import {
@@ -36,6 +37,8 @@
   readonly onPrefill: (report: PrefillReport) => void;
   /** Called when another daemon could not reach an endpoint. */
   readonly onSuspicion: (endpointId: string, daemon: string) => void;
+  /** Called when an endpoint has told another daemon that it leaves, `ageMs` milliseconds ago. */
+  readonly onLeaving: (endpointId: string, daemon: string, ageMs: number) => void;
   /** Called when another daemon reports endpoints that crashed, or what they crashed under. */
   readonly onQuarantine: (message: QuarantineMessage) => void;
   /** The daemon from which this one reads the store; undefined when it reads the store itself. */
@@ -63,6 +66,10 @@
 /** Missed direct reports in a row after which a daemon counts as reachable by the store only. */
 const maxMissedReports = 4;
 
+/** Endpoints that one daemon reports as leaving: on average, and of a failure domain at once. */
+const leavingTellsPerS = 2;
+const leavingTellsBurst = 64;
+
 /** The other daemons as this one reaches them, itself counted. */
 interface PeerReach extends PeerCoverage {
   readonly daemons: number;
@@ -80,6 +87,7 @@
   readonly #grantedFilter = new ChangeFilter();
   readonly #askedFilter = new ChangeFilter();
   readonly #coverage: ReportCoverage;
+  readonly #leavingTells: TokenBucket;
   #groups: { readonly groups: readonly DistributionGroup[]; readonly untilMs: number } = {
     groups: [],
     untilMs: 0,
@@ -91,8 +99,9 @@
     super();
     this.#options = options;
     const { samples, daemon, address, clock, events } = options;
-    const { onPrefill, onSuspicion, onQuarantine } = options;
+    const { onPrefill, onSuspicion, onLeaving, onQuarantine } = options;
     this.#intervals = this.#intervalsFor(1, 1);
+    this.#leavingTells = new TokenBucket(leavingTellsPerS, leavingTellsBurst, clock.nowMs());
     this.#coverage = new ReportCoverage(clock.nowMs() + maxFirstSampleDelayMs);
     this.#broadcaster = new PeerBroadcaster({
       daemon,
@@ -100,6 +109,7 @@
       routes: () => this.#routes(),
       onPrefill,
       onSuspicion,
+      onLeaving,
       onQuarantine,
       onGrants: (report) => {
         samples.applyDirectReport(report);
@@ -172,6 +182,15 @@
     this.#broadcaster.broadcastSuspicion(endpointId);
   }
 
+  /**
+   * Tells all other daemons that an endpoint has told this one that it leaves. Beyond a bound the
+   * others have to wait for its registration.
+   */
+  broadcastLeaving(endpointId: string): void {
+    const nowMs = this.#options.clock.nowMs();
+    if (this.#leavingTells.tryTake(1, nowMs)) this.#broadcaster.broadcastLeaving(endpointId, 0);
+  }
+
   /** Tells all other daemons of endpoints that crashed, or of what they crashed under. */
   broadcastQuarantine(message: QuarantineMessage): void {
     this.#broadcaster.broadcastQuarantine(message);
--- a/src/membership/broadcast-message.ts
+++ b/src/membership/broadcast-message.ts
@@ -16,6 +16,7 @@
   Prefill = 'prefill',
   Grants = 'grants',
   Suspicion = 'suspicion',
+  Leaving = 'leaving',
   Quarantine = 'quarantine',
 }
 
@@ -29,9 +30,18 @@
   Everyone = 'everyone',
 }
 
+/** Longest identity of an endpoint in a message; bounds the memory that a datagram takes. */
+const maxEndpointIdChars = 600;
+
 const messageSchema = z.union([
   z.tuple([z.literal(BroadcastKind.Prefill), z.string(), z.number().nonnegative(), z.string()]),
   z.tuple([z.literal(BroadcastKind.Suspicion), z.string().min(1), z.string()]),
+  z.tuple([
+    z.literal(BroadcastKind.Leaving),
+    z.string().min(1).max(maxEndpointIdChars),
+    z.number().nonnegative(),
+    z.string(),
+  ]),
   z.tuple([z.literal(BroadcastKind.Quarantine), quarantineMessageSchema, z.string()]),
   z.tuple([
     z.literal(BroadcastKind.Grants),
@@ -68,6 +78,19 @@
   return [BroadcastKind.Suspicion, endpointId, daemon];
 }
 
+/**
+ * Message that an endpoint has told `daemon` that it leaves.
+ *
+ * @param ageMs - milliseconds since its response.
+ */
+export function leavingMessage(
+  daemon: string,
+  endpointId: string,
+  ageMs: number,
+): BroadcastMessage {
+  return [BroadcastKind.Leaving, endpointId, Math.round(ageMs), daemon];
+}
+
 /** Message of `daemon` about endpoints that crashed, and the prompts that they crashed under. */
 export function quarantineBroadcast(daemon: string, content: QuarantineMessage): BroadcastMessage {
   return [BroadcastKind.Quarantine, content, daemon];
--- a/src/membership/peer-broadcaster.ts
+++ b/src/membership/peer-broadcaster.ts
@@ -7,6 +7,7 @@
   decodeBatch,
   encodeBatch,
   grantMessage,
+  leavingMessage,
   prefillMessage,
   quarantineBroadcast,
   suspicionMessage,
@@ -32,6 +33,8 @@
   readonly onGrants: (report: GrantReport) => void;
   /** Called when another daemon could not reach an endpoint. */
   readonly onSuspicion: (endpointId: string, daemon: string) => void;
+  /** Called when an endpoint has told another daemon that it leaves, `ageMs` milliseconds ago. */
+  readonly onLeaving: (endpointId: string, daemon: string, ageMs: number) => void;
   /** Called when another daemon reports endpoints that crashed, or what they crashed under. */
   readonly onQuarantine: (message: QuarantineMessage) => void;
   readonly clock: Clock;
@@ -99,6 +102,11 @@
     this.#relay.publish(suspicionMessage(this.#options.daemon, endpointId));
   }
 
+  /** Tells all peers that an endpoint has told this daemon that it leaves. */
+  broadcastLeaving(endpointId: string, ageMs: number): void {
+    this.#relay.publish(leavingMessage(this.#options.daemon, endpointId, ageMs));
+  }
+
   /** Tells all peers of endpoints that crashed, or of what they crashed under. */
   broadcastQuarantine(message: QuarantineMessage): void {
     this.#relay.publish(quarantineBroadcast(this.#options.daemon, message));
@@ -125,7 +133,7 @@
   }
 
   #deliver(message: BroadcastMessage): void {
-    const { daemon, onPrefill, onGrants, onSuspicion, onQuarantine } = this.#options;
+    const { daemon, onPrefill, onGrants, onSuspicion, onLeaving, onQuarantine } = this.#options;
     switch (message[0]) {
       case BroadcastKind.Grants: {
         const [, sender, incarnation, granted, asked] = message;
@@ -142,6 +150,11 @@
         if (sender !== daemon) onSuspicion(endpointId, sender);
         break;
       }
+      case BroadcastKind.Leaving: {
+        const [, endpointId, ageMs, sender] = message;
+        if (sender !== daemon) onLeaving(endpointId, sender, ageMs);
+        break;
+      }
       case BroadcastKind.Quarantine: {
         const [, content, sender] = message;
         if (sender !== daemon) onQuarantine(content);
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -11,4 +11,5 @@
 export * from './standard-scorers.js';
 export * from './subset-selector.js';
 export * from './pause-filter.js';
+export * from './peer-leaving-filter.js';
 export * from './peer-suspicion-filter.js';
--- a/src/telemetry/events.ts
+++ b/src/telemetry/events.ts
@@ -57,6 +57,7 @@
   EndpointPaused = 420,
   EndpointPauseEnded = 421,
   NoticeUnreadable = 422,
+  EndpointLeavingForPeer = 423,
 
   // 5xx routing and admission
   RequestNotAdmitted = 501,
--- a/test/gateway/peer-exchange_test.ts
+++ b/test/gateway/peer-exchange_test.ts
@@ -59,6 +59,7 @@
     counts: () => counts,
     onPrefill: () => undefined,
     onSuspicion: () => undefined,
+    onLeaving: () => undefined,
     onQuarantine: () => undefined,
     distributor: () => undefined,
   });
--- a/test/membership/peer-broadcaster_test.ts
+++ b/test/membership/peer-broadcaster_test.ts
@@ -26,6 +26,7 @@
   async function start(peers: () => string[]) {
     const port = await freePort();
     const received: (PrefillReport | GrantReport)[] = [];
+    const leavings: (readonly [string, string, number])[] = [];
     const waiters: (() => void)[] = [];
     const onReport = (item: PrefillReport | GrantReport): void => {
       received.push(item);
@@ -40,13 +41,17 @@
       onPrefill: onReport,
       onGrants: onReport,
       onSuspicion: () => undefined,
+      onLeaving: (endpointId, daemon, ageMs) => {
+        leavings.push([endpointId, daemon, ageMs]);
+        for (const wake of waiters.splice(0)) wake();
+      },
       onQuarantine: () => undefined,
       events,
     });
     broadcaster.listen();
     open.push(broadcaster);
     const next = (): Promise<void> => new Promise((resolve) => waiters.push(resolve));
-    return { port, broadcaster, received, next };
+    return { port, broadcaster, received, leavings, next };
   }
 
   it('sends prompts and grants to each peer', async () => {
@@ -68,6 +73,15 @@
     expect(receiver.received).toEqual([prompt, report]);
   });
 
+  it('sends which endpoint leaves, from whom and how old that is', async () => {
+    const receiver = await start(() => []);
+    const sender = await start(() => [`${host}:${receiver.port}`]);
+    const delivery = receiver.next();
+    sender.broadcaster.broadcastLeaving('e-1#7', 12);
+    await delivery;
+    expect(receiver.leavings).toEqual([['e-1#7', `daemon-${sender.port}`, 12]]);
+  });
+
   it('takes the known messages of a batch of a later build, as both run during a rolling restart', () => {
     const known = ['prefill', 'e-1', 5, 'a'];
     const batch = { scope: 'receiver', sender: 'a', senderAddress: 'b' };
@@ -81,7 +95,13 @@
     const sender = await start(() => [`${host}:${receiver.port}`]);
     const stray = createSocket('udp4');
     const batch = '{"scope":"receiver","sender":"a","senderAddress":"b","messages":';
-    const messages = ['["grants","a",1,{"t":-5},{}]', '["prefill",7,7,"a"]', 'null', '[]'];
+    const messages = [
+      '["grants","a",1,{"t":-5},{}]',
+      '["prefill",7,7,"a"]',
+      '["leaving","e",-1,"a"]',
+      'null',
+      '[]',
+    ];
     const batches = messages.map((message) => `${batch}[${message}]}`);
     for (const text of ['', '{', '[]', ...messages, ...batches, `${batch}7}`]) {
       await new Promise((resolve) => {
