Keep a pause that is asked for before a restart is registered

Cause: a process that starts again under its id and address answers under the identity of the one before until its registration is read; what it asked for went with that identity, and requests came within the pause.

Change: a restart at the same address keeps the pauses asked for after the start that its registration names; a leaving told since then makes it avoided for 30 s, not leaving for good, as clocks differ.

Two of the tests of endpoint-knowledge_test guard what must not be carried over.

--- a/src/fleet/endpoint-notices.ts
+++ b/src/fleet/endpoint-notices.ts
@@ -9,6 +9,12 @@
 /** Longest part of a header line that is logged. */
 const maxLoggedChars = 120;
 
+/**
+ * Longest time from a start to its registration here, in milliseconds. A notice that came later
+ * after the start of a process, by that process's clock, is not taken for its own.
+ */
+const maxRegistrationLagMs = 60_000;
+
 /** Options of {@link EndpointNotices}. */
 export interface EndpointNoticesOptions {
   readonly registry: EndpointRegistry;
@@ -17,6 +23,11 @@
   readonly events: EventLog;
   /** Called when an endpoint says that it leaves and nothing has said so before. */
   readonly onLeaving?: (endpointId: string) => void;
+  /**
+   * Called when a process seems to have said that it leaves before its start was known, `ageMs`
+   * milliseconds ago: under the identity of the one before it.
+   */
+  readonly onEarlyLeaving?: (endpointId: string, ageMs: number) => void;
 }
 
 /**
@@ -30,9 +41,18 @@
  */
 export class EndpointNotices {
   readonly #options: EndpointNoticesOptions;
+  /** Latest response by which an endpoint said that it leaves, in epoch milliseconds. */
+  readonly #toldLeavingAtMs = new Map<string, number>();
 
   constructor(options: EndpointNoticesOptions) {
     this.#options = options;
+    const { registry } = options;
+    registry.onRestart((previousId, id, startedAtMs) => {
+      this.#onRestart(previousId, id, startedAtMs);
+    });
+    registry.onRetire((endpointId) => {
+      this.#toldLeavingAtMs.delete(endpointId);
+    });
   }
 
   /**
@@ -56,10 +76,26 @@
   }
 
   #recordLeaving(endpointId: string): void {
-    const { registry, onLeaving } = this.#options;
+    const { registry, clock, onLeaving } = this.#options;
     const view = registry.view(endpointId);
     if (!view) return;
+    this.#toldLeavingAtMs.set(endpointId, clock.nowMs());
     registry.recordDraining(endpointId, LeavingSource.Response);
     if (!isViewLeaving(view)) onLeaving?.(endpointId);
   }
+
+  /**
+   * A process that starts again under its id and address answers requests before its registration is
+   * known, under the identity of the one before. What was said since its start is its own. By clocks
+   * that differ it may be the earlier one's: a pause ends by itself, and a leaving that is not sure is
+   * no leaving for good.
+   */
+  #onRestart(previousId: string, id: string, startedAtMs: number): void {
+    const { pauses, clock, onEarlyLeaving } = this.#options;
+    const nowMs = clock.nowMs();
+    if (startedAtMs < nowMs - maxRegistrationLagMs) return;
+    pauses.carryOver(previousId, id, startedAtMs);
+    const toldAtMs = this.#toldLeavingAtMs.get(previousId);
+    if (toldAtMs !== undefined && toldAtMs >= startedAtMs) onEarlyLeaving?.(id, nowMs - toldAtMs);
+  }
 }
--- a/src/fleet/endpoint-pauses.ts
+++ b/src/fleet/endpoint-pauses.ts
@@ -12,10 +12,21 @@
 /** Interval at which requests look for the result of another one's probe, in milliseconds. */
 const probeRecheckMs = 100;
 
+/** A request for a pause. Epoch milliseconds. */
+interface PauseRequest {
+  readonly askedAtMs: number;
+  readonly untilMs: number;
+}
+
+/** Requests for shorter pauses that are kept beside the longest one of an endpoint. */
+const maxShorterRequests = 8;
+
 /** A pause of one endpoint and the time after it, until the endpoint has accepted a request. */
 interface Pause {
   /** Epoch milliseconds. */
   untilMs: number;
+  /** Each asked later than the one before, for a time that ends earlier; the first one is in force. */
+  readonly requests: readonly PauseRequest[];
   /** Time until which a probe keeps other requests away, in epoch milliseconds. */
   probeUntilMs: number;
 }
@@ -55,8 +66,15 @@
   record(endpointId: string, untilMs: number, nowMs: number): void {
     const boundedMs = Math.min(untilMs, nowMs + maxPauseMs);
     const known = this.#pauses.get(endpointId);
-    if (boundedMs <= (known?.untilMs ?? nowMs)) return;
-    this.#pauses.set(endpointId, { untilMs: boundedMs, probeUntilMs: -Infinity });
+    if (boundedMs <= nowMs) return;
+    const request = { askedAtMs: nowMs, untilMs: boundedMs };
+    const longer = known?.requests.filter(({ untilMs: other }) => other > boundedMs) ?? [];
+    const requests = [...longer.slice(0, maxShorterRequests), request];
+    if (known && boundedMs <= known.untilMs) {
+      this.#pauses.set(endpointId, { ...known, requests });
+      return;
+    }
+    this.#pauses.set(endpointId, { untilMs: boundedMs, requests, probeUntilMs: -Infinity });
     // Responses to requests that were on the way extend a pause by little; those say nothing new.
     if (known && nowMs < known.untilMs) return;
     const { events, metrics } = this.#options;
@@ -120,6 +138,22 @@
     });
   }
 
+  /**
+   * Keeps the pauses that a process has asked for before its start was known: they were recorded for
+   * the one before it at the address.
+   *
+   * @param sinceMs - time from which the later process answered, in epoch milliseconds.
+   */
+  carryOver(previousId: string, id: string, sinceMs: number): void {
+    const requests = this.#pauses
+      .get(previousId)
+      ?.requests.filter(({ askedAtMs }) => askedAtMs >= sinceMs);
+    const [longest] = requests ?? [];
+    if (!requests || !longest) return;
+    const { untilMs } = longest;
+    this.#pauses.set(id, { untilMs, requests, probeUntilMs: -Infinity });
+  }
+
   /** Removes an endpoint whose identity is gone. */
   remove(endpointId: string): void {
     this.#pauses.delete(endpointId);
--- a/src/fleet/endpoint-registry.ts
+++ b/src/fleet/endpoint-registry.ts
@@ -36,6 +36,9 @@
   readonly events?: EventLog;
 }
 
+/** Called when a later start of a process takes the place of an endpoint at the same address. */
+export type RestartListener = (previousId: string, id: string, startedAtMs: number) => void;
+
 /** Consecutive failures that open an endpoint's circuit. */
 const circuitFailureThreshold = 3;
 const circuitBaseBackoffMs = 1_000;
@@ -63,6 +66,7 @@
   readonly #byService = new Map<string, readonly EndpointRecord[]>();
   readonly #views = new Map<string, readonly EndpointView[]>();
   readonly #retireListeners: ((endpointId: string) => void)[] = [];
+  readonly #restartListeners: RestartListener[] = [];
   readonly #suspectListeners: ((view: EndpointView) => void)[] = [];
   /** VMs and processes of the configured and created endpoints. */
   #configuredSubjects = new Set<string>();
@@ -316,6 +320,11 @@
     this.#retireListeners.push(listener);
   }
 
+  /** Calls `listener` with each identity that a later start replaces, before it is gone. */
+  onRestart(listener: RestartListener): void {
+    this.#restartListeners.push(listener);
+  }
+
   #signalLeaving(endpointId: string, leavingAtMs: number, source: LeavingSource): void {
     const endpoint = this.#byId.get(endpointId);
     if (!endpoint) return;
@@ -375,7 +384,13 @@
       previous.view = undefined;
       return;
     }
-    if (previous) this.#retire(previous);
+    if (previous) {
+      const isSameAddress = previous.section.values.base_url === section.values.base_url;
+      if (isSameAddress && previous.subject === subject) {
+        for (const listener of this.#restartListeners) listener(previous.id, id, incarnation);
+      }
+      this.#retire(previous);
+    }
     const endpoint = newRecord({ id, vmId, subject, incarnation, ...configured });
     this.#byName.set(section.id, endpoint);
     this.#byId.set(id, endpoint);
--- a/src/gateway/endpoint-knowledge.ts
+++ b/src/gateway/endpoint-knowledge.ts
@@ -56,14 +56,17 @@
       events,
     });
     this.pauses = new EndpointPauses(options);
+    this.peerLeavings = new PeerLeavings(options);
     this.notices = new EndpointNotices({
       registry: this.registry,
       pauses: this.pauses,
       clock,
       events,
       ...(options.onLeaving ? { onLeaving: options.onLeaving } : {}),
+      onEarlyLeaving: (endpointId, ageMs) => {
+        this.peerLeavings.report(endpointId, daemon, ageMs, clock.nowMs());
+      },
     });
-    this.peerLeavings = new PeerLeavings(options);
     this.registry.onRetire((endpointId) => {
       this.pauses.remove(endpointId);
       this.speeds.remove(endpointId);
--- a/test/fleet/endpoint-pauses_test.ts
+++ b/test/fleet/endpoint-pauses_test.ts
@@ -45,6 +45,23 @@
     });
   });
 
+  describe('a later start of the process', () => {
+    it('keeps what was asked for since, and nothing that the earlier process asked for', () => {
+      pauses.record('a', 9_000, 0);
+      pauses.record('a', 4_000, 2_000);
+      pauses.record('a', 3_000, 2_100);
+      pauses.carryOver('a', 'a2', 1_000);
+      pauses.remove('a');
+      expect(pauses.nextTryAtMs('a2', 2_200)).toBe(4_000);
+    });
+
+    it('has no pause when only the earlier process asked for one', () => {
+      pauses.record('a', 9_000, 0);
+      pauses.carryOver('a', 'a2', 1_000);
+      expect(pauses.nextTryAtMs('a2', 1_000)).toBeUndefined();
+    });
+  });
+
   describe('the end of a pause', () => {
     beforeEach(() => {
       pauses.record('a', 4_000, 0);
--- a/test/gateway/endpoint-knowledge_test.ts
+++ b/test/gateway/endpoint-knowledge_test.ts
@@ -99,4 +99,48 @@
       expect(chosen()).toEqual(new Set([first]));
     });
   });
+
+  describe('a process that starts again and answers before its registration is known', () => {
+    const pause = { ...noNotice, pauseMs: 4_000 };
+
+    beforeEach(async () => {
+      register('i-1', false, clock.nowMs());
+      await clock.advance(5_000);
+    });
+
+    it('keeps its pause when the registration comes', async () => {
+      const startedAtMs = clock.nowMs();
+      await clock.advance(500);
+      known.notices.apply(register('i-1', false, startedAtMs - 5_000), pause);
+      const later = register('i-1', false, startedAtMs);
+      expect(known.pauses.nextTryAtMs(later, clock.nowMs())).toBe(startedAtMs + 4_500);
+    });
+
+    it('is fresh if what was said is from before its start', async () => {
+      const earlier = register('i-1', false, clock.nowMs() - 5_000);
+      known.notices.apply(earlier, { ...pause, isLeaving: true });
+      await clock.advance(500);
+      const later = register('i-1', false, clock.nowMs());
+      register('i-2');
+      expect(known.pauses.isPaused(later, clock.nowMs())).toBe(false);
+      expect(chosen()).toContain(later);
+    });
+
+    it('is avoided if it said that it leaves, but not for good, as clocks differ', async () => {
+      const startedAtMs = clock.nowMs();
+      await clock.advance(500);
+      known.notices.apply(register('i-1', false, startedAtMs - 5_000), leaves);
+      const later = register('i-1', false, startedAtMs);
+      const other = register('i-2');
+      expect(chosen()).toEqual(new Set([other]));
+      await clock.advance(30_000);
+      expect(chosen()).toEqual(new Set([later, other]));
+    });
+
+    it('is fresh at a start that its clock puts far away, which says nothing', () => {
+      known.notices.apply(register('i-9', false, 1), pause);
+      const later = register('i-9', false, 2);
+      expect(known.pauses.isPaused(later, clock.nowMs())).toBe(false);
+    });
+  });
 });
