--- a/bench/suites.ts
+++ b/bench/suites.ts
@@ -1,5 +1,6 @@
 import { ControlCostSuite } from './control-cost.js';
 import { LogCatchUpSuite } from './log-catch-up.js';
+import { NoticeCostSuite } from './notices/notice-cost-suite.js';
 import { RecoverySuite } from './recovery.js';
 import { RelaySuite } from './relay/relay-suite.js';
 import { StateSizeSuite } from './state-size.js';
@@ -12,4 +13,5 @@
   new ControlCostSuite(),
   new RelaySuite(),
   new StateSizeSuite(),
+  new NoticeCostSuite(),
 ];
--- a/src/fleet/endpoint-pauses.ts
+++ b/src/fleet/endpoint-pauses.ts
@@ -85,7 +85,7 @@
     });
   }
 
-  /** Whether no endpoint is in a pause or being probed after one; cheap enough for each candidate. */
+  /** Whether no endpoint is in a pause or being probed after one. */
   get isEmpty(): boolean {
     return this.#pauses.size === 0;
   }
--- a/src/fleet/peer-leavings.ts
+++ b/src/fleet/peer-leavings.ts
@@ -34,7 +34,7 @@
     this.#options = options;
   }
 
-  /** Whether no endpoint was reported; cheap enough for each candidate. */
+  /** Whether no endpoint is avoided. */
   get isEmpty(): boolean {
     return this.#avoidedUntilMs.size === 0;
   }
--- a/src/fleet/peer-suspicions.ts
+++ b/src/fleet/peer-suspicions.ts
@@ -45,8 +45,17 @@
     if (reports.size >= minReporters) this.#avoidedUntilMs.set(endpointId, nowMs + avoidanceMs);
   }
 
+  /** Whether no endpoint is avoided. */
+  get isEmpty(): boolean {
+    return this.#avoidedUntilMs.size === 0;
+  }
+
   isSuspected(endpointId: string, nowMs: number): boolean {
-    return nowMs < (this.#avoidedUntilMs.get(endpointId) ?? -Infinity);
+    const untilMs = this.#avoidedUntilMs.get(endpointId);
+    if (untilMs === undefined) return false;
+    if (nowMs < untilMs) return true;
+    this.#avoidedUntilMs.delete(endpointId);
+    return false;
   }
 
   /** Removes an endpoint whose identity is gone. */
--- a/src/membership/broadcast-relay.ts
+++ b/src/membership/broadcast-relay.ts
@@ -1,6 +1,11 @@
 import { LRUCache } from 'lru-cache';
 import type { Clock } from '../core/index.js';
-import { BatchScope, type BroadcastBatch, type BroadcastMessage } from './broadcast-message.js';
+import {
+  BatchScope,
+  BroadcastKind,
+  type BroadcastBatch,
+  type BroadcastMessage,
+} from './broadcast-message.js';
 
 /** How a daemon reaches the others. Addresses are host:port. */
 export interface BroadcastRoutes {
@@ -32,6 +37,12 @@
 /** Messages of this length together fit into one datagram on any link. */
 const maxBatchChars = 1_200;
 
+/** Time for which a leaving endpoint is passed on once only, whichever daemons report it. */
+const leavingRepeatMs = 5_000;
+
+/** Leaving endpoints that are remembered as passed on. */
+const maxPassedOn = 1_024;
+
 /** Messages that may wait; further ones are dropped, as datagrams may be. */
 const maxPendingMessages = 5_000;
 
@@ -57,6 +68,8 @@
   readonly #forGroups: BroadcastMessage[] = [];
   /** Last time at which an address sent on messages of its group, in epoch milliseconds. */
   readonly #sentOnAtMs = new LRUCache<string, number>({ max: maxKnownSenders });
+  /** Time at which the report of a leaving endpoint was passed on, in epoch milliseconds. */
+  readonly #passedOnAtMs = new LRUCache<string, number>({ max: maxPassedOn });
   #dropped = 0;
   #cancelFlush: (() => void) | undefined;
 
@@ -80,12 +93,14 @@
   /** Delivers a batch of another daemon and passes it on as far as its scope says. */
   receive({ scope, senderAddress, messages }: BroadcastBatch): void {
     for (const message of messages) this.#options.deliver(message);
+    if (scope === BatchScope.Receiver) return;
+    const news = messages.filter((message) => this.#isNews(message));
     if (scope === BatchScope.Everyone) {
-      this.#enqueue(messages, [this.#forMembers, this.#forGroups]);
-    } else if (scope === BatchScope.Group) {
+      this.#enqueue(news, [this.#forMembers, this.#forGroups]);
+    } else {
       this.#sentOnAtMs.set(senderAddress, this.#options.clock.nowMs());
       const isDistributor = this.#options.routes().distributor === undefined;
-      if (isDistributor) this.#enqueue(messages, [this.#forMembers]);
+      if (isDistributor) this.#enqueue(news, [this.#forMembers]);
     }
   }
 
@@ -94,6 +109,16 @@
     this.#cancelFlush = undefined;
   }
 
+  /** Whether a message says what was not passed on lately: many daemons hear of a leaving at once. */
+  #isNews(message: BroadcastMessage): boolean {
+    if (message[0] !== BroadcastKind.Leaving) return true;
+    const [, endpointId] = message;
+    const nowMs = this.#options.clock.nowMs();
+    const isNews = nowMs >= (this.#passedOnAtMs.get(endpointId) ?? -Infinity) + leavingRepeatMs;
+    if (isNews) this.#passedOnAtMs.set(endpointId, nowMs);
+    return isNews;
+  }
+
   #enqueue(messages: readonly BroadcastMessage[], queues: readonly BroadcastMessage[][]): void {
     for (const queue of queues) {
       const free = Math.max(0, maxPendingMessages - queue.length);
--- a/src/routing/pause-filter.ts
+++ b/src/routing/pause-filter.ts
@@ -14,12 +14,16 @@
     this.#pauses = pauses;
   }
 
+  override isIdle(): boolean {
+    return this.#pauses.isEmpty;
+  }
+
   override admits(
     view: EndpointView,
     _request: RouteRequest,
     _load: LoadEstimate,
     nowMs: number,
   ): boolean {
-    return this.#pauses.isEmpty || this.#pauses.nextTryAtMs(view.id, nowMs) === undefined;
+    return this.#pauses.nextTryAtMs(view.id, nowMs) === undefined;
   }
 }
--- a/src/routing/peer-leaving-filter.ts
+++ b/src/routing/peer-leaving-filter.ts
@@ -15,12 +15,16 @@
     this.#leavings = leavings;
   }
 
+  override isIdle(): boolean {
+    return this.#leavings.isEmpty;
+  }
+
   override admits(
     view: EndpointView,
     _request: RouteRequest,
     _load: LoadEstimate,
     nowMs: number,
   ): boolean {
-    return this.#leavings.isEmpty || !this.#leavings.isLeaving(view.id, nowMs);
+    return !this.#leavings.isLeaving(view.id, nowMs);
   }
 }
--- a/src/routing/peer-suspicion-filter.ts
+++ b/src/routing/peer-suspicion-filter.ts
@@ -15,6 +15,10 @@
     this.#suspicions = suspicions;
   }
 
+  override isIdle(): boolean {
+    return this.#suspicions.isEmpty;
+  }
+
   override admits(
     view: EndpointView,
     _request: RouteRequest,
--- a/src/routing/route-filter.ts
+++ b/src/routing/route-filter.ts
@@ -20,6 +20,11 @@
   /** Whether the filter is skipped when it would leave no candidate. */
   readonly isPreference: boolean = false;
 
+  /** Whether the filter excludes no endpoint now; asked once for each decision. */
+  isIdle(): boolean {
+    return false;
+  }
+
   abstract admits(
     view: EndpointView,
     request: RouteRequest,
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -123,6 +123,7 @@
     const load = { requests: 0, uncachedTokens: 0, firstTokenMs: 0, tokenGapMs: 0 };
     const meanPeerRequests = fillPeerRequests(peerRequests, views, this.#recentSends);
     const preferenceMisses: number[] = [];
+    const filters = this.#filters.filter((filter) => !filter.isIdle());
 
     let bestUsd = Infinity;
     for (let index = 0; index < count; index++) {
@@ -139,7 +140,7 @@
         this.#assumptions,
       );
       writeLoad(loads, index, load);
-      const excluding = this.#firstExclusion(view, request, load, nowMs);
+      const excluding = firstExclusion(filters, view, request, load, nowMs);
       if (excluding) {
         totals[index] = Infinity;
         if (excluding.isPreference) preferenceMisses.push(index);
@@ -173,7 +174,7 @@
       atMs: nowMs,
       views,
       loads,
-      filters: this.#filters,
+      filters,
       scorers: this.#scorers,
       isRelaxed,
       scaleUsd,
@@ -206,22 +207,6 @@
     return selector;
   }
 
-  /** The first requirement that excludes the endpoint, else the first preference that does. */
-  #firstExclusion(
-    view: EndpointView,
-    request: RouteRequest,
-    load: LoadEstimate,
-    nowMs: number,
-  ): RouteFilter | undefined {
-    let preference: RouteFilter | undefined;
-    for (const filter of this.#filters) {
-      if (filter.admits(view, request, load, nowMs)) continue;
-      if (!filter.isPreference) return filter;
-      preference ??= filter;
-    }
-    return preference;
-  }
-
   #dueProbeIndex(
     request: RouteRequest,
     views: readonly EndpointView[],
@@ -282,3 +267,20 @@
   if (slackMs < neededMs * 3) return WorkClass.Medium;
   return request.workClass;
 }
+
+/** The first requirement that excludes the endpoint, else the first preference that does. */
+function firstExclusion(
+  filters: readonly RouteFilter[],
+  view: EndpointView,
+  request: RouteRequest,
+  load: LoadEstimate,
+  nowMs: number,
+): RouteFilter | undefined {
+  let preference: RouteFilter | undefined;
+  for (const filter of filters) {
+    if (filter.admits(view, request, load, nowMs)) continue;
+    if (!filter.isPreference) return filter;
+    preference ??= filter;
+  }
+  return preference;
+}
--- a/test/membership/broadcast-relay_test.ts
+++ b/test/membership/broadcast-relay_test.ts
@@ -4,6 +4,7 @@
   BroadcastKind,
   encodeBatch,
   grantMessage,
+  leavingMessage,
   type BroadcastBatch,
 } from '../../src/membership/broadcast-message.js';
 import { BroadcastRelay, type BroadcastRoutes } from '../../src/membership/broadcast-relay.js';
@@ -69,6 +70,7 @@
         },
         deliver: (message) => {
           if (message[0] === BroadcastKind.Grants) daemon.received.add(message[1]);
+          if (message[0] === BroadcastKind.Leaving) daemon.received.add(message[1]);
         },
         clock: this.clock,
       }),
@@ -115,6 +117,22 @@
       expect(fleet.missing).toEqual([]);
     });
 
+    it('pass a leaving endpoint on once, though many are told of it at once', async () => {
+      const arrived = async (reporters: number): Promise<number> => {
+        fleet = new Fleet(6, 32);
+        const names = [...fleet.daemons.keys()].filter((name) => name.endsWith('-7'));
+        for (const name of names.slice(0, reporters)) {
+          fleet.daemons.get(name)!.relay.publish(leavingMessage(name, 'e#1', 0));
+        }
+        await fleet.clock.advance(1_000);
+        const daemons = [...fleet.daemons.values()];
+        expect(daemons.filter(({ received }) => received.has('e#1')).length).toBeGreaterThan(190);
+        return daemons.reduce((sum, daemon) => sum + daemon.arrived, 0);
+      };
+      const byOne = await arrived(1);
+      expect(await arrived(6)).toBeLessThan(2 * byOne);
+    });
+
     it('send one datagram for a message each, whatever their number', async () => {
       await fleet.report();
       const members = [...fleet.daemons].filter(([name]) => !fleet.distributors.includes(name));
