--- a/bench/histories/notice-world.ts
+++ b/bench/histories/notice-world.ts
@@ -15,6 +15,7 @@
 const heartbeatMs = 1_200;
 /** Age of the registrations that a daemon knows; below the time for which leaving endpoints serve. */
 const maxLagMs = 2_400;
+const failureRatio = 0.05;
 const datagramLossRatio = 0.1;
 const maxDatagramMs = 150;
 const connectionLossMs = 20_000;
@@ -46,7 +47,12 @@
   constructor(seed: number) {
     this.random = new Random(seed);
     const { clock, history } = this;
-    this.endpoints = new NoticingEndpoints({ clock, history, random: this.random.fork() });
+    this.endpoints = new NoticingEndpoints({
+      clock,
+      history,
+      random: this.random.fork(),
+      failureRatio,
+    });
     for (let place = 0; place < gatewayCount; place++) {
       this.#lagsMs.push(this.random.int(0, maxLagMs));
       this.#startGateway(place);
@@ -254,7 +260,8 @@
   }
 }
 
-function routeOf(name: string, kind: RequestKind): TrafficRoute {
+/** A route whose calls go to one service; see {@link NoticeWorld.call}. */
+export function routeOf(name: string, kind: RequestKind): TrafficRoute {
   return {
     name,
     host: 'shop.example',
--- a/bench/histories/noticing-endpoints.ts
+++ b/bench/histories/noticing-endpoints.ts
@@ -59,6 +59,8 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly history: HistoryRecorder;
+  /** Part of the requests that fail with status 500 after they ran. */
+  readonly failureRatio: number;
 }
 
 /** Identity of a process in the history; independent of the product's own. */
@@ -122,7 +124,7 @@
 
   /** Handles a request that reaches a process. */
   respond(process: NoticingProcess, request: NoticingRequest): NoticingResponse {
-    const { clock, random } = this.#options;
+    const { clock, random, failureRatio } = this.#options;
     const about = {
       [headers.requestId]: request.requestId,
       [headers.instanceId]: process.instanceId,
@@ -146,7 +148,7 @@
     const { requestId, events, resumeAfter } = request;
     const body =
       events === 0 ? wholeBody(requestId, 0) : eventTexts(requestId, resumeAfter, events).join('');
-    const status = random.float() < 0.05 ? 500 : 200;
+    const status = random.float() < failureRatio ? 500 : 200;
     const sealed = { ...common, [headers.seal]: 'seal' };
     const isStream = events > 0 && status === 200;
     return { status, headers: sealed, body, isStream, isLeaving, pauseMs: undefined };
