Tests of pauses: no health probes among callers' requests, order on virtual time only

Two assertions of pauses-and-cuts_test were wrong: it took a probe of the endpoint's health, which comes when the machine stands still, for a 31st request (once, load 47), and asserted the order of callers by real time (failed once of three times, load 34: urgent ones were sent last and came after the end of the pause). The order is asserted on virtual time by paused-service_test, as strictly.

--- a/test/gateway/pauses-and-cuts_test.ts
+++ b/test/gateway/pauses-and-cuts_test.ts
@@ -21,6 +21,11 @@
   response.end();
 }
 
+/** Health probes come when the machine stands still for a while; they are no caller's requests. */
+function isProbe({ url }: IncomingMessage): boolean {
+  return url === '/health';
+}
+
 describe('pauses beside cuts and restarts', () => {
   let harness: GatewayHarness;
 
@@ -102,26 +107,18 @@
         callMany(10, { method: 'POST', path: `/p${priority}/x`, body: 'order' }),
       );
 
-    it('serves urgent ones first, each unsafe one once', async () => {
+    it('serves all that waited, each unsafe one once', async () => {
       await harness.start(trafficConfig({ routes }), pausing('0.6'));
       await harness.call({ method: 'POST', path: '/p0/x', body: 'order' });
       const ran: string[] = [];
-      const paths: string[] = [];
       harness.endpoints[0]!.behaviour = (request, response) => {
-        ran.push(idOf(request));
-        paths.push(request.url ?? '');
+        if (!isProbe(request)) ran.push(idOf(request));
         ok(request, response);
       };
       const responses = (await Promise.all(orders())).flat();
       expect(responses.map(({ status }) => status)).toEqual(responses.map(() => 200));
       expect(new Set(ran).size).toBe(ran.length);
       expect(ran).toHaveLength(30);
-      const meanRank = (path: string): number => {
-        const ranks = paths.flatMap((each, rank) => (each === path ? [rank] : []));
-        return ranks.reduce((sum, rank) => sum + rank, 0) / ranks.length;
-      };
-      expect(meanRank('/p0/x')).toBeLessThan(meanRank('/p3/x'));
-      expect(meanRank('/p3/x')).toBeLessThan(meanRank('/p5/x'));
     });
 
     it('sends no unsafe one again when the probe is cut off after it has arrived', async () => {
@@ -129,8 +126,8 @@
       await harness.call({ method: 'POST', path: '/p0/x', body: 'order' });
       const arrived: string[] = [];
       harness.endpoints[0]!.behaviour = (request, response) => {
-        arrived.push(idOf(request));
-        if (arrived.length === 1) request.socket.destroy();
+        const isFirst = !isProbe(request) && arrived.push(idOf(request)) === 1;
+        if (isFirst) request.socket.destroy();
         else ok(request, response);
       };
       const responses = (await Promise.all(orders())).flat();
