--- a/src/gateway/return-times.ts
+++ b/src/gateway/return-times.ts
@@ -71,7 +71,9 @@
     if (tryAtMs === undefined) return undefined;
     const waitUntilMs = tryAtMs + this.#delayMs();
     this.#pauseWaitUntilMs ??= clock.nowMs() + maxPauseWaitMs;
-    const isSoon = waitUntilMs <= Math.min(this.#pauseWaitUntilMs, admitted.deadlineAtMs);
+    // Its endpoint needs time for the response, too.
+    const latestSendAtMs = admitted.deadlineAtMs - admitted.route.objectiveMs;
+    const isSoon = waitUntilMs <= Math.min(this.#pauseWaitUntilMs, latestSendAtMs);
     return isSoon ? waitUntilMs : undefined;
   }
 
--- a/src/membership/peer-broadcaster.ts
+++ b/src/membership/peer-broadcaster.ts
@@ -9,6 +9,7 @@
   decodeBatch,
   encodeBatch,
   grantMessage,
+  leavingMessage,
   prefillMessage,
   quarantineBroadcast,
   suspicionMessage,
@@ -34,6 +35,8 @@
   readonly onGrants: (report: GrantReport) => void;
   /** Called when another daemon could not reach an endpoint. */
   readonly onSuspicion: (endpointId: string, daemon: string) => void;
+  /** Called when an endpoint has told another daemon that it leaves, `ageMs` milliseconds ago. */
+  readonly onLeaving: (endpointId: string, daemon: string, ageMs: number) => void;
   /** Called when another daemon reports endpoints that crashed, or what they crashed under. */
   readonly onQuarantine: (message: QuarantineMessage) => void;
   readonly clock: Clock;
@@ -123,6 +126,11 @@
     this.#relay.publish(suspicionMessage(this.#options.daemon, endpointId));
   }
 
+  /** Tells all peers that an endpoint has told this daemon that it leaves. */
+  broadcastLeaving(endpointId: string, ageMs: number): void {
+    this.#relay.publish(leavingMessage(this.#options.daemon, endpointId, ageMs));
+  }
+
   /** Tells all peers of endpoints that crashed, or of what they crashed under. */
   broadcastQuarantine(message: QuarantineMessage): void {
     this.#relay.publish(quarantineBroadcast(this.#options.daemon, message));
@@ -150,7 +158,7 @@
   }
 
   #deliver(message: BroadcastMessage): void {
-    const { daemon, onPrefill, onGrants, onSuspicion, onQuarantine } = this.#options;
+    const { daemon, onPrefill, onGrants, onSuspicion, onLeaving, onQuarantine } = this.#options;
     switch (message[0]) {
       case BroadcastKind.Grants: {
         const [, sender, incarnation, granted, asked] = message;
@@ -167,6 +175,11 @@
         if (sender !== daemon) onSuspicion(endpointId, sender);
         break;
       }
+      case BroadcastKind.Leaving: {
+        const [, endpointId, ageMs, sender] = message;
+        if (sender !== daemon) onLeaving(endpointId, sender, ageMs);
+        break;
+      }
       case BroadcastKind.Quarantine: {
         const [, content, sender] = message;
         if (sender !== daemon) onQuarantine(content);
