--- a/bench/soak/caller.ts
+++ b/bench/soak/caller.ts
@@ -3,10 +3,9 @@
 import { headers } from '../../platform/names.js';
 import type { Random } from '../../src/core/index.js';
 import { callerPort, type GatewayProcess } from './gateway-process.js';
-import { CallKind, isStream, type CallEnd, type Ledger } from './ledger.js';
+import { CallKind, isStream, usualKinds, type CallEnd, type Ledger } from './ledger.js';
 import { callerKey, host, promptPrefix } from './traffic.js';
 
-const patienceMs = 4_000;
 const pauseMs = 25;
 
 /** Part of the calls that their caller gives up, and within which time. */
@@ -22,6 +21,11 @@
   readonly ready: () => readonly GatewayProcess[];
   /** Part that the prompts of this caller share with few others; by default one of many. */
   readonly promptPart?: string;
+  /** Time that requests give gateways, and the longest that the caller waits for a sign of life. */
+  readonly deadlineMs: number;
+  readonly patienceMs: number;
+  /** Shortest timeout of any route, in milliseconds. */
+  readonly minTimeoutMs: number;
 }
 
 /** Parts that sound prompts share. */
@@ -42,7 +46,7 @@
   /** Calls until {@link stop}. */
   async run(): Promise<void> {
     while (!this.#isStopped) {
-      await this.call(this.#options.random.pick(Object.values(CallKind)));
+      await this.call(this.#options.random.pick(usualKinds));
       await sleep(pauseMs);
     }
     this.#agent.destroy();
@@ -89,6 +93,7 @@
   }
 
   #send(gateway: GatewayProcess, kind: CallKind): Promise<CallEnd> {
+    const { deadlineMs, patienceMs, minTimeoutMs } = this.#options;
     const requestId = `${this.#options.name}-${++this.#count}`;
     const promptHeaders = kind === CallKind.Prompt ? this.#promptHeaders() : {};
     const sent = {
@@ -98,6 +103,9 @@
       gateway: gateway.options.name,
       gatewayRun: gateway.run,
       sentAtMs: Date.now(),
+      wholeAtMs: undefined,
+      timeLimitMs: Math.min(deadlineMs, minTimeoutMs),
+      isHung: false,
     };
     return new Promise((resolve) => {
       let leftAtMs: number | undefined;
@@ -121,7 +129,7 @@
             host,
             authorization: `Bearer ${callerKey}`,
             [headers.requestId]: requestId,
-            [headers.deadlineMs]: String(patienceMs),
+            [headers.deadlineMs]: String(deadlineMs),
             ...promptHeaders,
           },
         },
--- a/bench/soak/gateway-process.ts
+++ b/bench/soak/gateway-process.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events';
 import { createWriteStream, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
+import type { GatewayStop } from './ledger.js';
 
 /** Options of {@link GatewayProcess}. */
 export interface GatewayProcessOptions {
@@ -12,8 +13,14 @@
   readonly dutyPort: number;
   /** Directory for the settings file and the log. */
   readonly directory: string;
+  readonly retrySlack: number;
+  /** Called when the process is asked to stop. */
+  readonly onStop: (stop: GatewayStop) => void;
 }
 
+/** Time from which a process that was asked to stop may be ended by force, in milliseconds. */
+export const graceMs = 8_000;
+
 export const callerPort = 18_080;
 const readyPort = 18_081;
 const newsPort = 17_600;
@@ -32,7 +39,7 @@
 
   constructor(options: GatewayProcessOptions) {
     this.options = options;
-    const { name, host, storePort, dutyPort } = options;
+    const { name, host, storePort, dutyPort, retrySlack } = options;
     writeFileSync(
       this.#settingsPath,
       [
@@ -45,9 +52,9 @@
         `internal_port_range=${newsPort},${newsPort + 15}`,
         `platform.address=${host}:${storePort}`,
         `cloud.address=${host}:${dutyPort}`,
-        'bounds.grace_s=8',
+        `bounds.grace_s=${graceMs / 1_000}`,
         'bounds.lease_ms=3000',
-        'bounds.retry_budget_slack=400',
+        `bounds.retry_budget_slack=${retrySlack}`,
       ].join('\n'),
     );
   }
@@ -99,6 +106,8 @@
     const child = this.#child;
     if (!child) return;
     const exited = once(child, 'exit');
+    const { name, onStop } = this.options;
+    onStop({ gateway: name, gatewayRun: this.#runs, atMs: Date.now() });
     child.kill('SIGCONT');
     child.kill('SIGTERM');
     await exited;
--- a/bench/soak/ledger.ts
+++ b/bench/soak/ledger.ts
@@ -1,5 +1,9 @@
 import type { DutyCall } from '../../platform/standins/duty-server.js';
-import type { EndpointArrival, EndpointRun } from '../../platform/standins/endpoint-server.js';
+import type {
+  EndpointArrival,
+  EndpointBreak,
+  EndpointRun,
+} from '../../platform/standins/endpoint-server.js';
 
 /** What a caller asks for. */
 export enum CallKind {
@@ -12,12 +16,27 @@
   Prompt = 'prompt',
   /** Tells which version of the configuration handled it. */
   Version = 'version',
+  /** A body larger than socket buffers hold. */
+  Bulk = 'bulk',
+  /** A stream whose events are large. */
+  BulkStream = 'bulkstream',
 }
 
+/** Kinds for which all callers ask in all plays. */
+export const usualKinds: readonly CallKind[] = [
+  CallKind.Once,
+  CallKind.Safe,
+  CallKind.Stream,
+  CallKind.Prompt,
+  CallKind.Version,
+];
+
 /** A call as its caller saw it end. */
 export interface CallEnd {
   readonly requestId: string;
   readonly kind: CallKind;
+  /** Request behind which it was sent on the same connection; undefined if behind none. */
+  readonly frontId?: string;
   /** First part of its prompt, which other prompts share; undefined when it has none. */
   readonly firstPart: string | undefined;
   readonly gateway: string;
@@ -34,12 +53,18 @@
   readonly hasLeft: boolean;
   /** Epoch milliseconds. */
   readonly sentAtMs: number;
+  /** Time at which its last byte was sent, in epoch milliseconds; undefined if that is not known. */
+  readonly wholeAtMs: number | undefined;
   readonly endedAtMs: number;
+  /** Shortest time that its deadline and its route gave it, in milliseconds. */
+  readonly timeLimitMs: number;
+  /** Whether its caller gave up waiting for any end, long after its deadline. */
+  readonly isHung: boolean;
 }
 
 /** Whether answers to calls of a kind are streams of events. */
 export function isStream(kind: CallKind): boolean {
-  return kind === CallKind.Stream || kind === CallKind.Prompt;
+  return kind === CallKind.Stream || kind === CallKind.Prompt || kind === CallKind.BulkStream;
 }
 
 /** From when to when, in epoch milliseconds. */
@@ -63,12 +88,22 @@
   readonly atMs: number;
 }
 
+/** A gateway was asked to stop. */
+export interface GatewayStop {
+  readonly gateway: string;
+  readonly gatewayRun: number;
+  /** Epoch milliseconds. */
+  readonly atMs: number;
+}
+
 /** Everything that callers, endpoints and the platform saw in a run. */
 export class Ledger {
   readonly runs: EndpointRun[] = [];
   readonly arrivals: EndpointArrival[] = [];
   readonly ends: CallEnd[] = [];
   readonly leaves: EndpointLeave[] = [];
+  readonly breaks: EndpointBreak[] = [];
+  readonly stops: GatewayStop[] = [];
   /** Times at which endpoints crashed under the poison part of a prompt, in epoch milliseconds. */
   readonly crashesAtMs: number[] = [];
   readonly faults: FaultSpan[] = [];
--- a/bench/soak/promises.ts
+++ b/bench/soak/promises.ts
@@ -1,5 +1,6 @@
 import { paths } from '../../platform/names.js';
 import { streamEvents, type EndpointArrival } from '../../platform/standins/endpoint-server.js';
+import { graceMs } from './gateway-process.js';
 import { CallKind, isStream, type CallEnd, type Ledger } from './ledger.js';
 import { poisonIdPrefix, endpointLinkFault, versionServices } from './traffic.js';
 
@@ -22,6 +23,14 @@
 const pauseNoticeMs = 500;
 const allowedPauseArrivals = 2;
 
+/** A request that was not read may see its connection close for this long after its last byte. */
+const lossSlackMs = 200;
+
+/** Part of its time that a request may have used up when it ends, and of the grace of a stop. */
+const spentRatio = 0.95;
+const graceRatio = 5 / 6;
+const lateSendMs = 3_000;
+
 /** Endpoints that crash under one part before its requests are counted, and how many may follow. */
 const countedCrash = 5;
 const allowedPoisonRuns = 3;
@@ -200,6 +209,53 @@
     .map(({ requestId, gateway }) => `${requestId} was passed on by ${gateway} and not answered`);
 };
 
+/**
+ * A request that a gateway has read whole ends with a whole response or a refusal, whatever is planned
+ * and however long its endpoint was silent.
+ */
+const wholeRequestsAreEnded: PromiseCheck = (ledger) => {
+  const lastRuns = new Map(ledger.runs.map((run) => [run.requestId, run]));
+  const whole = new Set(
+    ledger.ends.filter(({ isWhole }) => isWhole).map(({ requestId }) => requestId),
+  );
+  const hasBroken = new Set(
+    ledger.breaks.map((broken) => `${broken.requestId} ${broken.instanceId}`),
+  );
+  return ledger.ends.flatMap((end) => {
+    const { requestId, frontId, status, body, sentAtMs, wholeAtMs = Infinity, endedAtMs } = end;
+    if (end.hasLeft || (status !== undefined && end.isWhole)) return [];
+    // Those behind a response that is cut go with it, and it is judged itself.
+    if (frontId !== undefined && !whole.has(frontId)) return [];
+    const run = lastRuns.get(requestId);
+    const wasRead = run !== undefined || endedAtMs > wholeAtMs + lossSlackMs;
+    const hasEndpointBroken = run && hasBroken.has(`${requestId} ${run.instanceId}`);
+    if (!wasRead || hasEndpointBroken || (isTimeUp(end, ledger) && !end.isHung)) return [];
+    // A pause of the gateway takes time and is no reason to give a request up.
+    const isCalm = ledger.isCalm(
+      sentAtMs - calmMs,
+      endedAtMs,
+      (what) => !what.endsWith('is paused'),
+    );
+    if (!isCalm) return [];
+    const got = end.isHung ? 'hung' : status === undefined ? 'no answer' : `${body.length} bytes`;
+    const at = run ? `passed on to ${run.instanceId}` : 'not passed on';
+    const behind = frontId === undefined ? '' : ` behind ${frontId}`;
+    return [
+      `${requestId}${behind} at ${runOf(end)}, ${at}: ${got} after ${endedAtMs - sentAtMs} ms`,
+    ];
+  });
+};
+
+/** Whether a request was at the end of its time, or of that of its gateway. */
+function isTimeUp(end: CallEnd, { stops }: Ledger): boolean {
+  const { gateway, gatewayRun, sentAtMs, endedAtMs, timeLimitMs } = end;
+  if (endedAtMs - sentAtMs >= timeLimitMs * spentRatio) return true;
+  return stops.some((stop) => {
+    if (stop.gateway !== gateway || stop.gatewayRun !== gatewayRun) return false;
+    return sentAtMs <= stop.atMs + lateSendMs && endedAtMs >= stop.atMs + graceMs * graceRatio;
+  });
+}
+
 /**
  * After five endpoints have crashed under a part of a prompt, requests with it reach no more of them.
  * A gateway that was cut off or started lately may not know of it.
@@ -244,6 +300,7 @@
   ['the configuration never goes back', configurationNeverGoesBack],
   ['duties have one holder', dutiesHaveOneHolder],
   ['stops cut nothing', stopsCutNothing],
+  ['whole requests are ended', wholeRequestsAreEnded],
   ['work ends with its caller', workEndsWithItsCaller],
   ['leaving endpoints get nothing', leavingEndpointsGetNothing],
   ['a leaving that was told is kept', toldLeavingIsKept],
--- a/bench/soak/run-soak.ts
+++ b/bench/soak/run-soak.ts
@@ -1,3 +1,5 @@
+import { writeFileSync } from 'node:fs';
+import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { topics } from '../../platform/names.js';
 import { poisonPart } from '../../platform/standins/endpoint-server.js';
@@ -5,8 +7,9 @@
 import { Random } from '../../src/core/index.js';
 import { QuarantineAdmin } from '../../src/quarantine/quarantine-admin.js';
 import { playFaults, playNotices } from './fault-script.js';
-import { CallKind } from './ledger.js';
+import { usualKinds, type CallKind } from './ledger.js';
 import { OwnStalls } from './own-stalls.js';
+import { minTimeoutMs, playPlanned, startUnevenCallers } from './planned-script.js';
 import { promises } from './promises.js';
 import { SoakWorld } from './soak-world.js';
 
@@ -24,6 +27,24 @@
   readonly directory: string;
 }
 
+/** What a run plays. */
+export enum SoakPlay {
+  /** Unplanned faults of all kinds, and planned work beside them. */
+  Faults = 'faults',
+  /** Planned work beside silences of endpoints, with callers that are slow and eager. */
+  Planned = 'planned',
+}
+
+const fewCallers = 8;
+const manyCallers = 20;
+
+/** Callers wait long enough for any answer at a deadline, also when this process stands still. */
+const plannedTimes = { deadlineMs: 3_500, patienceMs: 8_000 };
+
+/** Repeats that a service allows beyond a ratio: nearly all, or so few that silences use them up. */
+const ampleRetrySlack = 400;
+const scarceRetrySlack = 20;
+
 /** After all faults, each kind of call must be served within this time. */
 const recoveryMs = 20_000;
 
@@ -31,23 +52,40 @@
 const noticeSeedMask = 0x5eed;
 
 /** Plays the faults of a seed against real processes and checks the promises. */
-export async function runSoak(seed: number, lengthMs: number): Promise<SoakResult> {
+export async function runSoak(
+  seed: number,
+  lengthMs: number,
+  play = SoakPlay.Faults,
+): Promise<SoakResult> {
   const random = new Random(seed);
-  const world = new SoakWorld(random.fork());
+  const isPlanned = play === SoakPlay.Planned;
+  const world = new SoakWorld({
+    random: random.fork(),
+    retrySlack: isPlanned && seed % 2 === 1 ? scarceRetrySlack : ampleRetrySlack,
+    changes: isPlanned ? { timeoutMs: minTimeoutMs } : {},
+    callers: isPlanned ? manyCallers : fewCallers,
+    ...(isPlanned ? plannedTimes : { deadlineMs: 4_000, patienceMs: 4_000 }),
+  });
   const { ledger } = world;
   const ownStalls = new OwnStalls(ledger);
   try {
     await world.start();
     const endAtMs = Date.now() + lengthMs;
-    // Its own random numbers: the faults of a seed stay what they were.
-    const notices = playNotices(world, new Random(seed ^ noticeSeedMask), endAtMs);
-    await playFaults(world, random.fork(), endAtMs);
-    await notices;
+    if (isPlanned) {
+      startUnevenCallers(world, random.fork());
+      await playPlanned(world, random.fork(), endAtMs);
+    } else {
+      // Its own random numbers: the faults of a seed stay what they were.
+      const notices = playNotices(world, new Random(seed ^ noticeSeedMask), endAtMs);
+      await playFaults(world, random.fork(), endAtMs);
+      await notices;
+    }
     const lost = await unservedKinds(world);
     const wrong = await soundQuarantines(world);
     const broken = [...promises].flatMap(([name, check]) =>
       check(ledger).map((line) => `${name}: ${line}`),
     );
+    if (broken.length > 0) keepCalls(world);
     return {
       seed,
       broken: [
@@ -67,6 +105,13 @@
   }
 }
 
+/** Writes what was seen beside the logs of the processes, so that a broken promise can be traced. */
+function keepCalls({ ledger, directory }: SoakWorld): void {
+  const { ends, runs, breaks, stops, ownStalls, faults } = ledger;
+  const seen = { ends, runs, breaks, stops, ownStalls, faults };
+  writeFileSync(join(directory, 'seen.json'), JSON.stringify(seen));
+}
+
 /** Parts of prompts that are held back at the end although no endpoint ends under them. */
 async function soundQuarantines({ store }: SoakWorld): Promise<string[]> {
   const client = new StoreClient({ host: '127.0.0.1', port: store.port });
@@ -80,7 +125,7 @@
 async function unservedKinds({ ledger }: SoakWorld): Promise<CallKind[]> {
   const sinceMs = Date.now();
   const unserved = (): CallKind[] =>
-    Object.values(CallKind).filter(
+    usualKinds.filter(
       (kind) =>
         !ledger.ends.some(
           (end) => end.kind === kind && end.sentAtMs > sinceMs && end.status === 200 && end.isWhole,
--- a/bench/soak/soak-world.ts
+++ b/bench/soak/soak-world.ts
@@ -11,12 +11,18 @@
 import { FaultProxy } from './fault-proxy.js';
 import { GatewayProcess } from './gateway-process.js';
 import { Ledger } from './ledger.js';
-import { configuration, ordersService, promptsService, versionServices } from './traffic.js';
+import {
+  configuration,
+  ordersService,
+  promptsService,
+  usualTimeoutMs,
+  versionServices,
+  type ConfigurationChanges,
+} from './traffic.js';
 
 const gatewayCount = 3;
 const ordersEndpoints = 5;
 const promptsEndpoints = 6;
-const callerCount = 8;
 const readyPeriodMs = 300;
 const heartbeatMs = 1_200;
 const startPatienceMs = 30_000;
@@ -45,6 +51,20 @@
   readonly duties: FaultProxy;
 }
 
+/** Options of {@link SoakWorld}. */
+export interface SoakWorldOptions {
+  readonly random: Random;
+  /** Repeats that each service allows beyond a ratio; see the platform's `retry_budget_slack`. */
+  readonly retrySlack: number;
+  /** What its first configuration says other than usual. */
+  readonly changes: ConfigurationChanges;
+  /** Number of callers that send one call after another. */
+  readonly callers: number;
+  /** Time that their requests give gateways, and the longest that they wait for a sign of life. */
+  readonly deadlineMs: number;
+  readonly patienceMs: number;
+}
+
 /** Gateways as real processes between stand-ins of everything around them. */
 export class SoakWorld {
   readonly ledger: Ledger;
@@ -52,18 +72,22 @@
   readonly gateways: SoakGateway[] = [];
   readonly endpoints: SoakEndpoint[] = [];
   readonly directory = mkdtempSync(join(tmpdir(), 'oriole-soak-'));
-  readonly callers: Caller[] = [];
+  readonly callers: { stop(): void }[] = [];
   #entries = 0;
   readonly #duties = new DutyServer();
   readonly #random: Random;
+  readonly #options: SoakWorldOptions;
+  #changes: ConfigurationChanges;
   readonly #crashed = new Set<string>();
   readonly #timers: NodeJS.Timeout[] = [];
   #ready: GatewayProcess[] = [];
   #version = 0;
   #endpointCount = 0;
 
-  constructor(random: Random) {
-    this.#random = random;
+  constructor(options: SoakWorldOptions) {
+    this.#options = options;
+    this.#random = options.random;
+    this.#changes = options.changes;
     this.ledger = new Ledger(this.#duties.calls);
   }
 
@@ -86,6 +110,8 @@
         storePort: await store.listen(host),
         dutyPort: await duties.listen(host),
         directory: this.directory,
+        retrySlack: this.#options.retrySlack,
+        onStop: (stop) => this.ledger.stops.push(stop),
       });
       this.gateways.push({ process, store, duties });
       process.start();
@@ -93,7 +119,7 @@
     this.#timers.push(setInterval(() => void this.#askReady(), readyPeriodMs));
     this.#timers.push(setInterval(() => this.#heartbeat(), heartbeatMs));
     await this.untilReady();
-    for (let at = 0; at < callerCount; at++) {
+    for (let at = 0; at < this.#options.callers; at++) {
       const caller = this.createCaller(`caller-${at}`);
       this.callers.push(caller);
       void caller.run();
@@ -107,10 +133,18 @@
       random: this.#random.fork(),
       ledger: this.ledger,
       ready: () => this.#ready,
+      deadlineMs: this.#options.deadlineMs,
+      patienceMs: this.#options.patienceMs,
+      minTimeoutMs: this.#options.changes.timeoutMs ?? usualTimeoutMs,
       ...(promptPart === undefined ? {} : { promptPart }),
     });
   }
 
+  /** Gateways to which the balancer sends new connections. */
+  get ready(): readonly GatewayProcess[] {
+    return this.#ready;
+  }
+
   /** Resolves once all gateways take new connections. */
   async untilReady(): Promise<void> {
     const giveUpAtMs = Date.now() + startPatienceMs;
@@ -130,6 +164,7 @@
       service,
       onRun: (run) => this.ledger.runs.push(run),
       onArrival: (arrival) => this.ledger.arrivals.push(arrival),
+      onBreak: (broken) => this.ledger.breaks.push(broken),
       random: () => random.float(),
       onCrash: () => void this.#crash(id),
     });
@@ -163,10 +198,11 @@
     this.store.put(topics.servers, id, isRegistered ? entry : undefined);
   }
 
-  /** Puts the next version of the configuration in force. */
-  nextConfiguration(): void {
+  /** Puts the next version of the configuration in force. @param changes - kept from then on. */
+  nextConfiguration(changes: ConfigurationChanges = {}): void {
     this.#version += 1;
-    this.store.put(topics.operator, configKey, configuration(this.#version));
+    this.#changes = { ...this.#changes, ...changes };
+    this.store.put(topics.operator, configKey, configuration(this.#version, this.#changes));
   }
 
   async stop(): Promise<void> {
--- a/bench/soak/traffic.ts
+++ b/bench/soak/traffic.ts
@@ -1,3 +1,4 @@
+import { bulkPaddingBytes } from '../../platform/standins/endpoint-server.js';
 import type { Random } from '../../src/core/index.js';
 import { CallKind } from './ledger.js';
 
@@ -33,33 +34,66 @@
   return versionServices[version % versionServices.length]!;
 }
 
+/** Timeout of routes unless a configuration says otherwise, in milliseconds. */
+export const usualTimeoutMs = 3_000;
+
+/** What a configuration may say other than usual. */
+export interface ConfigurationChanges {
+  /** Service of calls that run at most once, safe calls and streams. */
+  readonly service?: string;
+  readonly timeoutMs?: number;
+  readonly maxAttempts?: number;
+  /** Time after which callers' connections are closed that wait for a request, in milliseconds. */
+  readonly idleTimeoutMs?: number;
+  /** Number of routes that nobody asks for. */
+  readonly furtherRoutes?: number;
+  /** Number of keys that nobody uses. */
+  readonly furtherKeys?: number;
+}
+
 /** A configuration as the platform's operator writes it. */
-export function configuration(version: number): object {
-  const route = (kind: CallKind, changes: object): object => ({
+export function configuration(version: number, changes: ConfigurationChanges = {}): object {
+  const { service = ordersService, maxAttempts = 3, furtherRoutes = 0, furtherKeys = 0 } = changes;
+  const route = (kind: string, own: object): object => ({
     name: kind,
     host,
     path_prefix: `/${kind}/`,
     kind: 'safe',
-    timeout_ms: 3_000,
-    max_attempts: 3,
-    service: ordersService,
-    ...changes,
+    timeout_ms: changes.timeoutMs ?? usualTimeoutMs,
+    max_attempts: maxAttempts,
+    service,
+    ...own,
   });
+  const stream = { kind: 'stream', resumable: true };
+  const idleTimeout = changes.idleTimeoutMs && { idle_timeout_ms: changes.idleTimeoutMs };
   return {
     version,
     routes: [
       route(CallKind.Once, { kind: 'unsafe', max_attempts: 2 }),
       route(CallKind.Safe, {}),
-      route(CallKind.Stream, { kind: 'stream', resumable: true }),
-      route(CallKind.Prompt, {
-        kind: 'stream',
-        resumable: true,
-        sticky: true,
-        service: promptsService,
-      }),
+      route(CallKind.Stream, stream),
+      route(CallKind.Prompt, { ...stream, sticky: true, service: promptsService }),
       route(CallKind.Version, { service: serviceOfVersion(version) }),
+      route(CallKind.Bulk, {}),
+      route(CallKind.BulkStream, stream),
+      ...Array.from({ length: furtherRoutes }, (_, at) => route(`further-${at}`, {})),
     ],
     services: [ordersService, promptsService, ...versionServices].map((name) => ({ name })),
-    tenants: [{ name: 'soak', api_keys: [callerKey] }],
+    tenants: [
+      {
+        name: 'soak',
+        api_keys: [callerKey, ...Array.from({ length: furtherKeys }, (_, at) => `further-${at}`)],
+      },
+    ],
+    ...(idleTimeout ? { limits: idleTimeout } : {}),
   };
 }
+
+/** A body without the padding that makes it large; padding that is not whole shows, unless at its end. */
+export function withoutPadding(body: string): string {
+  const whole: readonly number[] = Object.values(bulkPaddingBytes);
+  return body.replaceAll(/\.+/g, (padding: string, at: number) => {
+    const isCutAtEnd = at + padding.length === body.length;
+    return isCutAtEnd || whole.includes(padding.length) ? '' : '(padding)';
+  });
+}
--- a/test/soak/promises_test.ts
+++ b/test/soak/promises_test.ts
@@ -19,7 +19,10 @@
     isWhole: true,
     hasLeft: false,
     sentAtMs: 100_000,
+    wholeAtMs: 100_000,
     endedAtMs: 100_050,
+    timeLimitMs: 3_000,
+    isHung: false,
     ...changes,
   };
 }
@@ -202,6 +205,71 @@
     expect(found(name, withFault)).toBe(0);
   });
 
+  describe('find a whole request without a whole response or a refusal', () => {
+    const name = 'whole requests are ended';
+    const cut = { kind: CallKind.Stream, isWhole: false, endedAtMs: 102_500 };
+    const lost = (changes: Partial<CallEnd>, fill: (ledger: Ledger) => void = () => undefined) =>
+      found(name, (ledger) => {
+        ledger.ends.push(end({ ...cut, ...changes }));
+        ledger.runs.push(ran('c-1', CallKind.Stream));
+        fill(ledger);
+      });
+
+    it('that was passed on, beside a pause of its gateway too', () => {
+      expect(lost({ isWhole: true, status: 502 })).toBe(0);
+      expect(lost({})).toBe(1);
+      expect(lost({ status: undefined, wholeAtMs: undefined })).toBe(1);
+      expect(lost({ hasLeft: true })).toBe(0);
+      const fault = (what: string) => (ledger: Ledger) => {
+        ledger.faults.push({ what, fromMs: 99_000, untilMs: 100_000 });
+      };
+      expect(lost({}, fault('gateway-1 is paused'))).toBe(1);
+      expect(lost({}, fault('gateway-1 is killed'))).toBe(0);
+    });
+
+    it('that was only read, unless its connection closed as it was sent', () => {
+      const unread = (endedAtMs: number) =>
+        found(name, ({ ends }) => ends.push(end({ status: undefined, isWhole: false, endedAtMs })));
+      expect(unread(100_150)).toBe(0);
+      expect(unread(100_250)).toBe(1);
+    });
+
+    it('that was sent behind another, unless that one was cut', () => {
+      const behind = (isFrontWhole: boolean) => (ledger: Ledger) => {
+        const front = { requestId: 'c-0', hasLeft: true, isWhole: isFrontWhole };
+        ledger.ends.push(end(front));
+      };
+      const unanswered = { status: undefined, frontId: 'c-0' };
+      expect(lost(unanswered, behind(true))).toBe(1);
+      expect(lost(unanswered, behind(false))).toBe(0);
+    });
+
+    it('unless its last endpoint broke off', () => {
+      const broke = (instanceId: string) => (ledger: Ledger) => {
+        ledger.breaks.push({ instanceId, requestId: 'c-1', atMs: 102_000 });
+      };
+      expect(lost({}, broke('i-1'))).toBe(0);
+      expect(lost({}, broke('i-2'))).toBe(1);
+    });
+
+    it('unless its time was over, but also then if it has no end at all', () => {
+      expect(lost({ endedAtMs: 102_800 })).toBe(1);
+      expect(lost({ endedAtMs: 102_900 })).toBe(0);
+      expect(lost({ endedAtMs: 108_000, isHung: true })).toBe(1);
+    });
+
+    it('unless the stop of its gateway was about to be forced', () => {
+      const stopped = (atMs: number, gatewayRun = 1) => {
+        return (ledger: Ledger) => ledger.stops.push({ gateway: 'gateway-1', gatewayRun, atMs });
+      };
+      const late = { sentAtMs: 101_000, endedAtMs: 103_000 };
+      expect(lost(late, stopped(96_000))).toBe(1);
+      expect(lost({ ...late, sentAtMs: 98_900, timeLimitMs: 9_000 }, stopped(96_000))).toBe(0);
+      expect(lost({ ...late, sentAtMs: 98_900, timeLimitMs: 9_000 }, stopped(97_000))).toBe(1);
+      expect(lost({ ...late, sentAtMs: 98_900, timeLimitMs: 9_000 }, stopped(96_000, 2))).toBe(1);
+    });
+  });
+
   it('find a request that reached an endpoint long after its caller had left', () => {
     const name = 'work ends with its caller';
     const fill =
--- a/test/soak/silent-endpoint_test.ts
+++ b/test/soak/silent-endpoint_test.ts
@@ -2,9 +2,11 @@
 import { headers } from '../../platform/names.js';
 import {
   EndpointServer,
+  bulkPaddingBytes,
   streamEvents,
   type EndpointRun,
 } from '../../platform/standins/endpoint-server.js';
+import { withoutPadding } from '../../bench/soak/traffic.js';
 
 // Without these, the soak could pass because its endpoints are never silent, or lose bytes as they are.
 describe('EndpointServer', () => {
@@ -67,4 +69,11 @@
       expect(text.match(/^id: \d+\ndata: c-1 \d+\n\n/gm)).toHaveLength(streamEvents);
     },
   );
+
+  it('sends bodies that no socket buffers hold', async () => {
+    const body = await (await ask('/bulk/x')).text();
+    expect(body.length).toBeGreaterThan(bulkPaddingBytes.body);
+    expect(JSON.parse(withoutPadding(body))).toMatchObject({ requestId: 'c-1', padding: '' });
+    expect(withoutPadding(body.replace('..', '.'))).toContain('(padding)');
+  });
 });
