--- a/bench/soak/soak-world.ts
+++ b/bench/soak/soak-world.ts
@@ -224,7 +224,12 @@
     const endpoint = this.endpoints.find((candidate) => candidate.id === id);
     if (!endpoint?.isRegistered || this.#crashed.has(id)) return;
     this.#crashed.add(id);
-    this.ledger.crashesAtMs.push(Date.now());
+    const { runs, breaks, crashesAtMs } = this.ledger;
+    const atMs = Date.now();
+    crashesAtMs.push(atMs);
+    for (const { requestId, instanceId } of runs) {
+      if (instanceId === id) breaks.push({ requestId, instanceId, atMs });
+    }
     await Promise.all([endpoint.proxy.close(), endpoint.server.close()]);
     await sleep(restartMs);
     await this.addEndpoint(endpoint.service);
