--- a/test/soak/soak_test.ts
+++ b/test/soak/soak_test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest';
-import { runSoak } from '../../bench/soak/run-soak.js';
+import { runSoak, SoakPlay } from '../../bench/soak/run-soak.js';
 
 /** Seeds that once broke a promise, with the fault that each guards against. */
 const seeds = [
@@ -10,6 +10,12 @@
   [197453, 12_000, 'a request that reached an endpoint half a second after its caller had left'],
 ] as const;
 
+/** Seeds of planned work beside silences of endpoints. */
+const plannedSeeds = [
+  [37_201, 12_000, 'streams cut as their endpoint was silent and another one could not go on'],
+  [37_203, 12_000, 'requests read behind an open one that a stop left without an answer'],
+] as const;
+
 describe('real processes under faults from outside', () => {
   it.each(seeds)(
     'keep their promises with seed %i (%i ms): %s',
@@ -21,4 +27,14 @@
       expect(served).toBeGreaterThan(calls / 4);
     },
   );
+
+  it.each(plannedSeeds)(
+    'end whole requests beside planned work and silences with seed %i (%i ms): %s',
+    { timeout: 120_000 },
+    async (seed, lengthMs) => {
+      const { broken, served, calls } = await runSoak(seed, lengthMs, SoakPlay.Planned);
+      expect(broken).toEqual([]);
+      expect(served).toBeGreaterThan(calls / 4);
+    },
+  );
 });
