--- a/bench/soak/promises.ts
+++ b/bench/soak/promises.ts
@@ -1,5 +1,6 @@
 import { paths } from '../../platform/names.js';
 import { streamEvents, type EndpointArrival } from '../../platform/standins/endpoint-server.js';
+import { graceMs } from './gateway-process.js';
 import { CallKind, isStream, type CallEnd, type Ledger } from './ledger.js';
 import { poisonIdPrefix, endpointLinkFault, versionServices } from './traffic.js';
 
@@ -22,6 +23,17 @@
 const pauseNoticeMs = 500;
 const allowedPauseArrivals = 2;
 
+/** A request that was not read may see its connection close for this long after its last byte. */
+const lossSlackMs = 200;
+
+/** An end that comes later than this, although its caller reads, is none. */
+const hungMs = 13_000;
+
+/** Part of its time that a request may have used up when it ends, and of the grace of a stop. */
+const spentRatio = 0.95;
+const graceRatio = 5 / 6;
+const lateSendMs = 3_000;
+
 /** Endpoints that crash under one part before its requests are counted, and how many may follow. */
 const countedCrash = 5;
 const allowedPoisonRuns = 3;
@@ -200,6 +212,61 @@
     .map(({ requestId, gateway }) => `${requestId} was passed on by ${gateway} and not answered`);
 };
 
+/**
+ * A request that a gateway has read whole ends with a whole response or a refusal, whatever is planned
+ * and however long its endpoint was silent.
+ */
+const wholeRequestsAreEnded: PromiseCheck = (ledger) => {
+  const lastRuns = new Map(ledger.runs.map((run) => [run.requestId, run]));
+  const lastBreaks = new Map(ledger.breaks.map((broken) => [broken.requestId, broken]));
+  const whole = new Set(
+    ledger.ends.filter(({ isWhole }) => isWhole).map(({ requestId }) => requestId),
+  );
+  return ledger.ends.flatMap((end) => {
+    const { requestId, frontId, status, body, sentAtMs, endedAtMs } = end;
+    if (end.hasLeft || (status !== undefined && end.isWhole)) return [];
+    // Those behind a response that is cut go with it, and it is judged itself.
+    if (frontId !== undefined && !whole.has(frontId)) return [];
+    const run = lastRuns.get(requestId);
+    // Two endpoints may have had it at once; no further one was asked after the break.
+    const hasBrokenOff = run && (lastBreaks.get(requestId)?.atMs ?? 0) >= run.atMs;
+    if ((!run && !wasReadAlone(end, ledger)) || hasBrokenOff) return [];
+    const isHung =
+      end.isHung && endedAtMs - ledger.ownStallMs(sentAtMs, endedAtMs) > sentAtMs + hungMs;
+    if (isTimeUp(end, ledger) && !isHung) return [];
+    // A pause of the gateway takes time and is no reason to give a request up.
+    const isCalm = ledger.isCalm(
+      sentAtMs - calmMs,
+      endedAtMs,
+      (what) => !what.endsWith('is paused'),
+    );
+    if (!isCalm) return [];
+    const behind = frontId === undefined ? '' : ` behind ${frontId}`;
+    const at = run ? `passed on to ${run.instanceId}` : 'not passed on';
+    const got = isHung ? 'hung' : status === undefined ? 'no answer' : `${body.length} bytes`;
+    return [
+      `${requestId}${behind} at ${runOf(end)}, ${at}: ${got} after ${endedAtMs - sentAtMs} ms`,
+    ];
+  });
+};
+
+/** Whether a request that no endpoint ran was open for too long to have crossed a close. */
+function wasReadAlone({ wholeAtMs, endedAtMs }: CallEnd, ledger: Ledger): boolean {
+  if (wholeAtMs === undefined) return false;
+  // While this process stands still, it does not see that its connections are closed.
+  return endedAtMs - wholeAtMs - ledger.ownStallMs(wholeAtMs, endedAtMs) > lossSlackMs;
+}
+
+/** Whether a request was at the end of its time, or of that of its gateway. */
+function isTimeUp(end: CallEnd, { stops }: Ledger): boolean {
+  const { gateway, gatewayRun, sentAtMs, endedAtMs, timeLimitMs } = end;
+  if (endedAtMs - sentAtMs >= timeLimitMs * spentRatio) return true;
+  return stops.some((stop) => {
+    if (stop.gateway !== gateway || stop.gatewayRun !== gatewayRun) return false;
+    return sentAtMs <= stop.atMs + lateSendMs && endedAtMs >= stop.atMs + graceMs * graceRatio;
+  });
+}
+
 /**
  * After five endpoints have crashed under a part of a prompt, requests with it reach no more of them.
  * A gateway that was cut off or started lately may not know of it.
@@ -244,6 +311,7 @@
   ['the configuration never goes back', configurationNeverGoesBack],
   ['duties have one holder', dutiesHaveOneHolder],
   ['stops cut nothing', stopsCutNothing],
+  ['whole requests are ended', wholeRequestsAreEnded],
   ['work ends with its caller', workEndsWithItsCaller],
   ['leaving endpoints get nothing', leavingEndpointsGetNothing],
   ['a leaving that was told is kept', toldLeavingIsKept],
