Read what came during a stall before an idle connection is closed

Cause: after a stall Node runs the idle timer before it reads the socket. The connection is now closed only if nothing has come once all sockets were read. A case of gateway-listener_test failed before.

--- a/src/gateway/gateway-listener.ts
+++ b/src/gateway/gateway-listener.ts
@@ -7,7 +7,14 @@
 } from 'node:http';
 import { Server as SocketServer, type Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
-import { CallerConnections, Outcome, RequestError, Step, type Clock } from '../core/index.js';
+import {
+  CallerConnections,
+  Outcome,
+  allSocketsRead,
+  RequestError,
+  Step,
+  type Clock,
+} from '../core/index.js';
 import { listen } from '../core/listener.js';
 import { refuseUnreadable, statusOfUnreadable } from '../core/unreadable-request.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
@@ -80,6 +87,7 @@
     this.#server.on('connection', (socket) => {
       this.#sockets.add(socket);
     });
+    this.#server.on('timeout', (socket) => void closeUnlessRead(socket));
     this.#server.on('clientError', (error, socket) => void this.#refuseUnreadable(error, socket));
     this.#server.on('request', (request, response) => void this.#handle(request, response));
     options.config.onChange(({ config }) => {
@@ -265,6 +273,16 @@
   if (timeoutMs > 0 && timeoutMs < toldIdleTimeoutMs) socket.setTimeout(toldIdleTimeoutMs);
 }
 
+/**
+ * Closes a connection that was idle for too long. After a stall, its timer runs before the next request
+ * is read that came in time.
+ */
+async function closeUnlessRead(socket: Socket): Promise<void> {
+  const { bytesRead } = socket;
+  await allSocketsRead();
+  if (socket.bytesRead === bytesRead) socket.destroy();
+}
+
 function stoppingRefusal(nowMs: number): RequestError {
   return new RequestError('the daemon is stopping', {
     step: Step.Admit,
--- a/test/gateway/gateway-listener_test.ts
+++ b/test/gateway/gateway-listener_test.ts
@@ -43,6 +43,27 @@
     caller.destroy();
   });
 
+  // After a stall the timer of the idle connection ran before its socket was read.
+  it('closes no idle connection whose next request came while the process stood still', async () => {
+    const limits = { ...trafficConfig().limits, idleTimeoutMs: 300 };
+    await harness.start(trafficConfig({ limits }), respondWith(200, 'ok'));
+    const caller = connect({ host: '127.0.0.1', port: harness.gateway.port });
+    let received = '';
+    caller.on('data', (bytes: Buffer) => (received += bytes.toString()));
+    const answers = (): number => received.split('HTTP/1.1 200').length - 1;
+    const isClosed = new Promise((resolve) => caller.once('close', () => resolve(true)));
+    const text = 'GET /x HTTP/1.1\r\nhost: shop.example\r\noriolestack-request-id: r\r\n\r\n';
+    caller.write(text);
+    while (answers() === 0) await harness.wait(5);
+    await harness.wait(200);
+    caller.write(text);
+    const stalledUntilMs = performance.now() + 2_000;
+    while (performance.now() < stalledUntilMs);
+    await Promise.race([isClosed, harness.wait(300)]);
+    expect(answers()).toBe(2);
+    caller.destroy();
+  });
+
   // Callers were told 408, not run, in the place of the answer to a request that ran.
   describe('with a request that is open while the next one cannot be read', () => {
     const limits = { ...trafficConfig().limits, headerTimeoutMs: 300 };
