--- a/src/gateway/gateway-listener.ts
+++ b/src/gateway/gateway-listener.ts
@@ -87,7 +87,7 @@
     this.#server.on('connection', (socket) => {
       this.#sockets.add(socket);
     });
-    this.#server.on('timeout', (socket) => void closeUnlessRead(socket));
+    this.#server.on('timeout', (socket: Socket) => void closeUnlessRead(socket));
     this.#server.on('clientError', (error, socket) => void this.#refuseUnreadable(error, socket));
     this.#server.on('request', (request, response) => void this.#handle(request, response));
     options.config.onChange(({ config }) => {
--- a/test/processes/unexpected-errors_test.ts
+++ b/test/processes/unexpected-errors_test.ts
@@ -3,10 +3,12 @@
 import { EventId } from '../../src/telemetry/index.js';
 import { messagesOf, ProcessCluster } from './process-cluster.js';
 
-/** Module that throws and rejects where nothing handles it, some seconds after the start. */
+/** Module that throws and rejects where nothing handles it, when the process is told to. */
 const failingModule = `data:text/javascript,${encodeURIComponent(`
-  setTimeout(() => { throw new TypeError('thrown in a timer'); }, 6000);
-  setTimeout(() => { void Promise.reject(new TypeError('rejected')); }, 6100);
+  process.once('SIGUSR2', () => {
+    setTimeout(() => { throw new TypeError('thrown in a timer'); }, 0);
+    setTimeout(() => { void Promise.reject(new TypeError('rejected')); }, 100);
+  });
 `)}`;
 
 describe('an error that no code of a daemon handles', { timeout: 60_000 }, () => {
@@ -24,6 +26,7 @@
 
   it('does not end the process, which holds the requests of all its callers', async () => {
     const daemon = cluster.daemon(0);
+    daemon.signal('SIGUSR2');
     expect(await daemon.event(EventId.UnexpectedError)).toMatchObject({
       reason: 'thrown in a timer',
     });
