--- a/src/gateway/endpoint-connections.ts
+++ b/src/gateway/endpoint-connections.ts
@@ -5,8 +5,8 @@
   type IncomingMessage,
   type OutgoingHttpHeaders,
 } from 'node:http';
-import type { Socket } from 'node:net';
 import { allSocketsRead, type Clock } from '../core/index.js';
+import { onResetBeforeEnd } from '../core/reset-detection.js';
 
 /** A request for one endpoint. */
 export interface EndpointRequest {
@@ -181,11 +181,13 @@
 
   start(body: Buffer): void {
     const outgoing = this.#outgoing;
+    onResetBeforeEnd(outgoing, ({ message }) => {
+      if (this.#hasResponse) this.#observer.broken(message);
+    });
     outgoing.on('socket', (socket) => {
       // The agent's timeout is for idle connections only; the attempt detects stalled responses.
       socket.setTimeout(0);
       socket.setNoDelay(true);
-      this.#detectReset(socket);
       if (!socket.connecting) {
         void this.#write(body);
         return;
@@ -243,21 +245,6 @@
     outgoing.on('information', onInterim);
   }
 
-  /**
-   * Distinguishes a reset from an orderly end. When a reset arrives together with the last bytes,
-   * libuv reports the end of the stream and no error. A reset connection has no remote address.
-   */
-  #detectReset(socket: Socket): void {
-    const onEnd = (): void => {
-      // Node caches the address at the first access, so nothing may read it earlier.
-      const isReset = socket.remoteAddress === undefined;
-      if (isReset && this.#hasResponse) this.#observer.broken('connection was reset');
-    };
-    // Must run before Node's own listener, which takes this event for the end of the body.
-    socket.prependOnceListener('end', onEnd);
-    this.#outgoing.once('close', () => socket.off('end', onEnd));
-  }
-
   #fail(reason: string, isRefused = false): void {
     this.#cancelConnectTimer();
     if (this.#isDone) return;
