Probe no later process for the one that has ended at its address

Each check of the request probed the later process, also within a pause that it had asked for (BUDGET).

A request whose endpoint is not registered any more while a later process is registered at its address now counts as unreachable without a probe.

--- a/src/fleet/stall-detector.ts
+++ b/src/fleet/stall-detector.ts
@@ -152,6 +152,8 @@
    * about.
    */
   async diagnose(target: ProbeTarget): Promise<StallCause> {
+    // A probe would reach the later process, which may have asked for a pause.
+    if (this.#isReplaced(target)) return StallCause.Unreachable;
     let diagnosis = this.#diagnoses.get(target.id);
     // It has said that it runs, and that it wants no request.
     if (!diagnosis && this.#isPaused(target)) return StallCause.Slow;
@@ -194,6 +196,12 @@
     }
   }
 
+  /** Whether a later process is registered at the address, so that the one asked about has ended. */
+  #isReplaced({ id, baseUrl }: ProbeTarget): boolean {
+    if (this.#registry.view(id)) return false;
+    return this.#registry.all().some((view) => view.baseUrl === baseUrl);
+  }
+
   #isPaused({ id }: ProbeTarget): boolean {
     return this.#pauses?.isPaused(id, this.#clock.nowMs()) === true;
   }
--- a/test/fleet/stall-detector_test.ts
+++ b/test/fleet/stall-detector_test.ts
@@ -115,6 +115,16 @@
     });
   });
 
+  // The later process got the probes for the earlier one, within a pause that it had asked for.
+  it('probes no later process for the one that has ended at its address', async () => {
+    const { registry, probe, detector, first } = setUp();
+    const ended = first();
+    registry.observeProcessStart(ended.name, 1_000);
+    expect(first().id).not.toBe(ended.id);
+    expect(await detector.diagnose(ended)).toBe(StallCause.Unreachable);
+    expect(probe.probeCount).toBe(0);
+  });
+
   it('takes no endpoint for unreachable that goes on with other streams while its health check waits', async () => {
     const { probe, detector, first } = setUp();
     probe.answer = undefined;
--- a/test/histories/known-seeds_test.ts
+++ b/test/histories/known-seeds_test.ts
@@ -11,6 +11,7 @@
   [36325, 'a drain is forgotten with the daemons that were told'],
   [60398, 'a stop whose notice passed in a pause cuts off requests not read yet'],
   [40313, 'a set pulled from one peer lacks a signal, or its only knower stops'],
+  [249, 'an endpoint is probed within its pause for the process before it at its address'],
   [
     226,
     'a pause asked for after a restart is forgotten when the registration of the restart comes',
