Bound the prefix of a prompt whose size a caller states

Cause: promptPrefixOfParts lists a hash for each 64 stated tokens. PrefixCacheIndex besides entered all of a prefix before it dropped what was too much, and dropped its beginning. Evidence: in a process of its own with the same heap, 2e9 tokens exhaust it in the list, and 2e8 (a list of 95 MB, which fits) in the index.

Fix: a prefix lists at most the blocks that the index keeps of an endpoint, and the index enters no more than it keeps; the same for the prefix of a chat. What is listed no longer follows from what is stated.

--- a/src/fleet/prefix-cache-index.ts
+++ b/src/fleet/prefix-cache-index.ts
@@ -1,4 +1,4 @@
-import { promptBlockTokens, type PromptPrefix } from './prompt-prefix.js';
+import { maxPrefixBlocks, promptBlockTokens, type PromptPrefix } from './prompt-prefix.js';
 
 /** Kind of a {@link CacheEvent}. */
 export enum CacheEventKind {
@@ -69,7 +69,7 @@
 
   constructor(options: PrefixCacheIndexOptions = {}) {
     this.#halfLifeMs = options.halfLifeMs ?? 300_000;
-    this.#maxBlocks = options.maxBlocks ?? 8_192;
+    this.#maxBlocks = options.maxBlocks ?? maxPrefixBlocks;
   }
 
   /**
@@ -189,7 +189,8 @@
     atMs: number,
   ): void {
     let parent = parentBlock;
-    for (const block of blocks) {
+    // Those beyond the limit would first take memory and then the place of the ones before them.
+    for (const block of blocks.slice(0, this.#maxBlocks)) {
       const evidence = known.get(block);
       if (evidence) {
         evidence.atMs = Math.max(evidence.atMs, atMs);
--- a/src/fleet/prompt-prefix.ts
+++ b/src/fleet/prompt-prefix.ts
@@ -7,9 +7,16 @@
 /** Tokens that a full prompt block stands for. */
 export const promptBlockTokens = 64;
 
+/**
+ * Blocks that a prefix lists at most, about half a million tokens. A prompt may be stated longer than
+ * any endpoint could keep, and the length of the list must not follow what a caller states.
+ */
+export const maxPrefixBlocks = 8_192;
+
 /**
  * Chained hashes of the blocks of a prompt: equal hashes at index i mean equal prompts up to and
- * including block i. Only whole blocks are listed, as engines cache whole blocks.
+ * including block i. Only whole blocks are listed, as engines cache whole blocks, and
+ * {@link maxPrefixBlocks} at most.
  */
 export type PromptPrefix = readonly number[];
 
@@ -27,7 +34,8 @@
   const text = messages.map(({ role, content }) => `${role}\u0000${content}\u0001`).join('');
   const blocks: number[] = [];
   let hash = 0;
-  for (let end = blockChars; end <= text.length; end += blockChars) {
+  const listedChars = Math.min(text.length, maxPrefixBlocks * blockChars);
+  for (let end = blockChars; end <= listedChars; end += blockChars) {
     hash = hash32(text.slice(end - blockChars, end), hash) >>> 1;
     blocks.push(hash);
   }
@@ -59,7 +67,8 @@
   for (const part of parts) {
     hash = hash32(part.id, hash) >>> 1;
     tokens += part.tokens;
-    for (let index = 0; blocks.length < Math.floor(tokens / promptBlockTokens); index++) {
+    const listedBlocks = Math.min(maxPrefixBlocks, Math.floor(tokens / promptBlockTokens));
+    for (let index = 0; blocks.length < listedBlocks; index++) {
       blocks.push((hash + Math.imul(index, blockStride)) >>> 1);
     }
   }
--- a/test/fleet/prefix-cache-index_test.ts
+++ b/test/fleet/prefix-cache-index_test.ts
@@ -4,7 +4,7 @@
   PrefixCacheIndex,
   type CacheEvent,
 } from '../../src/fleet/prefix-cache-index.js';
-import { promptPrefix } from '../../src/fleet/prompt-prefix.js';
+import { promptBlockTokens, promptPrefix } from '../../src/fleet/prompt-prefix.js';
 
 function event(sequence: number, changes: Partial<CacheEvent> = {}): CacheEvent {
   return { kind: CacheEventKind.Stored, sequence, blocks: [], observedAtMs: 0, ...changes };
@@ -84,6 +84,18 @@
     expect(caches.cachedTokens('e', [1], 0)).toBe(64);
   });
 
+  // A prompt or an event with more blocks than are kept first took memory for all of them, and then the
+  // place of those at its beginning, without which nothing of it is found.
+  it('keeps the beginning of a prompt that is longer than what is kept', () => {
+    const caches = new PrefixCacheIndex({ halfLifeMs: 1_000, maxBlocks: 4 });
+    const blocks = Array.from({ length: 1_000 }, (_, index) => index + 1);
+    caches.recordSent('i-1', blocks, 0);
+    expect(caches.cachedTokens('i-1', blocks, 0)).toBe(4 * promptBlockTokens);
+    const stored = { kind: CacheEventKind.Stored, sequence: 1, blocks, observedAtMs: 0 };
+    caches.apply('i-2', stored);
+    expect(caches.cachedTokens('i-2', blocks, 0)).toBe(4 * promptBlockTokens);
+  });
+
   it('halves the expected tokens with each half-life and keeps at most the maximum of blocks', () => {
     const caches = new PrefixCacheIndex({ halfLifeMs: 1_000, maxBlocks: 2 });
     caches.recordSent('e', [1], 0);
--- a/test/isolated/untrusted-clients_test.ts
+++ b/test/isolated/untrusted-clients_test.ts
@@ -143,6 +143,22 @@
     );
   });
 
+  describe('stated sizes', () => {
+    // A list with an entry for each 64 stated tokens filled the heap, and the process ended.
+    it.each([10_000_000, 200_000_000, 2_000_000_000, 1e308])(
+      'lives through prompts whose first part is stated as %d tokens',
+      (tokens) =>
+        withstands(8, async () => {
+          const socket = gateway.connect();
+          socket.resume();
+          const prompt = `oriolestack-prompt-prefix: 5c1e07a2:${tokens},e4402b7d:250\r\n`;
+          const usage = 'oriolestack-token-usage: 1460,80\r\n';
+          await sent(socket, requestHead('GET', '/safe/x', prompt + usage));
+        }),
+      timeoutMs,
+    );
+  });
+
   describe('requests and responses', () => {
     // Requests that wait behind another one on their connection were read without a bound.
     it(
