Copy the bytes of an unfinished event once, not once for each chunk

Cause: EventSplitter concatenated the whole unfinished event with each chunk, so that the work for one event grew with the square of its chunks: 5,000,100,000 bytes copied for 200,000 bytes in chunks of four.

Fix: the unfinished event is kept in one buffer that doubles; a chunk of whole events is still passed on as it is.

--- a/src/gateway/event-splitter.ts
+++ b/src/gateway/event-splitter.ts
@@ -1,3 +1,5 @@
+import { PendingBytes } from '../core/pending-bytes.js';
+
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
 const colon = ':';
@@ -38,13 +40,18 @@
  * ```
  */
 export class EventSplitter {
-  #pending: Buffer = Buffer.alloc(0);
+  readonly #pending = new PendingBytes();
 
   /** Number of bytes of the incomplete event at the end. */
   get pendingBytes(): number {
     return this.#pending.length;
   }
 
+  /** All bytes copied so far, for tests of the cost. */
+  get copiedBytes(): number {
+    return this.#pending.copiedBytes;
+  }
+
   /**
    * Appends a chunk of the stream.
    *
@@ -52,19 +59,33 @@
    * @throws EventTooLongError when the event at the end exceeds the limit.
    */
   push(chunk: Buffer): CompleteEvents | undefined {
-    const searchedBytes = Math.max(0, this.#pending.length - blankLineOverlapBytes);
-    const all = this.#pending.length === 0 ? chunk : Buffer.concat([this.#pending, chunk]);
-    let end = 0;
-    for (let next = endOfEvent(all, searchedBytes); next !== undefined;) {
-      end = next;
-      next = endOfEvent(all, end);
-    }
-    this.#pending = all.subarray(end);
+    const bytes = this.#pending.length === 0 ? this.#splitChunk(chunk) : this.#splitPending(chunk);
     if (this.#pending.length > maxEventBytes) throw new EventTooLongError();
-    if (end === 0) return undefined;
-    const bytes = all.subarray(0, end);
-    return { bytes, ...describe(bytes) };
+    return bytes && { bytes, ...describe(bytes) };
+  }
+
+  /** Most chunks hold whole events only, and are passed on as they are. */
+  #splitChunk(chunk: Buffer): Buffer | undefined {
+    const end = endOfEvents(chunk, 0);
+    if (end < chunk.length) this.#pending.append(chunk.subarray(end));
+    return end === 0 ? undefined : chunk.subarray(0, end);
+  }
+
+  #splitPending(chunk: Buffer): Buffer | undefined {
+    const searchedBytes = Math.max(0, this.#pending.length - blankLineOverlapBytes);
+    this.#pending.append(chunk);
+    const end = endOfEvents(this.#pending.bytes, searchedBytes);
+    return end === 0 ? undefined : this.#pending.take(end);
+  }
+}
+
+/** Index after the last blank line from `start` on; 0 when there is none. */
+function endOfEvents(bytes: Buffer, start: number): number {
+  let end = 0;
+  for (let next = endOfEvent(bytes, start); next !== undefined; next = endOfEvent(bytes, end)) {
+    end = next;
   }
+  return end;
 }
 
 /** Index after the first blank line from `start` on; undefined when there is none. */
--- a/test/gateway/event-splitter_test.ts
+++ b/test/gateway/event-splitter_test.ts
@@ -40,4 +40,50 @@
       expect(new EventSplitter().push(Buffer.from('data: x\n\n'))?.lastEventId).toBeUndefined();
     });
   });
+
+  describe('streams in pieces', () => {
+    /** Bytes copied for one event without an end that comes in chunks of four bytes. */
+    function copiedBytes(eventBytes: number): number {
+      const splitter = new EventSplitter();
+      for (let bytes = 0; bytes < eventBytes; bytes += 4) splitter.push(Buffer.from('xxxx'));
+      return splitter.copiedBytes;
+    }
+
+    // The whole unfinished event was copied for each chunk: gigabytes for one event, and meanwhile the
+    // process answered nobody.
+    it('cost bytes copied in proportion to the bytes received', () => {
+      expect(copiedBytes(200_000)).toBeLessThan(4 * 200_000);
+      expect(copiedBytes(200_000)).toBeLessThan(5 * copiedBytes(50_000));
+    });
+
+    it('yield what the same stream yields in one piece, however it is cut', () => {
+      const text = fc.string({
+        unit: fc.constantFrom('\n', '\r', ':', 'i', 'd', ' ', '1'),
+        maxLength: 80,
+      });
+      fc.assert(
+        fc.property(
+          text,
+          fc.array(fc.integer({ min: 1, max: 9 }), { maxLength: 80 }),
+          (all, sizes) => {
+            const whole = new EventSplitter();
+            const expected = whole.push(Buffer.from(all));
+            const splitter = new EventSplitter();
+            let rest = Buffer.from(all);
+            let bytes = '';
+            let count = 0;
+            for (const size of [...sizes, all.length]) {
+              const events = splitter.push(rest.subarray(0, size));
+              rest = rest.subarray(size);
+              bytes += events?.bytes.toString() ?? '';
+              count += events?.count ?? 0;
+            }
+            expect(bytes).toBe(expected?.bytes.toString() ?? '');
+            expect(count).toBe(expected?.count ?? 0);
+            expect(splitter.pendingBytes).toBe(whole.pendingBytes);
+          },
+        ),
+      );
+    });
+  });
 });
