Decode numbers from outside into ranges that their sums can bear

Cause: the sum of two stated numbers is infinite, and a balance that it is taken from stays so. The counts of the workspace cross to the other daemons as null, for which these refused the whole sample, with heartbeat and usage.

--- a/src/admission/token-quota.ts
+++ b/src/admission/token-quota.ts
@@ -365,6 +365,12 @@
     return excessRatio * ((ratePerS * windowMs) / 1_000 + burst) + slack;
   }
 
+  /** What all daemons together may grant within a window. */
+  get #windowAllowance(): number {
+    const { ratePerS, burst } = this.#limit;
+    return (ratePerS * this.#tolerance.windowMs) / 1_000 + burst + this.#excess;
+  }
+
   /** Maximum balance, which the connected daemons may grant at once. */
   #capacity(peers: QuotaPeers): number {
     return (this.#limit.burst + usableToleranceRatio * this.#excess) * reachableRatio(peers);
@@ -383,10 +389,14 @@
     this.#peerShareRate.update(askedOfPeers, elapsedS);
     this.#peerSlowRate.update(askedOfPeers, elapsedS);
     this.#requestRate.update(this.#requests, elapsedS);
-    // Unreported grants have been made from it.
-    this.#balance = Math.min(
-      this.#capacity(peers) + this.#unreportedByPeers(peers, 1),
-      this.#balance + elapsedS * ratePerS - grantedSinceUpdate,
+    // Unreported grants have been made from it. A debt of more than a window's grants would outlast the
+    // window in which they count.
+    this.#balance = Math.max(
+      -this.#windowAllowance,
+      Math.min(
+        this.#capacity(peers) + this.#unreportedByPeers(peers, 1),
+        this.#balance + elapsedS * ratePerS - grantedSinceUpdate,
+      ),
     );
   }
 
--- a/src/fleet/prefill-backlog.ts
+++ b/src/fleet/prefill-backlog.ts
@@ -1,3 +1,5 @@
+import { maxPrefixBlocks, promptBlockTokens } from './prompt-prefix.js';
+
 interface Backlog {
   tokens: number;
   updatedAtMs: number;
@@ -9,11 +11,21 @@
 /** Attention grows with the square of the prompt; at this length it doubles the prefill time. */
 const doubleCostTokens = 50_000;
 
+/** Tokens of the longest prompt that an endpoint prefills; it rejects one that is larger. */
+const maxPromptTokens = maxPrefixBlocks * promptBlockTokens;
+
+/** Time after which callers have left whose prompts an endpoint has not begun to prefill. */
+const maxWaitMs = 60_000;
+
 /** Tokens of a short prompt that take as long to prefill as a prompt of `tokens`. */
 export function weightedTokens(tokens: number): number {
-  return tokens * (1 + tokens / doubleCostTokens);
+  const prefilledTokens = Math.min(tokens, maxPromptTokens);
+  return prefilledTokens * (1 + prefilledTokens / doubleCostTokens);
 }
 
+/** Largest result of {@link weightedTokens}. */
+export const maxPromptWork = weightedTokens(maxPromptTokens);
+
 /**
  * Prompt tokens that each endpoint still has to prefill, as a queue that drains at the endpoint's
  * speed. It holds the prompts of this daemon and those that other daemons report. Engines prefill
@@ -43,8 +55,9 @@
 
   /** Adds the weighted uncached tokens of a prompt that was sent to an endpoint. */
   add(endpointId: string, tokens: number, nowMs: number): void {
+    const maxTokens = maxWaitMs * this.#tokensPerMs;
     this.#backlogs.set(endpointId, {
-      tokens: this.#remainingTokens(endpointId, nowMs) + tokens,
+      tokens: Math.min(maxTokens, this.#remainingTokens(endpointId, nowMs) + tokens),
       updatedAtMs: nowMs,
     });
   }
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -197,9 +197,10 @@
     this.#options.known.work.began(view, admitted, events);
     if (this.#options.rollouts) this.#historyOf(admitted).streamVersion ??= view.version;
     const { promptTokens = 0 } = admitted.description;
-    const ownTokens = admitted.description.promptParts.at(-1)?.tokens ?? promptTokens;
+    const lastPartTokens = admitted.description.promptParts.at(-1)?.tokens ?? promptTokens;
+    const ownTokens = Math.min(lastPartTokens, promptTokens);
     // Short prompts measure the fixed cost of an engine step rather than the prefill speed.
-    if (ownTokens < longPromptTokens) return;
+    if (ownTokens < longPromptTokens || elapsedMs <= 0) return;
     this.#options.known.backlog.observeSpeed(weightedTokens(ownTokens) / elapsedMs);
     this.#options.known.speeds.observeFirstToken(view.id, ownTokens, elapsedMs);
   }
--- a/src/gateway/request-admission.ts
+++ b/src/gateway/request-admission.ts
@@ -6,6 +6,7 @@
 import type { ConfigHolder } from './config-holder.js';
 import {
   MissingRequestIdError,
+  maxRequestTokens,
   type RequestCodec,
   type RequestDescription,
 } from './request-codec.js';
@@ -33,6 +34,9 @@
 /** `retry-after` of refusals while other callers take all memory, in milliseconds. */
 const noRoomRetryMs = 500;
 
+/** Reason of the refusal of a request that states too many tokens. */
+export const oversizedReason = `the request states more than ${maxRequestTokens} tokens`;
+
 /** Reads a request and decides by route, key, size and quota whether it may go to an endpoint. */
 export class RequestAdmission {
   readonly #options: RequestAdmissionOptions;
@@ -54,6 +58,8 @@
     const service = serviceName === undefined ? undefined : table.service(serviceName);
     if (!service)
       throw refusal(503, `route "${route.name}" has no service`, noConfigRetryMs + clock.nowMs());
+    // Like an endpoint that has no room for it, and at once.
+    if (description.isOversized) throw refusal(503, oversizedReason);
     const callerTimeoutMs = description.callerTimeoutMs ?? Infinity;
     const deadlineAtMs = receivedAtMs + Math.min(callerTimeoutMs, route.timeoutMs);
     const body = await exchange.body.read({
--- a/src/gateway/request-codec.ts
+++ b/src/gateway/request-codec.ts
@@ -2,7 +2,16 @@
 import type { EndpointNotice } from '../fleet/endpoint-notice.js';
 import type { PromptPart } from '../fleet/prompt-prefix.js';
 
-/** A caller's request as described by its headers. */
+/**
+ * Most tokens that a request may state, well above the context of any model. The numbers of a request
+ * enter sums over all requests, which one without a bound would spoil.
+ */
+export const maxRequestTokens = 16_777_216;
+
+/**
+ * A caller's request as described by its headers. Each number of tokens is between 0 and
+ * {@link maxRequestTokens}, or just above it if a larger one is stated.
+ */
 export interface RequestDescription {
   /** Chosen by the caller; unique for each of its attempts. */
   readonly requestId: string;
@@ -17,6 +26,8 @@
   readonly lengthHintTokens?: number | undefined;
   /** Parts of the prompt in order. */
   readonly promptParts: readonly PromptPart[];
+  /** Whether it states more than {@link maxRequestTokens}, for which no endpoint has room. */
+  readonly isOversized?: boolean;
   /** Id of the event after which the caller wants a stream to resume. */
   readonly lastEventId: string | undefined;
 }
--- a/src/gateway/request-explainer.ts
+++ b/src/gateway/request-explainer.ts
@@ -4,6 +4,7 @@
 import type { AdmittedRequest } from './caller-exchange.js';
 import type { ConfigHolder } from './config-holder.js';
 import type { Placement, PlacementExplanation } from './placement.js';
+import { oversizedReason } from './request-admission.js';
 import type { RequestCodec } from './request-codec.js';
 import type { RouteTable } from './route-table.js';
 import type { TrafficRoute, TrafficWorkspace } from './traffic-config.js';
@@ -108,6 +109,7 @@
     const service = serviceName === undefined ? undefined : table.service(serviceName);
     const named = { ...known, serviceName, workspaceName: workspace?.name };
     if (!service) return { ...named, reason: 'the route has no service' };
+    if (description.isOversized) return { ...named, reason: oversizedReason };
     const nowMs = this.#options.clock.nowMs();
     const timeoutMs = Math.min(description.callerTimeoutMs ?? Infinity, route.timeoutMs);
     return this.#explainAdmitted(named, {
--- a/src/membership/broadcast-message.ts
+++ b/src/membership/broadcast-message.ts
@@ -1,9 +1,11 @@
 import { z } from 'zod';
+import { maxPromptWork } from '../fleet/prefill-backlog.js';
 import {
   quarantineMessageSchema,
   type QuarantineMessage,
 } from '../quarantine/quarantine-message.js';
 import { rolloutMessageSchema, type RolloutMessage } from '../rollout/rollout-message.js';
+import { countsSchema } from './counts-schema.js';
 import type { GrantReport } from './daemon-samples.js';
 
 /** A long prompt that a daemon has sent to an endpoint. */
@@ -36,7 +38,12 @@
 const maxEndpointIdChars = 600;
 
 const messageSchema = z.union([
-  z.tuple([z.literal(BroadcastKind.Prefill), z.string(), z.number().nonnegative(), z.string()]),
+  z.tuple([
+    z.literal(BroadcastKind.Prefill),
+    z.string(),
+    z.number().nonnegative().max(Math.ceil(maxPromptWork)),
+    z.string(),
+  ]),
   z.tuple([z.literal(BroadcastKind.Suspicion), z.string().min(1), z.string()]),
   z.tuple([
     z.literal(BroadcastKind.Leaving),
@@ -50,8 +57,8 @@
     z.literal(BroadcastKind.Grants),
     z.string().min(1),
     z.number(),
-    z.record(z.string(), z.number().nonnegative()),
-    z.record(z.string(), z.number().nonnegative()),
+    countsSchema,
+    countsSchema,
   ]),
 ]);
 
--- a/src/membership/daemon-samples.ts
+++ b/src/membership/daemon-samples.ts
@@ -16,9 +16,25 @@
   type RolloutReport,
 } from '../rollout/rollout-report.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
+import { countsSchema } from './counts-schema.js';
 import { CounterTotals } from './counter-totals.js';
 
-const countsSchema = z.record(z.string(), z.number().nonnegative());
+/** More processor cores than a VM has; larger capacities are none. */
+const maxCores = 10_000;
+
+/** Index of a usage window, and the requests started in it by workspace. */
+const usageRowSchema = z.tuple([z.int().nonnegative(), countsSchema]);
+
+/** Counts by usage window; a row that is none is left out. */
+const usageSchema = z
+  .array(z.unknown())
+  .catch([])
+  .transform((rows) =>
+    rows.flatMap((row) => {
+      const { data } = usageRowSchema.safeParse(row);
+      return data ? [data] : [];
+    }),
+  );
 
 const sampleSchema = z.object({
   daemon: z.string().min(1),
@@ -29,22 +45,22 @@
   /** Time of the sample on the daemon's clock, in epoch milliseconds. */
   sampledAtMs: z.number(),
   /** Units granted since the daemon started, by workspace. */
-  granted: countsSchema,
+  granted: countsSchema.catch({}),
   /** Units requested from the daemon since it started, by workspace. */
-  asked: countsSchema.default({}),
+  asked: countsSchema.catch({}),
   /** Requests in flight by service. */
-  inFlight: countsSchema,
+  inFlight: countsSchema.catch({}),
   /** Prompt tokens sent for prefill per second, by service. */
-  prefillTokensPerS: countsSchema,
+  prefillTokensPerS: countsSchema.catch({}),
   /** Address at which the daemon receives datagrams and calls of its peers, as host:port. */
   newsAddress: z.string(),
   /** Empty for daemons that do not distribute. */
   region: z.string().default(''),
   failureDomain: z.string().default(''),
   /** Processor capacity of the daemon's VM, in cores. */
-  capacityCores: z.number().nonnegative().default(0),
+  capacityCores: z.number().nonnegative().max(maxCores).catch(0),
   /** Requests started, by usage window and workspace. */
-  usage: z.array(z.tuple([z.int(), countsSchema])),
+  usage: usageSchema,
   /** Its latest reports of endpoints that crashed. */
   crashes: z.array(crashMessageSchema).catch([]),
   /** What it has seen of the rollouts that run; left out while none does. */
--- a/src/membership/gossip-message.ts
+++ b/src/membership/gossip-message.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { maxCount } from './counts-schema.js';
 import { memberUpdateSchema } from './member.js';
 
 /** Request that a gossip message makes. */
@@ -15,7 +16,10 @@
   /** The sender with its own status, which refutes stale statuses of it. */
   from: memberUpdateSchema,
   updates: z.array(memberUpdateSchema).max(10_000),
-  demand: z.array(z.tuple([z.string().max(200), z.number().nonnegative()])).max(64),
+  demand: z
+    .array(z.tuple([z.string().max(200), z.number().nonnegative().max(maxCount)]))
+    .max(64)
+    .catch([]),
   /** Payloads of the gossip delegates, by delegate name. */
   riders: z.record(z.string(), z.unknown()),
   /** Hash of the present members, including the sender. */
--- a/test/admission/token-quota_test.ts
+++ b/test/admission/token-quota_test.ts
@@ -10,6 +10,38 @@
 const limit = { ratePerS: 100_000, burst: 100_000 };
 
 describe('TokenQuota', () => {
+  describe('a debt beyond all limits', () => {
+    const peers = {
+      daemons: 3,
+      unreachableDaemons: 0,
+      grantedByPeers: 0,
+      askedOfPeers: 0,
+      isConnected: true,
+      propagationDelayMs: 700,
+    };
+
+    /** Times at which a quota grants a small request, each 100 ms. */
+    function grantedAtMs(quota: TokenQuota, later: QuotaPeers, untilMs: number): number[] {
+      const times: number[] = [];
+      for (let atMs = 1_000; atMs < untilMs; atMs += 100)
+        if (quota.tryTake(1_500, later, atMs) === undefined) times.push(atMs);
+      return times;
+    }
+
+    // One request of a caller, or one report of another daemon, kept a workspace out until the restart.
+    it.each([16_777_216, 1e15])(
+      'of %d tokens granted elsewhere ends by itself within a minute',
+      (tokens) => {
+        const quota = new TokenQuota(limit, tolerance, new Random(1), 0);
+        quota.tryTake(1_000, peers, 500);
+        const nonsense = { ...peers, grantedByPeers: tokens, askedOfPeers: tokens };
+        const granted = grantedAtMs(quota, nonsense, 60_000);
+        expect(granted.length).toBeGreaterThan(0);
+        expect(granted[0]).toBeGreaterThan(tolerance.windowMs / 2);
+      },
+    );
+  });
+
   describe('long prompts that arrive at one daemon together', () => {
     it('are granted while the workspace as a whole is far below its limit', () => {
       const quota = new TokenQuota(limit, tolerance, new Random(1), 0);
--- a/test/gateway/peer-exchange_test.ts
+++ b/test/gateway/peer-exchange_test.ts
@@ -89,6 +89,31 @@
     }
   }
 
+  // Of a daemon whose sample had one such count, neither the heartbeat nor anything else was known.
+  it.each([null, 1e300, -1])('keeps the sample of a daemon with a count of %j', async (count) => {
+    const sample = {
+      daemon: 'd3',
+      incarnation: 1,
+      sequence: 1,
+      sampledAtMs: clock.nowMs(),
+      granted: { theirs: count, ours: 40 },
+      asked: { theirs: count },
+      inFlight: { planner: count },
+      prefillTokensPerS: { planner: count },
+      newsAddress: '',
+      capacityCores: count,
+      usage: [[7, { theirs: count, ours: 3 }], [count, { ours: 1 }], 5],
+      crashes: [],
+      isLeaving: false,
+      dutyFence: 4,
+    };
+    await log.appendAll(topic, [{ key: 'd3', value: Buffer.from(JSON.stringify(sample)) }]);
+    await clock.advance(1_000);
+    const received = own.samples.livePeers().find(({ daemon }) => daemon === 'd3');
+    expect(received).toMatchObject({ granted: { ours: 40 }, asked: {}, dutyFence: 4 });
+    expect(received?.usage).toEqual([[7, { ours: 3 }]]);
+  });
+
   it('reaches the other daemons through the store', () => {
     expect(own.exchange.peerStatus()).toMatchObject({
       daemons: 2,
--- a/test/platform/codecs_test.ts
+++ b/test/platform/codecs_test.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check';
 import { describe, expect, it } from 'vitest';
+import { maxRequestTokens } from '../../src/gateway/request-codec.js';
 import { RequestKind } from '../../src/gateway/traffic-config.js';
 import { decodeConfig } from '../../platform/config-codec.js';
 import { HeaderCodec } from '../../platform/header-codec.js';
@@ -131,6 +132,31 @@
     service: 'orders',
   };
 
+  // A limit without end made balances infinite, and a timer of such a time fires at once.
+  it('cuts numbers beyond all bounds', () => {
+    const huge = {
+      timeout_ms: 1e300,
+      target_latency_ms: 1e300,
+      gap_aim_ms: 1e300,
+      priority: 1e300,
+    };
+    const tenant = { name: 't', rate_per_s: 1e308, burst: 1e308, plain_tokens: 1e308 };
+    const limits = { header_timeout_ms: 1e300, idle_timeout_ms: 1e300 };
+    const value = {
+      version: 3,
+      routes: [{ ...route, ...huge }],
+      services: [],
+      tenants: [tenant],
+      limits,
+    };
+    const config = decodeConfig(bytesOf(value), () => undefined);
+    const numbers = [...config.routes, ...config.workspaces, config.limits].flatMap((entry) =>
+      Object.values(entry as object).filter((field) => typeof field === 'number'),
+    );
+    expect(numbers.length).toBeGreaterThan(8);
+    for (const number of numbers) expect(number).toBeLessThanOrEqual(Number.MAX_SAFE_INTEGER);
+  });
+
   it('ignores and reports invalid entries and keeps the rest', () => {
     const unreadable: string[] = [];
     const config = decodeConfig(
@@ -202,6 +228,35 @@
       expect(hintOf(text), text).toBeUndefined();
   });
 
+  // One such number made the counts of the workspace infinite at all daemons, for good, and their samples
+  // unreadable for each other.
+  it.each([
+    ['1e308,1e308', ''],
+    ['1e999,1', ''],
+    ['Infinity,0', ''],
+    ['16777216,1', ''],
+    ['1460,80', '5c1e:2000000000,e440:250'],
+    ['1460,80', '5c1e:1e999'],
+    ['1460,80', '5c1e:9000000,91bd:9000000'],
+  ])('marks a request of %s tokens with the parts %j, and cuts its numbers', (usage, parts) => {
+    const description = codec.describe({
+      'oriolestack-request-id': 'r',
+      'oriolestack-token-usage': usage,
+      'oriolestack-prompt-prefix': parts,
+    });
+    expect(description.isOversized).toBe(true);
+    const { promptTokens = 0, maxOutputTokens, promptParts } = description;
+    for (const tokens of [promptTokens, maxOutputTokens, ...promptParts.map((part) => part.tokens)])
+      expect(tokens).toBeLessThanOrEqual(maxRequestTokens + 1);
+  });
+
+  it('reads no service time or hint beyond all bounds', () => {
+    const response = codec.describeResponse(200, { 'oriolestack-server-load': '3,0,8,1e300' });
+    expect(response.load).toEqual({ runningRequests: 3, queuedRequests: 0 });
+    const request = { 'oriolestack-request-id': 'r', 'oriolestack-length-hint': '1e300' };
+    expect(codec.describe(request).lengthHintTokens).toBeUndefined();
+  });
+
   it('reads prompts, estimates and keys, and accepts any text in their place', () => {
     expect(
       codec.describe({
