Read bodies on the other listeners in turns too

Responses of the store are besides kept in blocks and not chunk by chunk.

The address of a peer is asked for only when it is logged, and never on connections to endpoints: Node caches it at the first access, and a reset is told from an end by its absence (src/core/reset-detection.ts).

--- a/src/core/http-connection.ts
+++ b/src/core/http-connection.ts
@@ -4,8 +4,10 @@
   type IncomingHttpHeaders,
   type IncomingMessage,
 } from 'node:http';
+import { CompactBytes } from './compact-bytes.js';
 import { allSocketsRead, scheduleTimer } from './event-loop.js';
 import { isFinalStatus } from './final-status.js';
+import { processReadTurns } from './read-turns.js';
 import { onResetBeforeEnd } from './reset-detection.js';
 
 /** An IP address with a port. */
@@ -163,16 +165,16 @@
 /** Reads a body up to {@link maxResponseBytes}; calls `abort` when it is larger. */
 function readBounded(incoming: IncomingMessage, abort: (error: Error) => void): Promise<Buffer> {
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const bytes = new CompactBytes();
+    const reads = processReadTurns.shareOf(incoming, () => 'server');
     incoming.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes <= maxResponseBytes) chunks.push(chunk);
+      reads.count();
+      if (bytes.bytes + chunk.length <= maxResponseBytes) bytes.append(chunk);
       else abort(new Error(`the response is larger than ${maxResponseBytes} bytes`));
     });
     incoming.on('error', reject);
     incoming.on('end', () => {
-      resolve(Buffer.concat(chunks));
+      resolve(bytes.take());
     });
   });
 }
--- a/src/core/read-turns.ts
+++ b/src/core/read-turns.ts
@@ -1,13 +1,11 @@
+import type { IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 
 /** Chunks of a connection after which it is checked how many of them came in one turn. */
 const chunksPerCheck = 256;
 
 /** A connection that delivers chunks. Its reader may resume it at any time, and then emits `resume`. */
-export type ChunkSource = Pick<
-  Socket,
-  'pause' | 'resume' | 'on' | 'off' | 'destroyed' | 'remoteAddress'
->;
+export type ChunkSource = Pick<Socket, 'pause' | 'resume' | 'on' | 'off' | 'destroyed'>;
 
 /** Options of {@link ReadTurns}. */
 export interface ReadTurnsOptions {
@@ -26,9 +24,8 @@
  *
  * @example
  * ```ts
- * const reads = turns.share(request.socket);
+ * const reads = turns.shareOf(request, () => 'caller');
  * request.on('data', () => reads.count());
- * request.once('close', () => reads.end());
  * ```
  */
 export class ReadTurns {
@@ -49,9 +46,32 @@
     return this.#waiting.size;
   }
 
-  /** Begins to count the chunks of a message on a connection. */
-  share(source: ChunkSource): ReadShare {
-    return new ReadShare(this, source);
+  /**
+   * Begins to count the chunks of a message on a connection.
+   *
+   * @param peer - names the other side for the log; asked only if the message waits.
+   */
+  share(source: ChunkSource, peer: () => string): ReadShare {
+    return new ReadShare(this, source, peer);
+  }
+
+  /** Like {@link share}, until the message has ended. */
+  shareOf(message: IncomingMessage, peer: () => string): ReadShare {
+    const share = this.share(message.socket, peer);
+    const end = (): void => {
+      share.end();
+    };
+    message.once('end', end);
+    message.once('close', end);
+    return share;
+  }
+
+  /** Drops the body of a message as it comes: left unread, each of its chunks would be kept. */
+  discard(message: IncomingMessage): void {
+    const share = this.shareOf(message, () => message.socket.remoteAddress ?? '');
+    message.on('data', () => {
+      share.count();
+    });
   }
 
   /**
@@ -91,8 +111,8 @@
 
 /** What one message on a connection takes of the turns of the event loop. */
 export class ReadShare {
-  /** The connection of the message. */
-  readonly source: ChunkSource;
+  readonly #source: ChunkSource;
+  readonly #peer: () => string;
   readonly #turns: ReadTurns;
   readonly #stayPaused: () => void;
   #chunks = 0;
@@ -102,14 +122,20 @@
   #isWaiting = false;
   #isEnded = false;
 
-  constructor(turns: ReadTurns, source: ChunkSource) {
+  constructor(turns: ReadTurns, source: ChunkSource, peer: () => string) {
     this.#turns = turns;
-    this.source = source;
+    this.#source = source;
+    this.#peer = peer;
     this.#stayPaused = (): void => {
       source.pause();
     };
   }
 
+  /** Name of the other side. */
+  get peer(): string {
+    return this.#peer();
+  }
+
   /** How often the message had to wait. */
   get waits(): number {
     return this.#waits;
@@ -137,16 +163,16 @@
     if (!this.#isWaiting) return;
     this.#isWaiting = false;
     this.#turns.leave(this);
-    this.source.off('resume', this.#stayPaused);
-    if (!this.source.destroyed) this.source.resume();
+    this.#source.off('resume', this.#stayPaused);
+    if (!this.#source.destroyed) this.#source.resume();
   }
 
   #wait(): void {
     this.#isWaiting = true;
     this.#waits += 1;
     // The parser of HTTP messages resumes the connection whenever its reader has taken a chunk.
-    this.source.on('resume', this.#stayPaused);
-    this.source.pause();
+    this.#source.on('resume', this.#stayPaused);
+    this.#source.pause();
     this.#turns.wait(this);
   }
 }
--- a/src/distribution/replica-server.ts
+++ b/src/distribution/replica-server.ts
@@ -3,6 +3,7 @@
 import { CompactBytes } from '../core/compact-bytes.js';
 import type { Clock } from '../core/index.js';
 import { closeServer, listen } from '../core/listener.js';
+import { processReadTurns } from '../core/read-turns.js';
 import { HistoryTrimmedError } from '../log/keyed-log.js';
 import type { KeyedReplica } from '../log/keyed-replica.js';
 import { EventId, type EventLog } from '../telemetry/index.js';
@@ -92,8 +93,8 @@
       const url = new URL(request.url ?? '/', 'http://daemon');
       const topic = url.searchParams.get('topic') ?? '';
       const { pathname } = url;
-      // The body of a read is none of its parts; left unread, each of its chunks would be kept.
-      if (pathname !== replicaPaths.append) request.resume();
+      // The body of a read is none of its parts.
+      if (pathname !== replicaPaths.append) processReadTurns.discard(request);
       if (pathname === replicaPaths.read) await this.#read(topic, url.searchParams, response);
       else if (pathname === replicaPaths.newest) this.#newest(topic, url.searchParams, response);
       else if (pathname === replicaPaths.append) await this.#append(topic, request, response);
@@ -143,7 +144,7 @@
     const batcher = this.#options.batchers.get(topic);
     const replica = this.#replicaOf(topic);
     if (!batcher || !replica || !this.#reader.isCurrent(replica)) {
-      request.resume();
+      processReadTurns.discard(request);
       respond(response, 503);
       return;
     }
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -202,7 +202,7 @@
     this.#response = response;
     stallDetector.recordData(view.id);
     this.#responseProgress.recordProgress();
-    const reads = readTurns.share(response.socket);
+    const reads = readTurns.shareOf(response, () => view.id);
     response.on('data', () => {
       stallDetector.recordData(view.id);
       reads.count();
@@ -210,11 +210,7 @@
     response.on('error', (error) => {
       this.#finish(AttemptEnd.Broken, error.message);
     });
-    response.once('end', () => {
-      reads.end();
-    });
     response.on('close', () => {
-      reads.end();
       this.#finish(AttemptEnd.Broken, 'connection closed before the response was complete');
     });
     const status = response.statusCode ?? 0;
--- a/src/gateway/readiness-listener.ts
+++ b/src/gateway/readiness-listener.ts
@@ -1,6 +1,7 @@
 import { createServer, type Server } from 'node:http';
 import { boundConnections } from '../core/bounded-connections.js';
 import { closeServer, listen } from '../core/listener.js';
+import { processReadTurns } from '../core/read-turns.js';
 
 /** More than the load balancer and the tools of an operator have open. */
 const connectionBounds = { maxConnections: 32, maxOpenRequests: 16 };
@@ -12,7 +13,7 @@
   /** @param path - path of the load balancer's check. */
   constructor(path: string, isReady: () => boolean) {
     this.#server = createServer((request, response) => {
-      request.resume();
+      processReadTurns.discard(request);
       const status = request.url !== path ? 404 : isReady() ? 200 : 503;
       response.writeHead(status, { 'content-length': 0 });
       response.end();
--- a/src/gateway/reported-read-turns.ts
+++ b/src/gateway/reported-read-turns.ts
@@ -13,11 +13,11 @@
 /** The turns of a gateway: counted, and logged where one message waits again and again. */
 export function reportedReadTurns({ events, metrics }: ReadTurnsReport): ReadTurns {
   const turns: ReadTurns = new ReadTurns({
-    onWait: ({ source, waits }) => {
+    onWait: (share) => {
       metrics.count('gateway_reads_deferred', 1);
-      if (waits !== reportedWaits) return;
+      if (share.waits !== reportedWaits) return;
       events.warn(EventId.ConnectionSlowed, 'connection delivers too many chunks at once', {
-        peer: source.remoteAddress ?? '',
+        peer: share.peer,
         waitingConnections: turns.waiting,
       });
     },
--- a/src/gateway/request-body.ts
+++ b/src/gateway/request-body.ts
@@ -63,7 +63,7 @@
     { account, readTurns = processReadTurns }: RequestBodyOptions = {},
   ) {
     this.#request = request;
-    this.#reads = readTurns.share(request.socket);
+    this.#reads = readTurns.shareOf(request, () => request.socket.remoteAddress ?? '');
     this.#account = account;
     this.#hold = new RequestHold(account);
     this.#hold.add(requestBytes + headBytes(request));
@@ -162,11 +162,9 @@
       else this.#bytes.append(chunk);
     });
     request.once('end', () => {
-      this.#reads.end();
       this.#resolve();
     });
     request.once('close', () => {
-      this.#reads.end();
       if (!request.complete)
         this.#refuse(refusal(400, 'the caller disconnected before its request was complete'));
     });
--- a/src/pipeline/read-body.ts
+++ b/src/pipeline/read-body.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 import { CompactBytes } from '../core/compact-bytes.js';
 import { RequestError, Step, type Clock } from '../core/index.js';
+import { processReadTurns } from '../core/read-turns.js';
 import { callerRefusal } from './caller-refusal.js';
 
 /** Options of {@link readBody}. */
@@ -20,6 +21,7 @@
 export function readBody(request: IncomingMessage, options: ReadBodyOptions): Promise<Buffer> {
   return new Promise((resolve, reject) => {
     const bytes = new CompactBytes();
+    const reads = processReadTurns.shareOf(request, () => request.socket.remoteAddress ?? '');
     const finish = (error?: RequestError): void => {
       cancelTimer();
       // A remaining listener would keep the body in memory while the response streams.
@@ -33,6 +35,7 @@
       );
     });
     const onData = (chunk: Buffer): void => {
+      reads.count();
       bytes.append(chunk);
       if (bytes.bytes > options.maxBytes) {
         const limit = `Send at most ${options.maxBytes} bytes.`;
--- a/src/telemetry/metrics-listener.ts
+++ b/src/telemetry/metrics-listener.ts
@@ -1,6 +1,7 @@
 import { createServer, type Server } from 'node:http';
 import { boundConnections } from '../core/bounded-connections.js';
 import { closeServer, listen } from '../core/listener.js';
+import { processReadTurns } from '../core/read-turns.js';
 import type { PrometheusMetrics } from './prometheus-metrics.js';
 
 /** Options of {@link MetricsListener}. */
@@ -20,7 +21,7 @@
 
   constructor({ metrics, path, measure }: MetricsListenerOptions) {
     this.#server = createServer((request, response) => {
-      request.resume();
+      processReadTurns.discard(request);
       if (request.url !== path) {
         response.writeHead(404, { 'content-length': 0 }).end();
         return;
--- a/test/core/read-turns_test.ts
+++ b/test/core/read-turns_test.ts
@@ -10,7 +10,6 @@
 
 /** A connection on which chunks come without end. */
 class EndlessConnection extends EventEmitter {
-  readonly remoteAddress = '10.0.0.9';
   readonly destroyed = false;
   share: ReadShare | undefined;
   chunks = 0;
@@ -50,11 +49,11 @@
   constructor(connections: number) {
     this.turns = new ReadTurns({
       afterTurn: (action) => this.#afterTurn.push(action),
-      onWait: ({ source }) => this.waits.push(source.remoteAddress ?? ''),
+      onWait: ({ peer }) => this.waits.push(peer),
     });
     this.connections = Array.from({ length: connections }, () => {
       const connection = new EndlessConnection();
-      connection.share = this.turns.share(connection as unknown as ChunkSource);
+      connection.share = this.turns.share(connection as unknown as ChunkSource, () => '10.0.0.9');
       return connection;
     });
   }
