Keep a buffered response in blocks and not chunk by chunk

Callers would see: an endpoint that answers in chunks of one byte ends the process. 16 responses of 256 KiB exhaust a heap of 64 MB, although their bytes are within all bounds.

Cause: each chunk of a response that is kept until its end was an object of its own, of about 490 bytes (measured with Node alone: 490 MB for a million chunks of one byte); only the bytes were counted.

Fix: they are copied into blocks, as bodies of requests are, and the blocks are counted.

Failed before: 'lives through responses in chunks of one byte that stop just short of their end' (heap exhausted).

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from 'node:http';
+import { CompactBytes } from '../core/compact-bytes.js';
 import type { Clock } from '../core/index.js';
 import { isFinalStatus } from '../core/final-status.js';
 import type { ReadTurns } from '../core/read-turns.js';
@@ -310,8 +311,7 @@
   }
 
   #bufferResponse(response: IncomingMessage, status: number): void {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const buffered = new CompactBytes(lengthOf(response));
     let isForwarding = false;
     this.#listen(response, 'data', (chunk) => {
       this.#responseProgress.recordProgress();
@@ -319,16 +319,15 @@
         this.#forward(response, chunk);
         return;
       }
-      chunks.push(chunk);
-      bytes += chunk.length;
-      this.#countBuffered(bytes);
-      if (bytes <= this.#maxBufferedBytes || !this.#mayForwardUnfinished(status)) return;
+      buffered.append(chunk);
+      this.#countBuffered(buffered.heldBytes);
+      if (buffered.bytes <= this.#maxBufferedBytes || !this.#mayForwardUnfinished(status)) return;
       const { exchange, codec, observer } = this.#options;
       isForwarding = true;
       observer.began();
       exchange.writeHead(status, codec.responseHeaders(response.headers));
       this.#countBuffered(0);
-      this.#forward(response, Buffer.concat(chunks.splice(0)));
+      this.#forward(response, buffered.take());
     });
     this.#listen(response, 'end', () => {
       if (!response.complete) {
@@ -336,7 +335,7 @@
         return;
       }
       if (isForwarding) this.#options.exchange.end();
-      else this.#deliver(response, status, Buffer.concat(chunks));
+      else this.#deliver(response, status, buffered.take());
       this.#finish(AttemptEnd.Delivered, 'delivered');
     });
   }
@@ -468,3 +467,9 @@
   const { 'content-length': length, 'transfer-encoding': encoding } = response?.headers ?? {};
   return length !== undefined || encoding !== undefined;
 }
+
+/** Bytes that a response announces, as far as they are kept; undefined if it announces none. */
+function lengthOf({ headers }: IncomingMessage): number | undefined {
+  const length = Number(headers['content-length']);
+  return length >= 0 ? Math.min(length, maxBufferedBytes) : undefined;
+}
--- a/test/isolated/limited-gateway.ts
+++ b/test/isolated/limited-gateway.ts
@@ -63,6 +63,20 @@
     this.#limits = limits;
   }
 
+  /**
+   * Registers an endpoint of the service `raw`, which `/raw/` leads to, at a port of loopback. Resolves
+   * once the program knows it.
+   */
+  async registerRaw(port: number): Promise<void> {
+    this.#timers.push(setInterval(() => this.#put('i-raw', 'raw', port), heartbeatMs));
+    this.#put('i-raw', 'raw', port);
+    const giveUpAtMs = Date.now() + startTimeoutMs;
+    while (!this.#log.includes('"name":"registered/i-raw"')) {
+      if (Date.now() > giveUpAtMs) throw new Error(`the endpoint is not known: ${this.log}`);
+      await sleep(pollMs);
+    }
+  }
+
   /** Whether the program runs. */
   get isAlive(): boolean {
     return this.#child?.exitCode === null && this.#child.signalCode === null;
@@ -145,9 +159,13 @@
   }
 
   #register(): void {
-    this.#store.put(topics.servers, 'i-1', {
-      service: 'orders',
-      address: `127.0.0.1:${this.#endpoint.port}`,
+    this.#put('i-1', 'orders', this.#endpoint.port);
+  }
+
+  #put(instanceId: string, service: string, port: number): void {
+    this.#store.put(topics.servers, instanceId, {
+      service,
+      address: `127.0.0.1:${port}`,
       zone: 'here-a',
       version: 'v1',
       slots: 1_000,
@@ -254,19 +272,24 @@
 }
 
 function configuration(maxBodyBytes: number): object {
-  const route = (name: string, kind: string): object => ({
+  const route = (name: string, kind: string, service = 'orders'): object => ({
     name,
     host: callerHostName,
     path_prefix: `/${name}/`,
     kind,
     timeout_ms: routeTimeoutMs,
-    service: 'orders',
+    service,
     public: true,
   });
   return {
     version: 1,
-    routes: [route('safe', 'safe'), route('bulk', 'safe'), route('stream', 'stream')],
-    services: [{ name: 'orders' }],
+    routes: [
+      route('safe', 'safe'),
+      route('bulk', 'safe'),
+      route('stream', 'stream'),
+      route('raw', 'unsafe', 'raw'),
+    ],
+    services: [{ name: 'orders' }, { name: 'raw' }],
     limits: { max_body_bytes: maxBodyBytes },
   };
 }
--- a/test/isolated/untrusted-clients_test.ts
+++ b/test/isolated/untrusted-clients_test.ts
@@ -1,3 +1,4 @@
+import { createServer, type AddressInfo } from 'node:net';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { metricsAddress } from '../../platform/names.js';
@@ -223,6 +224,35 @@
     );
   });
 
+  describe('endpoints', () => {
+    // Each chunk of a response that is kept until its end was an object of its own.
+    it(
+      'lives through responses in chunks of one byte that stop just short of their end',
+      async () => {
+        const server = createServer((socket) => {
+          socket.on('error', () => undefined);
+          socket.once('data', (request: Buffer) => {
+            const [id] = /oriolestack-request-id: .*/.exec(request.toString()) ?? [];
+            const head = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n';
+            socket.write(`${head}oriolestack-server-seal: seal\r\n${id}\r\n\r\n`);
+            socket.write(chunks(mib / 4, 1));
+          });
+        });
+        await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+        await gateway.registerRaw((server.address() as AddressInfo).port);
+        await withstands(16, async () => {
+          const socket = gateway.connect();
+          socket.resume();
+          await sent(socket, requestHead('POST', '/raw/x', 'content-length: 0\r\n'));
+          // Until the gateway has taken what the endpoint sends.
+          await sleep(6 * crowdStaysMs);
+        });
+        server.close();
+      },
+      timeoutMs,
+    );
+  });
+
   describe('connections', () => {
     // Each connection takes a descriptor, which connections to endpoints and the store need too.
     it(
