--- a/bench/soak/run-soak.ts
+++ b/bench/soak/run-soak.ts
@@ -6,6 +6,7 @@
 import { StoreClient } from '../../platform/store-client.js';
 import { Random } from '../../src/core/index.js';
 import { QuarantineAdmin } from '../../src/quarantine/quarantine-admin.js';
+import { GreedyCaller } from './greedy-caller.js';
 import { playFaults, playNotices, playRecoveries } from './fault-script.js';
 import { usualKinds, type CallKind } from './ledger.js';
 import { OwnStalls } from './own-stalls.js';
@@ -53,6 +54,13 @@
 /** Sets the notices of endpoints apart from the faults of the same seed. */
 const noticeSeedMask = 0x5eed;
 const recoverySeedMask = 0xe4a;
+const greedySeedMask = 0x6eed;
+
+function startGreedyCaller(world: SoakWorld, random: Random): void {
+  const caller = new GreedyCaller({ random, ready: () => world.ready });
+  world.callers.push(caller);
+  void caller.run();
+}
 
 /** Plays the faults of a seed against real processes and checks the promises. */
 export async function runSoak(
@@ -78,7 +86,8 @@
       startUnevenCallers(world, random.fork());
       await playPlanned(world, random.fork(), endAtMs);
     } else {
-      // Its own random numbers: the faults of a seed stay what they were.
+      // Their own random numbers: the faults of a seed stay what they were.
+      startGreedyCaller(world, new Random(seed ^ greedySeedMask));
       const notices = playNotices(world, new Random(seed ^ noticeSeedMask), endAtMs);
       const recoveries =
         play === SoakPlay.Eras
--- a/bench/suites.ts
+++ b/bench/suites.ts
@@ -1,4 +1,5 @@
 import { ControlCostSuite } from './control-cost.js';
+import { EventPiecesSuite } from './event-pieces.js';
 import { LogCatchUpSuite } from './log-catch-up.js';
 import { NoticeCostSuite } from './notices/notice-cost-suite.js';
 import { RecoverySuite } from './recovery.js';
@@ -12,6 +13,7 @@
   new RecoverySuite(),
   new ControlCostSuite(),
   new RelaySuite(),
+  new EventPiecesSuite(),
   new StateSizeSuite(),
   new NoticeCostSuite(),
 ];
