--- a/src/core/compact-bytes.ts
+++ b/src/core/compact-bytes.ts
@@ -3,8 +3,8 @@
 const maxBlockBytes = 262_144;
 
 /**
- * Bytes that come in chunks of any size, copied into blocks. A chunk that is kept as a buffer of its
- * own takes about a hundred bytes beside its payload.
+ * Bytes that come in chunks of any size, copied into blocks, as a chunk that is kept as a buffer of its
+ * own takes some hundred bytes beside its payload. A first chunk that is all that is expected is kept.
  *
  * @example
  * ```ts
@@ -45,6 +45,11 @@
   }
 
   append(chunk: Buffer): void {
+    if (this.#bytes === 0 && chunk.length > 0 && chunk.length >= this.#expectedBytes) {
+      this.#hold(chunk, chunk.length);
+      this.#bytes = chunk.length;
+      return;
+    }
     const inLastBytes = Math.min(chunk.length, this.#freeBytes);
     const growthBytes = this.growthFor(chunk.length);
     const last = this.#blocks.at(-1);
@@ -52,13 +57,17 @@
     if (growthBytes > 0) {
       // Not from the pool, whose slabs of 8 KiB would stay as long as any body within.
       const block = Buffer.allocUnsafeSlow(growthBytes);
-      this.#lastUsedBytes = chunk.copy(block, 0, inLastBytes);
-      this.#blocks.push(block);
-      this.#heldBytes += growthBytes;
+      this.#hold(block, chunk.copy(block, 0, inLastBytes));
     }
     this.#bytes += chunk.length;
   }
 
+  #hold(block: Buffer, usedBytes: number): void {
+    this.#blocks.push(block);
+    this.#lastUsedBytes = usedBytes;
+    this.#heldBytes += block.length;
+  }
+
   /** All bytes in one buffer; nothing is held any more. */
   take(): Buffer {
     const [first] = this.#blocks;
--- a/src/core/read-turns.ts
+++ b/src/core/read-turns.ts
@@ -57,13 +57,7 @@
 
   /** Like {@link share}, until the message has ended. */
   shareOf(message: IncomingMessage, peer: () => string): ReadShare {
-    const share = this.share(message.socket, peer);
-    const end = (): void => {
-      share.end();
-    };
-    message.once('end', end);
-    message.once('close', end);
-    return share;
+    return new ReadShare(this, message.socket, peer, message);
   }
 
   /** Drops the body of a message as it comes: left unread, each of its chunks would be kept. */
@@ -114,7 +108,15 @@
   readonly #source: ChunkSource;
   readonly #peer: () => string;
   readonly #turns: ReadTurns;
-  readonly #stayPaused: () => void;
+  /** Its end ends the share; undefined if the user of the share does. */
+  readonly #message: IncomingMessage | undefined;
+  /** The parser of HTTP messages resumes the connection whenever its reader has taken a chunk. */
+  readonly #stayPaused = (): void => {
+    this.#source.pause();
+  };
+  readonly #onEnd = (): void => {
+    this.end();
+  };
   #chunks = 0;
   /** Turn of the last check. */
   #checkedTurn = -1;
@@ -122,13 +124,16 @@
   #isWaiting = false;
   #isEnded = false;
 
-  constructor(turns: ReadTurns, source: ChunkSource, peer: () => string) {
+  constructor(
+    turns: ReadTurns,
+    source: ChunkSource,
+    peer: () => string,
+    message?: IncomingMessage,
+  ) {
     this.#turns = turns;
     this.#source = source;
     this.#peer = peer;
-    this.#stayPaused = (): void => {
-      source.pause();
-    };
+    this.#message = message;
   }
 
   /** Name of the other side. */
@@ -169,8 +174,9 @@
 
   #wait(): void {
     this.#isWaiting = true;
+    // Only now: most messages never wait.
+    if (this.#waits === 0) this.#message?.once('end', this.#onEnd).once('close', this.#onEnd);
     this.#waits += 1;
-    // The parser of HTTP messages resumes the connection whenever its reader has taken a chunk.
     this.#source.on('resume', this.#stayPaused);
     this.#source.pause();
     this.#turns.wait(this);
