--- a/review/lib-3/client.ts
+++ b/review/lib-3/client.ts
@@ -75,16 +75,19 @@
   });
 }
 
-/** A plain request that may be repeated. */
-export interface Lookup {
+/** A plain request that may not be repeated. */
+export interface Order {
   readonly requestId: string;
   readonly path: string;
   readonly tenant: Tenant;
   readonly deadlineMs: number;
 }
 
-/** Sends one on a new connection. @returns its status, or that there was no answer. */
-export function lookUp(machine: Machine, sent: Lookup, record: Record): Promise<Outcome> {
+/** Outcome of an order whose client has waited in vain until its deadline. */
+export const noAnswer = 'no answer';
+
+/** Sends one on a new connection. @returns its status, or why there is none. */
+export function sendOrder(machine: Machine, sent: Order, record: Record): Promise<Outcome> {
   const { requestId, path, tenant, deadlineMs } = sent;
   record.note(`client sends ${requestId} to ${machine.name}`);
   return new Promise((resolve) => {
@@ -98,6 +101,7 @@
         host: machine.host,
         port: machine.port,
         path,
+        method: 'POST',
         agent: false,
         headers: {
           host,
@@ -109,17 +113,20 @@
       (response) => {
         response.resume();
         response.on('error', () => {
-          end('cut');
+          end('closed');
         });
         response.on('end', () => {
-          end(response.complete ? String(response.statusCode) : 'cut');
+          end(response.complete ? String(response.statusCode) : 'closed');
         });
       },
     );
-    const timer = setTimeout(() => outgoing.destroy(new Error('deadline')), deadlineMs);
+    const timer = setTimeout(() => {
+      end(noAnswer);
+      outgoing.destroy();
+    }, deadlineMs);
     outgoing.on('error', () => {
-      end('no answer');
+      end('closed');
     });
-    outgoing.end();
+    outgoing.end('{"rolls":3}');
   });
 }
--- a/review/lib-3/poison-case.ts
+++ b/review/lib-3/poison-case.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
-import { ask, host, lookUp, type Ask, type Outcome } from './client.js';
+import { ask, host, noAnswer, sendOrder, type Ask, type Outcome } from './client.js';
 import { answerEvents, ModelWorker, type Crash, type Run } from './model-worker.js';
 import { PlainWorker } from './plain-worker.js';
 import { Record } from './record.js';
@@ -18,19 +18,19 @@
 const requestsOfRule = 3;
 const soundOfRule = 20;
 
-/** Like `plan-lookup` of the sheet: a plain service, whose workers have no part in the trouble. */
+/** Like `timetable-publish` of the sheet: a plain service, whose workers have no part in the trouble. */
 const plainService = 'xano55b';
 const plainWorkers = 3;
-const lookupPath = '/cufi504/x';
-const lookupsPerS = 8;
-const lookupTimeoutMs = 1_000;
-const lookupDeadlineMs = 2_000;
+const orderPath = '/cufi504/x';
+const ordersPerS = 8;
+const orderTimeoutMs = 1_000;
+const orderDeadlineMs = 2_000;
 
 /** A request counts as unanswered this long after its route's time, if so many are. */
 const afterTimeoutMs = 500;
 const unansweredOfRule = 8;
 
-const gateways = 3;
+const usualGateways = 3;
 const workers = 9;
 const soundPerS = 20;
 
@@ -55,6 +55,8 @@
   readonly folder: string;
   readonly tenants: number;
   readonly firstEventMs: number;
+  /** Machines of the system; the sheet has six. */
+  readonly gateways?: number;
   /** Prompts with the part, in the order of their times. */
   readonly poisoned: readonly TimedPrompt[];
   /**
@@ -74,7 +76,7 @@
   outcome: Outcome | undefined;
 }
 
-interface SentLookup {
+interface SentOrder {
   readonly atMs: number;
   readonly outcome: Outcome;
   readonly elapsedMs: number;
@@ -102,9 +104,10 @@
     name: `hule93${at}`,
     key: `i9n73hh2b9wu3fexd9d${at}`,
   }));
+  const { gateways = usualGateways } = options;
   const world = new World({
     gateways,
-    routes: [route(), lookupRoute()],
+    routes: [route(), orderRoute()],
     services: [service, plainService],
     tenants,
   });
@@ -132,13 +135,13 @@
     for (const worker of [...fleet, ...plain]) await worker.start();
     await world.start();
     record.tell(`${gateways} machines are ready`);
-    const lookups = new Lookups(world, tenants, record);
-    lookups.start();
+    const orders = new Orders(world, tenants, record);
+    orders.start();
     const sent = await sendAll(options, world, tenants, record);
     await sleep(endMs);
-    await lookups.stop();
-    const { all } = lookups;
-    return judge({ rule: options.rule, sent, lookups: all, arrivals, crashes, record, world });
+    await orders.stop();
+    const { all } = orders;
+    return judge({ rule: options.rule, sent, orders: all, arrivals, crashes, record, world });
   } finally {
     for (const worker of fleet) worker.stop();
     await Promise.all(plain.map((worker) => worker.stop()));
@@ -147,8 +150,8 @@
 }
 
 /** Sends plain requests all the while. */
-class Lookups {
-  readonly all: SentLookup[] = [];
+class Orders {
+  readonly all: SentOrder[] = [];
   readonly #world: World;
   readonly #tenants: readonly Tenant[];
   readonly #record: Record;
@@ -167,7 +170,7 @@
       const sending = this.#send();
       this.#open.add(sending);
       void sending.then(() => this.#open.delete(sending));
-    }, 1_000 / lookupsPerS);
+    }, 1_000 / ordersPerS);
   }
 
   async stop(): Promise<void> {
@@ -182,10 +185,10 @@
     const tenant = this.#tenants[number % this.#tenants.length];
     if (!machine || !tenant) return;
     const atMs = Date.now();
-    const lookup = { requestId: `l-${number}`, path: lookupPath, tenant };
-    const outcome = await lookUp(
+    const order = { requestId: `l-${number}`, path: orderPath, tenant };
+    const outcome = await sendOrder(
       machine,
-      { ...lookup, deadlineMs: lookupDeadlineMs },
+      { ...order, deadlineMs: orderDeadlineMs },
       this.#record,
     );
     this.all.push({ atMs, outcome, elapsedMs: Date.now() - atMs });
@@ -235,14 +238,14 @@
 interface Seen {
   readonly rule: PoisonCaseOptions['rule'];
   readonly sent: readonly Sent[];
-  readonly lookups: readonly SentLookup[];
+  readonly orders: readonly SentOrder[];
   readonly arrivals: readonly Run[];
   readonly crashes: readonly Crash[];
   readonly record: Record;
   readonly world: World;
 }
 
-function judge({ rule, sent, lookups, arrivals, crashes, record, world }: Seen): number {
+function judge({ rule, sent, orders, arrivals, crashes, record, world }: Seen): number {
   const poisoned = new Set(
     sent.filter(({ isPoisoned }) => isPoisoned).map(({ requestId }) => requestId),
   );
@@ -269,7 +272,7 @@
   if (!hasTrouble) {
     const failed = sent.filter(({ outcome }) => outcome !== 'whole').length;
     record.tell(`without the trouble: ${failed} of ${sent.length} requests were not served`);
-    if (judgeLookups(lookups, record)) return 1;
+    if (judgeOrders(orders, record)) return 1;
     return failed <= sent.length / 50 ? 0 : 2;
   }
   const fifth = crashes[crashesOfRule - 1];
@@ -292,7 +295,7 @@
   );
   const isBroken = {
     BUDGET: late.length > requestsOfRule,
-    CONFIG: judgeLookups(lookups, record),
+    CONFIG: judgeOrders(orders, record),
     LOST: judgeSound({ sent, arrivals, record, fifthAtMs: fifth.atMs }),
   };
   return isBroken[rule] ? 1 : 0;
@@ -329,16 +332,14 @@
 }
 
 /** Whether plain requests have no answer at the end of their route's time, as CONFIG counts them. */
-function judgeLookups(lookups: readonly SentLookup[], record: Record): boolean {
-  const wasAnswered = ({ outcome }: SentLookup): boolean => /^\d+$/.test(outcome);
-  const open = lookups.filter(
-    (lookup) => !wasAnswered(lookup) || lookup.elapsedMs > lookupTimeoutMs,
-  );
+function judgeOrders(orders: readonly SentOrder[], record: Record): boolean {
+  const isUnanswered = ({ outcome }: SentOrder): boolean => outcome === noAnswer;
+  const open = orders.filter((order) => isUnanswered(order) || order.elapsedMs > orderTimeoutMs);
   const late = open.filter(
-    (lookup) => !wasAnswered(lookup) || lookup.elapsedMs > lookupTimeoutMs + afterTimeoutMs,
+    (order) => isUnanswered(order) || order.elapsedMs > orderTimeoutMs + afterTimeoutMs,
   );
   record.tell(
-    `plain requests: ${lookups.length}; unanswered at their route's ${lookupTimeoutMs} ms: ` +
+    `orders: ${orders.length}; unanswered at their route's ${orderTimeoutMs} ms: ` +
       `${open.length}; ${afterTimeoutMs} ms later: ${late.length}`,
   );
   return late.length >= unansweredOfRule && late.length * 2 > open.length;
@@ -363,17 +364,17 @@
   };
 }
 
-function lookupRoute(): object {
+function orderRoute(): object {
   return {
     name: 'r-x1',
     host,
     path_prefix: '/cufi504/',
-    kind: 'safe',
-    timeout_ms: lookupTimeoutMs,
+    kind: 'unsafe',
+    timeout_ms: orderTimeoutMs,
     target_latency_ms: 200,
     priority: 2,
     service: plainService,
-    max_attempts: 2,
+    max_attempts: 1,
     public: false,
     sticky: false,
     resumable: false,
