Review scripts: an error of a script is no result

Cause: a script that could not load its modules, or that failed in a timer, ended with 1, which says that the rule was broken, and left its processes behind.

Change: such an end is 2; what was started ends with the script; build-3.sh needs no npx.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,5 +5,5 @@
 for case in review/1[1-5]/case.ts; do
   [ -e "$case" ] || continue
   number=$(basename "$(dirname "$case")")
-  npx rolldown "$case" --platform node --format esm --file "dist/review-3/$number.mjs"
+  node_modules/.bin/rolldown "$case" --platform node --format esm --file "dist/review-3/$number.mjs"
 done
--- a/review/lib-3/world.ts
+++ b/review/lib-3/world.ts
@@ -46,6 +46,19 @@
   throw new Error('no free port');
 }
 
+const children = new Set<ChildProcess>();
+
+/** However the script ends, none of its processes stays; an error of the script is no result. */
+process.on('exit', () => {
+  for (const child of children) child.kill('SIGKILL');
+});
+for (const event of ['uncaughtException', 'unhandledRejection', 'SIGTERM', 'SIGINT']) {
+  process.on(event, (reason: unknown) => {
+    console.error('the case could not run:', reason);
+    process.exit(2);
+  });
+}
+
 /** One of the project's processes, started as the deploy file says. */
 export class Machine {
   readonly name: string;
@@ -90,12 +103,14 @@
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     this.#child = child;
+    children.add(child);
     for (const stream of [child.stdout, child.stderr]) {
       stream.on('data', (bytes: Buffer) => {
         this.#log += bytes.toString();
       });
     }
     child.once('exit', () => {
+      children.delete(child);
       this.#misses = Infinity;
       if (this.#child === child) this.#child = undefined;
     });
