Believe nothing in a response with a status that HTTP does not have

Seen by callers: an endpoint in trouble answered an order with status 000 (099, 600, 999) and `Oriolestack-Not-Executed`. The caller got 503, "not run", on the word of an answer that is none; where another endpoint was there, the order was sent to it as well, so that it might run twice. `Server-Leaving` in such a head took the endpoint out of use.

Cause: `Attempt` looked at the status after it had believed the head: refusals ended the attempt, and notices were taken over, before the range was checked.

Change: the status is checked first; such a response breaks the attempt.

The calls of oriolestackd compared the status before the head already.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -215,6 +215,11 @@
       this.#finish(AttemptEnd.Broken, 'connection closed before the response was complete');
     });
     const status = response.statusCode ?? 0;
+    // Nothing in such a response is believed, least of all that the request has not run.
+    if (!isFinalStatus(status)) {
+      this.#finish(AttemptEnd.Broken, `response has status ${status}`);
+      return;
+    }
     const described = codec.describeResponse(status, response.headers);
     if (
       described.requestId !== admitted.description.requestId &&
@@ -240,9 +245,8 @@
     else this.#bufferResponse(response, status);
   }
 
-  /** Whether a status is one of HTTP's, and goes on with a response whose head was sent. */
+  /** Whether a status goes on with a response whose head was sent. */
   #canForward(status: number): boolean {
-    if (!isFinalStatus(status)) return false;
     return !this.#options.exchange.hasSentHead || status === 200 || status >= 400;
   }
 
