Count an order as accepted only with a whole response

Seen by operators: an endpoint in trouble answered an order of oriolestackd with 200 and broke its answer off in the trailers, where the name of a field held a blank or a control byte. The order counted as accepted.

Cause: `HttpEndpointOrderClient` took the status and dumped the body; undici's `dump` resolves however the body ends.

Change: the body is read to its end, within the bound of other answers of endpoints; one that breaks off fails the order, which is sent again.

Evidence: test/daemon/odd-answers_test.ts plays 66 lines with a blank or a control byte in their name as the first and the last line of the head, in an interim head and in trailers, whole and in pieces, on a fresh and on a reused connection, through the 15 readers of answers outside the gateway's path. Two of its tests failed, orders with odd trailers, in all 66 lines; with the fix none does. All other readers refused each of these lines already: node:http and undici stop at such a name, in the head as in trailers.

--- a/src/capacity/endpoint-order-client.ts
+++ b/src/capacity/endpoint-order-client.ts
@@ -1,5 +1,6 @@
 import { Agent, request } from 'undici';
 import { OrioleError, Step } from '../core/index.js';
+import { maxControlResponseBytes, readBounded } from '../core/response-body.js';
 import type { EngineRole } from '../settings/index.js';
 import type { Fence } from '../state/index.js';
 
@@ -72,7 +73,8 @@
         signal: AbortSignal.timeout(this.#timeoutMs),
       });
       status = response.statusCode;
-      await response.body.dump();
+      // To its end: an order has been accepted once the response is whole.
+      await readBounded(response.body, maxControlResponseBytes);
     } catch (error) {
       throw new OrderError(`no response to order "${order.kind}"`, baseUrl, false, error);
     }
--- a/test/daemon/odd-answers_test.ts
+++ b/test/daemon/odd-answers_test.ts
@@ -6,9 +6,11 @@
   type AnswerReaderType,
 } from '../answer-readers.js';
 import {
+  answersWithOddNames,
   answersWithOddStatus,
   deliver,
   Delivery,
+  OddPlace,
   soundBytes,
   type OddAnswer,
 } from '../odd-answers.js';
@@ -81,9 +83,23 @@
 describe('an answer that HTTP does not know', () => {
   describe.each([...wholeReaders, ...headReaders])('to %s', (_name, readerType) => {
     describe.each(deliveries)('%s', (delivery) => {
+      it.each([OddPlace.FirstLine, OddPlace.LastLine, OddPlace.InterimHead])(
+        'with a blank or a control character in a name in %s is refused',
+        async (place) => {
+          expect(await playAll(readerType, answersWithOddNames(place), delivery)).toEqual([]);
+        },
+      );
+
       it('with a status that HTTP does not have is refused', async () => {
         expect(await playAll(readerType, answersWithOddStatus, delivery)).toEqual([]);
       });
     });
   });
+
+  describe.each(wholeReaders)('to %s', (_name, readerType) => {
+    it.each(deliveries)('with such a name in its trailers is refused: %s', async (delivery) => {
+      const answers = answersWithOddNames(OddPlace.Trailers);
+      expect(await playAll(readerType, answers, delivery)).toEqual([]);
+    });
+  });
 });
