Count nothing as done by an answer without a length that may be cut

Seen by callers of oriolestackd's own clients: an endpoint, the log service, another daemon, the cloud or the administration API answered a long request at once with a 200 without a length, sent a part or all of a body and reset the connection while the request was still being written. An order counted as accepted with any part of the answer, also with none; an append, a remote call, a start of a VM and an operator's command counted as done when what had come could be parsed, although the request had not been read.

Cause: undici takes a reset of the connection (and an end that hides one) for the end of a body that has neither a length nor chunks, and hands a string to the kernel without saying whether it has left. Nothing in its interface tells a whole response from one that was cut.

Change: where a response means that something was carried out, it has to be framed (`requireFramed`); else the outcome is unknown, and what callers of these clients do then is unchanged. `Attempt` shares `isFramed`, which no longer takes a transfer coding other than chunks for a framing.

A stream that has its own end in it is whole for a generation, however its connection ends.

--- a/src/capacity/endpoint-order-client.ts
+++ b/src/capacity/endpoint-order-client.ts
@@ -1,6 +1,7 @@
 import { Agent, request } from 'undici';
 import { OrioleError, Step } from '../core/index.js';
 import { maxControlResponseBytes, readBounded } from '../core/response-body.js';
+import { requireFramed } from '../core/response-framing.js';
 import type { EngineRole } from '../settings/index.js';
 import type { Fence } from '../state/index.js';
 
@@ -75,6 +76,7 @@
       status = response.statusCode;
       // To its end: an order has been accepted once the response is whole.
       await readBounded(response.body, maxControlResponseBytes);
+      requireFramed(status, response.headers);
     } catch (error) {
       throw new OrderError(`no response to order "${order.kind}"`, baseUrl, false, error);
     }
--- a/src/capacity/http-json-client.ts
+++ b/src/capacity/http-json-client.ts
@@ -1,6 +1,7 @@
 import { Agent, request } from 'undici';
 import type { z } from 'zod';
 import { readBounded } from '../core/response-body.js';
+import { requireFramed } from '../core/response-framing.js';
 
 /** Larger than the list of all VMs of a deployment. */
 const maxResponseBytes = 16_777_216;
@@ -37,7 +38,8 @@
    * Sends a request.
    *
    * @param extraTimeoutMs - added to the client's timeout, for requests that wait at the server.
-   * @throws Error when there is no response in time or its body is not JSON.
+   * @throws Error when there is no response in time, its body is not JSON, or it has neither a length
+   * nor chunks and the request may change something.
    */
   async call(
     method: 'GET' | 'POST' | 'DELETE',
@@ -53,6 +55,7 @@
       signal: AbortSignal.timeout(this.#timeoutMs + extraTimeoutMs),
     });
     const text = (await readBounded(response.body, maxResponseBytes)).toString();
+    if (method !== 'GET') requireFramed(response.statusCode, response.headers);
     return { status: response.statusCode, body: text === '' ? undefined : JSON.parse(text) };
   }
 
--- /dev/null
+++ b/src/core/response-framing.ts
@@ -0,0 +1,34 @@
+/** Headers of a response, by their names in lower case. */
+export type ResponseHeaders = Readonly<Record<string, string | string[] | undefined>>;
+
+/** Thrown for a response whose end only the end of its connection shows. */
+export class UnframedResponseError extends Error {
+  override readonly name = 'UnframedResponseError';
+
+  constructor() {
+    super('the response has neither a length nor chunks; it may have been broken off');
+  }
+}
+
+/** Statuses of responses that have no body. */
+const statusesWithoutBody: readonly number[] = [204, 304];
+
+/** Whether a response tells its own end; one that does not ends with its connection. */
+export function isFramed(headers: ResponseHeaders): boolean {
+  if (headers['content-length'] !== undefined) return true;
+  const codings = String(headers['transfer-encoding'] ?? '').split(',');
+  return codings.at(-1)?.trim().toLowerCase() === 'chunked';
+}
+
+/**
+ * Requires that a response tells its own end. undici takes the reset of a connection for the end of
+ * any other response: a server that gives up while it is sent a request would seem to have carried
+ * it out.
+ *
+ * @throws UnframedResponseError when the response ends with its connection.
+ */
+export function requireFramed(statusCode: number, headers: ResponseHeaders): void {
+  if (!isFramed(headers) && !statusesWithoutBody.includes(statusCode)) {
+    throw new UnframedResponseError();
+  }
+}
--- a/src/ctl/admin-client.ts
+++ b/src/ctl/admin-client.ts
@@ -1,6 +1,7 @@
 import { readFileSync } from 'node:fs';
 import { Agent, request } from 'undici';
 import { z } from 'zod';
+import { requireFramed } from '../core/response-framing.js';
 import {
   AdminQuery,
   gatheredSchema,
@@ -61,7 +62,9 @@
         dispatcher: agent,
         signal: AbortSignal.timeout(timeoutMs),
       });
-      return { status: response.statusCode, body: await response.body.json() };
+      const answer = { status: response.statusCode, body: await response.body.json() };
+      if (method === 'POST') requireFramed(response.statusCode, response.headers);
+      return answer;
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
       throw new CtlError(
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '../core/index.js';
 import { isFinalStatus } from '../core/final-status.js';
 import type { ReadTurns } from '../core/read-turns.js';
+import { isFramed } from '../core/response-framing.js';
 import type { EndpointView, StallDetector } from '../fleet/index.js';
 import { StallCause } from '../fleet/index.js';
 import type { AdmittedRequest, CallerExchange } from './caller-exchange.js';
@@ -271,7 +272,7 @@
     this.#listen(response, 'end', () => {
       // Only one that resumes a stream may have nothing to send.
       const isFresh = progress.events === 0 && progress.lastEventId === undefined;
-      if (isFresh && !isFramed(response)) {
+      if (isFresh && !isFramed(response.headers)) {
         this.#finish(AttemptEnd.Broken, 'stream ended before its first event');
         return;
       }
@@ -449,7 +450,7 @@
       reason,
       wasSent,
       hasResponse: this.#response !== undefined,
-      isFramed: isFramed(this.#response),
+      isFramed: isFramed(this.#response?.headers ?? {}),
       hasLostKeptConnection,
       ages: this.#responseProgress.ages,
       ...(response ? { response } : {}),
@@ -466,12 +467,6 @@
   );
 }
 
-/** Whether a response tells its own end; one that does not ends with its connection. */
-function isFramed(response: IncomingMessage | undefined): boolean {
-  const { 'content-length': length, 'transfer-encoding': encoding } = response?.headers ?? {};
-  return length !== undefined || encoding !== undefined;
-}
-
 /** Bytes that a response announces, as far as they are kept; undefined if it announces none. */
 function lengthOf({ headers }: IncomingMessage): number | undefined {
   const length = Number(headers['content-length']);
--- a/src/log/http-log-service.ts
+++ b/src/log/http-log-service.ts
@@ -1,5 +1,6 @@
 import { Agent, request, type Dispatcher } from 'undici';
 import { z } from 'zod';
+import { requireFramed } from '../core/response-framing.js';
 import { LogRefusedError, LogUnavailableError } from './log-errors.js';
 import {
   LogService,
@@ -124,7 +125,9 @@
         ...options,
         dispatcher: this.#agent,
       });
-      return { status: response.statusCode, text: await response.body.text() };
+      const text = await response.body.text();
+      if (isAppend) requireFramed(response.statusCode, response.headers);
+      return { status: response.statusCode, text };
     } catch (error) {
       throw new LogUnavailableError(
         `the log service did not answer: ${error instanceof Error ? error.message : String(error)}`,
--- a/src/rpc/rpc-client.ts
+++ b/src/rpc/rpc-client.ts
@@ -7,6 +7,7 @@
 import { Agent, request } from 'undici';
 import type { ConnectionOptions } from 'node:tls';
 import { scheduleTimer, type Clock } from '../core/index.js';
+import { requireFramed } from '../core/response-framing.js';
 import { PeerCaller, type PeerCallOptions } from './peer-caller.js';
 import { RpcError } from './rpc-error.js';
 import { rpcPath } from './rpc-server.js';
@@ -111,7 +112,9 @@
         dispatcher: this.#agent,
         signal: timeout.signal,
       });
-      return { status: response.statusCode, text: await response.body.text() };
+      const text = await response.body.text();
+      requireFramed(response.statusCode, response.headers);
+      return { status: response.statusCode, text };
     } catch (error) {
       const reason = timeout.signal.aborted ? `no answer within ${remainingMs} ms` : String(error);
       throw new RpcError(
--- a/test/answer-readers.ts
+++ b/test/answer-readers.ts
@@ -309,13 +309,15 @@
 /** Makes a reader of the answers of an endpoint. */
 export type AnswerReaderType = new (endpoint: RawEndpoint) => AnswerReader;
 
-/** Readers that send a body, which an endpoint may answer before it has come. */
-export const uploadingReaders: readonly (readonly [string, AnswerReaderType])[] = [
+/** A name with the reader that it names. */
+type NamedReader = readonly [string, AnswerReaderType];
+
+/** Readers for which an answer means that what they sent was carried out. */
+export const confirmingReaders: readonly NamedReader[] = [
   ['a call of a plain service', RelayReader],
   ['a call that runs at most once', BackEndReader],
   ['a call of the store', StoreReader],
   ['a call of the platform on a connection of its own', DutyReader],
-  ['a generation', GenerationReader],
   ['an append to the log service', AppendReader],
   ['a call of another daemon', PeerReader],
   ['an order to an endpoint', OrderReader],
@@ -323,8 +325,14 @@
   ['a query of an operator', AdminReader],
 ];
 
+/** Readers that send a body, which an endpoint may answer before it has come. */
+export const uploadingReaders: readonly NamedReader[] = [
+  ...confirmingReaders,
+  ['a generation', GenerationReader],
+];
+
 /** Readers that read the whole answer. */
-export const wholeReaders: readonly (readonly [string, AnswerReaderType])[] = [
+export const wholeReaders: readonly NamedReader[] = [
   ...uploadingReaders,
   ['a status of a plain service', StatusReader],
   ['the load of an engine', LoadReader],
@@ -333,6 +341,6 @@
 ];
 
 /** Readers that need no more than the head. */
-export const headReaders: readonly (readonly [string, AnswerReaderType])[] = [
+export const headReaders: readonly NamedReader[] = [
   ['a health check of the gateway', GatewayProbeReader],
 ];
