Leave refusals without a length what they are

Cause: the framing was required of every response. Only a success can make something count as done that was not; a refusal means the same however it ends.

Change: `requireFramed` asks it of statuses of 2xx, and the status of an order that is refused is taken from the head.

--- a/src/capacity/endpoint-order-client.ts
+++ b/src/capacity/endpoint-order-client.ts
@@ -1,5 +1,6 @@
 import { Agent, request } from 'undici';
 import { OrioleError, Step } from '../core/index.js';
+import { isSuccess } from '../core/final-status.js';
 import { maxControlResponseBytes, readBounded } from '../core/response-body.js';
 import { requireFramed } from '../core/response-framing.js';
 import type { EngineRole } from '../settings/index.js';
@@ -64,23 +65,8 @@
   }
 
   override async send(baseUrl: string, order: EndpointOrder, fence: Fence): Promise<void> {
-    let status: number;
-    try {
-      const response = await request(`${baseUrl}/orders`, {
-        method: 'POST',
-        headers: { 'content-type': 'application/json' },
-        body: JSON.stringify({ ...order, fence }),
-        dispatcher: this.#agent,
-        signal: AbortSignal.timeout(this.#timeoutMs),
-      });
-      status = response.statusCode;
-      // To its end: an order has been accepted once the response is whole.
-      await readBounded(response.body, maxControlResponseBytes);
-      requireFramed(status, response.headers);
-    } catch (error) {
-      throw new OrderError(`no response to order "${order.kind}"`, baseUrl, false, error);
-    }
-    if (status >= 300) {
+    const status = await this.#post(baseUrl, order, fence);
+    if (!isSuccess(status)) {
       throw new OrderError(
         `order "${order.kind}" failed with status ${status}`,
         baseUrl,
@@ -93,4 +79,27 @@
   async close(): Promise<void> {
     await this.#agent.destroy();
   }
+
+  /** Sends an order, and returns the status of its response. */
+  async #post(baseUrl: string, order: EndpointOrder, fence: Fence): Promise<number> {
+    try {
+      const { statusCode, headers, body } = await request(`${baseUrl}/orders`, {
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify({ ...order, fence }),
+        dispatcher: this.#agent,
+        signal: AbortSignal.timeout(this.#timeoutMs),
+      });
+      if (isSuccess(statusCode)) {
+        // To its end: an order has been accepted once the response is whole.
+        await readBounded(body, maxControlResponseBytes);
+        requireFramed(statusCode, headers);
+      } else {
+        await body.dump();
+      }
+      return statusCode;
+    } catch (error) {
+      throw new OrderError(`no response to order "${order.kind}"`, baseUrl, false, error);
+    }
+  }
 }
--- a/src/capacity/http-json-client.ts
+++ b/src/capacity/http-json-client.ts
@@ -38,8 +38,8 @@
    * Sends a request.
    *
    * @param extraTimeoutMs - added to the client's timeout, for requests that wait at the server.
-   * @throws Error when there is no response in time, its body is not JSON, or it has neither a length
-   * nor chunks and the request may change something.
+   * @throws Error when there is no response in time, its body is not JSON, or a success has neither a
+   * length nor chunks and the request may change something.
    */
   async call(
     method: 'GET' | 'POST' | 'DELETE',
--- a/src/core/response-framing.ts
+++ b/src/core/response-framing.ts
@@ -1,3 +1,5 @@
+import { isSuccess } from './final-status.js';
+
 /** Headers of a response, by their names in lower case. */
 export type ResponseHeaders = Readonly<Record<string, string | string[] | undefined>>;
 
@@ -10,8 +12,7 @@
   }
 }
 
-/** Statuses of responses that have no body. */
-const statusesWithoutBody: readonly number[] = [204, 304];
+const noContent = 204;
 
 /** Whether a response tells its own end; one that does not ends with its connection. */
 export function isFramed(headers: ResponseHeaders): boolean {
@@ -21,14 +22,13 @@
 }
 
 /**
- * Requires that a response tells its own end. undici takes the reset of a connection for the end of
+ * Requires that a success tells its own end. undici takes the reset of a connection for the end of
  * any other response: a server that gives up while it is sent a request would seem to have carried
- * it out.
+ * it out. A refusal means the same however it ends.
  *
- * @throws UnframedResponseError when the response ends with its connection.
+ * @throws UnframedResponseError when a response with a status of 2xx ends with its connection.
  */
 export function requireFramed(statusCode: number, headers: ResponseHeaders): void {
-  if (!isFramed(headers) && !statusesWithoutBody.includes(statusCode)) {
-    throw new UnframedResponseError();
-  }
+  if (!isSuccess(statusCode) || statusCode === noContent) return;
+  if (!isFramed(headers)) throw new UnframedResponseError();
 }
--- a/src/fleet/http-endpoint-probe.ts
+++ b/src/fleet/http-endpoint-probe.ts
@@ -8,8 +8,8 @@
 const healthSchema = z.looseObject({ startedAtMs: z.number().nonnegative().optional() });
 
 /**
- * {@link EndpointProbe} by `GET /health`. Any answer of HTTP counts: 503 means that the endpoint is
- * draining, and a body `{"startedAtMs": ...}` gives the incarnation.
+ * {@link EndpointProbe} by `GET /health`. Any answer with a status of HTTP counts: 503 means that
+ * the endpoint is draining, and a body `{"startedAtMs": ...}` gives the incarnation.
  *
  * @example
  * ```ts
--- a/test/log/http-log-service_test.ts
+++ b/test/log/http-log-service_test.ts
@@ -1,7 +1,8 @@
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { describe, expect, it } from 'vitest';
-import { HttpLogService } from '../../src/log/index.js';
+import { HttpLogService, LogRefusedError } from '../../src/log/index.js';
+import { RawEndpoint } from '../raw-endpoint.js';
 
 describe('HttpLogService', () => {
   it('continues at the oldest record after a 410 (else a lagging daemon can never read again)', async () => {
@@ -21,4 +22,14 @@
     await log.close();
     server.close();
   });
+
+  it('takes a refusal from an answer that ends with its connection (else a record that is too large is sent again)', async () => {
+    const server = await new RawEndpoint(({ socket }) => {
+      socket.end('HTTP/1.1 413 Content Too Large\r\n\r\n');
+    }).listen();
+    const log = new HttpLogService({ baseUrl: server.baseUrl });
+    await expect(log.append('s', { id: 'a', data: 'x' })).rejects.toThrow(LogRefusedError);
+    await log.close();
+    server.close();
+  });
 });
