Check the head of an answer as it came, before the parser reads it

Callers saw: an answer in whose head the name of a field holds a blank or a control byte, as an answer: with that line passed on as a part of the value before it, or with the lines behind it, or chunk marks, as its body. All three kinds of request.

Cause: whether a head is sound was left to the parser of Node.js, and the parsers differ between releases. That of Node.js 20.0.0 to 20.19.1 (llhttp 8) folds a line that begins with a blank into the value before it, ends the head at a bare LF or CR, and keeps blanks in names; what it makes of them looks sound. From 20.19.2 on (llhttp 9) it refuses them. `engines` asks for 20 or later.

Change: HeadScanner reads along the bytes of each head before the parser gets them, and onSoundResponse hands over a response only if its head is sound; all readers with node:http use it. The status, checked at each reader before, is checked there too.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -14,6 +14,7 @@
       'eslint.config.mjs',
       'vitest.config.ts',
       'vitest.isolated.config.ts',
+      'vitest.lenient.config.ts',
     ],
   },
   eslint.configs.recommended,
--- a/scripts/check.mjs
+++ b/scripts/check.mjs
@@ -22,6 +22,11 @@
   ],
   ['circular imports', 'node_modules/.bin/madge', ['--circular', '--no-spinner', 'dist']],
   ['tests', 'node_modules/.bin/vitest', ['run', ...withoutKnownRed()]],
+  [
+    'tests with a lenient parser',
+    'node_modules/.bin/vitest',
+    ['run', '--config', 'vitest.lenient.config.ts', ...withoutKnownRed()],
+  ],
   [
     'isolated tests',
     'node_modules/.bin/vitest',
--- a/src/calls/http-back-end-caller.ts
+++ b/src/calls/http-back-end-caller.ts
@@ -2,8 +2,8 @@
 import { connect as connectTcp, type Socket } from 'node:net';
 import { connect as connectTls } from 'node:tls';
 import type { Clock } from '../core/index.js';
-import { isFinalStatus } from '../core/final-status.js';
 import { onResetBeforeEnd } from '../core/reset-detection.js';
+import { onSoundResponse } from '../core/response-head.js';
 import {
   BackEndCaller,
   BackEndCallError,
@@ -93,26 +93,23 @@
         reject(this.#error('call not started: its start time has passed or its claim is resolved'));
         return;
       }
-      const outgoing = httpRequest(
-        {
-          createConnection: () => socket,
-          method: request.method,
-          path: request.path,
-          headers: { ...request.headers, connection: 'close' },
-        },
-        (answer) => {
-          this.#readAnswer(answer).then(resolve, reject);
-        },
-      );
-      outgoing.once('error', reject);
+      const outgoing = httpRequest({
+        createConnection: () => socket,
+        method: request.method,
+        path: request.path,
+        headers: { ...request.headers, connection: 'close' },
+      });
+      const onAnswer = (answer: IncomingMessage): void => {
+        this.#readAnswer(answer).then(resolve, reject);
+      };
+      onSoundResponse(outgoing, onAnswer, reject);
+      outgoing.on('error', reject);
       onResetBeforeEnd(outgoing, reject);
       outgoing.end(request.body);
     });
   }
 
   async #readAnswer(answer: IncomingMessage): Promise<BackEndAnswer> {
-    const { statusCode = 0 } = answer;
-    if (!isFinalStatus(statusCode)) throw this.#error(`answer has status ${statusCode}`);
     const chunks: Buffer[] = [];
     let bytes = 0;
     for await (const chunk of answer) {
@@ -123,7 +120,7 @@
     }
     const type = answer.headers['content-type'];
     return {
-      status: statusCode,
+      status: answer.statusCode ?? 0,
       headers: type === undefined ? {} : { 'content-type': type },
       body: Buffer.concat(chunks),
     };
--- a/src/core/http-connection.ts
+++ b/src/core/http-connection.ts
@@ -6,9 +6,9 @@
 } from 'node:http';
 import { CompactBytes } from './compact-bytes.js';
 import { allSocketsRead, scheduleTimer } from './event-loop.js';
-import { isFinalStatus } from './final-status.js';
 import { processReadTurns } from './read-turns.js';
 import { onResetBeforeEnd } from './reset-detection.js';
+import { onSoundResponse } from './response-head.js';
 
 /** An IP address with a port. */
 export interface SocketAddress {
@@ -110,37 +110,32 @@
         );
         transfer.onBytes?.();
       };
-      const outgoing = httpRequest(
-        {
-          agent: usesOwnConnection ? this.#singleUseAgent : this.#agent,
-          ...this.#address,
-          method,
-          path,
-          ...(signal ? { signal } : {}),
-          headers: { ...headers, ...(body ? { 'content-length': body.length } : {}) },
-        },
-        (incoming) => {
-          const { statusCode = 0 } = incoming;
-          if (!isWritten) {
-            outgoing.destroy(new Error('a response came before the request was written'));
-            return;
-          }
-          if (!isFinalStatus(statusCode)) {
-            outgoing.destroy(new Error(`the response has status ${statusCode}`));
-            return;
-          }
-          onBytes(0);
-          incoming.on('data', (chunk: Buffer) => {
-            onBytes(chunk.length);
-          });
-          readBounded(incoming, (error) => outgoing.destroy(error)).then((received) => {
-            cancelTimeout();
-            resolve({ status: statusCode, headers: incoming.headers, body: received });
-          }, fail);
-        },
-      );
+      const outgoing = httpRequest({
+        agent: usesOwnConnection ? this.#singleUseAgent : this.#agent,
+        ...this.#address,
+        method,
+        path,
+        ...(signal ? { signal } : {}),
+        headers: { ...headers, ...(body ? { 'content-length': body.length } : {}) },
+      });
+      const onResponse = (incoming: IncomingMessage): void => {
+        if (!isWritten) {
+          outgoing.destroy(new Error('a response came before the request was written'));
+          return;
+        }
+        onBytes(0);
+        incoming.on('data', (chunk: Buffer) => {
+          onBytes(chunk.length);
+        });
+        readBounded(incoming, (error) => outgoing.destroy(error)).then((received) => {
+          cancelTimeout();
+          const { statusCode = 0, headers: receivedHeaders } = incoming;
+          resolve({ status: statusCode, headers: receivedHeaders, body: received });
+        }, fail);
+      };
       let isWritten = false;
       let cancelTimeout = scheduleTimer(timeoutMs, timeOut);
+      onSoundResponse(outgoing, onResponse, fail);
       outgoing.on('error', fail);
       onResetBeforeEnd(outgoing, fail);
       outgoing.once('socket', () => {
--- a/src/engine/service-request.ts
+++ b/src/engine/service-request.ts
@@ -7,8 +7,8 @@
 } from 'node:http';
 import { Agent as HttpsAgent, request as httpsRequest } from 'node:https';
 import type { Socket } from 'node:net';
-import { isFinalStatus } from '../core/final-status.js';
 import { onResetBeforeEnd } from '../core/reset-detection.js';
+import { onSoundResponse } from '../core/response-head.js';
 
 /** A request to a plain service. */
 export interface ServiceRequest {
@@ -53,17 +53,13 @@
         response?.destroy(error);
       };
       outgoing.on('error', fail);
-      outgoing.once('response', (received) => {
+      const onResponse = (received: IncomingMessage): void => {
         response = received;
-        const { statusCode = 0 } = received;
-        if (!isFinalStatus(statusCode)) {
-          outgoing.destroy(new Error(`the response has status ${statusCode}`));
-          return;
-        }
         // It may fail before its reader listens, who then finds it destroyed.
         received.on('error', () => undefined);
         resolve(received);
-      });
+      };
+      onSoundResponse(outgoing, onResponse, fail);
       outgoing.once('socket', (socket) => {
         limitWaits(outgoing, socket, request, () => response);
       });
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,7 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import { CompactBytes } from '../core/compact-bytes.js';
 import type { Clock } from '../core/index.js';
-import { isFinalStatus } from '../core/final-status.js';
 import type { ReadTurns } from '../core/read-turns.js';
 import { isFramed } from '../core/response-framing.js';
 import type { EndpointView, StallDetector } from '../fleet/index.js';
@@ -216,11 +215,6 @@
       this.#finish(AttemptEnd.Broken, 'connection closed before the response was complete');
     });
     const status = response.statusCode ?? 0;
-    // Nothing in such a response is believed, least of all that the request has not run.
-    if (!isFinalStatus(status)) {
-      this.#finish(AttemptEnd.Broken, `response has status ${status}`);
-      return;
-    }
     const described = codec.describeResponse(status, response.headers);
     if (
       described.requestId !== admitted.description.requestId &&
--- a/src/gateway/endpoint-connections.ts
+++ b/src/gateway/endpoint-connections.ts
@@ -7,6 +7,7 @@
 } from 'node:http';
 import { allSocketsRead, type Clock } from '../core/index.js';
 import { onResetBeforeEnd } from '../core/reset-detection.js';
+import { onSoundResponse } from '../core/response-head.js';
 
 /** A request for one endpoint. */
 export interface EndpointRequest {
@@ -33,7 +34,7 @@
    * @returns whether to write the request; otherwise the send is over and nothing was written.
    */
   mayWrite(): boolean;
-  /** The response head was received. */
+  /** The head of a response was received, and is sound. */
   responded(response: IncomingMessage): void;
   /**
    * The connection failed after the response head. Without this event, a response without a length
@@ -41,7 +42,7 @@
    */
   broken(reason: string): void;
   /**
-   * The send failed before a response head.
+   * The send failed before a sound response head.
    *
    * @param mayHaveRun - false when no byte of the request can have reached the endpoint.
    * @param isRefused - whether nothing listens at the endpoint's address.
@@ -209,16 +210,15 @@
       });
     });
     this.#limitInterimResponses();
-    outgoing.on('response', (response) => {
-      if (this.#isDone) return;
-      if (!this.mayHaveRun) {
-        outgoing.destroy(new Error('response came before the request was written'));
-        return;
-      }
-      this.#isDone = true;
-      this.#hasResponse = true;
-      this.#observer.responded(response);
-    });
+    onSoundResponse(
+      outgoing,
+      (response) => {
+        this.#onResponse(response);
+      },
+      ({ message }) => {
+        this.#fail(message);
+      },
+    );
     outgoing.on('error', (error: NodeJS.ErrnoException) => {
       if (this.#hasResponse) this.#observer.broken(error.message);
       else this.#fail(error.message, error.code === 'ECONNREFUSED');
@@ -228,6 +228,17 @@
     });
   }
 
+  #onResponse(response: IncomingMessage): void {
+    if (this.#isDone) return;
+    if (!this.mayHaveRun) {
+      this.#outgoing.destroy(new Error('response came before the request was written'));
+      return;
+    }
+    this.#isDone = true;
+    this.#hasResponse = true;
+    this.#observer.responded(response);
+  }
+
   async #write(body: Buffer): Promise<void> {
     await allSocketsRead();
     if (this.#isDone || this.#outgoing.destroyed) return;
--- a/test/gateway/odd-answers_test.ts
+++ b/test/gateway/odd-answers_test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { RequestKind } from '../../src/gateway/traffic-config.js';
 import {
+  answersWithOddFraming,
   answersWithOddNames,
   answersWithOddStatus,
   deliver,
@@ -107,6 +108,10 @@
         },
       );
 
+      it('with a blank or a control character in the name that frames its body: no success', async () => {
+        expect(await playAll(answersWithOddFraming, kind, delivery)).toEqual([]);
+      });
+
       it('with a status that HTTP does not have: no success', async () => {
         expect(await playAll(answersWithOddStatus, kind, delivery)).toEqual([]);
       });
--- a/test/isolated/limited-gateway.ts
+++ b/test/isolated/limited-gateway.ts
@@ -33,6 +33,8 @@
   /** Descriptors of the process that the settings file names. */
   readonly maxFds: number;
   readonly maxBodyBytes: number;
+  /** Further options of Node.js for the program. */
+  readonly nodeOptions?: readonly string[];
 }
 
 /** The real program of the gateway with lowered limits, between stand-ins in the test's process. */
@@ -64,8 +66,8 @@
   }
 
   /**
-   * Registers an endpoint of the service `raw`, which `/raw/` leads to, at a port of loopback. Resolves
-   * once the program knows it.
+   * Registers an endpoint of the service `raw`, which `/raw/`, `/raw-safe/` and `/raw-stream/` lead to,
+   * at a port of loopback. Resolves once the program knows it.
    */
   async registerRaw(port: number): Promise<void> {
     this.#timers.push(setInterval(() => this.#put('i-raw', 'raw', port), heartbeatMs));
@@ -99,9 +101,10 @@
     this.#store.put(topics.operator, configKey, configuration(this.#limits.maxBodyBytes));
     const settingsPath = join(this.#directory, 'local.conf');
     writeFileSync(settingsPath, this.#settings());
+    const { heapMb, nodeOptions = [] } = this.#limits;
     this.#child = spawn(
       process.execPath,
-      [`--max-old-space-size=${this.#limits.heapMb}`, program],
+      [`--max-old-space-size=${heapMb}`, ...nodeOptions, program],
       {
         env: { PATH: process.env.PATH, ORIOLESTACK_NODE_FILE: settingsPath },
         stdio: ['ignore', 'pipe', 'pipe'],
@@ -288,6 +291,8 @@
       route('bulk', 'safe'),
       route('stream', 'stream'),
       route('raw', 'unsafe', 'raw'),
+      route('raw-safe', 'safe', 'raw'),
+      route('raw-stream', 'stream', 'raw'),
     ],
     services: [{ name: 'orders' }, { name: 'raw' }],
     limits: { max_body_bytes: maxBodyBytes },
--- a/test/odd-answers.ts
+++ b/test/odd-answers.ts
@@ -45,7 +45,7 @@
 }
 
 /** Characters that no name of a field holds, besides the colon that ends it. */
-const blanksAndControls = [' ', '\t', '\0', '\x01', '\x08', '\v', '\f', '\r', '\x1f', '\x7f'];
+const blanksAndControls = [' ', '\t', '\0', '\x01', '\x08', '\n', '\v', '\f', '\r', '\x1f', '\x7f'];
 
 /** Lines whose name holds a blank or a control character; readers know some of the names. */
 const oddLines: readonly string[] = [
@@ -53,8 +53,10 @@
     `${odd}x-check: 1`,
     `x-${odd}check: 1`,
     `x-check${odd}: 1`,
+    `${odd}content-length: 1`,
     `content-${odd}length: 1`,
     `content-length${odd}: 1`,
+    `${odd}transfer-encoding: chunked`,
     `transfer-encoding${odd}: chunked`,
   ]),
   'content length: 1',
@@ -79,6 +81,29 @@
   }
 }
 
+/** Names with a blank or a control character before them, in them and behind them. */
+function oddNamesOf(name: string): readonly string[] {
+  const middle = name.indexOf('-') + 1;
+  return blanksAndControls.flatMap((odd) => [
+    `${odd}${name}`,
+    `${name.slice(0, middle)}${odd}${name.slice(middle)}`,
+    `${name}${odd}`,
+  ]);
+}
+
+/** Answers in which the name of the line that frames the body holds a blank or a control character. */
+export const answersWithOddFraming: readonly OddAnswer[] = [
+  ...framedOddly('content-length', soundBytes),
+  ...framedOddly('transfer-encoding', (sound) => chunkedBytes(sound, [])),
+];
+
+function framedOddly(name: string, bytesOf: (sound: SoundAnswer) => string): OddAnswer[] {
+  return oddNamesOf(name).map((oddName) => ({
+    name: JSON.stringify(oddName),
+    pieces: (sound) => cutAround(bytesOf(sound).replace(`${name}:`, `${oddName}:`), `${oddName}:`),
+  }));
+}
+
 /** Cuts bytes before an odd part, after its first character and behind it. */
 function cutAround(bytes: string, odd: string): readonly string[] {
   const at = bytes.indexOf(odd);
@@ -128,16 +153,30 @@
 export interface AnswerSink {
   readonly destroyed: boolean;
   write(bytes: string, encoding: 'latin1'): unknown;
+  end(): unknown;
+}
+
+/** What becomes of a connection after an answer. */
+export enum AfterAnswer {
+  StaysOpen = 'stays open',
+  /** The end of the connection is the end of an answer without a length. */
+  Ends = 'ends',
 }
 
 /** Writes an answer, and stops when the receiver has closed the connection. */
-export function deliver(sink: AnswerSink, pieces: readonly string[], delivery: Delivery): void {
+export function deliver(
+  sink: AnswerSink,
+  pieces: readonly string[],
+  delivery: Delivery,
+  afterAnswer = AfterAnswer.StaysOpen,
+): void {
   const rest = delivery === Delivery.Whole ? [pieces.join('')] : [...pieces];
   const writeNext = (): void => {
     const piece = rest.shift();
     if (piece === undefined || sink.destroyed) return;
     sink.write(piece, 'latin1');
     if (rest.length > 0) setTimeout(writeNext, pieceGapMs);
+    else if (afterAnswer === AfterAnswer.Ends) sink.end();
   };
   writeNext();
 }
