Take no answer in a transfer coding that cannot be undone

Callers saw: a whole 200 with the endpoint's seal and a body that is not the endpoint's: the marks of the chunks as text, or coded bytes as if they were plain.

Node.js and undici read a body in an unknown transfer coding to the end of its connection and hand it over as it is; of `gzip, chunked` they undo the chunks only. `isFramed` looks at the last coding, and was not asked whether a body may be delivered.

Change: the check of a head asks for a transfer coding of exactly `chunked`, without a length, or none. The readers with undici use the same check, by sendRequest or, for generations, requireSoundHead; a lint rule keeps `request` of undici out of other modules. Answers without a length that end with their connection stay what they are: the test of the real program asks for one, and for one with a length and one in chunks, after each malformed one.

One check of the test itself was unsteady with undici, of whether an answer came on a reused connection: a reader that still closed its connection opened another one beside it. The test waits for the close now; the check is unchanged.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -41,6 +41,25 @@
       '@typescript-eslint/explicit-module-boundary-types': 'error',
     },
   },
+  {
+    // A response is believed only once its head was checked.
+    files: ['src/**/*.ts', 'platform/**/*.ts'],
+    ignores: ['src/core/send-request.ts'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          paths: [
+            {
+              name: 'undici',
+              importNames: ['request', 'fetch', 'stream', 'pipeline'],
+              message: 'Use sendRequest of src/core/send-request.ts.',
+            },
+          ],
+        },
+      ],
+    },
+  },
   {
     // Fakes and abstract-class doubles implement async interfaces without awaiting.
     files: ['test/**/*.ts', 'src/standins/**/*.ts', 'bench/**/*.ts'],
--- a/src/capacity/endpoint-order-client.ts
+++ b/src/capacity/endpoint-order-client.ts
@@ -1,8 +1,9 @@
-import { Agent, request } from 'undici';
+import { Agent } from 'undici';
 import { OrioleError, Step } from '../core/index.js';
 import { isSuccess } from '../core/final-status.js';
 import { maxControlResponseBytes, readBounded } from '../core/response-body.js';
 import { requireFramed } from '../core/response-framing.js';
+import { sendRequest } from '../core/send-request.js';
 import type { EngineRole } from '../settings/index.js';
 import type { Fence } from '../state/index.js';
 
@@ -83,7 +84,7 @@
   /** Sends an order, and returns the status of its response. */
   async #post(baseUrl: string, order: EndpointOrder, fence: Fence): Promise<number> {
     try {
-      const { statusCode, headers, body } = await request(`${baseUrl}/orders`, {
+      const { statusCode, headers, body } = await sendRequest(`${baseUrl}/orders`, {
         method: 'POST',
         headers: { 'content-type': 'application/json' },
         body: JSON.stringify({ ...order, fence }),
--- a/src/capacity/http-json-client.ts
+++ b/src/capacity/http-json-client.ts
@@ -1,7 +1,8 @@
-import { Agent, request } from 'undici';
+import { Agent } from 'undici';
 import type { z } from 'zod';
 import { readBounded } from '../core/response-body.js';
 import { requireFramed } from '../core/response-framing.js';
+import { sendRequest } from '../core/send-request.js';
 
 /** Larger than the list of all VMs of a deployment. */
 const maxResponseBytes = 16_777_216;
@@ -47,7 +48,7 @@
     body?: unknown,
     extraTimeoutMs = 0,
   ): Promise<JsonResponse> {
-    const response = await request(`${this.baseUrl}${path}`, {
+    const response = await sendRequest(`${this.baseUrl}${path}`, {
       method,
       headers: { 'content-type': 'application/json' },
       body: body === undefined ? null : JSON.stringify(body),
--- a/src/core/response-body.ts
+++ b/src/core/response-body.ts
@@ -1,5 +1,3 @@
-import { isFinalStatus } from './final-status.js';
-
 /** Thrown for a body that is larger than its reader allows. */
 export class BodyTooLargeError extends Error {
   constructor(maxBytes: number) {
@@ -34,7 +32,6 @@
 
 /** A response of an endpoint that is read as a whole. */
 export interface ControlResponse {
-  readonly statusCode: number;
   readonly body: AsyncIterable<unknown>;
 }
 
@@ -43,10 +40,7 @@
  *
  * @throws BodyTooLargeError when the body is larger.
  * @throws SyntaxError when it is not JSON.
- * @throws Error when HTTP does not have the status of the response.
  */
-export async function readControlJson({ statusCode, body }: ControlResponse): Promise<unknown> {
-  const json: unknown = JSON.parse((await readBounded(body, maxControlResponseBytes)).toString());
-  if (!isFinalStatus(statusCode)) throw new Error(`the response has status ${statusCode}`);
-  return json;
+export async function readControlJson({ body }: ControlResponse): Promise<unknown> {
+  return JSON.parse((await readBounded(body, maxControlResponseBytes)).toString());
 }
--- a/src/core/response-head.ts
+++ b/src/core/response-head.ts
@@ -1,6 +1,8 @@
 import type { ClientRequest, IncomingMessage } from 'node:http';
+import { isFieldName, isFieldValue } from './field-syntax.js';
 import { isFinalStatus } from './final-status.js';
 import { HeadScanner } from './head-scanner.js';
+import type { ResponseHeaders } from './response-framing.js';
 
 /** Thrown for a response with a head that HTTP does not allow; nothing in it is believed. */
 export class MalformedHeadError extends Error {
@@ -11,9 +13,22 @@
   }
 }
 
+/**
+ * Requires that a head, as a parser has read it, is one of a final response that can be read: with a
+ * status that HTTP has, names that are tokens, values without control characters and, if it has a
+ * transfer coding, with chunks only. Parsers hand over a body in another coding as if it were plain.
+ *
+ * @param headers - by their names in lower case.
+ * @throws MalformedHeadError
+ */
+export function requireSoundHead(statusCode: number, headers: ResponseHeaders): void {
+  const fault = syntaxFaultOf(headers) ?? faultOf(statusCode, headers);
+  if (fault !== undefined) throw new MalformedHeadError(fault);
+}
+
 /**
  * Calls `onSound` with the response to a request once its head has arrived, if the head is sound as
- * it came and its status is one that HTTP has. Otherwise calls `onMalformed` and closes the connection.
+ * it came and as it was read. Otherwise calls `onMalformed` and closes the connection.
  *
  * @example
  * ```ts
@@ -27,7 +42,7 @@
 ): void {
   const scanner = scanHead(outgoing);
   outgoing.once('response', (response) => {
-    const fault = scanner.fault ?? faultOf(response.statusCode ?? 0);
+    const fault = scanner.fault ?? faultOf(response.statusCode ?? 0, response.headers);
     if (fault === undefined) {
       onSound(response);
       return;
@@ -55,7 +70,27 @@
   return scanner;
 }
 
-/** What is wrong with what a head says; undefined if nothing is. */
-function faultOf(statusCode: number): string | undefined {
-  return isFinalStatus(statusCode) ? undefined : `it has status ${statusCode}`;
+/** What is wrong with the fields of a head as a parser has read them; undefined if nothing is. */
+function syntaxFaultOf(headers: ResponseHeaders): string | undefined {
+  for (const [name, value] of Object.entries(headers)) {
+    if (!isFieldName(name)) return `${JSON.stringify(name)} is no name of a field`;
+    if (!isFieldValue(textOf(value))) return `the value of "${name}" holds a control character`;
+  }
+  return undefined;
+}
+
+/** What is wrong with the status of a response and the framing of its body. */
+function faultOf(statusCode: number, headers: ResponseHeaders): string | undefined {
+  if (!isFinalStatus(statusCode)) return `it has status ${statusCode}`;
+  const coding = headers['transfer-encoding'];
+  if (coding === undefined) return undefined;
+  if (textOf(coding).toLowerCase() !== 'chunked') {
+    return `its transfer coding is ${JSON.stringify(textOf(coding))}`;
+  }
+  return headers['content-length'] === undefined ? undefined : 'it has a length and chunks';
+}
+
+/** Lines of the same name are one value. */
+function textOf(value: string | string[] | undefined): string {
+  return Array.isArray(value) ? value.join(', ') : (value ?? '');
 }
--- a/src/ctl/admin-client.ts
+++ b/src/ctl/admin-client.ts
@@ -1,7 +1,8 @@
 import { readFileSync } from 'node:fs';
-import { Agent, request } from 'undici';
+import { Agent } from 'undici';
 import { z } from 'zod';
 import { requireFramed } from '../core/response-framing.js';
+import { sendRequest } from '../core/send-request.js';
 import {
   AdminQuery,
   gatheredSchema,
@@ -55,7 +56,7 @@
     const { baseUrl, bearer, caFile, timeoutMs } = this.#options;
     const agent = new Agent({ connect: caFile ? { ca: readFileSync(caFile) } : {} });
     try {
-      const response = await request(`${baseUrl}/admin/v1/${path}`, {
+      const response = await sendRequest(`${baseUrl}/admin/v1/${path}`, {
         method,
         headers: { authorization: `Bearer ${bearer}`, 'content-type': 'application/json' },
         ...(body !== undefined && { body: JSON.stringify(body) }),
--- a/src/daemon/daemon-job-handler.ts
+++ b/src/daemon/daemon-job-handler.ts
@@ -19,10 +19,10 @@
 } from '../pipeline/index.js';
 import type { JobsService } from './jobs-service.js';
 import type { RoutedLease, RoutedSelector } from './routed-selector.js';
-import { request } from 'undici';
 import { z } from 'zod';
 import type { Clock } from '../core/index.js';
 import { readControlJson } from '../core/response-body.js';
+import { sendRequest } from '../core/send-request.js';
 
 /** Passes callers' job requests to {@link JobsService}. */
 export class DaemonJobHandler extends JobHandler {
@@ -156,7 +156,7 @@
 }
 
 async function postJson(url: string, body: unknown, signal: AbortSignal): Promise<unknown> {
-  const response = await request(url, {
+  const response = await sendRequest(url, {
     method: 'POST',
     headers: { 'content-type': 'application/json' },
     body: JSON.stringify(body),
--- a/src/daemon/endpoint-poller.ts
+++ b/src/daemon/endpoint-poller.ts
@@ -1,7 +1,7 @@
-import { request } from 'undici';
 import { z } from 'zod';
 import { rendezvousOrder, type Clock, type Random } from '../core/index.js';
 import { readControlJson } from '../core/response-body.js';
+import { sendRequest } from '../core/send-request.js';
 import type { AdmissionController } from '../admission/index.js';
 import { EngineError, EngineFailure } from '../engine/index.js';
 import { CacheEventKind, type PrefixCacheIndex } from '../fleet/prefix-cache-index.js';
@@ -139,7 +139,7 @@
   /** Returns the current view, which has a new identity when the process has restarted. */
   async #pollHealth(view: EndpointView, signal: AbortSignal): Promise<EndpointView> {
     const { registry } = this.#options;
-    const response = await request(`${view.baseUrl}/health`, { signal });
+    const response = await sendRequest(`${view.baseUrl}/health`, { signal });
     const health = healthSchema.parse(await readControlJson(response));
     if (health.startedAtMs !== undefined) {
       registry.observeProcessStart(view.name, health.startedAtMs);
@@ -153,7 +153,7 @@
 
   async #pollCacheEvents(view: EndpointView, signal: AbortSignal): Promise<void> {
     const from = this.#nextCacheSequence.get(view.id) ?? 0;
-    const response = await request(`${view.baseUrl}/cache/events?from=${from}`, { signal });
+    const response = await sendRequest(`${view.baseUrl}/cache/events?from=${from}`, { signal });
     const answer = cacheEventsSchema.safeParse(await readControlJson(response));
     if (!answer.success) return;
     for (const event of answer.data.events) {
--- a/src/engine/http-engine-client.ts
+++ b/src/engine/http-engine-client.ts
@@ -1,10 +1,12 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { StringDecoder } from 'node:string_decoder';
 import { createParser, type EventSourceParser } from 'eventsource-parser';
-import { Agent, request, type Dispatcher } from 'undici';
+import { Agent, type Dispatcher } from 'undici';
 import { z } from 'zod';
 import { Outcome, WorkClass, type Clock } from '../core/index.js';
 import { readControlJson } from '../core/response-body.js';
+import { requireSoundHead } from '../core/response-head.js';
+import { sendRequest } from '../core/send-request.js';
 import { noticeOfRetryAfter, type EndpointNotice } from '../fleet/endpoint-notice.js';
 import { decodeChatChunk, type Usage } from './chat-chunk.js';
 import {
@@ -123,7 +125,7 @@
   }
 
   override async cancel(requestId: string): Promise<void> {
-    await request(`${this.#baseUrl}/v1/requests/${encodeURIComponent(requestId)}`, {
+    await sendRequest(`${this.#baseUrl}/v1/requests/${encodeURIComponent(requestId)}`, {
       method: 'DELETE',
       dispatcher: this.#agent,
       signal: AbortSignal.timeout(2_000),
@@ -136,7 +138,7 @@
 
   override async load(signal: AbortSignal): Promise<LoadReport> {
     try {
-      const response = await request(`${this.#baseUrl}/load`, {
+      const response = await sendRequest(`${this.#baseUrl}/load`, {
         dispatcher: this.#agent,
         signal,
       });
@@ -241,6 +243,12 @@
     statusCode: number,
     headers: IncomingHttpHeaders,
   ): void {
+    try {
+      requireSoundHead(statusCode, headers);
+    } catch (error) {
+      this.fail(EngineFailure.Broken, 'sent a malformed head', Outcome.Unknown, error);
+      return;
+    }
     this.#status = statusCode;
     this.#options.onNotice(noticeOfRetryAfter(statusCode, headers['retry-after']));
     this.#lastDataAtMs = this.#options.clock.nowMs();
--- a/src/fleet/http-endpoint-probe.ts
+++ b/src/fleet/http-endpoint-probe.ts
@@ -1,8 +1,8 @@
 import { Client } from 'undici';
 import { z } from 'zod';
-import { isFinalStatus } from '../core/final-status.js';
 import { OrioleError, Step, type Clock } from '../core/index.js';
 import { maxControlResponseBytes, readBounded } from '../core/response-body.js';
+import { sendRequest } from '../core/send-request.js';
 import { EndpointProbe, type ProbeResponse, type ProbeTarget } from './stall-detector.js';
 
 const healthSchema = z.looseObject({ startedAtMs: z.number().nonnegative().optional() });
@@ -29,13 +29,11 @@
     const client = new Client(origin);
     const timeoutMs = Math.max(1, Math.ceil(deadlineAtMs - this.#clock.nowMs()));
     try {
-      const { statusCode, body } = await client.request({
-        method: 'GET',
-        path: '/health',
+      const { statusCode, body } = await sendRequest(`${origin}/health`, {
+        dispatcher: client,
         signal: AbortSignal.timeout(timeoutMs),
       });
       const text = (await readBounded(body, maxControlResponseBytes)).toString();
-      if (!isFinalStatus(statusCode)) throw new Error(`the response has status ${statusCode}`);
       return { startedAtMs: parseStartedAtMs(text), isDraining: statusCode === 503 };
     } catch (error) {
       throw new OrioleError('the endpoint did not answer a health probe', {
--- a/src/log/http-log-service.ts
+++ b/src/log/http-log-service.ts
@@ -1,6 +1,7 @@
-import { Agent, request, type Dispatcher } from 'undici';
+import { Agent } from 'undici';
 import { z } from 'zod';
 import { requireFramed } from '../core/response-framing.js';
+import { sendRequest, type SendOptions } from '../core/send-request.js';
 import { LogRefusedError, LogUnavailableError } from './log-errors.js';
 import {
   LogService,
@@ -115,13 +116,10 @@
     });
   }
 
-  async #send(
-    path: string,
-    options: Omit<Dispatcher.RequestOptions, 'origin' | 'path'>,
-  ): Promise<{ status: number; text: string }> {
+  async #send(path: string, options: SendOptions): Promise<{ status: number; text: string }> {
     const isAppend = options.method === 'POST';
     try {
-      const response = await request(`${this.#baseUrl}${path}`, {
+      const response = await sendRequest(`${this.#baseUrl}${path}`, {
         ...options,
         dispatcher: this.#agent,
       });
--- a/src/rpc/rpc-client.ts
+++ b/src/rpc/rpc-client.ts
@@ -4,10 +4,11 @@
   isJSONRPCResponse,
   type JSONRPCResponse,
 } from 'json-rpc-2.0';
-import { Agent, request } from 'undici';
+import { Agent } from 'undici';
 import type { ConnectionOptions } from 'node:tls';
 import { scheduleTimer, type Clock } from '../core/index.js';
 import { requireFramed } from '../core/response-framing.js';
+import { sendRequest } from '../core/send-request.js';
 import { PeerCaller, type PeerCallOptions } from './peer-caller.js';
 import { RpcError } from './rpc-error.js';
 import { rpcPath } from './rpc-server.js';
@@ -105,7 +106,7 @@
     });
     try {
       // Aborting destroys the socket; with `pipelining: 1` no other call shares it.
-      const response = await request(`${peerUrl}${rpcPath}`, {
+      const response = await sendRequest(`${peerUrl}${rpcPath}`, {
         method: 'POST',
         headers: this.#headers,
         body,
--- a/test/daemon/odd-answers_test.ts
+++ b/test/daemon/odd-answers_test.ts
@@ -1,6 +1,8 @@
 import { describe, expect, it } from 'vitest';
 import { headReaders, wholeReaders } from '../answer-readers.js';
 import {
+  AfterAnswer,
+  answersWithOddCoding,
   answersWithOddFraming,
   answersWithOddNames,
   answersWithOddStatus,
@@ -29,6 +31,11 @@
         expect(await playToReader(readerType, answers, { delivery })).toEqual([]);
       });
 
+      it('with a transfer coding other than chunks is refused', async () => {
+        const toItsEnd = { delivery, afterOdd: AfterAnswer.Ends };
+        expect(await playToReader(readerType, answersWithOddCoding, toItsEnd)).toEqual([]);
+      });
+
       it('with a status that HTTP does not have is refused', async () => {
         expect(await playToReader(readerType, answersWithOddStatus, { delivery })).toEqual([]);
       });
--- a/test/gateway/odd-answers_test.ts
+++ b/test/gateway/odd-answers_test.ts
@@ -1,6 +1,8 @@
 import { afterEach, beforeEach, describe, expect, it } from 'vitest';
 import { RequestKind } from '../../src/gateway/traffic-config.js';
 import {
+  AfterAnswer,
+  answersWithOddCoding,
   answersWithOddFraming,
   answersWithOddNames,
   answersWithOddStatus,
@@ -37,6 +39,7 @@
   let harness: GatewayHarness;
   let endpoint: RawEndpoint;
   let odd: OddAnswer;
+  let afterOdd: AfterAnswer;
 
   async function start(kind: RequestKind, delivery: Delivery): Promise<void> {
     const route = trafficRoute({ kind, maxAttempts: 1 });
@@ -44,7 +47,8 @@
     endpoint = await new RawEndpoint((request) => {
       const sound = soundAnswer(request, kind);
       const isOdd = request.head.startsWith(`POST ${oddPath} `);
-      deliver(request.socket, isOdd ? odd.pieces(sound) : [soundBytes(sound)], delivery);
+      if (isOdd) deliver(request.socket, odd.pieces(sound), delivery, afterOdd);
+      else deliver(request.socket, [soundBytes(sound)], delivery);
     }).listen();
     harness.registerEndpoint('i-1', endpoint.baseUrl);
   }
@@ -62,6 +66,7 @@
 
   beforeEach(() => {
     harness = new GatewayHarness();
+    afterOdd = AfterAnswer.StaysOpen;
   });
 
   afterEach(async () => {
@@ -112,6 +117,11 @@
         expect(await playAll(answersWithOddFraming, kind, delivery)).toEqual([]);
       });
 
+      it('with a transfer coding other than chunks: no success', async () => {
+        afterOdd = AfterAnswer.Ends;
+        expect(await playAll(answersWithOddCoding, kind, delivery)).toEqual([]);
+      });
+
       it('with a status that HTTP does not have: no success', async () => {
         expect(await playAll(answersWithOddStatus, kind, delivery)).toEqual([]);
       });
--- a/test/isolated/broken-heads_test.ts
+++ b/test/isolated/broken-heads_test.ts
@@ -1,12 +1,15 @@
 import { afterEach, describe, expect, it } from 'vitest';
 import {
   AfterAnswer,
+  answersWithOddCoding,
   answersWithOddFraming,
   answersWithOddNames,
+  chunkedBytes,
   deliver,
   Delivery,
   OddPlace,
   soundBytes,
+  unframedBytes,
   type OddAnswer,
   type SoundAnswer,
 } from '../odd-answers.js';
@@ -33,8 +36,16 @@
 const brokenHeads: readonly OddAnswer[] = [
   ...[OddPlace.FirstLine, OddPlace.LastLine, OddPlace.InterimHead].flatMap(answersWithOddNames),
   ...answersWithOddFraming,
+  ...answersWithOddCoding,
 ];
 
+/** Sound answers by the paths that ask for them: with a length, with chunks, with neither. */
+const soundAnswers = {
+  length: soundBytes,
+  chunks: chunkedBytes,
+  neither: unframedBytes,
+} as const;
+
 function soundAnswer({ head }: RawRequest): SoundAnswer {
   const [, requestId = ''] = /oriolestack-request-id: (\S+)/i.exec(head) ?? [];
   return {
@@ -45,7 +56,7 @@
 
 // The tests of the answers' readers end at the parser of the Node.js that runs them. Here the real
 // program runs on a parser that lets such answers through.
-describe('an answer in whose head a name holds a blank or a control character', () => {
+describe('an answer with a malformed head', () => {
   let gateway: LimitedGateway | undefined;
   let endpoint: RawEndpoint | undefined;
 
@@ -53,7 +64,10 @@
     endpoint = await new RawEndpoint((request) => {
       const sound = soundAnswer(request);
       const [, number] = /^POST \S*\/broken-(\d+) /.exec(request.head) ?? [];
-      const pieces = number ? brokenHeads[Number(number)]!.pieces(sound) : [soundBytes(sound)];
+      const [, framing] = /^POST \S*\/sound-(\w+) /.exec(request.head) ?? [];
+      const pieces = number
+        ? brokenHeads[Number(number)]!.pieces(sound)
+        : [soundAnswers[framing as keyof typeof soundAnswers](sound)];
       deliver(request.socket, pieces, Delivery.Whole, AfterAnswer.Ends);
     }).listen();
     gateway = new LimitedGateway({ ...limits, nodeOptions });
@@ -73,14 +87,18 @@
     return received(socket);
   }
 
-  /** Asks for each broken answer, and for a sound one after it, which keeps the endpoint in use. */
+  /** Asks for each broken answer, and for sound ones after it, which keep the endpoint in use. */
   async function faultsOn(route: string): Promise<string[]> {
     const faults: string[] = [];
     for (const [index, { name }] of brokenHeads.entries()) {
       const broken = await responseTo(`/${route}/broken-${index}`);
       if (!broken.startsWith('HTTP/1.1 502 ')) faults.push(`${name}: ${broken}`);
-      const sound = await responseTo(`/${route}/sound`);
-      if (!/^HTTP\/1\.1 200 .*data: 2\n\n/s.test(sound)) faults.push(`after ${name}: ${sound}`);
+      for (const framing of Object.keys(soundAnswers)) {
+        const sound = await responseTo(`/${route}/sound-${framing}`);
+        if (!/^HTTP\/1\.1 200 .*data: 2\n\n/s.test(sound)) {
+          faults.push(`${framing} after ${name}: ${sound}`);
+        }
+      }
     }
     return faults;
   }
@@ -94,7 +112,7 @@
       async (_kind, route) => {
         await start(nodeOptions);
         expect(await faultsOn(route)).toEqual([]);
-        expect(endpoint!.requests.length).toBeGreaterThanOrEqual(2 * brokenHeads.length);
+        expect(endpoint!.requests.length).toBeGreaterThanOrEqual(4 * brokenHeads.length);
       },
       timeoutMs,
     );
--- a/test/lenient/odd-heads_test.ts
+++ b/test/lenient/odd-heads_test.ts
@@ -3,6 +3,7 @@
 import { headReaders, wholeReaders } from '../answer-readers.js';
 import {
   AfterAnswer,
+  answersWithOddCoding,
   answersWithOddFraming,
   answersWithOddNames,
   Delivery,
@@ -41,6 +42,10 @@
       it('with a blank or a control character in the name that frames its body is refused', async () => {
         expect(await playToReader(readerType, answersWithOddFraming, delivery)).toEqual([]);
       });
+
+      it('with a transfer coding other than chunks is refused', async () => {
+        expect(await playToReader(readerType, answersWithOddCoding, delivery)).toEqual([]);
+      });
     });
   });
 });
--- a/test/odd-answers.ts
+++ b/test/odd-answers.ts
@@ -23,13 +23,21 @@
 
 const statusLine = 'HTTP/1.1 200 OK';
 
+/** The bytes of a sound answer that ends with its connection. */
+export function unframedBytes({ lines, body }: SoundAnswer): string {
+  return [statusLine, ...lines, '', body].join('\r\n');
+}
+
 /** The bytes of a sound answer, with its length. */
 export function soundBytes({ lines, body }: SoundAnswer): string {
   return [statusLine, ...lines, `content-length: ${body.length}`, '', body].join('\r\n');
 }
 
 /** The bytes of a sound answer, in one chunk and with lines as its trailers. */
-function chunkedBytes({ lines, body }: SoundAnswer, trailers: readonly string[]): string {
+export function chunkedBytes(
+  { lines, body }: SoundAnswer,
+  trailers: readonly string[] = [],
+): string {
   return [
     statusLine,
     ...lines,
@@ -94,7 +102,7 @@
 /** Answers in which the name of the line that frames the body holds a blank or a control character. */
 export const answersWithOddFraming: readonly OddAnswer[] = [
   ...framedOddly('content-length', soundBytes),
-  ...framedOddly('transfer-encoding', (sound) => chunkedBytes(sound, [])),
+  ...framedOddly('transfer-encoding', (sound) => chunkedBytes(sound)),
 ];
 
 function framedOddly(name: string, bytesOf: (sound: SoundAnswer) => string): OddAnswer[] {
@@ -104,6 +112,28 @@
   }));
 }
 
+/** Transfer codings that no reader undoes, and spellings of chunks that HTTP does not have. */
+const oddCodings = [
+  'xchunked',
+  'chunkedx',
+  'chunk ed',
+  'identity',
+  'gzip',
+  '',
+  'chunked;q=1',
+  'chunked, gzip',
+  'gzip, chunked',
+  'chunked\r\ntransfer-encoding: chunked',
+  'chunked\r\ncontent-length: 1',
+];
+
+/** Answers in chunks that name another transfer coding. */
+export const answersWithOddCoding: readonly OddAnswer[] = oddCodings.map((coding) => ({
+  name: `transfer coding ${JSON.stringify(coding)}`,
+  pieces: (sound) =>
+    cutAround(chunkedBytes(sound).replace(': chunked\r\n', `: ${coding}\r\n`), `: ${coding}\r\n`),
+}));
+
 /** Cuts bytes before an odd part, after its first character and behind it. */
 function cutAround(bytes: string, odd: string): readonly string[] {
   const at = bytes.indexOf(odd);
--- a/test/reader-plays.ts
+++ b/test/reader-plays.ts
@@ -1,12 +1,7 @@
+import { once } from 'node:events';
 import type { Socket } from 'node:net';
 import type { AnswerReader, AnswerReaderType } from './answer-readers.js';
-import {
-  deliver,
-  soundBytes,
-  type AfterAnswer,
-  type Delivery,
-  type OddAnswer,
-} from './odd-answers.js';
+import { AfterAnswer, deliver, soundBytes, type Delivery, type OddAnswer } from './odd-answers.js';
 import { RawEndpoint } from './raw-endpoint.js';
 
 /** Answers that are played at the same time, each by an endpoint of its own. */
@@ -43,7 +38,12 @@
     const result = await reader.read('x').then(() => 'taken', resultOf);
     if (isOdd === (result === 'taken')) faults.push(`${odd.name}, request ${index}: ${result}`);
     if (endpoint.requests.length === arrivals) faults.push(`${odd.name}, request ${index}: unsent`);
-    sockets.push(endpoint.requests.at(-1)?.socket);
+    const socket = endpoint.requests.at(-1)?.socket;
+    sockets.push(socket);
+    // A reader that still closes its connection opens another one beside it.
+    if (isOdd && afterOdd === AfterAnswer.Ends && socket?.closed === false) {
+      await once(socket, 'close');
+    }
     // The reader gets its connection back.
     await new Promise((resolve) => setTimeout(resolve, settleMs));
   }
