--- a/src/core/field-syntax.ts
+++ b/src/core/field-syntax.ts
@@ -27,20 +27,3 @@
   if (byte === undefined) return false;
   return byte >= space ? byte !== del : byte === tab;
 }
-
-/** Whether a text is the name of a field: a token of at least one character. */
-export function isFieldName(text: string): boolean {
-  return text !== '' && isEach(text, isNameByte);
-}
-
-/** Whether a text is the value of a field; it may be empty. */
-export function isFieldValue(text: string): boolean {
-  return isEach(text, isValueByte);
-}
-
-function isEach(text: string, isAllowed: (byte: number) => boolean): boolean {
-  for (let index = 0; index < text.length; index++) {
-    if (!isAllowed(text.charCodeAt(index))) return false;
-  }
-  return true;
-}
--- a/src/core/response-head.ts
+++ b/src/core/response-head.ts
@@ -1,5 +1,9 @@
-import type { ClientRequest, IncomingMessage } from 'node:http';
-import { isFieldName, isFieldValue } from './field-syntax.js';
+import {
+  validateHeaderName,
+  validateHeaderValue,
+  type ClientRequest,
+  type IncomingMessage,
+} from 'node:http';
 import { isFinalStatus } from './final-status.js';
 import { HeadScanner } from './head-scanner.js';
 import type { ResponseHeaders } from './response-framing.js';
@@ -22,7 +26,7 @@
  * @throws MalformedHeadError
  */
 export function requireSoundHead(statusCode: number, headers: ResponseHeaders): void {
-  const fault = syntaxFaultOf(headers) ?? faultOf(statusCode, headers);
+  const fault = fieldFaultOf(headers) ?? faultOf(statusCode, headers);
   if (fault !== undefined) throw new MalformedHeadError(fault);
 }
 
@@ -71,12 +75,16 @@
 }
 
 /** What is wrong with the fields of a head as a parser has read them; undefined if nothing is. */
-function syntaxFaultOf(headers: ResponseHeaders): string | undefined {
-  for (const [name, value] of Object.entries(headers)) {
-    if (!isFieldName(name)) return `${JSON.stringify(name)} is no name of a field`;
-    if (!isFieldValue(textOf(value))) return `the value of "${name}" holds a control character`;
+function fieldFaultOf(headers: ResponseHeaders): string | undefined {
+  try {
+    for (const [name, value] of Object.entries(headers)) {
+      validateHeaderName(name);
+      validateHeaderValue(name, textOf(value));
+    }
+    return undefined;
+  } catch (error) {
+    return error instanceof Error ? error.message : String(error);
   }
-  return undefined;
 }
 
 /** What is wrong with the status of a response and the framing of its body. */
