--- a/test/isolated/broken-heads_test.ts
+++ b/test/isolated/broken-heads_test.ts
@@ -20,7 +20,8 @@
 
 /**
  * Makes the parser of Node.js take lines that begin with a blank or end without CR LF, and blanks
- * before a colon. That of Node.js 20.0.0 to 20.19.1 takes most of them without it.
+ * before a colon. Without it, that of Node.js 20.0.0 to 20.12.0 takes these too, and that of 20.12.1 to
+ * 20.19.1 all but lines that begin with a blank.
  */
 const lenientParser = '--insecure-http-parser';
 
--- a/vitest.lenient.config.ts
+++ b/vitest.lenient.config.ts
@@ -1,8 +1,8 @@
 import { defineConfig } from 'vitest/config';
 
 /**
- * Tests in processes whose parser of HTTP takes what those of other releases of Node.js take: blanks
- * in the names of fields, lines that end without CR LF.
+ * Tests in processes whose parser of HTTP takes much of what those of older releases of Node.js take:
+ * lines that begin with a blank or end without CR LF, blanks before a colon.
  */
 export default defineConfig({
   test: {
